--- /dev/null
+++ b/cmd/madderwing/client.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"madderwing/internal/archive"
+	"madderwing/internal/charter"
+)
+
+// client calls the archives' control interface, one after the other.
+type client struct {
+	at      []string
+	timeout time.Duration
+}
+
+func clientFlags(c *cobra.Command) func() (*client, error) {
+	at := c.Flags().StringSlice("control", nil, "control addresses, host:port (default: the seeds in the settings)")
+	path := c.Flags().String("settings", os.Getenv(charter.PathVariable), "path of the settings file")
+	timeout := c.Flags().Duration("timeout", 5*time.Second, "how long to go on trying")
+	return func() (*client, error) {
+		list := *at
+		if len(list) == 0 {
+			s, err := charter.Load(*path)
+			if err != nil {
+				return nil, usage(fmt.Errorf("no --control given, and settings: %w", err))
+			}
+			list = s.SeedNodes
+		}
+		return &client{list, *timeout}, nil
+	}
+}
+
+func (c *client) call(method, path string, body []byte) ([]byte, error) {
+	end := time.Now().Add(c.timeout)
+	last := errors.New("no archive answered")
+	pause := 100 * time.Millisecond
+	h := &http.Client{Timeout: 2 * time.Second}
+	for i := 0; time.Now().Before(end); i++ {
+		req, err := http.NewRequest(method, "http://"+c.at[i%len(c.at)]+path, bytes.NewReader(body))
+		if err != nil {
+			return nil, usage(err)
+		}
+		req.Header.Set("Content-Type", "application/json")
+		res, err := h.Do(req)
+		if err == nil {
+			text, rerr := io.ReadAll(res.Body)
+			res.Body.Close()
+			switch {
+			case rerr != nil:
+				err = rerr
+			case res.StatusCode < 300:
+				return text, nil
+			case res.StatusCode >= 500 || res.StatusCode == http.StatusTooManyRequests || res.StatusCode == http.StatusRequestTimeout:
+				err = fmt.Errorf("%s answered %d: %s", req.URL.Host, res.StatusCode, strings.TrimSpace(string(text)))
+			default:
+				return nil, coded{exitRefused, fmt.Errorf("%d: %s", res.StatusCode, strings.TrimSpace(string(text)))}
+			}
+		}
+		last = err
+		if (i+1)%len(c.at) == 0 {
+			time.Sleep(pause)
+			pause = min(2*pause, time.Second)
+		}
+	}
+	return nil, coded{exitAway, last}
+}
+
+func configCommand() *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "Read or change the configuration"}
+	get := &cobra.Command{Use: "get", Short: "Print the newest configuration", Args: cobra.NoArgs}
+	getClient := clientFlags(get)
+	get.RunE = func(cmd *cobra.Command, _ []string) error {
+		cl, err := getClient()
+		if err != nil {
+			return err
+		}
+		text, err := cl.call(http.MethodGet, "/v1/config", nil)
+		if err != nil {
+			return err
+		}
+		var out bytes.Buffer
+		if json.Indent(&out, text, "", "  ") != nil {
+			out.Write(text)
+		}
+		fmt.Fprintln(cmd.OutOrStdout(), strings.TrimSpace(out.String()))
+		return nil
+	}
+	apply := &cobra.Command{Use: "apply FILE", Short: "Send a change of the configuration (- for standard input)", Args: cobra.ExactArgs(1)}
+	applyClient := clientFlags(apply)
+	apply.RunE = func(cmd *cobra.Command, args []string) error {
+		var text []byte
+		var err error
+		if args[0] == "-" {
+			text, err = io.ReadAll(cmd.InOrStdin())
+		} else {
+			text, err = os.ReadFile(args[0])
+		}
+		if err != nil {
+			return usage(err)
+		}
+		cl, err := applyClient()
+		if err != nil {
+			return err
+		}
+		if _, err = cl.call(http.MethodPatch, "/v1/config", text); err != nil {
+			return err
+		}
+		fmt.Fprintln(cmd.OutOrStdout(), "taken")
+		return nil
+	}
+	c.AddCommand(get, apply)
+	return c
+}
+
+func evacuateCommand() *cobra.Command {
+	c := &cobra.Command{Use: "evacuate ZONE", Short: "Send nothing more to a zone's upstreams", Args: cobra.ExactArgs(1)}
+	undo := c.Flags().Bool("undo", false, "take the zone back")
+	cl := clientFlags(c)
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		k, err := cl()
+		if err != nil {
+			return err
+		}
+		method, word := http.MethodPost, "evacuated"
+		if *undo {
+			method, word = http.MethodDelete, "taken back"
+		}
+		if _, err := k.call(method, "/v1/evacuation/"+args[0], nil); err != nil {
+			return err
+		}
+		fmt.Fprintln(cmd.OutOrStdout(), args[0]+" "+word)
+		return nil
+	}
+	return c
+}
+
+func statusCommand() *cobra.Command {
+	c := &cobra.Command{Use: "status", Short: "Show nodes, keys, duties, routes, shards and upstreams", Args: cobra.NoArgs}
+	asJSON := c.Flags().Bool("json", false, "print JSON")
+	cl := clientFlags(c)
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		k, err := cl()
+		if err != nil {
+			return err
+		}
+		text, err := k.call(http.MethodGet, "/v1/admin/overview", nil)
+		if err != nil {
+			return err
+		}
+		if *asJSON {
+			fmt.Fprint(cmd.OutOrStdout(), string(text))
+			return nil
+		}
+		var o archive.Overview
+		if err := json.Unmarshal(text, &o); err != nil {
+			return err
+		}
+		printStatus(cmd.OutOrStdout(), &o)
+		return nil
+	}
+	return c
+}
+
+func printStatus(out io.Writer, o *archive.Overview) {
+	names := map[string]string{}
+	for _, m := range o.Members {
+		names[m.Address] = m.Name
+	}
+	name := func(a string) string {
+		if n := names[a]; n != "" {
+			return n
+		}
+		if a == "" {
+			return "-"
+		}
+		return a
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "as seen by %s (voting: %v)\n\nNODE\tKIND\tZONE\tSTATE\tSHARD\tADDRESS\n", o.Node, o.Voting)
+	for _, m := range o.Members {
+		shard := "-"
+		if m.Shard >= 0 {
+			shard = fmt.Sprint(m.Shard)
+		}
+		state := m.State
+		if m.Draining {
+			state += ", draining"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.Plane, m.Zone, state, shard, m.Address)
+	}
+	fmt.Fprint(w, "\nKEY\tOWNER\tEPOCH\tSEQ\tCOMMITTED\tRECORDS\n")
+	for _, k := range o.Keys {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", k.Key, name(k.Owner), k.Epoch, k.Seq, k.Commit, k.Records)
+	}
+	fmt.Fprint(w, "\nDUTY\tHOLDER\tTERM\n")
+	for _, d := range o.Duties {
+		fmt.Fprintf(w, "%s\t%s\t%d\n", d.Duty, name(d.Holder), d.Term)
+	}
+	fmt.Fprint(w, "\nROUTE\tHOST\tPREFIX\tTARGETS\tGENERATION\tPHASE\tSHARD\n")
+	for _, r := range o.Routes {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\n", r.Name, r.Host, r.PathPrefix, strings.Join(r.Targets, ","), r.Generation, r.Phase, r.Shard)
+	}
+	fmt.Fprint(w, "\nSHARD\tDESKS\tZONES\tROUTES\n")
+	for _, s := range o.Shards {
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\n", s.Label, len(s.Desks), s.Zones, s.Routes)
+	}
+	fmt.Fprintf(w, "\nUPSTREAM\tSERVICE\tZONE\tSLOTS\tSTATE\n")
+	for _, u := range o.Upstreams {
+		state := "ready"
+		if u.Draining {
+			state = "draining"
+		} else if u.WarmupMs > 0 {
+			state = "cold"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", u.ID, u.Service, u.Zone, u.Capacity, state)
+	}
+	if len(o.Evacuations) > 0 {
+		fmt.Fprintf(w, "\nEvacuated: %s\n", strings.Join(o.Evacuations, ", "))
+	}
+	_ = w.Flush()
+}
--- /dev/null
+++ b/cmd/madderwing/commands.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"madderwing/internal/archive"
+	"madderwing/internal/catalogue"
+	"madderwing/internal/charter"
+	"madderwing/internal/desk"
+)
+
+// version is set by the build where one is known.
+var version = "dev"
+
+// The exit codes.
+const (
+	exitFailed  = 1 // the work could not be done
+	exitUsage   = 2 // the call or the settings are wrong
+	exitRefused = 3 // the system refused the order
+	exitAway    = 4 // no archive answered
+)
+
+// coded is an error with an exit code of its own.
+type coded struct {
+	code int
+	err  error
+}
+
+func (c coded) Error() string { return c.err.Error() }
+func (c coded) Unwrap() error { return c.err }
+
+func exitCode(err error) int {
+	var c coded
+	if errors.As(err, &c) {
+		return c.code
+	}
+	return exitFailed
+}
+
+func usage(err error) error { return coded{exitUsage, err} }
+
+func root() *cobra.Command {
+	r := &cobra.Command{
+		Use:           "madderwing",
+		Short:         "An API gateway of many nodes",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	r.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+	r.AddCommand(deskCommand(), archiveCommand(), checkCommand(), statusCommand(), configCommand(), evacuateCommand(),
+		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
+			fmt.Fprintln(c.OutOrStdout(), "madderwing "+version)
+		}})
+	return r
+}
+
+// settingsFlag adds --settings.
+func settingsFlag(c *cobra.Command) *string {
+	return c.Flags().String("settings", os.Getenv(charter.PathVariable), "path of the settings file")
+}
+
+func deskCommand() *cobra.Command {
+	c := &cobra.Command{Use: "desk", Short: "Carry traffic: serve clients on an edge machine", Args: cobra.NoArgs}
+	path := settingsFlag(c)
+	shards := c.Flags().Int("shards", 2, "how many shards the desks are divided into; the same on all nodes")
+	c.RunE = func(*cobra.Command, []string) error {
+		return serve(*path, *shards, func(ctx context.Context, s *charter.Settings, reload <-chan *charter.Settings) error {
+			if s.Bind.Front == "" || s.Bind.Readiness == "" {
+				return usage(charter.Check{"bind: a desk needs front and readiness"})
+			}
+			return desk.Run(ctx, s, desk.Options{Shards: *shards}, reload)
+		})
+	}
+	return c
+}
+
+func archiveCommand() *cobra.Command {
+	c := &cobra.Command{Use: "archive", Short: "Hold and deliver the configuration", Args: cobra.NoArgs}
+	path := settingsFlag(c)
+	shards := c.Flags().Int("shards", 2, "how many shards the desks are divided into; the same on all nodes")
+	relist := c.Flags().Duration("relist", 30*time.Second, "how often all unscheduled routes are listed again")
+	c.RunE = func(*cobra.Command, []string) error {
+		if *relist <= 0 {
+			return usage(errors.New("--relist: must be above 0"))
+		}
+		return serve(*path, *shards, func(ctx context.Context, s *charter.Settings, reload <-chan *charter.Settings) error {
+			if s.Bind.Control == "" {
+				return usage(charter.Check{"bind: an archive needs control"})
+			}
+			return archive.Run(ctx, s, archive.Options{Shards: *shards, Relist: *relist}, reload)
+		})
+	}
+	return c
+}
+
+// serve loads the settings and runs a program until SIGTERM or SIGINT.
+func serve(path string, shards int, run func(context.Context, *charter.Settings, <-chan *charter.Settings) error) error {
+	if shards < 1 {
+		return usage(errors.New("--shards: must be at least 1"))
+	}
+	s, err := charter.Load(path)
+	if err != nil {
+		return usage(fmt.Errorf("settings: %w", err))
+	}
+	// The collector holds the process well under its limit; below that it may
+	// let the heap grow to twice what is in use.
+	debug.SetMemoryLimit(int64(s.Limits.MemoryMb * 0.7 * (1 << 20)))
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return run(ctx, s, follow(ctx, path, s))
+}
+
+// follow reads the settings again on SIGHUP and when the file has changed. A
+// file that cannot be used is logged, and the settings in force stay.
+func follow(ctx context.Context, path string, s *charter.Settings) <-chan *charter.Settings {
+	out := make(chan *charter.Settings, 1)
+	logger := log.New(os.Stderr, "charter: ", 0)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	stamp := func() (t time.Time, size int64) {
+		if st, err := os.Stat(path); err == nil {
+			return st.ModTime(), st.Size()
+		}
+		return
+	}
+	last, size := stamp()
+	go func() {
+		tick := time.NewTicker(charter.Seconds(s.Bounds.ContactS))
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+			case <-tick.C:
+				if t, n := stamp(); t.Equal(last) && n == size {
+					continue
+				}
+			}
+			last, size = stamp()
+			fresh, err := charter.Load(path)
+			if err != nil {
+				logger.Printf("new settings refused: %v.", err)
+				continue
+			}
+			logger.Printf("settings read again.")
+			select {
+			case out <- fresh:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
+}
+
+func checkCommand() *cobra.Command {
+	c := &cobra.Command{Use: "check", Short: "Check a settings file or a configuration"}
+	c.AddCommand(&cobra.Command{Use: "settings FILE", Short: "Check a settings file (TOML)", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if _, err := charter.Load(args[0]); err != nil {
+				return usage(fmt.Errorf("%s: %w", args[0], err))
+			}
+			fmt.Fprintln(c.OutOrStdout(), args[0]+": good")
+			return nil
+		}})
+	c.AddCommand(&cobra.Command{Use: "config FILE", Short: "Check a first configuration call (JSON)", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return usage(err)
+			}
+			change, err := catalogue.Read(text)
+			if err == nil {
+				_, err = change.Apply(map[string]catalogue.Record{})
+			}
+			if err != nil {
+				return usage(fmt.Errorf("%s: %w", args[0], err))
+			}
+			fmt.Fprintln(c.OutOrStdout(), args[0]+": good")
+			return nil
+		}})
+	return c
+}
--- /dev/null
+++ b/internal/accession/listing.go
@@ -0,0 +1,217 @@
+// Package accession knows the upstreams: the platform's list of them as one
+// archive reads it for all, and on each desk the stock of upstreams that
+// requests are sent to, with what this desk has learnt of each.
+package accession
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sort"
+	"time"
+)
+
+// Instance is one life of an upstream as the platform lists it.
+type Instance struct {
+	ID       string `cbor:"1,keyasint" json:"id"`
+	Service  string `cbor:"2,keyasint" json:"target"`
+	Address  string `cbor:"3,keyasint" json:"address"`
+	Zone     string `cbor:"4,keyasint" json:"zone"`
+	Capacity int    `cbor:"5,keyasint" json:"capacity"`
+	Draining bool   `cbor:"6,keyasint,omitempty" json:"draining"`
+	WarmupMs int64  `cbor:"7,keyasint,omitempty" json:"warmupMs"`
+}
+
+// Version orders listings: the term of the duty, then the number within it.
+type Version struct {
+	Term uint64 `cbor:"1,keyasint,omitempty" json:"term"`
+	Seq  uint64 `cbor:"2,keyasint,omitempty" json:"seq"`
+}
+
+// Less orders versions.
+func (v Version) Less(o Version) bool {
+	return v.Term < o.Term || v.Term == o.Term && v.Seq < o.Seq
+}
+
+// Listing is the platform's list at one version, whole or as a difference to
+// an older version.
+type Listing struct {
+	Version Version    `cbor:"1,keyasint"`
+	Base    Version    `cbor:"2,keyasint"` // zero: whole
+	Set     []Instance `cbor:"3,keyasint,omitempty"`
+	Gone    []string   `cbor:"4,keyasint,omitempty"`
+}
+
+// Page is one answer of the platform.
+type page struct {
+	Instances []struct {
+		ID          string  `json:"id"`
+		Target      string  `json:"target"`
+		Address     string  `json:"address"`
+		Zone        string  `json:"zone"`
+		Capacity    int     `json:"capacity"`
+		State       string  `json:"state"`
+		WarmupLeftS float64 `json:"warmupLeftS"`
+	} `json:"instances"`
+	NextToken *string `json:"nextToken"`
+}
+
+// ErrThrottled says that the platform takes no more calls at present.
+var ErrThrottled = errors.New("platform throttles")
+
+// maxPages bounds one reading of the list.
+const maxPages = 1000
+
+// ReadAll reads the platform's whole list; a list that is cut off in the
+// middle is no list.
+func ReadAll(ctx context.Context, client *http.Client, address string) ([]Instance, error) {
+	out := []Instance{}
+	token := ""
+	for n := 0; n < maxPages; n++ {
+		u := "http://" + address + "/instances"
+		if token != "" {
+			u += "?pageToken=" + url.QueryEscape(token)
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+		if err != nil {
+			return nil, err
+		}
+		res, err := client.Do(req)
+		if err != nil {
+			return nil, err
+		}
+		var p page
+		err = json.NewDecoder(res.Body).Decode(&p)
+		res.Body.Close()
+		switch {
+		case res.StatusCode == http.StatusTooManyRequests:
+			return nil, ErrThrottled
+		case res.StatusCode != http.StatusOK:
+			return nil, fmt.Errorf("platform answered %d", res.StatusCode)
+		case err != nil:
+			return nil, err
+		}
+		for _, i := range p.Instances {
+			out = append(out, Instance{ID: i.ID, Service: i.Target, Address: i.Address, Zone: i.Zone,
+				Capacity: max(1, i.Capacity), Draining: i.State != "ready", WarmupMs: int64(i.WarmupLeftS * 1000)})
+		}
+		if p.NextToken == nil || *p.NextToken == "" {
+			sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+			return out, nil
+		}
+		token = *p.NextToken
+	}
+	return nil, errors.New("platform's list has no end")
+}
+
+// warmSlack is the difference in the end of a warm-up that counts as news.
+const warmSlack = 500 * time.Millisecond
+
+// Stand is a listing as it stands at one node, which can be passed on as a
+// whole or as a difference.
+type Stand struct {
+	Version Version
+	items   map[string]standing
+	past    []Listing // the last differences, oldest first
+}
+
+type standing struct {
+	Instance
+	warmAt time.Duration
+}
+
+const pastMax = 8
+
+// Update takes a fresh reading of the platform's list, and says whether it
+// differs from what stood.
+func (s *Stand) Update(now time.Duration, term uint64, fresh []Instance) bool {
+	diff := Listing{Base: s.Version}
+	seen := map[string]bool{}
+	for _, i := range fresh {
+		seen[i.ID] = true
+		at := now + time.Duration(i.WarmupMs)*time.Millisecond
+		old, ok := s.items[i.ID]
+		same := ok && old.Address == i.Address && old.Draining == i.Draining && old.Capacity == i.Capacity && old.Service == i.Service
+		shift := at - max(old.warmAt, now)
+		if !same || shift > warmSlack || shift < -warmSlack {
+			diff.Set = append(diff.Set, i)
+		}
+	}
+	for id := range s.items {
+		if !seen[id] {
+			diff.Gone = append(diff.Gone, id)
+		}
+	}
+	sort.Strings(diff.Gone)
+	if s.Version.Term == term && len(diff.Set)+len(diff.Gone) == 0 {
+		return false
+	}
+	diff.Version = Version{term, s.Version.Seq + 1}
+	s.apply(now, diff)
+	return true
+}
+
+// Take takes a listing from another node. It says whether it was newer and
+// fitted.
+func (s *Stand) Take(now time.Duration, l Listing) bool {
+	if !s.Version.Less(l.Version) || l.Base != (Version{}) && l.Base != s.Version {
+		return false
+	}
+	s.apply(now, l)
+	return true
+}
+
+func (s *Stand) apply(now time.Duration, l Listing) {
+	if l.Base == (Version{}) || s.items == nil {
+		s.items, s.past = map[string]standing{}, nil
+	} else {
+		s.past = append(s.past, l)
+		if len(s.past) > pastMax {
+			s.past = s.past[1:]
+		}
+	}
+	for _, i := range l.Set {
+		s.items[i.ID] = standing{i, now + time.Duration(i.WarmupMs)*time.Millisecond}
+	}
+	for _, id := range l.Gone {
+		delete(s.items, id)
+	}
+	s.Version = l.Version
+}
+
+// Since gives what brings a holder of version have up to date, or nil.
+func (s *Stand) Since(now time.Duration, have Version) *Listing {
+	if s.items == nil || !have.Less(s.Version) {
+		return nil
+	}
+	if n := len(s.past); n > 0 && s.past[n-1].Base == have {
+		l := s.past[n-1]
+		for i, inst := range l.Set {
+			l.Set[i].WarmupMs = s.left(now, inst.ID)
+		}
+		return &l
+	}
+	return &Listing{Version: s.Version, Set: s.All(now)}
+}
+
+func (s *Stand) left(now time.Duration, id string) int64 {
+	return max(0, int64((s.items[id].warmAt-now)/time.Millisecond))
+}
+
+// All lists the instances that stand, by id.
+func (s *Stand) All(now time.Duration) []Instance {
+	out := make([]Instance, 0, len(s.items))
+	for id, it := range s.items {
+		i := it.Instance
+		i.WarmupMs = s.left(now, id)
+		out = append(out, i)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+// Known says whether any listing has been taken.
+func (s *Stand) Known() bool { return s.items != nil }
--- /dev/null
+++ b/internal/accession/stock.go
@@ -0,0 +1,609 @@
+package accession
+
+import (
+	"math"
+	"net"
+	"sort"
+	"time"
+
+	"madderwing/internal/register"
+)
+
+// Config holds the figures that a stock works by.
+type Config struct {
+	Self       string // this desk's address
+	Zone       string
+	RetryRatio float64
+	RetrySlack float64
+	Window     time.Duration // retryWindowS
+	ColdOver   float64       // warmupOvershoot
+	ColdSlack  float64
+	Eject      time.Duration // first pause after a failure
+	EjectMax   time.Duration
+	Lag        time.Duration // how old the platform's word may be when it is here
+}
+
+// ServiceInfo is what the operator says of a service.
+type ServiceInfo struct {
+	MaxConns   int
+	WarmupS    float64
+	WarmupPerS float64
+}
+
+// Conn is an open connection to an upstream that is not in use.
+type Conn struct {
+	net.Conn
+	Reader  any // the reader that belongs to the connection
+	Expires time.Duration
+}
+
+// Upstream is one life of an upstream as this desk knows it.
+type Upstream struct {
+	Instance
+	Busy int // requests of this desk that it has
+
+	idle     []*Conn
+	coldTill time.Duration
+	pace     Pace
+	sender   bool // this desk may send to it while it is cold
+	senders  int
+	home     bool // this desk is the one of its zone that uses it first
+	rank     uint64
+	limit    int
+	gone     bool
+	failures int
+	until    time.Duration // ejected till then
+	trying   bool          // a trial connection is being opened
+	Served   uint64
+	Failed   uint64
+}
+
+// Claim is a request's wish for an upstream.
+type Claim struct {
+	Service  string
+	Priority int
+	Avoid    []string // ids that have been tried
+	Retry    bool     // takes from the budget
+	Give     func(Grant)
+
+	arrived time.Duration
+	seq     uint64
+}
+
+// Grant answers a claim.
+type Grant struct {
+	Upstream *Upstream
+	ID       string
+	Address  string
+	Conn     *Conn
+	Refused  Refusal
+}
+
+// Refusal says why a claim was not granted.
+type Refusal int
+
+// The refusals.
+const (
+	Granted  Refusal = iota
+	NoneLeft         // no upstream may be sent to
+	Crowded          // too many wait already, or have waited too long
+	NoBudget         // the budget for further tries is spent
+)
+
+type service struct {
+	name    string
+	info    ServiceInfo
+	ups     []*Upstream
+	budget  Budget
+	waiting []*Claim
+	slots   int // of the upstreams that this desk uses first
+	all     int
+}
+
+// Stock is the table of upstreams on one desk. One goroutine owns it.
+type Stock struct {
+	cfg       Config
+	ups       map[string]*Upstream
+	services  map[string]*service
+	evacuated map[string]bool
+	infos     map[string]ServiceInfo
+	desks     []register.Node
+	shards    map[string]int
+	bound     map[string]int // service -> shard whose desks hold its slack
+	seq       uint64
+	known     bool
+
+	Trials []*Upstream // connections to be opened to see whether an upstream is back
+	Closed []*Conn     // connections to be closed
+}
+
+// NewStock makes an empty stock.
+func NewStock(cfg Config) *Stock {
+	return &Stock{cfg: cfg, ups: map[string]*Upstream{}, services: map[string]*service{},
+		evacuated: map[string]bool{}, infos: map[string]ServiceInfo{}, bound: map[string]int{}}
+}
+
+func (s *Stock) service(name string) *service {
+	v := s.services[name]
+	if v == nil {
+		v = &service{name: name, info: s.infos[name]}
+		s.services[name] = v
+	}
+	return v
+}
+
+// SetList takes the instances that stand now.
+func (s *Stock) SetList(now time.Duration, list []Instance) {
+	seen := map[string]bool{}
+	for _, i := range list {
+		seen[i.ID] = true
+		u := s.ups[i.ID]
+		cold := time.Duration(i.WarmupMs) * time.Millisecond
+		if u == nil {
+			u = &Upstream{Instance: i, rank: register.Weight(s.cfg.Self, i.ID)}
+			s.ups[i.ID] = u
+		} else if u.Address != i.Address {
+			s.drop(u)
+		}
+		u.Instance = i
+		if cold > 0 {
+			u.coldTill = max(u.coldTill, now+cold)
+		}
+		u.gone = i.Draining
+		if u.gone {
+			s.drop(u)
+		}
+	}
+	for id, u := range s.ups {
+		if !seen[id] {
+			u.gone = true
+			s.drop(u)
+			delete(s.ups, id)
+		}
+	}
+	s.known = true
+	s.assign()
+	s.serveAll(now)
+}
+
+// drop closes the idle connections of an upstream.
+func (s *Stock) drop(u *Upstream) {
+	s.Closed = append(s.Closed, u.idle...)
+	u.idle = nil
+}
+
+// Known says whether a list has been taken.
+func (s *Stock) Known() bool { return s.known }
+
+// SetServices takes what the operator says of the services.
+func (s *Stock) SetServices(now time.Duration, infos map[string]ServiceInfo, bound map[string]int) {
+	s.infos, s.bound = infos, bound
+	for name, v := range s.services {
+		v.info = infos[name]
+	}
+	s.assign()
+	s.serveAll(now)
+}
+
+// SetEvacuated takes the zones that nothing may be sent to. Upstreams of a zone
+// that is taken back count as cold until the platform's word, with its lag, can
+// be trusted again.
+func (s *Stock) SetEvacuated(now time.Duration, zones map[string]bool) {
+	for _, u := range s.ups {
+		if s.evacuated[u.Zone] && !zones[u.Zone] {
+			warm := time.Duration(s.infos[u.Service].WarmupS * float64(time.Second))
+			u.coldTill = max(u.coldTill, now+warm+s.cfg.Lag)
+		}
+		if zones[u.Zone] {
+			s.drop(u)
+		}
+	}
+	s.evacuated = zones
+	s.assign()
+	s.serveAll(now)
+}
+
+// SetDesks takes the desks that work now, and their shards.
+func (s *Stock) SetDesks(now time.Duration, desks []register.Node, shards map[string]int) {
+	s.desks, s.shards = desks, shards
+	s.assign()
+	s.serveAll(now)
+}
+
+// ColdSenders is how many desks may send to an upstream while it is cold.
+const ColdSenders = 2
+
+// assign works out which upstreams this desk uses first and which cold ones it
+// may send to.
+func (s *Stock) assign() {
+	var zone, all []string
+	for _, d := range s.desks {
+		all = append(all, d.Address)
+		if d.Zone == s.cfg.Zone {
+			zone = append(zone, d.Address)
+		}
+	}
+	if len(zone) == 0 {
+		zone = []string{s.cfg.Self}
+	}
+	zones := map[string][]string{}
+	for _, d := range s.desks {
+		zones[d.Zone] = append(zones[d.Zone], d.Address)
+	}
+	for _, v := range s.services {
+		v.ups, v.slots, v.all = v.ups[:0], 0, 0
+	}
+	ids := make([]string, 0, len(s.ups))
+	for id := range s.ups {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	local := map[string][]string{}
+	for _, id := range ids {
+		u := s.ups[id]
+		v := s.service(u.Service)
+		u.home, u.sender, u.senders = false, false, 0
+		if u.gone || s.evacuated[u.Zone] {
+			continue
+		}
+		v.ups = append(v.ups, u)
+		v.all += u.Capacity
+		if u.Zone == s.cfg.Zone {
+			local[u.Service] = append(local[u.Service], id)
+		}
+		// A cold upstream is sent to by a few desks of the shard that has its
+		// service, of its own zone if there are any.
+		near := zones[u.Zone]
+		if len(near) == 0 {
+			near = all
+		}
+		if shard, ok := s.bound[u.Service]; ok {
+			var of []string
+			for _, d := range near {
+				if s.shards[d] == shard {
+					of = append(of, d)
+				}
+			}
+			if len(of) > 0 {
+				near = of
+			}
+		}
+		few := register.Rendezvous(id, near, ColdSenders)
+		u.senders = max(1, len(few))
+		for _, d := range few {
+			u.sender = u.sender || d == s.cfg.Self
+		}
+		conns := v.info.MaxConns
+		if conns == 0 {
+			conns = 64
+		}
+		u.limit = max(1, min(u.Capacity+max(2, u.Capacity), conns/max(1, len(all)+2)))
+	}
+	for name, list := range local {
+		// Each upstream of the zone goes to the desk of highest weight that has
+		// not yet got its even share.
+		most := (len(list) + len(zone) - 1) / len(zone)
+		have := map[string]int{}
+		sort.Slice(list, func(i, j int) bool { return register.Weight(name, list[i]) > register.Weight(name, list[j]) })
+		for _, id := range list {
+			for _, d := range register.Rendezvous(id, zone, len(zone)) {
+				if have[d] < most {
+					have[d]++
+					if d == s.cfg.Self {
+						u := s.ups[id]
+						u.home = true
+						s.service(name).slots += u.Capacity
+					}
+					break
+				}
+			}
+		}
+	}
+}
+
+// Cold says whether an upstream counts as cold.
+func (u *Upstream) Cold(now time.Duration) bool { return now < u.coldTill }
+
+// score is how far an upstream is from being the one to send to: its load in
+// units of its slots, with a start for the upstreams that other desks use
+// first. Infinite: not at present.
+func (s *Stock) score(now time.Duration, v *service, u *Upstream) float64 {
+	if u.gone || now < u.until || u.trying || u.Busy >= u.limit {
+		return math.Inf(1)
+	}
+	slots := float64(u.Capacity)
+	load := float64(u.Busy)
+	switch {
+	case u.home:
+	case u.Zone == s.cfg.Zone:
+		load += slots * 0.84
+	default:
+		load += slots * 0.93
+	}
+	if u.Cold(now) {
+		if !u.sender || v.info.WarmupPerS > 0 && !u.pace.Ready(now) {
+			return math.Inf(1)
+		}
+		load += slots * 0.75
+	}
+	if u.failures > 0 {
+		load += 0.3 * slots
+	}
+	return load / slots
+}
+
+// pick finds the upstream to send to.
+func (s *Stock) pick(now time.Duration, v *service, avoid []string) (best *Upstream, any bool) {
+	bestScore := math.Inf(1)
+next:
+	for _, u := range v.ups {
+		if u.gone {
+			continue
+		}
+		for _, id := range avoid {
+			if id == u.ID {
+				continue next
+			}
+		}
+		any = true
+		sc := s.score(now, v, u)
+		if sc < bestScore || sc == bestScore && best != nil && u.rank > best.rank {
+			best, bestScore = u, sc
+		}
+	}
+	return best, any
+}
+
+// Request notes a request for a service: it earns its share of the budget.
+func (s *Stock) Request(name string) {
+	v := s.service(name)
+	v.budget.Earn(s.cfg.RetryRatio, s.ceiling(v))
+}
+
+// ceiling is how many tokens this desk may save up: an even share of half the
+// slack for the desks of the shard that has the service, a token for the rest.
+// The other half covers desks that are not known here.
+func (s *Stock) ceiling(v *service) float64 {
+	n := len(s.desks)
+	if shard, ok := s.bound[v.name]; ok {
+		mine, of := false, 0
+		for _, d := range s.desks {
+			if s.shards[d.Address] == shard {
+				of++
+				mine = mine || d.Address == s.cfg.Self
+			}
+		}
+		rest := float64(n - of)
+		if !mine || of == 0 {
+			return 1
+		}
+		return max(1, (s.cfg.RetrySlack/2-rest)/float64(of))
+	}
+	return max(1, s.cfg.RetrySlack/2/float64(max(n, 1)))
+}
+
+// Claim asks for an upstream; the answer may come later.
+func (s *Stock) Claim(now time.Duration, c *Claim) {
+	v := s.service(c.Service)
+	s.seq++
+	c.arrived, c.seq = now, s.seq
+	if c.Retry {
+		v.budget.Refill(now, s.ceiling(v)/2/max(s.cfg.Window.Seconds(), 1), s.ceiling(v))
+		if !v.budget.Spend() {
+			c.Give(Grant{Refused: NoBudget})
+			return
+		}
+	}
+	if !s.grant(now, v, c) {
+		if len(v.waiting) >= max(4, v.slots*2) && !s.displace(v, c) {
+			s.refuse(v, c, Crowded)
+			return
+		}
+		v.waiting = append(v.waiting, c)
+	}
+}
+
+// displace makes room for a claim by refusing the newest of lowest priority.
+func (s *Stock) displace(v *service, c *Claim) bool {
+	worst := -1
+	for i, w := range v.waiting {
+		if w.Priority > c.Priority && (worst < 0 || w.Priority > v.waiting[worst].Priority ||
+			w.Priority == v.waiting[worst].Priority && w.seq > v.waiting[worst].seq) {
+			worst = i
+		}
+	}
+	if worst < 0 {
+		return false
+	}
+	w := v.waiting[worst]
+	v.waiting = append(v.waiting[:worst], v.waiting[worst+1:]...)
+	s.refuse(v, w, Crowded)
+	return true
+}
+
+func (s *Stock) refuse(v *service, c *Claim, why Refusal) {
+	if c.Retry {
+		v.budget.Back()
+	}
+	c.Give(Grant{Refused: why})
+}
+
+// grant gives a claim an upstream; false: it has to wait.
+func (s *Stock) grant(now time.Duration, v *service, c *Claim) bool {
+	u, any := s.pick(now, v, c.Avoid)
+	if u == nil {
+		if !any {
+			s.refuse(v, c, NoneLeft)
+			return true
+		}
+		return false
+	}
+	u.Busy++
+	if u.Cold(now) {
+		u.pace.Pass(now, v.info.WarmupPerS/float64(u.senders))
+	}
+	g := Grant{Upstream: u, ID: u.ID, Address: u.Address}
+	for n := len(u.idle); n > 0 && g.Conn == nil; n-- {
+		conn := u.idle[n-1]
+		u.idle = u.idle[:n-1]
+		if conn.Expires > now {
+			g.Conn = conn
+		} else {
+			s.Closed = append(s.Closed, conn)
+		}
+	}
+	c.Give(g)
+	return true
+}
+
+// Withdraw takes back a claim that still waits.
+func (s *Stock) Withdraw(c *Claim) {
+	v := s.service(c.Service)
+	for i, w := range v.waiting {
+		if w == c {
+			v.waiting = append(v.waiting[:i], v.waiting[i+1:]...)
+			s.refuse(v, c, Crowded)
+			return
+		}
+	}
+}
+
+// Outcome tells how a request went at its upstream.
+type Outcome int
+
+// The outcomes.
+const (
+	Served  Outcome = iota // it answered
+	Full                   // it turned the request away
+	Failing                // it broke off or could not be reached
+	Other                  // another upstream has the address
+)
+
+// Release returns an upstream after a request, with the connection if that can
+// be used again.
+func (s *Stock) Release(now time.Duration, u *Upstream, conn *Conn, how Outcome) {
+	u.Busy--
+	switch how {
+	case Served:
+		u.failures = 0
+		u.Served++
+	case Full:
+		u.Served++
+	case Failing:
+		u.Failed++
+		s.eject(now, u)
+	case Other:
+		u.gone = true
+		s.drop(u)
+		s.assign()
+	}
+	if conn != nil {
+		if u.gone || s.evacuated[u.Zone] || now < u.until || conn.Expires <= now {
+			s.Closed = append(s.Closed, conn)
+		} else {
+			u.idle = append(u.idle, conn)
+		}
+	}
+	s.serve(now, s.service(u.Service))
+}
+
+// eject keeps requests from an upstream for a while that grows.
+func (s *Stock) eject(now time.Duration, u *Upstream) {
+	if now < u.until || u.trying {
+		return
+	}
+	pause := s.cfg.Eject << min(u.failures, 6)
+	u.failures++
+	u.until = now + min(pause, s.cfg.EjectMax)
+	s.drop(u)
+}
+
+// Tried tells how a trial connection went.
+func (s *Stock) Tried(now time.Duration, u *Upstream, conn *Conn) {
+	u.trying = false
+	if conn == nil {
+		u.until = 0
+		s.eject(now, u)
+		return
+	}
+	if u.gone || s.evacuated[u.Zone] {
+		s.Closed = append(s.Closed, conn)
+		return
+	}
+	u.idle = append(u.idle, conn)
+	s.serve(now, s.service(u.Service))
+}
+
+func (s *Stock) serve(now time.Duration, v *service) {
+	for len(v.waiting) > 0 {
+		best := 0
+		for i, w := range v.waiting {
+			b := v.waiting[best]
+			if w.Priority < b.Priority || w.Priority == b.Priority && w.seq < b.seq {
+				best = i
+			}
+		}
+		c := v.waiting[best]
+		v.waiting = append(v.waiting[:best], v.waiting[best+1:]...)
+		if !s.grant(now, v, c) {
+			v.waiting = append(v.waiting, c)
+			return
+		}
+	}
+}
+
+func (s *Stock) serveAll(now time.Duration) {
+	for _, v := range s.services {
+		s.serve(now, v)
+	}
+}
+
+// Tick lets time pass: trials of ejected upstreams, and claims that wait for
+// the pace of cold ones. It says when it wants to be called again; 0: when
+// something happens.
+func (s *Stock) Tick(now time.Duration) {
+	for _, v := range s.services {
+		for _, u := range v.ups {
+			if u.until > 0 && now >= u.until && !u.trying && !u.gone {
+				u.until = 0
+				u.trying = true
+				s.Trials = append(s.Trials, u)
+			}
+			kept := u.idle[:0]
+			for _, c := range u.idle {
+				if c.Expires > now {
+					kept = append(kept, c)
+				} else {
+					s.Closed = append(s.Closed, c)
+				}
+			}
+			u.idle = kept
+		}
+		s.serve(now, v)
+	}
+}
+
+// State is an upstream as status shows it.
+type State struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Home    bool   `json:"home"`
+	Cold    bool   `json:"cold"`
+	Ejected bool   `json:"ejected"`
+	Busy    int    `json:"busy"`
+	Idle    int    `json:"idle"`
+	Served  uint64 `json:"served"`
+	Failed  uint64 `json:"failed"`
+}
+
+// States shows the upstreams.
+func (s *Stock) States(now time.Duration) (out []State) {
+	for _, u := range s.ups {
+		out = append(out, State{u.ID, u.Service, u.Address, u.Zone, u.home, u.Cold(now), now < u.until || u.trying,
+			u.Busy, len(u.idle), u.Served, u.Failed})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/internal/archive/admin.go
@@ -0,0 +1,144 @@
+package archive
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"madderwing/internal/accession"
+	"madderwing/internal/catalogue"
+	"madderwing/internal/errata"
+	"madderwing/internal/register"
+	"madderwing/internal/rota"
+	"madderwing/internal/stacks"
+)
+
+// Member is a node as the administration API shows it.
+type Member struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Plane       string `json:"plane"`
+	State       string `json:"state"`
+	Draining    bool   `json:"draining"`
+	Incarnation uint64 `json:"incarnation"`
+	Shard       int    `json:"shard"` // -1 on archives
+	Seat        bool   `json:"seat"`  // in the roster
+}
+
+// Key is a key of the control state as the administration API shows it.
+type Key struct {
+	Key     string `json:"key"`
+	Owner   string `json:"owner"`
+	Epoch   uint64 `json:"epoch"`
+	Seq     uint64 `json:"seq"`
+	Commit  uint64 `json:"commit"`
+	Records int    `json:"records"`
+}
+
+// RouteState is a route and its placement.
+type RouteState struct {
+	Name       string          `json:"name"`
+	Host       string          `json:"host"`
+	PathPrefix string          `json:"pathPrefix"`
+	Targets    []string        `json:"targets"`
+	Generation uint64          `json:"generation"`
+	Phase      catalogue.Phase `json:"phase"`
+	Shard      int             `json:"shard"`
+}
+
+// ShardState is a shard and its desks.
+type ShardState struct {
+	Label  int      `json:"label"`
+	Desks  []string `json:"desks"`
+	Zones  int      `json:"zones"`
+	Routes int      `json:"routes"`
+}
+
+// Overview is all that the administration API shows.
+type Overview struct {
+	Node        string               `json:"node"`
+	Voting      bool                 `json:"voting"`
+	Members     []Member             `json:"members"`
+	Keys        []Key                `json:"keys"`
+	Duties      []rota.State         `json:"duties"`
+	Routes      []RouteState         `json:"routes"`
+	Shards      []ShardState         `json:"shards"`
+	Upstreams   []accession.Instance `json:"upstreams"`
+	Listing     accession.Version    `json:"listing"`
+	Evacuations []string             `json:"evacuations"`
+	Counters    map[string]uint64    `json:"counters"`
+}
+
+func (a *Archive) overview(now time.Duration) *Overview {
+	o := &Overview{Node: a.set.Node, Voting: a.member.Voting(), Duties: a.rota.States(now), Listing: a.stand.Version,
+		Upstreams: a.stand.All(now), Evacuations: []string{}, Members: []Member{}, Routes: []RouteState{}, Shards: []ShardState{}}
+	list := a.reg.List()
+	labels := list.Shards(a.opt.Shards)
+	seats := map[string]bool{}
+	for _, id := range a.member.Roster() {
+		seats[id] = true
+	}
+	shards := make([]ShardState, a.opt.Shards)
+	zones := make([]map[string]bool, a.opt.Shards)
+	for i := range shards {
+		shards[i] = ShardState{Label: i, Desks: []string{}}
+		zones[i] = map[string]bool{}
+	}
+	for _, n := range list.Nodes {
+		m := Member{n.Name, n.Address, n.Zone, n.Plane.String(), n.State.String(), n.Draining, n.Incarnation, -1, seats[n.Address]}
+		if n.Plane == register.Data {
+			m.Shard = labels[n.Address]
+			if n.State <= register.Suspect {
+				s := &shards[m.Shard]
+				s.Desks = append(s.Desks, n.Name)
+				zones[m.Shard][n.Zone] = true
+				s.Zones = len(zones[m.Shard])
+			}
+		}
+		o.Members = append(o.Members, m)
+	}
+	for _, v := range a.member.Views(now) {
+		o.Keys = append(o.Keys, Key{v.Key, v.Owner, v.Epoch, v.Seq, v.Commit, v.Records})
+	}
+	for _, r := range catalogue.Routes(a.shown) {
+		o.Routes = append(o.Routes, RouteState{r.Name, r.Host, r.PathPrefix, r.Targets(), r.Generation, r.Status.Phase, r.Status.Shard})
+		if r.Status.Shard >= 0 && r.Status.Shard < len(shards) {
+			shards[r.Status.Shard].Routes++
+		}
+	}
+	o.Shards = append(o.Shards, shards...)
+	for name, r := range a.shown {
+		if strings.HasPrefix(name, catalogue.EvacuationPrefix) && !r.Dropped {
+			o.Evacuations = append(o.Evacuations, name[len(catalogue.EvacuationPrefix):])
+		}
+	}
+	sort.Strings(o.Evacuations)
+	o.Counters = map[string]uint64{
+		"orders": a.stats.Orders.Load(), "ordersRefused": a.stats.Refused.Load(), "ordersNoQuorum": a.stats.NoQuorum.Load(),
+		"platformCalls": a.stats.Polls.Load(), "platformErrors": a.stats.PollErrors.Load(),
+		"bindings": a.shelf.Bound, "bindingErrors": a.shelf.Errors, "watchers": uint64(a.watchers.Count()),
+		"framesSent": a.post.FramesSent.Load(), "bytesSent": a.post.BytesSent.Load(), "framesUndecoded": a.post.Undecoded.Load(),
+	}
+	return o
+}
+
+// admin gives one of the read-only views.
+func (a *Archive) admin(page string) ([]byte, error) {
+	ch := make(chan *Overview, 1)
+	a.do(func(now time.Duration) { ch <- a.overview(now) })
+	o := <-ch
+	views := map[string]any{
+		"overview": o, "members": o.Members, "keys": o.Keys, "duties": o.Duties, "bindings": o.Routes, "shards": o.Shards,
+		"upstreams": o.Upstreams, "evacuations": o.Evacuations, "counters": o.Counters,
+	}
+	v, ok := views[page]
+	if !ok {
+		return nil, errata.New(errata.UnknownPage, "no view %q", page)
+	}
+	b, err := json.MarshalIndent(v, "", "  ")
+	return append(b, '\n'), err
+}
+
+var _ stacks.View
--- /dev/null
+++ b/internal/archive/archive.go
@@ -0,0 +1,545 @@
+// Package archive is the control plane: it puts together the control state,
+// the duties, placement and the reading of the platform's list, and serves the
+// operator's calls.
+package archive
+
+import (
+	"context"
+	"errors"
+	"log"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/accession"
+	"madderwing/internal/catalogue"
+	"madderwing/internal/charter"
+	"madderwing/internal/conservation"
+	"madderwing/internal/courier"
+	"madderwing/internal/errata"
+	"madderwing/internal/feed"
+	"madderwing/internal/ledger"
+	"madderwing/internal/register"
+	"madderwing/internal/rota"
+	"madderwing/internal/shelving"
+	"madderwing/internal/stacks"
+)
+
+// Kinds of message between archives.
+const (
+	stacksKind = "stacks"
+	rotaKind   = "rota"
+	orderKind  = "order"
+)
+
+// The duties.
+const (
+	dutyList  = "list"
+	dutyShelf = "shelve"
+)
+
+// Options are what the command line adds to the settings.
+type Options struct {
+	Shards int
+	Relist time.Duration
+}
+
+// Archive is one control-plane process.
+type Archive struct {
+	set      *charter.Settings
+	opt      Options
+	post     *courier.Courier
+	reg      *register.Service
+	start    time.Time
+	commands chan func(now time.Duration)
+
+	// Owned by the pump's goroutine.
+	member    *stacks.Member
+	rota      *rota.Rota
+	shown     map[string]conservation.Record
+	sums      conservation.Sums
+	stand     accession.Stand
+	watchers  feed.Watchers
+	shelf     shelving.Scheduler
+	lookAgain bool
+	termSeen  uint64
+
+	writes  chan writeJob
+	roster  atomic.Pointer[[]string]
+	polling atomic.Bool
+	client  *http.Client
+	leaving atomic.Bool
+
+	stats Stats
+	log   struct{ archive, stacks, ledger, rota, shelving, accession, register, control *log.Logger }
+}
+
+// Stats are counters that status shows.
+type Stats struct {
+	Orders, Refused, NoQuorum, Polls, PollErrors atomic.Uint64
+}
+
+type writeJob struct {
+	entries []ledger.Entry
+	id      uint64
+	whole   bool
+}
+
+// Run serves until ctx ends, then leaves in order.
+func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
+	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
+		writes: make(chan writeJob, 1024), shown: map[string]conservation.Record{}}
+	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
+	a.log.archive, a.log.stacks, a.log.ledger, a.log.rota = logger("archive"), logger("stacks"), logger("ledger"), logger("rota")
+	a.log.shelving, a.log.accession, a.log.register, a.log.control = logger("shelving"), logger("accession"), logger("register"), logger("control")
+	beat := set.Beat()
+	vacant := charter.Seconds(set.Bounds.ContactS * 0.4)
+
+	if set.DataDir == "" {
+		return errors.New("dataDir: an archive needs a disk")
+	}
+	if err := os.MkdirAll(set.DataDir, 0o700); err != nil {
+		return err
+	}
+	book, disk, err := ledger.Open(set.DataDir, a.log.ledger)
+	if err != nil && !errors.Is(err, ledger.ErrDamaged) {
+		return err
+	}
+	post, err := courier.New(set.ArchiveAddress(set.IP), charter.Seconds(set.Bounds.ContactS/6), logger("courier"))
+	if err != nil {
+		return err
+	}
+	a.post = post
+
+	keys := []string{catalogue.Key}
+	zones := make([]string, 0, len(set.Zones))
+	for z := range set.Zones {
+		zones = append(zones, z)
+	}
+	if len(zones) == 0 {
+		zones = append(zones, set.Zone)
+	}
+	sort.Strings(zones)
+	for _, z := range zones {
+		keys = append(keys, catalogue.EvacuationPrefix+z)
+	}
+	a.member, err = stacks.NewMember(stacks.Config{Self: post.Self(), Life: rand.Uint64() | 1, Seeds: set.SeedArchives(),
+		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
+		Beat: beat, Vacant: vacant, Patience: charter.Seconds(set.Bounds.AckS * 0.17),
+		Alive: func(id string) bool { return a.reg.Alive(id) }}, disk)
+	if err != nil {
+		return err
+	}
+	a.rota = rota.New(rota.Config{Self: post.Self(), Duties: []string{dutyList, dutyShelf}, Lease: vacant,
+		Roster: func() []string { return a.member.Roster() }, Alive: func(id string) bool { return a.reg.Alive(id) }})
+	a.watchers.Forget = 4 * beat
+	a.shelf = shelving.Scheduler{Strategy: &shelving.RoundRobin{}, Relist: opt.Relist, Pause: 2 * beat, Create: a.bind}
+	a.client = &http.Client{Timeout: charter.Seconds(set.Bounds.DrainS * 0.4),
+		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * beat}}
+
+	me := register.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: register.Control}
+	a.reg = register.NewService(register.Config{Self: me, Seeds: set.SeedArchives(), Beat: beat, Forget: 40 * beat},
+		post, a.log.register, func(*register.List) { a.do(func(time.Duration) { a.lookAgain = true }) })
+	a.handlers()
+	post.Start()
+	go a.reg.Run()
+	go a.keep(book)
+	pumped := make(chan struct{})
+	stop := make(chan struct{})
+	go func() { a.pump(beat, stop); close(pumped) }()
+
+	control := &http.Server{Addr: set.Bind.Control, Handler: a.control(zones), ReadHeaderTimeout: charter.Seconds(set.Bounds.ContactS),
+		IdleTimeout: charter.Seconds(4 * set.Bounds.ContactS), ErrorLog: a.log.control}
+	failed := make(chan error, 1)
+	go func() { failed <- control.ListenAndServe() }()
+	a.log.archive.Printf("%s in %s is up.", set.Node, set.Zone)
+
+	for {
+		select {
+		case fresh := <-reload:
+			a.reg.Seeds(fresh.SeedArchives())
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			a.log.archive.Printf("leaving.")
+			a.leaving.Store(true)
+			a.do(func(now time.Duration) { a.member.Leave(now); a.rota.Leave(now) })
+			a.reg.Leave(false)
+			// Orders under way are answered; the heirs take over meanwhile.
+			time.Sleep(vacant / 2)
+			a.reg.Leave(true)
+			grace, cancel := context.WithTimeout(context.Background(), charter.Seconds(set.Bounds.GraceS/3))
+			_ = control.Shutdown(grace)
+			cancel()
+			close(stop)
+			<-pumped
+			a.reg.Stop()
+			post.Close()
+			return nil
+		}
+	}
+}
+
+// do hands a command to the pump.
+func (a *Archive) do(fn func(now time.Duration)) { a.commands <- fn }
+
+// offer hands a command to the pump unless its queue is full.
+func (a *Archive) offer(fn func(now time.Duration)) {
+	select {
+	case a.commands <- fn:
+	default:
+	}
+}
+
+// pump owns the state machines: it runs one command at a time and carries out
+// what they ask for.
+func (a *Archive) pump(beat time.Duration, stop chan struct{}) {
+	tick := time.NewTicker(beat / 5)
+	defer tick.Stop()
+	var pollAt time.Duration
+	every := charter.Seconds(a.set.Bounds.DrainS / 5)
+	var watchAt, lookAt time.Duration
+	for {
+		var fn func(time.Duration)
+		select {
+		case fn = <-a.commands:
+		case <-tick.C:
+			fn = func(now time.Duration) {
+				a.member.Tick(now)
+				a.rota.Tick(now)
+				if _, mine := a.rota.Holds(now, dutyList); mine {
+					if now >= pollAt {
+						pollAt = now + every
+						a.poll()
+					}
+				} else if now >= watchAt {
+					watchAt = now + beat
+					if h, _ := a.rota.Holder(now, dutyList); h != "" && h != a.post.Self() {
+						a.post.Send(h, feed.WatchKind, feed.Watch{Listing: a.stand.Version})
+					}
+				}
+				if now >= lookAt {
+					lookAt = now + 2*beat
+					a.lookAgain = true
+				}
+			}
+		case <-stop:
+			close(a.writes)
+			return
+		}
+		now := time.Since(a.start)
+		fn(now)
+		a.settle(now)
+	}
+}
+
+// settle carries out what the state machines want done.
+func (a *Archive) settle(now time.Duration) {
+	for again := true; again; {
+		again = false
+		fx := a.member.Take()
+		byPeer := map[string][]stacks.Message{}
+		var order []string
+		for _, e := range fx.Send {
+			if byPeer[e.To] == nil {
+				order = append(order, e.To)
+			}
+			byPeer[e.To] = append(byPeer[e.To], e.Msg)
+		}
+		for _, to := range order {
+			a.post.Send(to, stacksKind, byPeer[to])
+		}
+		for _, w := range fx.Writes {
+			a.writes <- writeJob{w.Entries, w.ID, false}
+		}
+		if fx.Rewrite {
+			entries, upTo := a.member.Snapshot()
+			a.writes <- writeJob{entries, upTo, true}
+		}
+		changed := false
+		for _, key := range fx.Committed {
+			changed = a.show(key) || changed
+		}
+		if changed {
+			a.lookAgain = true
+			a.issue(now)
+		}
+		out, duties := a.rota.Take()
+		for _, e := range out {
+			a.post.Send(e.To, rotaKind, e.Msg)
+		}
+		for _, d := range duties {
+			again = true
+			_, mine := a.rota.Holds(now, d)
+			if mine {
+				a.log.rota.Printf("duty %s won.", d)
+			} else {
+				a.log.rota.Printf("duty %s given up.", d)
+			}
+			switch d {
+			case dutyShelf:
+				a.shelf.Reset()
+				a.lookAgain = true
+			case dutyList:
+				if mine {
+					a.poll()
+				}
+			}
+		}
+		if a.lookAgain {
+			a.lookAgain = false
+			if _, mine := a.rota.Holds(now, dutyShelf); mine {
+				a.shelf.Reconcile(now, catalogue.Routes(a.shown), a.shards(), func() { a.lookAgain = true })
+				again = true
+			}
+		}
+	}
+}
+
+// show takes over a committed copy of a key into what the desks may see.
+func (a *Archive) show(key string) bool {
+	if key == stacks.RosterKey {
+		r := a.member.Roster()
+		a.roster.Store(&r)
+		a.log.stacks.Printf("roster: %s.", strings.Join(r, " "))
+		return false
+	}
+	records, _, ok := a.member.Committed(key)
+	if !ok {
+		return false
+	}
+	changed := false
+	for _, r := range records {
+		if old, have := a.shown[r.Name]; !have || r.Newer(old) {
+			if have {
+				a.sums[conservation.RangeOf(r.Name)] ^= old.Sum()
+			}
+			a.sums[conservation.RangeOf(r.Name)] ^= r.Sum()
+			a.shown[r.Name] = r
+			changed = true
+		}
+	}
+	return changed
+}
+
+// issue sends every watcher what it lacks.
+func (a *Archive) issue(now time.Duration) {
+	a.watchers.Each(now, func(to string, has feed.Watch) feed.Watch {
+		return a.issueTo(now, to, has, false)
+	})
+	if term, mine := a.rota.Holds(now, dutyList); mine && a.stand.Version.Term == term {
+		for _, id := range a.member.Roster() {
+			if _, watching := a.watchers.Has(id); !watching && id != a.post.Self() {
+				a.watchers.Note(now, id, a.issueTo(now, id, feed.Watch{}, false))
+			}
+		}
+	}
+}
+
+func (a *Archive) issueTo(now time.Duration, to string, has feed.Watch, always bool) feed.Watch {
+	out := feed.Issue{Fresh: a.member.Owner(now, catalogue.Key) != ""}
+	if has.Sums != nil {
+		if diff := conservation.Diff(*has.Sums, a.sums); len(diff) > 0 {
+			out.Records = conservation.Pick(a.shown, diff)
+		}
+		sums := a.sums
+		has.Sums = &sums
+	}
+	if l := a.stand.Since(now, has.Listing); l != nil {
+		out.Listing = l
+		has.Listing = l.Version
+	}
+	if always || !out.Empty() {
+		a.post.Send(to, feed.IssueKind, out)
+	}
+	return has
+}
+
+func (a *Archive) handlers() {
+	a.post.Handle(stacksKind, func(from string, body []byte) (any, error) {
+		var msgs []stacks.Message
+		if cbor.Unmarshal(body, &msgs) != nil {
+			a.post.Undecoded.Add(1)
+			return nil, nil
+		}
+		a.offer(func(now time.Duration) {
+			for _, m := range msgs {
+				a.member.Handle(now, from, m)
+			}
+		})
+		return nil, nil
+	})
+	a.post.Handle(rotaKind, func(from string, body []byte) (any, error) {
+		var m rota.Message
+		if cbor.Unmarshal(body, &m) != nil {
+			a.post.Undecoded.Add(1)
+			return nil, nil
+		}
+		a.offer(func(now time.Duration) { a.rota.Handle(now, from, m) })
+		return nil, nil
+	})
+	a.post.Handle(feed.WatchKind, func(from string, body []byte) (any, error) {
+		var w feed.Watch
+		if cbor.Unmarshal(body, &w) != nil {
+			a.post.Undecoded.Add(1)
+			return nil, nil
+		}
+		a.offer(func(now time.Duration) {
+			if a.stand.Version.Less(w.Listing) && w.Listing.Term > a.termSeen {
+				a.termSeen = w.Listing.Term
+				a.rota.Raise(dutyList, w.Listing.Term)
+			}
+			a.watchers.Note(now, from, a.issueTo(now, from, w, true))
+		})
+		return nil, nil
+	})
+	a.post.Handle(feed.IssueKind, func(from string, body []byte) (any, error) {
+		var i feed.Issue
+		if cbor.Unmarshal(body, &i) != nil {
+			a.post.Undecoded.Add(1)
+			return nil, nil
+		}
+		a.offer(func(now time.Duration) {
+			if i.Listing != nil && a.stand.Take(now, *i.Listing) {
+				a.rota.Raise(dutyList, i.Listing.Version.Term)
+				a.issue(now)
+			}
+		})
+		return nil, nil
+	})
+	a.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
+		var o order
+		if err := cbor.Unmarshal(body, &o); err != nil {
+			a.post.Undecoded.Add(1)
+			return nil, err
+		}
+		return a.own(o), nil
+	})
+}
+
+// keep owns the ledger: it writes batches in order and reports when they are
+// durable. Batches that wait are written together.
+func (a *Archive) keep(book *ledger.Ledger) {
+	defer book.Close()
+	failed := false
+	for job := range a.writes {
+		entries, id, whole := job.entries, job.id, job.whole
+		for more := true; more && !whole; {
+			select {
+			case next, ok := <-a.writes:
+				if !ok {
+					more = false
+				} else if next.whole {
+					entries, id, whole = next.entries, next.id, true
+				} else {
+					entries, id = append(entries, next.entries...), next.id
+				}
+			default:
+				more = false
+			}
+		}
+		var err error
+		switch {
+		case whole:
+			err = book.Rewrite(entries)
+		case failed:
+			err = errors.New("waiting for a rewrite")
+		default:
+			err = book.Write(unique(entries))
+		}
+		if err != nil {
+			if !failed || whole {
+				a.log.ledger.Printf("write refused: %v.", err)
+				failed = true
+				go func() {
+					time.Sleep(a.set.Beat() / 2)
+					a.do(func(now time.Duration) { a.member.Failed(now) })
+				}()
+			}
+			continue
+		}
+		failed = failed && !whole
+		full := book.Full()
+		a.do(func(now time.Duration) {
+			a.member.Durable(now, id)
+			if full {
+				a.member.Failed(now) // compacts by writing the whole state
+			}
+		})
+	}
+}
+
+// unique keeps the last entry of each key, in order.
+func unique(entries []ledger.Entry) []ledger.Entry {
+	last := make(map[string]int, len(entries))
+	for i, e := range entries {
+		last[e.Key] = i
+	}
+	if len(last) == len(entries) {
+		return entries
+	}
+	out := entries[:0:0]
+	for i, e := range entries {
+		if last[e.Key] == i {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// poll reads the platform's list in the background.
+func (a *Archive) poll() {
+	if a.set.CloudAPI.Address == "" || !a.polling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer a.polling.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), charter.Seconds(a.set.Bounds.DrainS*0.8))
+		defer cancel()
+		a.stats.Polls.Add(1)
+		list, err := accession.ReadAll(ctx, a.client, a.set.CloudAPI.Address)
+		if err != nil {
+			a.stats.PollErrors.Add(1)
+			a.log.accession.Printf("list not read: %v.", err)
+			return
+		}
+		a.do(func(now time.Duration) {
+			if term, mine := a.rota.Holds(now, dutyList); mine && a.stand.Update(now, term, list) {
+				a.issue(now)
+			}
+		})
+	}()
+}
+
+// shards counts the working desks of each shard.
+func (a *Archive) shards() []shelving.Shard {
+	list := a.reg.List()
+	labels := list.Shards(a.opt.Shards)
+	zones := map[int][]string{}
+	for _, n := range list.Live(register.Data) {
+		if !n.Draining {
+			zones[labels[n.Address]] = append(zones[labels[n.Address]], n.Zone)
+		}
+	}
+	return shelving.Shards(a.opt.Shards, zones)
+}
+
+// bind creates a binding at the owner of the catalogue.
+func (a *Archive) bind(b catalogue.RouteBinding, sawRev uint64, done func(error)) {
+	go func() {
+		_, err := a.submit(order{Key: catalogue.Key, Bind: &bindOrder{b, sawRev}})
+		if err != nil && errata.KindOf(err) != errata.Conflict {
+			a.log.shelving.Printf("route %s not bound: %v.", b.Route, err)
+		}
+		a.do(func(time.Duration) {
+			done(err)
+			a.lookAgain = a.lookAgain || err != nil
+		})
+	}()
+}
--- /dev/null
+++ b/internal/archive/control.go
@@ -0,0 +1,204 @@
+package archive
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/catalogue"
+	"madderwing/internal/charter"
+	"madderwing/internal/conservation"
+	"madderwing/internal/errata"
+	"madderwing/internal/stacks"
+)
+
+// order is what is asked of the owner of a key; one of the fields is set
+// beside Key.
+type order struct {
+	Key      string     `cbor:"1,keyasint"`
+	Patch    []byte     `cbor:"2,keyasint,omitempty"`
+	Evacuate *bool      `cbor:"3,keyasint,omitempty"`
+	Bind     *bindOrder `cbor:"4,keyasint,omitempty"`
+	Read     bool       `cbor:"5,keyasint,omitempty"`
+}
+
+type bindOrder struct {
+	Binding catalogue.RouteBinding `cbor:"1,keyasint"`
+	SawRev  uint64                 `cbor:"2,keyasint"`
+}
+
+// verdict is the owner's answer.
+type verdict struct {
+	Fault  bool        `cbor:"1,keyasint,omitempty"`
+	Kind   errata.Kind `cbor:"2,keyasint,omitempty"`
+	Detail string      `cbor:"3,keyasint,omitempty"`
+	Body   []byte      `cbor:"4,keyasint,omitempty"`
+}
+
+// maxCall bounds the body of a call to control.
+const maxCall = 16 << 20
+
+// own carries an order out at this archive as the owner of its key.
+func (a *Archive) own(o order) verdict {
+	var change *catalogue.Change
+	if o.Patch != nil {
+		var err error
+		if change, err = catalogue.Read(o.Patch); err != nil {
+			return fault(err)
+		}
+	}
+	done := make(chan verdict, 1)
+	a.do(func(now time.Duration) {
+		a.member.Propose(now, o.Key, func(have map[string]stacks.Record) ([]stacks.Record, error) {
+			switch {
+			case change != nil:
+				return change.Apply(have)
+			case o.Evacuate != nil:
+				return catalogue.Evacuation(have, strings.TrimPrefix(o.Key, catalogue.EvacuationPrefix), *o.Evacuate)
+			case o.Bind != nil:
+				return catalogue.Bind(have, o.Bind.Binding, o.Bind.SawRev)
+			}
+			return nil, nil
+		}, func(err error) {
+			if err != nil {
+				done <- fault(err)
+				return
+			}
+			var v verdict
+			if o.Read {
+				records, _, _ := a.member.Committed(o.Key)
+				v.Body = catalogue.Render(records)
+			}
+			done <- v
+		})
+	})
+	return <-done
+}
+
+func fault(err error) verdict {
+	var e *errata.Error
+	if errors.As(err, &e) {
+		return verdict{true, e.Kind, e.Detail, nil}
+	}
+	return verdict{true, errata.NoQuorum, err.Error(), nil}
+}
+
+// submit brings an order to the owner of its key, wherever that is now, and
+// waits a little where there is none.
+func (a *Archive) submit(o order) ([]byte, error) {
+	limit := time.Now().Add(charter.Seconds(a.set.Bounds.AckS * 0.17))
+	pause := a.set.Beat() / 10
+	var v verdict
+	for {
+		owner := make(chan string, 1)
+		a.do(func(now time.Duration) { owner <- a.member.Owner(now, o.Key) })
+		to := <-owner
+		switch {
+		case to == a.post.Self():
+			v = a.own(o)
+		case to != "":
+			ctx, cancel := context.WithDeadline(context.Background(), limit)
+			if err := a.post.Call(ctx, to, orderKind, o, &v); err != nil {
+				v = fault(err)
+			}
+			cancel()
+		default:
+			v = verdict{true, errata.NoQuorum, "no owner for " + o.Key, nil}
+		}
+		if !v.Fault {
+			return v.Body, nil
+		}
+		if v.Kind != errata.NoQuorum || time.Now().Add(pause).After(limit) {
+			return nil, errata.Later(v.Kind, retryAfter(v.Kind, a.set), "%s", v.Detail)
+		}
+		time.Sleep(pause)
+		pause *= 2
+	}
+}
+
+func retryAfter(kind errata.Kind, set *charter.Settings) time.Duration {
+	if kind == errata.NoQuorum {
+		return set.Beat()
+	}
+	return 0
+}
+
+// control serves the operator's calls.
+func (a *Archive) control(zones []string) http.Handler {
+	known := map[string]bool{}
+	for _, z := range zones {
+		known[z] = true
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.stats.Orders.Add(1)
+		body, err := a.serve(r, known)
+		if err != nil {
+			a.stats.Refused.Add(1)
+			if errata.KindOf(err) == errata.NoQuorum {
+				a.stats.NoQuorum.Add(1)
+			}
+			errata.Write(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(body)
+	})
+}
+
+func (a *Archive) serve(r *http.Request, zones map[string]bool) ([]byte, error) {
+	ok := []byte("{}\n")
+	switch path := r.URL.Path; {
+	case path == "/v1/config":
+		switch r.Method {
+		case http.MethodGet:
+			return a.submit(order{Key: catalogue.Key, Read: true})
+		case http.MethodPatch:
+			body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxCall))
+			if err != nil {
+				var large *http.MaxBytesError
+				if errors.As(err, &large) {
+					return nil, errata.New(errata.BodyTooLarge, "more than %d bytes", large.Limit)
+				}
+				return nil, errata.New(errata.BadRequest, "body not read: %v", err)
+			}
+			if _, err := catalogue.Read(body); err != nil {
+				a.log.control.Printf("configuration refused: %v.", err)
+				return nil, err
+			}
+			if _, err := a.submit(order{Key: catalogue.Key, Patch: body}); err != nil {
+				a.log.control.Printf("configuration not taken: %v.", err)
+				return nil, err
+			}
+			return ok, nil
+		}
+		return nil, errata.New(errata.WrongMethod, "%s on %s", r.Method, path)
+	case strings.HasPrefix(path, "/v1/evacuation/"):
+		zone := strings.TrimPrefix(path, "/v1/evacuation/")
+		if !zones[zone] {
+			return nil, errata.New(errata.UnknownZone, "%q", zone)
+		}
+		on := r.Method == http.MethodPost
+		if !on && r.Method != http.MethodDelete {
+			return nil, errata.New(errata.WrongMethod, "%s on %s", r.Method, path)
+		}
+		if _, err := a.submit(order{Key: catalogue.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
+			return nil, err
+		}
+		a.log.control.Printf("evacuation of %s: %v.", zone, on)
+		return ok, nil
+	case strings.HasPrefix(path, "/v1/admin/"):
+		if r.Method != http.MethodGet {
+			return nil, errata.New(errata.WrongMethod, "%s on %s", r.Method, path)
+		}
+		return a.admin(strings.TrimPrefix(path, "/v1/admin/"))
+	}
+	return nil, errata.New(errata.UnknownPage, "%s", r.URL.Path)
+}
+
+var _ = cbor.Marshal
+var _ conservation.Record
--- /dev/null
+++ b/internal/catalogue/catalogue.go
@@ -0,0 +1,441 @@
+// Package catalogue holds the operator's items: how a call is read and checked
+// as a whole, how items are kept with their generations, and the tables that
+// requests are looked up in.
+package catalogue
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/charter"
+	"madderwing/internal/conservation"
+	"madderwing/internal/errata"
+)
+
+// Key is the key of the control state that holds the catalogue.
+const Key = "catalogue"
+
+// EvacuationPrefix begins the keys that hold a zone's evacuation.
+const EvacuationPrefix = "evacuation/"
+
+//go:embed schema.json
+var schemaText []byte
+
+var schema = charter.MustCompile("catalogue.json", schemaText)
+
+// Record is the form in which items are kept and copied.
+type Record = conservation.Record
+
+// Phase tells how far the placement of a route has come.
+type Phase string
+
+// The phases.
+const (
+	PhaseNew       Phase = "new"
+	PhaseScheduled Phase = "scheduled"
+)
+
+// Status is the part of a route that only the binding's create path writes.
+type Status struct {
+	Phase Phase `cbor:"1,keyasint" json:"phase"`
+	Shard int   `cbor:"2,keyasint" json:"shard"`
+}
+
+// Item is the content of a route's, a service's or the limits' record. Raw is
+// the item as the operator sent it.
+type Item struct {
+	Host   string `cbor:"1,keyasint,omitempty"`
+	Raw    []byte `cbor:"2,keyasint,omitempty"`
+	Status Status `cbor:"3,keyasint"`
+}
+
+// RouteBinding names a route and the shard that serves it.
+type RouteBinding struct {
+	Route string `cbor:"1,keyasint" json:"route"`
+	Shard int    `cbor:"2,keyasint" json:"shard"`
+}
+
+// The prefixes of the records' names.
+const (
+	routePrefix   = "route/"
+	servicePrefix = "service/"
+	bindingPrefix = "binding/"
+	limitsName    = "limits"
+)
+
+// Share is one service of a split route.
+type Share struct {
+	Target string  `json:"target"`
+	Share  float64 `json:"share"`
+}
+
+// Route is a route as read from its item.
+type Route struct {
+	Name           string  `json:"name"`
+	Host           string  `json:"-"`
+	PathPrefix     string  `json:"pathPrefix"`
+	RouteKind      string  `json:"routeKind"`
+	DeadlineS      float64 `json:"deadlineS"`
+	TargetLatencyS float64 `json:"targetLatencyS"`
+	Priority       int     `json:"priority"`
+	MaxTries       int     `json:"maxTries"`
+	Target         string  `json:"target"`
+	Split          []Share `json:"split"`
+	Generation     uint64  `json:"generation"`
+	Status         Status  `json:"-"`
+	Rev            uint64  `json:"-"`
+}
+
+// Repeatable says whether a request on the route may run more than once.
+func (r *Route) Repeatable() bool { return r.RouteKind != "mutating" }
+
+// Targets lists the services that the route may go to.
+func (r *Route) Targets() []string {
+	if r.Target != "" {
+		return []string{r.Target}
+	}
+	var out []string
+	for _, s := range r.Split {
+		out = append(out, s.Target)
+	}
+	return out
+}
+
+// Choose picks a service by a number from 0 up to 1.
+func (r *Route) Choose(x float64) string {
+	if r.Target != "" {
+		return r.Target
+	}
+	sum := 0.0
+	for _, s := range r.Split {
+		sum += s.Share
+	}
+	x *= sum
+	last := ""
+	for _, s := range r.Split {
+		if s.Share <= 0 {
+			continue
+		}
+		last = s.Target
+		if x < s.Share {
+			break
+		}
+		x -= s.Share
+	}
+	return last
+}
+
+// Service is a service as read from its item.
+type Service struct {
+	Name       string  `json:"name"`
+	HealthPath string  `json:"healthPath"`
+	MaxConns   int     `json:"maxConns"`
+	WarmupS    float64 `json:"warmupS"`
+	WarmupPerS float64 `json:"warmupPerS"`
+}
+
+// Limits are the limits on what clients may send.
+type Limits struct {
+	MaxHeaderBytes int     `json:"maxHeaderBytes"`
+	MaxBodyBytes   int64   `json:"maxBodyBytes"`
+	HeaderTimeoutS float64 `json:"headerTimeoutS"`
+	IdleTimeoutS   float64 `json:"idleTimeoutS"`
+}
+
+// Change is one checked call of an operator.
+type Change struct {
+	upserts  []Record
+	removals []Record
+}
+
+func decodeItem(r Record) (it Item) {
+	_ = cbor.Unmarshal(r.Data, &it)
+	return it
+}
+
+func encode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+type call struct {
+	Upsert struct {
+		Services []json.RawMessage `json:"services"`
+		Limits   json.RawMessage   `json:"limits"`
+		Domains  []struct {
+			Authority  string            `json:"authority"`
+			HostRoutes []json.RawMessage `json:"hostRoutes"`
+		} `json:"domains"`
+	} `json:"upsert"`
+	Remove struct {
+		Routes   []removal `json:"routes"`
+		Services []removal `json:"services"`
+	} `json:"remove"`
+}
+
+type removal struct {
+	Name       string `json:"name"`
+	Generation uint64 `json:"generation"`
+}
+
+func invalid(format string, args ...any) error {
+	return errata.New(errata.InvalidConfig, format, args...)
+}
+
+// Read reads and checks a call by itself. What depends on the items that stand
+// is checked by Apply.
+func Read(body []byte) (*Change, error) {
+	if err := charter.Validate(schema, body); err != nil {
+		return nil, invalid("%v", err)
+	}
+	var c call
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, invalid("%v", err)
+	}
+	out := &Change{}
+	seen := map[string]bool{}
+	add := func(name, host string, raw json.RawMessage) error {
+		var head removal
+		if err := json.Unmarshal(raw, &head); err != nil {
+			return invalid("%s: %v", name, err)
+		}
+		name += head.Name
+		if seen[name] {
+			return invalid("%s: named twice", name)
+		}
+		seen[name] = true
+		var compact bytes.Buffer
+		if err := json.Compact(&compact, raw); err != nil {
+			return invalid("%s: %v", name, err)
+		}
+		out.upserts = append(out.upserts, Record{Name: name, Gen: head.Generation,
+			Data: encode(Item{Host: host, Raw: compact.Bytes(), Status: Status{Phase: PhaseNew, Shard: -1}})})
+		return nil
+	}
+	for _, raw := range c.Upsert.Services {
+		if err := add(servicePrefix, "", raw); err != nil {
+			return nil, err
+		}
+	}
+	if len(c.Upsert.Limits) > 0 && string(c.Upsert.Limits) != "null" {
+		if err := add(limitsName, "", c.Upsert.Limits); err != nil {
+			return nil, err
+		}
+	}
+	for _, d := range c.Upsert.Domains {
+		for _, raw := range d.HostRoutes {
+			if err := add(routePrefix, strings.ToLower(d.Authority), raw); err != nil {
+				return nil, err
+			}
+			var r Route
+			if err := json.Unmarshal(raw, &r); err != nil {
+				return nil, invalid("route %s: %v", r.Name, err)
+			}
+			sum := 0.0
+			for _, s := range r.Split {
+				sum += s.Share
+			}
+			if r.Target == "" && sum <= 0 {
+				return nil, invalid("route %s: split: the shares sum to 0", r.Name)
+			}
+		}
+	}
+	drop := func(prefix string, list []removal) error {
+		for _, r := range list {
+			name := prefix + r.Name
+			if seen[name] {
+				return invalid("%s: named twice", name)
+			}
+			seen[name] = true
+			out.removals = append(out.removals, Record{Name: name, Gen: r.Generation, Dropped: true})
+		}
+		return nil
+	}
+	if err := drop(routePrefix, c.Remove.Routes); err != nil {
+		return nil, err
+	}
+	if err := drop(servicePrefix, c.Remove.Services); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// Apply works out which records a call changes, given those that stand, and
+// checks the whole that would result. It runs at the owner of the catalogue.
+func (c *Change) Apply(have map[string]Record) ([]Record, error) {
+	var changes []Record
+	for _, r := range append(append([]Record(nil), c.upserts...), c.removals...) {
+		old, ok := have[r.Name]
+		if ok && r.Gen <= old.Gen {
+			continue
+		}
+		if ok && !old.Dropped && !r.Dropped && strings.HasPrefix(r.Name, routePrefix) {
+			// A route keeps its place when the operator changes it.
+			it := decodeItem(r)
+			it.Status = decodeItem(old).Status
+			r.Data, r.Rev = encode(it), old.Rev
+		}
+		if ok && r.Dropped && strings.HasPrefix(r.Name, routePrefix) {
+			if b, bound := have[bindingPrefix+r.Name[len(routePrefix):]]; bound && !b.Dropped {
+				changes = append(changes, Record{Name: b.Name, Gen: b.Gen + 1, Dropped: true})
+			}
+		}
+		changes = append(changes, r)
+	}
+	if len(changes) == 0 {
+		return nil, nil
+	}
+	after := make(map[string]Record, len(have)+len(changes))
+	for n, r := range have {
+		after[n] = r
+	}
+	for _, r := range changes {
+		after[r.Name] = r
+	}
+	if err := check(after); err != nil {
+		return nil, err
+	}
+	return changes, nil
+}
+
+func check(all map[string]Record) error {
+	places := map[string]string{}
+	names := make([]string, 0, len(all))
+	for n := range all {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		rec := all[n]
+		if rec.Dropped || !strings.HasPrefix(n, routePrefix) {
+			continue
+		}
+		r, err := ReadRoute(rec)
+		if err != nil {
+			return invalid("%s: %v", n, err)
+		}
+		for _, t := range r.Targets() {
+			if s, ok := all[servicePrefix+t]; !ok || s.Dropped {
+				return invalid("route %s: target: unknown service %q", r.Name, t)
+			}
+		}
+		place := r.Host + " " + r.PathPrefix
+		if other, ok := places[place]; ok {
+			return invalid("route %s: pathPrefix: same host and prefix as route %s", r.Name, other)
+		}
+		places[place] = r.Name
+	}
+	return nil
+}
+
+// ReadRoute reads a route from its record.
+func ReadRoute(rec Record) (*Route, error) {
+	it := decodeItem(rec)
+	r := &Route{}
+	if err := json.Unmarshal(it.Raw, r); err != nil {
+		return nil, err
+	}
+	r.Host, r.Status, r.Rev = it.Host, it.Status, rec.Rev
+	return r, nil
+}
+
+// Routes lists the routes that stand, by name.
+func Routes(have map[string]Record) (out []*Route) {
+	for n, rec := range have {
+		if !rec.Dropped && strings.HasPrefix(n, routePrefix) {
+			if r, err := ReadRoute(rec); err == nil {
+				out = append(out, r)
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Bind is the create path of a RouteBinding, the only writer of a route's
+// status. It is refused if the route's status is not the one that the caller
+// saw, so that two schedulers cannot bind one route twice.
+func Bind(have map[string]Record, b RouteBinding, sawRev uint64) ([]Record, error) {
+	rec, ok := have[routePrefix+b.Route]
+	if !ok || rec.Dropped {
+		return nil, errata.New(errata.Conflict, "route %s is gone", b.Route)
+	}
+	if rec.Rev != sawRev {
+		return nil, errata.New(errata.Conflict, "route %s is at revision %d, not %d", b.Route, rec.Rev, sawRev)
+	}
+	it := decodeItem(rec)
+	it.Status = Status{PhaseScheduled, b.Shard}
+	rec.Rev++
+	rec.Data = encode(it)
+	binding := Record{Name: bindingPrefix + b.Route, Gen: have[bindingPrefix+b.Route].Gen + 1, Data: encode(b)}
+	return []Record{binding, rec}, nil
+}
+
+// Render lays out the items that stand as the operator's first call did.
+func Render(have map[string]Record) []byte {
+	names := make([]string, 0, len(have))
+	for n, r := range have {
+		if !r.Dropped {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	var services, routes []json.RawMessage
+	var limits json.RawMessage
+	hosts := map[string][]json.RawMessage{}
+	var order []string
+	for _, n := range names {
+		it := decodeItem(have[n])
+		switch {
+		case strings.HasPrefix(n, servicePrefix):
+			services = append(services, it.Raw)
+		case n == limitsName:
+			limits = it.Raw
+		case strings.HasPrefix(n, routePrefix):
+			if _, ok := hosts[it.Host]; !ok {
+				order = append(order, it.Host)
+			}
+			hosts[it.Host] = append(hosts[it.Host], it.Raw)
+			routes = append(routes, it.Raw)
+		}
+	}
+	type domain struct {
+		Authority  string            `json:"authority"`
+		HostRoutes []json.RawMessage `json:"hostRoutes"`
+	}
+	out := struct {
+		Services []json.RawMessage `json:"services"`
+		Limits   json.RawMessage   `json:"limits,omitempty"`
+		Domains  []domain          `json:"domains"`
+	}{Services: services, Limits: limits, Domains: []domain{}}
+	if services == nil {
+		out.Services = []json.RawMessage{}
+	}
+	for _, h := range order {
+		out.Domains = append(out.Domains, domain{h, hosts[h]})
+	}
+	b, err := json.Marshal(out)
+	if err != nil {
+		return []byte(fmt.Sprintf("{%q:%q}", "error", err))
+	}
+	return b
+}
+
+// Evacuation works out the change of a zone's evacuation record.
+func Evacuation(have map[string]Record, zone string, on bool) ([]Record, error) {
+	name := EvacuationPrefix + zone
+	old, ok := have[name]
+	if ok && !old.Dropped == on || !ok && !on {
+		return nil, nil
+	}
+	return []Record{{Name: name, Gen: old.Gen + 1, Dropped: !on}}, nil
+}
--- /dev/null
+++ b/internal/catalogue/catalogue_test.go
@@ -0,0 +1,185 @@
+package catalogue
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"madderwing/internal/errata"
+)
+
+const svc = `{"name":"a","generation":%d,"healthPath":"/h","maxConns":9,"warmupS":3,"warmupPerS":2,"extra":{"x":[1,2]}}`
+
+func route(name, prefix, target string, gen int) string {
+	return fmt.Sprintf(`{"name":%q,"pathPrefix":%q,"routeKind":"idempotent","deadlineS":1,"target":%q,"maxTries":2,"generation":%d}`, name, prefix, target, gen)
+}
+
+func patch(services, routes, remove string) string {
+	return fmt.Sprintf(`{"upsert":{"services":[%s],"domains":[{"authority":"h.example","hostRoutes":[%s]}]},"remove":{"routes":[%s]}}`, services, routes, remove)
+}
+
+func apply(t *testing.T, have map[string]Record, body string) error {
+	t.Helper()
+	c, err := Read([]byte(body))
+	if err != nil {
+		return err
+	}
+	changes, err := c.Apply(have)
+	for _, r := range changes {
+		have[r.Name] = r
+	}
+	return err
+}
+
+func start(t *testing.T) map[string]Record {
+	t.Helper()
+	have := map[string]Record{}
+	if err := apply(t, have, patch(fmt.Sprintf(svc, 7), route("r", "/p/", "a", 7), "")); err != nil {
+		t.Fatal(err)
+	}
+	return have
+}
+
+func TestInvalidCallsAreRefusedWhole(t *testing.T) {
+	whole := patch("", route("n", "/n/", "a", 9), "")
+	cases := map[string]string{
+		"cut short":         whole[:len(whole)-7],
+		"trailing":          whole + "x",
+		"two documents":     whole + whole,
+		"not an object":     `[1]`,
+		"unknown service":   patch("", route("n", "/n/", "nowhere", 9), ""),
+		"bare prefix":       patch("", route("n", "n/", "a", 9), ""),
+		"same place":        patch("", route("n", "/p/", "a", 9), ""),
+		"odd kind":          patch("", `{"name":"n","pathPrefix":"/n/","routeKind":"odd","deadlineS":1,"target":"a","generation":9}`, ""),
+		"no weight":         patch("", `{"name":"n","pathPrefix":"/n/","routeKind":"mutating","deadlineS":1,"split":[{"target":"a","share":0}],"generation":9}`, ""),
+		"no time-out":       patch("", `{"name":"n","pathPrefix":"/n/","routeKind":"mutating","deadlineS":0,"target":"a","generation":9}`, ""),
+		"wrong type":        patch("", `{"name":"n","pathPrefix":"/n/","routeKind":"mutating","deadlineS":"1","target":"a","generation":9}`, ""),
+		"no target":         patch("", `{"name":"n","pathPrefix":"/n/","routeKind":"mutating","deadlineS":1,"generation":9}`, ""),
+		"operator's phase":  patch("", `{"name":"n","pathPrefix":"/n/","routeKind":"mutating","deadlineS":1,"target":"a","generation":9,"phase":"scheduled"}`, ""),
+		"named twice":       patch("", route("n", "/n/", "a", 9)+","+route("n", "/m/", "a", 9), ""),
+		"set and removed":   patch("", route("n", "/n/", "a", 9), `{"name":"n","generation":9}`),
+		"service in use":    `{"remove":{"services":[{"name":"a","generation":9}]}}`,
+		"valid and invalid": patch("", route("n", "/n/", "a", 9)+","+route("m", "/m/", "nowhere", 9), ""),
+	}
+	for name, body := range cases {
+		t.Run(name, func(t *testing.T) {
+			have := start(t)
+			before := fmt.Sprint(have)
+			err := apply(t, have, body)
+			var e *errata.Error
+			if !errors.As(err, &e) || e.Kind != errata.InvalidConfig || e.Detail == "" {
+				t.Fatalf("got %v", err)
+			}
+			if fmt.Sprint(have) != before {
+				t.Fatal("part of an invalid call took effect")
+			}
+		})
+	}
+}
+
+func TestTheHighestGenerationHolds(t *testing.T) {
+	steps := []struct {
+		body   string
+		prefix string // of route r afterwards, "" if dropped
+	}{
+		{patch("", route("r", "/old/", "a", 6), ""), "/p/"},
+		{patch("", route("r", "/same/", "a", 7), ""), "/p/"},
+		{patch("", route("r", "/new/", "a", 9), ""), "/new/"},
+		{patch("", "", `{"name":"r","generation":8}`), "/new/"},
+		{patch("", "", `{"name":"r","generation":12}`), ""},
+		{patch("", route("r", "/late/", "a", 11), ""), ""},
+		{patch("", route("r", "/back/", "a", 13), ""), "/back/"},
+	}
+	have := start(t)
+	for i, s := range steps {
+		if err := apply(t, have, s.body); err != nil {
+			t.Fatalf("step %d: %v", i, err)
+		}
+		got := ""
+		if routes := Routes(have); len(routes) > 0 {
+			got = routes[0].PathPrefix
+		}
+		if got != s.prefix {
+			t.Fatalf("step %d: prefix %q, want %q", i, got, s.prefix)
+		}
+	}
+}
+
+func TestRenderGivesBackWhatWasSent(t *testing.T) {
+	have := start(t)
+	var got struct {
+		Services []any
+		Domains  []struct {
+			Authority  string
+			HostRoutes []any
+		}
+	}
+	if err := json.Unmarshal(Render(have), &got); err != nil {
+		t.Fatal(err)
+	}
+	var want any
+	_ = json.Unmarshal([]byte(fmt.Sprintf(svc, 7)), &want)
+	if len(got.Services) != 1 || !reflect.DeepEqual(got.Services[0], want) {
+		t.Fatalf("got %v", got.Services)
+	}
+	if len(got.Domains) != 1 || got.Domains[0].Authority != "h.example" || len(got.Domains[0].HostRoutes) != 1 {
+		t.Fatalf("got %+v", got.Domains)
+	}
+}
+
+func TestBindingIsConditionalAndTheOnlyWriterOfStatus(t *testing.T) {
+	have := start(t)
+	put := func(changes []Record) {
+		for _, r := range changes {
+			have[r.Name] = r
+		}
+	}
+	first, err := Bind(have, RouteBinding{"r", 1}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(first)
+	if _, err := Bind(have, RouteBinding{"r", 0}, 0); errata.KindOf(err) != errata.Conflict {
+		t.Fatalf("a second binding of one revision: %v", err)
+	}
+	if err := apply(t, have, patch("", route("r", "/q/", "a", 20), "")); err != nil {
+		t.Fatal(err)
+	}
+	if s := Routes(have)[0].Status; s != (Status{PhaseScheduled, 1}) {
+		t.Fatalf("a change of the route moved it: %+v", s)
+	}
+	if err := apply(t, have, patch("", "", `{"name":"r","generation":21}`)); err != nil {
+		t.Fatal(err)
+	}
+	if !have["binding/r"].Dropped {
+		t.Fatal("binding outlives its route")
+	}
+	if err := apply(t, have, patch("", route("r", "/q/", "a", 22), "")); err != nil {
+		t.Fatal(err)
+	}
+	if s := Routes(have)[0].Status; s.Phase != PhaseNew {
+		t.Fatalf("a new route begins as %+v", s)
+	}
+}
+
+func TestLookupTakesTheLongestPrefix(t *testing.T) {
+	have := start(t)
+	if err := apply(t, have, patch("", route("long", "/p/q/", "a", 9)+","+route("s", "/s/", "a", 9), "")); err != nil {
+		t.Fatal(err)
+	}
+	table := (&Builder{}).Build(have)
+	for _, c := range []struct{ host, path, want string }{
+		{"h.example", "/p/x", "r"}, {"h.example", "/p/q/x", "long"}, {"h.example:80", "/p/q", "r"},
+		{"H.Example", "/s/", "s"}, {"h.example", "/p", ""}, {"other", "/p/x", ""},
+	} {
+		got := ""
+		if r := table.Lookup(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: got %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/catalogue/table.go
@@ -0,0 +1,145 @@
+package catalogue
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+)
+
+// Table is what requests are looked up in. It is built anew for each change
+// and never altered.
+type Table struct {
+	hosts      map[string][]*Route // longest prefix first
+	Services   map[string]*Service
+	Limits     Limits
+	LimitsGen  uint64
+	Evacuated  map[string]uint64 // zone -> generation of its evacuation
+	EvacGens   map[string]uint64 // zone -> generation of its record
+	RouteCount int
+	Known      bool // any item is known
+}
+
+// Builder builds tables and reads each version of an item once.
+type Builder struct {
+	routes   map[string]builtRoute
+	services map[string]builtService
+}
+
+type builtRoute struct {
+	gen, rev uint64
+	route    *Route
+}
+
+type builtService struct {
+	gen     uint64
+	service *Service
+}
+
+// defaults of the limits until the operator has set them.
+var defaultLimits = Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeoutS: 3, IdleTimeoutS: 15}
+
+// Build builds the table of a set of records.
+func (b *Builder) Build(have map[string]Record) *Table {
+	if b.routes == nil {
+		b.routes, b.services = map[string]builtRoute{}, map[string]builtService{}
+	}
+	t := &Table{hosts: map[string][]*Route{}, Services: map[string]*Service{}, Limits: defaultLimits,
+		Evacuated: map[string]uint64{}, EvacGens: map[string]uint64{}}
+	for n, rec := range have {
+		if strings.HasPrefix(n, EvacuationPrefix) {
+			zone := n[len(EvacuationPrefix):]
+			t.EvacGens[zone] = rec.Gen
+			if !rec.Dropped {
+				t.Evacuated[zone] = rec.Gen
+			}
+			continue
+		}
+		t.Known = true
+		if rec.Dropped {
+			delete(b.routes, n)
+			delete(b.services, n)
+			continue
+		}
+		switch {
+		case strings.HasPrefix(n, routePrefix):
+			built, ok := b.routes[n]
+			if !ok || built.gen != rec.Gen || built.rev != rec.Rev {
+				r, err := ReadRoute(rec)
+				if err != nil {
+					continue
+				}
+				built = builtRoute{rec.Gen, rec.Rev, r}
+				b.routes[n] = built
+			}
+			t.hosts[built.route.Host] = append(t.hosts[built.route.Host], built.route)
+			t.RouteCount++
+		case strings.HasPrefix(n, servicePrefix):
+			built, ok := b.services[n]
+			if !ok || built.gen != rec.Gen {
+				s := &Service{}
+				if json.Unmarshal(decodeItem(rec).Raw, s) != nil {
+					continue
+				}
+				built = builtService{rec.Gen, s}
+				b.services[n] = built
+			}
+			t.Services[built.service.Name] = built.service
+		case n == limitsName:
+			l := defaultLimits
+			if json.Unmarshal(decodeItem(rec).Raw, &l) == nil {
+				t.Limits, t.LimitsGen = l, rec.Gen
+			}
+		}
+	}
+	for _, routes := range t.hosts {
+		sort.Slice(routes, func(i, j int) bool {
+			a, b := routes[i].PathPrefix, routes[j].PathPrefix
+			return len(a) > len(b) || len(a) == len(b) && a < b
+		})
+	}
+	return t
+}
+
+// Lookup finds the route of a request, by host and path.
+func (t *Table) Lookup(host, path string) *Route {
+	routes := t.hosts[host]
+	if routes == nil {
+		if i := strings.LastIndexByte(host, ':'); i >= 0 {
+			routes = t.hosts[host[:i]]
+		}
+		if routes == nil {
+			if low := strings.ToLower(host); low != host {
+				return t.Lookup(low, path)
+			}
+		}
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Placements maps each service to the shard whose desks hold its slack and its
+// cold pace: the shard of the first of its routes, by name, that is scheduled.
+func (t *Table) Placements() map[string]int {
+	first := map[string]*Route{}
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.Status.Phase != PhaseScheduled {
+				continue
+			}
+			for _, s := range r.Targets() {
+				if f := first[s]; f == nil || r.Name < f.Name {
+					first[s] = r
+				}
+			}
+		}
+	}
+	out := map[string]int{}
+	for s, r := range first {
+		out[s] = r.Status.Shard
+	}
+	return out
+}
--- /dev/null
+++ b/internal/charter/charter.go
@@ -0,0 +1,222 @@
+// Package charter holds the settings of one process: their shape, their check
+// against a schema, and the durations that the rest of the program derives
+// from the bounds in them.
+package charter
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// PathVariable names the environment variable that holds the settings' path.
+const PathVariable = "MADDERWING_SETTINGS"
+
+//go:embed schema.json
+var schemaText []byte
+
+// Settings is what one process is told.
+type Settings struct {
+	Node          string            `toml:"node"`
+	Role          string            `toml:"role"`
+	Serves        []string          `toml:"serves"`
+	IP            string            `toml:"ip"`
+	Zone          string            `toml:"zone"`
+	Region        string            `toml:"region"`
+	InternalPorts []int             `toml:"internalPorts"`
+	SeedNodes     []string          `toml:"seedNodes"`
+	Bootstrap     bool              `toml:"bootstrap"`
+	InQuorum      bool              `toml:"inQuorum"`
+	DataDir       string            `toml:"dataDir"`
+	HeartbeatS    float64           `toml:"heartbeatS"`
+	Zones         map[string]string `toml:"zones"`
+	Bind          Bind              `toml:"bind"`
+	Limits        Limits            `toml:"limits"`
+	FaultBudget   FaultBudget       `toml:"faultBudget"`
+	Bounds        Bounds            `toml:"bounds"`
+	CloudAPI      CloudAPI          `toml:"cloudApi"`
+}
+
+// Bind holds the addresses on which a process serves.
+type Bind struct {
+	Front     string `toml:"front"`
+	Readiness string `toml:"readiness"`
+	Control   string `toml:"control"`
+}
+
+// Limits holds what the machine grants to a process.
+type Limits struct {
+	CPUFraction float64 `toml:"cpuFraction"`
+	MemoryMb    float64 `toml:"memoryMb"`
+	MaxFds      int     `toml:"maxFds"`
+}
+
+// FaultBudget says what may be lost together.
+type FaultBudget struct {
+	Machines int `toml:"machines"`
+	Zones    int `toml:"zones"`
+	Regions  int `toml:"regions"`
+}
+
+// Bounds are the figures that the rules are judged by, in seconds where the
+// name ends in S.
+type Bounds struct {
+	SeedStalenessS  float64 `toml:"seedStalenessS"`
+	AddrReuseS      float64 `toml:"addrReuseS"`
+	ContactS        float64 `toml:"contactS"`
+	AckS            float64 `toml:"ackS"`
+	CatchUpS        float64 `toml:"catchUpS"`
+	DrainS          float64 `toml:"drainS"`
+	GraceS          float64 `toml:"graceS"`
+	ConfigApplyS    float64 `toml:"configApplyS"`
+	RetryRatio      float64 `toml:"retryRatio"`
+	RetryWindowS    float64 `toml:"retryWindowS"`
+	RetrySlack      float64 `toml:"retrySlack"`
+	WarmupOvershoot float64 `toml:"warmupOvershoot"`
+	WarmupSlack     float64 `toml:"warmupSlack"`
+	EvacuateS       float64 `toml:"evacuateS"`
+	RecoveryS       float64 `toml:"recoveryS"`
+}
+
+// CloudAPI tells where the platform's list of upstreams is.
+type CloudAPI struct {
+	Address  string  `toml:"address"`
+	RatePerS float64 `toml:"ratePerS"`
+	MaxLagS  float64 `toml:"maxLagS"`
+}
+
+// Seconds turns a figure of the settings into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Beat is the step of everything that nodes do at intervals: a sixth of the
+// time for which a calm machine must have been in touch.
+func (s *Settings) Beat() time.Duration { return Seconds(s.Bounds.ContactS / 6) }
+
+// DeskAddress and ArchiveAddress are where the two kinds of process listen for
+// other nodes on a machine.
+func (s *Settings) DeskAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(s.InternalPorts[0]))
+}
+
+// ArchiveAddress is the address for other nodes of the archive on a machine.
+func (s *Settings) ArchiveAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(s.InternalPorts[0]+1))
+}
+
+// SeedArchives are the addresses for other nodes of the seeds, sorted.
+func (s *Settings) SeedArchives() []string {
+	var out []string
+	for _, seed := range s.SeedNodes {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			out = append(out, s.ArchiveAddress(host))
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Check is the list of what is wrong with a document, one line each.
+type Check []string
+
+func (c Check) Error() string { return strings.Join(c, "; ") }
+
+// Load reads and checks the settings file.
+func Load(path string) (*Settings, error) {
+	if path == "" {
+		return nil, fmt.Errorf("%s is not set and no --settings was given", PathVariable)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text)
+}
+
+// Parse reads settings from TOML and checks them against the schema.
+func Parse(text []byte) (*Settings, error) {
+	var raw map[string]any
+	if err := toml.Unmarshal(text, &raw); err != nil {
+		return nil, fmt.Errorf("not TOML: %w", err)
+	}
+	asJSON, err := json.Marshal(raw)
+	if err != nil {
+		return nil, err
+	}
+	if err := Validate(settingsSchema, asJSON); err != nil {
+		return nil, err
+	}
+	s := &Settings{HeartbeatS: 1.5}
+	if err := toml.Unmarshal(text, s); err != nil {
+		return nil, fmt.Errorf("not settings: %w", err)
+	}
+	if s.InternalPorts[1] < s.InternalPorts[0]+1 {
+		return nil, Check{"internalPorts: two ports at least are needed"}
+	}
+	for _, a := range append([]string{s.Bind.Front, s.Bind.Readiness, s.Bind.Control}, s.SeedNodes...) {
+		if _, port, err := net.SplitHostPort(a); a != "" {
+			if n, _ := strconv.Atoi(port); err != nil || n < 1 || n > math.MaxUint16 {
+				return nil, Check{fmt.Sprintf("address %q: no valid port", a)}
+			}
+		}
+	}
+	return s, nil
+}
+
+var settingsSchema = MustCompile("charter.json", schemaText)
+
+// MustCompile compiles a schema that is part of the program.
+func MustCompile(name string, text []byte) *jsonschema.Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		panic(err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(name, doc); err != nil {
+		panic(err)
+	}
+	return c.MustCompile(name)
+}
+
+// Validate checks a JSON text against a schema and names every place at fault.
+func Validate(schema *jsonschema.Schema, text []byte) error {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return Check{"not JSON: " + err.Error()}
+	}
+	err = schema.Validate(doc)
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	var check Check
+	var walk func(*jsonschema.ValidationError)
+	printer := message.NewPrinter(language.English)
+	walk = func(e *jsonschema.ValidationError) {
+		if len(e.Causes) == 0 {
+			at := strings.Join(e.InstanceLocation, ".")
+			if at == "" {
+				at = "top"
+			}
+			check = append(check, at+": "+e.ErrorKind.LocalizedString(printer))
+		}
+		for _, c := range e.Causes {
+			walk(c)
+		}
+	}
+	walk(invalid)
+	return check
+}
--- /dev/null
+++ b/internal/circulation/floor.go
@@ -0,0 +1,108 @@
+// Package circulation carries the traffic: the front server, the chain of
+// filters that a request passes, and the connections to upstreams.
+package circulation
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"madderwing/internal/accession"
+	"madderwing/internal/courier"
+)
+
+// Floor owns the stock of upstreams: all that is done to it goes through its
+// queue of commands.
+type Floor struct {
+	stock    *accession.Stock
+	start    time.Time
+	commands chan func(now time.Duration)
+	patience time.Duration // until a silent peer is given up
+	tick     time.Duration
+}
+
+// NewFloor makes the owner of a stock.
+func NewFloor(stock *accession.Stock, patience, tick time.Duration) *Floor {
+	return &Floor{stock: stock, start: time.Now(), commands: make(chan func(time.Duration), 1024), patience: patience, tick: tick}
+}
+
+// Do hands a command to the floor.
+func (f *Floor) Do(fn func(now time.Duration, s *accession.Stock)) {
+	f.commands <- func(now time.Duration) { fn(now, f.stock) }
+}
+
+// Run carries out commands for ever.
+func (f *Floor) Run() {
+	tick := time.NewTicker(f.tick)
+	defer tick.Stop()
+	for {
+		select {
+		case fn := <-f.commands:
+			fn(time.Since(f.start))
+		case <-tick.C:
+			f.stock.Tick(time.Since(f.start))
+		}
+		for _, u := range f.stock.Trials {
+			go f.try(u, u.Address)
+		}
+		f.stock.Trials = nil
+		if len(f.stock.Closed) > 0 {
+			closed := f.stock.Closed
+			f.stock.Closed = nil
+			go func() {
+				for _, c := range closed {
+					c.Close()
+				}
+			}()
+		}
+	}
+}
+
+// try opens a connection to an upstream that had failed.
+func (f *Floor) try(u *accession.Upstream, address string) {
+	conn, _ := f.dial(address, f.patience)
+	f.Do(func(now time.Duration, s *accession.Stock) {
+		if conn != nil {
+			conn.Expires = now + f.patience
+		}
+		s.Tried(now, u, conn)
+	})
+}
+
+func (f *Floor) dial(address string, limit time.Duration) (*accession.Conn, error) {
+	d := net.Dialer{Timeout: min(limit, f.patience), KeepAlive: -1}
+	c, err := d.Dial("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		courier.SetUserTimeout(t, f.patience)
+		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1})
+	}
+	return &accession.Conn{Conn: c, Reader: bufio.NewReaderSize(c, 4<<10)}, nil
+}
+
+// claim asks for an upstream and waits for it, but no longer than patience.
+func (f *Floor) claim(c *accession.Claim, patience time.Duration) accession.Grant {
+	got := make(chan accession.Grant, 1)
+	c.Give = func(g accession.Grant) { got <- g }
+	f.Do(func(now time.Duration, s *accession.Stock) { s.Claim(now, c) })
+	timer := time.NewTimer(max(0, patience))
+	defer timer.Stop()
+	select {
+	case g := <-got:
+		return g
+	case <-timer.C:
+		f.Do(func(_ time.Duration, s *accession.Stock) { s.Withdraw(c) })
+		return <-got
+	}
+}
+
+func (f *Floor) release(u *accession.Upstream, conn *accession.Conn, idle time.Duration, how accession.Outcome) {
+	f.Do(func(now time.Duration, s *accession.Stock) {
+		if conn != nil {
+			conn.Expires = now + idle
+		}
+		s.Release(now, u, conn, how)
+	})
+}
--- /dev/null
+++ b/internal/circulation/send.go
@@ -0,0 +1,318 @@
+package circulation
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"madderwing/internal/accession"
+)
+
+// The headers that are madderwing's concern.
+const (
+	hAttempt  = "Attempt-Id"
+	hDeadline = "Deadline-Left"
+	hTarget   = "Target-Instance"
+	hSeal     = "Server-Seal"
+	hNotRun   = "Not-Executed"
+)
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+}
+
+// connectionNamed lists the headers that Connection names.
+func connectionNamed(h http.Header) map[string]bool {
+	var out map[string]bool
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if name != "" && name != "Close" && name != "Keep-Alive" {
+				if out == nil {
+					out = map[string]bool{}
+				}
+				out[name] = true
+			}
+		}
+	}
+	return out
+}
+
+// result is how one sending went.
+type result struct {
+	response *http.Response
+	conn     *accession.Conn
+	start    []byte // the beginning of the body, or all of it if whole
+	whole    bool
+	broke    error // no answer, or a broken one
+	untried  bool  // the upstream certainly has not got the request
+	late     bool  // the deadline passed
+	reused   bool
+}
+
+const (
+	bodyHeld   = 256 << 10 // request bodies up to this size are held for a second upstream
+	answerHeld = 64 << 10  // answers up to this size are read whole before they are passed on
+)
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// send writes the request to an upstream and reads its answer.
+func (f *Front) send(x *Exchange, g accession.Grant) (res result) {
+	conn := g.Conn
+	res.reused = conn != nil
+	if conn != nil && !quiet(conn) {
+		conn.Close()
+		conn, res.reused = nil, false
+	}
+	if conn == nil {
+		var err error
+		if conn, err = f.floor.dial(g.Address, time.Until(x.deadline)); err != nil {
+			return result{broke: err, untried: true}
+		}
+		f.Stats.Dials.Add(1)
+	}
+	left := time.Until(x.deadline)
+	if left < time.Millisecond {
+		return result{conn: conn, broke: os.ErrDeadlineExceeded, untried: true, late: true}
+	}
+	_ = conn.SetDeadline(x.deadline)
+
+	head := buffers.Get().(*bytes.Buffer)
+	head.Reset()
+	defer buffers.Put(head)
+	x.writeHead(head, g.ID, left)
+	res.conn = conn
+	sent := make(chan error, 1)
+	switch {
+	case !x.hasBody:
+		n, err := conn.Write(head.Bytes())
+		if err != nil {
+			res.broke, res.untried = err, n == 0
+			conn.Close()
+			return res
+		}
+		sent <- nil
+	case x.held != nil && len(x.held) <= 16<<10:
+		x.writeHeld(head)
+		n, err := conn.Write(head.Bytes())
+		if err != nil && n == 0 {
+			res.broke, res.untried = err, true
+			conn.Close()
+			return res
+		}
+		sent <- err
+	default:
+		first := bytes.Clone(head.Bytes())
+		go func() { sent <- x.stream(conn, first) }()
+	}
+
+	br := conn.Reader.(*bufio.Reader)
+	req := &http.Request{Method: x.r.Method}
+	for {
+		r, err := http.ReadResponse(br, req)
+		if err != nil {
+			res.broke, res.late = err, isTimeout(err) && time.Until(x.deadline) <= 0
+			conn.Close()
+			return res
+		}
+		if r.StatusCode >= 200 || r.StatusCode == http.StatusSwitchingProtocols {
+			res.response = r
+			break
+		}
+	}
+	r := res.response
+	if id := r.Header.Get(hAttempt); id != x.attempt && (id != "" || r.StatusCode < 300) {
+		res.broke = errors.New("answer of another request")
+	} else if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && x.r.Method != http.MethodHead && r.StatusCode != http.StatusNoContent && r.StatusCode != http.StatusNotModified {
+		res.broke = errors.New("answer without an end")
+	} else if r.StatusCode == http.StatusSwitchingProtocols {
+		res.broke = errors.New("unasked switch of protocol")
+	}
+	if res.broke != nil {
+		conn.Close()
+		return res
+	}
+	// Read what fits, so that an answer cut short can be told from a whole one
+	// before the client sees any of it.
+	held := int64(answerHeld)
+	if r.ContentLength >= 0 && r.ContentLength < held {
+		held = r.ContentLength + 1
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, min(held, 8<<10)))
+	_, err := io.CopyN(buf, r.Body, held)
+	switch {
+	case err == io.EOF:
+		res.whole = true
+	case err != nil:
+		res.broke, res.late = err, isTimeout(err) && time.Until(x.deadline) <= 0
+		conn.Close()
+		return res
+	}
+	res.start = buf.Bytes()
+	select {
+	case err := <-sent:
+		if err != nil {
+			r.Close = true
+		}
+	default:
+		r.Close = true // the answer came before the request was all sent
+	}
+	return res
+}
+
+// finish gives the connection back, or closes it if it cannot serve again.
+func (f *Front) finish(g accession.Grant, res result, how accession.Outcome) {
+	conn := res.conn
+	keep := conn != nil && res.broke == nil && res.response != nil && !res.response.Close && res.whole
+	var idle time.Duration
+	if keep {
+		if br := conn.Reader.(*bufio.Reader); br.Buffered() > 0 {
+			keep = false
+		}
+		idle = f.idleTime(res.response.Header)
+	}
+	if !keep && conn != nil {
+		conn.Close()
+		conn = nil
+	}
+	if conn != nil {
+		_ = conn.SetDeadline(time.Time{})
+	}
+	f.floor.release(g.Upstream, conn, idle, how)
+}
+
+// idleTime is how long an answer's connection may lie idle: some less than
+// its Keep-Alive says, since the upstream may close it from then on.
+func (f *Front) idleTime(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		if v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if n, err := strconv.Atoi(v); err == nil {
+				return time.Duration(n)*time.Second - f.floor.patience
+			}
+		}
+	}
+	return 10 * f.floor.patience
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// quiet says whether an idle connection is still open and has sent nothing.
+func quiet(c *accession.Conn) bool {
+	if c.Reader.(*bufio.Reader).Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	good := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, err := syscall.Read(int(fd), b[:])
+		good = n < 0 && (err == syscall.EAGAIN || err == syscall.EINTR)
+		return true
+	})
+	return err == nil && good
+}
+
+// target is the request's path and query as the client sent them.
+func (x *Exchange) target() string {
+	if strings.HasPrefix(x.r.RequestURI, "/") {
+		return x.r.RequestURI
+	}
+	return x.r.URL.RequestURI()
+}
+
+func (x *Exchange) writeHead(b *bytes.Buffer, id string, left time.Duration) {
+	r := x.r
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(x.target())
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	named := connectionNamed(r.Header)
+	for name, values := range r.Header {
+		if hopByHop[name] || named[name] || name == hDeadline || name == hTarget || name == "Content-Length" || name == "Expect" {
+			continue
+		}
+		for _, v := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(v)
+			b.WriteString("\r\n")
+		}
+	}
+	b.WriteString(hDeadline)
+	b.WriteString(": ")
+	b.WriteString(strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	b.WriteString("\r\n" + hTarget + ": ")
+	b.WriteString(id)
+	switch {
+	case x.chunked:
+		b.WriteString("\r\nTransfer-Encoding: chunked")
+	case x.hasBody || r.Header.Get("Content-Length") != "":
+		b.WriteString("\r\nContent-Length: ")
+		b.WriteString(strconv.FormatInt(r.ContentLength, 10))
+	}
+	b.WriteString("\r\n\r\n")
+}
+
+func (x *Exchange) writeHeld(w io.Writer) {
+	if !x.chunked {
+		_, _ = w.Write(x.held)
+		return
+	}
+	c := httputil.NewChunkedWriter(w)
+	if len(x.held) > 0 {
+		_, _ = c.Write(x.held)
+	}
+	_ = c.Close()
+	_, _ = io.WriteString(w, "\r\n")
+}
+
+// stream sends the head and a body that is too large to be sent with it.
+func (x *Exchange) stream(conn net.Conn, head []byte) error {
+	w := bufio.NewWriterSize(conn, 16<<10)
+	_, _ = w.Write(head)
+	if x.held != nil {
+		x.writeHeld(w)
+		return w.Flush()
+	}
+	body := io.MultiReader(bytes.NewReader(x.begun), x.body)
+	if x.chunked {
+		c := httputil.NewChunkedWriter(w)
+		if _, err := io.Copy(c, body); err != nil {
+			conn.Close()
+			return err
+		}
+		_ = c.Close()
+		_, _ = io.WriteString(w, "\r\n")
+		return w.Flush()
+	}
+	if _, err := io.CopyN(w, body, x.r.ContentLength); err != nil {
+		conn.Close()
+		return err
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/courier/courier.go
@@ -0,0 +1,430 @@
+// Package courier carries messages between the system's own nodes: CBOR frames
+// over kept TCP connections, and single CBOR datagrams over UDP. Delivery is
+// best effort; those who need an answer ask again.
+package courier
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	maxFrame  = 16 << 20 // a frame above this is taken for garbage
+	maxPacket = 1400     // a datagram above this goes over TCP instead
+	queueLen  = 256      // frames that may wait for one peer
+)
+
+// ErrUnreachable says that a peer gave no answer.
+var ErrUnreachable = errors.New("peer unreachable")
+
+type frame struct {
+	From  string          `cbor:"1,keyasint"`
+	Kind  string          `cbor:"2,keyasint"`
+	ID    uint64          `cbor:"3,keyasint,omitempty"`
+	Reply bool            `cbor:"4,keyasint,omitempty"`
+	Fault string          `cbor:"5,keyasint,omitempty"`
+	Body  cbor.RawMessage `cbor:"6,keyasint,omitempty"`
+}
+
+// Handler takes a message. What it returns is sent back if the peer asked.
+type Handler func(from string, body []byte) (any, error)
+
+// Courier is one node's post.
+type Courier struct {
+	self     string
+	patience time.Duration
+	log      *log.Logger
+	listener net.Listener
+	packets  *net.UDPConn
+
+	mu       sync.Mutex
+	handlers map[string]entry
+	links    map[string]*link
+	waiting  map[uint64]chan frame
+	inbound  map[net.Conn]struct{}
+	closed   bool
+
+	next       atomic.Uint64
+	Undecoded  atomic.Uint64 // frames that could not be read
+	BytesSent  atomic.Uint64
+	FramesSent atomic.Uint64
+}
+
+type entry struct {
+	fn    Handler
+	async bool
+}
+
+// New listens on address. A peer that is silent for patience is given up.
+func New(address string, patience time.Duration, logger *log.Logger) (*Courier, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	ua, err := net.ResolveUDPAddr("udp4", l.Addr().String())
+	if err == nil {
+		var u *net.UDPConn
+		if u, err = net.ListenUDP("udp4", ua); err == nil {
+			c := &Courier{self: l.Addr().String(), patience: patience, log: logger, listener: l, packets: u,
+				handlers: map[string]entry{}, links: map[string]*link{},
+				waiting: map[uint64]chan frame{}, inbound: map[net.Conn]struct{}{}}
+			return c, nil
+		}
+	}
+	l.Close()
+	return nil, err
+}
+
+// Self is this node's address.
+func (c *Courier) Self() string { return c.self }
+
+// Handle names the handler of a kind of message. It runs on the reader's
+// goroutine and may not block.
+func (c *Courier) Handle(kind string, fn Handler) { c.handlers[kind] = entry{fn, false} }
+
+// HandleSlow names a handler that may block.
+func (c *Courier) HandleSlow(kind string, fn Handler) { c.handlers[kind] = entry{fn, true} }
+
+// Start begins to take messages; handlers are named before.
+func (c *Courier) Start() {
+	go c.accept()
+	go c.readPackets()
+}
+
+// Close ends all connections.
+func (c *Courier) Close() {
+	c.mu.Lock()
+	c.closed = true
+	for conn := range c.inbound {
+		conn.Close()
+	}
+	for _, l := range c.links {
+		l.stop()
+	}
+	c.mu.Unlock()
+	c.listener.Close()
+	c.packets.Close()
+}
+
+func (c *Courier) accept() {
+	for {
+		conn, err := c.listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(c.patience / 10)
+			continue
+		}
+		c.mu.Lock()
+		if c.closed {
+			c.mu.Unlock()
+			conn.Close()
+			return
+		}
+		c.inbound[conn] = struct{}{}
+		c.mu.Unlock()
+		l := &link{c: c, conn: conn, out: make(chan []byte, queueLen), done: make(chan struct{})}
+		c.tune(conn)
+		go l.write(conn)
+		go func() {
+			c.read(conn, l)
+			l.stop()
+			conn.Close()
+			c.mu.Lock()
+			delete(c.inbound, conn)
+			c.mu.Unlock()
+		}()
+	}
+}
+
+func (c *Courier) tune(conn net.Conn) {
+	if t, ok := conn.(*net.TCPConn); ok {
+		SetUserTimeout(t, c.patience)
+		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: max(time.Second, c.patience), Interval: time.Second, Count: 2})
+	}
+}
+
+// SetUserTimeout bounds how long sent bytes may stay unacknowledged.
+func SetUserTimeout(t *net.TCPConn, d time.Duration) {
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
+	})
+}
+
+// read takes frames from a connection until it ends or sends garbage.
+func (c *Courier) read(conn net.Conn, back *link) {
+	r := bufio.NewReaderSize(conn, 8<<10)
+	var head [4]byte
+	for {
+		if _, err := io.ReadFull(r, head[:]); err != nil {
+			return
+		}
+		n := binary.BigEndian.Uint32(head[:])
+		if n > maxFrame {
+			c.garbage(conn.RemoteAddr().String())
+			return
+		}
+		buf := make([]byte, n)
+		if _, err := io.ReadFull(r, buf); err != nil {
+			return
+		}
+		var f frame
+		if cbor.Unmarshal(buf, &f) != nil {
+			c.garbage(conn.RemoteAddr().String())
+			return
+		}
+		c.dispatch(f, back)
+	}
+}
+
+func (c *Courier) garbage(from string) {
+	c.Undecoded.Add(1)
+	c.log.Printf("undecodable frame from %s.", from)
+}
+
+func (c *Courier) readPackets() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := c.packets.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		var f frame
+		if cbor.Unmarshal(append([]byte(nil), buf[:n]...), &f) != nil {
+			c.garbage(from.String())
+			continue
+		}
+		c.dispatch(f, nil)
+	}
+}
+
+func (c *Courier) dispatch(f frame, back *link) {
+	if f.Reply {
+		c.mu.Lock()
+		ch := c.waiting[f.ID]
+		delete(c.waiting, f.ID)
+		c.mu.Unlock()
+		if ch != nil {
+			ch <- f
+		}
+		return
+	}
+	e, ok := c.handlers[f.Kind]
+	if !ok {
+		return
+	}
+	run := func() {
+		out, err := e.fn(f.From, f.Body)
+		if f.ID == 0 || back == nil {
+			return
+		}
+		r := frame{From: c.self, Kind: f.Kind, ID: f.ID, Reply: true}
+		if err != nil {
+			r.Fault = err.Error()
+		} else if out != nil {
+			if r.Body, err = cbor.Marshal(out); err != nil {
+				r.Fault = err.Error()
+			}
+		}
+		if b := encode(r); b != nil {
+			back.offer(b)
+		}
+	}
+	if e.async {
+		go run()
+	} else {
+		run()
+	}
+}
+
+func encode(f frame) []byte {
+	b, err := cbor.Marshal(f)
+	if err != nil {
+		return nil
+	}
+	out := make([]byte, 4+len(b))
+	binary.BigEndian.PutUint32(out, uint32(len(b)))
+	copy(out[4:], b)
+	return out
+}
+
+// Send passes a message on without waiting. It may be lost.
+func (c *Courier) Send(to, kind string, body any) {
+	b, err := cbor.Marshal(body)
+	if err != nil {
+		return
+	}
+	if out := encode(frame{From: c.self, Kind: kind, Body: b}); out != nil {
+		c.link(to).offer(out)
+	}
+}
+
+// Toss sends a message as a datagram if it fits into one.
+func (c *Courier) Toss(to, kind string, body any) {
+	b, err := cbor.Marshal(body)
+	if err != nil {
+		return
+	}
+	out, err := cbor.Marshal(frame{From: c.self, Kind: kind, Body: b})
+	if err != nil {
+		return
+	}
+	if len(out) > maxPacket {
+		c.Send(to, kind, body)
+		return
+	}
+	if addr, err := net.ResolveUDPAddr("udp4", to); err == nil {
+		c.BytesSent.Add(uint64(len(out)))
+		c.FramesSent.Add(1)
+		_, _ = c.packets.WriteToUDP(out, addr)
+	}
+}
+
+// Fault is an error that the peer's handler returned.
+type Fault string
+
+func (f Fault) Error() string { return string(f) }
+
+// Call asks a peer and waits for its answer.
+func (c *Courier) Call(ctx context.Context, to, kind string, body, answer any) error {
+	b, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	id := c.next.Add(1)
+	ch := make(chan frame, 1)
+	c.mu.Lock()
+	c.waiting[id] = ch
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.waiting, id)
+		c.mu.Unlock()
+	}()
+	l := c.link(to)
+	if !l.offer(encode(frame{From: c.self, Kind: kind, ID: id, Body: b})) {
+		return ErrUnreachable
+	}
+	select {
+	case f := <-ch:
+		if f.Fault != "" {
+			return Fault(f.Fault)
+		}
+		if answer == nil {
+			return nil
+		}
+		return cbor.Unmarshal(f.Body, answer)
+	case <-l.done:
+		return ErrUnreachable
+	case <-ctx.Done():
+		return ErrUnreachable
+	}
+}
+
+func (c *Courier) link(to string) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[to]
+	if l == nil {
+		l = &link{c: c, out: make(chan []byte, queueLen), done: make(chan struct{})}
+		if c.closed {
+			l.stop()
+			return l
+		}
+		c.links[to] = l
+		go l.dial(to)
+	}
+	return l
+}
+
+// link is one connection and the frames that wait for it.
+type link struct {
+	c    *Courier
+	conn net.Conn
+	out  chan []byte
+	done chan struct{}
+	once sync.Once
+}
+
+func (l *link) stop() { l.once.Do(func() { close(l.done) }) }
+
+func (l *link) offer(b []byte) bool {
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
+	select {
+	case l.out <- b:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *link) dial(to string) {
+	c := l.c
+	d := net.Dialer{Timeout: c.patience}
+	conn, err := d.Dial("tcp4", to)
+	if err == nil {
+		c.tune(conn)
+		go func() {
+			c.read(conn, l)
+			l.stop()
+		}()
+		l.write(conn)
+		conn.Close()
+	}
+	l.stop()
+	c.mu.Lock()
+	if c.links[to] == l {
+		delete(c.links, to)
+	}
+	c.mu.Unlock()
+}
+
+func (l *link) write(conn net.Conn) {
+	defer conn.Close()
+	for {
+		select {
+		case b := <-l.out:
+			for more := true; more && len(b) < 32<<10; {
+				select {
+				case next := <-l.out:
+					b = append(b, next...)
+				default:
+					more = false
+				}
+			}
+			_ = conn.SetWriteDeadline(time.Now().Add(2 * l.c.patience))
+			if _, err := conn.Write(b); err != nil {
+				l.stop()
+				return
+			}
+			l.c.BytesSent.Add(uint64(len(b)))
+			l.c.FramesSent.Add(1)
+		case <-l.done:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,229 @@
+// Package desk is the data plane: it puts together the feed of items and
+// upstreams, the stock of upstreams, and the front that serves clients.
+package desk
+
+import (
+	"context"
+	"encoding/json"
+	"log"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/accession"
+	"madderwing/internal/catalogue"
+	"madderwing/internal/charter"
+	"madderwing/internal/circulation"
+	"madderwing/internal/conservation"
+	"madderwing/internal/courier"
+	"madderwing/internal/feed"
+	"madderwing/internal/register"
+)
+
+// Options are what the command line adds to the settings.
+type Options struct {
+	Shards int
+}
+
+// keepFds are descriptors that are not for clients: files, upstreams, nodes.
+const keepFds = 0.4
+
+// Desk is one data-plane process.
+type Desk struct {
+	set   *charter.Settings
+	opt   Options
+	post  *courier.Courier
+	reg   *register.Service
+	floor *circulation.Floor
+	front *circulation.Front
+	door  *circulation.Door
+	log   *log.Logger
+
+	// Owned by the reader's goroutine.
+	commands chan func(now time.Duration)
+	start    time.Time
+	items    map[string]conservation.Record
+	sums     conservation.Sums
+	builder  catalogue.Builder
+	stand    accession.Stand
+	sources  feed.Sources
+	shard    int
+	ready    readiness
+}
+
+// Run serves until ctx ends, then leaves in order.
+func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
+	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
+	beat := set.Beat()
+	d := &Desk{set: set, opt: opt, log: logger("desk"), commands: make(chan func(time.Duration), 256), start: time.Now(),
+		items: map[string]conservation.Record{}, shard: -1}
+	patience := charter.Seconds(set.Bounds.ContactS / 10)
+	post, err := courier.New(set.DeskAddress(set.IP), beat, logger("courier"))
+	if err != nil {
+		return err
+	}
+	d.post = post
+	lag := charter.Seconds(set.CloudAPI.MaxLagS + set.Bounds.DrainS*0.4)
+	stock := accession.NewStock(accession.Config{Self: post.Self(), Zone: set.Zone,
+		RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, Window: charter.Seconds(set.Bounds.RetryWindowS),
+		ColdOver: set.Bounds.WarmupOvershoot, ColdSlack: set.Bounds.WarmupSlack,
+		Eject: patience, EjectMax: 8 * patience, Lag: lag})
+	d.floor = circulation.NewFloor(stock, patience, patience/6)
+	d.front = circulation.NewFront(d.floor, logger("circulation"))
+	d.door, err = circulation.NewDoor(set.Bind.Front, int(float64(set.Limits.MaxFds)*(1-keepFds)), d.front, logger("circulation"))
+	if err != nil {
+		return err
+	}
+	d.sources = feed.Sources{Self: post.Self(), Zone: set.Zone, Seeds: set.SeedArchives(), Patience: 3 * beat}
+	me := register.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: register.Data}
+	d.reg = register.NewService(register.Config{Self: me, Seeds: set.SeedArchives(), Beat: beat, Forget: 40 * beat},
+		post, logger("register"), d.nodesChanged)
+	post.Handle(feed.IssueKind, func(from string, body []byte) (any, error) {
+		var i feed.Issue
+		if cbor.Unmarshal(body, &i) != nil {
+			post.Undecoded.Add(1)
+			return nil, nil
+		}
+		d.commands <- func(now time.Duration) { d.take(now, from, i) }
+		return nil, nil
+	})
+	post.Start()
+	go d.floor.Run()
+	go d.reg.Run()
+	stop := make(chan struct{})
+	go d.read(beat, stop)
+
+	failed := make(chan error, 2)
+	ready := &http.Server{Addr: set.Bind.Readiness, Handler: d.pages(), ReadHeaderTimeout: charter.Seconds(set.Bounds.ContactS),
+		IdleTimeout: charter.Seconds(4 * set.Bounds.ContactS)}
+	go func() { failed <- ready.ListenAndServe() }()
+	go func() { failed <- d.door.Serve() }()
+	d.log.Printf("%s in %s is up.", set.Node, set.Zone)
+
+	for {
+		select {
+		case fresh := <-reload:
+			d.reg.Seeds(fresh.SeedArchives())
+			d.commands <- func(time.Duration) { d.sources.Seeds = fresh.SeedArchives() }
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			d.log.Printf("leaving.")
+			d.ready.leaving.Store(true)
+			d.front.Drain()
+			d.reg.Leave(false)
+			// The platform asks once a second and believes the second miss.
+			grace := charter.Seconds(set.Bounds.GraceS)
+			time.Sleep(grace * 45 / 100)
+			c, cancel := context.WithTimeout(context.Background(), grace*45/100)
+			d.door.Shutdown(c)
+			cancel()
+			d.reg.Leave(true)
+			_ = ready.Close()
+			time.Sleep(beat / 5)
+			close(stop)
+			d.reg.Stop()
+			post.Close()
+			return nil
+		}
+	}
+}
+
+// nodesChanged runs on the register's goroutine.
+func (d *Desk) nodesChanged(l *register.List) {
+	d.commands <- func(time.Duration) {
+		labels := l.Shards(d.opt.Shards)
+		if n, ok := labels[d.post.Self()]; ok && n != d.shard {
+			d.shard = n
+			d.front.SetShard(n)
+		}
+		var desks []register.Node
+		for _, n := range l.Live(register.Data) {
+			if !n.Draining || n.Address == d.post.Self() {
+				desks = append(desks, n)
+			}
+		}
+		d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetDesks(now, desks, labels) })
+	}
+}
+
+// read owns the items: it tells the archives what it has and takes what they
+// send.
+func (d *Desk) read(beat time.Duration, stop chan struct{}) {
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	watch := func(now time.Duration) {
+		sums := d.sums
+		for _, a := range d.sources.Choose(now, d.reg.List().Live(register.Control)) {
+			d.post.Send(a, feed.WatchKind, feed.Watch{Sums: &sums, Listing: d.stand.Version})
+		}
+	}
+	watch(0)
+	for {
+		select {
+		case fn := <-d.commands:
+			fn(time.Since(d.start))
+		case <-tick.C:
+			watch(time.Since(d.start))
+		case <-stop:
+			return
+		}
+	}
+}
+
+func (d *Desk) take(now time.Duration, from string, i feed.Issue) {
+	d.sources.Heard(now, from, i.Fresh)
+	if old := conservation.Merge(d.items, i.Records); len(old) > 0 {
+		d.sums = conservation.Digest(d.items)
+		d.apply()
+	}
+	if i.Listing != nil && d.stand.Take(now, *i.Listing) {
+		list := d.stand.All(now)
+		d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetList(now, list) })
+		d.ready.listed.Store(true)
+	}
+}
+
+// apply puts the items that are known now in force.
+func (d *Desk) apply() {
+	t := d.builder.Build(d.items)
+	infos := map[string]accession.ServiceInfo{}
+	for name, s := range t.Services {
+		infos[name] = accession.ServiceInfo{MaxConns: s.MaxConns, WarmupS: s.WarmupS, WarmupPerS: s.WarmupPerS}
+	}
+	evacuated := map[string]bool{}
+	for z := range t.Evacuated {
+		evacuated[z] = true
+	}
+	bound := t.Placements()
+	d.floor.Do(func(now time.Duration, s *accession.Stock) {
+		s.SetServices(now, infos, bound)
+		s.SetEvacuated(now, evacuated)
+	})
+	d.front.SetTable(t)
+	d.door.SetLimits(t.Limits)
+	d.ready.known.Store(t.Known)
+}
+
+// pages serves readiness and this desk's own counters.
+func (d *Desk) pages() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/v1/readiness":
+			if !d.ready.ok() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		case "/v1/counters":
+			w.Header().Set("Content-Type", "application/json")
+			ch := make(chan []accession.State, 1)
+			d.floor.Do(func(now time.Duration, s *accession.Stock) { ch <- s.States(now) })
+			b, _ := json.MarshalIndent(map[string]any{"node": d.set.Node, "counters": d.front.Counters(),
+				"connections": d.door.Open(), "upstreams": <-ch}, "", "  ")
+			_, _ = w.Write(append(b, '\n'))
+		default:
+			w.WriteHeader(http.StatusNotFound)
+		}
+	})
+}
--- /dev/null
+++ b/internal/errata/errata.go
@@ -0,0 +1,120 @@
+// Package errata is the closed list of the kinds of error that madderwing
+// answers with, and the table from each kind to its answer.
+package errata
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Kind is one kind of error.
+type Kind int
+
+// The kinds.
+const (
+	Internal        Kind = iota
+	InvalidConfig        // a configuration that may not come into force
+	UnknownRoute         // no route for host and path
+	UnknownZone          // an order for a zone that does not exist
+	UnknownPage          // no such page of the control interface
+	WrongMethod          // the page exists, the method does not
+	BodyTooLarge         // a body above the limit
+	BadRequest           // a request that cannot be handled as HTTP
+	NoConfiguration      // this node knows no configuration yet
+	NoUpstream           // no upstream may be sent to at present
+	Overloaded           // admission refused the request
+	Expired              // the deadline passed before the request was sent on
+	DeadlinePassed       // the deadline passed after the request was sent on
+	Broken               // the upstream broke off; the request may have run
+	Unsealed             // an answer that is not the upstream's own
+	NoQuorum             // too few copies can be reached
+	Conflict             // a conditional write that lost
+)
+
+// Answer is what a kind is answered with. NotRun says that the answer promises
+// that the request has not run and never will.
+type Answer struct {
+	Status int
+	NotRun bool
+	Text   string
+}
+
+var table = map[Kind]Answer{
+	Internal:        {http.StatusInternalServerError, false, "internal error"},
+	InvalidConfig:   {http.StatusBadRequest, true, "invalid configuration"},
+	UnknownRoute:    {http.StatusNotFound, true, "no such route"},
+	UnknownZone:     {http.StatusNotFound, true, "no such zone"},
+	UnknownPage:     {http.StatusNotFound, true, "no such page"},
+	WrongMethod:     {http.StatusMethodNotAllowed, true, "method not allowed"},
+	BodyTooLarge:    {http.StatusRequestEntityTooLarge, true, "body too large"},
+	BadRequest:      {http.StatusBadRequest, true, "bad request"},
+	NoConfiguration: {http.StatusServiceUnavailable, true, "no configuration yet"},
+	NoUpstream:      {http.StatusServiceUnavailable, true, "no upstream available"},
+	Overloaded:      {http.StatusServiceUnavailable, true, "overloaded"},
+	Expired:         {http.StatusServiceUnavailable, true, "no time left to send the request on"},
+	DeadlinePassed:  {http.StatusGatewayTimeout, false, "deadline passed"},
+	Broken:          {http.StatusBadGateway, false, "upstream broke off"},
+	Unsealed:        {http.StatusBadGateway, false, "answer without seal"},
+	NoQuorum:        {http.StatusServiceUnavailable, true, "no quorum"},
+	Conflict:        {http.StatusConflict, true, "conflict"},
+}
+
+// Error is an error of a kind, with what is to be told about it.
+type Error struct {
+	Kind       Kind
+	Detail     string
+	RetryAfter time.Duration
+}
+
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return table[e.Kind].Text
+	}
+	return table[e.Kind].Text + ": " + e.Detail
+}
+
+// New makes an error of a kind.
+func New(kind Kind, format string, args ...any) *Error {
+	return &Error{Kind: kind, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Later makes an error of a kind that tells when to come back.
+func Later(kind Kind, after time.Duration, format string, args ...any) *Error {
+	e := New(kind, format, args...)
+	e.RetryAfter = after
+	return e
+}
+
+// AnswerFor looks a kind up in the table.
+func AnswerFor(kind Kind) Answer { return table[kind] }
+
+// KindOf is the kind of any error.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
+
+// Write answers a request with an error.
+func Write(w http.ResponseWriter, err error) {
+	var e *Error
+	if !errors.As(err, &e) {
+		e = &Error{Kind: Internal, Detail: err.Error()}
+	}
+	a := table[e.Kind]
+	h := w.Header()
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "application/json")
+	body, _ := json.Marshal(map[string]string{"error": a.Text, "detail": e.Detail})
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,168 @@
+// Package feed brings the newest items and the list of upstreams from the
+// archives to the desks. A desk tells an archive again and again what it has;
+// the archive sends what is missing, at once when something changes. Nothing
+// has to be remembered for the two to agree in the end.
+package feed
+
+import (
+	"sort"
+	"time"
+
+	"madderwing/internal/accession"
+	"madderwing/internal/conservation"
+	"madderwing/internal/register"
+)
+
+// Kinds of message.
+const (
+	WatchKind = "watch"
+	IssueKind = "issue"
+)
+
+// Watch is what a node says that it has.
+type Watch struct {
+	Sums    *conservation.Sums `cbor:"1,keyasint,omitempty"` // nil: only the list is wanted
+	Listing accession.Version  `cbor:"2,keyasint"`
+}
+
+// Issue is what an archive sends.
+type Issue struct {
+	Records []conservation.Record `cbor:"1,keyasint,omitempty"`
+	Listing *accession.Listing    `cbor:"2,keyasint,omitempty"`
+	// Fresh says that the archive is in touch with the owner of the catalogue.
+	Fresh bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Empty says whether an issue brings nothing.
+func (i *Issue) Empty() bool { return len(i.Records) == 0 && i.Listing == nil }
+
+// Desk is the list of those who watch an archive.
+type Watchers struct {
+	Forget time.Duration
+	all    map[string]*watcher
+}
+
+type watcher struct {
+	watch Watch
+	seen  time.Duration
+}
+
+// Note notes what a watcher has.
+func (w *Watchers) Note(now time.Duration, from string, watch Watch) {
+	if w.all == nil {
+		w.all = map[string]*watcher{}
+	}
+	w.all[from] = &watcher{watch, now}
+}
+
+// Each calls fn for every watcher that is not forgotten, with what it is
+// believed to have; fn returns what it has from then on.
+func (w *Watchers) Each(now time.Duration, fn func(to string, has Watch) Watch) {
+	ids := make([]string, 0, len(w.all))
+	for id, x := range w.all {
+		if now-x.seen > w.Forget {
+			delete(w.all, id)
+		} else {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		w.all[id].watch = fn(id, w.all[id].watch)
+	}
+}
+
+// Count is the number of watchers.
+func (w *Watchers) Count() int { return len(w.all) }
+
+// Sources picks the two archives that a desk watches: in different zones, its
+// own zone first, and none that has lately been found wanting if others are
+// left.
+type Sources struct {
+	Self     string
+	Zone     string
+	Seeds    []string
+	Patience time.Duration
+	heard    map[string]time.Duration // last fresh word
+	since    map[string]time.Duration // chosen since
+	bad      map[string]time.Duration // not before
+	current  []string
+}
+
+// Heard notes an issue.
+func (s *Sources) Heard(now time.Duration, from string, fresh bool) {
+	s.init()
+	if fresh {
+		s.heard[from] = now
+		delete(s.bad, from)
+	}
+}
+
+func (s *Sources) init() {
+	if s.heard == nil {
+		s.heard, s.since, s.bad = map[string]time.Duration{}, map[string]time.Duration{}, map[string]time.Duration{}
+	}
+}
+
+// Choose names the archives to watch now.
+func (s *Sources) Choose(now time.Duration, archives []register.Node) []string {
+	s.init()
+	for _, a := range s.current {
+		if now-max(s.heard[a], s.since[a]) > s.Patience {
+			s.bad[a] = now + 4*s.Patience
+		}
+	}
+	zones := map[string]string{}
+	var ids []string
+	for _, n := range archives {
+		ids = append(ids, n.Address)
+		zones[n.Address] = n.Zone
+	}
+	if len(ids) == 0 {
+		ids = append(ids, s.Seeds...)
+		for _, id := range ids {
+			zones[id] = id
+		}
+	}
+	order := register.Rendezvous(s.Self, ids, len(ids))
+	sort.SliceStable(order, func(i, j int) bool {
+		bi, bj := s.bad[order[i]] > now, s.bad[order[j]] > now
+		if bi != bj {
+			return !bi
+		}
+		hi, hj := zones[order[i]] == s.Zone, zones[order[j]] == s.Zone
+		return hi && !hj
+	})
+	var out []string
+	for _, id := range order {
+		if len(out) == 1 && zones[id] == zones[out[0]] {
+			continue
+		}
+		if len(out) < 2 {
+			out = append(out, id)
+		}
+	}
+	chosen := map[string]bool{}
+	for _, id := range out {
+		chosen[id] = true
+		if _, ok := s.since[id]; !ok {
+			s.since[id] = now
+		}
+	}
+	for id := range s.since {
+		if !chosen[id] {
+			delete(s.since, id)
+		}
+	}
+	s.current = out
+	return out
+}
+
+// Has says what a watcher is believed to have.
+func (w *Watchers) Has(id string) (Watch, bool) {
+	x, ok := w.all[id]
+	if !ok {
+		return Watch{}, false
+	}
+	return x.watch, true
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,116 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+var quiet = log.New(os.Stderr, "ledger: ", 0)
+
+func write(t *testing.T, dir string, n int) {
+	t.Helper()
+	l, _, err := Open(dir, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < n; i++ {
+		v := []byte(fmt.Sprintf("value-%d", i))
+		if err := l.Write([]Entry{{"a", v}, {"b", v}, {"c", v}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Close()
+}
+
+// Whatever prefix of the last batch reaches the disk, a start finds either all
+// of that batch or none of it, and everything before it.
+func TestTornLastBatch(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, fileName)
+	write(t, dir, 2)
+	before, _ := os.ReadFile(path)
+	l, _, _ := Open(dir, quiet)
+	if err := l.Write([]Entry{{"a", []byte("new")}, {"b", nil}}); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	after, _ := os.ReadFile(path)
+	for cut := len(before); cut <= len(after); cut++ {
+		for _, hole := range []bool{false, true} {
+			text := append([]byte{}, after[:cut]...)
+			if hole {
+				for i := len(before); i < min(len(before)+20, cut); i++ {
+					text[i] = 0
+				}
+			}
+			os.WriteFile(path, text, 0o600)
+			l, state, err := Open(dir, quiet)
+			if err != nil {
+				t.Fatalf("cut %d: %v", cut, err)
+			}
+			whole := cut == len(after) && !hole
+			if got := string(state["a"]) == "new" && state["b"] == nil; got != whole {
+				t.Fatalf("cut %d hole %v: a=%q b=%q", cut, hole, state["a"], state["b"])
+			}
+			if string(state["c"]) != "value-1" {
+				t.Fatalf("cut %d: lost c=%q", cut, state["c"])
+			}
+			if err := l.Write([]Entry{{"d", []byte("x")}}); err != nil {
+				t.Fatal(err)
+			}
+			l.Close()
+			if _, state, err := Open(dir, quiet); err != nil || string(state["d"]) != "x" {
+				t.Fatalf("cut %d: write after the cut lost: %v", cut, err)
+			}
+		}
+	}
+}
+
+func TestDamageInTheMiddleIsSetAside(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, fileName)
+	write(t, dir, 5)
+	text, _ := os.ReadFile(path)
+	text[len(text)/3] ^= 0xff
+	os.WriteFile(path, text, 0o600)
+	l, state, err := Open(dir, quiet)
+	if !errors.Is(err, ErrDamaged) || len(state) != 0 {
+		t.Fatalf("got %v and %d entries", err, len(state))
+	}
+	if err := l.Write([]Entry{{"a", []byte("again")}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(path + ".damaged"); err != nil {
+		t.Fatal("damaged file not kept")
+	}
+}
+
+func TestRewriteKeepsStateAndShrinks(t *testing.T) {
+	dir := t.TempDir()
+	write(t, dir, 200)
+	before, _ := os.Stat(filepath.Join(dir, fileName))
+	l, state, err := Open(dir, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []Entry
+	for k, v := range state {
+		all = append(all, Entry{k, v})
+	}
+	if err := l.Rewrite(all); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Write([]Entry{{"z", []byte("1")}}); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	after, _ := os.Stat(filepath.Join(dir, fileName))
+	_, state, err = Open(dir, quiet)
+	if err != nil || string(state["a"]) != "value-199" || string(state["z"]) != "1" || after.Size() > before.Size()/10 {
+		t.Fatalf("err %v state %q size %d", err, state, after.Size())
+	}
+}
--- /dev/null
+++ b/internal/register/roll.go
@@ -0,0 +1,386 @@
+// Package register knows the system's nodes. Each node watches the few others
+// that rendezvous hashing names for it; what it learns spreads on the back of
+// the watching. Roll is the state machine; Service drives it.
+package register
+
+import (
+	"hash/fnv"
+	"sort"
+	"time"
+)
+
+// State is what is believed of a node.
+type State uint8
+
+// The states, in the order in which they supersede each other within one
+// incarnation.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+	Left
+)
+
+func (s State) String() string { return [...]string{"alive", "suspect", "dead", "left"}[s] }
+
+// Plane says which of the two kinds of process a node is.
+type Plane uint8
+
+// The planes.
+const (
+	Data Plane = iota
+	Control
+)
+
+func (p Plane) String() string { return [...]string{"desk", "archive"}[p] }
+
+// Node is one process of the system.
+type Node struct {
+	Address     string `cbor:"1,keyasint"`
+	Name        string `cbor:"2,keyasint"`
+	Zone        string `cbor:"3,keyasint"`
+	Plane       Plane  `cbor:"4,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"5,keyasint,omitempty"`
+	State       State  `cbor:"6,keyasint,omitempty"`
+	Draining    bool   `cbor:"7,keyasint,omitempty"`
+}
+
+func (n Node) supersedes(o Node) bool {
+	if n.Incarnation != o.Incarnation {
+		return n.Incarnation > o.Incarnation
+	}
+	if n.State != o.State {
+		return n.State > o.State
+	}
+	return n.Draining && !o.Draining
+}
+
+// Message is what nodes say to each other about nodes.
+type Message struct {
+	Ping  bool   `cbor:"1,keyasint,omitempty"`
+	Seq   uint64 `cbor:"2,keyasint,omitempty"`
+	Sum   uint64 `cbor:"3,keyasint,omitempty"` // digest of the sender's whole list
+	Nodes []Node `cbor:"4,keyasint,omitempty"` // news, or the whole list
+	Whole bool   `cbor:"5,keyasint,omitempty"`
+	From  *Node  `cbor:"6,keyasint,omitempty"` // the sender, when it joins
+}
+
+// Envelope is a message to one node. Large ones go over a connection.
+type Envelope struct {
+	To    string
+	Msg   Message
+	Large bool
+}
+
+// watchSet is how many others a node watches; a piece of news is passed on
+// newsTimes times.
+const (
+	watchSet  = 3
+	newsTimes = 6
+	newsMax   = 8
+)
+
+// Config is what a roll is told.
+type Config struct {
+	Self   Node
+	Seeds  []string // addresses of archives
+	Beat   time.Duration
+	Forget time.Duration // how long a dead node is remembered
+}
+
+type item struct {
+	node  Node
+	since time.Duration // when the state was learnt
+	tell  int           // how often it is still passed on
+}
+
+type watch struct {
+	sent    uint64
+	answers uint64
+	misses  int
+}
+
+// Roll is one node's list of nodes.
+type Roll struct {
+	cfg     Config
+	self    *item
+	items   map[string]*item
+	watched map[string]*watch
+	seq     uint64
+	next    time.Duration
+	out     []Envelope
+	sum     uint64
+	sumOK   bool
+	changed bool
+	joined  bool
+	odd     map[string]int // peers whose list differs, and for how many beats
+}
+
+// NewRoll makes the list of a node that knows only itself.
+func NewRoll(cfg Config) *Roll {
+	cfg.Self.Incarnation = max(cfg.Self.Incarnation, 1)
+	r := &Roll{cfg: cfg, items: map[string]*item{}, watched: map[string]*watch{}, odd: map[string]int{}}
+	r.self = &item{node: cfg.Self, tell: newsTimes}
+	r.items[cfg.Self.Address] = r.self
+	r.changed = true
+	return r
+}
+
+// Take returns what is to be sent, and whether the list has changed.
+func (r *Roll) Take() ([]Envelope, bool) {
+	out, changed := r.out, r.changed
+	r.out, r.changed = nil, false
+	return out, changed
+}
+
+// Nodes lists all known nodes by address.
+func (r *Roll) Nodes() []Node {
+	out := make([]Node, 0, len(r.items))
+	for _, it := range r.items {
+		out = append(out, it.node)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Address < out[j].Address })
+	return out
+}
+
+// Joined says whether any other node has been heard of.
+func (r *Roll) Joined() bool { return r.joined }
+
+func (r *Roll) digest() uint64 {
+	if r.sumOK {
+		return r.sum
+	}
+	r.sum = 0
+	for _, it := range r.items {
+		h := fnv.New64a()
+		n := it.node
+		d := byte(0)
+		if n.Draining {
+			d = 1
+		}
+		_, _ = h.Write([]byte(n.Address))
+		_, _ = h.Write([]byte{byte(n.Incarnation), byte(n.Incarnation >> 8), byte(n.Incarnation >> 16), byte(n.State), d})
+		r.sum ^= h.Sum64()
+	}
+	r.sumOK = true
+	return r.sum
+}
+
+func (r *Roll) touch() { r.sumOK, r.changed = false, true }
+
+func (r *Roll) news() (out []Node) {
+	var list []*item
+	for _, it := range r.items {
+		if it.tell > 0 {
+			list = append(list, it)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].tell != list[j].tell {
+			return list[i].tell > list[j].tell
+		}
+		return list[i].node.Address < list[j].node.Address
+	})
+	for _, it := range list {
+		if len(out) == newsMax {
+			break
+		}
+		it.tell--
+		out = append(out, it.node)
+	}
+	return out
+}
+
+// Tick lets time pass.
+func (r *Roll) Tick(now time.Duration) {
+	if now < r.next {
+		return
+	}
+	r.next = now + r.cfg.Beat
+	for a, it := range r.items {
+		switch {
+		case it == r.self:
+		case it.node.State == Suspect && now-it.since > 2*r.cfg.Beat:
+			n := it.node
+			n.State = Dead
+			r.learn(now, n)
+		case it.node.State >= Dead && now-it.since > r.cfg.Forget:
+			delete(r.items, a)
+			r.touch()
+		}
+	}
+	set := r.WatchSet()
+	if len(set) == 0 || !r.joined {
+		for _, s := range r.cfg.Seeds {
+			if s != r.cfg.Self.Address {
+				me := r.self.node
+				r.out = append(r.out, Envelope{To: s, Msg: Message{From: &me, Whole: true, Ping: true}, Large: true})
+			}
+		}
+	}
+	keep := map[string]*watch{}
+	for _, a := range set {
+		w := r.watched[a]
+		if w == nil {
+			w = &watch{}
+		} else if w.answers < w.sent {
+			w.misses++
+		} else {
+			w.misses = 0
+		}
+		keep[a] = w
+		if w.misses >= 2 {
+			if it := r.items[a]; it != nil && it.node.State == Alive {
+				n := it.node
+				n.State = Suspect
+				r.learn(now, n)
+			}
+		}
+		r.seq++
+		w.sent = r.seq
+		r.out = append(r.out, Envelope{To: a, Msg: Message{Ping: true, Seq: r.seq, Sum: r.digest(), Nodes: r.news()}})
+	}
+	r.watched = keep
+}
+
+// WatchSet names the nodes that this one watches: those of highest weight
+// among the ones that are not known to be gone, and any suspect among the
+// last set, so that it may clear itself.
+func (r *Roll) WatchSet() []string {
+	var live []string
+	for a, it := range r.items {
+		if it != r.self && it.node.State <= Suspect {
+			live = append(live, a)
+		}
+	}
+	return Rendezvous(r.cfg.Self.Address, live, watchSet)
+}
+
+// Rendezvous picks the n candidates of highest weight for a name.
+func Rendezvous(name string, candidates []string, n int) []string {
+	out := append([]string(nil), candidates...)
+	sort.Slice(out, func(i, j int) bool {
+		a, b := Weight(name, out[i]), Weight(name, out[j])
+		return a > b || a == b && out[i] < out[j]
+	})
+	if len(out) > n {
+		out = out[:n]
+	}
+	return out
+}
+
+// Weight is the rendezvous weight of a candidate for a name.
+func Weight(name, candidate string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(candidate))
+	v := h.Sum64()
+	v ^= v >> 33
+	v *= 0xff51afd7ed558ccd
+	v ^= v >> 33
+	v *= 0xc4ceb9fe1a85ec53
+	return v ^ v>>33
+}
+
+// Handle takes a message.
+func (r *Roll) Handle(now time.Duration, from string, m Message) {
+	if m.From != nil {
+		r.joined = true
+		old, known := r.items[from]
+		if known && m.From.Incarnation <= old.node.Incarnation {
+			// A process that starts anew outlives what was known of the last.
+			n := *m.From
+			n.Incarnation = old.node.Incarnation
+			if old.node.State != Alive || n.Incarnation == old.node.Incarnation && m.Ping {
+				n.Incarnation++
+			}
+			r.learn(now, n)
+		} else {
+			r.learn(now, *m.From)
+		}
+	}
+	for _, n := range m.Nodes {
+		r.learn(now, n)
+	}
+	if len(m.Nodes) > 0 || m.Seq > 0 {
+		r.joined = true
+	}
+	if it := r.items[from]; it == nil && m.From == nil {
+		// A stranger: ask who it is by offering the whole list.
+		r.sendWhole(from, true)
+		return
+	}
+	if w := r.watched[from]; w != nil && !m.Ping && m.Seq == w.sent {
+		w.answers = m.Seq
+		if it := r.items[from]; it != nil && it.node.State == Suspect {
+			// It answers, but only it may clear itself; tell it.
+			r.out = append(r.out, Envelope{To: from, Msg: Message{Nodes: []Node{it.node}}})
+		}
+	}
+	if m.Whole {
+		if m.Ping {
+			r.sendWhole(from, false)
+		}
+		return
+	}
+	if m.Ping {
+		r.out = append(r.out, Envelope{To: from, Msg: Message{Seq: m.Seq, Sum: r.digest(), Nodes: r.news()}})
+	} else if m.Seq > 0 {
+		if m.Sum == r.digest() {
+			delete(r.odd, from)
+		} else if r.odd[from]++; r.odd[from] >= 3 {
+			delete(r.odd, from)
+			r.sendWhole(from, true)
+		}
+	}
+}
+
+func (r *Roll) sendWhole(to string, ask bool) {
+	r.out = append(r.out, Envelope{To: to, Msg: Message{Whole: true, Ping: ask, Nodes: r.Nodes()}, Large: true})
+}
+
+// learn takes over news of a node if they supersede what is known.
+func (r *Roll) learn(now time.Duration, n Node) {
+	if n.Address == r.cfg.Self.Address {
+		me := &r.self.node
+		if n.Incarnation > me.Incarnation || n.Incarnation == me.Incarnation && n.State > me.State {
+			me.Incarnation = n.Incarnation
+			if n.State > me.State {
+				me.Incarnation++
+			}
+			r.self.tell, r.self.since = newsTimes, now
+			r.touch()
+		}
+		return
+	}
+	it := r.items[n.Address]
+	if it == nil {
+		if n.State >= Dead {
+			return
+		}
+		r.items[n.Address] = &item{node: n, since: now, tell: newsTimes}
+		r.joined = true
+		r.touch()
+		return
+	}
+	if n.supersedes(it.node) {
+		it.node, it.since, it.tell = n, now, newsTimes
+		r.touch()
+	}
+}
+
+// Leave tells the watch set that this node goes, or that it is draining.
+func (r *Roll) Leave(now time.Duration, gone bool) {
+	me := &r.self.node
+	me.Incarnation++
+	me.Draining = true
+	if gone {
+		me.State = Left
+	}
+	r.self.tell = newsTimes
+	r.touch()
+	for _, a := range r.WatchSet() {
+		r.out = append(r.out, Envelope{To: a, Msg: Message{Nodes: []Node{*me}}})
+	}
+}
--- /dev/null
+++ b/internal/register/service.go
@@ -0,0 +1,155 @@
+package register
+
+import (
+	"log"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/courier"
+)
+
+const kind = "register"
+
+// List is what the other parts see of the nodes.
+type List struct {
+	Nodes []Node
+	byAdr map[string]int
+}
+
+// Get finds a node by address.
+func (l *List) Get(address string) (Node, bool) {
+	i, ok := l.byAdr[address]
+	if !ok {
+		return Node{}, false
+	}
+	return l.Nodes[i], true
+}
+
+// Live lists the nodes of a plane that are taken to be working.
+func (l *List) Live(p Plane) (out []Node) {
+	for _, n := range l.Nodes {
+		if n.Plane == p && n.State <= Suspect {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Shards labels the desks: the desks of each zone, in the order of their
+// names, take the labels in turn, so that each shard has desks in every zone.
+// Dead desks keep their place until they are forgotten, so labels stay put.
+func (l *List) Shards(count int) map[string]int {
+	zones := map[string][]Node{}
+	for _, n := range l.Nodes {
+		if n.Plane == Data && n.State != Left {
+			zones[n.Zone] = append(zones[n.Zone], n)
+		}
+	}
+	out := map[string]int{}
+	for _, desks := range zones {
+		sort.Slice(desks, func(i, j int) bool { return desks[i].Name < desks[j].Name })
+		for i, n := range desks {
+			out[n.Address] = i % count
+		}
+	}
+	return out
+}
+
+// Service drives a Roll over a Courier. One goroutine owns the roll.
+type Service struct {
+	roll     *Roll
+	post     *courier.Courier
+	commands chan func(now time.Duration)
+	list     atomic.Pointer[List]
+	start    time.Time
+	onChange func(*List)
+	done     chan struct{}
+}
+
+// NewService makes the service; onChange runs on the service's goroutine.
+func NewService(cfg Config, post *courier.Courier, logger *log.Logger, onChange func(*List)) *Service {
+	s := &Service{roll: NewRoll(cfg), post: post, commands: make(chan func(time.Duration), 256),
+		start: time.Now(), onChange: onChange, done: make(chan struct{})}
+	s.publish()
+	post.Handle(kind, func(from string, body []byte) (any, error) {
+		var m Message
+		if cbor.Unmarshal(body, &m) != nil {
+			post.Undecoded.Add(1)
+			return nil, nil
+		}
+		select {
+		case s.commands <- func(now time.Duration) { s.roll.Handle(now, from, m) }:
+		default:
+		}
+		return nil, nil
+	})
+	return s
+}
+
+func (s *Service) publish() {
+	l := &List{Nodes: s.roll.Nodes(), byAdr: map[string]int{}}
+	for i, n := range l.Nodes {
+		l.byAdr[n.Address] = i
+	}
+	s.list.Store(l)
+	if s.onChange != nil {
+		s.onChange(l)
+	}
+}
+
+// List is the newest list.
+func (s *Service) List() *List { return s.list.Load() }
+
+// Alive says whether a node is taken to be working; unknown nodes are not.
+func (s *Service) Alive(address string) bool {
+	n, ok := s.List().Get(address)
+	return ok && n.State == Alive
+}
+
+// Run drives the roll until Stop.
+func (s *Service) Run() {
+	beat := s.roll.cfg.Beat
+	timer := time.NewTicker(beat)
+	defer timer.Stop()
+	step := func(fn func(time.Duration)) {
+		fn(time.Since(s.start))
+		out, changed := s.roll.Take()
+		for _, e := range out {
+			if e.Large {
+				s.post.Send(e.To, kind, e.Msg)
+			} else {
+				s.post.Toss(e.To, kind, e.Msg)
+			}
+		}
+		if changed {
+			s.publish()
+		}
+	}
+	step(s.roll.Tick)
+	for {
+		select {
+		case fn := <-s.commands:
+			step(fn)
+		case <-timer.C:
+			step(s.roll.Tick)
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// Leave tells others that this node drains, or is gone.
+func (s *Service) Leave(gone bool) {
+	s.commands <- func(now time.Duration) { s.roll.Leave(now, gone) }
+}
+
+// Seeds gives the roll other seeds.
+func (s *Service) Seeds(seeds []string) {
+	s.commands <- func(time.Duration) { s.roll.cfg.Seeds = seeds }
+}
+
+// Stop ends Run.
+func (s *Service) Stop() { close(s.done) }
--- /dev/null
+++ b/internal/rota/rota_test.go
@@ -0,0 +1,112 @@
+package rota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const lease = 1200 * time.Millisecond
+
+type hall struct {
+	now   time.Duration
+	rotas map[string]*Rota
+	down  map[string]bool
+}
+
+func newHall(n int) *hall {
+	h := &hall{rotas: map[string]*Rota{}, down: map[string]bool{}}
+	var ids []string
+	for i := 0; i < n; i++ {
+		ids = append(ids, fmt.Sprintf("a%d", i))
+	}
+	for _, id := range ids {
+		h.rotas[id] = New(Config{Self: id, Duties: []string{"list"}, Lease: lease,
+			Roster: func() []string { return ids }, Alive: func(o string) bool { return !h.down[o] }})
+	}
+	return h
+}
+
+func (h *hall) run(t *testing.T, d time.Duration) {
+	t.Helper()
+	for end := h.now + d; h.now < end; h.now += 50 * time.Millisecond {
+		for id, r := range h.rotas {
+			if !h.down[id] {
+				r.Tick(h.now)
+			}
+		}
+		for again := true; again; {
+			again = false
+			for id, r := range h.rotas {
+				out, _ := r.Take()
+				for _, e := range out {
+					if !h.down[id] && !h.down[e.To] {
+						again = true
+						h.rotas[e.To].Handle(h.now, id, e.Msg)
+					}
+				}
+			}
+		}
+		if len(h.holders()) > 1 {
+			t.Fatalf("two holders at %v: %v", h.now, h.holders())
+		}
+	}
+}
+
+func (h *hall) holders() (out []string) {
+	for id, r := range h.rotas {
+		if _, ok := r.Holds(h.now, "list"); ok {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func TestOneHolderAndTheNextWhenItFallsSilent(t *testing.T) {
+	h := newHall(4)
+	h.run(t, 2*time.Second)
+	for i := 0; i < 3; i++ {
+		first := h.holders()
+		if len(first) != 1 {
+			t.Fatalf("holders %v", first)
+		}
+		term, _ := h.rotas[first[0]].Holds(h.now, "list")
+		h.down[first[0]] = true
+		h.run(t, 3*time.Second)
+		next := h.holders()
+		if len(next) != 1 || next[0] == first[0] {
+			t.Fatalf("after %v: %v", first, next)
+		}
+		if later, _ := h.rotas[next[0]].Holds(h.now, "list"); later <= term {
+			t.Fatalf("term %d after %d", later, term)
+		}
+		h.down[first[0]] = false
+		h.run(t, time.Second)
+	}
+}
+
+func TestNoHolderWithoutAMajority(t *testing.T) {
+	h := newHall(4)
+	h.down["a0"], h.down["a1"] = true, true
+	h.run(t, 5*time.Second)
+	if got := h.holders(); len(got) != 0 {
+		t.Fatalf("holders %v", got)
+	}
+}
+
+func TestResignationIsQuickAndFloorsCount(t *testing.T) {
+	h := newHall(3)
+	h.run(t, 2*time.Second)
+	first := h.holders()[0]
+	h.rotas[first].Leave(h.now)
+	h.run(t, lease)
+	next := h.holders()
+	if len(next) != 1 || next[0] == first {
+		t.Fatalf("after the resignation of %s: %v", first, next)
+	}
+	h.rotas[next[0]].Raise("list", 100)
+	h.run(t, lease)
+	if term, ok := h.rotas[next[0]].Holds(h.now, "list"); !ok || term <= 100 {
+		t.Fatalf("term %d after the floor was raised to 100", term)
+	}
+}
--- /dev/null
+++ b/internal/shelving/shelving_test.go
@@ -0,0 +1,140 @@
+package shelving
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"madderwing/internal/catalogue"
+)
+
+// shelf stands in for the catalogue and its owner.
+type shelf struct {
+	have map[string]catalogue.Record
+	fail error
+	made int
+}
+
+func newShelf(t *testing.T, routes int) *shelf {
+	s := &shelf{have: map[string]catalogue.Record{}}
+	body := `{"upsert":{"services":[{"name":"a","generation":1}],"domains":[{"authority":"h","hostRoutes":[`
+	for i := 0; i < routes; i++ {
+		if i > 0 {
+			body += ","
+		}
+		body += fmt.Sprintf(`{"name":"r%d","pathPrefix":"/%d/","routeKind":"mutating","deadlineS":1,"target":"a","generation":1}`, i, i)
+	}
+	c, err := catalogue.Read([]byte(body + `]}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes, err := c.Apply(s.have)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.put(changes)
+	return s
+}
+
+func (s *shelf) put(changes []catalogue.Record) {
+	for _, r := range changes {
+		s.have[r.Name] = r
+	}
+}
+
+func (s *shelf) create(b catalogue.RouteBinding, rev uint64, done func(error)) {
+	if s.fail != nil {
+		done(s.fail)
+		return
+	}
+	changes, err := catalogue.Bind(s.have, b, rev)
+	if err == nil {
+		s.put(changes)
+		s.made++
+	}
+	done(err)
+}
+
+func (s *shelf) counts() map[int]int {
+	out := map[int]int{}
+	for _, r := range catalogue.Routes(s.have) {
+		if r.Status.Phase == catalogue.PhaseScheduled {
+			out[r.Status.Shard]++
+		}
+	}
+	return out
+}
+
+var two = []Shard{{Label: 0, Desks: 5, Zones: 4}, {Label: 1, Desks: 6, Zones: 4}}
+
+func TestRoundRobinBindsEveryRouteOnce(t *testing.T) {
+	s := newShelf(t, 8)
+	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: 30 * time.Second, Pause: time.Second, Create: s.create}
+	routes := catalogue.Routes(s.have)
+	sched.Reconcile(0, routes, two, func() {})
+	sched.Reconcile(1, routes, two, func() {}) // the same stale view once more
+	if c := s.counts(); c[0] != 4 || c[1] != 4 || s.made != 8 {
+		t.Fatalf("counts %v, bindings %d", c, s.made)
+	}
+}
+
+func TestTwoSchedulersCannotBindOneRouteTwice(t *testing.T) {
+	s := newShelf(t, 6)
+	stale := catalogue.Routes(s.have)
+	for i := 0; i < 2; i++ {
+		sched := &Scheduler{Strategy: &RoundRobin{next: i}, Relist: time.Minute, Pause: time.Second, Create: s.create}
+		sched.Reconcile(0, stale, two, func() {})
+	}
+	if s.made != 6 {
+		t.Fatalf("%d bindings for 6 routes", s.made)
+	}
+}
+
+type moody struct{ failures int }
+
+func (m *moody) Schedule(*catalogue.Route, []Shard) (Shard, error) {
+	if m.failures > 0 {
+		m.failures--
+		return Shard{}, errors.New("not now")
+	}
+	return two[1], nil
+}
+
+func TestErrorsAreRetriedUntilABindingSucceeds(t *testing.T) {
+	s := newShelf(t, 1)
+	s.fail = errors.New("no quorum")
+	sched := &Scheduler{Strategy: &moody{failures: 3}, Relist: time.Hour, Pause: time.Second, Create: s.create}
+	tries := 0
+	for now := time.Duration(0); s.made == 0 && now < time.Minute; now += 100 * time.Millisecond {
+		if now > 10*time.Second {
+			s.fail = nil
+		}
+		before := sched.Errors
+		sched.Reconcile(now, catalogue.Routes(s.have), two, func() {})
+		if sched.Errors > before {
+			tries++
+		}
+	}
+	if s.made != 1 {
+		t.Fatal("never bound")
+	}
+	if tries < 8 || tries > 12 {
+		t.Fatalf("%d tries in 10 s with a pause of 1 s", tries)
+	}
+}
+
+func TestRebindsWhenAShardLosesItsDesks(t *testing.T) {
+	s := newShelf(t, 4)
+	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: 30 * time.Second, Pause: time.Second, Create: s.create}
+	sched.Reconcile(0, catalogue.Routes(s.have), two, func() {})
+	none := []Shard{{Label: 0}, {Label: 1}}
+	sched.Reconcile(time.Second, catalogue.Routes(s.have), none, func() {})
+	if c := s.counts(); c[0] != 2 || c[1] != 2 {
+		t.Fatalf("moved though there is nowhere to go: %v", c)
+	}
+	sched.Reconcile(2*time.Second, catalogue.Routes(s.have), []Shard{{Label: 0}, two[1]}, func() {})
+	if c := s.counts(); c[0] != 0 || c[1] != 4 {
+		t.Fatalf("after the loss of shard 0: %v", c)
+	}
+}
--- /dev/null
+++ b/internal/stacks/message.go
@@ -0,0 +1,161 @@
+// Package stacks keeps the control state: a set of keys, each a set of records
+// that are validated together. Every key has one owner at a time, which copies
+// a change to others before it answers and is replaced under a rising epoch.
+// There is no log that the keys have in common and no leader for all of them.
+//
+// Member is the state machine of one node. It does no input or output and reads
+// no clock: a driver hands it messages, time and finished writes, and carries
+// out what it asks for. The tests drive many of them through a simulated world.
+package stacks
+
+import (
+	"errors"
+
+	"madderwing/internal/conservation"
+)
+
+// Record is one entry under a key.
+type Record = conservation.Record
+
+// RosterKey is the key that names the members; its records are their addresses.
+const RosterKey = "roster"
+
+// Epoch is one ownership of a key. No two processes ever use the same one.
+type Epoch struct {
+	N     uint64 `cbor:"1,keyasint,omitempty"`
+	Owner string `cbor:"2,keyasint,omitempty"`
+	Life  uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Less orders epochs.
+func (e Epoch) Less(o Epoch) bool {
+	if e.N != o.N {
+		return e.N < o.N
+	}
+	if e.Owner != o.Owner {
+		return e.Owner < o.Owner
+	}
+	return e.Life < o.Life
+}
+
+// Position is a point in a key's history.
+type Position struct {
+	Epoch Epoch  `cbor:"1,keyasint"`
+	Seq   uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Less orders positions.
+func (p Position) Less(o Position) bool {
+	if p.Epoch != o.Epoch {
+		return p.Epoch.Less(o.Epoch)
+	}
+	return p.Seq < o.Seq
+}
+
+// Message is what members say to each other; one of the fields is set.
+type Message struct {
+	Ask     *Ask     `cbor:"1,keyasint,omitempty"`
+	Promise *Promise `cbor:"2,keyasint,omitempty"`
+	Copy    *Copy    `cbor:"3,keyasint,omitempty"`
+	Copied  *Copied  `cbor:"4,keyasint,omitempty"`
+	Fetch   *Fetch   `cbor:"5,keyasint,omitempty"`
+	Fetched *Fetched `cbor:"6,keyasint,omitempty"`
+	Found   *Found   `cbor:"7,keyasint,omitempty"`
+	Founded *Founded `cbor:"8,keyasint,omitempty"`
+	Yield   *Yield   `cbor:"9,keyasint,omitempty"`
+	Enroll  *Enroll  `cbor:"10,keyasint,omitempty"`
+	Life    uint64   `cbor:"11,keyasint,omitempty"`
+}
+
+// Ask requests the promise to follow no older epoch.
+type Ask struct {
+	Key    string   `cbor:"1,keyasint"`
+	Epoch  Epoch    `cbor:"2,keyasint"`
+	Roster Position `cbor:"3,keyasint"`
+}
+
+// Promise answers Ask with the member's copy.
+type Promise struct {
+	Key      string   `cbor:"1,keyasint"`
+	Epoch    Epoch    `cbor:"2,keyasint"`
+	OK       bool     `cbor:"3,keyasint,omitempty"`
+	Promised Epoch    `cbor:"4,keyasint"`
+	At       Position `cbor:"5,keyasint"`
+	Records  []Record `cbor:"6,keyasint,omitempty"`
+}
+
+// Copy brings a member from one position to the next. Without Changes and
+// Ranges it is the owner's sign of life. A mending copy replaces whole ranges.
+type Copy struct {
+	Key     string            `cbor:"1,keyasint"`
+	Epoch   Epoch             `cbor:"2,keyasint"`
+	Base    Position          `cbor:"3,keyasint"`
+	Seq     uint64            `cbor:"4,keyasint,omitempty"`
+	Commit  uint64            `cbor:"5,keyasint,omitempty"`
+	Round   uint64            `cbor:"6,keyasint,omitempty"`
+	Roster  Position          `cbor:"7,keyasint"`
+	Changes []Record          `cbor:"8,keyasint,omitempty"`
+	Mend    []int             `cbor:"9,keyasint,omitempty"`
+	Sums    conservation.Sums `cbor:"10,keyasint"`
+}
+
+// Copied answers Copy. If the member lags, Sums tell what it holds.
+type Copied struct {
+	Key      string             `cbor:"1,keyasint"`
+	Epoch    Epoch              `cbor:"2,keyasint"`
+	OK       bool               `cbor:"3,keyasint,omitempty"`
+	Promised Epoch              `cbor:"4,keyasint"`
+	At       Position           `cbor:"5,keyasint"`
+	Round    uint64             `cbor:"6,keyasint,omitempty"`
+	Sums     *conservation.Sums `cbor:"7,keyasint,omitempty"`
+}
+
+// Fetch asks for everything that a member holds.
+type Fetch struct {
+	Round uint64 `cbor:"1,keyasint"`
+}
+
+// Fetched answers Fetch.
+type Fetched struct {
+	Round uint64    `cbor:"1,keyasint"`
+	Keys  []Holding `cbor:"2,keyasint"`
+}
+
+// Holding is what a member holds under a key.
+type Holding struct {
+	Key      string   `cbor:"1,keyasint"`
+	Promised Epoch    `cbor:"2,keyasint"`
+	At       Position `cbor:"3,keyasint"`
+	Records  []Record `cbor:"4,keyasint,omitempty"`
+}
+
+// Found proposes the founding roster.
+type Found struct {
+	At      Position `cbor:"1,keyasint"`
+	Records []Record `cbor:"2,keyasint"`
+}
+
+// Founded says that the founding roster is on the sender's disk.
+type Founded struct {
+	At Position `cbor:"1,keyasint"`
+}
+
+// Yield tells a member to take a key over at once.
+type Yield struct {
+	Key string `cbor:"1,keyasint"`
+}
+
+// Enroll asks the roster's owner for membership.
+type Enroll struct{}
+
+// Envelope is a message to one member.
+type Envelope struct {
+	To  string
+	Msg Message
+}
+
+// The outcomes of a proposal or a read that did not succeed.
+var (
+	ErrNotOwner = errors.New("not the owner of the key")
+	ErrNoQuorum = errors.New("no quorum")
+)
