--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -253,9 +253,8 @@
 		for _, r := range list {
 			name := prefix + r.Name
 			if seen[name] {
-				return invalid("%s: named twice", name)
+				return invalid("%s: both set and removed", name)
 			}
-			seen[name] = true
 			out.removals = append(out.removals, Record{Name: name, Gen: r.Generation, Dropped: true})
 		}
 		return nil
@@ -273,11 +272,16 @@
 // checks the whole that would result. It runs at the owner of the catalogue.
 func (c *Change) Apply(have map[string]Record) ([]Record, error) {
 	var changes []Record
+	at := map[string]int{} // where this call's own changes are
 	for _, r := range append(append([]Record(nil), c.upserts...), c.removals...) {
 		old, ok := have[r.Name]
+		if i, again := at[r.Name]; again {
+			old, ok = changes[i], true
+		}
 		if ok && r.Gen <= old.Gen {
-			continue
+			continue // also a removal that is named twice
 		}
+		at[r.Name] = len(changes)
 		if ok && !old.Dropped && !r.Dropped && strings.HasPrefix(r.Name, routePrefix) {
 			// A route keeps its place when the operator changes it.
 			it := decodeItem(r)
