A duty's term that a former holder used is never gone on with

Ruled out: the platform's lag and the polling (lists were read every half second). Lists now carry the holder's life; an archive that is shown a list of an unknown holder makes the holder begin a later term.

--- a/internal/accession/listing.go
+++ b/internal/accession/listing.go
@@ -26,14 +26,29 @@
 }
 
 // Version orders listings: the term of the duty, then the number within it.
+// Life tells apart two holders under one term, which there may be when all
+// archives have lost their memory in between.
 type Version struct {
 	Term uint64 `cbor:"1,keyasint,omitempty" json:"term"`
 	Seq  uint64 `cbor:"2,keyasint,omitempty" json:"seq"`
+	Life uint64 `cbor:"3,keyasint,omitempty" json:"life"`
 }
 
 // Less orders versions.
 func (v Version) Less(o Version) bool {
-	return v.Term < o.Term || v.Term == o.Term && v.Seq < o.Seq
+	if v.Term != o.Term {
+		return v.Term < o.Term
+	}
+	if v.Life != o.Life {
+		return v.Life < o.Life
+	}
+	return v.Seq < o.Seq
+}
+
+// Foreign says that o comes from a holder that the one of v knows nothing of
+// and whose lists would hide its own.
+func (v Version) Foreign(o Version) bool {
+	return o.Term > v.Term || o.Term == v.Term && o.Life > v.Life
 }
 
 // Listing is the platform's list at one version, whole or as a difference to
@@ -127,7 +142,7 @@
 
 // Update takes a fresh reading of the platform's list, and says whether it
 // differs from what stood.
-func (s *Stand) Update(now time.Duration, term uint64, fresh []Instance) bool {
+func (s *Stand) Update(now time.Duration, term, life uint64, fresh []Instance) bool {
 	diff := Listing{Base: s.Version}
 	seen := map[string]bool{}
 	for _, i := range fresh {
@@ -146,10 +161,10 @@
 		}
 	}
 	sort.Strings(diff.Gone)
-	if s.Version.Term == term && len(diff.Set)+len(diff.Gone) == 0 {
+	if s.Version.Term == term && s.Version.Life == life && len(diff.Set)+len(diff.Gone) == 0 {
 		return false
 	}
-	diff.Version = Version{term, s.Version.Seq + 1}
+	diff.Version = Version{term, s.Version.Seq + 1, life}
 	s.apply(now, diff)
 	return true
 }
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -68,7 +68,7 @@
 	watchers  feed.Watchers
 	shelf     shelving.Scheduler
 	lookAgain bool
-	termSeen  uint64
+	life      uint64
 
 	writes  chan writeJob
 	roster  atomic.Pointer[[]string]
@@ -129,14 +129,15 @@
 	for _, z := range zones {
 		keys = append(keys, catalogue.EvacuationPrefix+z)
 	}
-	a.member, err = stacks.NewMember(stacks.Config{Self: post.Self(), Life: rand.Uint64() | 1, Seeds: set.SeedArchives(),
+	a.life = rand.Uint64() | 1
+	a.member, err = stacks.NewMember(stacks.Config{Self: post.Self(), Life: a.life, Seeds: set.SeedArchives(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
 		Beat: beat, Vacant: vacant, Patience: charter.Seconds(set.Bounds.AckS * 0.17),
 		Alive: func(id string) bool { return a.reg.Alive(id) }}, disk)
 	if err != nil {
 		return err
 	}
-	a.rota = rota.New(rota.Config{Self: post.Self(), Duties: []string{dutyList, dutyShelf}, Lease: vacant,
+	a.rota = rota.New(rota.Config{Self: post.Self(), Life: a.life, Duties: []string{dutyList, dutyShelf}, Lease: vacant,
 		Roster: func() []string { return a.member.Roster() }, Alive: func(id string) bool { return a.reg.Alive(id) }})
 	a.watchers.Forget = 4 * beat
 	a.shelf = shelving.Scheduler{Strategy: &shelving.RoundRobin{}, Relist: opt.Relist, Pause: 2 * beat, Create: a.bind}
@@ -220,7 +221,7 @@
 					}
 				} else if now >= watchAt {
 					watchAt = now + beat
-					if h, _ := a.rota.Holder(now, dutyList); h != "" && h != a.post.Self() {
+					if h, _, _ := a.rota.Holder(now, dutyList); h != "" && h != a.post.Self() {
 						a.post.Send(h, feed.WatchKind, feed.Watch{Listing: a.stand.Version})
 					}
 				}
@@ -391,8 +392,11 @@
 			return nil, nil
 		}
 		a.offer(func(now time.Duration) {
-			if a.stand.Version.Less(w.Listing) && w.Listing.Term > a.termSeen {
-				a.termSeen = w.Listing.Term
+			known := a.stand.Version
+			if _, term, life := a.rota.Holder(now, dutyList); term > known.Term || term == known.Term && life > known.Life {
+				known = accession.Version{Term: term, Life: life}
+			}
+			if known.Foreign(w.Listing) {
 				a.rota.Raise(dutyList, w.Listing.Term)
 			}
 			a.watchers.Note(now, from, a.issueTo(now, from, w, true))
@@ -407,7 +411,6 @@
 		}
 		a.offer(func(now time.Duration) {
 			if i.Listing != nil && a.stand.Take(now, *i.Listing) {
-				a.rota.Raise(dutyList, i.Listing.Version.Term)
 				a.issue(now)
 			}
 		})
@@ -510,7 +513,8 @@
 			return
 		}
 		a.do(func(now time.Duration) {
-			if term, mine := a.rota.Holds(now, dutyList); mine && a.stand.Update(now, term, list) {
+			if term, mine := a.rota.Holds(now, dutyList); mine && a.stand.Update(now, term, a.life, list) {
+				a.log.accession.Printf("list %d.%d has %d upstreams.", a.stand.Version.Term, a.stand.Version.Seq, len(list))
 				a.issue(now)
 			}
 		})
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -181,6 +181,7 @@
 	}
 	if i.Listing != nil && d.stand.Take(now, *i.Listing) {
 		list := d.stand.All(now)
+		d.log.Printf("list %d.%d has %d upstreams.", d.stand.Version.Term, d.stand.Version.Seq, len(list))
 		d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetList(now, list) })
 		d.ready.listed.Store(true)
 	}
--- a/internal/rota/rota.go
+++ b/internal/rota/rota.go
@@ -18,6 +18,8 @@
 	Vote   bool   `cbor:"3,keyasint,omitempty"` // an answer
 	OK     bool   `cbor:"4,keyasint,omitempty"`
 	Resign bool   `cbor:"5,keyasint,omitempty"`
+	Used   uint64 `cbor:"6,keyasint,omitempty"` // see duty.used
+	Life   uint64 `cbor:"7,keyasint,omitempty"` // of the candidate
 }
 
 // Envelope is a message to one archive.
@@ -29,6 +31,7 @@
 // Config is what a rota is told. Lease is how long a vote counts.
 type Config struct {
 	Self   string
+	Life   uint64
 	Duties []string
 	Lease  time.Duration
 	Roster func() []string
@@ -38,9 +41,11 @@
 type duty struct {
 	name  string
 	floor uint64 // no lower term is begun or voted for
+	used  uint64 // terms up to this one were seen in use by others; none of them may go on
 
 	grantTo    string
 	grantTerm  uint64
+	grantLife  uint64
 	grantUntil time.Duration
 
 	holding bool
@@ -95,19 +100,21 @@
 	return d.term, d != nil && d.holding && now < d.until
 }
 
-// Holder is the archive that this one last voted for.
-func (r *Rota) Holder(now time.Duration, name string) (string, uint64) {
+// Holder is the archive that this one voted for, the term and its life.
+func (r *Rota) Holder(now time.Duration, name string) (id string, term, life uint64) {
 	d := r.duty(name)
 	if d == nil || now >= d.grantUntil {
-		return "", 0
+		return "", 0, 0
 	}
-	return d.grantTo, d.grantTerm
+	return d.grantTo, d.grantTerm, d.grantLife
 }
 
-// Raise makes terms up to floor count as used.
-func (r *Rota) Raise(name string, floor uint64) {
-	if d := r.duty(name); d != nil && floor > d.floor {
-		d.floor = floor
+// Raise tells that terms up to used were held by somebody else, before the
+// archives lost their memory: whoever holds one of them now has to begin a
+// later one.
+func (r *Rota) Raise(name string, used uint64) {
+	if d := r.duty(name); d != nil {
+		d.used = max(d.used, used)
 	}
 }
 
@@ -124,9 +131,8 @@
 		if d.holding && now >= d.until {
 			r.lose(d)
 		}
-		if d.holding && d.term < d.floor {
-			// Someone has seen a higher term; begin one above it.
-			r.ballot(now, d, d.floor+1, roster)
+		if d.holding && (d.term < d.floor || d.term <= d.used) {
+			r.ballot(now, d, max(d.floor, d.used)+1, roster)
 			continue
 		}
 		switch {
@@ -138,7 +144,7 @@
 		case d.asking:
 			r.giveUp(now, d, roster)
 		case now >= d.notUntil && now >= d.grantUntil && now >= max(d.grantUntil, r.began)+time.Duration(r.rank(d, roster))*r.cfg.Lease/4:
-			r.ballot(now, d, max(d.floor, d.grantTerm, d.term)+1, roster)
+			r.ballot(now, d, max(d.floor, d.used, d.grantTerm, d.term)+1, roster)
 		}
 	}
 }
@@ -181,25 +187,25 @@
 	}
 	d.term = term
 	d.votes = map[string]bool{}
-	if !r.grant(now, d, r.cfg.Self, term) {
+	if !r.grant(now, d, r.cfg.Self, term, r.cfg.Life) {
 		d.asking = false
 		return
 	}
 	d.votes[r.cfg.Self] = true
 	for _, id := range roster {
 		if id != r.cfg.Self {
-			r.out = append(r.out, Envelope{id, Message{Duty: d.name, Term: term}})
+			r.out = append(r.out, Envelope{id, Message{Duty: d.name, Term: term, Life: r.cfg.Life}})
 		}
 	}
 	r.count(d, roster)
 }
 
 // grant votes for a candidate if no other holds the vote.
-func (r *Rota) grant(now time.Duration, d *duty, to string, term uint64) bool {
-	if term < d.floor || now < d.grantUntil && d.grantTo != to || now < d.grantUntil && term < d.grantTerm {
+func (r *Rota) grant(now time.Duration, d *duty, to string, term, life uint64) bool {
+	if term < d.floor || term <= d.used || now < d.grantUntil && d.grantTo != to || now < d.grantUntil && term < d.grantTerm {
 		return false
 	}
-	d.grantTo, d.grantTerm, d.grantUntil = to, term, now+r.cfg.Lease
+	d.grantTo, d.grantTerm, d.grantLife, d.grantUntil = to, term, life, now+r.cfg.Lease
 	d.floor = max(d.floor, term)
 	return true
 }
@@ -224,17 +230,17 @@
 			r.count(d, r.cfg.Roster())
 			return
 		}
-		d.floor = max(d.floor, m.Term)
+		d.floor, d.used = max(d.floor, m.Term), max(d.used, m.Used)
 		if !d.holding {
 			r.giveUp(now, d, r.cfg.Roster())
 		}
 	default:
-		ok := r.grant(now, d, from, m.Term)
+		ok := r.grant(now, d, from, m.Term, m.Life)
 		term := m.Term
 		if !ok && d.floor > m.Term {
 			term = d.floor
 		}
-		r.out = append(r.out, Envelope{from, Message{Duty: m.Duty, Term: term, Vote: true, OK: ok}})
+		r.out = append(r.out, Envelope{from, Message{Duty: m.Duty, Term: term, Vote: true, OK: ok, Used: d.used}})
 	}
 }
 
@@ -289,7 +295,7 @@
 // States shows all duties.
 func (r *Rota) States(now time.Duration) (out []State) {
 	for _, d := range r.duties {
-		h, t := r.Holder(now, d.name)
+		h, t, _ := r.Holder(now, d.name)
 		out = append(out, State{d.name, h, t})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Duty < out[j].Duty })
--- a/internal/rota/rota_test.go
+++ b/internal/rota/rota_test.go
@@ -95,7 +95,7 @@
 }
 
 func TestResignationIsQuickAndFloorsCount(t *testing.T) {
-	h := newHall(3)
+	h := newHall(4)
 	h.run(t, 2*time.Second)
 	first := h.holders()[0]
 	h.rotas[first].Leave(h.now)
@@ -104,7 +104,12 @@
 	if len(next) != 1 || next[0] == first {
 		t.Fatalf("after the resignation of %s: %v", first, next)
 	}
-	h.rotas[next[0]].Raise("list", 100)
+	// One archive that is not the holder has seen a term of a former life.
+	for id, r := range h.rotas {
+		if id != next[0] && id != first {
+			r.Raise("list", 100)
+		}
+	}
 	h.run(t, lease)
 	if term, ok := h.rotas[next[0]].Holds(h.now, "list"); !ok || term <= 100 {
 		t.Fatalf("term %d after the floor was raised to 100", term)
