Recovery after a closing fault: commit marks on disk, a hail at start, hurried desks

Cause: after a kill of everything, desks had no items until a key had an owner again (0.95 s after start) and asked only once in half a second. Members now keep on disk how far a key is committed and show that at once; after a start they ask each other whether there is an owner before waiting for one; a desk that cannot serve yet asks ten times as often.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -155,6 +155,12 @@
 	stop := make(chan struct{})
 	go func() { a.pump(beat, stop); close(pumped) }()
 
+	a.do(func(time.Duration) {
+		for _, key := range append(keys, stacks.RosterKey) {
+			a.show(key)
+		}
+	})
+
 	control := &http.Server{Addr: set.Bind.Control, Handler: a.control(zones), ReadHeaderTimeout: charter.Seconds(set.Bounds.ContactS),
 		IdleTimeout: charter.Seconds(4 * set.Bounds.ContactS), ErrorLog: a.log.control}
 	failed := make(chan error, 1)
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -152,8 +152,10 @@
 // read owns the items: it tells the archives what it has and takes what they
 // send.
 func (d *Desk) read(beat time.Duration, stop chan struct{}) {
-	tick := time.NewTicker(beat)
+	// Until it can serve, a desk asks often.
+	tick := time.NewTicker(beat / 10)
 	defer tick.Stop()
+	hurried := true
 	watch := func(now time.Duration) {
 		sums := d.sums
 		for _, a := range d.sources.Choose(now, d.reg.List().Live(register.Control)) {
@@ -167,6 +169,10 @@
 			fn(time.Since(d.start))
 		case <-tick.C:
 			watch(time.Since(d.start))
+			if hurried && d.ready.ok() {
+				hurried = false
+				tick.Reset(beat)
+			}
 		case <-stop:
 			return
 		}
--- a/internal/stacks/member.go
+++ b/internal/stacks/member.go
@@ -115,11 +115,13 @@
 	beganAt    time.Duration
 	lives      map[string]uint64 // the newest life of each member
 	dead       map[string]uint64 // a life whose word no longer counts
+	hailed     map[string]map[string]bool
 }
 
 type metaValue struct {
 	Promised Epoch    `cbor:"1,keyasint"`
 	At       Position `cbor:"2,keyasint"`
+	Commit   Position `cbor:"3,keyasint"`
 }
 
 type nodeValue struct {
@@ -136,7 +138,7 @@
 // NewMember makes a member from what its disk held.
 func NewMember(cfg Config, disk map[string][]byte) (*Member, error) {
 	m := &Member{cfg: cfg, keys: map[string]*key{}, after: map[uint64][]func(){}, firstOpen: 1, foundAcks: map[string]bool{},
-		lives: map[string]uint64{}, dead: map[string]uint64{}}
+		lives: map[string]uint64{}, dead: map[string]uint64{}, hailed: map[string]map[string]bool{}}
 	for _, name := range append([]string{RosterKey}, cfg.Keys...) {
 		m.key(name)
 	}
@@ -151,7 +153,7 @@
 			var mv metaValue
 			err = cbor.Unmarshal(v, &mv)
 			kk := m.key(k[len(metaPrefix):])
-			kk.promised, kk.at = mv.Promised, mv.At
+			kk.promised, kk.at, kk.commit = mv.Promised, mv.At, mv.Commit
 		case len(k) > len(recPrefix) && k[:len(recPrefix)] == recPrefix:
 			var r storedRecord
 			if err = cbor.Unmarshal(v, &r); err == nil {
@@ -324,7 +326,7 @@
 }
 
 func (k *key) meta() ledger.Entry {
-	return ledger.Entry{Key: metaPrefix + k.name, Value: marshal(metaValue{k.promised, k.at})}
+	return ledger.Entry{Key: metaPrefix + k.name, Value: marshal(metaValue{k.promised, k.at, k.commit})}
 }
 
 func (k *key) entry(r Record) ledger.Entry {
@@ -391,6 +393,13 @@
 		m.onCopy(from, msg.Copy)
 	case msg.Copied != nil:
 		m.onCopied(from, msg.Copied)
+	case msg.Hail != nil:
+		m.onHail(from)
+	case msg.Hailed != nil:
+		m.hailed[from] = map[string]bool{}
+		for _, name := range msg.Hailed.Owned {
+			m.hailed[from][name] = true
+		}
 	case msg.Yield != nil:
 		m.takeOver(m.key(msg.Yield.Key))
 	case msg.Enroll != nil:
@@ -821,8 +830,7 @@
 	if commit := (Position{c.Epoch, c.Commit}); reply.OK && c.Commit > 0 && k.commit.Less(commit) && k.at == to {
 		// Only a copy that is committed as a whole is shown to anybody.
 		if c.Commit == c.Seq {
-			k.commit = commit
-			m.fx.Committed = append(m.fx.Committed, k.name)
+			m.commit(k, commit)
 			if k.name == RosterKey && !m.founded {
 				m.founded = true
 				m.write([]ledger.Entry{m.nodeEntry()}, nil)
@@ -897,10 +905,9 @@
 				break
 			}
 			if m.quorum(k, true, func(id string) bool { return !k.acks[id].Less(p) && k.acks[id].Epoch == k.mine && fresh(id) }) {
-				k.commit = p
+				m.commit(k, p)
 				if p == k.at {
 					k.oldNeed = nil
-					m.fx.Committed = append(m.fx.Committed, k.name)
 				}
 				m.beat(k)
 				return
@@ -938,6 +945,14 @@
 	m.serve(k)
 }
 
+// commit notes that a position is safe, also on disk, so that a start of all
+// members at once has something to show before there is an owner.
+func (m *Member) commit(k *key, p Position) {
+	k.commit = p
+	m.fx.Committed = append(m.fx.Committed, k.name)
+	m.write([]ledger.Entry{k.meta()}, nil)
+}
+
 // ---- time
 
 func weight(key, id string) uint64 {
@@ -983,6 +998,38 @@
 	return 0
 }
 
+func (m *Member) onHail(from string) {
+	out := &Hailed{}
+	for _, name := range m.names {
+		if k := m.keys[name]; k.role != follows || m.Owner(m.now, name) != "" {
+			out.Owned = append(out.Owned, name)
+		}
+	}
+	m.send(from, Message{Hailed: out})
+}
+
+// ownerless says that a majority has answered a hail and knows no owner, and
+// that no heir before this member was among those who answered.
+func (m *Member) ownerless(name string) bool {
+	for _, owned := range m.hailed {
+		if owned[name] {
+			return false
+		}
+	}
+	if !enough(m.Roster(), false, func(id string) bool { return id == m.cfg.Self || m.hailed[id] != nil }) {
+		return false
+	}
+	for _, id := range m.Heirs(name) {
+		if id == m.cfg.Self {
+			return true
+		}
+		if m.hailed[id] != nil {
+			return false
+		}
+	}
+	return false
+}
+
 // Tick lets time pass.
 func (m *Member) Tick(now time.Duration) {
 	m.now = now
@@ -1015,6 +1062,11 @@
 		}
 		return
 	}
+	if now-m.beganAt < 2*m.cfg.Beat {
+		for _, id := range m.others() {
+			m.send(id, Message{Hail: &Hail{}})
+		}
+	}
 	stuck := m.firstOpen <= m.nextWrite && now-m.openSince > m.cfg.Vacant/2
 	for _, name := range m.names {
 		k := m.keys[name]
@@ -1043,6 +1095,9 @@
 				// Just started: give an owner that is there time to say so.
 				wait = m.cfg.Beat + m.cfg.Beat/2 + time.Duration(m.place(k.name))*m.cfg.Vacant/4
 				since = m.beganAt
+				if m.ownerless(name) {
+					wait = 0
+				}
 			}
 			if !stuck && now-since > wait && (m.founded || name != RosterKey) {
 				m.takeOver(k)
--- a/internal/stacks/message.go
+++ b/internal/stacks/message.go
@@ -65,6 +65,8 @@
 	Yield   *Yield   `cbor:"9,keyasint,omitempty"`
 	Enroll  *Enroll  `cbor:"10,keyasint,omitempty"`
 	Life    uint64   `cbor:"11,keyasint,omitempty"`
+	Hail    *Hail    `cbor:"12,keyasint,omitempty"`
+	Hailed  *Hailed  `cbor:"13,keyasint,omitempty"`
 }
 
 // Ask requests the promise to follow no older epoch.
@@ -145,6 +147,15 @@
 	Key string `cbor:"1,keyasint"`
 }
 
+// Hail asks, after a start, which keys have an owner.
+type Hail struct{}
+
+// Hailed names the keys that the sender knows to have one. It is no promise;
+// it only spares the wait for an owner that is not there.
+type Hailed struct {
+	Owned []string `cbor:"1,keyasint,omitempty"`
+}
+
 // Enroll asks the roster's owner for membership.
 type Enroll struct{}
 
