--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -133,12 +133,12 @@
 	a.member, err = stacks.NewMember(stacks.Config{Self: post.Self(), Life: a.life, Seeds: set.SeedArchives(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
 		Beat: beat, Vacant: vacant, Patience: charter.Seconds(set.Bounds.AckS * 0.17),
-		Alive: func(id string) bool { return a.reg.Alive(id) }}, disk)
+		Alive: func(id string) bool { return a.reg.Hopeful(id) }}, disk)
 	if err != nil {
 		return err
 	}
 	a.rota = rota.New(rota.Config{Self: post.Self(), Life: a.life, Duties: []string{dutyList, dutyShelf}, Lease: vacant,
-		Roster: func() []string { return a.member.Roster() }, Alive: func(id string) bool { return a.reg.Alive(id) }})
+		Roster: func() []string { return a.member.Roster() }, Alive: func(id string) bool { return a.reg.Hopeful(id) }})
 	a.watchers.Forget = 4 * beat
 	a.shelf = shelving.Scheduler{Strategy: &shelving.RoundRobin{}, Relist: opt.Relist, Pause: 2 * beat, Create: a.bind}
 	a.client = &http.Client{Timeout: charter.Seconds(set.Bounds.DrainS * 0.4),
@@ -225,6 +225,11 @@
 						pollAt = now + every
 						a.poll()
 					}
+				} else if !a.stand.Known() && now >= pollAt {
+					// There is no list and, as far as this archive can tell, nobody
+					// to read one: it reads one that any holder's replaces.
+					pollAt = now + every
+					a.poll()
 				} else if now >= watchAt {
 					watchAt = now + beat
 					if h, _, _ := a.rota.Holder(now, dutyList); h != "" && h != a.post.Self() {
@@ -519,7 +524,11 @@
 			return
 		}
 		a.do(func(now time.Duration) {
-			if term, mine := a.rota.Holds(now, dutyList); mine && a.stand.Update(now, term, a.life, list) {
+			term, mine := a.rota.Holds(now, dutyList)
+			if !mine {
+				term = 0
+			}
+			if (mine || !a.stand.Known()) && a.stand.Update(now, term, a.life, list) {
 				a.log.accession.Printf("list %d.%d has %d upstreams.", a.stand.Version.Term, a.stand.Version.Seq, len(list))
 				a.issue(now)
 			}
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -10,8 +10,10 @@
 	"fmt"
 	"sort"
 	"strings"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/santhosh-tekuri/jsonschema/v6"
 
 	"madderwing/internal/charter"
 	"madderwing/internal/conservation"
@@ -27,7 +29,7 @@
 //go:embed schema.json
 var schemaText []byte
 
-var schema = charter.MustCompile("catalogue.json", schemaText)
+var schema = sync.OnceValue(func() *jsonschema.Schema { return charter.MustCompile("catalogue.json", schemaText) })
 
 // Record is the form in which items are kept and copied.
 type Record = conservation.Record
@@ -194,7 +196,7 @@
 // Read reads and checks a call by itself. What depends on the items that stand
 // is checked by Apply.
 func Read(body []byte) (*Change, error) {
-	if err := charter.Validate(schema, body); err != nil {
+	if err := charter.Validate(schema(), body); err != nil {
 		return nil, invalid("%v", err)
 	}
 	var c call
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -15,6 +15,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -156,7 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := Validate(settingsSchema, asJSON); err != nil {
+	if err := Validate(settingsSchema(), asJSON); err != nil {
 		return nil, err
 	}
 	s := &Settings{HeartbeatS: 1.5}
@@ -176,7 +177,7 @@
 	return s, nil
 }
 
-var settingsSchema = MustCompile("charter.json", schemaText)
+var settingsSchema = sync.OnceValue(func() *jsonschema.Schema { return MustCompile("charter.json", schemaText) })
 
 // MustCompile compiles a schema that is part of the program.
 func MustCompile(name string, text []byte) *jsonschema.Schema {
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -384,7 +384,7 @@
 
 func (l *link) dial(to string) {
 	c := l.c
-	d := net.Dialer{Timeout: c.patience}
+	d := net.Dialer{Timeout: c.patience / 3}
 	conn, err := d.Dial("tcp4", to)
 	if err == nil {
 		c.tune(conn)
--- a/internal/register/service.go
+++ b/internal/register/service.go
@@ -103,10 +103,10 @@
 // List is the newest list.
 func (s *Service) List() *List { return s.list.Load() }
 
-// Alive says whether a node is taken to be working; unknown nodes are not.
-func (s *Service) Alive(address string) bool {
+// Hopeful says whether nothing is known against a node.
+func (s *Service) Hopeful(address string) bool {
 	n, ok := s.List().Get(address)
-	return ok && n.State == Alive
+	return !ok || n.State == Alive
 }
 
 // Run drives the roll until Stop.
--- a/internal/rota/rota.go
+++ b/internal/rota/rota.go
@@ -141,9 +141,15 @@
 				r.ballot(now, d, d.term, roster)
 			}
 		case d.asking && now-d.asked < r.cfg.Lease/2:
+			// Some may only now have come up.
+			for _, id := range roster {
+				if !d.votes[id] {
+					r.out = append(r.out, Envelope{id, Message{Duty: d.name, Term: d.term, Life: r.cfg.Life}})
+				}
+			}
 		case d.asking:
 			r.giveUp(now, d, roster)
-		case now >= d.notUntil && now >= d.grantUntil && now >= max(d.grantUntil, r.began)+time.Duration(r.rank(d, roster))*r.cfg.Lease/4:
+		case now >= d.notUntil && now >= d.grantUntil && now >= max(d.grantUntil, r.began)+time.Duration(r.rank(d, roster))*r.cfg.Lease/8:
 			r.ballot(now, d, max(d.floor, d.used, d.grantTerm, d.term)+1, roster)
 		}
 	}
--- a/internal/rota/rota_test.go
+++ b/internal/rota/rota_test.go
@@ -85,6 +85,17 @@
 	}
 }
 
+func TestABallotWaitsForThoseWhoComeUpLate(t *testing.T) {
+	h := newHall(4)
+	h.down["a2"], h.down["a3"] = true, true
+	h.run(t, 400*time.Millisecond)
+	h.down["a2"] = false
+	h.run(t, 400*time.Millisecond)
+	if got := h.holders(); len(got) != 1 {
+		t.Fatalf("holders %v soon after a majority is there", got)
+	}
+}
+
 func TestNoHolderWithoutAMajority(t *testing.T) {
 	h := newHall(4)
 	h.down["a0"], h.down["a1"] = true, true
