An upstream is proven by a first connection before requests go there

The desk that uses an upstream first now opens a connection when it is listed; others prefer upstreams that they have idle connections to.

--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -54,6 +54,7 @@
 	failures int
 	until    time.Duration // ejected till then
 	trying   bool          // a trial connection is being opened
+	proven   bool          // a connection to it has once come up
 	Served   uint64
 	Failed   uint64
 }
@@ -279,6 +280,7 @@
 		}
 		u.limit = max(1, min(u.Capacity+max(2, u.Capacity), conns/max(1, len(all)+2)))
 	}
+	defer s.prove()
 	for name, list := range local {
 		// Each upstream of the zone goes to the desk of highest weight that has
 		// not yet got its even share.
@@ -301,6 +303,17 @@
 	}
 }
 
+// prove opens a first connection to the upstreams that this desk uses first, so
+// that no request has to find out whether they are there.
+func (s *Stock) prove() {
+	for _, u := range s.ups {
+		if u.home && !u.proven && !u.trying && u.until == 0 && !u.gone && !s.evacuated[u.Zone] {
+			u.trying = true
+			s.Trials = append(s.Trials, u)
+		}
+	}
+}
+
 // Cold says whether an upstream counts as cold.
 func (u *Upstream) Cold(now time.Duration) bool { return now < u.coldTill }
 
@@ -326,9 +339,12 @@
 		}
 		load += slots * 0.75
 	}
-	if u.failures > 0 {
+	if u.failures > 0 || !u.proven {
 		load += 0.3 * slots
 	}
+	if len(u.idle) == 0 {
+		load += 0.1 * slots // a connection would have to be opened
+	}
 	return load / slots
 }
 
@@ -485,7 +501,7 @@
 	u.Busy--
 	switch how {
 	case Served:
-		u.failures = 0
+		u.failures, u.proven = 0, true
 		u.Served++
 	case Full:
 		u.Served++
@@ -530,6 +546,7 @@
 		s.Closed = append(s.Closed, conn)
 		return
 	}
+	u.proven = true
 	u.idle = append(u.idle, conn)
 	s.serve(now, s.service(u.Service))
 }
--- a/internal/circulation/floor.go
+++ b/internal/circulation/floor.go
@@ -63,7 +63,7 @@
 	conn, _ := f.dial(address, f.patience)
 	f.Do(func(now time.Duration, s *accession.Stock) {
 		if conn != nil {
-			conn.Expires = now + f.patience
+			conn.Expires = now + 10*f.patience
 		}
 		s.Tried(now, u, conn)
 	})
