--- /dev/null
+++ b/internal/accession/accession_test.go
@@ -0,0 +1,422 @@
+package accession
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"madderwing/internal/register"
+)
+
+const ms = time.Millisecond
+
+func cfg(self, zone string) Config {
+	return Config{Self: self, Zone: zone, RetryRatio: 0.2, RetrySlack: 60, Window: 10 * time.Second, ColdOver: 1.5, ColdSlack: 5,
+		Eject: 100 * ms, EjectMax: time.Second, Lag: 500 * ms}
+}
+
+func list(n int, zone string, warmMs int64) (out []Instance) {
+	for i := 0; i < n; i++ {
+		id := fmt.Sprintf("%s-%02d", zone, i)
+		out = append(out, Instance{ID: id, Service: "a", Address: "10.0.0.1:" + fmt.Sprint(1000+i), Zone: zone, Capacity: 3, WarmupMs: warmMs})
+	}
+	return out
+}
+
+func desks(zones ...string) (out []register.Node, shards map[string]int) {
+	shards = map[string]int{}
+	for _, z := range zones {
+		for i := 0; i < 3; i++ {
+			n := register.Node{Address: fmt.Sprintf("%s-desk-%d", z, i), Name: fmt.Sprintf("%s-%d", z, i), Zone: z}
+			out = append(out, n)
+			shards[n.Address] = i % 2
+		}
+	}
+	return out, shards
+}
+
+// fresh makes a stock that knows everything; trials succeed at once.
+func fresh(self, zone string, instances []Instance, ds []register.Node, shards map[string]int, bound map[string]int) *Stock {
+	s := NewStock(cfg(self, zone))
+	s.SetDesks(0, ds, shards)
+	s.SetServices(0, map[string]ServiceInfo{"a": {MaxConns: 200, WarmupS: 3, WarmupPerS: 8}}, bound)
+	s.SetList(0, instances)
+	prove(s, 0)
+	return s
+}
+
+func prove(s *Stock, now time.Duration) {
+	trials := s.Trials
+	s.Trials = nil
+	for _, u := range trials {
+		s.Tried(now, u, &Conn{Expires: now + time.Hour})
+	}
+}
+
+// claim asks for an upstream and returns the answer if there is one at once.
+func claim(s *Stock, now time.Duration, c *Claim) (g Grant, answered bool) {
+	c.Service = "a"
+	c.Give = func(x Grant) { g, answered = x, true }
+	s.Claim(now, c)
+	return g, answered
+}
+
+func TestOwnZoneFirstAndNoUpstreamBeyondItsLimit(t *testing.T) {
+	ds, sh := desks("z", "y")
+	s := fresh("z-desk-0", "z", append(list(6, "z", 0), list(6, "y", 0)...), ds, sh, nil)
+	home := 0
+	for _, st := range s.States(0) {
+		if st.Home {
+			home++
+			if st.Zone != "z" {
+				t.Fatalf("%s of another zone is used first", st.ID)
+			}
+		}
+	}
+	if home != 2 {
+		t.Fatalf("this desk uses %d of 6 upstreams of its zone with 3 desks first", home)
+	}
+	counts := map[string]int{}
+	for i := 0; ; i++ {
+		g, ok := claim(s, 0, &Claim{})
+		if !ok {
+			break
+		}
+		counts[g.ID]++
+		if i < home*3-1 && g.Upstream.Zone != "z" {
+			t.Fatalf("request %d left the zone", i)
+		}
+	}
+	for id, n := range counts {
+		if n > 6 {
+			t.Errorf("%s has %d requests", id, n)
+		}
+	}
+}
+
+func TestHomesAreSharedOutEvenlyAndOnce(t *testing.T) {
+	ds, sh := desks("z")
+	owners := map[string]int{}
+	for _, d := range ds {
+		s := fresh(d.Address, "z", list(7, "z", 0), ds, sh, nil)
+		for _, st := range s.States(0) {
+			if st.Home {
+				owners[st.ID]++
+			}
+		}
+	}
+	for _, i := range list(7, "z", 0) {
+		if owners[i.ID] != 1 {
+			t.Errorf("%s is used first by %d desks", i.ID, owners[i.ID])
+		}
+	}
+}
+
+func TestLeavingUpstreamsGetNothingMore(t *testing.T) {
+	ds, sh := desks("z")
+	cases := map[string]func(s *Stock){
+		"draining":  func(s *Stock) { l := list(1, "z", 0); l[0].Draining = true; s.SetList(ms, l) },
+		"gone":      func(s *Stock) { s.SetList(ms, nil) },
+		"evacuated": func(s *Stock) { s.SetEvacuated(ms, map[string]bool{"z": true}) },
+	}
+	for name, leave := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+			g, ok := claim(s, 0, &Claim{})
+			if !ok || g.Refused != Granted {
+				t.Fatal("no upstream")
+			}
+			leave(s)
+			s.Release(2*ms, g.Upstream, &Conn{Expires: time.Hour}, Served)
+			if g, ok := claim(s, 3*ms, &Claim{}); !ok || g.Refused != NoneLeft {
+				t.Fatalf("got %+v", g)
+			}
+		})
+	}
+}
+
+func TestANewLifeAtTheSameAddressIsAnotherUpstream(t *testing.T) {
+	ds, sh := desks("z")
+	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+	g, _ := claim(s, 0, &Claim{})
+	s.Release(ms, g.Upstream, &Conn{Expires: time.Hour}, Served)
+	next := list(1, "z", 0)
+	next[0].ID = "other-life"
+	s.SetList(2*ms, next)
+	if len(s.Closed) == 0 {
+		t.Error("connections to the former life are kept")
+	}
+	prove(s, 2*ms)
+	if g, _ := claim(s, 3*ms, &Claim{}); g.ID != "other-life" || g.Upstream.Served != 0 {
+		t.Fatalf("got %+v", g)
+	}
+}
+
+func TestFailuresKeepRequestsAwayUntilATrialSucceeds(t *testing.T) {
+	ds, sh := desks("z")
+	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+	g, _ := claim(s, 0, &Claim{})
+	s.Release(0, g.Upstream, nil, Failing)
+	waiting := &Claim{}
+	if _, ok := claim(s, ms, waiting); ok {
+		t.Fatal("a request went to a failing upstream")
+	}
+	last := time.Duration(0)
+	for try, now := 0, time.Duration(0); try < 4; now += 10 * ms {
+		s.Tick(now)
+		if len(s.Trials) == 1 {
+			if gap := now - last; try > 0 && gap < cfg("", "").Eject<<try {
+				t.Fatalf("trial %d after only %v", try, gap)
+			}
+			u := s.Trials[0]
+			s.Trials = nil
+			try++
+			last = now
+			if try == 4 {
+				s.Tried(now, u, &Conn{Expires: time.Hour})
+			} else {
+				s.Tried(now, u, nil)
+			}
+		}
+	}
+	if g, ok := claim(s, last+ms, &Claim{}); !ok || g.Refused != Granted {
+		t.Fatal("not used again after a trial that succeeded")
+	}
+}
+
+// All desks together, in whatever view of each other they have, may send no
+// more to a cold upstream in any second than the rule allows.
+func TestColdPaceHoldsOverAllDesks(t *testing.T) {
+	ds, sh := desks("z", "y")
+	rng := rand.New(rand.NewSource(7))
+	for name, views := range map[string]func(i int) []register.Node{
+		"same view": func(int) []register.Node { return ds },
+		"stale views": func(i int) []register.Node { // half of the desks do not know one of them
+			if i%2 == 0 {
+				return ds[:len(ds)-1]
+			}
+			return ds[1:]
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var stocks []*Stock
+			for i, d := range ds {
+				s := fresh(d.Address, d.Zone, list(1, "z", 20000), views(i), sh, map[string]int{"a": 0})
+				stocks = append(stocks, s)
+			}
+			var sent []time.Duration
+			for now := time.Duration(0); now < 15*time.Second; now += 5 * ms {
+				s := stocks[rng.Intn(len(stocks))]
+				s.Tick(now)
+				c := &Claim{Service: "a"}
+				c.Give = func(g Grant) {
+					if g.Refused == Granted {
+						sent = append(sent, now)
+						s.Release(now, g.Upstream, nil, Served)
+					}
+				}
+				s.Claim(now, c)
+			}
+			most := 0
+			for i := range sent {
+				n := 0
+				for j := i; j < len(sent) && sent[j]-sent[i] < time.Second; j++ {
+					n++
+				}
+				most = max(most, n)
+			}
+			if limit := int(8*1.5 + 5); most > limit {
+				t.Errorf("%d requests in a second, allowed are %d", most, limit)
+			}
+			if most < 4 {
+				t.Errorf("only %d requests in a second: the pace starves the upstream", most)
+			}
+		})
+	}
+}
+
+func TestAZoneTakenBackCountsAsColdAtFirst(t *testing.T) {
+	ds, sh := desks("z")
+	s := fresh("z-desk-0", "z", list(2, "z", 0), ds, sh, nil)
+	s.SetEvacuated(ms, map[string]bool{"z": true})
+	s.SetEvacuated(time.Second, map[string]bool{})
+	for _, st := range s.States(time.Second + ms) {
+		if !st.Cold {
+			t.Errorf("%s is taken to be warm", st.ID)
+		}
+	}
+	for _, st := range s.States(6 * time.Second) {
+		if st.Cold {
+			t.Errorf("%s is cold for ever", st.ID)
+		}
+	}
+}
+
+// The budget of all desks together holds in every window, also when desks start
+// anew and when each knows only some of the others.
+func TestRetryBudgetHoldsOverAllDesks(t *testing.T) {
+	ds, sh := desks("z", "y")
+	rng := rand.New(rand.NewSource(3))
+	newStock := func(i int) *Stock {
+		view := append(append([]register.Node{}, ds[:i/2]...), ds[i/2+1:]...)
+		return fresh(ds[i].Address, ds[i].Zone, list(40, "z", 0), view, sh, map[string]int{"a": 0})
+	}
+	var stocks []*Stock
+	for i := range ds {
+		stocks = append(stocks, newStock(i))
+	}
+	type mark struct {
+		at    time.Duration
+		retry bool
+	}
+	var marks []mark
+	for now := time.Duration(0); now < 60*time.Second; now += 10 * ms {
+		i := rng.Intn(len(stocks))
+		s := stocks[i]
+		if rng.Intn(1000) == 0 {
+			stocks[i] = newStock(i) // its process was killed
+		}
+		// Spans in which nothing fails are followed by spans in which all does
+		// and traffic all but stops.
+		failing := now/(15*time.Second)%2 == 1
+		if !failing || rng.Intn(20) == 0 {
+			s.Request("a")
+			marks = append(marks, mark{now, false})
+		}
+		for k := 0; failing && k < 3; k++ { // every request wants to be repeated three times
+			g, ok := claim(s, now, &Claim{Retry: true})
+			if ok && g.Refused == Granted {
+				marks = append(marks, mark{now, true})
+				s.Release(now, g.Upstream, nil, Served)
+			}
+		}
+	}
+	for i := range marks {
+		retries, requests := 0, 0
+		for j := i; j < len(marks) && marks[j].at-marks[i].at < 10*time.Second; j++ {
+			if marks[j].retry {
+				retries++
+			} else {
+				requests++
+			}
+		}
+		if float64(retries) > 0.2*float64(requests)+60 {
+			t.Fatalf("%d further tries on %d requests in the window from %v", retries, requests, marks[i].at)
+		}
+	}
+}
+
+func TestCrowdedStockRefusesTheLeastUrgent(t *testing.T) {
+	ds, sh := desks("z")
+	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+	for {
+		if _, ok := claim(s, 0, &Claim{}); !ok {
+			break
+		}
+	}
+	var refused []int
+	wait := func(priority int) {
+		c := &Claim{Service: "a", Priority: priority}
+		c.Give = func(g Grant) {
+			if g.Refused == Crowded {
+				refused = append(refused, priority)
+			}
+		}
+		s.Claim(0, c)
+	}
+	for i := 0; i < 12; i++ {
+		wait(2)
+	}
+	before := len(refused)
+	if before == 0 {
+		t.Fatal("everything waits")
+	}
+	wait(0)
+	if len(refused) != before+1 || refused[before] != 2 {
+		t.Fatalf("refused %v", refused)
+	}
+}
+
+func TestStandPassesOnDifferencesAndWholes(t *testing.T) {
+	var a, b, late Stand
+	steps := [][]Instance{list(3, "z", 0), list(4, "z", 0), list(4, "z", 9000), list(2, "z", 0), nil}
+	for i, step := range steps {
+		now := time.Duration(i) * time.Second
+		a.Update(now, 1, 9, step)
+		l := a.Since(now, b.Version)
+		if l == nil || !b.Take(now, *l) {
+			t.Fatalf("step %d: no news", i)
+		}
+		if got, want := ids(b.All(now)), ids(a.All(now)); got != want {
+			t.Fatalf("step %d: %s, want %s", i, got, want)
+		}
+		if i == 2 {
+			if l := a.Since(now, late.Version); l == nil || !late.Take(now, *l) || ids(late.All(now)) != ids(a.All(now)) {
+				t.Fatal("a late comer does not get the whole")
+			}
+		}
+	}
+	if a.Update(9*time.Second, 1, 9, nil) {
+		t.Error("no difference, but a new version")
+	}
+}
+
+func TestListsOfTwoHoldersUnderOneTerm(t *testing.T) {
+	for _, c := range []struct {
+		known, shown Version
+		foreign      bool
+	}{
+		{Version{1, 5, 7}, Version{1, 9, 7}, false}, // the same holder, further on
+		{Version{1, 1, 7}, Version{1, 9, 8}, true},  // a former holder's list would hide ours
+		{Version{1, 1, 8}, Version{1, 9, 7}, false}, // ours wins anyway
+		{Version{1, 1, 8}, Version{2, 1, 7}, true},
+		{Version{3, 1, 8}, Version{2, 9, 9}, false},
+	} {
+		if got := c.known.Foreign(c.shown); got != c.foreign {
+			t.Errorf("%v shown %v: foreign %v", c.known, c.shown, got)
+		}
+	}
+}
+
+func ids(l []Instance) string {
+	var out []string
+	for _, i := range l {
+		out = append(out, fmt.Sprint(i.ID, i.WarmupMs))
+	}
+	return strings.Join(out, " ")
+}
+
+func TestReadAllTakesWholeListsOnly(t *testing.T) {
+	pages := 3
+	fail := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := 0
+		_, _ = fmt.Sscanf(r.URL.Query().Get("pageToken"), "p-%d", &n)
+		if fail > 0 && n+1 == fail {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		p := map[string]any{"instances": []any{map[string]any{"id": fmt.Sprint(n), "target": "a", "address": "h:1", "zone": "z",
+			"capacity": 3, "state": map[bool]string{true: "draining", false: "ready"}[n == 1], "warmupLeftS": 0.5}}, "nextToken": nil}
+		if n+1 < pages {
+			p["nextToken"] = fmt.Sprintf("p-%d", n+1)
+		}
+		_ = json.NewEncoder(w).Encode(p)
+	}))
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	got, err := ReadAll(context.Background(), srv.Client(), address)
+	if err != nil || len(got) != 3 || !got[1].Draining || got[0].Draining || got[2].WarmupMs != 500 {
+		t.Fatalf("%v %+v", err, got)
+	}
+	fail = 2
+	if got, err := ReadAll(context.Background(), srv.Client(), address); err == nil {
+		t.Fatalf("a list that is cut off passed for whole: %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/courier/courier_test.go
@@ -0,0 +1,103 @@
+package courier
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+func start(t *testing.T) *Courier {
+	t.Helper()
+	c, err := New("127.0.0.1:0", 5*time.Second, log.New(io.Discard, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.HandleSlow("echo", func(_ string, body []byte) (any, error) {
+		var s string
+		if err := cbor.Unmarshal(body, &s); err != nil {
+			return nil, err
+		}
+		if s == "fail" {
+			return nil, errors.New("told to")
+		}
+		return s, nil
+	})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestCallsAndWhatBecomesOfThem(t *testing.T) {
+	a, b := start(t), start(t)
+	got := make(chan string, 4)
+	for _, c := range []*Courier{a, b} {
+		c.Handle("note", func(from string, body []byte) (any, error) {
+			var s string
+			_ = cbor.Unmarshal(body, &s)
+			got <- from + " " + s[:1]
+			return nil, nil
+		})
+		c.Start()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var answer string
+	if err := a.Call(ctx, b.Self(), "echo", "hello", &answer); err != nil || answer != "hello" {
+		t.Fatalf("%v %q", err, answer)
+	}
+	var fault Fault
+	if err := a.Call(ctx, b.Self(), "echo", "fail", &answer); !errors.As(err, &fault) || fault != "told to" {
+		t.Fatalf("got %v", err)
+	}
+	for _, body := range []string{"small", strings.Repeat("x", 5000)} { // one fits a datagram, one does not
+		a.Toss(b.Self(), "note", body)
+		if s := <-got; s != a.Self()+" "+body[:1] {
+			t.Fatalf("got %q", s)
+		}
+	}
+	b.Close()
+	if err := a.Call(ctx, b.Self(), "echo", "hello", &answer); !errors.Is(err, ErrUnreachable) {
+		t.Fatalf("a peer that is gone: %v", err)
+	}
+}
+
+func TestGarbageEndsTheConnectionAndIsCounted(t *testing.T) {
+	c := start(t)
+	c.Start()
+	frame := func(b []byte) []byte {
+		out := make([]byte, 4)
+		binary.BigEndian.PutUint32(out, uint32(len(b)))
+		return append(out, b...)
+	}
+	for name, text := range map[string][]byte{
+		"not CBOR":     frame([]byte("GET / HTTP/1.1")),
+		"another type": frame([]byte{0x82, 0x01, 0x02}),
+		"too long":     {0xff, 0xff, 0xff, 0xff},
+	} {
+		before := c.Undecoded.Load()
+		conn, err := net.Dial("tcp4", c.Self())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = conn.Write(text)
+		if n, err := io.Copy(io.Discard, conn); n != 0 || isTimeout(err) {
+			t.Fatalf("%s: %d bytes, %v", name, n, err)
+		}
+		conn.Close()
+		if c.Undecoded.Load() != before+1 {
+			t.Errorf("%s: not counted", name)
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
--- /dev/null
+++ b/internal/stacks/member_test.go
@@ -0,0 +1,247 @@
+package stacks
+
+import (
+	"testing"
+	"time"
+
+	"madderwing/internal/conservation"
+)
+
+// settle runs a world until the test key has an owner, and returns it.
+func (w *world) settle(t *testing.T) *node {
+	t.Helper()
+	for end := w.now + 20*time.Second; w.now < end; {
+		w.run(w.now + 100*time.Millisecond)
+		for _, id := range w.ids {
+			if n := w.nodes[id]; n.up && n.frozen <= w.now && n.m.keys[testKey].role == owns && n.m.keys[testKey].commit == n.m.keys[testKey].at {
+				return n
+			}
+		}
+	}
+	t.Fatal("the key has no owner")
+	return nil
+}
+
+// put proposes a value at a node and runs until it is answered.
+func (w *world) put(n *node, name string, v uint64) (err error) {
+	answered := false
+	w.on(n.id, n.life, func() {
+		n.m.Propose(w.now, testKey, func(map[string]Record) ([]Record, error) {
+			return []Record{{Name: name, Gen: v}}, nil
+		}, func(e error) { err, answered = e, true })
+	})
+	for end := w.now + 3*time.Second; !answered && w.now < end; {
+		w.run(w.now + time.Millisecond)
+	}
+	if !answered {
+		return ErrNoQuorum
+	}
+	return err
+}
+
+func (w *world) mustPut(t *testing.T, name string, v uint64) *node {
+	t.Helper()
+	for i := 0; i < 20; i++ {
+		n := w.settle(t)
+		if w.put(n, name, v) == nil {
+			return n
+		}
+	}
+	t.Fatalf("%s=%d was never acknowledged", name, v)
+	return nil
+}
+
+func (w *world) holders(name string, v uint64) (ids []string) {
+	for _, id := range w.ids {
+		for _, b := range [][]byte{w.nodes[id].disk[recPrefix+testKey+"/"+name]} {
+			var r storedRecord
+			if b != nil && unmarshal(b, &r) && r.Record.Gen >= v {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids
+}
+
+func TestAnAnswerMeansThreeDisks(t *testing.T) {
+	w := newWorld(t, 5, 4)
+	for v := uint64(1); v <= 40; v++ {
+		n := w.mustPut(t, "x", v)
+		if got := w.holders("x", v); len(got) < 3 {
+			t.Fatalf("x=%d was acknowledged by %s with copies at %v", v, n.id, got)
+		}
+	}
+}
+
+// The owner loses its power, or its disk, the moment it has answered.
+func TestTheAnswererIsLostAtOnce(t *testing.T) {
+	for _, wipe := range []bool{false, true} {
+		for seed := int64(1); seed <= 25; seed++ {
+			w := newWorld(t, seed, 4)
+			n := w.mustPut(t, "x", 1)
+			w.crash(n.id, wipe)
+			w.at(3*time.Second, func() { w.start(n.id) })
+			next := w.settle(t)
+			if got := next.m.keys[testKey].records["x"].Gen; got != 1 {
+				t.Fatalf("seed %d wipe %v: %s holds x=%d", seed, wipe, next.id, got)
+			}
+			w.run(w.now + 8*time.Second)
+			if len(w.holders("x", 1)) != 4 || !w.nodes[n.id].m.Voting() {
+				t.Fatalf("seed %d: the lost member did not catch up", seed)
+			}
+		}
+	}
+}
+
+// A member without its memory has no voice until it has asked the others.
+func TestAWipedMemberIsSilentUntilItHasCaughtUp(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.mustPut(t, "x", 7)
+	id := w.ids[3]
+	w.crash(id, true)
+	for _, o := range w.ids[:3] { // it reaches nobody
+		w.cut[[2]string{id, o}], w.cut[[2]string{o, id}] = true, true
+	}
+	w.run(w.now + time.Second)
+	w.start(id)
+	w.run(w.now + 5*time.Second)
+	n := w.nodes[id]
+	for _, m := range []Message{
+		{Ask: &Ask{Key: testKey, Epoch: Epoch{99, "z", 1}}},
+		{Copy: &Copy{Key: testKey, Epoch: Epoch{99, "z", 1}, Seq: 1}},
+		{Fetch: &Fetch{Round: 1}},
+		{Hail: &Hail{}},
+	} {
+		n.m.Take()
+		n.m.Handle(w.now, w.ids[0], m)
+		if fx := n.m.Take(); len(fx.Send)+len(fx.Writes) > 0 {
+			t.Fatalf("it answered %+v with %+v", m, fx)
+		}
+	}
+	if n.m.Voting() || len(n.disk) > 0 {
+		t.Fatal("it votes, or has founded something of its own")
+	}
+	w.cut = map[[2]string]bool{}
+	w.run(w.now + 5*time.Second)
+	if !n.m.Voting() || n.m.keys[testKey].records["x"].Gen != 7 {
+		t.Fatal("it did not catch up")
+	}
+}
+
+func TestAFrozenOwnerIsFenced(t *testing.T) {
+	for seed := int64(1); seed <= 20; seed++ {
+		w := newWorld(t, seed, 4)
+		old := w.mustPut(t, "x", 1)
+		old.frozen = w.now + 4*time.Second
+		w.run(w.now + 500*time.Millisecond)
+		w.mustPut(t, "x", 2)
+		w.run(old.frozen - time.Millisecond)
+		// The first thing it hears when it wakes is an order.
+		if err := w.put(old, "x", 1); err == nil {
+			t.Fatalf("seed %d: the old owner acknowledged", seed)
+		}
+		w.run(w.now + 3*time.Second)
+		if got := w.settle(t).m.keys[testKey].records["x"].Gen; got != 2 {
+			t.Fatalf("seed %d: x=%d", seed, got)
+		}
+	}
+}
+
+func TestAStalledDiskHandsItsKeysOver(t *testing.T) {
+	w := newWorld(t, 9, 4)
+	old := w.mustPut(t, "x", 1)
+	old.stall = w.now + 10*time.Second
+	begin := w.now
+	_ = w.put(old, "x", 2)
+	n := w.mustPut(t, "x", 3)
+	if n == old || w.now-begin > 3*time.Second {
+		t.Fatalf("%s acknowledged after %v", n.id, w.now-begin)
+	}
+}
+
+func TestRefusedWritesAreWrittenAgain(t *testing.T) {
+	w := newWorld(t, 4, 4)
+	n := w.mustPut(t, "x", 1)
+	for _, id := range w.ids {
+		w.nodes[id].refuse = 2
+	}
+	_ = w.put(n, "x", 2)
+	w.mustPut(t, "x", 3)
+	w.run(w.now + 2*time.Second)
+	if got := w.holders("x", 3); len(got) != 4 {
+		t.Fatalf("copies at %v", got)
+	}
+}
+
+// A copy that has silently gone bad is found by its digests and mended.
+func TestDigestsFindAndMendABadCopy(t *testing.T) {
+	w := newWorld(t, 6, 4)
+	owner := w.mustPut(t, "x", 5)
+	w.mustPut(t, "y", 6)
+	w.run(w.now + time.Second)
+	owner = w.settle(t)
+	for _, id := range w.ids {
+		if id == owner.id {
+			continue
+		}
+		k := w.nodes[id].m.keys[testKey]
+		k.records["x"] = Record{Name: "x", Gen: 4, Data: []byte("rotten")}
+		k.sums = conservation.Digest(k.records)
+		break
+	}
+	w.run(w.now + 2*time.Second)
+	for _, id := range w.ids {
+		if r := w.nodes[id].m.keys[testKey].records["x"]; r.Gen != 5 || len(r.Data) > 0 {
+			t.Fatalf("%s holds %+v", id, r)
+		}
+	}
+}
+
+func TestOnlyTheFirstStartFounds(t *testing.T) {
+	w := newWorld(t, 3, 4)
+	w.run(5 * time.Second)
+	for _, id := range w.ids { // all disks are lost, which is beyond any budget
+		w.crash(id, true)
+	}
+	w.run(w.now + time.Second)
+	for _, id := range w.ids {
+		w.start(id)
+	}
+	w.run(w.now + 10*time.Second)
+	for _, id := range w.ids {
+		if w.nodes[id].m.Voting() || len(w.nodes[id].m.Roster()) > 0 {
+			t.Fatalf("%s founded anew over a system that had a past", id)
+		}
+	}
+}
+
+func TestLeavingHandsOverAtOnce(t *testing.T) {
+	w := newWorld(t, 8, 4)
+	old := w.mustPut(t, "x", 1)
+	w.on(old.id, old.life, func() { old.m.Leave(w.now) })
+	begin := w.now
+	n := w.settle(t)
+	if n == old || w.now-begin > 600*time.Millisecond {
+		t.Fatalf("%s owns the key after %v", n.id, w.now-begin)
+	}
+	if n.m.keys[testKey].records["x"].Gen != 1 {
+		t.Fatal("lost on the way")
+	}
+}
+
+func TestQuorums(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e", "f", "g"}
+	for _, c := range []struct{ members, promise, durable int }{
+		{1, 1, 1}, {2, 2, 2}, {3, 2, 3}, {4, 3, 3}, {5, 3, 3}, {6, 4, 4}, {7, 4, 4},
+	} {
+		for n := 0; n <= c.members; n++ {
+			has := func(id string) bool { return int(id[0]-'a') < n }
+			if got := enough(ids[:c.members], false, has); got != (n >= c.promise) {
+				t.Errorf("%d of %d promise: %v", n, c.members, got)
+			}
+			if got := enough(ids[:c.members], true, has); got != (n >= c.durable) {
+				t.Errorf("%d of %d durable: %v", n, c.members, got)
+			}
+		}
+	}
+}
--- a/internal/stacks/world_test.go
+++ b/internal/stacks/world_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"madderwing/internal/ledger"
 )
 
@@ -332,3 +334,5 @@
 		})
 	}
 }
+
+func unmarshal(b []byte, v any) bool { return cbor.Unmarshal(b, v) == nil }
