--- a/cmd/madderwing/commands.go
+++ b/cmd/madderwing/commands.go
@@ -39,10 +39,16 @@
 func (c coded) Error() string { return c.err.Error() }
 func (c coded) Unwrap() error { return c.err }
 
+// begun says that a command's arguments were taken and its work was begun.
+var begun bool
+
 func exitCode(err error) int {
 	var c coded
-	if errors.As(err, &c) {
+	switch {
+	case errors.As(err, &c):
 		return c.code
+	case !begun:
+		return exitUsage
 	}
 	return exitFailed
 }
@@ -55,6 +61,9 @@
 		Short:         "An API gateway of many nodes",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		PersistentPreRun: func(*cobra.Command, []string) {
+			begun = true
+		},
 	}
 	r.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	r.AddCommand(deskCommand(), archiveCommand(), checkCommand(), statusCommand(), configCommand(), evacuateCommand(),
--- /dev/null
+++ b/examples/local/start.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Starts the stand-in and three nodes, each a desk and an archive. Ctrl-C ends
+# them all. The first start founds the system; later ones go on with its disks.
+set -u
+cd "$(dirname "$0")/../.."
+go build -o target/ ./cmd/... ./examples/standin || exit 1
+pids=()
+trap 'kill "${pids[@]}" 2>/dev/null; wait' EXIT INT TERM
+target/standin & pids+=($!)
+for i in 1 2 3; do
+  settings=examples/local/node$i.toml
+  if [ -s /tmp/madderwing-local/$i/stacks.db ]; then
+    mkdir -p /tmp/madderwing-local
+    settings=/tmp/madderwing-local/node$i.toml
+    sed 's/^bootstrap = true/bootstrap = false/' examples/local/node$i.toml > "$settings"
+  fi
+  target/madderwing archive --settings "$settings" & pids+=($!)
+  target/madderwing desk --settings "$settings" & pids+=($!)
+done
+wait
--- a/internal/archive/admin.go
+++ b/internal/archive/admin.go
@@ -11,7 +11,6 @@
 	"madderwing/internal/errata"
 	"madderwing/internal/register"
 	"madderwing/internal/rota"
-	"madderwing/internal/stacks"
 )
 
 // Member is a node as the administration API shows it.
@@ -140,5 +139,3 @@
 	b, err := json.MarshalIndent(v, "", "  ")
 	return append(b, '\n'), err
 }
-
-var _ stacks.View
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -70,11 +70,11 @@
 	lookAgain bool
 	life      uint64
 
+	rosterTold string
+
 	writes  chan writeJob
-	roster  atomic.Pointer[[]string]
 	polling atomic.Bool
 	client  *http.Client
-	leaving atomic.Bool
 
 	stats Stats
 	log   struct{ archive, stacks, ledger, rota, shelving, accession, register, control *log.Logger }
@@ -175,7 +175,6 @@
 			return err
 		case <-ctx.Done():
 			a.log.archive.Printf("leaving.")
-			a.leaving.Store(true)
 			a.do(func(now time.Duration) { a.member.Leave(now); a.rota.Leave(now) })
 			a.reg.Leave(false)
 			// Orders under way are answered; the heirs take over meanwhile.
@@ -317,9 +316,10 @@
 // show takes over a committed copy of a key into what the desks may see.
 func (a *Archive) show(key string) bool {
 	if key == stacks.RosterKey {
-		r := a.member.Roster()
-		a.roster.Store(&r)
-		a.log.stacks.Printf("roster: %s.", strings.Join(r, " "))
+		if r := strings.Join(a.member.Roster(), " "); r != a.rosterTold {
+			a.rosterTold = r
+			a.log.stacks.Printf("roster: %s.", r)
+		}
 		return false
 	}
 	records, _, ok := a.member.Committed(key)
--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -8,11 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"madderwing/internal/catalogue"
 	"madderwing/internal/charter"
-	"madderwing/internal/conservation"
 	"madderwing/internal/errata"
 	"madderwing/internal/stacks"
 )
@@ -199,6 +196,3 @@
 	}
 	return nil, errata.New(errata.UnknownPage, "%s", r.URL.Path)
 }
-
-var _ = cbor.Marshal
-var _ conservation.Record
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -8,7 +8,9 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
+	"regexp"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -189,6 +191,37 @@
 	Generation uint64 `json:"generation"`
 }
 
+// inCall finds the places of items in a call that a check has named.
+var inCall = regexp.MustCompile(`upsert\.(services|domains)\.(\d+)(?:\.hostRoutes\.(\d+))?`)
+
+// named puts the names of the items at fault in the place of their numbers.
+func named(body []byte, text string) string {
+	var c call
+	if json.Unmarshal(body, &c) != nil {
+		return text
+	}
+	pick := func(list []json.RawMessage, n string, kind, place string) string {
+		var item removal
+		if i, err := strconv.Atoi(n); err == nil && i < len(list) {
+			_ = json.Unmarshal(list[i], &item)
+		}
+		if item.Name == "" {
+			return place
+		}
+		return kind + " " + item.Name
+	}
+	return inCall.ReplaceAllStringFunc(text, func(place string) string {
+		m := inCall.FindStringSubmatch(place)
+		if m[1] == "services" {
+			return pick(c.Upsert.Services, m[2], "service", place)
+		}
+		if i, _ := strconv.Atoi(m[2]); m[3] != "" && i < len(c.Upsert.Domains) {
+			return pick(c.Upsert.Domains[i].HostRoutes, m[3], "route", place)
+		}
+		return place
+	})
+}
+
 func invalid(format string, args ...any) error {
 	return errata.New(errata.InvalidConfig, format, args...)
 }
@@ -197,7 +230,7 @@
 // is checked by Apply.
 func Read(body []byte) (*Change, error) {
 	if err := charter.Validate(schema(), body); err != nil {
-		return nil, invalid("%v", err)
+		return nil, invalid("%s", named(body, err.Error()))
 	}
 	var c call
 	if err := json.Unmarshal(body, &c); err != nil {
@@ -336,7 +369,7 @@
 		}
 		place := r.Host + " " + r.PathPrefix
 		if other, ok := places[place]; ok {
-			return invalid("route %s: pathPrefix: same host and prefix as route %s", r.Name, other)
+			return invalid("routes %s and %s: pathPrefix: same host and prefix", other, r.Name)
 		}
 		places[place] = r.Name
 	}
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 
 	"madderwing/internal/errata"
@@ -63,6 +64,8 @@
 		"service in use":    `{"remove":{"services":[{"name":"a","generation":9}]}}`,
 		"valid and invalid": patch("", route("n", "/n/", "a", 9)+","+route("m", "/m/", "nowhere", 9), ""),
 	}
+	naming := map[string]string{"unknown service": "route n: target", "bare prefix": "route n.pathPrefix", "odd kind": "route n.routeKind",
+		"same place": "routes n and r: pathPrefix", "no weight": "route n: split", "no time-out": "route n.deadlineS", "named twice": "route/n"}
 	for name, body := range cases {
 		t.Run(name, func(t *testing.T) {
 			have := start(t)
@@ -72,6 +75,9 @@
 			if !errors.As(err, &e) || e.Kind != errata.InvalidConfig || e.Detail == "" {
 				t.Fatalf("got %v", err)
 			}
+			if want := naming[name]; !strings.Contains(e.Detail, want) {
+				t.Fatalf("%q does not name %q", e.Detail, want)
+			}
 			if fmt.Sprint(have) != before {
 				t.Fatal("part of an invalid call took effect")
 			}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"io"
 	"log"
 	"os"
 	"path/filepath"
@@ -323,5 +322,3 @@
 	}
 	return string(k), v, len(b) - len(r)
 }
-
-var _ io.Closer = (*Ledger)(nil)
