--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -301,9 +301,6 @@
 	case r.StatusCode < 300 && r.Header.Get(hSeal) == "":
 		f.finish(g, res, accession.Failing)
 		return repeatable, errata.New(errata.Unsealed, "%s", x.service)
-	case r.StatusCode >= 500 && r.StatusCode != http.StatusGatewayTimeout && repeatable && x.canRepeat():
-		f.finish(g, res, accession.Served)
-		return true, errata.New(errata.Broken, "%s answered %d", x.service, r.StatusCode)
 	case promises(r.StatusCode):
 		// These would promise that the request has not run, which is not known.
 		f.finish(g, res, accession.Served)
@@ -316,9 +313,6 @@
 	return false, nil
 }
 
-// canRepeat says whether the body is still at hand.
-func (x *Exchange) canRepeat() bool { return x.begun == nil }
-
 func promises(status int) bool {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
