--- /dev/null
+++ b/internal/catalogue/scale_test.go
@@ -0,0 +1,66 @@
+package catalogue
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// many makes a catalogue of n routes over n/10 hosts and n/20 services.
+func many(tb testing.TB, n int) map[string]Record {
+	var services, domains []string
+	for i := 0; i < max(1, n/20); i++ {
+		services = append(services, fmt.Sprintf(`{"name":"s%d","generation":1,"maxConns":100}`, i))
+	}
+	for h := 0; h < max(1, n/10); h++ {
+		var routes []string
+		for i := h * 10; i < min(n, h*10+10); i++ {
+			routes = append(routes, route(fmt.Sprintf("r%d", i), fmt.Sprintf("/p%d/", i), fmt.Sprintf("s%d", i%len(services)), 1))
+		}
+		domains = append(domains, fmt.Sprintf(`{"authority":"h%d.example","hostRoutes":[%s]}`, h, strings.Join(routes, ",")))
+	}
+	c, err := Read([]byte(fmt.Sprintf(`{"upsert":{"services":[%s],"domains":[%s]}}`, strings.Join(services, ","), strings.Join(domains, ","))))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	have := map[string]Record{}
+	changes, err := c.Apply(have)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	for _, r := range changes {
+		have[r.Name] = r
+	}
+	return have
+}
+
+func BenchmarkOneChange(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		have := many(b, n)
+		c, err := Read([]byte(patch("", route("r1", "/p1/", "s1", 2), "")))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("checked/%d", n), func(b *testing.B) {
+			for i := 0; i < b.N; i++ {
+				if _, err := c.Apply(have); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("listed/%d", n), func(b *testing.B) {
+			for i := 0; i < b.N; i++ {
+				if len(Routes(have)) != n {
+					b.Fatal("routes are missing")
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("tabled/%d", n), func(b *testing.B) {
+			builder := &Builder{}
+			builder.Build(have)
+			for i := 0; i < b.N; i++ {
+				builder.Build(have)
+			}
+		})
+	}
+}
