--- a/internal/accession/accession_test.go
+++ b/internal/accession/accession_test.go
@@ -94,12 +94,61 @@
 		}
 	}
 	for id, n := range counts {
-		if n > 6 {
+		if n > 3 || n > 1 && !s.ups[id].home {
 			t.Errorf("%s has %d requests", id, n)
 		}
 	}
 }
 
+func TestZonesBorrowByLoad(t *testing.T) {
+	zones := map[string]bool{"n": true, "s": true, "e": true}
+	cases := []struct {
+		name  string
+		ups   map[string]int // zone -> upstreams of 3 slots
+		loads map[string]float64
+		want  map[string]int // zone -> upstreams it uses as its own
+	}{
+		{"calm: nobody borrows", map[string]int{"n": 4, "s": 4, "e": 2}, map[string]float64{"n": 3, "s": 3, "e": 3}, map[string]int{"n": 4, "s": 4, "e": 2}},
+		{"one pressed zone borrows from the idlest", map[string]int{"n": 6, "s": 6, "e": 2}, map[string]float64{"n": 9, "s": 3, "e": 6}, map[string]int{"n": 6, "s": 4, "e": 4}},
+		{"a zone without upstreams", map[string]int{"n": 6, "s": 6}, map[string]float64{"n": 6, "s": 6, "e": 6}, map[string]int{"n": 4, "s": 4, "e": 4}},
+		{"all pressed alike", map[string]int{"n": 2, "s": 2, "e": 2}, map[string]float64{"n": 6, "s": 6, "e": 6}, map[string]int{"n": 2, "s": 2, "e": 2}},
+		{"no loads known", map[string]int{"n": 2, "s": 5}, nil, map[string]int{"n": 2, "s": 5}},
+		{"the last one is not lent", map[string]int{"n": 1, "s": 1}, map[string]float64{"n": 0.1, "s": 9}, map[string]int{"n": 1, "s": 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var ups []*Upstream
+			for zone, n := range c.ups {
+				for _, i := range list(n, zone, 0) {
+					ups = append(ups, &Upstream{Instance: i})
+				}
+			}
+			loads := Loads{}
+			for zone, n := range c.loads {
+				loads[zone] = map[string]float64{"a": n}
+			}
+			plan := lend("a", ups, loads, zones)
+			got := map[string]int{}
+			for _, u := range ups {
+				if z, ok := plan[u.ID]; ok {
+					got[z]++
+				} else {
+					got[u.Zone]++
+				}
+			}
+			if fmt.Sprint(got) != fmt.Sprint(c.want) {
+				t.Fatalf("used as own: %v, want %v", got, c.want)
+			}
+			for i := 0; i < 5; i++ { // every desk comes to the same plan
+				rand.New(rand.NewSource(int64(i))).Shuffle(len(ups), func(a, b int) { ups[a], ups[b] = ups[b], ups[a] })
+				if again := lend("a", ups, loads, zones); fmt.Sprint(again) != fmt.Sprint(plan) {
+					t.Fatalf("plans differ: %v and %v", again, plan)
+				}
+			}
+		})
+	}
+}
+
 func TestHomesAreSharedOutEvenlyAndOnce(t *testing.T) {
 	ds, sh := desks("z")
 	owners := map[string]int{}
--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -1,6 +1,7 @@
 package accession
 
 import (
+	"maps"
 	"math"
 	"net"
 	"sort"
@@ -47,7 +48,8 @@
 	pace     Pace
 	sender   bool // this desk may send to it while it is cold
 	senders  int
-	home     bool // this desk is the one of its zone that uses it first
+	home     bool   // this desk is the one of its zone that uses it first
+	zone     string // the zone that uses it as its own
 	rank     uint64
 	limit    int
 	gone     bool
@@ -98,7 +100,8 @@
 	budget  Budget
 	waiting []*Claim
 	slots   int // of the upstreams that this desk uses first
-	all     int
+	load    float64
+	lent    map[string]string // upstream -> the zone that uses it as its own
 }
 
 // Stock is the table of upstreams on one desk. One goroutine owns it.
@@ -111,6 +114,8 @@
 	desks     []register.Node
 	shards    map[string]int
 	bound     map[string]int // service -> shard whose desks hold its slack
+	loads     Loads
+	loadAt    time.Duration
 	seq       uint64
 	known     bool
 
@@ -232,7 +237,7 @@
 		zones[d.Zone] = append(zones[d.Zone], d.Address)
 	}
 	for _, v := range s.services {
-		v.ups, v.slots, v.all = v.ups[:0], 0, 0
+		v.ups, v.slots = v.ups[:0], 0
 	}
 	ids := make([]string, 0, len(s.ups))
 	for id := range s.ups {
@@ -248,10 +253,6 @@
 			continue
 		}
 		v.ups = append(v.ups, u)
-		v.all += u.Capacity
-		if u.Zone == s.cfg.Zone {
-			local[u.Service] = append(local[u.Service], id)
-		}
 		// A cold upstream is sent to by a few desks of the shard that has its
 		// service, of its own zone if there are any.
 		near := zones[u.Zone]
@@ -274,13 +275,20 @@
 		for _, d := range few {
 			u.sender = u.sender || d == s.cfg.Self
 		}
-		conns := v.info.MaxConns
-		if conns == 0 {
-			conns = 64
-		}
-		u.limit = max(1, min(u.Capacity+max(2, u.Capacity), conns/max(1, len(all)+2)))
 	}
 	defer s.prove()
+	for name, v := range s.services {
+		v.lent = s.lend(v)
+		for _, u := range v.ups {
+			u.zone = u.Zone
+			if z, ok := v.lent[u.ID]; ok {
+				u.zone = z
+			}
+			if u.zone == s.cfg.Zone {
+				local[name] = append(local[name], u.ID)
+			}
+		}
+	}
 	for name, list := range local {
 		// Each upstream of the zone goes to the desk of highest weight that has
 		// not yet got its even share.
@@ -301,8 +309,71 @@
 			}
 		}
 	}
+	// The desk that uses an upstream first may fill its slots; the others
+	// together may make it queue a little. Connections are shared out evenly,
+	// with room for two desks that are not known here.
+	for _, v := range s.services {
+		conns := v.info.MaxConns
+		if conns == 0 {
+			conns = 64
+		}
+		for _, u := range v.ups {
+			u.limit = max(1, u.Capacity/6)
+			if u.home {
+				u.limit = u.Capacity
+			}
+			u.limit = max(1, min(u.limit, conns/(len(all)+2)))
+		}
+	}
 }
 
+func (s *Stock) lend(v *service) map[string]string {
+	zones := map[string]bool{s.cfg.Zone: true}
+	for _, d := range s.desks {
+		zones[d.Zone] = true
+	}
+	return lend(v.name, v.ups, s.loads, zones)
+}
+
+// SetLoads takes the loads of all zones.
+func (s *Stock) SetLoads(now time.Duration, loads Loads) {
+	s.loads = loads
+	for _, v := range s.services {
+		if !maps.Equal(s.lend(v), v.lent) {
+			s.assign()
+			s.serveAll(now)
+			return
+		}
+	}
+}
+
+// Loads are this desk's own.
+func (s *Stock) Loads() map[string]float64 {
+	out := map[string]float64{}
+	for name, v := range s.services {
+		if v.load > 0.05 {
+			out[name] = math.Round(v.load*10) / 10
+		}
+	}
+	return out
+}
+
+// average brings the services' loads up to date.
+func (s *Stock) average(now time.Duration) {
+	part := 1 - math.Exp(-(now-s.loadAt).Seconds()/loadSpan.Seconds())
+	s.loadAt = now
+	for _, v := range s.services {
+		busy := len(v.waiting)
+		for _, u := range v.ups {
+			busy += u.Busy
+		}
+		v.load += (float64(busy) - v.load) * part
+	}
+}
+
+// loadSpan is the time over which loads are averaged: some requests long.
+const loadSpan = 1500 * time.Millisecond
+
 // prove opens a first connection to the upstreams that this desk uses first, so
 // that no request has to find out whether they are there.
 func (s *Stock) prove() {
@@ -328,7 +399,7 @@
 	load := float64(u.Busy)
 	switch {
 	case u.home:
-	case u.Zone == s.cfg.Zone:
+	case u.zone == s.cfg.Zone:
 		load += slots * 0.84
 	default:
 		load += slots * 0.93
@@ -579,6 +650,7 @@
 // the pace of cold ones. It says when it wants to be called again; 0: when
 // something happens.
 func (s *Stock) Tick(now time.Duration) {
+	s.average(now)
 	for _, v := range s.services {
 		for _, u := range v.ups {
 			if u.until > 0 && now >= u.until && !u.trying && !u.gone {
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -69,6 +69,8 @@
 	shelf     shelving.Scheduler
 	lookAgain bool
 	life      uint64
+	loads     accession.Loads
+	told      map[string]toldLoads // by other archives
 
 	rosterTold string
 
@@ -80,6 +82,11 @@
 	log   struct{ archive, stacks, ledger, rota, shelving, accession, register, control *log.Logger }
 }
 
+type toldLoads struct {
+	at    time.Duration
+	loads accession.Loads
+}
+
 // Stats are counters that status shows.
 type Stats struct {
 	Orders, Refused, NoQuorum, Polls, PollErrors atomic.Uint64
@@ -94,7 +101,7 @@
 // Run serves until ctx ends, then leaves in order.
 func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
 	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
-		writes: make(chan writeJob, 1024), shown: map[string]conservation.Record{}}
+		writes: make(chan writeJob, 1024), shown: map[string]conservation.Record{}, told: map[string]toldLoads{}}
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	a.log.archive, a.log.stacks, a.log.ledger, a.log.rota = logger("archive"), logger("stacks"), logger("ledger"), logger("rota")
 	a.log.shelving, a.log.accession, a.log.register, a.log.control = logger("shelving"), logger("accession"), logger("register"), logger("control")
@@ -210,7 +217,7 @@
 	defer tick.Stop()
 	var pollAt time.Duration
 	every := charter.Seconds(a.set.Bounds.DrainS / 5)
-	var watchAt, lookAt time.Duration
+	var watchAt, lookAt, loadsAt time.Duration
 	for {
 		var fn func(time.Duration)
 		select {
@@ -235,6 +242,10 @@
 						a.post.Send(h, feed.WatchKind, feed.Watch{Listing: a.stand.Version})
 					}
 				}
+				if now >= loadsAt {
+					loadsAt = now + beat
+					a.tellLoads(now)
+				}
 				if now >= lookAt {
 					lookAt = now + 2*beat
 					a.lookAgain = true
@@ -340,6 +351,24 @@
 	return changed
 }
 
+// tellLoads passes the loads of those who watch this archive on to the others,
+// and adds up what they have told.
+func (a *Archive) tellLoads(now time.Duration) {
+	mine := a.watchers.Loads(now)
+	a.loads = accession.Loads{}
+	a.loads.Add(mine)
+	for _, id := range a.member.Roster() {
+		if id != a.post.Self() {
+			if len(mine) > 0 {
+				a.post.Toss(id, feed.LoadsKind, mine)
+			}
+			if told, ok := a.told[id]; ok && now-told.at < a.watchers.Forget {
+				a.loads.Add(told.loads)
+			}
+		}
+	}
+}
+
 // issue sends every watcher what it lacks.
 func (a *Archive) issue(now time.Duration) {
 	a.watchers.Each(now, func(to string, has feed.Watch) feed.Watch {
@@ -367,6 +396,9 @@
 		out.Listing = l
 		has.Listing = l.Version
 	}
+	if always {
+		out.Loads = a.loads
+	}
 	if always || !out.Empty() {
 		a.post.Send(to, feed.IssueKind, out)
 	}
@@ -427,6 +459,15 @@
 		})
 		return nil, nil
 	})
+	a.post.Handle(feed.LoadsKind, func(from string, body []byte) (any, error) {
+		var l accession.Loads
+		if cbor.Unmarshal(body, &l) != nil {
+			a.post.Undecoded.Add(1)
+			return nil, nil
+		}
+		a.offer(func(now time.Duration) { a.told[from] = toldLoads{now, l} })
+		return nil, nil
+	})
 	a.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
 		var o order
 		if err := cbor.Unmarshal(body, &o); err != nil {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -50,6 +50,7 @@
 	stand    accession.Stand
 	sources  feed.Sources
 	shard    int
+	load     map[string]float64
 	ready    readiness
 }
 
@@ -158,9 +159,20 @@
 	hurried := true
 	watch := func(now time.Duration) {
 		sums := d.sums
-		for _, a := range d.sources.Choose(now, d.reg.List().Live(register.Control)) {
-			d.post.Send(a, feed.WatchKind, feed.Watch{Sums: &sums, Listing: d.stand.Version})
+		for i, a := range d.sources.Choose(now, d.reg.List().Live(register.Control)) {
+			w := feed.Watch{Sums: &sums, Listing: d.stand.Version}
+			if i == 0 {
+				w.Zone, w.Load = d.set.Zone, d.load
+			}
+			d.post.Send(a, feed.WatchKind, w)
 		}
+		d.floor.Do(func(_ time.Duration, s *accession.Stock) {
+			load := s.Loads()
+			select {
+			case d.commands <- func(time.Duration) { d.load = load }:
+			default: // the next beat brings newer ones
+			}
+		})
 	}
 	watch(0)
 	for {
@@ -185,6 +197,9 @@
 		d.sums = conservation.Digest(d.items)
 		d.apply()
 	}
+	if len(i.Loads) > 0 && d.sources.First() == from {
+		d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetLoads(now, i.Loads) })
+	}
 	if i.Listing != nil && d.stand.Take(now, *i.Listing) {
 		list := d.stand.All(now)
 		d.log.Printf("list %d.%d has %d upstreams.", d.stand.Version.Term, d.stand.Version.Seq, len(list))
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,6 +15,7 @@
 
 // Kinds of message.
 const (
+	LoadsKind = "loads" // between archives: the loads of those who watch one
 	WatchKind = "watch"
 	IssueKind = "issue"
 )
@@ -23,6 +24,10 @@
 type Watch struct {
 	Sums    *conservation.Sums `cbor:"1,keyasint,omitempty"` // nil: only the list is wanted
 	Listing accession.Version  `cbor:"2,keyasint"`
+	// Zone and Load are the sender's zone and requests under way by service. A
+	// desk tells them to one archive only.
+	Zone string             `cbor:"3,keyasint,omitempty"`
+	Load map[string]float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Issue is what an archive sends.
@@ -31,6 +36,8 @@
 	Listing *accession.Listing    `cbor:"2,keyasint,omitempty"`
 	// Fresh says that the archive is in touch with the owner of the catalogue.
 	Fresh bool `cbor:"3,keyasint,omitempty"`
+	// Loads are those of all zones, as far as the archive knows.
+	Loads accession.Loads `cbor:"4,keyasint,omitempty"`
 }
 
 // Empty says whether an issue brings nothing.
@@ -72,6 +79,17 @@
 	}
 }
 
+// Loads adds up what the watchers have told of their loads.
+func (w *Watchers) Loads(now time.Duration) accession.Loads {
+	out := accession.Loads{}
+	for _, x := range w.all {
+		if now-x.seen <= w.Forget && x.watch.Zone != "" {
+			out.Add(accession.Loads{x.watch.Zone: x.watch.Load})
+		}
+	}
+	return out
+}
+
 // Count is the number of watchers.
 func (w *Watchers) Count() int { return len(w.all) }
 
@@ -104,6 +122,14 @@
 	}
 }
 
+// First is the archive that the desk watches first.
+func (s *Sources) First() string {
+	if len(s.current) == 0 {
+		return ""
+	}
+	return s.current[0]
+}
+
 // Choose names the archives to watch now.
 func (s *Sources) Choose(now time.Duration, archives []register.Node) []string {
 	s.init()
