Ten thousand routes: bindings in batches, routes read once, no panic on late answers

Cause, found by trying it on three nodes: the scheduler sent 10,000 bindings at once and the post ran over; every change read all routes anew; a late answer after the duty was lost hit a reset scheduler (panic).

--- a/cmd/madderwing/commands.go
+++ b/cmd/madderwing/commands.go
@@ -191,7 +191,7 @@
 			}
 			change, err := catalogue.Read(text)
 			if err == nil {
-				_, err = change.Apply(map[string]catalogue.Record{})
+				_, err = change.Apply(map[string]catalogue.Record{}, &catalogue.Reader{})
 			}
 			if err != nil {
 				return usage(fmt.Errorf("%s: %w", args[0], err))
--- a/internal/archive/admin.go
+++ b/internal/archive/admin.go
@@ -101,14 +101,14 @@
 	for _, v := range a.member.Views(now) {
 		o.Keys = append(o.Keys, Key{v.Key, v.Owner, v.Epoch, v.Seq, v.Commit, v.Records})
 	}
-	for _, r := range catalogue.Routes(a.shown) {
+	for _, r := range a.routes.List(a.shown.Records) {
 		o.Routes = append(o.Routes, RouteState{r.Name, r.Host, r.PathPrefix, r.Targets(), r.Generation, r.Status.Phase, r.Status.Shard})
 		if r.Status.Shard >= 0 && r.Status.Shard < len(shards) {
 			shards[r.Status.Shard].Routes++
 		}
 	}
 	o.Shards = append(o.Shards, shards...)
-	for name, r := range a.shown {
+	for name, r := range a.shown.Records {
 		if strings.HasPrefix(name, catalogue.EvacuationPrefix) && !r.Dropped {
 			o.Evacuations = append(o.Evacuations, name[len(catalogue.EvacuationPrefix):])
 		}
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -38,6 +38,9 @@
 	orderKind  = "order"
 )
 
+// issueMax is about how many bytes of items are sent to a watcher at once.
+const issueMax = 1 << 20
+
 // The duties.
 const (
 	dutyList  = "list"
@@ -62,8 +65,8 @@
 	// Owned by the pump's goroutine.
 	member    *stacks.Member
 	rota      *rota.Rota
-	shown     map[string]conservation.Record
-	sums      conservation.Sums
+	shown     *conservation.Set
+	routes    catalogue.Reader
 	stand     accession.Stand
 	watchers  feed.Watchers
 	shelf     shelving.Scheduler
@@ -101,7 +104,7 @@
 // Run serves until ctx ends, then leaves in order.
 func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
 	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
-		writes: make(chan writeJob, 1024), shown: map[string]conservation.Record{}, told: map[string]toldLoads{}}
+		writes: make(chan writeJob, 1024), shown: conservation.NewSet(), told: map[string]toldLoads{}}
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	a.log.archive, a.log.stacks, a.log.ledger, a.log.rota = logger("archive"), logger("stacks"), logger("ledger"), logger("rota")
 	a.log.shelving, a.log.accession, a.log.register, a.log.control = logger("shelving"), logger("accession"), logger("register"), logger("control")
@@ -217,7 +220,7 @@
 	defer tick.Stop()
 	var pollAt time.Duration
 	every := charter.Seconds(a.set.Bounds.DrainS / 5)
-	var watchAt, lookAt, loadsAt time.Duration
+	var watchAt, loadsAt time.Duration
 	for {
 		var fn func(time.Duration)
 		select {
@@ -246,10 +249,7 @@
 					loadsAt = now + beat
 					a.tellLoads(now)
 				}
-				if now >= lookAt {
-					lookAt = now + 2*beat
-					a.lookAgain = true
-				}
+				a.lookAgain = a.lookAgain || a.shelf.Due(now)
 			}
 		case <-stop:
 			close(a.writes)
@@ -317,7 +317,7 @@
 		if a.lookAgain {
 			a.lookAgain = false
 			if _, mine := a.rota.Holds(now, dutyShelf); mine {
-				a.shelf.Reconcile(now, catalogue.Routes(a.shown), a.shards(), func() { a.lookAgain = true })
+				a.shelf.Reconcile(now, a.routes.List(a.shown.Records), a.shards(), func() { a.lookAgain = true })
 				again = true
 			}
 		}
@@ -339,12 +339,8 @@
 	}
 	changed := false
 	for _, r := range records {
-		if old, have := a.shown[r.Name]; !have || r.Newer(old) {
-			if have {
-				a.sums[conservation.RangeOf(r.Name)] ^= old.Sum()
-			}
-			a.sums[conservation.RangeOf(r.Name)] ^= r.Sum()
-			a.shown[r.Name] = r
+		if old, have := a.shown.Records[r.Name]; !have || r.Newer(old) {
+			a.shown.Put(r)
 			changed = true
 		}
 	}
@@ -386,11 +382,19 @@
 func (a *Archive) issueTo(now time.Duration, to string, has feed.Watch, always bool) feed.Watch {
 	out := feed.Issue{Fresh: a.member.Owner(now, catalogue.Key) != ""}
 	if has.Sums != nil {
-		if diff := conservation.Diff(*has.Sums, a.sums); len(diff) > 0 {
-			out.Records = conservation.Pick(a.shown, diff)
+		if diff := conservation.Diff(*has.Sums, a.shown.Sums); len(diff) > 0 {
+			// A large difference goes a few ranges at a time; the watcher says
+			// again what it has.
+			sums := *has.Sums
+			for i, size := 0, 0; i < len(diff) && size < issueMax; i++ {
+				for _, r := range a.shown.Pick(diff[i : i+1]) {
+					size += len(r.Data)
+					out.Records = append(out.Records, r)
+				}
+				sums[diff[i]] = a.shown.Sums[diff[i]]
+			}
+			has.Sums = &sums
 		}
-		sums := a.sums
-		has.Sums = &sums
 	}
 	if l := a.stand.Since(now, has.Listing); l != nil {
 		out.Listing = l
@@ -590,16 +594,24 @@
 	return shelving.Shards(a.opt.Shards, zones)
 }
 
-// bind creates a binding at the owner of the catalogue.
-func (a *Archive) bind(b catalogue.RouteBinding, sawRev uint64, done func(error)) {
+// bind creates bindings at the owner of the catalogue.
+func (a *Archive) bind(orders []shelving.Order, done func([]error)) {
 	go func() {
-		_, err := a.submit(order{Key: catalogue.Key, Bind: &bindOrder{b, sawRev}})
-		if err != nil && errata.KindOf(err) != errata.Conflict {
-			a.log.shelving.Printf("route %s not bound: %v.", b.Route, err)
+		answer, err := a.submit(order{Key: catalogue.Key, Bind: orders})
+		var refused []bool
+		if err == nil {
+			err = cbor.Unmarshal(answer, &refused)
 		}
-		a.do(func(time.Duration) {
-			done(err)
-			a.lookAgain = a.lookAgain || err != nil
-		})
+		if err != nil {
+			a.log.shelving.Printf("%d routes not bound: %v.", len(orders), err)
+		}
+		errs := make([]error, len(orders))
+		for i := range orders {
+			errs[i] = err
+			if err == nil && i < len(refused) && refused[i] {
+				errs[i] = errata.New(errata.Conflict, "route %s", orders[i].Binding.Route)
+			}
+		}
+		a.do(func(time.Duration) { done(errs) })
 	}()
 }
--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -8,25 +8,23 @@
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"madderwing/internal/catalogue"
 	"madderwing/internal/charter"
 	"madderwing/internal/errata"
+	"madderwing/internal/shelving"
 	"madderwing/internal/stacks"
 )
 
 // order is what is asked of the owner of a key; one of the fields is set
 // beside Key.
 type order struct {
-	Key      string     `cbor:"1,keyasint"`
-	Patch    []byte     `cbor:"2,keyasint,omitempty"`
-	Evacuate *bool      `cbor:"3,keyasint,omitempty"`
-	Bind     *bindOrder `cbor:"4,keyasint,omitempty"`
-	Read     bool       `cbor:"5,keyasint,omitempty"`
-}
-
-type bindOrder struct {
-	Binding catalogue.RouteBinding `cbor:"1,keyasint"`
-	SawRev  uint64                 `cbor:"2,keyasint"`
+	Key      string           `cbor:"1,keyasint"`
+	Patch    []byte           `cbor:"2,keyasint,omitempty"`
+	Evacuate *bool            `cbor:"3,keyasint,omitempty"`
+	Bind     []shelving.Order `cbor:"4,keyasint,omitempty"`
+	Read     bool             `cbor:"5,keyasint,omitempty"`
 }
 
 // verdict is the owner's answer.
@@ -49,16 +47,23 @@
 			return fault(err)
 		}
 	}
+	refused := make([]bool, len(o.Bind))
 	done := make(chan verdict, 1)
 	a.do(func(now time.Duration) {
 		a.member.Propose(now, o.Key, func(have map[string]stacks.Record) ([]stacks.Record, error) {
 			switch {
 			case change != nil:
-				return change.Apply(have)
+				return change.Apply(have, &a.routes)
 			case o.Evacuate != nil:
 				return catalogue.Evacuation(have, strings.TrimPrefix(o.Key, catalogue.EvacuationPrefix), *o.Evacuate)
 			case o.Bind != nil:
-				return catalogue.Bind(have, o.Bind.Binding, o.Bind.SawRev)
+				var all []stacks.Record
+				for i, b := range o.Bind {
+					changes, err := catalogue.Bind(have, b.Binding, b.SawRev)
+					refused[i] = err != nil
+					all = append(all, changes...)
+				}
+				return all, nil
 			}
 			return nil, nil
 		}, func(err error) {
@@ -67,6 +72,9 @@
 				return
 			}
 			var v verdict
+			if o.Bind != nil {
+				v.Body, _ = cbor.Marshal(refused)
+			}
 			if o.Read {
 				records, _, _ := a.member.Committed(o.Key)
 				v.Body = catalogue.Render(records)
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -305,7 +305,7 @@
 
 // Apply works out which records a call changes, given those that stand, and
 // checks the whole that would result. It runs at the owner of the catalogue.
-func (c *Change) Apply(have map[string]Record) ([]Record, error) {
+func (c *Change) Apply(have map[string]Record, reader *Reader) ([]Record, error) {
 	var changes []Record
 	at := map[string]int{} // where this call's own changes are
 	for _, r := range append(append([]Record(nil), c.upserts...), c.removals...) {
@@ -333,47 +333,76 @@
 	if len(changes) == 0 {
 		return nil, nil
 	}
-	after := make(map[string]Record, len(have)+len(changes))
-	for n, r := range have {
-		after[n] = r
-	}
-	for _, r := range changes {
-		after[r.Name] = r
-	}
-	if err := check(after); err != nil {
+	if err := check(have, changes, reader); err != nil {
 		return nil, err
 	}
 	return changes, nil
 }
 
-func check(all map[string]Record) error {
-	places := map[string]string{}
-	names := make([]string, 0, len(all))
-	for n := range all {
-		names = append(names, n)
+// MaxBytes is how large a catalogue may grow; it has to fit into one message
+// between archives.
+const MaxBytes = 12 << 20
+
+// recordBytes is about what a record takes in a message beside its name and
+// data.
+const recordBytes = 64
+
+// check checks the whole that results from changes. Of several faults it names
+// the first by name.
+func check(have map[string]Record, changes []Record, reader *Reader) error {
+	changed := make(map[string]Record, len(changes))
+	for _, r := range changes {
+		changed[r.Name] = r
 	}
-	sort.Strings(names)
-	for _, n := range names {
-		rec := all[n]
-		if rec.Dropped || !strings.HasPrefix(n, routePrefix) {
-			continue
+	stands := func(name string) bool {
+		r, ok := changed[name]
+		if !ok {
+			r, ok = have[name]
+		}
+		return ok && !r.Dropped
+	}
+	type place struct{ host, prefix string }
+	places := map[place]string{}
+	size := 0
+	var first error
+	fault := func(format string, args ...any) {
+		if err := invalid(format, args...); first == nil || err.Error() < first.Error() {
+			first = err
 		}
-		r, err := ReadRoute(rec)
+	}
+	look := func(rec Record) {
+		size += len(rec.Data) + len(rec.Name) + recordBytes
+		if rec.Dropped || !strings.HasPrefix(rec.Name, routePrefix) {
+			return
+		}
+		r, err := reader.Route(rec)
 		if err != nil {
-			return invalid("%s: %v", n, err)
+			fault("%s: %v", rec.Name, err)
+			return
 		}
 		for _, t := range r.Targets() {
-			if s, ok := all[servicePrefix+t]; !ok || s.Dropped {
-				return invalid("route %s: target: unknown service %q", r.Name, t)
+			if !stands(servicePrefix + t) {
+				fault("route %s: target: unknown service %q", r.Name, t)
 			}
 		}
-		place := r.Host + " " + r.PathPrefix
-		if other, ok := places[place]; ok {
-			return invalid("routes %s and %s: pathPrefix: same host and prefix", other, r.Name)
+		at := place{r.Host, r.PathPrefix}
+		if other, ok := places[at]; ok {
+			fault("routes %s and %s: pathPrefix: same host and prefix", min(other, r.Name), max(other, r.Name))
+		}
+		places[at] = r.Name
+	}
+	for name, rec := range have {
+		if _, ok := changed[name]; !ok {
+			look(rec)
 		}
-		places[place] = r.Name
 	}
-	return nil
+	for _, rec := range changes {
+		look(rec)
+	}
+	if first == nil && size > MaxBytes {
+		return errata.New(errata.BodyTooLarge, "the configuration would hold %d bytes, more than %d", size, MaxBytes)
+	}
+	return first
 }
 
 // ReadRoute reads a route from its record.
@@ -387,11 +416,39 @@
 	return r, nil
 }
 
-// Routes lists the routes that stand, by name.
-func Routes(have map[string]Record) (out []*Route) {
+// Reader reads each version of a route once. One goroutine owns it.
+type Reader struct{ routes map[string]read }
+
+type read struct {
+	data  []byte
+	route *Route
+}
+
+// Route gives the route of a record.
+func (x *Reader) Route(rec Record) (*Route, error) {
+	// Generations do not do as a mark: what was refused may have carried the
+	// same one.
+	if r, ok := x.routes[rec.Name]; ok && bytes.Equal(r.data, rec.Data) && r.route.Rev == rec.Rev {
+		return r.route, nil
+	}
+	r, err := ReadRoute(rec)
+	if err != nil {
+		return nil, err
+	}
+	if x.routes == nil {
+		x.routes = map[string]read{}
+	}
+	x.routes[rec.Name] = read{rec.Data, r}
+	return r, nil
+}
+
+// List lists the routes that stand, by name, and forgets the others.
+func (x *Reader) List(have map[string]Record) (out []*Route) {
 	for n, rec := range have {
-		if !rec.Dropped && strings.HasPrefix(n, routePrefix) {
-			if r, err := ReadRoute(rec); err == nil {
+		if rec.Dropped {
+			delete(x.routes, n)
+		} else if strings.HasPrefix(n, routePrefix) {
+			if r, err := x.Route(rec); err == nil {
 				out = append(out, r)
 			}
 		}
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	changes, err := c.Apply(have)
+	changes, err := c.Apply(have, &Reader{})
 	for _, r := range changes {
 		have[r.Name] = r
 	}
@@ -104,7 +104,7 @@
 			t.Fatalf("step %d: %v", i, err)
 		}
 		got := ""
-		if routes := Routes(have); len(routes) > 0 {
+		if routes := (&Reader{}).List(have); len(routes) > 0 {
 			got = routes[0].PathPrefix
 		}
 		if got != s.prefix {
@@ -153,7 +153,7 @@
 	if err := apply(t, have, patch("", route("r", "/q/", "a", 20), "")); err != nil {
 		t.Fatal(err)
 	}
-	if s := Routes(have)[0].Status; s != (Status{PhaseScheduled, 1}) {
+	if s := (&Reader{}).List(have)[0].Status; s != (Status{PhaseScheduled, 1}) {
 		t.Fatalf("a change of the route moved it: %+v", s)
 	}
 	if err := apply(t, have, patch("", "", `{"name":"r","generation":21}`)); err != nil {
@@ -165,7 +165,7 @@
 	if err := apply(t, have, patch("", route("r", "/q/", "a", 22), "")); err != nil {
 		t.Fatal(err)
 	}
-	if s := Routes(have)[0].Status; s.Phase != PhaseNew {
+	if s := (&Reader{}).List(have)[0].Status; s.Phase != PhaseNew {
 		t.Fatalf("a new route begins as %+v", s)
 	}
 }
@@ -189,3 +189,30 @@
 		}
 	}
 }
+
+// What was refused must leave no trace, even where the next call uses the same
+// generation.
+func TestARefusedItemIsForgotten(t *testing.T) {
+	have := start(t)
+	reader := &Reader{}
+	apply := func(body string) error {
+		c, err := Read([]byte(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes, err := c.Apply(have, reader)
+		for _, r := range changes {
+			have[r.Name] = r
+		}
+		return err
+	}
+	if err := apply(patch("", route("n", "/p/", "a", 9), "")); err == nil {
+		t.Fatal("two routes at one place")
+	}
+	if err := apply(patch("", route("n", "/n/", "a", 9), "")); err != nil {
+		t.Fatal(err)
+	}
+	if routes := reader.List(have); len(routes) != 2 || routes[0].PathPrefix != "/n/" {
+		t.Fatalf("%+v", routes[0])
+	}
+}
--- a/internal/catalogue/scale_test.go
+++ b/internal/catalogue/scale_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"madderwing/internal/errata"
 )
 
 // many makes a catalogue of n routes over n/10 hosts and n/20 services.
@@ -24,7 +26,7 @@
 		tb.Fatal(err)
 	}
 	have := map[string]Record{}
-	changes, err := c.Apply(have)
+	changes, err := c.Apply(have, &Reader{})
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -34,6 +36,21 @@
 	return have
 }
 
+func TestACatalogueThatOutgrowsItsMessagesIsRefused(t *testing.T) {
+	have := map[string]Record{}
+	for i := 0; i*200 < MaxBytes; i++ {
+		name := fmt.Sprintf("service/s%d", i)
+		have[name] = Record{Name: name, Gen: 1, Data: make([]byte, 200)}
+	}
+	c, err := Read([]byte(patch(fmt.Sprintf(svc, 2), "", "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Apply(have, &Reader{}); errata.KindOf(err) != errata.BodyTooLarge {
+		t.Fatalf("got %v", err)
+	}
+}
+
 func BenchmarkOneChange(b *testing.B) {
 	for _, n := range []int{100, 1000, 10000} {
 		have := many(b, n)
@@ -41,16 +58,18 @@
 		if err != nil {
 			b.Fatal(err)
 		}
+		reader := &Reader{}
+		reader.List(have)
 		b.Run(fmt.Sprintf("checked/%d", n), func(b *testing.B) {
 			for i := 0; i < b.N; i++ {
-				if _, err := c.Apply(have); err != nil {
+				if _, err := c.Apply(have, reader); err != nil {
 					b.Fatal(err)
 				}
 			}
 		})
 		b.Run(fmt.Sprintf("listed/%d", n), func(b *testing.B) {
 			for i := 0; i < b.N; i++ {
-				if len(Routes(have)) != n {
+				if len(reader.List(have)) != n {
 					b.Fatal("routes are missing")
 				}
 			}
--- a/internal/catalogue/table.go
+++ b/internal/catalogue/table.go
@@ -21,15 +21,10 @@
 
 // Builder builds tables and reads each version of an item once.
 type Builder struct {
-	routes   map[string]builtRoute
+	reader   Reader
 	services map[string]builtService
 }
 
-type builtRoute struct {
-	gen, rev uint64
-	route    *Route
-}
-
 type builtService struct {
 	gen     uint64
 	service *Service
@@ -40,8 +35,8 @@
 
 // Build builds the table of a set of records.
 func (b *Builder) Build(have map[string]Record) *Table {
-	if b.routes == nil {
-		b.routes, b.services = map[string]builtRoute{}, map[string]builtService{}
+	if b.services == nil {
+		b.services = map[string]builtService{}
 	}
 	t := &Table{hosts: map[string][]*Route{}, Services: map[string]*Service{}, Limits: defaultLimits,
 		Evacuated: map[string]uint64{}, EvacGens: map[string]uint64{}}
@@ -56,22 +51,17 @@
 		}
 		t.Known = true
 		if rec.Dropped {
-			delete(b.routes, n)
+			delete(b.reader.routes, n)
 			delete(b.services, n)
 			continue
 		}
 		switch {
 		case strings.HasPrefix(n, routePrefix):
-			built, ok := b.routes[n]
-			if !ok || built.gen != rec.Gen || built.rev != rec.Rev {
-				r, err := ReadRoute(rec)
-				if err != nil {
-					continue
-				}
-				built = builtRoute{rec.Gen, rec.Rev, r}
-				b.routes[n] = built
+			r, err := b.reader.Route(rec)
+			if err != nil {
+				continue
 			}
-			t.hosts[built.route.Host] = append(t.hosts[built.route.Host], built.route)
+			t.hosts[r.Host] = append(t.hosts[r.Host], r)
 			t.RouteCount++
 		case strings.HasPrefix(n, servicePrefix):
 			built, ok := b.services[n]
--- a/internal/circulation/circulation_test.go
+++ b/internal/circulation/circulation_test.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	changes, err := c.Apply(nil)
+	changes, err := c.Apply(nil, &catalogue.Reader{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/conservation/conservation.go
+++ b/internal/conservation/conservation.go
@@ -61,6 +61,46 @@
 	return s
 }
 
+// Set is a set of records with its digest, which is kept up to date with every
+// change instead of being worked out anew.
+type Set struct {
+	Records map[string]Record
+	Sums    Sums
+}
+
+// NewSet makes an empty set.
+func NewSet() *Set { return &Set{Records: map[string]Record{}} }
+
+// Put adds or replaces a record.
+func (s *Set) Put(r Record) {
+	s.Remove(r.Name)
+	s.Records[r.Name] = r
+	s.Sums[RangeOf(r.Name)] ^= r.Sum()
+}
+
+// Remove removes a record, if it is there.
+func (s *Set) Remove(name string) {
+	if old, ok := s.Records[name]; ok {
+		s.Sums[RangeOf(name)] ^= old.Sum()
+		delete(s.Records, name)
+	}
+}
+
+// Merge takes over every record that is newer than what the set holds, and
+// says whether there was any.
+func (s *Set) Merge(from []Record) (changed bool) {
+	for _, r := range from {
+		if have, ok := s.Records[r.Name]; !ok || r.Newer(have) {
+			s.Put(r)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Pick lists the records of some ranges, by name.
+func (s *Set) Pick(ranges []int) []Record { return Pick(s.Records, ranges) }
+
 // Diff names the ranges in which two digests differ.
 func Diff(a, b Sums) (ranges []int) {
 	for i := range a {
@@ -85,15 +125,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
-
-// Merge takes over every record that is newer than what the set holds and
-// lists those that it took.
-func Merge(set map[string]Record, from []Record) (taken []Record) {
-	for _, r := range from {
-		if have, ok := set[r.Name]; !ok || r.Newer(have) {
-			set[r.Name] = r
-			taken = append(taken, r)
-		}
-	}
-	return taken
-}
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	maxFrame  = 16 << 20 // a frame above this is taken for garbage
+	maxFrame  = 48 << 20 // a frame above this is taken for garbage
 	maxPacket = 1400     // a datagram above this goes over TCP instead
 	queueLen  = 256      // frames that may wait for one peer
 )
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -44,8 +44,7 @@
 	// Owned by the reader's goroutine.
 	commands chan func(now time.Duration)
 	start    time.Time
-	items    map[string]conservation.Record
-	sums     conservation.Sums
+	items    *conservation.Set
 	builder  catalogue.Builder
 	stand    accession.Stand
 	sources  feed.Sources
@@ -59,7 +58,7 @@
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	beat := set.Beat()
 	d := &Desk{set: set, opt: opt, log: logger("desk"), commands: make(chan func(time.Duration), 256), start: time.Now(),
-		items: map[string]conservation.Record{}, shard: -1}
+		items: conservation.NewSet(), shard: -1}
 	patience := charter.Seconds(set.Bounds.ContactS / 10)
 	post, err := courier.New(set.DeskAddress(set.IP), beat, logger("courier"))
 	if err != nil {
@@ -158,7 +157,7 @@
 	defer tick.Stop()
 	hurried := true
 	watch := func(now time.Duration) {
-		sums := d.sums
+		sums := d.items.Sums
 		for i, a := range d.sources.Choose(now, d.reg.List().Live(register.Control)) {
 			w := feed.Watch{Sums: &sums, Listing: d.stand.Version}
 			if i == 0 {
@@ -193,8 +192,7 @@
 
 func (d *Desk) take(now time.Duration, from string, i feed.Issue) {
 	d.sources.Heard(now, from, i.Fresh)
-	if old := conservation.Merge(d.items, i.Records); len(old) > 0 {
-		d.sums = conservation.Digest(d.items)
+	if d.items.Merge(i.Records) {
 		d.apply()
 	}
 	if len(i.Loads) > 0 && d.sources.First() == from {
@@ -210,7 +208,7 @@
 
 // apply puts the items that are known now in force.
 func (d *Desk) apply() {
-	t := d.builder.Build(d.items)
+	t := d.builder.Build(d.items.Records)
 	infos := map[string]accession.ServiceInfo{}
 	for name, s := range t.Services {
 		infos[name] = accession.ServiceInfo{MaxConns: s.MaxConns, WarmupS: s.WarmupS, WarmupPerS: s.WarmupPerS}
--- a/internal/shelving/shelving.go
+++ b/internal/shelving/shelving.go
@@ -43,8 +43,19 @@
 	return Shard{}, ErrNoShard
 }
 
-// Create carries a binding to the owner of the catalogue.
-type Create func(b catalogue.RouteBinding, sawRev uint64, done func(error))
+// Order is a binding that is to be created, on the condition that the route is
+// still at the revision that the scheduler saw.
+type Order struct {
+	Binding catalogue.RouteBinding `cbor:"1,keyasint"`
+	SawRev  uint64                 `cbor:"2,keyasint"`
+}
+
+// Create carries orders to the owner of the catalogue. done gets an error for
+// each of them, on the scheduler's goroutine.
+type Create func(orders []Order, done func(errs []error))
+
+// Batch is how many bindings are created in one step.
+const Batch = 256
 
 // Scheduler is the reconciler. One goroutine owns it.
 type Scheduler struct {
@@ -54,9 +65,11 @@
 	Create   Create
 
 	relistAt time.Duration
-	seen     map[string]uint64        // route -> revision that was dealt with
-	trying   map[string]bool          // a binding is on its way
-	notUntil map[string]time.Duration // a pause after an error
+	seen     map[string]uint64 // route -> revision that a binding has given it
+	trying   bool              // a batch is on its way
+	more     bool              // routes were left over for the next batch
+	tenure   int               // counts how often the duty changed hands
+	notUntil map[string]time.Duration
 	Bound    uint64
 	Errors   uint64
 }
@@ -81,59 +94,101 @@
 }
 
 // Reconcile looks at the routes after a change, or at all of them when a
-// relist is due.
+// relist is due. again is called when it should be called once more.
 func (s *Scheduler) Reconcile(now time.Duration, routes []*catalogue.Route, shards []Shard, again func()) {
-	if s.trying == nil {
-		s.trying, s.notUntil, s.seen = map[string]bool{}, map[string]time.Duration{}, map[string]uint64{}
+	if s.notUntil == nil {
+		s.notUntil, s.seen = map[string]time.Duration{}, map[string]uint64{}
 	}
 	if now >= s.relistAt {
 		s.relistAt = now + s.Relist
 		s.seen = map[string]uint64{}
 	}
+	if s.trying {
+		s.more = true
+		return
+	}
+	s.more = false
 	standing := map[string]bool{}
+	var batch []Order
 	for _, r := range routes {
 		standing[r.Name] = true
 		if !Unscheduled(r, shards) {
 			delete(s.notUntil, r.Name)
+			delete(s.seen, r.Name)
 			continue
 		}
-		if s.trying[r.Name] || now < s.notUntil[r.Name] {
+		if now < s.notUntil[r.Name] {
 			continue
 		}
-		if rev, ok := s.seen[r.Name]; ok && rev == r.Rev+1 {
+		if rev, ok := s.seen[r.Name]; ok && rev > r.Rev {
 			continue // bound; the copy here has yet to show it
 		}
+		if len(batch) == Batch {
+			s.more = true
+			break
+		}
 		shard, err := s.Strategy.Schedule(r, shards)
 		if err != nil {
 			s.Errors++
 			s.notUntil[r.Name] = now + s.Pause
 			continue
 		}
-		name, rev := r.Name, r.Rev
-		s.trying[name] = true
-		s.Create(catalogue.RouteBinding{Route: name, Shard: shard.Label}, rev, func(err error) {
-			delete(s.trying, name)
-			if err != nil {
+		batch = append(batch, Order{catalogue.RouteBinding{Route: r.Name, Shard: shard.Label}, r.Rev})
+	}
+	if !s.more {
+		for name := range s.notUntil {
+			if !standing[name] {
+				delete(s.notUntil, name)
+			}
+		}
+	}
+	if len(batch) == 0 {
+		return
+	}
+	s.trying = true
+	tenure := s.tenure
+	s.Create(batch, func(errs []error) {
+		if tenure != s.tenure {
+			return // the duty was lost, and maybe won again, in between
+		}
+		s.trying = false
+		for i, o := range batch {
+			switch name := o.Binding.Route; {
+			case errs[i] == nil:
+				s.Bound++
+				s.seen[name] = o.SawRev + 1
+			case errata.KindOf(errs[i]) == errata.Conflict:
+				s.Errors++ // another has bound or changed it; the watch will tell
+			default:
 				s.Errors++
-				if errata.KindOf(err) != errata.Conflict {
-					s.notUntil[name] = now + s.Pause
-				}
-				return
+				s.notUntil[name] = now + s.Pause
 			}
-			s.Bound++
-			s.seen[name] = rev + 1
+		}
+		if s.more {
 			again()
-		})
+		}
+	})
+}
+
+// Due says whether something is to be looked at again though nothing changed: a
+// relist, or a route whose pause is over.
+func (s *Scheduler) Due(now time.Duration) bool {
+	if now >= s.relistAt {
+		return true
 	}
-	for name := range s.notUntil {
-		if !standing[name] {
-			delete(s.notUntil, name)
+	for _, t := range s.notUntil {
+		if now >= t {
+			return true
 		}
 	}
+	return false
 }
 
 // Reset forgets what was under way, as when the duty changes hands.
-func (s *Scheduler) Reset() { s.trying, s.notUntil, s.seen, s.relistAt = nil, nil, nil, 0 }
+func (s *Scheduler) Reset() {
+	s.notUntil, s.seen, s.relistAt, s.trying, s.more = nil, nil, 0, false, false
+	s.tenure++
+}
 
 // Shards counts the working desks of each label. desks maps a desk's label to
 // the zones of those that work.
--- a/internal/shelving/shelving_test.go
+++ b/internal/shelving/shelving_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	changes, err := c.Apply(s.have)
+	changes, err := c.Apply(s.have, &catalogue.Reader{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -43,22 +43,24 @@
 	}
 }
 
-func (s *shelf) create(b catalogue.RouteBinding, rev uint64, done func(error)) {
-	if s.fail != nil {
-		done(s.fail)
-		return
-	}
-	changes, err := catalogue.Bind(s.have, b, rev)
-	if err == nil {
-		s.put(changes)
-		s.made++
+func (s *shelf) create(orders []Order, done func([]error)) {
+	errs := make([]error, len(orders))
+	for i, o := range orders {
+		errs[i] = s.fail
+		if s.fail == nil {
+			var changes []catalogue.Record
+			if changes, errs[i] = catalogue.Bind(s.have, o.Binding, o.SawRev); errs[i] == nil {
+				s.put(changes)
+				s.made++
+			}
+		}
 	}
-	done(err)
+	done(errs)
 }
 
 func (s *shelf) counts() map[int]int {
 	out := map[int]int{}
-	for _, r := range catalogue.Routes(s.have) {
+	for _, r := range (&catalogue.Reader{}).List(s.have) {
 		if r.Status.Phase == catalogue.PhaseScheduled {
 			out[r.Status.Shard]++
 		}
@@ -71,7 +73,7 @@
 func TestRoundRobinBindsEveryRouteOnce(t *testing.T) {
 	s := newShelf(t, 8)
 	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: 30 * time.Second, Pause: time.Second, Create: s.create}
-	routes := catalogue.Routes(s.have)
+	routes := (&catalogue.Reader{}).List(s.have)
 	sched.Reconcile(0, routes, two, func() {})
 	sched.Reconcile(1, routes, two, func() {}) // the same stale view once more
 	if c := s.counts(); c[0] != 4 || c[1] != 4 || s.made != 8 {
@@ -81,7 +83,7 @@
 
 func TestTwoSchedulersCannotBindOneRouteTwice(t *testing.T) {
 	s := newShelf(t, 6)
-	stale := catalogue.Routes(s.have)
+	stale := (&catalogue.Reader{}).List(s.have)
 	for i := 0; i < 2; i++ {
 		sched := &Scheduler{Strategy: &RoundRobin{next: i}, Relist: time.Minute, Pause: time.Second, Create: s.create}
 		sched.Reconcile(0, stale, two, func() {})
@@ -111,7 +113,10 @@
 			s.fail = nil
 		}
 		before := sched.Errors
-		sched.Reconcile(now, catalogue.Routes(s.have), two, func() {})
+		if !sched.Due(now) {
+			continue
+		}
+		sched.Reconcile(now, (&catalogue.Reader{}).List(s.have), two, func() {})
 		if sched.Errors > before {
 			tries++
 		}
@@ -127,14 +132,56 @@
 func TestRebindsWhenAShardLosesItsDesks(t *testing.T) {
 	s := newShelf(t, 4)
 	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: 30 * time.Second, Pause: time.Second, Create: s.create}
-	sched.Reconcile(0, catalogue.Routes(s.have), two, func() {})
+	sched.Reconcile(0, (&catalogue.Reader{}).List(s.have), two, func() {})
 	none := []Shard{{Label: 0}, {Label: 1}}
-	sched.Reconcile(time.Second, catalogue.Routes(s.have), none, func() {})
+	sched.Reconcile(time.Second, (&catalogue.Reader{}).List(s.have), none, func() {})
 	if c := s.counts(); c[0] != 2 || c[1] != 2 {
 		t.Fatalf("moved though there is nowhere to go: %v", c)
 	}
-	sched.Reconcile(2*time.Second, catalogue.Routes(s.have), []Shard{{Label: 0}, two[1]}, func() {})
+	sched.Reconcile(2*time.Second, (&catalogue.Reader{}).List(s.have), []Shard{{Label: 0}, two[1]}, func() {})
 	if c := s.counts(); c[0] != 0 || c[1] != 4 {
 		t.Fatalf("after the loss of shard 0: %v", c)
 	}
 }
+
+// An answer that comes after the duty was lost must neither be counted nor
+// disturb what has begun since.
+func TestLateAnswersAfterTheDutyChangedHands(t *testing.T) {
+	s := newShelf(t, 3)
+	var late []func([]error)
+	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: time.Minute, Pause: time.Second,
+		Create: func(_ []Order, done func([]error)) { late = append(late, done) }}
+	routes := (&catalogue.Reader{}).List(s.have)
+	sched.Reconcile(0, routes, two, func() {})
+	sched.Reset()
+	late[0](make([]error, 3))
+	if sched.Bound != 0 {
+		t.Fatal("counted")
+	}
+	sched.Reconcile(time.Second, routes, two, func() {})
+	late[0](make([]error, 3))
+	sched.Reconcile(2*time.Second, routes, two, func() {})
+	if len(late) != 2 {
+		t.Fatalf("%d batches on their way at once", len(late)-1)
+	}
+}
+
+func TestManyRoutesAreBoundInBatches(t *testing.T) {
+	s := newShelf(t, 3*Batch+10)
+	batches := 0
+	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: time.Minute, Pause: time.Second}
+	sched.Create = func(orders []Order, done func([]error)) {
+		if batches++; len(orders) > Batch {
+			t.Fatalf("a batch of %d", len(orders))
+		}
+		s.create(orders, done)
+	}
+	reader := &catalogue.Reader{}
+	for again := true; again; {
+		again = false
+		sched.Reconcile(0, reader.List(s.have), two, func() { again = true })
+	}
+	if s.made != 3*Batch+10 || batches != 4 {
+		t.Fatalf("%d bound in %d batches", s.made, batches)
+	}
+}
--- a/internal/stacks/member.go
+++ b/internal/stacks/member.go
@@ -52,8 +52,7 @@
 	name     string
 	promised Epoch
 	at       Position
-	records  map[string]Record
-	sums     conservation.Sums
+	*conservation.Set
 	commit   Position
 	heard    time.Duration
 	heardAny bool
@@ -157,16 +156,13 @@
 		case len(k) > len(recPrefix) && k[:len(recPrefix)] == recPrefix:
 			var r storedRecord
 			if err = cbor.Unmarshal(v, &r); err == nil {
-				m.key(r.Key).records[r.Record.Name] = r.Record
+				m.key(r.Key).Put(r.Record)
 			}
 		}
 		if err != nil {
 			return nil, err
 		}
 	}
-	for _, k := range m.keys {
-		k.sums = conservation.Digest(k.records)
-	}
 	return m, nil
 }
 
@@ -178,7 +174,7 @@
 func (m *Member) key(name string) *key {
 	k := m.keys[name]
 	if k == nil {
-		k = &key{name: name, records: map[string]Record{}}
+		k = &key{name: name, Set: conservation.NewSet()}
 		m.keys[name] = k
 		m.names = append(m.names, name)
 		sort.Strings(m.names)
@@ -196,7 +192,7 @@
 // Roster lists the members that this one knows of.
 func (m *Member) Roster() []string {
 	var out []string
-	for name, r := range m.keys[RosterKey].records {
+	for name, r := range m.keys[RosterKey].Records {
 		if !r.Dropped {
 			out = append(out, name)
 		}
@@ -299,7 +295,7 @@
 	for _, name := range m.names {
 		k := m.keys[name]
 		entries = append(entries, k.meta())
-		for _, r := range conservation.Pick(k.records, allRanges) {
+		for _, r := range k.Pick(allRanges) {
 			entries = append(entries, k.entry(r))
 		}
 	}
@@ -337,11 +333,7 @@
 func (k *key) set(changes []Record) []ledger.Entry {
 	var out []ledger.Entry
 	for _, r := range changes {
-		if old, ok := k.records[r.Name]; ok {
-			k.sums[conservation.RangeOf(r.Name)] ^= old.Sum()
-		}
-		k.records[r.Name] = r
-		k.sums[conservation.RangeOf(r.Name)] ^= r.Sum()
+		k.Put(r)
 		out = append(out, k.entry(r))
 	}
 	return out
@@ -354,10 +346,9 @@
 	for _, r := range records {
 		keep[r.Name] = true
 	}
-	for _, r := range conservation.Pick(k.records, ranges) {
+	for _, r := range k.Pick(ranges) {
 		if !keep[r.Name] {
-			k.sums[conservation.RangeOf(r.Name)] ^= r.Sum()
-			delete(k.records, r.Name)
+			k.Remove(r.Name)
 			out = append(out, ledger.Entry{Key: recPrefix + k.name + "/" + r.Name})
 		}
 	}
@@ -422,26 +413,26 @@
 
 func (m *Member) mayFound() bool {
 	return len(m.cfg.Seeds) > 0 && m.cfg.Seeds[0] == m.cfg.Self && !m.founded &&
-		(m.cfg.Bootstrap && m.cfg.Empty || len(m.keys[RosterKey].records) > 0)
+		(m.cfg.Bootstrap && m.cfg.Empty || len(m.keys[RosterKey].Records) > 0)
 }
 
 func (m *Member) found() {
 	k := m.keys[RosterKey]
-	if len(k.records) == 0 {
+	if len(k.Records) == 0 {
 		k.promised = Epoch{1, m.cfg.Self, m.cfg.Life}
 		k.at = Position{k.promised, 1}
 		for _, id := range m.cfg.Seeds {
 			k.set([]Record{{Name: id, Gen: 1}})
 		}
 		m.voting = true
-		entries := append(k.set(conservation.Pick(k.records, allRanges)), k.meta(), m.nodeEntry())
+		entries := append(k.set(k.Pick(allRanges)), k.meta(), m.nodeEntry())
 		m.write(entries, func() { m.foundAcks[m.cfg.Self] = true; m.foundDone() })
 	} else {
 		m.settled(func() { m.foundAcks[m.cfg.Self] = true; m.foundDone() })
 	}
 	for _, id := range m.cfg.Seeds {
 		if id != m.cfg.Self && !m.foundAcks[id] {
-			m.send(id, Message{Found: &Found{k.at, conservation.Pick(k.records, allRanges)}})
+			m.send(id, Message{Found: &Found{k.at, k.Pick(allRanges)}})
 		}
 	}
 }
@@ -490,7 +481,7 @@
 		out := &Fetched{Round: f.Round}
 		for _, name := range m.names {
 			k := m.keys[name]
-			out.Keys = append(out.Keys, Holding{name, k.promised, k.at, conservation.Pick(k.records, allRanges)})
+			out.Keys = append(out.Keys, Holding{name, k.promised, k.at, k.Pick(allRanges)})
 		}
 		m.send(from, Message{Fetched: out})
 	})
@@ -549,7 +540,7 @@
 
 func (m *Member) onEnroll(from string) {
 	k := m.keys[RosterKey]
-	if r, ok := k.records[from]; ok && !r.Dropped || k.role != owns || k.commit != k.at || !m.founded {
+	if r, ok := k.Records[from]; ok && !r.Dropped || k.role != owns || k.commit != k.at || !m.founded {
 		return
 	}
 	old := map[string]bool{}
@@ -557,7 +548,7 @@
 		old[id] = true
 	}
 	k.oldNeed = old
-	changes := []Record{{Name: from, Gen: k.records[from].Gen + 1}}
+	changes := []Record{{Name: from, Gen: k.Records[from].Gen + 1}}
 	m.step(k, k.at, changes, k.set(changes))
 }
 
@@ -595,7 +586,7 @@
 	m.settled(func() {
 		p := &Promise{Key: a.Key, Epoch: a.Epoch, OK: ok && k.promised == a.Epoch, Promised: k.promised, At: k.at}
 		if p.OK {
-			p.Records = conservation.Pick(k.records, allRanges)
+			p.Records = k.Pick(allRanges)
 		}
 		m.send(from, Message{Promise: p})
 	})
@@ -661,9 +652,9 @@
 
 // mend brings a member that lags to the owner's position.
 func (m *Member) mend(k *key, to string, base Position, theirs conservation.Sums) {
-	ranges := conservation.Diff(k.sums, theirs)
+	ranges := conservation.Diff(k.Sums, theirs)
 	c := m.copy(k, base)
-	c.Mend, c.Changes = ranges, conservation.Pick(k.records, ranges)
+	c.Mend, c.Changes = ranges, k.Pick(ranges)
 	m.send(to, Message{Copy: c})
 }
 
@@ -673,7 +664,7 @@
 		commit = k.commit.Seq
 	}
 	return &Copy{Key: k.name, Epoch: k.mine, Base: base, Seq: k.at.Seq, Commit: commit,
-		Round: k.round, Roster: m.keys[RosterKey].at, Sums: k.sums}
+		Round: k.round, Roster: m.keys[RosterKey].at, Sums: k.Sums}
 }
 
 // stepDown follows a newer epoch.
@@ -728,7 +719,7 @@
 	var entries []ledger.Entry
 	var asking []proposal
 	for _, p := range queue {
-		c, err := p.fn(k.records)
+		c, err := p.fn(k.Records)
 		if err != nil {
 			// What the refusal rests on must still stand, or it may be wrong.
 			refusal := p.done
@@ -823,10 +814,10 @@
 		}
 		k.at = to
 		m.write(append(entries, k.meta()), nil)
-	case k.at == to && c.Mend != nil && k.sums != c.Sums:
+	case k.at == to && c.Mend != nil && k.Sums != c.Sums:
 		m.write(append(k.replace(c.Mend, c.Changes), k.meta()), nil)
 	}
-	reply.OK = !k.at.Less(to) && !(k.at == to && k.sums != c.Sums)
+	reply.OK = !k.at.Less(to) && !(k.at == to && k.Sums != c.Sums)
 	if commit := (Position{c.Epoch, c.Commit}); reply.OK && c.Commit > 0 && k.commit.Less(commit) && k.at == to {
 		// Only a copy that is committed as a whole is shown to anybody.
 		if c.Commit == c.Seq {
@@ -837,7 +828,7 @@
 			}
 		}
 	}
-	at, sums := k.at, k.sums
+	at, sums := k.at, k.Sums
 	m.settled(func() {
 		reply.At, reply.Promised = at, k.promised
 		if !reply.OK {
@@ -866,7 +857,7 @@
 		m.acked(k, from, c.At)
 		return
 	}
-	if c.At != k.at || c.Sums != nil && *c.Sums != k.sums {
+	if c.At != k.at || c.Sums != nil && *c.Sums != k.Sums {
 		if c.Sums != nil && c.At.Less(Position{k.mine, k.at.Seq + 1}) {
 			m.mend(k, from, c.At, *c.Sums)
 		}
@@ -1107,7 +1098,7 @@
 }
 
 func (m *Member) inRoster() bool {
-	r, ok := m.keys[RosterKey].records[m.cfg.Self]
+	r, ok := m.keys[RosterKey].Records[m.cfg.Self]
 	return ok && !r.Dropped
 }
 
@@ -1188,7 +1179,7 @@
 // committed as it stands.
 func (m *Member) Committed(name string) (map[string]Record, Position, bool) {
 	k := m.key(name)
-	return k.records, k.commit, k.commit == k.at && k.commit.Seq > 0
+	return k.Records, k.commit, k.commit == k.at && k.commit.Seq > 0
 }
 
 // Voting says whether the member has its memory and a seat.
@@ -1199,7 +1190,7 @@
 	var out []View
 	for _, name := range m.names {
 		k := m.keys[name]
-		out = append(out, View{name, m.Owner(now, name), k.promised.N, k.at.Seq, k.commit.Seq, k.role == owns, len(k.records), now - k.heard})
+		out = append(out, View{name, m.Owner(now, name), k.promised.N, k.at.Seq, k.commit.Seq, k.role == owns, len(k.Records), now - k.heard})
 	}
 	return out
 }
--- a/internal/stacks/member_test.go
+++ b/internal/stacks/member_test.go
@@ -82,7 +82,7 @@
 			w.crash(n.id, wipe)
 			w.at(3*time.Second, func() { w.start(n.id) })
 			next := w.settle(t)
-			if got := next.m.keys[testKey].records["x"].Gen; got != 1 {
+			if got := next.m.keys[testKey].Records["x"].Gen; got != 1 {
 				t.Fatalf("seed %d wipe %v: %s holds x=%d", seed, wipe, next.id, got)
 			}
 			w.run(w.now + 8*time.Second)
@@ -123,7 +123,7 @@
 	}
 	w.cut = map[[2]string]bool{}
 	w.run(w.now + 5*time.Second)
-	if !n.m.Voting() || n.m.keys[testKey].records["x"].Gen != 7 {
+	if !n.m.Voting() || n.m.keys[testKey].Records["x"].Gen != 7 {
 		t.Fatal("it did not catch up")
 	}
 }
@@ -141,7 +141,7 @@
 			t.Fatalf("seed %d: the old owner acknowledged", seed)
 		}
 		w.run(w.now + 3*time.Second)
-		if got := w.settle(t).m.keys[testKey].records["x"].Gen; got != 2 {
+		if got := w.settle(t).m.keys[testKey].Records["x"].Gen; got != 2 {
 			t.Fatalf("seed %d: x=%d", seed, got)
 		}
 	}
@@ -185,13 +185,13 @@
 			continue
 		}
 		k := w.nodes[id].m.keys[testKey]
-		k.records["x"] = Record{Name: "x", Gen: 4, Data: []byte("rotten")}
-		k.sums = conservation.Digest(k.records)
+		k.Records["x"] = Record{Name: "x", Gen: 4, Data: []byte("rotten")}
+		k.Sums = conservation.Digest(k.Records)
 		break
 	}
 	w.run(w.now + 2*time.Second)
 	for _, id := range w.ids {
-		if r := w.nodes[id].m.keys[testKey].records["x"]; r.Gen != 5 || len(r.Data) > 0 {
+		if r := w.nodes[id].m.keys[testKey].Records["x"]; r.Gen != 5 || len(r.Data) > 0 {
 			t.Fatalf("%s holds %+v", id, r)
 		}
 	}
@@ -224,7 +224,7 @@
 	if n == old || w.now-begin > 600*time.Millisecond {
 		t.Fatalf("%s owns the key after %v", n.id, w.now-begin)
 	}
-	if n.m.keys[testKey].records["x"].Gen != 1 {
+	if n.m.keys[testKey].Records["x"].Gen != 1 {
 		t.Fatal("lost on the way")
 	}
 }
--- a/internal/stacks/world_test.go
+++ b/internal/stacks/world_test.go
@@ -231,7 +231,7 @@
 				return
 			}
 			w.reads++
-			got := values(n.m.keys[testKey].records)
+			got := values(n.m.keys[testKey].Records)
 			for name, v := range before {
 				if got[name] < v {
 					w.t.Fatalf("at %v %s read %s=%d, acknowledged was %d", w.now, id, name, got[name], v)
