Archives that are gone for good can be retired

The roster only grew: a system of four that had lost one for good bore no further loss. Tried in the simulated world: retire, enrol, lose another, return of the retired one with and without its disk.

--- a/cmd/madderwing/client.go
+++ b/cmd/madderwing/client.go
@@ -145,6 +145,23 @@
 	return c
 }
 
+func retireCommand() *cobra.Command {
+	c := &cobra.Command{Use: "retire NODE", Short: "Take an archive that is gone for good out of the roster (name or address)", Args: cobra.ExactArgs(1)}
+	cl := clientFlags(c)
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		k, err := cl()
+		if err != nil {
+			return err
+		}
+		if _, err := k.call(http.MethodDelete, "/v1/admin/members/"+args[0], nil); err != nil {
+			return err
+		}
+		fmt.Fprintln(cmd.OutOrStdout(), args[0]+" retired")
+		return nil
+	}
+	return c
+}
+
 func statusCommand() *cobra.Command {
 	c := &cobra.Command{Use: "status", Short: "Show nodes, keys, duties, routes, shards and upstreams", Args: cobra.NoArgs}
 	asJSON := c.Flags().Bool("json", false, "print JSON")
--- a/internal/archive/admin.go
+++ b/internal/archive/admin.go
@@ -11,6 +11,7 @@
 	"madderwing/internal/errata"
 	"madderwing/internal/register"
 	"madderwing/internal/rota"
+	"madderwing/internal/stacks"
 )
 
 // Member is a node as the administration API shows it.
@@ -98,6 +99,11 @@
 		}
 		o.Members = append(o.Members, m)
 	}
+	for id := range seats {
+		if _, known := list.Get(id); !known {
+			o.Members = append(o.Members, Member{Name: id, Address: id, Plane: register.Control.String(), State: "lost", Shard: -1, Seat: true})
+		}
+	}
 	for _, v := range a.member.Views(now) {
 		o.Keys = append(o.Keys, Key{v.Key, v.Owner, v.Epoch, v.Seq, v.Commit, v.Records})
 	}
@@ -123,6 +129,22 @@
 	return o
 }
 
+// retire takes an archive that is gone for good out of the roster, by name or
+// address.
+func (a *Archive) retire(node string) error {
+	address := node
+	for _, n := range a.reg.List().Nodes {
+		if n.Plane == register.Control && n.Name == node {
+			address = n.Address
+		}
+	}
+	if _, err := a.submit(order{Key: stacks.RosterKey, Retire: address}); err != nil {
+		return err
+	}
+	a.log.control.Printf("%s retired.", node)
+	return nil
+}
+
 // admin gives one of the read-only views.
 func (a *Archive) admin(page string) ([]byte, error) {
 	ch := make(chan *Overview, 1)
--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -24,6 +24,7 @@
 	Patch    []byte           `cbor:"2,keyasint,omitempty"`
 	Evacuate *bool            `cbor:"3,keyasint,omitempty"`
 	Bind     []shelving.Order `cbor:"4,keyasint,omitempty"`
+	Retire   string           `cbor:"6,keyasint,omitempty"`
 	Read     bool             `cbor:"5,keyasint,omitempty"`
 }
 
@@ -49,6 +50,12 @@
 	}
 	refused := make([]bool, len(o.Bind))
 	done := make(chan verdict, 1)
+	if o.Retire != "" {
+		a.do(func(now time.Duration) {
+			a.member.Retire(now, o.Retire, func(err error) { done <- outcome(err) })
+		})
+		return <-done
+	}
 	a.do(func(now time.Duration) {
 		a.member.Propose(now, o.Key, func(have map[string]stacks.Record) ([]stacks.Record, error) {
 			switch {
@@ -85,6 +92,19 @@
 	return <-done
 }
 
+// outcome is the verdict on an order that brings nothing back.
+func outcome(err error) verdict {
+	switch {
+	case err == nil:
+		return verdict{}
+	case errors.Is(err, stacks.ErrUnknown):
+		return fault(errata.New(errata.UnknownNode, "it has no seat"))
+	case errors.Is(err, stacks.ErrAlive), errors.Is(err, stacks.ErrTooFew):
+		return fault(errata.New(errata.NotNow, "%v", err))
+	}
+	return fault(err)
+}
+
 func fault(err error) verdict {
 	var e *errata.Error
 	if errors.As(err, &e) {
@@ -196,6 +216,8 @@
 		}
 		a.log.control.Printf("evacuation of %s: %v.", zone, on)
 		return ok, nil
+	case strings.HasPrefix(path, "/v1/admin/members/") && r.Method == http.MethodDelete:
+		return ok, a.retire(strings.TrimPrefix(path, "/v1/admin/members/"))
 	case strings.HasPrefix(path, "/v1/admin/"):
 		if r.Method != http.MethodGet {
 			return nil, errata.New(errata.WrongMethod, "%s on %s", r.Method, path)
--- a/internal/errata/errata.go
+++ b/internal/errata/errata.go
@@ -33,6 +33,8 @@
 	Unsealed             // an answer that is not the upstream's own
 	NoQuorum             // too few copies can be reached
 	Conflict             // a conditional write that lost
+	UnknownNode          // an order for a node that is not known
+	NotNow               // an order that what stands forbids
 )
 
 // Answer is what a kind is answered with. NotRun says that the answer promises
@@ -61,6 +63,8 @@
 	Unsealed:        {http.StatusBadGateway, false, "answer without seal"},
 	NoQuorum:        {http.StatusServiceUnavailable, true, "no quorum"},
 	Conflict:        {http.StatusConflict, true, "conflict"},
+	UnknownNode:     {http.StatusNotFound, true, "no such node"},
+	NotNow:          {http.StatusConflict, true, "not as things stand"},
 }
 
 // Error is an error of a kind, with what is to be told about it.
--- a/internal/stacks/member.go
+++ b/internal/stacks/member.go
@@ -493,6 +493,9 @@
 	}
 	m.fetched[from] = f
 	best := map[string]Holding{}
+	for name, k := range m.keys { // what is on its own disk, if anything is
+		best[name] = Holding{name, k.promised, k.at, k.Pick(allRanges)}
+	}
 	for _, f := range m.fetched {
 		for _, h := range f.Keys {
 			b, ok := best[h.Key]
@@ -540,16 +543,34 @@
 
 func (m *Member) onEnroll(from string) {
 	k := m.keys[RosterKey]
-	if r, ok := k.Records[from]; ok && !r.Dropped || k.role != owns || k.commit != k.at || !m.founded {
+	if k.role != owns || !m.founded || len(k.queue) > 0 {
 		return
 	}
-	old := map[string]bool{}
-	for _, id := range m.Roster() {
-		old[id] = true
-	}
-	k.oldNeed = old
-	changes := []Record{{Name: from, Gen: k.Records[from].Gen + 1}}
-	m.step(k, k.at, changes, k.set(changes))
+	m.Propose(m.now, RosterKey, func(have map[string]Record) ([]Record, error) {
+		r, ok := have[from]
+		if ok && !r.Dropped {
+			return nil, nil
+		}
+		return []Record{{Name: from, Gen: r.Gen + 1}}, nil
+	}, func(error) {})
+}
+
+// Retire takes a member that is gone for good out of the roster.
+func (m *Member) Retire(now time.Duration, id string, done func(error)) {
+	m.Propose(now, RosterKey, func(have map[string]Record) ([]Record, error) {
+		r, ok := have[id]
+		switch {
+		case !ok:
+			return nil, ErrUnknown
+		case r.Dropped:
+			return nil, nil
+		case m.cfg.Alive(id) || id == m.cfg.Self:
+			return nil, ErrAlive
+		case len(m.Roster()) <= 3:
+			return nil, ErrTooFew
+		}
+		return []Record{{Name: id, Gen: r.Gen + 1, Dropped: true}}, nil
+	}, done)
 }
 
 // ---- taking a key over
@@ -584,7 +605,7 @@
 		m.write([]ledger.Entry{k.meta()}, nil)
 	}
 	m.settled(func() {
-		p := &Promise{Key: a.Key, Epoch: a.Epoch, OK: ok && k.promised == a.Epoch, Promised: k.promised, At: k.at}
+		p := &Promise{Key: a.Key, Epoch: a.Epoch, OK: ok && k.promised == a.Epoch, Promised: k.promised, At: k.at, Outdated: m.staleRoster(a.Roster)}
 		if p.OK {
 			p.Records = k.Pick(allRanges)
 		}
@@ -600,6 +621,13 @@
 	if k.role != asks || k.mine != p.Epoch {
 		return
 	}
+	if p.Outdated {
+		// The roster has gone on without this member. It starts over as one
+		// that has lost its memory would, but forgets nothing.
+		m.release(k, ErrNoQuorum)
+		m.voting, m.beganAt = false, m.now
+		return
+	}
 	if !p.OK {
 		if k.mine.Less(p.Promised) {
 			m.stepDown(k, p.Promised)
@@ -715,10 +743,17 @@
 	queue := k.queue
 	k.queue = nil
 	base := k.at
+	before := m.Roster()
 	var changes []Record
 	var entries []ledger.Entry
 	var asking []proposal
-	for _, p := range queue {
+	for i, p := range queue {
+		if k.name == RosterKey && len(changes) > 0 {
+			// The roster changes by one member a step, so that the majorities
+			// of any roster and the next one meet.
+			k.queue = queue[i:]
+			break
+		}
 		c, err := p.fn(k.Records)
 		if err != nil {
 			// What the refusal rests on must still stand, or it may be wrong.
@@ -736,6 +771,12 @@
 		asking = append(asking, p)
 	}
 	w := waiter{seq: k.at.Seq}
+	if k.name == RosterKey && len(changes) > 0 {
+		k.oldNeed = map[string]bool{}
+		for _, id := range before {
+			k.oldNeed[id] = true
+		}
+	}
 	if len(changes) > 0 {
 		m.step(k, base, changes, entries)
 		w.seq = k.at.Seq
--- a/internal/stacks/member_test.go
+++ b/internal/stacks/member_test.go
@@ -1,6 +1,7 @@
 package stacks
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -245,3 +246,103 @@
 		}
 	}
 }
+
+// A member that is gone for good is retired; another takes its seat, and the
+// system again bears the loss of any one.
+func TestRetiringALostMember(t *testing.T) {
+	w := newWorld(t, 12, 4)
+	w.run(6 * time.Second)
+	w.mustPut(t, "x", 1)
+	gone := w.ids[2]
+	retire := func(id string) (err error) {
+		for i := 0; i < 10; i++ {
+			var owner *node
+			for w.run(w.now + 200*time.Millisecond); owner == nil && w.now < time.Minute; w.run(w.now + 100*time.Millisecond) {
+				for _, o := range w.ids {
+					if n := w.nodes[o]; n.up && n.m.keys[RosterKey].role == owns {
+						owner = n
+					}
+				}
+			}
+			if owner == nil {
+				t.Fatal("the roster has no owner")
+			}
+			err = ErrNoQuorum
+			w.on(owner.id, owner.life, func() { owner.m.Retire(w.now, id, func(e error) { err = e }) })
+			w.run(w.now + 1500*time.Millisecond)
+			if !errors.Is(err, ErrNoQuorum) && !errors.Is(err, ErrNotOwner) {
+				return err
+			}
+		}
+		return err
+	}
+	if err := retire(gone); !errors.Is(err, ErrAlive) {
+		t.Fatalf("a member at work: %v", err)
+	}
+	if err := retire("10.9.9.9:1"); !errors.Is(err, ErrUnknown) {
+		t.Fatalf("an unknown member: %v", err)
+	}
+	w.crash(gone, true)
+	if err := retire(gone); err != nil {
+		t.Fatal(err)
+	}
+	w.run(w.now + time.Second)
+	for _, id := range w.ids {
+		if id != gone && len(w.nodes[id].m.Roster()) != 3 {
+			t.Fatalf("%s holds the roster %v", id, w.nodes[id].m.Roster())
+		}
+	}
+	other := w.ids[3]
+	w.crash(other, false)
+	if err := retire(other); !errors.Is(err, ErrTooFew) {
+		t.Fatalf("a third member: %v", err)
+	}
+	w.start(other)
+	fresh := "10.0.0.9:7661"
+	w.ids = append(w.ids, fresh)
+	w.nodes[fresh] = &node{id: fresh, disk: map[string][]byte{}}
+	w.start(fresh)
+	w.run(w.now + 6*time.Second)
+	if !w.nodes[fresh].m.Voting() {
+		t.Fatal("the newcomer has no seat")
+	}
+	w.crash(w.ids[0], false)
+	w.mustPut(t, "x", 2)
+	if got := w.holders("x", 2); len(got) < 3 {
+		t.Fatalf("copies at %v", got)
+	}
+	// The retired one comes back after all, with its old disk or without.
+	w.start(w.ids[0])
+	w.start(gone)
+	w.run(w.now + 8*time.Second)
+	if n := w.nodes[gone]; !n.m.Voting() || n.m.keys[testKey].Records["x"].Gen != 2 {
+		t.Fatal("it did not come back as a new member")
+	}
+}
+
+// A retired member whose disk is whole believes in a roster of its own past.
+func TestARetiredMemberWithItsDiskStartsOver(t *testing.T) {
+	w := newWorld(t, 13, 4)
+	w.run(6 * time.Second) // all four have their seats
+	w.mustPut(t, "x", 1)
+	gone := w.ids[1]
+	w.crash(gone, false)
+	ok := false
+	for ; !ok; w.run(w.now + 500*time.Millisecond) {
+		if w.now > time.Minute {
+			t.Fatal("never retired")
+		}
+		for _, id := range w.ids {
+			if n := w.nodes[id]; n.up && n.m.keys[RosterKey].role == owns {
+				w.on(id, n.life, func() { n.m.Retire(w.now, gone, func(e error) { ok = ok || e == nil }) })
+			}
+		}
+	}
+	w.mustPut(t, "x", 2)
+	w.start(gone)
+	w.run(w.now + 10*time.Second)
+	n := w.nodes[gone]
+	if !n.m.Voting() || n.m.keys[testKey].Records["x"].Gen != 2 || len(w.settle(t).m.Roster()) != 4 {
+		t.Fatalf("voting %v, x=%d, roster %v", n.m.Voting(), n.m.keys[testKey].Records["x"].Gen, n.m.Roster())
+	}
+}
--- a/internal/stacks/message.go
+++ b/internal/stacks/message.go
@@ -84,6 +84,7 @@
 	Promised Epoch    `cbor:"4,keyasint"`
 	At       Position `cbor:"5,keyasint"`
 	Records  []Record `cbor:"6,keyasint,omitempty"`
+	Outdated bool     `cbor:"7,keyasint,omitempty"` // the asker's roster is
 }
 
 // Copy brings a member from one position to the next. Without Changes and
@@ -169,4 +170,7 @@
 var (
 	ErrNotOwner = errors.New("not the owner of the key")
 	ErrNoQuorum = errors.New("no quorum")
+	ErrUnknown  = errors.New("no such member")
+	ErrTooFew   = errors.New("too few members would be left")
+	ErrAlive    = errors.New("the member is at work; stop it first")
 )
