--- /dev/null
+++ b/internal/archive/whole_test.go
@@ -0,0 +1,225 @@
+package archive_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"madderwing/internal/archive"
+	"madderwing/internal/charter"
+	"madderwing/internal/desk"
+)
+
+// free finds a port whose successor is free as well.
+func free(t *testing.T) int {
+	t.Helper()
+	for i := 0; i < 50; i++ {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		l.Close()
+		if next, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1)); err == nil {
+			next.Close()
+			return port
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+type system struct {
+	control, front, ready string
+	leaveDesk             context.CancelFunc
+	deskDone              chan error
+}
+
+// newSystem runs an archive and a desk in one zone against a stand-in for the
+// platform's list.
+func newSystem(t *testing.T, upstream string) *system {
+	t.Helper()
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"instances":[{"id":"i-1","target":"a","address":%q,"zone":"north","generation":"v1","capacity":4,"state":"ready","warmupLeftS":0}],"nextToken":null}`, upstream)
+	}))
+	t.Cleanup(platform.Close)
+	base, front, ready, control := free(t), free(t), free(t), free(t)
+	text := fmt.Sprintf(`
+node = "n-1"
+ip = "127.0.0.1"
+zone = "north"
+internalPorts = [%d, %d]
+seedNodes = ["127.0.0.1:%d"]
+bootstrap = true
+inQuorum = true
+dataDir = %q
+[zones]
+north = "home"
+[bind]
+front = "127.0.0.1:%d"
+readiness = "127.0.0.1:%d"
+control = "127.0.0.1:%d"
+[limits]
+memoryMb = 284
+maxFds = 4100
+[bounds]
+contactS = 3
+ackS = 5
+drainS = 2.5
+graceS = 1
+configApplyS = 2.5
+retryRatio = 0.2
+retryWindowS = 10
+retrySlack = 60
+warmupOvershoot = 1.5
+warmupSlack = 5
+evacuateS = 5
+[cloudApi]
+address = %q
+`, base, base+1, control, t.TempDir(), front, ready, control, strings.TrimPrefix(platform.URL, "http://"))
+	set, err := charter.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &system{control: set.Bind.Control, front: set.Bind.Front, ready: set.Bind.Readiness, deskDone: make(chan error, 1)}
+	actx, leaveArchive := context.WithCancel(context.Background())
+	dctx, leaveDesk := context.WithCancel(context.Background())
+	s.leaveDesk = leaveDesk
+	archiveDone := make(chan error, 1)
+	go func() {
+		archiveDone <- archive.Run(actx, set, archive.Options{Shards: 1, Relist: time.Minute}, nil)
+	}()
+	go func() { s.deskDone <- desk.Run(dctx, set, desk.Options{Shards: 1}, nil) }()
+	t.Cleanup(func() {
+		leaveDesk()
+		leaveArchive()
+		if err := <-archiveDone; err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func (s *system) call(t *testing.T, method, url, body string, header ...string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	b, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(b)
+}
+
+// until asks again until the status is the one wanted.
+func (s *system) until(t *testing.T, want int, method, url, body string, header ...string) string {
+	t.Helper()
+	status, text := 0, ""
+	for i := 0; i < 600; i++ {
+		if status, text = s.call(t, method, url, body, header...); status == want {
+			return text
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("%s %s: %d %s, want %d", method, url, status, text, want)
+	return ""
+}
+
+const items = `{"upsert":{"services":[{"name":"a","generation":1,"maxConns":50,"note":"kept <as> sent"}],
+ "domains":[{"authority":"h.example","hostRoutes":[{"name":"r","pathPrefix":"/p/","routeKind":"mutating","deadlineS":20,"target":"a","maxTries":2,"generation":1}]}]},"remove":{"routes":[]}}`
+
+func TestTheWholePath(t *testing.T) {
+	arrived, answer := make(chan struct{}, 8), make(chan struct{}, 8)
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			arrived <- struct{}{}
+			<-answer
+		}
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Server-Seal", "s")
+		fmt.Fprint(w, r.Header.Get("Target-Instance"))
+	}))
+	defer up.Close()
+	s := newSystem(t, strings.TrimPrefix(up.URL, "http://"))
+
+	if status, _ := s.call(t, "GET", s.ready+"/v1/readiness", ""); status == 200 {
+		t.Error("ready without any items")
+	}
+	s.until(t, 200, "PATCH", s.control+"/v1/config", items)
+	s.until(t, 200, "GET", s.ready+"/v1/readiness", "")
+	if got := s.until(t, 200, "POST", s.front+"/p/x", "b", "Attempt-Id", "1"); got != "i-1" {
+		t.Errorf("answered by %q", got)
+	}
+	if got := s.until(t, 200, "GET", s.control+"/v1/config", ""); !strings.Contains(got, `kept \u003cas\u003e sent`) && !strings.Contains(got, "kept <as> sent") {
+		t.Errorf("read back: %s", got)
+	}
+	for i := 0; ; i++ { // the scheduler places the route
+		if strings.Contains(s.until(t, 200, "GET", s.control+"/v1/admin/bindings", ""), `"phase": "scheduled"`) {
+			break
+		}
+		if i > 600 {
+			t.Fatal("the route is never scheduled")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+
+	for name, c := range map[string]struct {
+		method, path, body string
+		status             int
+		says               string
+	}{
+		"not JSON":             {"PATCH", "/v1/config", `{"upsert":`, 400, "invalid configuration"},
+		"a wrong item":         {"PATCH", "/v1/config", strings.Replace(items, "mutating", "odd", 1), 400, "route r.routeKind"},
+		"a method that is not": {"PUT", "/v1/config", items, 405, "PUT on /v1/config"},
+		"unknown zone":         {"POST", "/v1/evacuation/nowhere", "", 404, "no such zone"},
+		"a wrong method":       {"GET", "/v1/evacuation/north", "", 405, "method not allowed"},
+		"unknown page":         {"GET", "/v2/config", "", 404, "no such page"},
+		"unknown view":         {"GET", "/v1/admin/secrets", "", 404, "no such page"},
+		"views are read-only":  {"POST", "/v1/admin/keys", "", 405, "method not allowed"},
+		"retire nobody":        {"DELETE", "/v1/admin/members/ghost", "", 404, "no such node"},
+		"retire the last":      {"DELETE", "/v1/admin/members/n-1", "", 409, "not as things stand"},
+		"an older generation":  {"PATCH", "/v1/config", strings.Replace(items, "/p/", "/q/", 1), 200, ""},
+	} {
+		status, text := s.call(t, c.method, s.control+c.path, c.body)
+		if status != c.status || !strings.Contains(text, c.says) {
+			t.Errorf("%s: %d %s", name, status, text)
+		}
+	}
+
+	// A zone that is evacuated gets nothing; taken back, it serves again.
+	s.until(t, 200, "POST", s.control+"/v1/evacuation/north", "")
+	s.until(t, 503, "POST", s.front+"/p/x", "b", "Attempt-Id", "2")
+	s.until(t, 200, "DELETE", s.control+"/v1/evacuation/north", "")
+	s.until(t, 200, "POST", s.front+"/p/x", "b", "Attempt-Id", "3")
+
+	// A desk that leaves finishes what it has in hand.
+	done := make(chan string, 1)
+	go func() {
+		status, text := s.call(t, "POST", s.front+"/p/slow", "b", "Attempt-Id", "4")
+		done <- fmt.Sprint(status, text)
+	}()
+	<-arrived
+	s.leaveDesk()
+	s.until(t, 503, "GET", s.ready+"/v1/readiness", "")
+	answer <- struct{}{}
+	if got := <-done; got != "200i-1" {
+		t.Errorf("in hand when it left: %s", got)
+	}
+	if err := <-s.deskDone; err != nil {
+		t.Error(err)
+	}
+}
