--- a/internal/accession/lending.go
+++ b/internal/accession/lending.go
@@ -4,7 +4,7 @@
 	"math"
 	"sort"
 
-	"madderwing/internal/register"
+	"madderwing/internal/rendezvous"
 )
 
 // Loads is how many requests of each service the desks of each zone have under
@@ -52,7 +52,7 @@
 	sort.Strings(zones)
 	for _, list := range spare {
 		sort.Slice(list, func(i, j int) bool {
-			return register.Weight(service, list[i].ID) > register.Weight(service, list[j].ID)
+			return rendezvous.Weight(service, list[i].ID) > rendezvous.Weight(service, list[j].ID)
 		})
 	}
 	factor := func(zone string, slots float64) float64 {
--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"madderwing/internal/register"
+	"madderwing/internal/rendezvous"
 )
 
 // Config holds the figures that a stock works by.
@@ -146,7 +147,7 @@
 		u := s.ups[i.ID]
 		cold := time.Duration(i.WarmupMs) * time.Millisecond
 		if u == nil {
-			u = &Upstream{Instance: i, rank: register.Weight(s.cfg.Self, i.ID)}
+			u = &Upstream{Instance: i, rank: rendezvous.Weight(s.cfg.Self, i.ID)}
 			s.ups[i.ID] = u
 		} else if u.Address != i.Address {
 			s.drop(u)
@@ -270,7 +271,7 @@
 				near = of
 			}
 		}
-		few := register.Rendezvous(id, near, ColdSenders)
+		few := rendezvous.Pick(id, near, ColdSenders)
 		u.senders = max(1, len(few))
 		for _, d := range few {
 			u.sender = u.sender || d == s.cfg.Self
@@ -294,9 +295,9 @@
 		// not yet got its even share.
 		most := (len(list) + len(zone) - 1) / len(zone)
 		have := map[string]int{}
-		sort.Slice(list, func(i, j int) bool { return register.Weight(name, list[i]) > register.Weight(name, list[j]) })
+		sort.Slice(list, func(i, j int) bool { return rendezvous.Weight(name, list[i]) > rendezvous.Weight(name, list[j]) })
 		for _, id := range list {
-			for _, d := range register.Rendezvous(id, zone, len(zone)) {
+			for _, d := range rendezvous.Order(id, zone) {
 				if have[d] < most {
 					have[d]++
 					if d == s.cfg.Self {
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -410,34 +410,17 @@
 }
 
 func (a *Archive) handlers() {
-	a.post.Handle(stacksKind, func(from string, body []byte) (any, error) {
-		var msgs []stacks.Message
-		if cbor.Unmarshal(body, &msgs) != nil {
-			a.post.Undecoded.Add(1)
-			return nil, nil
-		}
+	courier.On(a.post, stacksKind, func(from string, msgs []stacks.Message) {
 		a.offer(func(now time.Duration) {
 			for _, m := range msgs {
 				a.member.Handle(now, from, m)
 			}
 		})
-		return nil, nil
 	})
-	a.post.Handle(rotaKind, func(from string, body []byte) (any, error) {
-		var m rota.Message
-		if cbor.Unmarshal(body, &m) != nil {
-			a.post.Undecoded.Add(1)
-			return nil, nil
-		}
+	courier.On(a.post, rotaKind, func(from string, m rota.Message) {
 		a.offer(func(now time.Duration) { a.rota.Handle(now, from, m) })
-		return nil, nil
 	})
-	a.post.Handle(feed.WatchKind, func(from string, body []byte) (any, error) {
-		var w feed.Watch
-		if cbor.Unmarshal(body, &w) != nil {
-			a.post.Undecoded.Add(1)
-			return nil, nil
-		}
+	courier.On(a.post, feed.WatchKind, func(from string, w feed.Watch) {
 		a.offer(func(now time.Duration) {
 			known := a.stand.Version
 			if _, term, life := a.rota.Holder(now, dutyList); term > known.Term || term == known.Term && life > known.Life {
@@ -448,29 +431,16 @@
 			}
 			a.watchers.Note(now, from, a.issueTo(now, from, w, true))
 		})
-		return nil, nil
 	})
-	a.post.Handle(feed.IssueKind, func(from string, body []byte) (any, error) {
-		var i feed.Issue
-		if cbor.Unmarshal(body, &i) != nil {
-			a.post.Undecoded.Add(1)
-			return nil, nil
-		}
+	courier.On(a.post, feed.IssueKind, func(from string, i feed.Issue) {
 		a.offer(func(now time.Duration) {
 			if i.Listing != nil && a.stand.Take(now, *i.Listing) {
 				a.issue(now)
 			}
 		})
-		return nil, nil
 	})
-	a.post.Handle(feed.LoadsKind, func(from string, body []byte) (any, error) {
-		var l accession.Loads
-		if cbor.Unmarshal(body, &l) != nil {
-			a.post.Undecoded.Add(1)
-			return nil, nil
-		}
+	courier.On(a.post, feed.LoadsKind, func(from string, l accession.Loads) {
 		a.offer(func(now time.Duration) { a.told[from] = toldLoads{now, l} })
-		return nil, nil
 	})
 	a.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
 		var o order
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -94,6 +94,20 @@
 // goroutine and may not block.
 func (c *Courier) Handle(kind string, fn Handler) { c.handlers[kind] = entry{fn, false} }
 
+// On names the handler of a kind of message of type T, to which there is no
+// answer. What cannot be decoded is counted and dropped.
+func On[T any](c *Courier, kind string, fn func(from string, msg T)) {
+	c.Handle(kind, func(from string, body []byte) (any, error) {
+		var msg T
+		if cbor.Unmarshal(body, &msg) != nil {
+			c.Undecoded.Add(1)
+		} else {
+			fn(from, msg)
+		}
+		return nil, nil
+	})
+}
+
 // HandleSlow names a handler that may block.
 func (c *Courier) HandleSlow(kind string, fn Handler) { c.handlers[kind] = entry{fn, true} }
 
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -10,8 +10,6 @@
 	"os"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"madderwing/internal/accession"
 	"madderwing/internal/catalogue"
 	"madderwing/internal/charter"
@@ -80,14 +78,8 @@
 	me := register.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: register.Data}
 	d.reg = register.NewService(register.Config{Self: me, Seeds: set.SeedArchives(), Beat: beat, Forget: 40 * beat},
 		post, logger("register"), d.nodesChanged)
-	post.Handle(feed.IssueKind, func(from string, body []byte) (any, error) {
-		var i feed.Issue
-		if cbor.Unmarshal(body, &i) != nil {
-			post.Undecoded.Add(1)
-			return nil, nil
-		}
+	courier.On(post, feed.IssueKind, func(from string, i feed.Issue) {
 		d.commands <- func(now time.Duration) { d.take(now, from, i) }
-		return nil, nil
 	})
 	post.Start()
 	go d.floor.Run()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,6 +11,7 @@
 	"madderwing/internal/accession"
 	"madderwing/internal/conservation"
 	"madderwing/internal/register"
+	"madderwing/internal/rendezvous"
 )
 
 // Kinds of message.
@@ -150,7 +151,7 @@
 			zones[id] = id
 		}
 	}
-	order := register.Rendezvous(s.Self, ids, len(ids))
+	order := rendezvous.Order(s.Self, ids)
 	sort.SliceStable(order, func(i, j int) bool {
 		bi, bj := s.bad[order[i]] > now, s.bad[order[j]] > now
 		if bi != bj {
--- a/internal/register/roll.go
+++ b/internal/register/roll.go
@@ -7,6 +7,8 @@
 	"hash/fnv"
 	"sort"
 	"time"
+
+	"madderwing/internal/rendezvous"
 )
 
 // State is what is believed of a node.
@@ -253,34 +255,7 @@
 			live = append(live, a)
 		}
 	}
-	return Rendezvous(r.cfg.Self.Address, live, watchSet)
-}
-
-// Rendezvous picks the n candidates of highest weight for a name.
-func Rendezvous(name string, candidates []string, n int) []string {
-	out := append([]string(nil), candidates...)
-	sort.Slice(out, func(i, j int) bool {
-		a, b := Weight(name, out[i]), Weight(name, out[j])
-		return a > b || a == b && out[i] < out[j]
-	})
-	if len(out) > n {
-		out = out[:n]
-	}
-	return out
-}
-
-// Weight is the rendezvous weight of a candidate for a name.
-func Weight(name, candidate string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(candidate))
-	v := h.Sum64()
-	v ^= v >> 33
-	v *= 0xff51afd7ed558ccd
-	v ^= v >> 33
-	v *= 0xc4ceb9fe1a85ec53
-	return v ^ v>>33
+	return rendezvous.Pick(r.cfg.Self.Address, live, watchSet)
 }
 
 // Handle takes a message.
--- a/internal/register/service.go
+++ b/internal/register/service.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"madderwing/internal/courier"
 )
 
@@ -74,17 +72,11 @@
 	s := &Service{roll: NewRoll(cfg), post: post, commands: make(chan func(time.Duration), 256),
 		start: time.Now(), onChange: onChange, done: make(chan struct{})}
 	s.publish()
-	post.Handle(kind, func(from string, body []byte) (any, error) {
-		var m Message
-		if cbor.Unmarshal(body, &m) != nil {
-			post.Undecoded.Add(1)
-			return nil, nil
-		}
+	courier.On(post, kind, func(from string, m Message) {
 		select {
 		case s.commands <- func(now time.Duration) { s.roll.Handle(now, from, m) }:
 		default:
 		}
-		return nil, nil
 	})
 	return s
 }
--- a/internal/rota/rota.go
+++ b/internal/rota/rota.go
@@ -8,7 +8,7 @@
 	"sort"
 	"time"
 
-	"madderwing/internal/register"
+	"madderwing/internal/rendezvous"
 )
 
 // Message is a ballot or the answer to one.
@@ -175,7 +175,7 @@
 
 func (r *Rota) rank(d *duty, roster []string) int {
 	n := 0
-	for _, id := range register.Rendezvous(d.name, roster, len(roster)) {
+	for _, id := range rendezvous.Order(d.name, roster) {
 		if id == r.cfg.Self {
 			return n
 		}
--- a/internal/stacks/member.go
+++ b/internal/stacks/member.go
@@ -1,7 +1,6 @@
 package stacks
 
 import (
-	"hash/fnv"
 	"sort"
 	"time"
 
@@ -9,6 +8,7 @@
 
 	"madderwing/internal/conservation"
 	"madderwing/internal/ledger"
+	"madderwing/internal/rendezvous"
 )
 
 // Config is what a member is told. The times are ratios to the settings'
@@ -987,24 +987,8 @@
 
 // ---- time
 
-func weight(key, id string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(key))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(id))
-	v := h.Sum64()
-	v ^= v >> 33
-	v *= 0xff51afd7ed558ccd
-	v ^= v >> 33
-	return v
-}
-
 // Heirs orders the roster for a key: who takes it over first.
-func (m *Member) Heirs(name string) []string {
-	ids := m.Roster()
-	sort.Slice(ids, func(i, j int) bool { return weight(name, ids[i]) > weight(name, ids[j]) })
-	return ids
-}
+func (m *Member) Heirs(name string) []string { return rendezvous.Order(name, m.Roster()) }
 
 // rank is this member's place among the live heirs that are not the owner.
 func (m *Member) rank(k *key) int {
