Rollouts: a plan before a change, a view of its delivery after

Cause: a team could not see what a call would do to what stands, nor when it was in force everywhere.

--- a/cmd/madderwing/client.go
+++ b/cmd/madderwing/client.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"madderwing/internal/archive"
+	"madderwing/internal/catalogue"
 	"madderwing/internal/charter"
 )
 
@@ -76,9 +77,51 @@
 	return nil, coded{exitAway, last}
 }
 
+// inForce waits until every desk that works has the newest items.
+func (c *client) inForce(out io.Writer, limit time.Duration) error {
+	var behind []string
+	for end := time.Now().Add(limit); ; time.Sleep(200 * time.Millisecond) {
+		text, err := c.call(http.MethodGet, "/v1/admin/delivery", nil)
+		if err != nil {
+			return err
+		}
+		var desks []archive.Delivery
+		if err := json.Unmarshal(text, &desks); err != nil {
+			return err
+		}
+		behind = behind[:0]
+		for _, d := range desks {
+			if !d.Current {
+				behind = append(behind, d.Desk)
+			}
+		}
+		if len(behind) == 0 {
+			fmt.Fprintf(out, "in force on %d desks\n", len(desks))
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("not in force after %v on %s", limit, strings.Join(behind, ", "))
+		}
+	}
+}
+
+// readFile reads a file named on the command line, or standard input.
+func readFile(cmd *cobra.Command, name string) (text []byte, err error) {
+	if name == "-" {
+		text, err = io.ReadAll(cmd.InOrStdin())
+	} else {
+		text, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return nil, usage(err)
+	}
+	return text, nil
+}
+
 func configCommand() *cobra.Command {
 	c := &cobra.Command{Use: "config", Short: "Read or change the configuration"}
 	get := &cobra.Command{Use: "get", Short: "Print the newest configuration", Args: cobra.NoArgs}
+	asCall := get.Flags().Bool("as-call", false, "print it as a call that 'config apply' takes, to keep or to restore from")
 	getClient := clientFlags(get)
 	get.RunE = func(cmd *cobra.Command, _ []string) error {
 		cl, err := getClient()
@@ -89,6 +132,9 @@
 		if err != nil {
 			return err
 		}
+		if *asCall {
+			text = []byte(`{"upsert":` + string(text) + `,"remove":{"routes":[]}}`)
+		}
 		var out bytes.Buffer
 		if json.Indent(&out, text, "", "  ") != nil {
 			out.Write(text)
@@ -98,16 +144,11 @@
 	}
 	apply := &cobra.Command{Use: "apply FILE", Short: "Send a change of the configuration (- for standard input)", Args: cobra.ExactArgs(1)}
 	applyClient := clientFlags(apply)
+	wait := apply.Flags().Duration("wait", 0, "wait up to this long until every working desk has the newest items in force")
 	apply.RunE = func(cmd *cobra.Command, args []string) error {
-		var text []byte
-		var err error
-		if args[0] == "-" {
-			text, err = io.ReadAll(cmd.InOrStdin())
-		} else {
-			text, err = os.ReadFile(args[0])
-		}
+		text, err := readFile(cmd, args[0])
 		if err != nil {
-			return usage(err)
+			return err
 		}
 		cl, err := applyClient()
 		if err != nil {
@@ -117,9 +158,37 @@
 			return err
 		}
 		fmt.Fprintln(cmd.OutOrStdout(), "taken")
+		if *wait > 0 {
+			return cl.inForce(cmd.OutOrStdout(), *wait)
+		}
 		return nil
 	}
-	c.AddCommand(get, apply)
+	plan := &cobra.Command{Use: "plan FILE", Short: "Show what a change would do, without making it (- for standard input)", Args: cobra.ExactArgs(1)}
+	planClient := clientFlags(plan)
+	plan.RunE = func(cmd *cobra.Command, args []string) error {
+		text, err := readFile(cmd, args[0])
+		if err != nil {
+			return err
+		}
+		cl, err := planClient()
+		if err != nil {
+			return err
+		}
+		answer, err := cl.call(http.MethodPost, "/v1/admin/plan", text)
+		if err != nil {
+			return err
+		}
+		var steps []catalogue.Step
+		if err := json.Unmarshal(answer, &steps); err != nil {
+			return err
+		}
+		w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+		for _, s := range steps {
+			fmt.Fprintf(w, "%s\t%s\t%d -> %d\n", s.Effect, s.Item, s.Stands, s.Sent)
+		}
+		return w.Flush()
+	}
+	c.AddCommand(get, apply, plan)
 	return c
 }
 
@@ -232,6 +301,13 @@
 	for _, s := range o.Shards {
 		fmt.Fprintf(w, "%d\t%d\t%d\t%d\n", s.Label, len(s.Desks), s.Zones, s.Routes)
 	}
+	current := 0
+	for _, d := range o.Delivery {
+		if d.Current {
+			current++
+		}
+	}
+	fmt.Fprintf(w, "\nThe newest items are in force on %d of %d desks.\n", current, len(o.Delivery))
 	fmt.Fprintf(w, "\nUPSTREAM\tSERVICE\tZONE\tSLOTS\tSTATE\n")
 	for _, u := range o.Upstreams {
 		state := "ready"
--- a/internal/archive/admin.go
+++ b/internal/archive/admin.go
@@ -56,6 +56,14 @@
 	Routes int      `json:"routes"`
 }
 
+// Delivery is how far a desk has the newest items in force.
+type Delivery struct {
+	Desk    string `json:"desk"`
+	Zone    string `json:"zone"`
+	Heard   bool   `json:"heard"`   // by an archive, lately
+	Current bool   `json:"current"` // has what the archive asked knows to be newest
+}
+
 // Overview is all that the administration API shows.
 type Overview struct {
 	Node        string               `json:"node"`
@@ -68,12 +76,13 @@
 	Upstreams   []accession.Instance `json:"upstreams"`
 	Listing     accession.Version    `json:"listing"`
 	Evacuations []string             `json:"evacuations"`
+	Delivery    []Delivery           `json:"delivery"`
 	Counters    map[string]uint64    `json:"counters"`
 }
 
 func (a *Archive) overview(now time.Duration) *Overview {
 	o := &Overview{Node: a.set.Node, Voting: a.member.Voting(), Duties: a.rota.States(now), Listing: a.stand.Version,
-		Upstreams: a.stand.All(now), Evacuations: []string{}, Members: []Member{}, Routes: []RouteState{}, Shards: []ShardState{}}
+		Upstreams: a.stand.All(now), Evacuations: []string{}, Members: []Member{}, Delivery: []Delivery{}, Routes: []RouteState{}, Shards: []ShardState{}}
 	list := a.reg.List()
 	labels := list.Shards(a.opt.Shards)
 	seats := map[string]bool{}
@@ -91,6 +100,8 @@
 		if n.Plane == register.Data {
 			m.Shard = labels[n.Address]
 			if n.State <= register.Suspect {
+				digest, heard := a.holds[n.Address]
+				o.Delivery = append(o.Delivery, Delivery{n.Name, n.Zone, heard, heard && digest == a.shown.Sums.Fold()})
 				s := &shards[m.Shard]
 				s.Desks = append(s.Desks, n.Name)
 				zones[m.Shard][n.Zone] = true
@@ -152,7 +163,7 @@
 	o := <-ch
 	views := map[string]any{
 		"overview": o, "members": o.Members, "keys": o.Keys, "duties": o.Duties, "bindings": o.Routes, "shards": o.Shards,
-		"upstreams": o.Upstreams, "evacuations": o.Evacuations, "counters": o.Counters,
+		"upstreams": o.Upstreams, "evacuations": o.Evacuations, "counters": o.Counters, "delivery": o.Delivery,
 	}
 	v, ok := views[page]
 	if !ok {
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -73,7 +73,8 @@
 	lookAgain bool
 	life      uint64
 	loads     accession.Loads
-	told      map[string]toldLoads // by other archives
+	holds     map[string]uint64 // desk -> digest of the items that it has in force
+	told      map[string]toldAt // by other archives
 
 	rosterTold string
 
@@ -85,9 +86,9 @@
 	log   struct{ archive, stacks, ledger, rota, shelving, accession, register, control *log.Logger }
 }
 
-type toldLoads struct {
-	at    time.Duration
-	loads accession.Loads
+type toldAt struct {
+	at   time.Duration
+	told feed.Told
 }
 
 // Stats are counters that status shows.
@@ -104,7 +105,7 @@
 // Run serves until ctx ends, then leaves in order.
 func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
 	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
-		writes: make(chan writeJob, 1024), shown: conservation.NewSet(), told: map[string]toldLoads{}}
+		writes: make(chan writeJob, 1024), shown: conservation.NewSet(), told: map[string]toldAt{}}
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	a.log.archive, a.log.stacks, a.log.ledger, a.log.rota = logger("archive"), logger("stacks"), logger("ledger"), logger("rota")
 	a.log.shelving, a.log.accession, a.log.register, a.log.control = logger("shelving"), logger("accession"), logger("register"), logger("control")
@@ -247,7 +248,7 @@
 				}
 				if now >= loadsAt {
 					loadsAt = now + beat
-					a.tellLoads(now)
+					a.tell(now)
 				}
 				a.lookAgain = a.lookAgain || a.shelf.Due(now)
 			}
@@ -347,22 +348,31 @@
 	return changed
 }
 
-// tellLoads passes the loads of those who watch this archive on to the others,
-// and adds up what they have told.
-func (a *Archive) tellLoads(now time.Duration) {
-	mine := a.watchers.Loads(now)
-	a.loads = accession.Loads{}
-	a.loads.Add(mine)
-	for _, id := range a.member.Roster() {
-		if id != a.post.Self() {
-			if len(mine) > 0 {
-				a.post.Toss(id, feed.LoadsKind, mine)
-			}
-			if told, ok := a.told[id]; ok && now-told.at < a.watchers.Forget {
-				a.loads.Add(told.loads)
+// tell passes on to the other archives what those who watch this one have told,
+// and puts that together with what the others have.
+func (a *Archive) tell(now time.Duration) {
+	mine := a.watchers.Told(now)
+	a.loads, a.holds = accession.Loads{}, map[string]uint64{}
+	take := func(t feed.Told) {
+		a.loads.Add(t.Loads)
+		for id, digest := range t.Holds {
+			if have, ok := a.holds[id]; !ok || have != a.shown.Sums.Fold() {
+				a.holds[id] = digest // a desk watches two; the newer word counts
 			}
 		}
 	}
+	take(mine)
+	for _, id := range a.member.Roster() {
+		if id == a.post.Self() {
+			continue
+		}
+		if len(mine.Holds) > 0 {
+			a.post.Toss(id, feed.ToldKind, mine)
+		}
+		if t, ok := a.told[id]; ok && now-t.at < a.watchers.Forget {
+			take(t.told)
+		}
+	}
 }
 
 // issue sends every watcher what it lacks.
@@ -429,7 +439,9 @@
 			if known.Foreign(w.Listing) {
 				a.rota.Raise(dutyList, w.Listing.Term)
 			}
+			told := w.Sums
 			a.watchers.Note(now, from, a.issueTo(now, from, w, true))
+			a.watchers.Holds(from, told)
 		})
 	})
 	courier.On(a.post, feed.IssueKind, func(from string, i feed.Issue) {
@@ -439,8 +451,8 @@
 			}
 		})
 	})
-	courier.On(a.post, feed.LoadsKind, func(from string, l accession.Loads) {
-		a.offer(func(now time.Duration) { a.told[from] = toldLoads{now, l} })
+	courier.On(a.post, feed.ToldKind, func(from string, t feed.Told) {
+		a.offer(func(now time.Duration) { a.told[from] = toldAt{now, t} })
 	})
 	a.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
 		var o order
--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -25,6 +26,7 @@
 	Evacuate *bool            `cbor:"3,keyasint,omitempty"`
 	Bind     []shelving.Order `cbor:"4,keyasint,omitempty"`
 	Retire   string           `cbor:"6,keyasint,omitempty"`
+	Plan     []byte           `cbor:"7,keyasint,omitempty"`
 	Read     bool             `cbor:"5,keyasint,omitempty"`
 }
 
@@ -42,13 +44,14 @@
 // own carries an order out at this archive as the owner of its key.
 func (a *Archive) own(o order) verdict {
 	var change *catalogue.Change
-	if o.Patch != nil {
+	if text := append(o.Patch, o.Plan...); text != nil {
 		var err error
-		if change, err = catalogue.Read(o.Patch); err != nil {
+		if change, err = catalogue.Read(text); err != nil {
 			return fault(err)
 		}
 	}
 	refused := make([]bool, len(o.Bind))
+	var steps []catalogue.Step
 	done := make(chan verdict, 1)
 	if o.Retire != "" {
 		a.do(func(now time.Duration) {
@@ -59,6 +62,10 @@
 	a.do(func(now time.Duration) {
 		a.member.Propose(now, o.Key, func(have map[string]stacks.Record) ([]stacks.Record, error) {
 			switch {
+			case o.Plan != nil:
+				var err error
+				steps, err = change.Plan(have, &a.routes)
+				return nil, err
 			case change != nil:
 				return change.Apply(have, &a.routes)
 			case o.Evacuate != nil:
@@ -79,6 +86,9 @@
 				return
 			}
 			var v verdict
+			if o.Plan != nil {
+				v.Body, _ = json.Marshal(steps)
+			}
 			if o.Bind != nil {
 				v.Body, _ = cbor.Marshal(refused)
 			}
@@ -175,6 +185,18 @@
 	})
 }
 
+func readCall(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxCall))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return nil, errata.New(errata.BodyTooLarge, "more than %d bytes", large.Limit)
+		}
+		return nil, errata.New(errata.BadRequest, "body not read: %v", err)
+	}
+	return body, nil
+}
+
 func (a *Archive) serve(r *http.Request, zones map[string]bool) ([]byte, error) {
 	ok := []byte("{}\n")
 	switch path := r.URL.Path; {
@@ -183,13 +205,9 @@
 		case http.MethodGet:
 			return a.submit(order{Key: catalogue.Key, Read: true})
 		case http.MethodPatch:
-			body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxCall))
+			body, err := readCall(r)
 			if err != nil {
-				var large *http.MaxBytesError
-				if errors.As(err, &large) {
-					return nil, errata.New(errata.BodyTooLarge, "more than %d bytes", large.Limit)
-				}
-				return nil, errata.New(errata.BadRequest, "body not read: %v", err)
+				return nil, err
 			}
 			if _, err := catalogue.Read(body); err != nil {
 				a.log.control.Printf("configuration refused: %v.", err)
@@ -216,6 +234,12 @@
 		}
 		a.log.control.Printf("evacuation of %s: %v.", zone, on)
 		return ok, nil
+	case path == "/v1/admin/plan" && r.Method == http.MethodPost:
+		body, err := readCall(r)
+		if err != nil {
+			return nil, err
+		}
+		return a.submit(order{Key: catalogue.Key, Plan: body})
 	case strings.HasPrefix(path, "/v1/admin/members/") && r.Method == http.MethodDelete:
 		return ok, a.retire(strings.TrimPrefix(path, "/v1/admin/members/"))
 	case strings.HasPrefix(path, "/v1/admin/"):
--- a/internal/archive/whole_test.go
+++ b/internal/archive/whole_test.go
@@ -177,6 +177,17 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 
+	// A plan tells what would happen; delivery tells when it has.
+	if got := s.until(t, 200, "POST", s.control+"/v1/admin/plan", strings.Replace(items, `"maxTries":2,"generation":1`, `"maxTries":3,"generation":4`, 1)); !strings.Contains(got, `"item":"route/r","effect":"change","stands":1,"sent":4`) {
+		t.Errorf("plan: %s", got)
+	}
+	for i := 0; !strings.Contains(s.until(t, 200, "GET", s.control+"/v1/admin/delivery", ""), `"current": true`); i++ {
+		if i > 200 {
+			t.Fatal("never delivered")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+
 	for name, c := range map[string]struct {
 		method, path, body string
 		status             int
@@ -190,6 +201,7 @@
 		"unknown page":         {"GET", "/v2/config", "", 404, "no such page"},
 		"unknown view":         {"GET", "/v1/admin/secrets", "", 404, "no such page"},
 		"views are read-only":  {"POST", "/v1/admin/keys", "", 405, "method not allowed"},
+		"a wrong plan":         {"POST", "/v1/admin/plan", `{"upsert":{"services":[{"name":"a"}]}}`, 400, "generation"},
 		"retire nobody":        {"DELETE", "/v1/admin/members/ghost", "", 404, "no such node"},
 		"retire the last":      {"DELETE", "/v1/admin/members/n-1", "", 409, "not as things stand"},
 		"an older generation":  {"PATCH", "/v1/config", strings.Replace(items, "/p/", "/q/", 1), 200, ""},
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -339,6 +339,42 @@
 	return changes, nil
 }
 
+// Step is what a call would do to one item.
+type Step struct {
+	Item   string `json:"item"`
+	Effect string `json:"effect"` // add, change, drop, or nothing
+	Stands uint64 `json:"stands"` // the generation that stands, 0 for none
+	Sent   uint64 `json:"sent"`
+}
+
+// Plan works out what a call would do, item by item, without doing it.
+func (c *Change) Plan(have map[string]Record, reader *Reader) ([]Step, error) {
+	changes, err := c.Apply(have, reader)
+	if err != nil {
+		return nil, err
+	}
+	taken := map[string]bool{}
+	for _, r := range changes {
+		taken[r.Name] = true
+	}
+	steps := []Step{}
+	for _, r := range append(append([]Record(nil), c.upserts...), c.removals...) {
+		old, ok := have[r.Name]
+		s := Step{r.Name, "nothing", old.Gen, r.Gen}
+		switch {
+		case !taken[r.Name] || r.Dropped && (!ok || old.Dropped):
+		case r.Dropped:
+			s.Effect = "drop"
+		case !ok || old.Dropped:
+			s.Effect = "add"
+		default:
+			s.Effect = "change"
+		}
+		steps = append(steps, s)
+	}
+	return steps, nil
+}
+
 // MaxBytes is how large a catalogue may grow; it has to fit into one message
 // between archives.
 const MaxBytes = 12 << 20
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -216,3 +216,21 @@
 		t.Fatalf("%+v", routes[0])
 	}
 }
+
+func TestPlanTellsWhatACallWouldDoAndDoesNothing(t *testing.T) {
+	have := start(t)
+	before := fmt.Sprint(have)
+	body := patch(fmt.Sprintf(svc, 7), route("r", "/new/", "a", 9)+","+route("n", "/n/", "a", 1), `{"name":"gone","generation":3}`)
+	c, err := Read([]byte(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := c.Plan(have, &Reader{})
+	want := []Step{{"service/a", "nothing", 7, 7}, {"route/r", "change", 7, 9}, {"route/n", "add", 0, 1}, {"route/gone", "nothing", 0, 3}}
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("%v %+v", err, got)
+	}
+	if fmt.Sprint(have) != before {
+		t.Fatal("the plan was carried out")
+	}
+}
--- a/internal/conservation/conservation.go
+++ b/internal/conservation/conservation.go
@@ -101,6 +101,14 @@
 // Pick lists the records of some ranges, by name.
 func (s *Set) Pick(ranges []int) []Record { return Pick(s.Records, ranges) }
 
+// Fold makes one number of all digests.
+func (s Sums) Fold() (v uint64) {
+	for _, x := range s {
+		v = (v^x)*0x9e3779b97f4a7c15 + 1
+	}
+	return v
+}
+
 // Diff names the ranges in which two digests differ.
 func Diff(a, b Sums) (ranges []int) {
 	for i := range a {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -16,7 +16,8 @@
 
 // Kinds of message.
 const (
-	LoadsKind = "loads" // between archives: the loads of those who watch one
+	ToldKind = "told" // between archives
+
 	WatchKind = "watch"
 	IssueKind = "issue"
 )
@@ -31,6 +32,13 @@
 	Load map[string]float64 `cbor:"4,keyasint,omitempty"`
 }
 
+// Told is what archives tell each other of those who watch them: loads by zone,
+// and the digest of the items that each desk has in force.
+type Told struct {
+	Loads accession.Loads   `cbor:"1,keyasint,omitempty"`
+	Holds map[string]uint64 `cbor:"2,keyasint,omitempty"`
+}
+
 // Issue is what an archive sends.
 type Issue struct {
 	Records []conservation.Record `cbor:"1,keyasint,omitempty"`
@@ -52,6 +60,7 @@
 
 type watcher struct {
 	watch Watch
+	holds uint64 // the digest that it has told itself
 	seen  time.Duration
 }
 
@@ -60,7 +69,18 @@
 	if w.all == nil {
 		w.all = map[string]*watcher{}
 	}
-	w.all[from] = &watcher{watch, now}
+	x := &watcher{watch: watch, seen: now}
+	if old := w.all[from]; old != nil {
+		x.holds = old.holds
+	}
+	w.all[from] = x
+}
+
+// Holds notes the digest that a watcher has told.
+func (w *Watchers) Holds(from string, sums *conservation.Sums) {
+	if x := w.all[from]; x != nil && sums != nil {
+		x.holds = sums.Fold()
+	}
 }
 
 // Each calls fn for every watcher that is not forgotten, with what it is
@@ -80,12 +100,16 @@
 	}
 }
 
-// Loads adds up what the watchers have told of their loads.
-func (w *Watchers) Loads(now time.Duration) accession.Loads {
-	out := accession.Loads{}
-	for _, x := range w.all {
-		if now-x.seen <= w.Forget && x.watch.Zone != "" {
-			out.Add(accession.Loads{x.watch.Zone: x.watch.Load})
+// Told sums up what the watchers have told.
+func (w *Watchers) Told(now time.Duration) Told {
+	out := Told{accession.Loads{}, map[string]uint64{}}
+	for id, x := range w.all {
+		if now-x.seen > w.Forget || x.watch.Sums == nil {
+			continue
+		}
+		out.Holds[id] = x.holds
+		if x.watch.Zone != "" {
+			out.Loads.Add(accession.Loads{x.watch.Zone: x.watch.Load})
 		}
 	}
 	return out
