--- a/internal/accession/accession_test.go
+++ b/internal/accession/accession_test.go
@@ -212,8 +212,9 @@
 	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
 	g, _ := claim(s, 0, &Claim{})
 	s.Release(0, g.Upstream, nil, Failing)
-	waiting := &Claim{}
-	if _, ok := claim(s, ms, waiting); ok {
+	var later Grant
+	s.Claim(ms, &Claim{Service: "a", Give: func(g Grant) { later = g }})
+	if later.Upstream != nil {
 		t.Fatal("a request went to a failing upstream")
 	}
 	last := time.Duration(0)
@@ -234,9 +235,12 @@
 			}
 		}
 	}
-	if g, ok := claim(s, last+ms, &Claim{}); !ok || g.Refused != Granted {
+	if later.Upstream == nil {
 		t.Fatal("not used again after a trial that succeeded")
 	}
+	if !later.Upstream.Cold(last) {
+		t.Error("after a silence it is taken to be warm")
+	}
 }
 
 // All desks together, in whatever view of each other they have, may send no
@@ -307,6 +311,29 @@
 	}
 }
 
+// Warmth that is not known is asked for by the few desks that may send to a
+// cold upstream, and only by them.
+func TestUnknownWarmthIsAskedForByFew(t *testing.T) {
+	ds, sh := desks("z", "y")
+	asked := 0
+	for _, d := range ds {
+		s := fresh(d.Address, d.Zone, list(1, "z", 0), ds, sh, nil)
+		s.infos["a"] = ServiceInfo{MaxConns: 200, HealthPath: "/h", WarmupS: 3, WarmupPerS: 8}
+		s.SetEvacuated(ms, map[string]bool{"z": true})
+		s.SetEvacuated(time.Second, map[string]bool{})
+		asked += len(s.Probes)
+		for _, p := range s.Probes {
+			s.Probed(2*time.Second, p.Upstream, 500*ms, true)
+			if p.Upstream.Cold(2600*ms) || !p.Upstream.Cold(2400*ms) {
+				t.Error("the upstream's own word does not count")
+			}
+		}
+	}
+	if asked == 0 || asked > ColdSenders+1 {
+		t.Errorf("%d probes", asked)
+	}
+}
+
 // The budget of all desks together holds in every window, also when desks start
 // anew and when each knows only some of the others.
 func TestRetryBudgetHoldsOverAllDesks(t *testing.T) {
--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -28,6 +28,7 @@
 // ServiceInfo is what the operator says of a service.
 type ServiceInfo struct {
 	MaxConns   int
+	HealthPath string
 	WarmupS    float64
 	WarmupPerS float64
 }
@@ -58,6 +59,8 @@
 	until    time.Duration // ejected till then
 	trying   bool          // a trial connection is being opened
 	proven   bool          // a connection to it has once come up
+	fresh    bool          // it appeared after the first list
+	asking   bool          // a probe for its warmth is under way
 	Served   uint64
 	Failed   uint64
 }
@@ -121,9 +124,17 @@
 	known     bool
 
 	Trials []*Upstream // connections to be opened to see whether an upstream is back
+	Probes []Probe     // questions for an upstream's warmth
 	Closed []*Conn     // connections to be closed
 }
 
+// Probe is a question for an upstream's warmth.
+type Probe struct {
+	Upstream    *Upstream
+	ID, Address string
+	Path        string
+}
+
 // NewStock makes an empty stock.
 func NewStock(cfg Config) *Stock {
 	return &Stock{cfg: cfg, ups: map[string]*Upstream{}, services: map[string]*service{},
@@ -147,7 +158,7 @@
 		u := s.ups[i.ID]
 		cold := time.Duration(i.WarmupMs) * time.Millisecond
 		if u == nil {
-			u = &Upstream{Instance: i, rank: rendezvous.Weight(s.cfg.Self, i.ID)}
+			u = &Upstream{Instance: i, rank: rendezvous.Weight(s.cfg.Self, i.ID), fresh: s.known}
 			s.ups[i.ID] = u
 		} else if u.Address != i.Address {
 			s.drop(u)
@@ -196,10 +207,10 @@
 // that is taken back count as cold until the platform's word, with its lag, can
 // be trusted again.
 func (s *Stock) SetEvacuated(now time.Duration, zones map[string]bool) {
+	var back []*Upstream
 	for _, u := range s.ups {
 		if s.evacuated[u.Zone] && !zones[u.Zone] {
-			warm := time.Duration(s.infos[u.Service].WarmupS * float64(time.Second))
-			u.coldTill = max(u.coldTill, now+warm+s.cfg.Lag)
+			back = append(back, u)
 		}
 		if zones[u.Zone] {
 			s.drop(u)
@@ -207,9 +218,33 @@
 	}
 	s.evacuated = zones
 	s.assign()
+	for _, u := range back {
+		s.doubt(now, u)
+	}
 	s.serveAll(now)
 }
 
+// doubt treats an upstream whose warmth is not known as cold, until the
+// platform's word on it must have arrived or the upstream itself has been asked.
+func (s *Stock) doubt(now time.Duration, u *Upstream) {
+	info := s.infos[u.Service]
+	u.coldTill = max(u.coldTill, now+time.Duration(info.WarmupS*float64(time.Second))+s.cfg.Lag)
+	if (u.home || u.sender) && !u.asking && info.HealthPath != "" {
+		u.asking = true
+		s.Probes = append(s.Probes, Probe{u, u.ID, u.Address, info.HealthPath})
+	}
+}
+
+// Probed takes the answer to a probe: how much longer the upstream stays cold.
+// Without one (ok is false) it goes on counting as cold.
+func (s *Stock) Probed(now time.Duration, u *Upstream, left time.Duration, ok bool) {
+	u.asking = false
+	if ok && !s.evacuated[u.Zone] {
+		u.coldTill = now + left
+		s.serve(now, s.service(u.Service))
+	}
+}
+
 // SetDesks takes the desks that work now, and their shards.
 func (s *Stock) SetDesks(now time.Duration, desks []register.Node, shards map[string]int) {
 	s.desks, s.shards = desks, shards
@@ -375,10 +410,15 @@
 // loadSpan is the time over which loads are averaged: some requests long.
 const loadSpan = 1500 * time.Millisecond
 
-// prove opens a first connection to the upstreams that this desk uses first, so
-// that no request has to find out whether they are there.
+// prove opens a first connection to upstreams that this desk uses first: the
+// warm pools of the services whose routes are bound to its shard, and, whatever
+// the shard, to those that have newly appeared, so that no request has to find
+// out whether they are there yet.
 func (s *Stock) prove() {
 	for _, u := range s.ups {
+		if !u.fresh && !s.holds(u.Service) {
+			continue
+		}
 		if u.home && !u.proven && !u.trying && u.until == 0 && !u.gone && !s.evacuated[u.Zone] {
 			u.trying = true
 			s.Trials = append(s.Trials, u)
@@ -386,6 +426,13 @@
 	}
 }
 
+// holds says whether this desk is of the shard that has a service's routes, or
+// no shard has them yet.
+func (s *Stock) holds(service string) bool {
+	shard, bound := s.bound[service]
+	return !bound || s.shards[s.cfg.Self] == shard
+}
+
 // Cold says whether an upstream counts as cold.
 func (u *Upstream) Cold(now time.Duration) bool { return now < u.coldTill }
 
@@ -618,6 +665,9 @@
 		s.Closed = append(s.Closed, conn)
 		return
 	}
+	if u.failures > 0 && u.proven {
+		s.doubt(now, u) // it was silent; it may have gone cold meanwhile
+	}
 	u.proven = true
 	u.idle = append(u.idle, conn)
 	s.serve(now, s.service(u.Service))
--- a/internal/circulation/floor.go
+++ b/internal/circulation/floor.go
@@ -4,7 +4,10 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
+	"net/http"
+	"strconv"
 	"time"
 
 	"madderwing/internal/accession"
@@ -46,6 +49,10 @@
 			go f.try(u, u.Address)
 		}
 		f.stock.Trials = nil
+		for _, p := range f.stock.Probes {
+			go f.probe(p)
+		}
+		f.stock.Probes = nil
 		if len(f.stock.Closed) > 0 {
 			closed := f.stock.Closed
 			f.stock.Closed = nil
@@ -69,6 +76,29 @@
 	})
 }
 
+// probe asks an upstream how much longer it stays cold. An answer of another
+// life, or none, says nothing.
+func (f *Floor) probe(p accession.Probe) {
+	var left time.Duration
+	ok := false
+	if conn, err := f.dial(p.Address, f.patience); err == nil {
+		_ = conn.SetDeadline(time.Now().Add(2 * f.patience))
+		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", p.Path, p.Address); err == nil {
+			if res, err := http.ReadResponse(conn.Reader.(*bufio.Reader), nil); err == nil {
+				ms, bad := strconv.ParseFloat(res.Header.Get(hWarmup), 64)
+				if res.Header.Get(hWarmup) == "" {
+					ms, bad = 0, nil
+				}
+				left = time.Duration(ms * float64(time.Millisecond))
+				ok = bad == nil && res.StatusCode == http.StatusOK && res.Header.Get(hInstance) == p.ID
+				res.Body.Close()
+			}
+		}
+		conn.Close()
+	}
+	f.Do(func(now time.Duration, s *accession.Stock) { s.Probed(now, p.Upstream, left, ok) })
+}
+
 func (f *Floor) dial(address string, limit time.Duration) (*accession.Conn, error) {
 	d := net.Dialer{Timeout: min(limit, f.patience), KeepAlive: -1}
 	c, err := d.Dial("tcp4", address)
--- a/internal/circulation/send.go
+++ b/internal/circulation/send.go
@@ -25,6 +25,8 @@
 	hTarget   = "Target-Instance"
 	hSeal     = "Server-Seal"
 	hNotRun   = "Not-Executed"
+	hInstance = "Instance-Id"
+	hWarmup   = "Warmup-Left"
 )
 
 // hopByHop are the headers that concern one connection only.
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -203,7 +203,7 @@
 	t := d.builder.Build(d.items.Records)
 	infos := map[string]accession.ServiceInfo{}
 	for name, s := range t.Services {
-		infos[name] = accession.ServiceInfo{MaxConns: s.MaxConns, WarmupS: s.WarmupS, WarmupPerS: s.WarmupPerS}
+		infos[name] = accession.ServiceInfo{MaxConns: s.MaxConns, HealthPath: s.HealthPath, WarmupS: s.WarmupS, WarmupPerS: s.WarmupPerS}
 	}
 	evacuated := map[string]bool{}
 	for z := range t.Evacuated {
