--- a/internal/archive/admin.go
+++ b/internal/archive/admin.go
@@ -1,6 +1,7 @@
 package archive
 
 import (
+	"bytes"
 	"encoding/json"
 	"sort"
 	"strings"
@@ -12,6 +13,7 @@
 	"madderwing/internal/register"
 	"madderwing/internal/rota"
 	"madderwing/internal/stacks"
+	"madderwing/internal/tally"
 )
 
 // Member is a node as the administration API shows it.
@@ -156,6 +158,35 @@
 	return nil
 }
 
+// metrics gives the counters in the text form that monitoring systems scrape.
+func (a *Archive) metrics() []byte {
+	ch := make(chan *Overview, 1)
+	a.do(func(now time.Duration) { ch <- a.overview(now) })
+	o := <-ch
+	watchers := o.Counters["watchers"]
+	delete(o.Counters, "watchers")
+	var b bytes.Buffer
+	tally.Write(&b, "archive", o.Counters)
+	tally.Gauge(&b, "archive", "watchers", watchers)
+	owned, current := uint64(0), uint64(0)
+	for _, k := range o.Keys {
+		if k.Owner == a.post.Self() {
+			owned++
+		}
+	}
+	for _, d := range o.Delivery {
+		if d.Current {
+			current++
+		}
+	}
+	tally.Gauge(&b, "archive", "keysOwned", owned)
+	tally.Gauge(&b, "archive", "routes", uint64(len(o.Routes)))
+	tally.Gauge(&b, "archive", "upstreams", uint64(len(o.Upstreams)))
+	tally.Gauge(&b, "archive", "desks", uint64(len(o.Delivery)))
+	tally.Gauge(&b, "archive", "desksCurrent", current)
+	return b.Bytes()
+}
+
 // admin gives one of the read-only views.
 func (a *Archive) admin(page string) ([]byte, error) {
 	ch := make(chan *Overview, 1)
--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -180,7 +180,9 @@
 			errata.Write(w, err)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
+		if r.URL.Path != "/metrics" {
+			w.Header().Set("Content-Type", "application/json")
+		}
 		_, _ = w.Write(body)
 	})
 }
@@ -234,6 +236,8 @@
 		}
 		a.log.control.Printf("evacuation of %s: %v.", zone, on)
 		return ok, nil
+	case path == "/metrics" && r.Method == http.MethodGet:
+		return a.metrics(), nil
 	case path == "/v1/admin/plan" && r.Method == http.MethodPost:
 		body, err := readCall(r)
 		if err != nil {
--- a/internal/archive/whole_test.go
+++ b/internal/archive/whole_test.go
@@ -188,6 +188,12 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 
+	for page, line := range map[string]string{s.ready: "madderwing_desk_served_total 1\n", s.control: "madderwing_archive_desks_current 1\n"} {
+		if got := s.until(t, 200, "GET", page+"/metrics", ""); !strings.Contains(got, line) {
+			t.Errorf("%q is not in %s", line, got)
+		}
+	}
+
 	for name, c := range map[string]struct {
 		method, path, body string
 		status             int
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -3,6 +3,7 @@
 package desk
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"log"
@@ -18,6 +19,7 @@
 	"madderwing/internal/courier"
 	"madderwing/internal/feed"
 	"madderwing/internal/register"
+	"madderwing/internal/tally"
 )
 
 // Options are what the command line adds to the settings.
@@ -234,6 +236,11 @@
 			b, _ := json.MarshalIndent(map[string]any{"node": d.set.Node, "counters": d.front.Counters(),
 				"connections": d.door.Open(), "upstreams": <-ch}, "", "  ")
 			_, _ = w.Write(append(b, '\n'))
+		case "/metrics":
+			var b bytes.Buffer
+			tally.Write(&b, "desk", d.front.Counters())
+			tally.Gauge(&b, "desk", "connections", uint64(d.door.Open()))
+			_, _ = w.Write(b.Bytes())
 		default:
 			w.WriteHeader(http.StatusNotFound)
 		}
