Keys go back to their first heir after a long calm; a disk that hangs holds up nobody

The queue to the ledger had a bound, at which a hanging disk would have stopped signs of life; a server with former limits went on listening. Keys gathered at the last archive that was not restarted.

--- a/cmd/madderwing/commands.go
+++ b/cmd/madderwing/commands.go
@@ -98,15 +98,16 @@
 	path := settingsFlag(c)
 	shards := c.Flags().Int("shards", 2, "how many shards the desks are divided into; the same on all nodes")
 	relist := c.Flags().Duration("relist", 30*time.Second, "how often all unscheduled routes are listed again")
+	handBack := c.Flags().Duration("hand-back", time.Minute, "calm after which a key goes back to its first heir; 0: never")
 	c.RunE = func(*cobra.Command, []string) error {
-		if *relist <= 0 {
-			return usage(errors.New("--relist: must be above 0"))
+		if *relist <= 0 || *handBack < 0 {
+			return usage(errors.New("--relist must be above 0, --hand-back not below"))
 		}
 		return serve(*path, *shards, func(ctx context.Context, s *charter.Settings, reload <-chan *charter.Settings) error {
 			if s.Bind.Control == "" {
 				return usage(charter.Check{"bind: an archive needs control"})
 			}
-			return archive.Run(ctx, s, archive.Options{Shards: *shards, Relist: *relist}, reload)
+			return archive.Run(ctx, s, archive.Options{Shards: *shards, Relist: *relist, HandBack: *handBack}, reload)
 		})
 	}
 	return c
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -12,6 +12,7 @@
 	"os"
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,8 @@
 type Options struct {
 	Shards int
 	Relist time.Duration
+	// HandBack is the calm after which a key goes back to its first heir.
+	HandBack time.Duration
 }
 
 // Archive is one control-plane process.
@@ -78,7 +81,7 @@
 
 	rosterTold string
 
-	writes  chan writeJob
+	writes  *jobs
 	polling atomic.Bool
 	client  *http.Client
 
@@ -105,7 +108,7 @@
 // Run serves until ctx ends, then leaves in order.
 func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
 	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
-		writes: make(chan writeJob, 1024), shown: conservation.NewSet(), told: map[string]toldAt{}}
+		writes: newJobs(), shown: conservation.NewSet(), told: map[string]toldAt{}}
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	a.log.archive, a.log.stacks, a.log.ledger, a.log.rota = logger("archive"), logger("stacks"), logger("ledger"), logger("rota")
 	a.log.shelving, a.log.accession, a.log.register, a.log.control = logger("shelving"), logger("accession"), logger("register"), logger("control")
@@ -143,7 +146,7 @@
 	a.life = rand.Uint64() | 1
 	a.member, err = stacks.NewMember(stacks.Config{Self: post.Self(), Life: a.life, Seeds: set.SeedArchives(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
-		Beat: beat, Vacant: vacant, Patience: charter.Seconds(set.Bounds.AckS * 0.17),
+		Beat: beat, Vacant: vacant, Patience: charter.Seconds(set.Bounds.AckS * 0.17), HandBack: opt.HandBack,
 		Alive: func(id string) bool { return a.reg.Hopeful(id) }}, disk)
 	if err != nil {
 		return err
@@ -253,7 +256,7 @@
 				a.lookAgain = a.lookAgain || a.shelf.Due(now)
 			}
 		case <-stop:
-			close(a.writes)
+			a.writes.close()
 			return
 		}
 		now := time.Since(a.start)
@@ -279,11 +282,11 @@
 			a.post.Send(to, stacksKind, byPeer[to])
 		}
 		for _, w := range fx.Writes {
-			a.writes <- writeJob{w.Entries, w.ID, false}
+			a.writes.put(writeJob{w.Entries, w.ID, false})
 		}
 		if fx.Rewrite {
 			entries, upTo := a.member.Snapshot()
-			a.writes <- writeJob{entries, upTo, true}
+			a.writes.put(writeJob{entries, upTo, true})
 		}
 		changed := false
 		for _, key := range fx.Committed {
@@ -469,26 +472,25 @@
 func (a *Archive) keep(book *ledger.Ledger) {
 	defer book.Close()
 	failed := false
-	for job := range a.writes {
-		entries, id, whole := job.entries, job.id, job.whole
-		for more := true; more && !whole; {
-			select {
-			case next, ok := <-a.writes:
-				if !ok {
-					more = false
-				} else if next.whole {
-					entries, id, whole = next.entries, next.id, true
-				} else {
-					entries, id = append(entries, next.entries...), next.id
-				}
-			default:
-				more = false
+	for {
+		batch := a.writes.take()
+		if batch == nil {
+			return
+		}
+		var entries []ledger.Entry
+		var id uint64
+		whole := false
+		for _, job := range batch {
+			if job.whole {
+				entries, whole = nil, true // it holds all that was written before
 			}
+			entries = append(entries, job.entries...)
+			id = job.id
 		}
 		var err error
 		switch {
 		case whole:
-			err = book.Rewrite(entries)
+			err = book.Rewrite(unique(entries))
 		case failed:
 			err = errors.New("waiting for a rewrite")
 		default:
@@ -516,6 +518,47 @@
 	}
 }
 
+// jobs is the queue of the ledger's goroutine. It has no bound, so that a disk
+// that hangs never holds up those who write.
+type jobs struct {
+	mu     sync.Mutex
+	some   sync.Cond
+	list   []writeJob
+	closed bool
+}
+
+func newJobs() *jobs {
+	j := &jobs{}
+	j.some.L = &j.mu
+	return j
+}
+
+func (j *jobs) put(job writeJob) {
+	j.mu.Lock()
+	j.list = append(j.list, job)
+	j.mu.Unlock()
+	j.some.Signal()
+}
+
+// take waits for jobs and returns all there are; nil when closed.
+func (j *jobs) take() []writeJob {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for len(j.list) == 0 && !j.closed {
+		j.some.Wait()
+	}
+	list := j.list
+	j.list = nil
+	return list
+}
+
+func (j *jobs) close() {
+	j.mu.Lock()
+	j.closed = true
+	j.mu.Unlock()
+	j.some.Signal()
+}
+
 // unique keeps the last entry of each key, in order.
 func unique(entries []ledger.Entry) []ledger.Entry {
 	last := make(map[string]int, len(entries))
--- a/internal/circulation/server.go
+++ b/internal/circulation/server.go
@@ -43,6 +43,12 @@
 	case c := <-r.conns:
 		return c, nil
 	case <-r.done:
+	}
+	// Nothing comes after done; what came before is still let in.
+	select {
+	case c := <-r.conns:
+		return c, nil
+	default:
 		return nil, net.ErrClosed
 	}
 }
@@ -73,6 +79,10 @@
 		return
 	}
 	d.limits = l
+	if d.current != nil {
+		// It takes no more; the connections that it has go on.
+		_ = d.current.Close()
+	}
 	r := &room{conns: make(chan net.Conn, 64), done: make(chan struct{}), addr: d.listener.Addr()}
 	r.server = &http.Server{
 		Handler:           d.front,
@@ -124,9 +134,8 @@
 		}
 		d.open.Add(1)
 		d.mu.Lock()
-		r := d.current
+		d.current.conns <- &guest{Conn: c}
 		d.mu.Unlock()
-		r.conns <- &guest{Conn: c}
 	}
 }
 
--- a/internal/stacks/member.go
+++ b/internal/stacks/member.go
@@ -23,6 +23,7 @@
 	Beat      time.Duration // between signs of life of an owner
 	Vacant    time.Duration // silence after which a key is taken over
 	Patience  time.Duration // how long a proposal may wait
+	HandBack  time.Duration // calm after which a key goes back to its first heir; 0: never
 	Alive     func(id string) bool
 }
 
@@ -71,6 +72,7 @@
 	waiters  []waiter
 	queue    []proposal
 	notUntil time.Duration
+	calmFrom time.Duration
 	oldNeed  map[string]bool // the roster before a change that is not committed
 }
 
@@ -1098,6 +1100,7 @@
 				}
 			} else if now-k.beatAt >= m.cfg.Beat {
 				m.beat(k)
+				m.handBack(k)
 			}
 		case asks:
 			if now-k.since > m.cfg.Vacant {
@@ -1162,6 +1165,24 @@
 	}
 }
 
+// handBack gives a key back to the heir that comes before this member, once
+// that has been at work, with a copy that is up to date, for a long calm time.
+// Keys that a failure has gathered at one member so spread out again.
+func (m *Member) handBack(k *key) {
+	heir := m.Heirs(k.name)[0]
+	calm := heir != m.cfg.Self && m.cfg.HandBack > 0 && m.cfg.Alive(heir) && k.commit == k.at && len(k.waiters)+len(k.queue) == 0 &&
+		k.acks[heir] == k.at && m.now-k.seen[heir] <= m.cfg.Vacant && m.now-k.since > m.cfg.HandBack
+	if !calm {
+		k.calmFrom = m.now
+		return
+	}
+	if m.now-k.calmFrom >= m.cfg.HandBack {
+		m.release(k, ErrNotOwner)
+		k.notUntil = m.now + m.cfg.Vacant
+		m.send(heir, Message{Yield: &Yield{k.name}})
+	}
+}
+
 // Leave hands over all keys; the member takes none from then on.
 func (m *Member) Leave(now time.Duration) {
 	m.now = now
--- a/internal/stacks/member_test.go
+++ b/internal/stacks/member_test.go
@@ -346,3 +346,27 @@
 		t.Fatalf("voting %v, x=%d, roster %v", n.m.Voting(), n.m.keys[testKey].Records["x"].Gen, n.m.Roster())
 	}
 }
+
+// Keys that a failure has gathered go back to their first heir, but only after
+// a long calm, and nothing is lost on the way.
+func TestKeysGoBackToTheirFirstHeir(t *testing.T) {
+	w := newWorld(t, 21, 4)
+	w.run(6 * time.Second)
+	heir := w.settle(t).m.Heirs(testKey)[0]
+	w.crash(heir, false)
+	w.mustPut(t, "x", 1)
+	w.start(heir)
+	back := time.Duration(0)
+	for begin := w.now; back == 0 && w.now < begin+30*time.Second; w.run(w.now + 100*time.Millisecond) {
+		if w.nodes[heir].m.keys[testKey].role == owns {
+			back = w.now - begin
+		}
+	}
+	if back < 4*time.Second {
+		t.Fatalf("the key went back after %v (0: never)", back)
+	}
+	w.mustPut(t, "x", 2)
+	if n := w.settle(t); n.id != heir || n.m.keys[testKey].Records["x"].Gen != 2 {
+		t.Fatalf("%s owns x=%d", n.id, n.m.keys[testKey].Records["x"].Gen)
+	}
+}
--- a/internal/stacks/world_test.go
+++ b/internal/stacks/world_test.go
@@ -83,7 +83,7 @@
 	w.lives++
 	n.lastPos = Position{}
 	cfg := Config{Self: id, Life: w.lives, Seeds: w.ids[:3], Bootstrap: n.boot, Empty: len(n.disk) == 0, Keys: []string{testKey},
-		Beat: 500 * time.Millisecond, Vacant: 1200 * time.Millisecond, Patience: 900 * time.Millisecond,
+		Beat: 500 * time.Millisecond, Vacant: 1200 * time.Millisecond, Patience: 900 * time.Millisecond, HandBack: 4 * time.Second,
 		Alive: func(o string) bool { return w.nodes[o].up }}
 	n.boot = false
 	m, err := NewMember(cfg, n.disk)
