--- a/internal/accession/accession_test.go
+++ b/internal/accession/accession_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -182,7 +183,7 @@
 				t.Fatal("no upstream")
 			}
 			leave(s)
-			s.Release(2*ms, g.Upstream, &Conn{Expires: time.Hour}, Served)
+			s.Release(2*ms, g, &Conn{Expires: time.Hour}, Served)
 			if g, ok := claim(s, 3*ms, &Claim{}); !ok || g.Refused != NoneLeft {
 				t.Fatalf("got %+v", g)
 			}
@@ -194,7 +195,7 @@
 	ds, sh := desks("z")
 	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
 	g, _ := claim(s, 0, &Claim{})
-	s.Release(ms, g.Upstream, &Conn{Expires: time.Hour}, Served)
+	s.Release(ms, g, &Conn{Expires: time.Hour}, Served)
 	next := list(1, "z", 0)
 	next[0].ID = "other-life"
 	s.SetList(2*ms, next)
@@ -211,7 +212,7 @@
 	ds, sh := desks("z")
 	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
 	g, _ := claim(s, 0, &Claim{})
-	s.Release(0, g.Upstream, nil, Failing)
+	s.Release(0, g, nil, Failing)
 	var later Grant
 	s.Claim(ms, &Claim{Service: "a", Give: func(g Grant) { later = g }})
 	if later.Upstream != nil {
@@ -271,7 +272,7 @@
 				c.Give = func(g Grant) {
 					if g.Refused == Granted {
 						sent = append(sent, now)
-						s.Release(now, g.Upstream, nil, Served)
+						s.Release(now, g, nil, Served)
 					}
 				}
 				s.Claim(now, c)
@@ -369,7 +370,7 @@
 			g, ok := claim(s, now, &Claim{Retry: true})
 			if ok && g.Refused == Granted {
 				marks = append(marks, mark{now, true})
-				s.Release(now, g.Upstream, nil, Served)
+				s.Release(now, g, nil, Served)
 			}
 		}
 	}
@@ -496,3 +497,38 @@
 		t.Fatalf("a list that is cut off passed for whole: %+v", got)
 	}
 }
+
+// When an upstream falls silent for one request, those that wait there and may
+// run again are let go; the others wait on.
+func TestSilenceLetsGoOfThoseWhoMayRunAgain(t *testing.T) {
+	ds, sh := desks("z")
+	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+	wait := func(h *Hold) (Grant, *deadlines) {
+		g, ok := claim(s, 0, &Claim{Hold: h})
+		if !ok || g.Refused != Granted {
+			t.Fatal("no upstream")
+		}
+		d := &deadlines{}
+		g.Hold.On(&Conn{Conn: d})
+		return g, d
+	}
+	_, repeatable := wait(&Hold{})
+	_, once := wait(nil)
+	done, _ := wait(&Hold{})
+	s.Release(ms, done, nil, Failing)
+	if repeatable.set {
+		t.Error("let go though the upstream only broke off")
+	}
+	s.Tried(2*ms, done.Upstream, &Conn{Expires: time.Hour})
+	s.Release(3*ms, Grant{Upstream: done.Upstream}, nil, Silent)
+	if !repeatable.set || once.set {
+		t.Errorf("let go: %v; one that must not run again: %v", repeatable.set, once.set)
+	}
+}
+
+type deadlines struct {
+	net.Conn
+	set bool
+}
+
+func (d *deadlines) SetReadDeadline(time.Time) error { d.set = true; return nil }
--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"madderwing/internal/register"
@@ -46,6 +47,7 @@
 	Busy int // requests of this desk that it has
 
 	idle     []*Conn
+	holds    map[*Hold]struct{} // requests under way that may be sent elsewhere
 	coldTill time.Duration
 	pace     Pace
 	sender   bool // this desk may send to it while it is cold
@@ -65,12 +67,31 @@
 	Failed   uint64
 }
 
+// Hold is a request's hold on the connection that it waits on. If the upstream
+// falls silent for others, the wait is cut short, so that a request that may run
+// again goes elsewhere while there is time.
+type Hold struct{ conn atomic.Pointer[Conn] }
+
+// On says which connection the request waits on.
+func (h *Hold) On(c *Conn) {
+	if h != nil {
+		h.conn.Store(c)
+	}
+}
+
+func (h *Hold) cut() {
+	if c := h.conn.Load(); c != nil {
+		_ = c.SetReadDeadline(time.Now())
+	}
+}
+
 // Claim is a request's wish for an upstream.
 type Claim struct {
 	Service  string
 	Priority int
 	Avoid    []string // ids that have been tried
 	Retry    bool     // takes from the budget
+	Hold     *Hold    // nil if the request must not run again
 	Give     func(Grant)
 
 	arrived time.Duration
@@ -83,6 +104,7 @@
 	ID       string
 	Address  string
 	Conn     *Conn
+	Hold     *Hold
 	Refused  Refusal
 }
 
@@ -577,7 +599,13 @@
 	if u.Cold(now) {
 		u.pace.Pass(now, v.info.WarmupPerS/float64(u.senders))
 	}
-	g := Grant{Upstream: u, ID: u.ID, Address: u.Address}
+	g := Grant{Upstream: u, ID: u.ID, Address: u.Address, Hold: c.Hold}
+	if c.Hold != nil {
+		if u.holds == nil {
+			u.holds = map[*Hold]struct{}{}
+		}
+		u.holds[c.Hold] = struct{}{}
+	}
 	for n := len(u.idle); n > 0 && g.Conn == nil; n-- {
 		conn := u.idle[n-1]
 		u.idle = u.idle[:n-1]
@@ -612,21 +640,29 @@
 	Full                   // it turned the request away
 	Failing                // it broke off or could not be reached
 	Other                  // another upstream has the address
+	Silent                 // it no longer so much as acknowledges what it is sent
 )
 
 // Release returns an upstream after a request, with the connection if that can
 // be used again.
-func (s *Stock) Release(now time.Duration, u *Upstream, conn *Conn, how Outcome) {
+func (s *Stock) Release(now time.Duration, g Grant, conn *Conn, how Outcome) {
+	u := g.Upstream
 	u.Busy--
+	delete(u.holds, g.Hold)
 	switch how {
 	case Served:
 		u.failures, u.proven = 0, true
 		u.Served++
 	case Full:
 		u.Served++
-	case Failing:
+	case Failing, Silent:
 		u.Failed++
 		s.eject(now, u)
+		if how == Silent {
+			for h := range u.holds {
+				h.cut()
+			}
+		}
 	case Other:
 		u.gone = true
 		s.drop(u)
--- a/internal/circulation/floor.go
+++ b/internal/circulation/floor.go
@@ -128,11 +128,11 @@
 	}
 }
 
-func (f *Floor) release(u *accession.Upstream, conn *accession.Conn, idle time.Duration, how accession.Outcome) {
+func (f *Floor) release(g accession.Grant, conn *accession.Conn, idle time.Duration, how accession.Outcome) {
 	f.Do(func(now time.Duration, s *accession.Stock) {
 		if conn != nil {
 			conn.Expires = now + idle
 		}
-		s.Release(now, u, conn, how)
+		s.Release(now, g, conn, how)
 	})
 }
--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -232,7 +232,11 @@
 	var last error
 	for {
 		patience := min(x.aim/5, time.Until(x.deadline)/2)
-		g := f.floor.claim(&accession.Claim{Service: x.service, Priority: x.route.Priority, Avoid: avoid, Retry: sent > 0}, patience)
+		claim := &accession.Claim{Service: x.service, Priority: x.route.Priority, Avoid: avoid, Retry: sent > 0}
+		if x.route.Repeatable() && x.begun == nil {
+			claim.Hold = &accession.Hold{}
+		}
+		g := f.floor.claim(claim, patience)
 		if g.Refused != accession.Granted {
 			if last != nil {
 				return last
@@ -286,7 +290,11 @@
 			f.finish(g, res, accession.Served)
 			return false, large
 		}
-		f.finish(g, res, accession.Failing)
+		how := accession.Failing
+		if silent(res.broke) {
+			how = accession.Silent
+		}
+		f.finish(g, res, how)
 		return repeatable, errata.New(errata.Broken, "%s: %v", x.service, res.broke)
 	}
 	r := res.response
--- a/internal/circulation/send.go
+++ b/internal/circulation/send.go
@@ -92,6 +92,7 @@
 		return result{conn: conn, broke: os.ErrDeadlineExceeded, untried: true, late: true}
 	}
 	_ = conn.SetDeadline(x.deadline)
+	g.Hold.On(conn)
 
 	head := buffers.Get().(*bytes.Buffer)
 	head.Reset()
@@ -204,7 +205,7 @@
 	if conn != nil {
 		_ = conn.SetDeadline(time.Time{})
 	}
-	f.floor.release(g.Upstream, conn, idle, how)
+	f.floor.release(g, conn, idle, how)
 }
 
 // idleTime is how long an answer's connection may lie idle: some less than
@@ -225,6 +226,11 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
+// silent says whether an error means that the peer's machine no longer answers.
+func silent(err error) bool {
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH)
+}
+
 // quiet says whether an idle connection is still open and has sent nothing.
 func quiet(c *accession.Conn) bool {
 	if c.Reader.(*bufio.Reader).Buffered() > 0 {
