--- a/internal/accession/accession_test.go
+++ b/internal/accession/accession_test.go
@@ -18,7 +18,7 @@
 const ms = time.Millisecond
 
 func cfg(self, zone string) Config {
-	return Config{Self: self, Zone: zone, RetryRatio: 0.2, RetrySlack: 60, Window: 10 * time.Second, ColdOver: 1.5, ColdSlack: 5,
+	return Config{Self: self, Zone: zone, RetryRatio: 0.2, RetrySlack: 60, Window: 10 * time.Second,
 		Eject: 100 * ms, EjectMax: time.Second, Lag: 500 * ms}
 }
 
@@ -488,12 +488,12 @@
 	}))
 	defer srv.Close()
 	address := strings.TrimPrefix(srv.URL, "http://")
-	got, err := ReadAll(context.Background(), srv.Client(), address)
-	if err != nil || len(got) != 3 || !got[1].Draining || got[0].Draining || got[2].WarmupMs != 500 {
+	got, calls, err := ReadAll(context.Background(), srv.Client(), address, 40)
+	if err != nil || calls != 3 || len(got) != 3 || !got[1].Draining || got[0].Draining || got[2].WarmupMs != 500 {
 		t.Fatalf("%v %+v", err, got)
 	}
 	fail = 2
-	if got, err := ReadAll(context.Background(), srv.Client(), address); err == nil {
+	if got, _, err := ReadAll(context.Background(), srv.Client(), address, 40); err == nil {
 		t.Fatalf("a list that is cut off passed for whole: %+v", got)
 	}
 }
--- a/internal/accession/listing.go
+++ b/internal/accession/listing.go
@@ -80,34 +80,43 @@
 // maxPages bounds one reading of the list.
 const maxPages = 1000
 
-// ReadAll reads the platform's whole list; a list that is cut off in the
-// middle is no list.
-func ReadAll(ctx context.Context, client *http.Client, address string) ([]Instance, error) {
+// ReadAll reads the platform's whole list and says how many calls that took; a
+// list that is cut off in the middle is no list. Of a long list it reads no more
+// than half of what the platform bears, perS calls a second from all together.
+func ReadAll(ctx context.Context, client *http.Client, address string, perS float64) (list []Instance, calls int, err error) {
 	out := []Instance{}
 	token := ""
 	for n := 0; n < maxPages; n++ {
+		calls = n + 1
+		if perS > 0 && float64(n) >= perS/8 {
+			select {
+			case <-time.After(time.Duration(2 * float64(time.Second) / perS)):
+			case <-ctx.Done():
+				return nil, calls, ctx.Err()
+			}
+		}
 		u := "http://" + address + "/instances"
 		if token != "" {
 			u += "?pageToken=" + url.QueryEscape(token)
 		}
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 		if err != nil {
-			return nil, err
+			return nil, calls, err
 		}
 		res, err := client.Do(req)
 		if err != nil {
-			return nil, err
+			return nil, calls, err
 		}
 		var p page
 		err = json.NewDecoder(res.Body).Decode(&p)
 		res.Body.Close()
 		switch {
 		case res.StatusCode == http.StatusTooManyRequests:
-			return nil, ErrThrottled
+			return nil, calls, ErrThrottled
 		case res.StatusCode != http.StatusOK:
-			return nil, fmt.Errorf("platform answered %d", res.StatusCode)
+			return nil, calls, fmt.Errorf("platform answered %d", res.StatusCode)
 		case err != nil:
-			return nil, err
+			return nil, calls, err
 		}
 		for _, i := range p.Instances {
 			out = append(out, Instance{ID: i.ID, Service: i.Target, Address: i.Address, Zone: i.Zone,
@@ -115,11 +124,11 @@
 		}
 		if p.NextToken == nil || *p.NextToken == "" {
 			sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
-			return out, nil
+			return out, calls, nil
 		}
 		token = *p.NextToken
 	}
-	return nil, errors.New("platform's list has no end")
+	return nil, calls, errors.New("platform's list has no end")
 }
 
 // warmSlack is the difference in the end of a warm-up that counts as news.
--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -19,8 +19,6 @@
 	RetryRatio float64
 	RetrySlack float64
 	Window     time.Duration // retryWindowS
-	ColdOver   float64       // warmupOvershoot
-	ColdSlack  float64
 	Eject      time.Duration // first pause after a failure
 	EjectMax   time.Duration
 	Lag        time.Duration // how old the platform's word may be when it is here
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -584,10 +584,16 @@
 	}
 	go func() {
 		defer a.polling.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), charter.Seconds(a.set.Bounds.DrainS*0.8))
+		begin := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), charter.Seconds(8*a.set.Bounds.DrainS))
 		defer cancel()
-		a.stats.Polls.Add(1)
-		list, err := accession.ReadAll(ctx, a.client, a.set.CloudAPI.Address)
+		list, calls, err := accession.ReadAll(ctx, a.client, a.set.CloudAPI.Address, a.set.CloudAPI.RatePerS)
+		a.stats.Polls.Add(uint64(calls))
+		// A list of many pages is read less often; one that is throttled, too.
+		if throttled := errors.Is(err, accession.ErrThrottled); throttled || calls > 1 {
+			rest := max(time.Since(begin), charter.Seconds(a.set.Bounds.DrainS/5))
+			defer time.Sleep(min(rest, charter.Seconds(a.set.Bounds.DrainS)))
+		}
 		if err != nil {
 			a.stats.PollErrors.Add(1)
 			a.log.accession.Printf("list not read: %v.", err)
--- a/internal/catalogue/table.go
+++ b/internal/catalogue/table.go
@@ -9,14 +9,11 @@
 // Table is what requests are looked up in. It is built anew for each change
 // and never altered.
 type Table struct {
-	hosts      map[string][]*Route // longest prefix first
-	Services   map[string]*Service
-	Limits     Limits
-	LimitsGen  uint64
-	Evacuated  map[string]uint64 // zone -> generation of its evacuation
-	EvacGens   map[string]uint64 // zone -> generation of its record
-	RouteCount int
-	Known      bool // any item is known
+	hosts     map[string][]*Route // longest prefix first
+	Services  map[string]*Service
+	Limits    Limits
+	Evacuated map[string]uint64 // zone -> generation of its evacuation
+	Known     bool              // any item is known
 }
 
 // Builder builds tables and reads each version of an item once.
@@ -39,11 +36,10 @@
 		b.services = map[string]builtService{}
 	}
 	t := &Table{hosts: map[string][]*Route{}, Services: map[string]*Service{}, Limits: defaultLimits,
-		Evacuated: map[string]uint64{}, EvacGens: map[string]uint64{}}
+		Evacuated: map[string]uint64{}}
 	for n, rec := range have {
 		if strings.HasPrefix(n, EvacuationPrefix) {
 			zone := n[len(EvacuationPrefix):]
-			t.EvacGens[zone] = rec.Gen
 			if !rec.Dropped {
 				t.Evacuated[zone] = rec.Gen
 			}
@@ -62,7 +58,6 @@
 				continue
 			}
 			t.hosts[r.Host] = append(t.hosts[r.Host], r)
-			t.RouteCount++
 		case strings.HasPrefix(n, servicePrefix):
 			built, ok := b.services[n]
 			if !ok || built.gen != rec.Gen {
@@ -77,7 +72,7 @@
 		case n == limitsName:
 			l := defaultLimits
 			if json.Unmarshal(decodeItem(rec).Raw, &l) == nil {
-				t.Limits, t.LimitsGen = l, rec.Gen
+				t.Limits = l
 			}
 		}
 	}
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -30,7 +30,8 @@
 //go:embed schema.json
 var schemaText []byte
 
-// Settings is what one process is told.
+// Settings is what one process is told, as far as it is used. The schema checks
+// what is not used as well.
 type Settings struct {
 	Node          string            `toml:"node"`
 	Role          string            `toml:"role"`
@@ -43,11 +44,9 @@
 	Bootstrap     bool              `toml:"bootstrap"`
 	InQuorum      bool              `toml:"inQuorum"`
 	DataDir       string            `toml:"dataDir"`
-	HeartbeatS    float64           `toml:"heartbeatS"`
 	Zones         map[string]string `toml:"zones"`
 	Bind          Bind              `toml:"bind"`
 	Limits        Limits            `toml:"limits"`
-	FaultBudget   FaultBudget       `toml:"faultBudget"`
 	Bounds        Bounds            `toml:"bounds"`
 	CloudAPI      CloudAPI          `toml:"cloudApi"`
 }
@@ -66,31 +65,18 @@
 	MaxFds      int     `toml:"maxFds"`
 }
 
-// FaultBudget says what may be lost together.
-type FaultBudget struct {
-	Machines int `toml:"machines"`
-	Zones    int `toml:"zones"`
-	Regions  int `toml:"regions"`
-}
-
 // Bounds are the figures that the rules are judged by, in seconds where the
 // name ends in S.
 type Bounds struct {
-	SeedStalenessS  float64 `toml:"seedStalenessS"`
-	AddrReuseS      float64 `toml:"addrReuseS"`
-	ContactS        float64 `toml:"contactS"`
-	AckS            float64 `toml:"ackS"`
-	CatchUpS        float64 `toml:"catchUpS"`
-	DrainS          float64 `toml:"drainS"`
-	GraceS          float64 `toml:"graceS"`
-	ConfigApplyS    float64 `toml:"configApplyS"`
-	RetryRatio      float64 `toml:"retryRatio"`
-	RetryWindowS    float64 `toml:"retryWindowS"`
-	RetrySlack      float64 `toml:"retrySlack"`
-	WarmupOvershoot float64 `toml:"warmupOvershoot"`
-	WarmupSlack     float64 `toml:"warmupSlack"`
-	EvacuateS       float64 `toml:"evacuateS"`
-	RecoveryS       float64 `toml:"recoveryS"`
+	ContactS     float64 `toml:"contactS"`
+	AckS         float64 `toml:"ackS"`
+	DrainS       float64 `toml:"drainS"`
+	GraceS       float64 `toml:"graceS"`
+	ConfigApplyS float64 `toml:"configApplyS"`
+	RetryRatio   float64 `toml:"retryRatio"`
+	RetryWindowS float64 `toml:"retryWindowS"`
+	RetrySlack   float64 `toml:"retrySlack"`
+	EvacuateS    float64 `toml:"evacuateS"`
 }
 
 // CloudAPI tells where the platform's list of upstreams is.
@@ -160,7 +146,7 @@
 	if err := Validate(settingsSchema(), asJSON); err != nil {
 		return nil, err
 	}
-	s := &Settings{HeartbeatS: 1.5}
+	s := &Settings{}
 	if err := toml.Unmarshal(text, s); err != nil {
 		return nil, fmt.Errorf("not settings: %w", err)
 	}
--- a/internal/circulation/send.go
+++ b/internal/circulation/send.go
@@ -61,7 +61,6 @@
 	broke    error // no answer, or a broken one
 	untried  bool  // the upstream certainly has not got the request
 	late     bool  // the deadline passed
-	reused   bool
 	client   error // why the request could not be sent whole, if that is known
 }
 
@@ -75,10 +74,9 @@
 // send writes the request to an upstream and reads its answer.
 func (f *Front) send(x *Exchange, g accession.Grant) (res result) {
 	conn := g.Conn
-	res.reused = conn != nil
 	if conn != nil && !quiet(conn) {
 		conn.Close()
-		conn, res.reused = nil, false
+		conn = nil
 	}
 	if conn == nil {
 		var err error
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -68,7 +68,6 @@
 	lag := charter.Seconds(set.CloudAPI.MaxLagS + set.Bounds.DrainS*0.4)
 	stock := accession.NewStock(accession.Config{Self: post.Self(), Zone: set.Zone,
 		RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, Window: charter.Seconds(set.Bounds.RetryWindowS),
-		ColdOver: set.Bounds.WarmupOvershoot, ColdSlack: set.Bounds.WarmupSlack,
 		Eject: patience, EjectMax: 8 * patience, Lag: lag})
 	d.floor = circulation.NewFloor(stock, patience, patience/6)
 	d.front = circulation.NewFront(d.floor, logger("circulation"))
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -52,7 +52,7 @@
 // Empty says whether an issue brings nothing.
 func (i *Issue) Empty() bool { return len(i.Records) == 0 && i.Listing == nil }
 
-// Desk is the list of those who watch an archive.
+// Watchers is the list of those who watch an archive.
 type Watchers struct {
 	Forget time.Duration
 	all    map[string]*watcher
