--- a/internal/archive/whole_test.go
+++ b/internal/archive/whole_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -16,19 +17,22 @@
 	"madderwing/internal/desk"
 )
 
-// free finds a port whose successor is free as well.
-func free(t *testing.T) int {
+// free finds n ports in a row, below those that the system hands out by itself.
+func free(t *testing.T, n int) int {
 	t.Helper()
-	for i := 0; i < 50; i++ {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	for try := 0; try < 200; try++ {
+		base := 20000 + (os.Getpid()*7+try*n)%12000
+		var held []net.Listener
+		for i := 0; i < n; i++ {
+			if l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", base+i)); err == nil {
+				held = append(held, l)
+			}
 		}
-		port := l.Addr().(*net.TCPAddr).Port
-		l.Close()
-		if next, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1)); err == nil {
-			next.Close()
-			return port
+		for _, l := range held {
+			l.Close()
+		}
+		if len(held) == n {
+			return base
 		}
 	}
 	t.Fatal("no free ports")
@@ -49,7 +53,8 @@
 		fmt.Fprintf(w, `{"instances":[{"id":"i-1","target":"a","address":%q,"zone":"north","generation":"v1","capacity":4,"state":"ready","warmupLeftS":0}],"nextToken":null}`, upstream)
 	}))
 	t.Cleanup(platform.Close)
-	base, front, ready, control := free(t), free(t), free(t), free(t)
+	base := free(t, 5)
+	front, ready, control := base+2, base+3, base+4
 	text := fmt.Sprintf(`
 node = "n-1"
 ip = "127.0.0.1"
