--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"net"
+	"slices"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -278,19 +279,11 @@
 // assign works out which upstreams this desk uses first and which cold ones it
 // may send to.
 func (s *Stock) assign() {
-	var zone, all []string
-	for _, d := range s.desks {
-		all = append(all, d.Address)
-		if d.Zone == s.cfg.Zone {
-			zone = append(zone, d.Address)
-		}
-	}
-	if len(zone) == 0 {
-		zone = []string{s.cfg.Self}
-	}
 	zones := map[string][]string{}
+	var all []string
 	for _, d := range s.desks {
 		zones[d.Zone] = append(zones[d.Zone], d.Address)
+		all = append(all, d.Address)
 	}
 	for _, v := range s.services {
 		v.ups, v.slots = v.ups[:0], 0
@@ -300,86 +293,100 @@
 		ids = append(ids, id)
 	}
 	sort.Strings(ids)
-	local := map[string][]string{}
 	for _, id := range ids {
 		u := s.ups[id]
-		v := s.service(u.Service)
 		u.home, u.sender, u.senders = false, false, 0
 		if u.gone || s.evacuated[u.Zone] {
 			continue
 		}
+		v := s.service(u.Service)
 		v.ups = append(v.ups, u)
-		// A cold upstream is sent to by a few desks of the shard that has its
-		// service, of its own zone if there are any.
 		near := zones[u.Zone]
 		if len(near) == 0 {
 			near = all
 		}
-		if shard, ok := s.bound[u.Service]; ok {
-			var of []string
-			for _, d := range near {
-				if s.shards[d] == shard {
-					of = append(of, d)
-				}
-			}
-			if len(of) > 0 {
-				near = of
+		s.nameSenders(u, near)
+	}
+	desks := zones[s.cfg.Zone]
+	if len(desks) == 0 {
+		desks = []string{s.cfg.Self}
+	}
+	for _, v := range s.services {
+		s.nameHomes(v, desks)
+		s.setLimits(v, len(all))
+	}
+	s.prove()
+}
+
+// nameSenders names the few desks that may send to an upstream while it is cold:
+// near ones, of the shard that has its service if there are any.
+func (s *Stock) nameSenders(u *Upstream, near []string) {
+	if shard, ok := s.bound[u.Service]; ok {
+		var of []string
+		for _, d := range near {
+			if s.shards[d] == shard {
+				of = append(of, d)
 			}
 		}
-		few := rendezvous.Pick(id, near, ColdSenders)
-		u.senders = max(1, len(few))
-		for _, d := range few {
-			u.sender = u.sender || d == s.cfg.Self
+		if len(of) > 0 {
+			near = of
 		}
 	}
-	defer s.prove()
-	for name, v := range s.services {
-		v.lent = s.lend(v)
-		for _, u := range v.ups {
-			u.zone = u.Zone
-			if z, ok := v.lent[u.ID]; ok {
-				u.zone = z
+	few := rendezvous.Pick(u.ID, near, ColdSenders)
+	u.senders = max(1, len(few))
+	u.sender = slices.Contains(few, s.cfg.Self)
+}
+
+// nameHomes shares the upstreams that the zone uses as its own out among its
+// desks: each goes to the desk of highest weight that has not yet got its even
+// share.
+func (s *Stock) nameHomes(v *service, desks []string) {
+	var local []*Upstream
+	v.lent = s.lend(v)
+	for _, u := range v.ups {
+		u.zone = u.Zone
+		if z, ok := v.lent[u.ID]; ok {
+			u.zone = z
+		}
+		if u.zone == s.cfg.Zone {
+			local = append(local, u)
+		}
+	}
+	most := (len(local) + len(desks) - 1) / len(desks)
+	have := map[string]int{}
+	sort.Slice(local, func(i, j int) bool {
+		return rendezvous.Weight(v.name, local[i].ID) > rendezvous.Weight(v.name, local[j].ID)
+	})
+	for _, u := range local {
+		for _, d := range rendezvous.Order(u.ID, desks) {
+			if have[d] == most {
+				continue
 			}
-			if u.zone == s.cfg.Zone {
-				local[name] = append(local[name], u.ID)
+			have[d]++
+			if d == s.cfg.Self {
+				u.home = true
+				v.slots += u.Capacity
 			}
+			break
 		}
 	}
-	for name, list := range local {
-		// Each upstream of the zone goes to the desk of highest weight that has
-		// not yet got its even share.
-		most := (len(list) + len(zone) - 1) / len(zone)
-		have := map[string]int{}
-		sort.Slice(list, func(i, j int) bool { return rendezvous.Weight(name, list[i]) > rendezvous.Weight(name, list[j]) })
-		for _, id := range list {
-			for _, d := range rendezvous.Order(id, zone) {
-				if have[d] < most {
-					have[d]++
-					if d == s.cfg.Self {
-						u := s.ups[id]
-						u.home = true
-						s.service(name).slots += u.Capacity
-					}
-					break
-				}
-			}
-		}
+}
+
+// setLimits bounds what this desk may have under way at each upstream. The desk
+// that uses one first may fill its slots; the others together may make it queue
+// a little. Connections are shared out evenly, with room for two desks that are
+// not known here.
+func (s *Stock) setLimits(v *service, desks int) {
+	conns := v.info.MaxConns
+	if conns == 0 {
+		conns = 64
 	}
-	// The desk that uses an upstream first may fill its slots; the others
-	// together may make it queue a little. Connections are shared out evenly,
-	// with room for two desks that are not known here.
-	for _, v := range s.services {
-		conns := v.info.MaxConns
-		if conns == 0 {
-			conns = 64
-		}
-		for _, u := range v.ups {
-			u.limit = max(1, u.Capacity/6)
-			if u.home {
-				u.limit = u.Capacity
-			}
-			u.limit = max(1, min(u.limit, conns/(len(all)+2)))
+	for _, u := range v.ups {
+		u.limit = max(1, u.Capacity/6)
+		if u.home {
+			u.limit = u.Capacity
 		}
+		u.limit = max(1, min(u.limit, conns/(desks+2)))
 	}
 }
 
--- a/internal/stacks/member_test.go
+++ b/internal/stacks/member_test.go
@@ -54,11 +54,9 @@
 
 func (w *world) holders(name string, v uint64) (ids []string) {
 	for _, id := range w.ids {
-		for _, b := range [][]byte{w.nodes[id].disk[recPrefix+testKey+"/"+name]} {
-			var r storedRecord
-			if b != nil && unmarshal(b, &r) && r.Record.Gen >= v {
-				ids = append(ids, id)
-			}
+		var r storedRecord
+		if b := w.nodes[id].disk[recPrefix+testKey+"/"+name]; b != nil && unmarshal(b, &r) && r.Record.Gen >= v {
+			ids = append(ids, id)
 		}
 	}
 	return ids
