Each withdrawal takes back one evacuation

Ruled out: slow delivery, lost state. Asks are counted; one like the last within ackS counts as the last sent again.

--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -69,7 +69,7 @@
 			case change != nil:
 				return change.Apply(have, &a.routes)
 			case o.Evacuate != nil:
-				return catalogue.Evacuation(have, strings.TrimPrefix(o.Key, catalogue.EvacuationPrefix), *o.Evacuate)
+				return catalogue.Evacuation(have, strings.TrimPrefix(o.Key, catalogue.EvacuationPrefix), *o.Evacuate, a.repeats(now, o))
 			case o.Bind != nil:
 				var all []stacks.Record
 				for i, b := range o.Bind {
@@ -102,6 +102,23 @@
 	return <-done
 }
 
+// repeats says whether an evacuation or its withdrawal may be one that was
+// carried out already and is sent again, which happens within ackS only. An owner
+// that has no memory of the zone takes an evacuation for a repeat, and a
+// withdrawal for a new one.
+func (a *Archive) repeats(now time.Duration, o order) bool {
+	key := o.Key
+	if !*o.Evacuate {
+		key += "/undo"
+	}
+	last, ok := a.evacuated[key]
+	a.evacuated[key] = now
+	if !ok {
+		return *o.Evacuate
+	}
+	return now-last <= charter.Seconds(a.set.Bounds.AckS)
+}
+
 // outcome is the verdict on an order that brings nothing back.
 func outcome(err error) verdict {
 	switch {
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	_ "embed"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"regexp"
@@ -562,12 +563,31 @@
 	return b
 }
 
-// Evacuation works out the change of a zone's evacuation record.
-func Evacuation(have map[string]Record, zone string, on bool) ([]Record, error) {
+// Evacuation works out the change of a zone's evacuation record. An evacuation
+// may be asked for more than once, and each withdrawal takes back one ask. repeat
+// says that the order may be an earlier one that is sent again; it then counts
+// only if the zone is not yet as it asks.
+func Evacuation(have map[string]Record, zone string, on, repeat bool) ([]Record, error) {
 	name := EvacuationPrefix + zone
 	old, ok := have[name]
-	if ok && !old.Dropped == on || !ok && !on {
+	asks := uint64(0)
+	if ok && !old.Dropped {
+		asks = 1
+		if n, size := binary.Uvarint(old.Data); size > 0 {
+			asks = n
+		}
+	}
+	switch {
+	case on && (asks == 0 || !repeat):
+		asks++
+	case !on && asks > 0 && !repeat:
+		asks--
+	default:
 		return nil, nil
 	}
-	return []Record{{Name: name, Gen: old.Gen + 1, Dropped: !on}}, nil
+	r := Record{Name: name, Gen: old.Gen + 1, Dropped: asks == 0}
+	if asks > 0 {
+		r.Data = binary.AppendUvarint(nil, asks)
+	}
+	return []Record{r}, nil
 }
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -234,3 +234,26 @@
 		t.Fatal("the plan was carried out")
 	}
 }
+
+func TestOverlappingEvacuations(t *testing.T) {
+	have := map[string]Record{}
+	for i, c := range []struct{ on, repeat, evacuated bool }{
+		{true, true, true}, {true, true, true}, // asked, sent again
+		{true, false, true},   // a second ask
+		{false, false, true},  // the first is withdrawn
+		{false, true, true},   // sent again
+		{false, false, false}, // the second is withdrawn
+		{false, false, false}, {true, true, true}, {false, false, false},
+	} {
+		changes, err := Evacuation(have, "z", c.on, c.repeat)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range changes {
+			have[r.Name] = r
+		}
+		if r, ok := have["evacuation/z"]; (ok && !r.Dropped) != c.evacuated {
+			t.Fatalf("step %d: %+v", i, r)
+		}
+	}
+}
