One answer to a body that is too large

The front and the control interface each looked for http.MaxBytesReader's error by themselves; errata, which holds the answer, now does it for both.

--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -207,9 +207,8 @@
 func readCall(r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxCall))
 	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return nil, errata.New(errata.BodyTooLarge, "more than %d bytes", large.Limit)
+		if large := errata.TooLarge(err); large != nil {
+			return nil, large
 		}
 		return nil, errata.New(errata.BadRequest, "body not read: %v", err)
 	}
--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -1,7 +1,6 @@
 package circulation
 
 import (
-	"errors"
 	"io"
 	"log"
 	"math/rand/v2"
@@ -176,7 +175,7 @@
 			case err == io.EOF:
 				x.held = buf
 			case err != nil:
-				if large := tooLarge(err); large != nil {
+				if large := errata.TooLarge(err); large != nil {
 					return large
 				}
 				return errata.New(errata.BadRequest, "body not read: %v", err)
@@ -191,15 +190,6 @@
 	}
 }
 
-// tooLarge is the answer to a body that turned out to be above the limit.
-func tooLarge(err error) error {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return errata.New(errata.BodyTooLarge, "more than %d bytes", large.Limit)
-	}
-	return nil
-}
-
 // readUpTo reads into buf until it holds most bytes (no error) or the reader
 // ends (io.EOF).
 func readUpTo(buf []byte, r io.Reader, most int) ([]byte, error) {
@@ -286,7 +276,7 @@
 			f.finish(g, res, accession.Served)
 			return false, errata.New(errata.DeadlinePassed, "%s", x.service)
 		}
-		if large := tooLarge(res.client); large != nil {
+		if large := errata.TooLarge(res.client); large != nil {
 			f.finish(g, res, accession.Served)
 			return false, large
 		}
--- a/internal/errata/errata.go
+++ b/internal/errata/errata.go
@@ -105,6 +105,16 @@
 	return Internal
 }
 
+// TooLarge is the error for a body that http.MaxBytesReader has cut off; nil if
+// err is of another kind.
+func TooLarge(err error) error {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return New(BodyTooLarge, "more than %d bytes", large.Limit)
+	}
+	return nil
+}
+
 // Write answers a request with an error.
 func Write(w http.ResponseWriter, err error) {
 	var e *Error
