A leaving desk waits for all it has sent on; orders of evacuation stand in their record

Also: the time of taking connections while leaving was a fixed 0.45 graceS; it now ends once the platform has been told twice. A request whose client has gone is no longer sent on. An evacuation record names its newest orders, so an owner that takes the key over knows them.

--- a/internal/accession/judge.go
+++ b/internal/accession/judge.go
@@ -187,7 +187,7 @@
 	if s.leaveAlone(now, v, u) && n >= satMany {
 		for _, w := range u.since {
 			if w.hold != nil && w.sits(now, limit) {
-				w.hold.cut()
+				s.cut(w.hold)
 			}
 		}
 	}
--- a/internal/accession/judge_test.go
+++ b/internal/accession/judge_test.go
@@ -1,6 +1,9 @@
 package accession
 
 import (
+	"errors"
+	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -175,3 +178,56 @@
 		t.Errorf("held up by a claim for another region: %v", ok)
 	}
 }
+
+// A desk that leaves waits for what it has sent on; one that stays cuts a wait short
+// where an upstream sits on requests or falls silent.
+func TestALeavingDeskCutsNoWaitShort(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		leaving, silent bool
+	}{
+		{"stays, upstream sits", false, false},
+		{"stays, upstream falls silent", false, true},
+		{"leaves, upstream sits", true, false},
+		{"leaves, upstream falls silent", true, true},
+	} {
+		ds, sh := desks("z")
+		s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+		for i := 0; i < 100; i++ {
+			answer(t, s, time.Duration(i)*ms, func(string) (Outcome, time.Duration) { return Served, 60 * ms })
+		}
+		var held []*Hold
+		theirs := map[*Hold]net.Conn{}
+		var grants []Grant
+		for range 3 {
+			h := &Hold{}
+			ours, other := net.Pipe()
+			theirs[h] = other
+			h.On(&Conn{Conn: ours})
+			g, ok := claim(s, 200*ms, &Claim{Aim: 400 * ms, Hold: h})
+			if !ok {
+				t.Fatal("no upstream")
+			}
+			held, grants = append(held, h), append(grants, g)
+		}
+		if c.leaving {
+			s.Leave()
+		}
+		if c.silent {
+			s.Release(300*ms, grants[0], nil, Silent)
+			held = held[1:]
+		} else {
+			s.Tick(3 * time.Second)
+		}
+		for _, h := range held {
+			// A pipe whose deadline has passed reads nothing more.
+			conn := h.conn.Load()
+			go func() { _, _ = theirs[h].Write([]byte{1}) }()
+			_, err := conn.Read(make([]byte, 1))
+			if cut := errors.Is(err, os.ErrDeadlineExceeded); cut == c.leaving {
+				t.Errorf("%s: cut short is %v", c.name, cut)
+			}
+			theirs[h].Close()
+		}
+	}
+}
--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -157,6 +157,7 @@
 	loadAt    time.Duration
 	seq       uint64
 	known     bool
+	leaving   bool
 
 	Trials []*Upstream // connections to be opened to see whether an upstream is back
 	Probes []Probe     // questions for an upstream's warmth
@@ -233,6 +234,18 @@
 	u.idle = nil
 }
 
+// Leave says that this desk goes. From now on every request that has been sent on
+// is waited for: to cut its wait short could end it with an error of our own while
+// its upstream is at work.
+func (s *Stock) Leave() { s.leaving = true }
+
+// cut cuts a request's wait short.
+func (s *Stock) cut(h *Hold) {
+	if !s.leaving {
+		h.cut()
+	}
+}
+
 // Known says whether a list has been taken.
 func (s *Stock) Known() bool { return s.known }
 
@@ -701,6 +714,7 @@
 	Other                  // another upstream has the address
 	Silent                 // it no longer so much as acknowledges what it is sent
 	Poor                   // it answered with an error of its own
+	Unused                 // it was not sent anything
 )
 
 // Release returns an upstream after a request, with the connection if that can
@@ -730,7 +744,7 @@
 		s.eject(now, u)
 		if how == Silent {
 			for h := range u.holds {
-				h.cut()
+				s.cut(h)
 			}
 		}
 	case Other:
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -389,6 +389,9 @@
 		if old, have := a.shown.Records[r.Name]; !have || r.Newer(old) {
 			a.shown.Put(r)
 			changed = true
+			if strings.HasPrefix(r.Name, catalogue.EvacuationPrefix) {
+				a.asks.saw(time.Since(a.start), r)
+			}
 		}
 	}
 	return changed
--- a/internal/archive/asks.go
+++ b/internal/archive/asks.go
@@ -1,6 +1,10 @@
 package archive
 
-import "time"
+import (
+	"time"
+
+	"madderwing/internal/catalogue"
+)
 
 // asks remembers the evacuations and withdrawals that this archive has carried out
 // as owner, to tell an order that is sent again from a new one like it. Operators
@@ -9,8 +13,15 @@
 	ackS time.Duration
 	last map[string]lastAsk
 	seen map[uint64]time.Duration
+	// Of the records that are copied here, by name: when the newest order came that
+	// another archive carried out, and the newest order of all.
+	heard  map[string]time.Duration
+	newest map[string]uint64
 }
 
+// undo marks the withdrawals of a zone in asks.last.
+const undo = "/undo"
+
 type lastAsk struct {
 	at    time.Duration
 	clear bool // its answer cannot have come too late
@@ -20,30 +31,48 @@
 const clearly = 0.08
 
 func newAsks(ackS time.Duration) asks {
-	return asks{ackS, map[string]lastAsk{}, map[uint64]time.Duration{}}
+	return asks{ackS: ackS, last: map[string]lastAsk{}, seen: map[uint64]time.Duration{},
+		heard: map[string]time.Duration{}, newest: map[string]uint64{}}
 }
 
 func (a *asks) key(o order) string {
 	if *o.Evacuate {
 		return o.Key
 	}
-	return o.Key + "/undo"
+	return o.Key + undo
 }
 
-// repeats says whether an order may be one that was carried out already. An owner
-// that has no memory of the zone takes an evacuation for a repeat, and a withdrawal
-// for a new one.
+// repeats says whether an order may be an earlier one that its operator sends again.
+// Where another archive carried out the last one, all that is known of it is when
+// word of it came here: an evacuation within ackS of that is taken for a repeat, a
+// withdrawal for a new one.
 func (a *asks) repeats(now time.Duration, o order) bool {
 	if _, ok := a.seen[o.ID]; ok {
 		return true
 	}
 	last, ok := a.last[a.key(o)]
 	if !ok {
-		return *o.Evacuate
+		at, known := a.heard[o.Key]
+		return *o.Evacuate && known && now-at <= a.ackS
 	}
 	return !last.clear && now-last.at <= a.ackS
 }
 
+// saw notes a record of a zone as it was copied here. One whose last order is not
+// of this archive's carrying out makes what it remembers of the zone worthless.
+func (a *asks) saw(now time.Duration, r catalogue.Record) {
+	id := catalogue.LastOrder(r)
+	if _, own := a.seen[id]; own || a.newest[r.Name] == id && id != 0 {
+		return
+	}
+	a.heard[r.Name], a.newest[r.Name] = now, id
+	delete(a.last, r.Name)
+	delete(a.last, r.Name+undo)
+}
+
+// begins notes an order that this archive is about to carry out.
+func (a *asks) begins(o order) { a.newest[o.Key] = o.ID }
+
 // carriedOut notes an order that came at one time and was safe at another.
 func (a *asks) carriedOut(came, now time.Duration, o order) {
 	clear := o.Age+now-came < time.Duration(clearly*float64(a.ackS))
--- a/internal/archive/asks_test.go
+++ b/internal/archive/asks_test.go
@@ -31,7 +31,7 @@
 		asked := 0
 		for i, st := range steps {
 			o := order{Key: catalogue.EvacuationPrefix + "z", ID: st.id, Evacuate: &st.on}
-			changes, err := catalogue.Evacuation(have, "z", st.on, a.repeats(st.at, o))
+			changes, err := catalogue.Evacuation(have, "z", st.on, st.id, a.repeats(st.at, o))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -51,3 +51,54 @@
 		}
 	}
 }
+
+// An owner that has taken the key over knows the orders of the last one from the
+// record, and how long ago they came from when it was copied.
+func TestAsksAfterTheKeyHasChangedHands(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	const name = catalogue.EvacuationPrefix + "z"
+	type step struct {
+		owner int // which archive carries it out; the other one copies
+		id    uint64
+		on    bool
+		at    time.Duration
+	}
+	for what, c := range map[string]struct {
+		steps []step
+		asks  int
+	}{
+		"a second evacuation, long after":   {[]step{{0, 1, true, 0}, {1, 2, true, 7 * s}}, 2},
+		"may be sent again":                 {[]step{{0, 1, true, 0}, {1, 2, true, 2 * s}}, 1},
+		"passed on again":                   {[]step{{0, 1, true, 0}, {1, 1, true, 7 * s}}, 1},
+		"a withdrawal passed on again":      {[]step{{0, 1, true, 0}, {0, 2, true, 7 * s}, {0, 3, false, 14 * s}, {1, 3, false, 14500 * ms}}, 1},
+		"and back to the first owner":       {[]step{{0, 1, true, 0}, {1, 2, true, 7 * s}, {0, 3, true, 9 * s}}, 2},
+		"its own, after its own withdrawal": {[]step{{0, 1, true, 0}, {0, 2, true, 7 * s}, {0, 3, false, 8 * s}, {0, 4, true, 10 * s}}, 2},
+	} {
+		both := []asks{newAsks(5 * s), newAsks(5 * s)}
+		have := map[string]catalogue.Record{}
+		for _, st := range c.steps {
+			own, copies := &both[st.owner], &both[1-st.owner]
+			o := order{Key: name, ID: st.id, Evacuate: &st.on}
+			own.begins(o)
+			changes, err := catalogue.Evacuation(have, "z", st.on, st.id, own.repeats(st.at, o))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range changes {
+				have[r.Name] = r
+				copies.saw(st.at, r)
+				own.saw(st.at, r)
+			}
+			own.carriedOut(st.at, st.at+10*ms, o)
+		}
+		// Each withdrawal, long after, takes back one ask.
+		asks := 0
+		for ; asks < 5 && !have[name].Dropped; asks++ {
+			changes, _ := catalogue.Evacuation(have, "z", false, uint64(100+asks), false)
+			have[name] = changes[0]
+		}
+		if asks != c.asks {
+			t.Errorf("%s: %d asks stand, not %d", what, asks, c.asks)
+		}
+	}
+}
--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -77,7 +77,8 @@
 				revokes = err == nil && a.lender != nil && catalogue.Revokes(have, changes, &a.routes)
 				return changes, err
 			case o.Evacuate != nil:
-				return catalogue.Evacuation(have, strings.TrimPrefix(o.Key, catalogue.EvacuationPrefix), *o.Evacuate, a.asks.repeats(now, o))
+				a.asks.begins(o)
+				return catalogue.Evacuation(have, strings.TrimPrefix(o.Key, catalogue.EvacuationPrefix), *o.Evacuate, o.ID, a.asks.repeats(now, o))
 			case o.Bind != nil:
 				var all []stacks.Record
 				for i, b := range o.Bind {
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -245,7 +245,7 @@
 		{false, false, false}, // the second is withdrawn
 		{false, false, false}, {true, true, true}, {false, false, false},
 	} {
-		changes, err := Evacuation(have, "z", c.on, c.repeat)
+		changes, err := Evacuation(have, "z", c.on, uint64(i+1), c.repeat)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -255,5 +255,9 @@
 		if r, ok := have["evacuation/z"]; (ok && !r.Dropped) != c.evacuated {
 			t.Fatalf("step %d: %+v", i, r)
 		}
+		// Another owner that is passed the same call knows it from the record.
+		if again, err := Evacuation(have, "z", c.on, uint64(i+1), false); len(changes) > 0 && len(again) > 0 || err != nil {
+			t.Fatalf("step %d was carried out twice: %+v", i, again)
+		}
 	}
 }
--- a/internal/circulation/circulation_test.go
+++ b/internal/circulation/circulation_test.go
@@ -466,3 +466,46 @@
 		})
 	}
 }
+
+// A request that waits for an upstream is not sent on once its client has gone.
+func TestARequestWhoseClientHasGoneIsNotSentOn(t *testing.T) {
+	release := make(chan struct{})
+	u := newUpstream(t, "u", func(c net.Conn, r *http.Request, n int) bool {
+		<-release
+		return steady(c, r, n)
+	})
+	r := newRig(t, u)
+	answered := make(chan error, 4)
+	for range 4 { // as many as the upstream works on at once
+		go func() {
+			_, _, err := r.say(t, "POST", post("/put/x", "b"))
+			answered <- err
+		}()
+	}
+	for len(u.requests()) < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	c, err := net.Dial("tcp4", r.door.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(c, post("/put/gone", "b"))
+	for r.front.Stats.Requests.Load() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Close()
+	for r.front.Stats.Gone.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	for range 4 {
+		if err := <-answered; err != nil {
+			t.Error(err)
+		}
+	}
+	for _, raw := range u.requests() {
+		if strings.Contains(raw, "/put/gone") {
+			t.Error("it was sent on")
+		}
+	}
+}
--- a/internal/circulation/floor.go
+++ b/internal/circulation/floor.go
@@ -117,8 +117,9 @@
 	return &accession.Conn{Conn: c, Reader: bufio.NewReaderSize(c, 4<<10)}, nil
 }
 
-// claim asks for an upstream and waits for it, but no longer than patience.
-func (f *Floor) claim(c *accession.Claim, patience time.Duration) accession.Grant {
+// claim asks for an upstream and waits for it, but no longer than patience, nor
+// when the client has gone.
+func (f *Floor) claim(c *accession.Claim, patience time.Duration, gone <-chan struct{}) accession.Grant {
 	got := make(chan accession.Grant, 1)
 	c.Give = func(g accession.Grant) { got <- g }
 	f.Do(func(now time.Duration, s *accession.Stock) { s.Claim(now, c) })
@@ -128,9 +129,15 @@
 	case g := <-got:
 		return g
 	case <-timer.C:
-		f.Do(func(_ time.Duration, s *accession.Stock) { s.Withdraw(c) })
-		return <-got
+	case <-gone:
 	}
+	f.Do(func(_ time.Duration, s *accession.Stock) { s.Withdraw(c) })
+	return <-got
+}
+
+// untouched returns an upstream that was not sent anything.
+func (f *Floor) untouched(g accession.Grant) {
+	f.Do(func(now time.Duration, s *accession.Stock) { s.Release(now, g, g.Conn, accession.Unused) })
 }
 
 // release returns an upstream; ask waits for word on whether it stands out by bad
--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -19,7 +19,7 @@
 // Stats are a front's counters.
 type Stats struct {
 	Requests, Ordinary, Exception, Served, Refused, Failed, Late atomic.Uint64
-	Tries, Repeats, Dials, Broken, Abroad                        atomic.Uint64
+	Tries, Repeats, Dials, Broken, Abroad, Gone                  atomic.Uint64
 }
 
 // Front serves clients.
@@ -68,8 +68,12 @@
 // SetShard says which shard this desk belongs to.
 func (f *Front) SetShard(n int) { f.shard.Store(int64(n)) }
 
-// Drain makes the front close connections after their next answer.
-func (f *Front) Drain() { f.drain.Store(true) }
+// Drain makes the front close connections after their next answer, and wait for
+// every request that has been sent on.
+func (f *Front) Drain() {
+	f.drain.Store(true)
+	f.floor.Do(func(_ time.Duration, s *accession.Stock) { s.Leave() })
+}
 
 // Exchange is one request on its way through the chain.
 type Exchange struct {
@@ -115,6 +119,8 @@
 	x := &Exchange{w: w, r: r, arrived: time.Now(), table: f.table.Load(), attempt: r.Header.Get(hAttempt)}
 	if err := f.chain(x); err != nil {
 		switch a := errata.AnswerFor(errata.KindOf(err)); {
+		case errata.KindOf(err) == errata.ClientGone:
+			f.Stats.Gone.Add(1)
 		case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests:
 			f.Stats.Refused.Add(1)
 		case a.Status == http.StatusGatewayTimeout:
@@ -288,22 +294,25 @@
 		if x.route.Repeatable() && x.begun == nil {
 			claim.Hold = &accession.Hold{}
 		}
-		g := f.floor.claim(claim, patience)
+		g := f.floor.claim(claim, patience, x.r.Context().Done())
 		if g.Refused != accession.Granted {
 			if last != nil {
 				return last
 			}
+			if x.r.Context().Err() != nil {
+				return errata.New(errata.ClientGone, "%s", x.service)
+			}
 			if g.Refused == accession.NoneLeft {
 				return f.later(x, errata.NoUpstream)
 			}
 			return f.later(x, errata.Overloaded)
 		}
-		if !f.Confirmed() {
-			f.finish(g, result{conn: g.Conn}, accession.Served)
+		if why := f.mayNotGo(x); why != errata.Internal {
+			f.floor.untouched(g)
 			if last != nil {
 				return last
 			}
-			return f.later(x, errata.KeysUnconfirmed)
+			return f.later(x, why)
 		}
 		res := f.send(x, g)
 		f.Stats.Tries.Add(1)
@@ -338,6 +347,19 @@
 	}
 }
 
+// mayNotGo says why a request that has got an upstream is not to be sent on all the
+// same, errata.Internal if it is: its key can no longer be relied on, or its client
+// has gone.
+func (f *Front) mayNotGo(x *Exchange) errata.Kind {
+	switch {
+	case !f.Confirmed():
+		return errata.KeysUnconfirmed
+	case x.r.Context().Err() != nil:
+		return errata.ClientGone
+	}
+	return errata.Internal
+}
+
 // priority is the tenant's, where it has one, or the route's.
 func (x *Exchange) priority() int {
 	if x.tenant != nil && x.tenant.Priority != nil {
@@ -461,6 +483,6 @@
 		"requests": s.Requests.Load(), "ordinary": s.Ordinary.Load(), "exception": s.Exception.Load(), "served": s.Served.Load(),
 		"refused": s.Refused.Load(), "failed": s.Failed.Load(), "late": s.Late.Load(), "tries": s.Tries.Load(),
 		"repeats": s.Repeats.Load(), "dials": s.Dials.Load(), "broken": s.Broken.Load(),
-		"abroad": s.Abroad.Load(),
+		"abroad": s.Abroad.Load(), "gone": s.Gone.Load(),
 	}
 }
--- a/internal/circulation/server.go
+++ b/internal/circulation/server.go
@@ -146,9 +146,11 @@
 	rooms := d.rooms
 	d.mu.Unlock()
 	d.listener.Close()
+	var all sync.WaitGroup
 	for _, r := range rooms {
-		_ = r.server.Shutdown(ctx)
+		all.Go(func() { _ = r.server.Shutdown(ctx) })
 	}
+	all.Wait()
 }
 
 // Open is the number of connections.
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -51,7 +51,7 @@
 	sources  feed.Sources
 	shard    int
 	load     map[string]float64
-	ready    readiness
+	ready    *readiness
 
 	// Where clients ask a registry; see charter.Settings.Global.
 	lease atomic.Int64 // until when keys may be relied on
@@ -80,7 +80,7 @@
 		Eject: patience, EjectMax: 8 * patience, Lag: lag})
 	d.floor = circulation.NewFloorAt(d.start, stock, patience, patience/6)
 	d.front = circulation.NewFront(d.floor, logger("circulation"))
-	d.ready.confirmed = d.front.Confirmed
+	d.ready = newReadiness(d.front.Confirmed)
 	if set.Global() {
 		d.serveTenants()
 	}
@@ -123,9 +123,14 @@
 			d.ready.leaving.Store(true)
 			d.front.Drain()
 			d.reg.Leave(false)
-			// The platform asks once a second and believes the second miss.
+			// Until the platform has been told often enough to believe it, new
+			// connections go on to arrive; a few are still under way then.
 			grace := charter.Seconds(set.Bounds.GraceS)
-			time.Sleep(grace * 45 / 100)
+			select {
+			case <-d.ready.believed:
+				time.Sleep(beat / 4)
+			case <-time.After(grace * 45 / 100):
+			}
 			c, cancel := context.WithTimeout(context.Background(), grace*45/100)
 			d.door.Shutdown(c)
 			cancel()
@@ -260,7 +265,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/v1/readiness":
-			if !d.ready.ok() {
+			if !d.ready.asked() {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
 		case "/v1/counters":
--- a/internal/errata/errata.go
+++ b/internal/errata/errata.go
@@ -41,6 +41,7 @@
 	KeysUnconfirmed      // this node cannot say which keys hold at present
 	NotYet               // an order that was carried out and may not be confirmed yet
 	BadQuestion          // a question to the registry that cannot be answered
+	ClientGone           // the client left before the request was sent on
 )
 
 // Answer is what a kind is answered with. NotRun says that the answer promises
@@ -76,6 +77,7 @@
 	KeysUnconfirmed: {http.StatusServiceUnavailable, true, "keys not confirmed"},
 	NotYet:          {http.StatusServiceUnavailable, false, "not in force everywhere yet"},
 	BadQuestion:     {http.StatusBadRequest, true, "bad question"},
+	ClientGone:      {http.StatusServiceUnavailable, true, "client gone"},
 	NotNow:          {http.StatusConflict, true, "not as things stand"},
 }
 
