--- a/internal/accession/lending.go
+++ b/internal/accession/lending.go
@@ -2,9 +2,8 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
-
-	"madderwing/internal/rendezvous"
 )
 
 // Loads is how many requests of each service the desks of each zone have under
@@ -35,9 +34,19 @@
 // upstream is used first by two desks or by none, which does no harm.
 func lend(service string, ups []*Upstream, loads Loads, deskZones map[string]bool) map[string]string {
 	slots := map[string]float64{}
-	spare := map[string][]*Upstream{}
 	for _, u := range ups {
 		slots[u.Zone] += float64(u.Capacity)
+	}
+	plan := map[string]string{}
+	needed := false
+	for z := range deskZones {
+		needed = needed || loads[z][service] > lendAbove*slots[z]
+	}
+	if !needed {
+		return plan
+	}
+	spare := map[string][]*Upstream{}
+	for _, u := range ups {
 		spare[u.Zone] = append(spare[u.Zone], u)
 	}
 	var zones []string
@@ -51,9 +60,7 @@
 	}
 	sort.Strings(zones)
 	for _, list := range spare {
-		sort.Slice(list, func(i, j int) bool {
-			return rendezvous.Weight(service, list[i].ID) > rendezvous.Weight(service, list[j].ID)
-		})
+		slices.SortFunc(list, byOrder)
 	}
 	factor := func(zone string, slots float64) float64 {
 		load := loads[zone][service]
@@ -65,7 +72,6 @@
 		}
 		return load / slots
 	}
-	plan := map[string]string{}
 	for range ups {
 		hi, lo := "", ""
 		for _, z := range zones {
--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -1,6 +1,7 @@
 package accession
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"net"
@@ -51,11 +52,13 @@
 	holds    map[*Hold]struct{} // requests under way that may be sent elsewhere
 	coldTill time.Duration
 	pace     Pace
-	sender   bool // this desk may send to it while it is cold
-	senders  int
+	senders  int  // how many desks may send to it while it is cold, and whether this one
+	sender   bool // is one of them: as of the plan that few names; see few
+	few      uint64
 	home     bool   // this desk is the one of its zone that uses it first
 	zone     string // the zone that uses it as its own
-	rank     uint64
+	rank     uint64 // for this desk
+	order    uint64 // for its service
 	limit    int
 	region   string
 	near     bool // of this desk's region
@@ -152,7 +155,10 @@
 	infos     map[string]ServiceInfo
 	desks     []register.Node
 	shards    map[string]int
-	bound     map[string]int // service -> shard whose desks hold its slack
+	bound     map[string]int         // service -> shard whose desks hold its slack
+	plan      uint64                 // counts the times that upstreams were shared out anew
+	zones     map[string][]string    // zone -> desks, as of that plan
+	nearOf    map[[2]string][]string // zone, service -> desks that may send to cold ones there
 	loads     Loads
 	loadAt    time.Duration
 	seq       uint64
@@ -201,7 +207,7 @@
 		u := s.ups[i.ID]
 		cold := time.Duration(i.WarmupMs) * time.Millisecond
 		if u == nil {
-			u = &Upstream{Instance: i, rank: rendezvous.Weight(s.cfg.Self, i.ID), fresh: s.known,
+			u = &Upstream{Instance: i, rank: rendezvous.Weight(s.cfg.Self, i.ID), order: rendezvous.Weight(i.Service, i.ID), fresh: s.known,
 				region: s.region(i.Zone), near: s.region(i.Zone) == s.region(s.cfg.Zone)}
 			s.ups[i.ID] = u
 		} else if u.Address != i.Address {
@@ -251,6 +257,9 @@
 
 // SetServices takes what the operator says of the services.
 func (s *Stock) SetServices(now time.Duration, infos map[string]ServiceInfo, bound map[string]int) {
+	if maps.Equal(infos, s.infos) && maps.Equal(bound, s.bound) {
+		return
+	}
 	s.infos, s.bound = infos, bound
 	for name, v := range s.services {
 		v.info = infos[name]
@@ -263,6 +272,9 @@
 // that is taken back count as cold until the platform's word, with its lag, can
 // be trusted again.
 func (s *Stock) SetEvacuated(now time.Duration, zones map[string]bool) {
+	if maps.Equal(zones, s.evacuated) {
+		return
+	}
 	var back []*Upstream
 	for _, u := range s.ups {
 		if s.evacuated[u.Zone] && !zones[u.Zone] {
@@ -285,7 +297,7 @@
 func (s *Stock) doubt(now time.Duration, u *Upstream) {
 	info := s.infos[u.Service]
 	u.coldTill = max(u.coldTill, now+time.Duration(info.WarmupS*float64(time.Second))+s.cfg.Lag)
-	if (u.home || u.sender) && !u.asking && info.HealthPath != "" {
+	if (u.home || s.sends(u)) && !u.asking && info.HealthPath != "" {
 		u.asking = true
 		s.Probes = append(s.Probes, Probe{u, u.ID, u.Address, info.HealthPath})
 	}
@@ -303,6 +315,10 @@
 
 // SetDesks takes the desks that work now, and their shards.
 func (s *Stock) SetDesks(now time.Duration, desks []register.Node, shards map[string]int) {
+	same := func(a, b register.Node) bool { return a.Address == b.Address && a.Zone == b.Zone }
+	if slices.EqualFunc(desks, s.desks, same) && maps.Equal(shards, s.shards) {
+		return
+	}
 	s.desks, s.shards = desks, shards
 	s.assign()
 	s.serveAll(now)
@@ -311,52 +327,69 @@
 // ColdSenders is how many desks may send to an upstream while it is cold.
 const ColdSenders = 2
 
-// assign works out which upstreams this desk uses first and which cold ones it
-// may send to.
+// assign works out which upstreams this desk uses first.
 func (s *Stock) assign() {
-	zones := map[string][]string{}
-	var all []string
+	s.plan++
+	s.zones, s.nearOf = map[string][]string{}, map[[2]string][]string{}
 	for _, d := range s.desks {
-		zones[d.Zone] = append(zones[d.Zone], d.Address)
-		all = append(all, d.Address)
+		s.zones[d.Zone] = append(s.zones[d.Zone], d.Address)
 	}
 	for _, v := range s.services {
 		v.ups, v.slots = v.ups[:0], 0
 	}
-	ids := make([]string, 0, len(s.ups))
-	for id := range s.ups {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
-		u := s.ups[id]
-		u.home, u.sender, u.senders = false, false, 0
-		if u.gone || s.evacuated[u.Zone] {
-			continue
-		}
-		v := s.service(u.Service)
-		v.ups = append(v.ups, u)
-		near := zones[u.Zone]
-		if len(near) == 0 {
-			near = all
+	for _, u := range s.ups {
+		u.home = false
+		if !u.gone && !s.evacuated[u.Zone] {
+			v := s.service(u.Service)
+			v.ups = append(v.ups, u)
 		}
-		s.nameSenders(u, near)
 	}
-	desks := zones[s.cfg.Zone]
+	desks := s.zones[s.cfg.Zone]
 	if len(desks) == 0 {
 		desks = []string{s.cfg.Self}
 	}
 	for _, v := range s.services {
+		slices.SortFunc(v.ups, byOrder)
 		s.nameHomes(v, desks)
-		s.setLimits(v, len(all))
+		s.setLimits(v, len(s.desks))
 	}
 	s.prove()
 }
 
-// nameSenders names the few desks that may send to an upstream while it is cold:
-// near ones, of the shard that has its service if there are any.
-func (s *Stock) nameSenders(u *Upstream, near []string) {
-	if shard, ok := s.bound[u.Service]; ok {
+// byOrder puts upstreams into the order of weight for their service.
+func byOrder(a, b *Upstream) int {
+	if c := cmp.Compare(b.order, a.order); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
+// sends says whether this desk is one of the few that may send to an upstream while
+// it is cold. That is worked out when it is asked for: few upstreams are cold.
+func (s *Stock) sends(u *Upstream) bool {
+	if u.few != s.plan {
+		few := rendezvous.Pick(u.ID, s.near(u.Zone, u.Service), ColdSenders)
+		u.few, u.senders = s.plan, max(1, len(few))
+		u.sender = slices.Contains(few, s.cfg.Self)
+	}
+	return u.sender
+}
+
+// near lists the desks of which a few may send to cold upstreams of a service in a
+// zone: those of the zone, or all where it has none, and of these the ones of the
+// shard that has the service, if there are any.
+func (s *Stock) near(zone, service string) []string {
+	at := [2]string{zone, service}
+	if near, ok := s.nearOf[at]; ok {
+		return near
+	}
+	near := s.zones[zone]
+	if len(near) == 0 {
+		for _, d := range s.desks {
+			near = append(near, d.Address)
+		}
+	}
+	if shard, ok := s.bound[service]; ok {
 		var of []string
 		for _, d := range near {
 			if s.shards[d] == shard {
@@ -367,9 +400,8 @@
 			near = of
 		}
 	}
-	few := rendezvous.Pick(u.ID, near, ColdSenders)
-	u.senders = max(1, len(few))
-	u.sender = slices.Contains(few, s.cfg.Self)
+	s.nearOf[at] = near
+	return near
 }
 
 // nameHomes shares the upstreams that the zone uses as its own out among its
@@ -390,10 +422,7 @@
 	v.homes = v.homes[:0]
 	most := (len(local) + len(desks) - 1) / len(desks)
 	have := map[string]int{}
-	sort.Slice(local, func(i, j int) bool {
-		return rendezvous.Weight(v.name, local[i].ID) > rendezvous.Weight(v.name, local[j].ID)
-	})
-	for _, u := range local {
+	for _, u := range local { // in the order of weight, as v.ups are
 		for _, d := range rendezvous.Order(u.ID, desks) {
 			if have[d] == most {
 				continue
@@ -535,7 +564,7 @@
 		load += slots * 0.93
 	}
 	if u.Cold(now) {
-		if !u.sender || v.info.WarmupPerS > 0 && !u.pace.Ready(now) {
+		if !s.sends(u) || v.info.WarmupPerS > 0 && !u.pace.Ready(now) {
 			return math.Inf(1)
 		}
 		load += slots * 0.75
@@ -668,6 +697,7 @@
 	}
 	u.Busy++
 	if u.Cold(now) {
+		s.sends(u)
 		u.pace.Pass(now, v.info.WarmupPerS/float64(u.senders))
 	}
 	g := Grant{Upstream: u, ID: u.ID, Address: u.Address, Hold: c.Hold, Abroad: !u.near, Began: now}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -51,6 +51,8 @@
 	sources  feed.Sources
 	shard    int
 	load     map[string]float64
+	nodes    *register.List // not yet acted on; nil: none
+	nodesAt  time.Duration  // when a list was last acted on
 	ready    *readiness
 
 	// Where clients ask a registry; see charter.Settings.Global.
@@ -145,22 +147,40 @@
 	}
 }
 
-// nodesChanged runs on the register's goroutine.
+// nodesChanged runs on the register's goroutine. When many nodes come or go at
+// once, their news arrive in many small parts; what follows from them is worked out
+// no more than twice a beat.
 func (d *Desk) nodesChanged(l *register.List) {
-	d.commands <- func(time.Duration) {
-		labels := l.Shards(d.opt.Shards)
-		if n, ok := labels[d.post.Self()]; ok && n != d.shard {
-			d.shard = n
-			d.front.SetShard(n)
+	d.commands <- func(now time.Duration) {
+		waiting := d.nodes != nil
+		d.nodes = l
+		if rest := d.nodesAt + d.set.Beat()/2 - now; rest <= 0 {
+			d.useNodes(now)
+		} else if !waiting {
+			time.AfterFunc(rest, func() { d.commands <- d.useNodes })
 		}
-		var desks []register.Node
-		for _, n := range l.Live(register.Data) {
-			if !n.Draining || n.Address == d.post.Self() {
-				desks = append(desks, n)
-			}
+	}
+}
+
+// useNodes acts on the newest list of nodes.
+func (d *Desk) useNodes(now time.Duration) {
+	l := d.nodes
+	if l == nil {
+		return
+	}
+	d.nodes, d.nodesAt = nil, now
+	labels := l.Shards(d.opt.Shards)
+	if n, ok := labels[d.post.Self()]; ok && n != d.shard {
+		d.shard = n
+		d.front.SetShard(n)
+	}
+	var desks []register.Node
+	for _, n := range l.Live(register.Data) {
+		if !n.Draining || n.Address == d.post.Self() {
+			desks = append(desks, n)
 		}
-		d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetDesks(now, desks, labels) })
 	}
+	d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetDesks(now, desks, labels) })
 }
 
 // read owns the items: it tells the archives what it has and takes what they
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -4,17 +4,33 @@
 package rendezvous
 
 import (
-	"hash/fnv"
-	"sort"
+	"cmp"
+	"slices"
 )
 
-// Weight is the weight of a candidate for a name.
-func Weight(name, candidate string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(candidate))
-	v := h.Sum64()
+// The figures of FNV-1a, written out so that a name is hashed once for many
+// candidates.
+const (
+	offset64 = 14695981039346656037
+	prime64  = 1099511628211
+)
+
+func hash(h uint64, text string) uint64 {
+	for i := 0; i < len(text); i++ {
+		h = (h ^ uint64(text[i])) * prime64
+	}
+	return h
+}
+
+// Name is a name that candidates are weighed for.
+type Name uint64
+
+// Of makes a name ready to weigh candidates for.
+func Of(name string) Name { return Name(hash(offset64, name) * prime64) }
+
+// Weight is the weight of a candidate.
+func (n Name) Weight(candidate string) uint64 {
+	v := hash(uint64(n), candidate)
 	v ^= v >> 33
 	v *= 0xff51afd7ed558ccd
 	v ^= v >> 33
@@ -22,18 +38,46 @@
 	return v ^ v>>33
 }
 
-// Order lists the candidates for a name, the heaviest first.
-func Order(name string, candidates []string) []string {
-	out := append([]string(nil), candidates...)
-	sort.Slice(out, func(i, j int) bool {
-		a, b := Weight(name, out[i]), Weight(name, out[j])
-		return a > b || a == b && out[i] < out[j]
-	})
-	return out
+// Weight is the weight of a candidate for a name.
+func Weight(name, candidate string) uint64 { return Of(name).Weight(candidate) }
+
+type weighed struct {
+	weight    uint64
+	candidate string
+}
+
+func heavier(a, b weighed) int {
+	if c := cmp.Compare(b.weight, a.weight); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.candidate, b.candidate)
 }
 
+// Order lists the candidates for a name, the heaviest first.
+func Order(name string, candidates []string) []string { return Pick(name, candidates, len(candidates)) }
+
 // Pick lists the n heaviest candidates for a name.
 func Pick(name string, candidates []string, n int) []string {
-	out := Order(name, candidates)
-	return out[:min(n, len(out))]
+	w := Of(name)
+	top := make([]weighed, 0, min(n, len(candidates))+1)
+	for _, c := range candidates {
+		x := weighed{w.Weight(c), c}
+		if n >= len(candidates) {
+			top = append(top, x) // all of them: sorted once below
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(top, x, heavier)
+		if at < n {
+			top = slices.Insert(top, at, x)
+			top = top[:min(n, len(top))]
+		}
+	}
+	if n >= len(candidates) {
+		slices.SortFunc(top, heavier)
+	}
+	out := make([]string, len(top))
+	for i, x := range top {
+		out[i] = x.candidate
+	}
+	return out
 }
