--- a/internal/accession/scale_test.go
+++ b/internal/accession/scale_test.go
@@ -76,3 +76,67 @@
 		s.Claim(time.Second, &Claim{Service: "s0", Give: func(g Grant) { s.Release(time.Second, g, nil, Unused) }})
 	}
 }
+
+// While desks come up, each of them is for a moment the only one that it knows;
+// it must not open a connection to every upstream of its zone then.
+func TestPoolsAreOpenedOnceDesksAreCalm(t *testing.T) {
+	d, sh, ups := fleet()
+	c := cfg(d[0].Address, "z0")
+	c.Calm = time.Second
+	s := NewStock(c)
+	s.SetServices(0, map[string]ServiceInfo{"s0": {MaxConns: 1900}, "s1": {MaxConns: 1900}}, map[string]int{"s0": 0, "s1": 0})
+	opened := 0
+	steps := []struct {
+		at   time.Duration
+		do   func(now time.Duration)
+		most int // trials up to here
+	}{
+		{100 * ms, func(now time.Duration) { s.SetList(now, ups) }, 0},
+		{200 * ms, func(now time.Duration) { s.SetDesks(now, d[:1], sh) }, 0},
+		{900 * ms, func(now time.Duration) { s.SetDesks(now, d[:40], sh) }, 0},
+		{1500 * ms, s.Tick, 0},
+		{1800 * ms, func(now time.Duration) { s.SetDesks(now, d, sh) }, 0},
+		{2700 * ms, s.Tick, 0},
+		{2900 * ms, s.Tick, 5}, // 165 upstreams of its zone for 50 desks
+	}
+	for _, st := range steps {
+		st.do(st.at)
+		opened += len(s.Trials)
+		s.Trials = nil
+		if opened > st.most {
+			t.Fatalf("at %v: %d connections", st.at, opened)
+		}
+	}
+	if opened == 0 {
+		t.Error("none was opened in the end")
+	}
+}
+
+// One more desk or upstream must cost each desk little: with hundreds of them that
+// happens all the time.
+func TestWhoIsColdDecidesNothingUntilAsked(t *testing.T) {
+	s, _, _, ups := largeStock()
+	asked := 0
+	for _, u := range s.ups {
+		if u.few == s.plan {
+			asked++
+		}
+	}
+	if asked > 0 {
+		t.Errorf("senders of %d upstreams were worked out though none is cold", asked)
+	}
+	ups[0].WarmupMs = 3000
+	d, sh, _ := fleet()
+	senders := 0
+	for _, self := range d {
+		o := NewStock(cfg(self.Address, self.Zone))
+		o.SetDesks(0, d, sh)
+		o.SetList(0, ups[:1])
+		if o.sends(o.ups[ups[0].ID]) {
+			senders++
+		}
+	}
+	if senders != ColdSenders {
+		t.Errorf("%d desks may send to a cold upstream", senders)
+	}
+}
--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -23,6 +23,7 @@
 	Window     time.Duration // retryWindowS
 	Eject      time.Duration // first pause after a failure
 	EjectMax   time.Duration
+	Calm       time.Duration // how long desks must be the same before pools are opened
 	Lag        time.Duration // how old the platform's word may be when it is here
 	// Region tells the region of a zone; nil: there is but one.
 	Region func(zone string) string
@@ -163,6 +164,8 @@
 	loadAt    time.Duration
 	seq       uint64
 	known     bool
+	unproven  bool          // there may be upstreams to be proven
+	calmAt    time.Duration // when desks will have been the same for long enough
 	leaving   bool
 
 	Trials []*Upstream // connections to be opened to see whether an upstream is back
@@ -230,7 +233,7 @@
 		}
 	}
 	s.known = true
-	s.assign()
+	s.assign(now)
 	s.serveAll(now)
 }
 
@@ -264,7 +267,7 @@
 	for name, v := range s.services {
 		v.info = infos[name]
 	}
-	s.assign()
+	s.assign(now)
 	s.serveAll(now)
 }
 
@@ -285,7 +288,7 @@
 		}
 	}
 	s.evacuated = zones
-	s.assign()
+	s.assign(now)
 	for _, u := range back {
 		s.doubt(now, u)
 	}
@@ -319,8 +322,8 @@
 	if slices.EqualFunc(desks, s.desks, same) && maps.Equal(shards, s.shards) {
 		return
 	}
-	s.desks, s.shards = desks, shards
-	s.assign()
+	s.desks, s.shards, s.calmAt = desks, shards, now+s.cfg.Calm
+	s.assign(now)
 	s.serveAll(now)
 }
 
@@ -328,7 +331,7 @@
 const ColdSenders = 2
 
 // assign works out which upstreams this desk uses first.
-func (s *Stock) assign() {
+func (s *Stock) assign(now time.Duration) {
 	s.plan++
 	s.zones, s.nearOf = map[string][]string{}, map[[2]string][]string{}
 	for _, d := range s.desks {
@@ -353,7 +356,7 @@
 		s.nameHomes(v, desks)
 		s.setLimits(v, len(s.desks))
 	}
-	s.prove()
+	s.prove(now)
 }
 
 // byOrder puts upstreams into the order of weight for their service.
@@ -481,7 +484,7 @@
 	s.loads = loads
 	for _, v := range s.services {
 		if !maps.Equal(s.lend(v), v.lent) {
-			s.assign()
+			s.assign(now)
 			s.serveAll(now)
 			return
 		}
@@ -518,15 +521,22 @@
 // prove opens a first connection to upstreams that this desk uses first: the
 // warm pools of the services whose routes are bound to its shard, and, whatever
 // the shard, to those that have newly appeared, so that no request has to find
-// out whether they are there yet.
-func (s *Stock) prove() {
-	for _, u := range s.ups {
-		if !u.fresh && !s.holds(u.Service) {
-			continue
-		}
-		if u.home && !u.proven && !u.trying && u.until == 0 && !u.gone && !s.evacuated[u.Zone] {
-			u.trying = true
-			s.Trials = append(s.Trials, u)
+// out whether they are there yet. While desks come and go, who uses what first
+// changes too often: it waits for a calm.
+func (s *Stock) prove(now time.Duration) {
+	s.unproven = now < s.calmAt || len(s.desks) == 0
+	if s.unproven {
+		return
+	}
+	for _, v := range s.services {
+		for _, u := range v.homes {
+			if !u.fresh && !s.holds(u.Service) {
+				continue
+			}
+			if !u.proven && !u.trying && u.until == 0 {
+				u.trying = true
+				s.Trials = append(s.Trials, u)
+			}
 		}
 	}
 }
@@ -780,7 +790,7 @@
 	case Other:
 		u.gone = true
 		s.drop(u)
-		s.assign()
+		s.assign(now)
 	}
 	if conn != nil {
 		if u.gone || s.evacuated[u.Zone] || now < u.until || conn.Expires <= now {
@@ -859,6 +869,9 @@
 // something happens.
 func (s *Stock) Tick(now time.Duration) {
 	s.average(now)
+	if s.unproven {
+		s.prove(now)
+	}
 	for _, v := range s.services {
 		for _, u := range v.ups {
 			if u.until > 0 && now >= u.until && !u.trying && !u.gone {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -79,7 +79,7 @@
 	}
 	stock := accession.NewStock(accession.Config{Self: post.Self(), Zone: set.Zone, Region: region,
 		RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, Window: charter.Seconds(set.Bounds.RetryWindowS),
-		Eject: patience, EjectMax: 8 * patience, Lag: lag})
+		Eject: patience, EjectMax: 8 * patience, Lag: lag, Calm: beat})
 	d.floor = circulation.NewFloorAt(d.start, stock, patience, patience/6)
 	d.front = circulation.NewFront(d.floor, logger("circulation"))
 	d.ready = newReadiness(d.front.Confirmed)
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 const beat = 500 * time.Millisecond
@@ -13,6 +15,7 @@
 	rolls map[string]*Roll
 	down  map[string]bool
 	now   time.Duration
+	bytes int // sent
 }
 
 func newNet(n int) *net {
@@ -38,6 +41,8 @@
 			out, _ := r.Take()
 			for _, e := range out {
 				again = true
+				b, _ := cbor.Marshal(e.Msg)
+				w.bytes += len(b)
 				if to := w.rolls[e.To]; to != nil && !w.down[e.To] && !w.down[from] {
 					to.Handle(w.now, from, e.Msg)
 				}
@@ -149,3 +154,58 @@
 		}
 	}
 }
+
+// wrong counts what the nodes that are up believe wrongly of all n.
+func (w *net) wrong(n int) (out int) {
+	for a, r := range w.rolls {
+		for i := 0; i < n && !w.down[a]; i++ {
+			if it := r.items[addr(i)]; (it != nil && it.node.State < Dead) == w.down[addr(i)] {
+				out++
+			}
+		}
+	}
+	return out
+}
+
+// What the nodes tell each other must stay small beside links of a few Mbit/s when
+// there are hundreds of them, also when many come and go at once.
+func TestHundredsOfNodes(t *testing.T) {
+	const n = 300
+	w := newNet(n)
+	steps := []struct {
+		name   string
+		change func()
+		beats  int
+		most   int // bytes a node and beat
+		wrong  int // beliefs that may be wrong at the end, of n*n
+	}{
+		{"start", func() {}, 8, 12000, 0},
+		{"calm", func() {}, 5, 1800, 0},
+		{"one in ten dies", func() {
+			for i := 5; i < n; i += 10 {
+				w.down[addr(i)] = true
+			}
+		}, 12, 8000, n * n / 500},
+		{"and is back", func() {
+			for i := 5; i < n; i += 10 {
+				w.start(i)
+			}
+		}, 12, 8000, 0},
+		{"one list lacks a node", func() {
+			delete(w.rolls[addr(7)].items, addr(9))
+			w.rolls[addr(7)].touch()
+		}, 8, 1800, 0},
+	}
+	for _, s := range steps {
+		s.change()
+		w.bytes = 0
+		w.run(s.beats)
+		t.Logf("%s: %d bytes a node and beat, %d wrong", s.name, w.bytes/n/s.beats, w.wrong(n))
+		if got := w.bytes / n / s.beats; got > s.most {
+			t.Errorf("%s: %d bytes a node and beat", s.name, got)
+		}
+		if got := w.wrong(n); got > s.wrong {
+			t.Errorf("%s: %d beliefs are wrong", s.name, got)
+		}
+	}
+}
--- a/internal/register/roll.go
+++ b/internal/register/roll.go
@@ -4,8 +4,10 @@
 package register
 
 import (
-	"hash/fnv"
+	"math/bits"
+	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"madderwing/internal/rendezvous"
@@ -67,8 +69,14 @@
 	Nodes []Node `cbor:"4,keyasint,omitempty"` // news, or the whole list
 	Whole bool   `cbor:"5,keyasint,omitempty"`
 	From  *Node  `cbor:"6,keyasint,omitempty"` // the sender, when it joins
+	// Sums are the sender's digests by range: to a ping the answer is the nodes of
+	// the ranges that differ, to that the answer is what still does.
+	Sums []uint64 `cbor:"7,keyasint,omitempty"`
 }
 
+// ranges is how many ranges the nodes are divided into for repair.
+const ranges = 64
+
 // Envelope is a message to one node. Large ones go over a connection.
 type Envelope struct {
 	To    string
@@ -113,7 +121,7 @@
 	seq     uint64
 	next    time.Duration
 	out     []Envelope
-	sum     uint64
+	sums    [ranges]uint64
 	sumOK   bool
 	changed bool
 	joined  bool
@@ -150,24 +158,45 @@
 // Joined says whether any other node has been heard of.
 func (r *Roll) Joined() bool { return r.joined }
 
-func (r *Roll) digest() uint64 {
-	if r.sumOK {
-		return r.sum
+// digest is that of the whole list.
+func (r *Roll) digest() (sum uint64) {
+	for i, s := range r.digests() {
+		sum ^= bits.RotateLeft64(s, i)
 	}
-	r.sum = 0
-	for _, it := range r.items {
-		h := fnv.New64a()
-		n := it.node
-		d := byte(0)
-		if n.Draining {
-			d = 1
+	return sum
+}
+
+// digests are those of the ranges. Nodes that are gone are left out: who has never
+// heard of one, or has forgotten it, has nothing to learn.
+func (r *Roll) digests() []uint64 {
+	if !r.sumOK {
+		r.sums, r.sumOK = [ranges]uint64{}, true
+		for a, it := range r.items {
+			if n := it.node; n.State < Dead {
+				v := rendezvous.Weight(a, n.State.String()+strconv.FormatUint(n.Incarnation, 36)+strconv.FormatBool(n.Draining))
+				r.sums[rangeOf(a)] ^= v
+			}
 		}
-		_, _ = h.Write([]byte(n.Address))
-		_, _ = h.Write([]byte{byte(n.Incarnation), byte(n.Incarnation >> 8), byte(n.Incarnation >> 16), byte(n.State), d})
-		r.sum ^= h.Sum64()
 	}
-	r.sumOK = true
-	return r.sum
+	return r.sums[:]
+}
+
+func rangeOf(address string) int { return int(rendezvous.Weight("range", address) % ranges) }
+
+// differing lists the nodes of the ranges that differ from a peer's.
+func (r *Roll) differing(theirs []uint64) (out []Node) {
+	mine := r.digests()
+	for _, n := range r.Nodes() {
+		if i := rangeOf(n.Address); i >= len(theirs) || mine[i] != theirs[i] {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// compare tells a peer the digests, so that both send each other what differs.
+func (r *Roll) compare(with string) {
+	r.out = append(r.out, Envelope{To: with, Msg: Message{Ping: true, Nodes: []Node{r.self.node}, Sums: slices.Clone(r.digests())}})
 }
 
 func (r *Roll) touch() { r.sumOK, r.changed = false, true }
@@ -284,8 +313,11 @@
 		r.joined = true
 	}
 	if it := r.items[from]; it == nil && m.From == nil {
-		// A stranger: ask who it is by offering the whole list.
-		r.sendWhole(from, true)
+		// A stranger: what it answers names itself. Nothing else of a stranger's is
+		// answered, so two that do not take each other in do not answer for ever.
+		if m.Ping && len(m.Sums) == 0 {
+			r.compare(from)
+		}
 		return
 	}
 	if w := r.watched[from]; w != nil && !m.Ping && m.Seq == w.sent {
@@ -297,7 +329,19 @@
 	}
 	if m.Whole {
 		if m.Ping {
-			r.sendWhole(from, false)
+			r.out = append(r.out, Envelope{To: from, Msg: Message{Whole: true, Nodes: r.Nodes()}, Large: true})
+		}
+		return
+	}
+	if len(m.Sums) > 0 {
+		answer := Message{Nodes: r.differing(m.Sums)}
+		differ := len(answer.Nodes) > 0
+		if m.Ping {
+			answer.Sums = slices.Clone(r.digests())
+			differ = !slices.Equal(m.Sums, answer.Sums)
+		}
+		if differ {
+			r.out = append(r.out, Envelope{To: from, Msg: answer, Large: len(answer.Nodes) > newsMax})
 		}
 		return
 	}
@@ -308,15 +352,11 @@
 			delete(r.odd, from)
 		} else if r.odd[from]++; r.odd[from] >= 3 {
 			delete(r.odd, from)
-			r.sendWhole(from, true)
+			r.compare(from)
 		}
 	}
 }
 
-func (r *Roll) sendWhole(to string, ask bool) {
-	r.out = append(r.out, Envelope{To: to, Msg: Message{Whole: true, Ping: ask, Nodes: r.Nodes()}, Large: true})
-}
-
 // learn takes over news of a node if they supersede what is known.
 func (r *Roll) learn(now time.Duration, n Node) {
 	if n.Address == r.cfg.Self.Address {
