--- a/internal/accession/listing.go
+++ b/internal/accession/listing.go
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"sort"
 	"time"
 )
@@ -211,16 +213,37 @@
 	if s.items == nil || !have.Less(s.Version) {
 		return nil
 	}
-	if n := len(s.past); n > 0 && s.past[n-1].Base == have {
-		l := s.past[n-1]
-		for i, inst := range l.Set {
-			l.Set[i].WarmupMs = s.left(now, inst.ID)
+	for i := len(s.past) - 1; i >= 0; i-- {
+		if s.past[i].Base == have {
+			return s.since(now, s.past[i:])
 		}
-		return &l
 	}
 	return &Listing{Version: s.Version, Set: s.All(now)}
 }
 
+// since puts the last differences together into one.
+func (s *Stand) since(now time.Duration, past []Listing) *Listing {
+	out := &Listing{Version: s.Version, Base: past[0].Base}
+	touched := map[string]bool{}
+	for _, l := range past {
+		for _, i := range l.Set {
+			touched[i.ID] = true
+		}
+		for _, id := range l.Gone {
+			touched[id] = true
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(touched)) {
+		if it, ok := s.items[id]; ok {
+			it.WarmupMs = s.left(now, id)
+			out.Set = append(out.Set, it.Instance)
+		} else {
+			out.Gone = append(out.Gone, id)
+		}
+	}
+	return out
+}
+
 func (s *Stand) left(now time.Duration, id string) int64 {
 	return max(0, int64((s.items[id].warmAt-now)/time.Millisecond))
 }
--- a/internal/accession/scale_test.go
+++ b/internal/accession/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -140,3 +141,34 @@
 		t.Errorf("%d desks may send to a cold upstream", senders)
 	}
 }
+
+// A desk that has missed some differences gets them as one, not the whole list.
+func TestMissedDifferencesComeAsOne(t *testing.T) {
+	_, _, ups := fleet()
+	var s Stand
+	s.Update(0, 1, 1, ups)
+	versions := []Version{s.Version}
+	behind := []*Stand{{}}
+	behind[0].Take(0, *s.Since(0, Version{}))
+	for i := range pastMax + 2 { // each reading: one goes, one comes back, one drains
+		next := append([]Instance(nil), ups[1:]...)
+		next[i].Draining = true
+		ups = append(next, Instance{ID: fmt.Sprintf("new-%d", i), Service: "s0", Zone: "z0", Capacity: 3})
+		now := time.Duration(i+1) * time.Second
+		s.Update(now, 1, 1, ups)
+		b := &Stand{}
+		b.Take(now, *s.Since(now, Version{}))
+		behind, versions = append(behind, b), append(versions, s.Version)
+	}
+	now := time.Minute
+	for i, v := range versions[:len(versions)-1] {
+		l := s.Since(now, v)
+		missed := len(versions) - 1 - i
+		if whole := l.Base == (Version{}); whole != (missed > pastMax) || !whole && len(l.Set)+len(l.Gone) > 4*missed {
+			t.Errorf("%d missed: whole is %v, %d entries", missed, whole, len(l.Set)+len(l.Gone))
+		}
+		if !behind[i].Take(now, *l) || !reflect.DeepEqual(behind[i].All(now), s.All(now)) {
+			t.Errorf("%d missed: the lists differ", missed)
+		}
+	}
+}
