Reach: each desk uses a bounded part of the upstreams; a first reset is no failure

An upstream of 6 slots gets one request from each of dozens of crowded desks; a reset then ejected it, which crowded the others, so the crowd outlasted the burst by 15 s. Not yet measured.

--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -21,7 +21,7 @@
 	RetryRatio float64
 	RetrySlack float64
 	Window     time.Duration // retryWindowS
-	Eject      time.Duration // first pause after a failure
+	Eject      time.Duration // first pause after a failure; a third of it after a first reset
 	EjectMax   time.Duration
 	Calm       time.Duration // how long desks must be the same before pools are opened
 	Lag        time.Duration // how old the platform's word may be when it is here
@@ -66,6 +66,7 @@
 	gone     bool
 	failures int
 	until    time.Duration // ejected till then
+	rest     time.Duration // not sent to till then: it has reset a request and may be full
 	trying   bool          // a trial connection is being opened
 	proven   bool          // a connection to it has once come up
 	fresh    bool          // it appeared after the first list
@@ -137,6 +138,7 @@
 	info    ServiceInfo
 	ups     []*Upstream
 	homes   []*Upstream // those that this desk uses first
+	reach   []*Upstream // those that it uses at all, as long as enough of them work
 	budget  Budget
 	waiting []*Claim
 	slots   int     // of the upstreams that this desk uses first
@@ -355,6 +357,7 @@
 		slices.SortFunc(v.ups, byOrder)
 		s.nameHomes(v, desks)
 		s.setLimits(v, len(s.desks))
+		s.nameReach(v, len(desks))
 	}
 	s.prove(now)
 }
@@ -441,6 +444,39 @@
 	}
 }
 
+// Each upstream is in reach of so many desks of the zone that uses it, beside the one
+// that uses it first, and of so many of all other zones; and each desk reaches so many
+// of its zone at least.
+const (
+	reachedNear = 4
+	reachedFar  = 4
+	reachMin    = 8
+)
+
+// nameReach names the upstreams that this desk uses at all. With few desks that is
+// all of them. With hundreds, each with little to send elsewhere, an upstream would
+// get a request from many at once and be full without any of them knowing.
+func (s *Stock) nameReach(v *service, near int) {
+	local := 0
+	for _, u := range v.ups {
+		if u.zone == s.cfg.Zone {
+			local++
+		}
+	}
+	shareNear := max(reachedNear/float64(near), reachMin/float64(max(1, local)))
+	shareFar := max(reachedFar/float64(max(1, len(s.desks)-near)), reachMin/float64(max(1, len(v.ups)-local)))
+	v.reach = v.reach[:0]
+	for _, u := range v.ups {
+		share := shareFar
+		if u.zone == s.cfg.Zone {
+			share = shareNear
+		}
+		if u.home || float64(u.rank)/math.MaxUint64 < share {
+			v.reach = append(v.reach, u)
+		}
+	}
+}
+
 // setLimits bounds what this desk may have under way at each upstream. The desk
 // that uses one first may fill its slots; the others together may make it queue
 // a little. Connections are shared out evenly, with room for two desks that are
@@ -559,7 +595,7 @@
 // units of its slots, with a start for the upstreams that other desks use
 // first. Infinite: not at present.
 func (s *Stock) score(now time.Duration, v *service, u *Upstream) float64 {
-	if u.gone || now < u.until || u.trying || u.Busy >= u.limit || u.trial && u.Busy > 0 {
+	if u.gone || now < u.until || now < u.rest || u.trying || u.Busy >= u.limit || u.trial && u.Busy > 0 {
 		return math.Inf(1)
 	}
 	slots := float64(u.Capacity)
@@ -593,12 +629,28 @@
 	// Nearly always one of the few that this desk uses first will do, and then no
 	// other can be better.
 	best, score, any := s.pickFrom(now, v, c, v.homes)
-	if score >= othersFrom {
+	if score < othersFrom {
+		return best, any
+	}
+	best, _, any = s.pickFrom(now, v, c, v.reach)
+	if best == nil && len(v.reach) < len(v.ups) && (!any || s.reachFails(now, v)) {
 		best, _, any = s.pickFrom(now, v, c, v.ups)
 	}
 	return best, any
 }
 
+// reachFails says whether half or more of the upstreams in reach cannot be sent to
+// whatever their load, as when a zone is lost.
+func (s *Stock) reachFails(now time.Duration, v *service) bool {
+	out := 0
+	for _, u := range v.reach {
+		if u.gone || now < u.until || u.trying || u.Cold(now) && !s.sends(u) {
+			out++
+		}
+	}
+	return out*2 >= len(v.reach)
+}
+
 // pickFrom finds the best of some upstreams and its score.
 func (s *Stock) pickFrom(now time.Duration, v *service, c *Claim, ups []*Upstream) (best *Upstream, bestScore float64, any bool) {
 	bestScore = math.Inf(1)
@@ -755,6 +807,7 @@
 	Silent                 // it no longer so much as acknowledges what it is sent
 	Poor                   // it answered with an error of its own
 	Unused                 // it was not sent anything
+	Reset                  // it reset the connection, as some do when they are full
 )
 
 // Release returns an upstream after a request, with the connection if that can
@@ -779,6 +832,14 @@
 		}
 	case Full:
 		u.Served++
+	case Reset:
+		u.Failed++
+		if u.failures > 0 {
+			s.eject(now, u)
+			break
+		}
+		u.failures++
+		u.rest = now + s.cfg.Eject/3
 	case Failing, Silent:
 		u.Failed++
 		s.eject(now, u)
--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -1,6 +1,7 @@
 package circulation
 
 import (
+	"errors"
 	"io"
 	"log"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"madderwing/internal/accession"
@@ -383,8 +385,11 @@
 			return false, large
 		}
 		how := accession.Failing
-		if silent(res.broke) {
+		switch {
+		case silent(res.broke):
 			how = accession.Silent
+		case errors.Is(res.broke, syscall.ECONNRESET):
+			how = accession.Reset
 		}
 		f.finish(g, res, how)
 		return repeatable, errata.New(errata.Broken, "%s: %v", x.service, res.broke)
