--- a/internal/accession/judge.go
+++ b/internal/accession/judge.go
@@ -35,7 +35,8 @@
 	others float64 // requests of other desks that it has told of
 	toldAt time.Duration
 	tells  bool
-	trial  bool // back after it was left alone: one request at a time
+	roomy  float64 // seconds an answer took lately when it had room
+	trial  bool    // back after it was left alone: one request at a time
 }
 
 type wait struct {
--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -120,6 +120,7 @@
 	Refused  Refusal
 	Abroad   bool // the upstream is in another region
 	Began    time.Duration
+	Busy     int // how many requests of this desk the upstream had then, with this one
 }
 
 // Refusal says why a claim was not granted.
@@ -145,6 +146,7 @@
 	bad     float64 // share of bad answers lately
 	took    float64 // seconds that its answers take
 	known   int     // answers so far
+	packed  packed
 	load    float64
 	lent    map[string]string // upstream -> the zone that uses it as its own
 }
@@ -595,7 +597,7 @@
 // units of its slots, with a start for the upstreams that other desks use
 // first. Infinite: not at present.
 func (s *Stock) score(now time.Duration, v *service, u *Upstream) float64 {
-	if u.gone || now < u.until || now < u.rest || u.trying || u.Busy >= u.limit || u.trial && u.Busy > 0 {
+	if u.gone || now < u.until || now < u.rest || u.trying || u.Busy >= s.most(now, v, u) || u.trial && u.Busy > 0 {
 		return math.Inf(1)
 	}
 	slots := float64(u.Capacity)
@@ -762,7 +764,7 @@
 		s.sends(u)
 		u.pace.Pass(now, v.info.WarmupPerS/float64(u.senders))
 	}
-	g := Grant{Upstream: u, ID: u.ID, Address: u.Address, Hold: c.Hold, Abroad: !u.near, Began: now}
+	g := Grant{Upstream: u, ID: u.ID, Address: u.Address, Hold: c.Hold, Abroad: !u.near, Began: now, Busy: u.Busy}
 	u.began(now, c)
 	if c.Hold != nil {
 		if u.holds == nil {
@@ -827,6 +829,9 @@
 		u.proven = true
 		u.Served++
 		odd = s.answered(now, v, u, took, how == Poor)
+		if how == Served {
+			v.packed.note(now, u, g.Busy, took)
+		}
 		if u.bad < badUsual {
 			u.failures = 0
 		}
