--- a/internal/circulation/circulation_test.go
+++ b/internal/circulation/circulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -509,3 +510,54 @@
 		}
 	}
 }
+
+// A desk that leaves waits for an upstream that is at work, and closes what is idle.
+func TestLeavingWaitsForUpstreamsAtWork(t *testing.T) {
+	release := make(chan struct{})
+	u := newUpstream(t, "u", func(c net.Conn, r *http.Request, n int) bool {
+		<-release
+		return steady(c, r, n)
+	})
+	r := newRig(t, u)
+	type answer struct {
+		res *http.Response
+		err error
+	}
+	got := make(chan answer, 1)
+	go func() {
+		res, _, err := r.say(t, "POST", post("/put/x", "b"))
+		got <- answer{res, err}
+	}()
+	for len(u.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	idle, err := net.Dial("tcp4", r.door.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(idle, get("/nowhere/"))
+	br := bufio.NewReader(idle)
+	if res, err := http.ReadResponse(br, nil); err != nil || res.StatusCode != 404 || res.Close {
+		t.Fatal(res, err)
+	} else {
+		_, _ = io.Copy(io.Discard, res.Body)
+	}
+	r.front.Drain()
+	down := make(chan struct{})
+	go func() { r.door.Shutdown(context.Background()); close(down) }()
+	if n, err := br.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("the idle connection: %d bytes, %v", n, err)
+	}
+	select {
+	case a := <-got:
+		t.Fatalf("ended while its upstream was at work: %v %v", a.res, a.err)
+	case <-down:
+		t.Fatal("left while an upstream was at work")
+	default:
+	}
+	close(release)
+	if a := <-got; a.err != nil || a.res.StatusCode != 200 || !a.res.Close {
+		t.Errorf("%v %v", a.res, a.err)
+	}
+	<-down
+}
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -56,6 +56,10 @@
 	inbound  map[net.Conn]struct{}
 	closed   bool
 
+	garbageMu   sync.Mutex
+	garbageAt   time.Time // when garbage was last logged
+	garbageMore int       // frames since
+
 	next       atomic.Uint64
 	Undecoded  atomic.Uint64 // frames that could not be read
 	BytesSent  atomic.Uint64
@@ -100,7 +104,7 @@
 	c.Handle(kind, func(from string, body []byte) (any, error) {
 		var msg T
 		if cbor.Unmarshal(body, &msg) != nil {
-			c.Undecoded.Add(1)
+			c.garbage(from)
 		} else {
 			fn(from, msg)
 		}
@@ -208,9 +212,21 @@
 	}
 }
 
+// garbageEvery is the time, in patiences, for which one line on garbage is enough.
+const garbageEvery = 10
+
+// garbage counts a frame that cannot be read. A peer that sends nothing else must
+// not fill the log.
 func (c *Courier) garbage(from string) {
 	c.Undecoded.Add(1)
-	c.log.Printf("undecodable frame from %s.", from)
+	c.garbageMu.Lock()
+	defer c.garbageMu.Unlock()
+	if now := time.Now(); c.garbageAt.IsZero() || now.Sub(c.garbageAt) > garbageEvery*c.patience {
+		c.log.Printf("undecodable frame from %s, %d more since the last such line.", from, c.garbageMore)
+		c.garbageAt, c.garbageMore = now, 0
+	} else {
+		c.garbageMore++
+	}
 }
 
 func (c *Courier) readPackets() {
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -69,8 +69,11 @@
 }
 
 func TestGarbageEndsTheConnectionAndIsCounted(t *testing.T) {
-	c := start(t)
+	c, other := start(t), start(t)
+	var lines strings.Builder
+	c.log = log.New(&lines, "", 0)
 	c.Start()
+	other.Start()
 	frame := func(b []byte) []byte {
 		out := make([]byte, 4)
 		binary.BigEndian.PutUint32(out, uint32(len(b)))
@@ -95,6 +98,15 @@
 			t.Errorf("%s: not counted", name)
 		}
 	}
+	var answer string
+	if err := other.Call(context.Background(), c.Self(), "echo", "hello", &answer); err != nil || answer != "hello" {
+		t.Errorf("another peer is harmed: %v", err)
+	}
+	c.garbageMu.Lock()
+	defer c.garbageMu.Unlock()
+	if n := strings.Count(lines.String(), "\n"); n != 1 || c.garbageMore != 2 {
+		t.Errorf("%d lines for three frames, %d left to tell: %s", n, c.garbageMore, lines.String())
+	}
 }
 
 func isTimeout(err error) bool {
