--- a/cmd/madderwing/client.go
+++ b/cmd/madderwing/client.go
@@ -236,6 +236,7 @@
 func statusCommand() *cobra.Command {
 	c := &cobra.Command{Use: "status", Short: "Show nodes, keys, duties, routes, shards and upstreams", Args: cobra.NoArgs}
 	asJSON := c.Flags().Bool("json", false, "print JSON")
+	all := c.Flags().Bool("all", false, "list every node and upstream, also where there are many")
 	cl := clientFlags(c)
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
 		k, err := cl()
@@ -254,7 +255,7 @@
 		if err := json.Unmarshal(text, &o); err != nil {
 			return err
 		}
-		printStatus(cmd.OutOrStdout(), &o)
+		printStatus(cmd.OutOrStdout(), &o, *all)
 		return nil
 	}
 	return c
@@ -281,7 +282,20 @@
 	return c
 }
 
-func printStatus(out io.Writer, o *archive.Overview) {
+// listMost is how many nodes, or upstreams, status lists unless it is told to list all.
+const listMost = 40
+
+func printCounts(w io.Writer, kind string, counts []archive.Count) {
+	fmt.Fprintf(w, "\n%s\tZONE\tSTATE\tCOUNT\n", kind)
+	for _, c := range counts {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", c.Kind, c.Zone, c.State, c.Count)
+	}
+}
+
+// printStatus lists everything, or sums up what there is much of. Nodes that are not
+// plainly alive are listed in any case.
+func printStatus(out io.Writer, o *archive.Overview, all bool) {
+	sum := o.Summary()
 	names := map[string]string{}
 	for _, m := range o.Members {
 		names[m.Address] = m.Name
@@ -296,8 +310,16 @@
 		return a
 	}
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintf(w, "as seen by %s (voting: %v)\n\nNODE\tKIND\tZONE\tSTATE\tSHARD\tADDRESS\n", o.Node, o.Voting)
+	fmt.Fprintf(w, "as seen by %s (voting: %v)\n", o.Node, o.Voting)
+	short := !all && len(o.Members) > listMost
+	if short {
+		printCounts(w, "KIND", sum.Nodes)
+	}
+	fmt.Fprint(w, "\nNODE\tKIND\tZONE\tSTATE\tSHARD\tADDRESS\n")
 	for _, m := range o.Members {
+		if short && !m.Seat && m.Standing() == "alive" {
+			continue
+		}
 		shard := "-"
 		if m.Shard >= 0 {
 			shard = fmt.Sprint(m.Shard)
@@ -324,22 +346,17 @@
 	for _, s := range o.Shards {
 		fmt.Fprintf(w, "%d\t%d\t%d\t%d\n", s.Label, len(s.Desks), s.Zones, s.Routes)
 	}
-	current := 0
-	for _, d := range o.Delivery {
-		if d.Current {
-			current++
-		}
+	fmt.Fprintf(w, "\nThe newest items are in force on %d of %d desks.\n", sum.Desks-sum.Behind, sum.Desks)
+	if sum.Behind > 0 {
+		fmt.Fprintf(w, "Not yet on %s (%d in all).\n", strings.Join(sum.BehindOf, ", "), sum.Behind)
 	}
-	fmt.Fprintf(w, "\nThe newest items are in force on %d of %d desks.\n", current, len(o.Delivery))
-	fmt.Fprintf(w, "\nUPSTREAM\tSERVICE\tZONE\tSLOTS\tSTATE\n")
-	for _, u := range o.Upstreams {
-		state := "ready"
-		if u.Draining {
-			state = "draining"
-		} else if u.WarmupMs > 0 {
-			state = "cold"
-		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", u.ID, u.Service, u.Zone, u.Capacity, state)
+	if !all && len(o.Upstreams) > listMost {
+		printCounts(w, "SERVICE", sum.Upstreams)
+	} else {
+		fmt.Fprint(w, "\nUPSTREAM\tSERVICE\tZONE\tSLOTS\tSTATE\n")
+		for _, u := range o.Upstreams {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", u.ID, u.Service, u.Zone, u.Capacity, archive.Standing(u))
+		}
 	}
 	if len(o.Tenants) > 0 {
 		lent := map[string]string{}
--- a/internal/archive/admin.go
+++ b/internal/archive/admin.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/url"
 	"sort"
 	"strings"
 	"time"
 
 	"madderwing/internal/accession"
 	"madderwing/internal/catalogue"
-	"madderwing/internal/errata"
 	"madderwing/internal/readers"
 	"madderwing/internal/register"
 	"madderwing/internal/rota"
@@ -227,20 +227,12 @@
 }
 
 // admin gives one of the read-only views.
-func (a *Archive) admin(page string) ([]byte, error) {
+func (a *Archive) admin(page string, q url.Values) ([]byte, error) {
 	ch := make(chan *Overview, 1)
 	a.do(func(now time.Duration) { ch <- a.overview(now) })
-	o := <-ch
-	views := map[string]any{
-		"overview": o, "members": o.Members, "keys": o.Keys, "duties": o.Duties, "bindings": o.Routes, "shards": o.Shards,
-		"upstreams": o.Upstreams, "evacuations": o.Evacuations, "counters": o.Counters, "delivery": o.Delivery,
-	}
-	if a.lender != nil {
-		views["tenants"], views["quotas"] = o.Tenants, o.Quotas
-	}
-	v, ok := views[page]
-	if !ok {
-		return nil, errata.New(errata.UnknownPage, "no view %q", page)
+	v, err := (<-ch).view(page, q)
+	if err != nil {
+		return nil, err
 	}
 	b, err := json.MarshalIndent(v, "", "  ")
 	return append(b, '\n'), err
--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -286,7 +286,7 @@
 		if r.Method != http.MethodGet {
 			return nil, errata.New(errata.WrongMethod, "%s on %s", r.Method, path)
 		}
-		return a.admin(strings.TrimPrefix(path, "/v1/admin/"))
+		return a.admin(strings.TrimPrefix(path, "/v1/admin/"), r.URL.Query())
 	}
 	return nil, errata.New(errata.UnknownPage, "%s", r.URL.Path)
 }
--- /dev/null
+++ b/internal/archive/summary.go
@@ -0,0 +1,128 @@
+package archive
+
+import (
+	"cmp"
+	"net/url"
+	"slices"
+	"strconv"
+
+	"madderwing/internal/accession"
+	"madderwing/internal/errata"
+)
+
+// Count is how many nodes or upstreams are alike.
+type Count struct {
+	Kind  string `json:"kind"` // desk, archive, or the service
+	Zone  string `json:"zone"`
+	State string `json:"state"`
+	Count int    `json:"count"`
+}
+
+// Summary is an overview that stays short whatever the number of nodes.
+type Summary struct {
+	Node      string   `json:"node"`
+	Nodes     []Count  `json:"nodes"`
+	Upstreams []Count  `json:"upstreams"`
+	Desks     int      `json:"desks"`
+	Behind    int      `json:"behind"`   // desks without the newest items
+	BehindOf  []string `json:"behindOf"` // the first of them
+}
+
+// behindMost is how many of the desks that lag behind a summary names.
+const behindMost = 10
+
+// Summary sums an overview up by kind, zone and state.
+func (o *Overview) Summary() *Summary {
+	s := &Summary{Node: o.Node, Desks: len(o.Delivery), BehindOf: []string{}}
+	nodes, ups := map[Count]int{}, map[Count]int{}
+	for _, m := range o.Members {
+		nodes[Count{m.Plane, m.Zone, m.Standing(), 0}]++
+	}
+	for _, u := range o.Upstreams {
+		ups[Count{u.Service, u.Zone, Standing(u), 0}]++
+	}
+	s.Nodes, s.Upstreams = counts(nodes), counts(ups)
+	for _, d := range o.Delivery {
+		if d.Current {
+			continue
+		}
+		if s.Behind++; len(s.BehindOf) < behindMost {
+			s.BehindOf = append(s.BehindOf, d.Desk)
+		}
+	}
+	return s
+}
+
+func counts(of map[Count]int) []Count {
+	out := []Count{}
+	for c, n := range of {
+		c.Count = n
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b Count) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.State, b.State))
+	})
+	return out
+}
+
+// Standing is a node's state in one word.
+func (m Member) Standing() string {
+	if m.Draining && m.State == "alive" {
+		return "draining"
+	}
+	return m.State
+}
+
+// Standing is an upstream's state in one word.
+func Standing(u accession.Instance) string {
+	switch {
+	case u.Draining:
+		return "draining"
+	case u.WarmupMs > 0:
+		return "cold"
+	}
+	return "ready"
+}
+
+// filter keeps the entries whose fields are as the question says.
+func filter[T any](list []T, q url.Values, fields map[string]func(T) string) ([]T, error) {
+	for name := range q {
+		field, ok := fields[name]
+		if !ok {
+			return nil, errata.New(errata.BadQuestion, "no filter %q here", name)
+		}
+		list = slices.DeleteFunc(slices.Clone(list), func(v T) bool { return !slices.Contains(q[name], field(v)) })
+	}
+	return list, nil
+}
+
+// view is one page of an overview, with the filters that a question asks for.
+func (o *Overview) view(page string, q url.Values) (v any, err error) {
+	switch page {
+	case "members":
+		return filter(o.Members, q, map[string]func(Member) string{
+			"zone":  func(m Member) string { return m.Zone },
+			"plane": func(m Member) string { return m.Plane },
+			"state": Member.Standing})
+	case "upstreams":
+		return filter(o.Upstreams, q, map[string]func(accession.Instance) string{
+			"zone":   func(u accession.Instance) string { return u.Zone },
+			"target": func(u accession.Instance) string { return u.Service },
+			"state":  Standing})
+	case "delivery":
+		return filter(o.Delivery, q, map[string]func(Delivery) string{
+			"zone":    func(d Delivery) string { return d.Zone },
+			"current": func(d Delivery) string { return strconv.FormatBool(d.Current) }})
+	}
+	views := map[string]any{
+		"overview": o, "summary": o.Summary(), "keys": o.Keys, "duties": o.Duties, "bindings": o.Routes, "shards": o.Shards,
+		"evacuations": o.Evacuations, "counters": o.Counters,
+	}
+	if o.Quotas != nil {
+		views["tenants"], views["quotas"] = o.Tenants, o.Quotas
+	}
+	if v, ok := views[page]; ok {
+		return v, nil
+	}
+	return nil, errata.New(errata.UnknownPage, "no view %q", page)
+}
--- /dev/null
+++ b/internal/archive/summary_test.go
@@ -0,0 +1,46 @@
+package archive
+
+import (
+	"fmt"
+	"net/url"
+	"reflect"
+	"testing"
+
+	"madderwing/internal/accession"
+)
+
+func TestSummaryAndFiltersOfManyNodes(t *testing.T) {
+	o := &Overview{Node: "n"}
+	for i := range 300 {
+		m := Member{Name: fmt.Sprintf("edge-%d", i), Zone: fmt.Sprintf("z%d", i%3), Plane: "desk", State: "alive", Draining: i == 4}
+		if i == 5 {
+			m.State = "suspect"
+		}
+		o.Members = append(o.Members, m)
+		o.Delivery = append(o.Delivery, Delivery{m.Name, m.Zone, true, i >= 30})
+		o.Upstreams = append(o.Upstreams, accession.Instance{ID: m.Name, Service: "a", Zone: m.Zone, Draining: i == 0})
+	}
+	s := o.Summary()
+	want := []Count{{"desk", "z0", "alive", 100}, {"desk", "z1", "alive", 99}, {"desk", "z1", "draining", 1},
+		{"desk", "z2", "alive", 99}, {"desk", "z2", "suspect", 1}}
+	if !reflect.DeepEqual(s.Nodes, want) || len(s.Upstreams) != 4 || s.Behind != 30 || len(s.BehindOf) != behindMost {
+		t.Errorf("%+v", s)
+	}
+	for _, c := range []struct {
+		page, query string
+		n           int // -1: refused
+	}{
+		{"members", "", 300}, {"members", "zone=z1", 100}, {"members", "zone=z1&state=draining", 1},
+		{"members", "state=draining&state=suspect", 2}, {"members", "colour=red", -1},
+		{"upstreams", "state=draining&target=a", 1}, {"delivery", "current=false&zone=z0", 10}, {"nothing", "", -1},
+	} {
+		q, _ := url.ParseQuery(c.query)
+		v, err := o.view(c.page, q)
+		if (err != nil) != (c.n < 0) || err == nil && reflect.ValueOf(v).Len() != c.n {
+			t.Errorf("%s?%s: %v", c.page, c.query, err)
+		}
+	}
+	if len(o.Members) != 300 || o.Members[4].Name != "edge-4" {
+		t.Error("a filter changed the overview")
+	}
+}
