--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -128,8 +128,12 @@
 			// Until the platform has been told often enough to believe it, new
 			// connections go on to arrive; a few are still under way then.
 			grace := charter.Seconds(set.Bounds.GraceS)
+			believed := d.ready.believed
+			if set.Global() {
+				believed = nil // a registry's answers are used for longer
+			}
 			select {
-			case <-d.ready.believed:
+			case <-believed:
 				time.Sleep(beat / 4)
 			case <-time.After(grace * 45 / 100):
 			}
