--- a/cmd/madderwing/commands.go
+++ b/cmd/madderwing/commands.go
@@ -82,12 +82,16 @@
 	c := &cobra.Command{Use: "desk", Short: "Carry traffic: serve clients on an edge machine", Args: cobra.NoArgs}
 	path := settingsFlag(c)
 	shards := c.Flags().Int("shards", 2, "how many shards the desks are divided into; the same on all nodes")
+	pace := c.Flags().Float64("pace", 0, "part of the link's rate (limits.linkMbps) at which large answers are passed on; 0: as fast as they come")
 	c.RunE = func(*cobra.Command, []string) error {
+		if *pace < 0 || *pace > 1 {
+			return usage(errors.New("--pace must be between 0 and 1"))
+		}
 		return serve(*path, *shards, func(ctx context.Context, s *charter.Settings, reload <-chan *charter.Settings) error {
 			if s.Bind.Front == "" || s.Bind.Readiness == "" {
 				return usage(charter.Check{"bind: a desk needs front and readiness"})
 			}
-			return desk.Run(ctx, s, desk.Options{Shards: *shards}, reload)
+			return desk.Run(ctx, s, desk.Options{Shards: *shards, Pace: *pace}, reload)
 		})
 	}
 	return c
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -66,6 +66,7 @@
 	CPUFraction float64 `toml:"cpuFraction"`
 	MemoryMb    float64 `toml:"memoryMb"`
 	MaxFds      int     `toml:"maxFds"`
+	LinkMbps    float64 `toml:"linkMbps"`
 }
 
 // Bounds are the figures that the rules are judged by, in seconds where the
--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -33,6 +33,8 @@
 	log   *log.Logger
 	chain Handler
 	Stats Stats
+	// Pace is that of large answers; nil: none.
+	Pace *Pace
 	// lease is until when, on the floor's clock, keys may be relied on; nil where
 	// no word on them has to be global.
 	lease *atomic.Int64
@@ -451,7 +453,7 @@
 		h.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
 	}
 	x.w.WriteHeader(r.StatusCode)
-	_, err := x.w.Write(res.start)
+	err := f.Pace.write(x.w, res.start, r.ContentLength)
 	if !res.whole {
 		buf := make([]byte, 16<<10)
 		var cut error
@@ -459,7 +461,7 @@
 			var n int
 			n, cut = r.Body.Read(buf)
 			if n > 0 {
-				_, err = x.w.Write(buf[:n])
+				err = f.Pace.write(x.w, buf[:n], r.ContentLength)
 			}
 		}
 		res.whole = cut == io.EOF
--- /dev/null
+++ b/internal/circulation/pace.go
@@ -0,0 +1,59 @@
+package circulation
+
+import (
+	"io"
+	"sync"
+	"time"
+)
+
+// On a narrow link a few large answers make a line in which everything small waits
+// behind them, for a second and more. Large answers are therefore passed on in small
+// parts and at a pace a little below the link's, so that the line at the link stays
+// short and what is small goes by. All large answers of a desk share one pace.
+
+const (
+	paceFrom = 16 << 10 // answers above this are paced
+	pacePart = 4 << 10  // bytes passed on at a time
+)
+
+// Pace is the rate at which large answers are passed on.
+type Pace struct {
+	perByte time.Duration
+	mu      sync.Mutex
+	free    time.Time // when what has been let go will have left
+}
+
+// NewPace makes a pace of so many bytes a second.
+func NewPace(perS float64) *Pace {
+	return &Pace{perByte: time.Duration(float64(time.Second) / perS)}
+}
+
+// take waits until n bytes more may leave.
+func (p *Pace) take(n int) {
+	p.mu.Lock()
+	now := time.Now()
+	if p.free.Before(now) {
+		p.free = now
+	}
+	wait := p.free.Sub(now)
+	p.free = p.free.Add(time.Duration(n) * p.perByte)
+	p.mu.Unlock()
+	time.Sleep(wait)
+}
+
+// write passes bytes of an answer of the given size on; a nil pace does so at once.
+func (p *Pace) write(w io.Writer, b []byte, size int64) error {
+	if p == nil || size >= 0 && size <= paceFrom {
+		_, err := w.Write(b)
+		return err
+	}
+	for len(b) > 0 {
+		part := b[:min(len(b), pacePart)]
+		p.take(len(part))
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+		b = b[len(part):]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/circulation/pace_test.go
@@ -0,0 +1,39 @@
+package circulation
+
+import (
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Large answers together keep to the pace and share it; a small one passes at once.
+func TestLargeAnswersShareOnePace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPace(100 << 10)
+		begin := time.Now()
+		took := make([]time.Duration, 2)
+		var all sync.WaitGroup
+		for i, size := range []int{200 << 10, 100 << 10} {
+			all.Go(func() {
+				if err := p.write(io.Discard, make([]byte, size), int64(size)); err != nil {
+					t.Error(err)
+				}
+				took[i] = time.Since(begin)
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		small := time.Now()
+		if err := p.write(io.Discard, make([]byte, 4<<10), 4<<10); err != nil || time.Since(small) > 0 {
+			t.Errorf("a small answer waited %v, %v", time.Since(small), err)
+		}
+		all.Wait()
+		// 300 kB at 100 kB/s; the smaller one is done when 200 kB are through.
+		for i, want := range []time.Duration{3 * time.Second, 2 * time.Second} {
+			if d := took[i] - want; d > 100*time.Millisecond || d < -100*time.Millisecond {
+				t.Errorf("answer %d took %v, not %v", i, took[i], want)
+			}
+		}
+	})
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -26,6 +26,9 @@
 // Options are what the command line adds to the settings.
 type Options struct {
 	Shards int
+	// Pace is the part of the link's rate at which large answers are passed on; 0: they
+	// are not paced.
+	Pace float64
 }
 
 // keepFds are descriptors that are not for clients: files, upstreams, nodes.
@@ -82,6 +85,9 @@
 		Eject: patience, EjectMax: 8 * patience, Lag: lag, Calm: beat})
 	d.floor = circulation.NewFloorAt(d.start, stock, patience, patience/6)
 	d.front = circulation.NewFront(d.floor, logger("circulation"))
+	if rate := opt.Pace * set.Limits.LinkMbps * 1e6 / 8; rate > 0 {
+		d.front.Pace = circulation.NewPace(rate)
+	}
 	d.ready = newReadiness(d.front.Confirmed)
 	if set.Global() {
 		d.serveTenants()
