Pick and Order each by themselves; desks that lag behind counted in one place

Behaviour as before. A summary was worked out for every administration page; now for its own. The count of lagging desks stood in the metrics and in the summary. Pick carried Order's case through its loop. The checks pass; a throwaway test compared Pick with Order.

--- a/internal/archive/admin.go
+++ b/internal/archive/admin.go
@@ -207,22 +207,17 @@
 	var b bytes.Buffer
 	tally.Write(&b, "archive", o.Counters)
 	tally.Gauge(&b, "archive", "watchers", watchers)
-	owned, current := uint64(0), uint64(0)
+	owned := uint64(0)
 	for _, k := range o.Keys {
 		if k.Owner == a.post.Self() {
 			owned++
 		}
 	}
-	for _, d := range o.Delivery {
-		if d.Current {
-			current++
-		}
-	}
 	tally.Gauge(&b, "archive", "keysOwned", owned)
 	tally.Gauge(&b, "archive", "routes", uint64(len(o.Routes)))
 	tally.Gauge(&b, "archive", "upstreams", uint64(len(o.Upstreams)))
 	tally.Gauge(&b, "archive", "desks", uint64(len(o.Delivery)))
-	tally.Gauge(&b, "archive", "desksCurrent", current)
+	tally.Gauge(&b, "archive", "desksCurrent", uint64(len(o.Delivery)-len(o.behind())))
 	return b.Bytes()
 }
 
--- a/internal/archive/summary.go
+++ b/internal/archive/summary.go
@@ -33,7 +33,8 @@
 
 // Summary sums an overview up by kind, zone and state.
 func (o *Overview) Summary() *Summary {
-	s := &Summary{Node: o.Node, Desks: len(o.Delivery), BehindOf: []string{}}
+	behind := o.behind()
+	s := &Summary{Node: o.Node, Desks: len(o.Delivery), Behind: len(behind), BehindOf: behind[:min(len(behind), behindMost)]}
 	nodes, ups := map[Count]int{}, map[Count]int{}
 	for _, m := range o.Members {
 		nodes[Count{m.Plane, m.Zone, m.Standing(), 0}]++
@@ -42,15 +43,18 @@
 		ups[Count{u.Service, u.Zone, Standing(u), 0}]++
 	}
 	s.Nodes, s.Upstreams = counts(nodes), counts(ups)
+	return s
+}
+
+// behind names the desks without the newest items.
+func (o *Overview) behind() []string {
+	out := []string{}
 	for _, d := range o.Delivery {
-		if d.Current {
-			continue
-		}
-		if s.Behind++; len(s.BehindOf) < behindMost {
-			s.BehindOf = append(s.BehindOf, d.Desk)
+		if !d.Current {
+			out = append(out, d.Desk)
 		}
 	}
-	return s
+	return out
 }
 
 func counts(of map[Count]int) []Count {
@@ -99,6 +103,8 @@
 // view is one page of an overview, with the filters that a question asks for.
 func (o *Overview) view(page string, q url.Values) (v any, err error) {
 	switch page {
+	case "summary":
+		return o.Summary(), nil
 	case "members":
 		return filter(o.Members, q, map[string]func(Member) string{
 			"zone":  func(m Member) string { return m.Zone },
@@ -115,7 +121,7 @@
 			"current": func(d Delivery) string { return strconv.FormatBool(d.Current) }})
 	}
 	views := map[string]any{
-		"overview": o, "summary": o.Summary(), "keys": o.Keys, "duties": o.Duties, "bindings": o.Routes, "shards": o.Shards,
+		"overview": o, "keys": o.Keys, "duties": o.Duties, "bindings": o.Routes, "shards": o.Shards,
 		"evacuations": o.Evacuations, "counters": o.Counters,
 	}
 	if o.Quotas != nil {
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -54,29 +54,36 @@
 }
 
 // Order lists the candidates for a name, the heaviest first.
-func Order(name string, candidates []string) []string { return Pick(name, candidates, len(candidates)) }
+func Order(name string, candidates []string) []string {
+	w := Of(name)
+	all := make([]weighed, len(candidates))
+	for i, c := range candidates {
+		all[i] = weighed{w.Weight(c), c}
+	}
+	slices.SortFunc(all, heavier)
+	return names(all)
+}
 
-// Pick lists the n heaviest candidates for a name.
+// Pick lists the n heaviest candidates for a name, without sorting the others.
 func Pick(name string, candidates []string, n int) []string {
+	if n >= len(candidates) {
+		return Order(name, candidates)
+	}
 	w := Of(name)
-	top := make([]weighed, 0, min(n, len(candidates))+1)
+	top := make([]weighed, 0, n+1)
 	for _, c := range candidates {
 		x := weighed{w.Weight(c), c}
-		if n >= len(candidates) {
-			top = append(top, x) // all of them: sorted once below
-			continue
-		}
-		at, _ := slices.BinarySearchFunc(top, x, heavier)
-		if at < n {
+		if at, _ := slices.BinarySearchFunc(top, x, heavier); at < n {
 			top = slices.Insert(top, at, x)
 			top = top[:min(n, len(top))]
 		}
 	}
-	if n >= len(candidates) {
-		slices.SortFunc(top, heavier)
-	}
-	out := make([]string, len(top))
-	for i, x := range top {
+	return names(top)
+}
+
+func names(list []weighed) []string {
+	out := make([]string, len(list))
+	for i, x := range list {
 		out[i] = x.candidate
 	}
 	return out
