Names of the field: replication, antientropy, transport

The packages stacks, conservation and courier get the field's words, and the type Courier becomes transport.Mesh. The kind of message on the wire ("stacks") and the file on disk (stacks.db) keep theirs.

--- a/internal/conservation/conservation.go
+++ b/internal/antientropy/antientropy.go
@@ -1,6 +1,6 @@
-// Package conservation compares copies of a set of records by digests over
+// Package antientropy compares copies of a set of records by digests over
 // ranges and mends the older copy from the newer.
-package conservation
+package antientropy
 
 import (
 	"hash/fnv"
--- a/internal/archive/admin.go
+++ b/internal/archive/admin.go
@@ -12,8 +12,8 @@
 	"madderwing/internal/catalogue"
 	"madderwing/internal/readers"
 	"madderwing/internal/register"
+	"madderwing/internal/replication"
 	"madderwing/internal/rota"
-	"madderwing/internal/stacks"
 	"madderwing/internal/tally"
 )
 
@@ -192,7 +192,7 @@
 			address = n.Address
 		}
 	}
-	if _, err := a.submit(order{Key: stacks.RosterKey, Retire: address}); err != nil {
+	if _, err := a.submit(order{Key: replication.RosterKey, Retire: address}); err != nil {
 		return err
 	}
 	a.log.control.Printf("%s retired.", node)
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -19,27 +19,27 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"madderwing/internal/accession"
+	"madderwing/internal/antientropy"
 	"madderwing/internal/catalogue"
 	"madderwing/internal/charter"
-	"madderwing/internal/conservation"
-	"madderwing/internal/courier"
 	"madderwing/internal/errata"
 	"madderwing/internal/feed"
 	"madderwing/internal/ledger"
 	"madderwing/internal/readers"
 	"madderwing/internal/reference"
 	"madderwing/internal/register"
+	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
 	"madderwing/internal/rota"
 	"madderwing/internal/shelving"
-	"madderwing/internal/stacks"
+	"madderwing/internal/transport"
 )
 
 // Kinds of message between archives.
 const (
-	stacksKind = "stacks"
-	rotaKind   = "rota"
-	orderKind  = "order"
+	replicationKind = "stacks"
+	rotaKind        = "rota"
+	orderKind       = "order"
 )
 
 // issueMax is about how many bytes of items are sent to a watcher at once.
@@ -66,15 +66,15 @@
 type Archive struct {
 	set      *charter.Settings
 	opt      Options
-	post     *courier.Courier
+	post     *transport.Mesh
 	reg      *register.Service
 	start    time.Time
 	commands chan func(now time.Duration)
 
 	// Owned by the pump's goroutine.
-	member    *stacks.Member
+	member    *replication.Member
 	rota      *rota.Rota
-	shown     *conservation.Set
+	shown     *antientropy.Set
 	routes    catalogue.Reader
 	stand     accession.Stand
 	watchers  feed.Watchers
@@ -110,7 +110,7 @@
 	client  *http.Client
 
 	stats Stats
-	log   struct{ archive, stacks, ledger, rota, shelving, accession, register, control, rollout *log.Logger }
+	log   struct{ archive, replication, ledger, rota, shelving, accession, register, control, rollout *log.Logger }
 }
 
 type toldAt struct {
@@ -132,10 +132,10 @@
 // Run serves until ctx ends, then leaves in order.
 func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
 	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
-		writes: newJobs(), shown: conservation.NewSet(), told: map[string]toldAt{},
+		writes: newJobs(), shown: antientropy.NewSet(), told: map[string]toldAt{},
 		asks: newAsks(charter.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
-	a.log.archive, a.log.stacks, a.log.ledger, a.log.rota = logger("archive"), logger("stacks"), logger("ledger"), logger("rota")
+	a.log.archive, a.log.replication, a.log.ledger, a.log.rota = logger("archive"), logger("replication"), logger("ledger"), logger("rota")
 	a.log.shelving, a.log.accession, a.log.register, a.log.control = logger("shelving"), logger("accession"), logger("register"), logger("control")
 	a.log.rollout = logger("rollout")
 	beat := set.Beat()
@@ -151,7 +151,7 @@
 	if err != nil && !errors.Is(err, ledger.ErrDamaged) {
 		return err
 	}
-	post, err := courier.New(set.ArchiveAddress(set.IP), charter.Seconds(set.Bounds.ContactS/6), logger("courier"))
+	post, err := transport.New(set.ArchiveAddress(set.IP), charter.Seconds(set.Bounds.ContactS/6), logger("transport"))
 	if err != nil {
 		return err
 	}
@@ -175,7 +175,7 @@
 		sure = []string{catalogue.Key}
 		a.serveRegistry()
 	}
-	a.member, err = stacks.NewMember(stacks.Config{Sure: sure,
+	a.member, err = replication.NewMember(replication.Config{Sure: sure,
 		Self: post.Self(), Life: a.life, Seeds: set.SeedArchives(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
 		Beat: beat, Vacant: vacant, Patience: charter.Seconds(set.Bounds.AckS * 0.17), HandBack: opt.HandBack,
@@ -317,7 +317,7 @@
 	for again := true; again; {
 		again = false
 		fx := a.member.Take()
-		byPeer := map[string][]stacks.Message{}
+		byPeer := map[string][]replication.Message{}
 		var order []string
 		for _, e := range fx.Send {
 			if byPeer[e.To] == nil {
@@ -326,7 +326,7 @@
 			byPeer[e.To] = append(byPeer[e.To], e.Msg)
 		}
 		for _, to := range order {
-			a.post.Send(to, stacksKind, byPeer[to])
+			a.post.Send(to, replicationKind, byPeer[to])
 		}
 		for _, w := range fx.Writes {
 			a.writes.put(writeJob{w.Entries, w.ID, false})
@@ -385,10 +385,10 @@
 
 // show takes over a committed copy of a key into what the desks may see.
 func (a *Archive) show(key string) bool {
-	if key == stacks.RosterKey {
+	if key == replication.RosterKey {
 		if r := strings.Join(a.member.Roster(), " "); r != a.rosterTold {
 			a.rosterTold = r
-			a.log.stacks.Printf("roster: %s.", r)
+			a.log.replication.Printf("roster: %s.", r)
 		}
 		return false
 	}
@@ -461,7 +461,7 @@
 	out := feed.Issue{Fresh: a.member.Owner(now, catalogue.Key) != "", Led: a.rolls.Led()}
 	whole := has.Sums != nil
 	if has.Sums != nil {
-		if diff := conservation.Diff(*has.Sums, a.shown.Sums); len(diff) > 0 {
+		if diff := antientropy.Diff(*has.Sums, a.shown.Sums); len(diff) > 0 {
 			// A large difference goes a few ranges at a time; the watcher says
 			// again what it has.
 			sums := *has.Sums
@@ -496,17 +496,17 @@
 }
 
 func (a *Archive) handlers() {
-	courier.On(a.post, stacksKind, func(from string, msgs []stacks.Message) {
+	transport.On(a.post, replicationKind, func(from string, msgs []replication.Message) {
 		a.offer(func(now time.Duration) {
 			for _, m := range msgs {
 				a.member.Handle(now, from, m)
 			}
 		})
 	})
-	courier.On(a.post, rotaKind, func(from string, m rota.Message) {
+	transport.On(a.post, rotaKind, func(from string, m rota.Message) {
 		a.offer(func(now time.Duration) { a.rota.Handle(now, from, m) })
 	})
-	courier.On(a.post, feed.WatchKind, func(from string, w feed.Watch) {
+	transport.On(a.post, feed.WatchKind, func(from string, w feed.Watch) {
 		a.offer(func(now time.Duration) {
 			known := a.stand.Version
 			if _, term, life := a.rota.Holder(now, dutyList); term > known.Term || term == known.Term && life > known.Life {
@@ -521,7 +521,7 @@
 			a.watchers.Holds(from, w)
 		})
 	})
-	courier.On(a.post, feed.IssueKind, func(from string, i feed.Issue) {
+	transport.On(a.post, feed.IssueKind, func(from string, i feed.Issue) {
 		a.offer(func(now time.Duration) {
 			if i.Listing != nil && a.stand.Take(now, *i.Listing) {
 				a.issue(now)
@@ -529,10 +529,10 @@
 		})
 	})
 	if a.lender != nil {
-		courier.On(a.post, feed.ReportKind, func(from string, r readers.Report) {
+		transport.On(a.post, feed.ReportKind, func(from string, r readers.Report) {
 			a.offer(func(now time.Duration) { a.lendTo(now, from, r) })
 		})
-		courier.On(a.post, feed.RecallKind, func(from string, r readers.Recall) {
+		transport.On(a.post, feed.RecallKind, func(from string, r readers.Recall) {
 			a.offer(func(now time.Duration) {
 				if a.purse.Heeds(a.post.Self(), from, r.Term) {
 					a.lender.End()
@@ -540,20 +540,20 @@
 				}
 			})
 		})
-		courier.On(a.post, feed.LoanKind, func(_ string, l readers.Loan) {
+		transport.On(a.post, feed.LoanKind, func(_ string, l readers.Loan) {
 			a.offer(func(now time.Duration) { a.lent(now, l) })
 		})
-		courier.On(a.post, feed.DrawKind, func(from string, d readers.Draw) {
+		transport.On(a.post, feed.DrawKind, func(from string, d readers.Draw) {
 			a.offer(func(now time.Duration) { a.drawFor(now, from, d) })
 		})
 	}
-	courier.On(a.post, feed.ScoreKind, func(from string, reports []rollout.Report) {
+	transport.On(a.post, feed.ScoreKind, func(from string, reports []rollout.Report) {
 		a.offer(func(now time.Duration) { a.rolls.Heard(now, from, reports) })
 	})
-	courier.On(a.post, feed.GatherKind, func(from string, all []rollout.Gathered) {
+	transport.On(a.post, feed.GatherKind, func(from string, all []rollout.Gathered) {
 		a.offer(func(now time.Duration) { a.rolls.Take(now, from, all) })
 	})
-	courier.On(a.post, feed.ToldKind, func(from string, t feed.Told) {
+	transport.On(a.post, feed.ToldKind, func(from string, t feed.Told) {
 		a.offer(func(now time.Duration) { a.told[from] = toldAt{now, t} })
 	})
 	a.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -16,9 +16,9 @@
 	"madderwing/internal/catalogue"
 	"madderwing/internal/charter"
 	"madderwing/internal/errata"
+	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
 	"madderwing/internal/shelving"
-	"madderwing/internal/stacks"
 )
 
 // order is what is asked of the owner of a key; one of the fields is set
@@ -75,7 +75,7 @@
 		return <-done
 	}
 	a.do(func(now time.Duration) {
-		a.member.Propose(now, o.Key, func(have map[string]stacks.Record) ([]stacks.Record, error) {
+		a.member.Propose(now, o.Key, func(have map[string]replication.Record) ([]replication.Record, error) {
 			switch {
 			case o.Plan != nil:
 				var err error
@@ -89,7 +89,7 @@
 				a.asks.begins(o)
 				return catalogue.Evacuation(have, strings.TrimPrefix(o.Key, catalogue.EvacuationPrefix), *o.Evacuate, o.ID, a.asks.repeats(now, o))
 			case o.Bind != nil:
-				var all []stacks.Record
+				var all []replication.Record
 				for i, b := range o.Bind {
 					changes, err := catalogue.Bind(have, b.Binding, b.SawRev)
 					refused[i] = err != nil
@@ -156,9 +156,9 @@
 	switch {
 	case err == nil:
 		return verdict{}
-	case errors.Is(err, stacks.ErrUnknown):
+	case errors.Is(err, replication.ErrUnknown):
 		return fault(errata.New(errata.UnknownNode, "it has no seat"))
-	case errors.Is(err, stacks.ErrAlive), errors.Is(err, stacks.ErrTooFew):
+	case errors.Is(err, replication.ErrAlive), errors.Is(err, replication.ErrTooFew):
 		return fault(errata.New(errata.NotNow, "%v", err))
 	}
 	return fault(err)
--- a/internal/archive/restart_test.go
+++ b/internal/archive/restart_test.go
@@ -4,24 +4,24 @@
 	"log"
 	"testing"
 
+	"madderwing/internal/antientropy"
 	"madderwing/internal/catalogue"
-	"madderwing/internal/conservation"
+	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
-	"madderwing/internal/stacks"
 )
 
 // An archive that starts with a disk shows its desks the rollouts on it at once, though
 // their keys are none of those that every archive has.
 func TestARestartedArchiveShowsRollouts(t *testing.T) {
 	const id = "10.0.0.1:1"
-	config := stacks.Config{Self: id, Life: 1, Seeds: []string{id}, Bootstrap: true, Empty: true, Keys: []string{catalogue.Key},
+	config := replication.Config{Self: id, Life: 1, Seeds: []string{id}, Bootstrap: true, Empty: true, Keys: []string{catalogue.Key},
 		Beat: 1, Vacant: 10, Patience: 100, Alive: func(string) bool { return true }}
-	first, err := stacks.NewMember(config, nil)
+	first, err := replication.NewMember(config, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	disk := map[string][]byte{}
-	settle := func(m *stacks.Member) {
+	settle := func(m *replication.Member) {
 		for fx := m.Take(); len(fx.Writes) > 0; fx = m.Take() {
 			for _, w := range fx.Writes {
 				for _, e := range w.Entries {
@@ -33,7 +33,7 @@
 	}
 	first.Tick(1)
 	settle(first)
-	order := func(have map[string]stacks.Record) ([]stacks.Record, error) {
+	order := func(have map[string]replication.Record) ([]replication.Record, error) {
 		return rollout.Begin(have, rollout.Ask{Service: "s", Version: "v2", WithinS: 9}, "v1")
 	}
 	for done := false; !done; settle(first) { // the first asking makes the key
@@ -42,12 +42,12 @@
 	}
 
 	config.Bootstrap, config.Empty, config.Life = false, false, 2
-	again, err := stacks.NewMember(config, disk)
+	again, err := replication.NewMember(config, disk)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &Archive{member: again, shown: conservation.NewSet(), rolls: rollout.NewController(), asks: newAsks(1)}
-	a.log.stacks = log.New(t.Output(), "", 0)
+	a := &Archive{member: again, shown: antientropy.NewSet(), rolls: rollout.NewController(), asks: newAsks(1)}
+	a.log.replication = log.New(t.Output(), "", 0)
 	a.showAll()
 	if p := a.versions["s"].Active(); p == nil || p.Candidate != "v2" {
 		t.Errorf("shown after a restart: %+v", a.versions)
--- a/internal/archive/rollout.go
+++ b/internal/archive/rollout.go
@@ -12,8 +12,8 @@
 	"madderwing/internal/errata"
 	"madderwing/internal/feed"
 	"madderwing/internal/register"
+	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
-	"madderwing/internal/stacks"
 )
 
 // gate looks at the rollouts under way, takes the steps of those that this archive
@@ -36,7 +36,7 @@
 		a.post.Send(to, feed.GatherKind, all)
 	}
 	for _, m := range moves {
-		a.member.Propose(now, rollout.Key(m.To.Service), func(have map[string]stacks.Record) ([]stacks.Record, error) {
+		a.member.Propose(now, rollout.Key(m.To.Service), func(have map[string]replication.Record) ([]replication.Record, error) {
 			return rollout.Advance(have, m.From.Gen, m.To)
 		}, func(err error) {
 			a.rolls.Moved(m)
@@ -159,7 +159,7 @@
 }
 
 // render lays out the records of a key for the operator.
-func render(key string, records map[string]stacks.Record) []byte {
+func render(key string, records map[string]replication.Record) []byte {
 	if !strings.HasPrefix(key, rollout.Prefix) {
 		return catalogue.Render(records)
 	}
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -19,8 +19,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
+	"madderwing/internal/antientropy"
 	"madderwing/internal/charter"
-	"madderwing/internal/conservation"
 	"madderwing/internal/errata"
 )
 
@@ -36,7 +36,7 @@
 var schema = sync.OnceValue(func() *jsonschema.Schema { return charter.MustCompile("catalogue.json", schemaText) })
 
 // Record is the form in which items are kept and copied.
-type Record = conservation.Record
+type Record = antientropy.Record
 
 // Phase tells how far the placement of a route has come.
 type Phase string
--- a/internal/circulation/floor.go
+++ b/internal/circulation/floor.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"madderwing/internal/accession"
-	"madderwing/internal/courier"
+	"madderwing/internal/transport"
 )
 
 // Floor owns the stock of upstreams: all that is done to it goes through its
@@ -111,7 +111,7 @@
 		return nil, err
 	}
 	if t, ok := c.(*net.TCPConn); ok {
-		courier.SetUserTimeout(t, f.patience)
+		transport.SetUserTimeout(t, f.patience)
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1})
 	}
 	return &accession.Conn{Conn: c, Reader: bufio.NewReaderSize(c, 4<<10)}, nil
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -13,15 +13,15 @@
 	"time"
 
 	"madderwing/internal/accession"
+	"madderwing/internal/antientropy"
 	"madderwing/internal/catalogue"
 	"madderwing/internal/charter"
 	"madderwing/internal/circulation"
-	"madderwing/internal/conservation"
-	"madderwing/internal/courier"
 	"madderwing/internal/feed"
 	"madderwing/internal/register"
 	"madderwing/internal/rollout"
 	"madderwing/internal/tally"
+	"madderwing/internal/transport"
 )
 
 // Options are what the command line adds to the settings.
@@ -39,7 +39,7 @@
 type Desk struct {
 	set   *charter.Settings
 	opt   Options
-	post  *courier.Courier
+	post  *transport.Mesh
 	reg   *register.Service
 	floor *circulation.Floor
 	front *circulation.Front
@@ -50,7 +50,7 @@
 	// Owned by the reader's goroutine.
 	commands chan func(now time.Duration)
 	start    time.Time
-	items    *conservation.Set
+	items    *antientropy.Set
 	builder  catalogue.Builder
 	stand    accession.Stand
 	sources  feed.Sources
@@ -72,9 +72,9 @@
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	beat := set.Beat()
 	d := &Desk{set: set, opt: opt, log: logger("desk"), commands: make(chan func(time.Duration), 256), start: time.Now(),
-		items: conservation.NewSet(), shard: -1}
+		items: antientropy.NewSet(), shard: -1}
 	patience := charter.Seconds(set.Bounds.ContactS / 10)
-	post, err := courier.New(set.DeskAddress(set.IP), beat, logger("courier"))
+	post, err := transport.New(set.DeskAddress(set.IP), beat, logger("transport"))
 	if err != nil {
 		return err
 	}
@@ -105,11 +105,11 @@
 	me := register.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: register.Data}
 	d.reg = register.NewService(register.Config{Self: me, Seeds: set.SeedArchives(), Beat: beat, Forget: 40 * beat},
 		post, logger("register"), d.nodesChanged)
-	courier.On(post, feed.IssueKind, func(from string, i feed.Issue) {
+	transport.On(post, feed.IssueKind, func(from string, i feed.Issue) {
 		d.commands <- func(now time.Duration) { d.take(now, from, i) }
 	})
 	if set.Global() {
-		courier.On(post, feed.DrawnKind, d.drawn)
+		transport.On(post, feed.DrawnKind, d.drawn)
 	}
 	post.Start()
 	go d.floor.Run()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"madderwing/internal/accession"
-	"madderwing/internal/conservation"
+	"madderwing/internal/antientropy"
 	"madderwing/internal/register"
 	"madderwing/internal/rendezvous"
 )
@@ -33,8 +33,8 @@
 
 // Watch is what a node says that it has.
 type Watch struct {
-	Sums    *conservation.Sums `cbor:"1,keyasint,omitempty"` // nil: only the list is wanted
-	Listing accession.Version  `cbor:"2,keyasint"`
+	Sums    *antientropy.Sums `cbor:"1,keyasint,omitempty"` // nil: only the list is wanted
+	Listing accession.Version `cbor:"2,keyasint"`
 	// Zone and Load are the sender's zone and requests under way by service. A
 	// desk tells them to one archive only.
 	Zone string             `cbor:"3,keyasint,omitempty"`
@@ -55,8 +55,8 @@
 
 // Issue is what an archive sends.
 type Issue struct {
-	Records []conservation.Record `cbor:"1,keyasint,omitempty"`
-	Listing *accession.Listing    `cbor:"2,keyasint,omitempty"`
+	Records []antientropy.Record `cbor:"1,keyasint,omitempty"`
+	Listing *accession.Listing   `cbor:"2,keyasint,omitempty"`
 	// Fresh says that the archive is in touch with the owner of the catalogue.
 	Fresh bool `cbor:"3,keyasint,omitempty"`
 	// Loads are those of all zones, as far as the archive knows.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/conservation"
+	"madderwing/internal/antientropy"
 	"madderwing/internal/register"
 )
 
@@ -50,21 +50,21 @@
 
 // What is on its way to a watcher is not sent again; what seems lost is.
 func TestWhatIsOnItsWayIsNotSentAgain(t *testing.T) {
-	none, all := conservation.Sums{}, conservation.Sums{1}
+	none, all := antientropy.Sums{}, antientropy.Sums{1}
 	empty := Watch{Sums: &none}
 	cases := []struct {
 		name    string
 		sent    bool
 		tells   Watch
 		at      time.Duration
-		has     conservation.Sums
+		has     antientropy.Sums
 		guessed bool
 	}{
 		{"asks again before it can have it", true, empty, 100 * time.Millisecond, all, true},
 		{"still has nothing after a while", true, empty, 2 * time.Second, none, false},
 		{"nothing was sent", false, empty, 100 * time.Millisecond, none, false},
 		{"has it now", true, Watch{Sums: &all}, 100 * time.Millisecond, all, false},
-		{"has something else", true, Watch{Sums: &conservation.Sums{2}}, 100 * time.Millisecond, conservation.Sums{2}, false},
+		{"has something else", true, Watch{Sums: &antientropy.Sums{2}}, 100 * time.Millisecond, antientropy.Sums{2}, false},
 	}
 	for _, c := range cases {
 		var w Watchers
--- a/internal/readers/purse.go
+++ b/internal/readers/purse.go
@@ -13,12 +13,12 @@
 	"sort"
 	"time"
 
-	"madderwing/internal/stacks"
+	"madderwing/internal/replication"
 )
 
 // Term names one lender: the epoch under which it owns the catalogue. It is that
 // very type, since branches must order lenders as the owners order themselves.
-type Term = stacks.Epoch
+type Term = replication.Epoch
 
 // Share is what a branch has or gets of one tenant's quota.
 type Share struct {
--- a/internal/register/service.go
+++ b/internal/register/service.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"madderwing/internal/courier"
+	"madderwing/internal/transport"
 )
 
 const kind = "register"
@@ -56,10 +56,10 @@
 	return out
 }
 
-// Service drives a Roll over a Courier. One goroutine owns the roll.
+// Service drives a Roll over a Mesh. One goroutine owns the roll.
 type Service struct {
 	roll     *Roll
-	post     *courier.Courier
+	post     *transport.Mesh
 	commands chan func(now time.Duration)
 	list     atomic.Pointer[List]
 	start    time.Time
@@ -68,11 +68,11 @@
 }
 
 // NewService makes the service; onChange runs on the service's goroutine.
-func NewService(cfg Config, post *courier.Courier, logger *log.Logger, onChange func(*List)) *Service {
+func NewService(cfg Config, post *transport.Mesh, logger *log.Logger, onChange func(*List)) *Service {
 	s := &Service{roll: NewRoll(cfg), post: post, commands: make(chan func(time.Duration), 256),
 		start: time.Now(), onChange: onChange, done: make(chan struct{})}
 	s.publish()
-	courier.On(post, kind, func(from string, m Message) {
+	transport.On(post, kind, func(from string, m Message) {
 		select {
 		case s.commands <- func(now time.Duration) { s.roll.Handle(now, from, m) }:
 		default:
--- a/internal/stacks/member.go
+++ b/internal/replication/member.go
@@ -1,4 +1,4 @@
-package stacks
+package replication
 
 import (
 	"sort"
@@ -6,7 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"madderwing/internal/conservation"
+	"madderwing/internal/antientropy"
 	"madderwing/internal/ledger"
 	"madderwing/internal/rendezvous"
 )
@@ -54,7 +54,7 @@
 	name     string
 	promised Epoch
 	at       Position
-	*conservation.Set
+	*antientropy.Set
 	commit   Position
 	heard    time.Duration
 	heardAny bool
@@ -198,7 +198,7 @@
 func (m *Member) key(name string) *key {
 	k := m.keys[name]
 	if k == nil {
-		k = &key{name: name, Set: conservation.NewSet(), born: m.now}
+		k = &key{name: name, Set: antientropy.NewSet(), born: m.now}
 		m.keys[name] = k
 		m.names = append(m.names, name)
 		sort.Strings(m.names)
@@ -327,7 +327,7 @@
 }
 
 var allRanges = func() (all []int) {
-	for i := 0; i < conservation.Ranges; i++ {
+	for i := 0; i < antientropy.Ranges; i++ {
 		all = append(all, i)
 	}
 	return all
@@ -704,7 +704,7 @@
 	m.write(append(entries, k.meta()), func() { m.acked(k, m.cfg.Self, at) })
 	for _, id := range m.others() {
 		if p := k.promises[id]; p != nil {
-			m.mend(k, id, p.At, conservation.Digest(index(p.Records)))
+			m.mend(k, id, p.At, antientropy.Digest(index(p.Records)))
 		}
 	}
 	k.promises = nil
@@ -720,8 +720,8 @@
 }
 
 // mend brings a member that lags to the owner's position.
-func (m *Member) mend(k *key, to string, base Position, theirs conservation.Sums) {
-	ranges := conservation.Diff(k.Sums, theirs)
+func (m *Member) mend(k *key, to string, base Position, theirs antientropy.Sums) {
+	ranges := antientropy.Diff(k.Sums, theirs)
 	c := m.copy(k, base)
 	c.Mend, c.Changes = ranges, k.Pick(ranges)
 	m.send(to, Message{Copy: c})
--- a/internal/stacks/member_test.go
+++ b/internal/replication/member_test.go
@@ -1,11 +1,11 @@
-package stacks
+package replication
 
 import (
 	"errors"
 	"testing"
 	"time"
 
-	"madderwing/internal/conservation"
+	"madderwing/internal/antientropy"
 )
 
 // settle runs a world until the test key has an owner, and returns it.
@@ -185,7 +185,7 @@
 		}
 		k := w.nodes[id].m.keys[testKey]
 		k.Records["x"] = Record{Name: "x", Gen: 4, Data: []byte("rotten")}
-		k.Sums = conservation.Digest(k.Records)
+		k.Sums = antientropy.Digest(k.Records)
 		break
 	}
 	w.run(w.now + 2*time.Second)
--- a/internal/stacks/message.go
+++ b/internal/replication/message.go
@@ -1,4 +1,4 @@
-// Package stacks keeps the control state: a set of keys, each a set of records
+// Package replication keeps the control state: a set of keys, each a set of records
 // that are validated together. Every key has one owner at a time, which copies
 // a change to others before it answers and is replaced under a rising epoch.
 // There is no log that the keys have in common and no leader for all of them.
@@ -6,17 +6,17 @@
 // Member is the state machine of one node. It does no input or output and reads
 // no clock: a driver hands it messages, time and finished writes, and carries
 // out what it asks for. The tests drive many of them through a simulated world.
-package stacks
+package replication
 
 import (
 	"errors"
 	"time"
 
-	"madderwing/internal/conservation"
+	"madderwing/internal/antientropy"
 )
 
 // Record is one entry under a key.
-type Record = conservation.Record
+type Record = antientropy.Record
 
 // RosterKey is the key that names the members; its records are their addresses.
 const RosterKey = "roster"
@@ -94,17 +94,17 @@
 // Copy brings a member from one position to the next. Without Changes and
 // Ranges it is the owner's sign of life. A mending copy replaces whole ranges.
 type Copy struct {
-	Key     string            `cbor:"1,keyasint"`
-	Epoch   Epoch             `cbor:"2,keyasint"`
-	Base    Position          `cbor:"3,keyasint"`
-	Seq     uint64            `cbor:"4,keyasint,omitempty"`
-	Commit  uint64            `cbor:"5,keyasint,omitempty"`
-	Round   uint64            `cbor:"6,keyasint,omitempty"`
-	Roster  Position          `cbor:"7,keyasint"`
-	Changes []Record          `cbor:"8,keyasint,omitempty"`
-	Mend    []int             `cbor:"9,keyasint,omitempty"`
-	Sums    conservation.Sums `cbor:"10,keyasint"`
-	Sure    *Sure             `cbor:"11,keyasint,omitempty"`
+	Key     string           `cbor:"1,keyasint"`
+	Epoch   Epoch            `cbor:"2,keyasint"`
+	Base    Position         `cbor:"3,keyasint"`
+	Seq     uint64           `cbor:"4,keyasint,omitempty"`
+	Commit  uint64           `cbor:"5,keyasint,omitempty"`
+	Round   uint64           `cbor:"6,keyasint,omitempty"`
+	Roster  Position         `cbor:"7,keyasint"`
+	Changes []Record         `cbor:"8,keyasint,omitempty"`
+	Mend    []int            `cbor:"9,keyasint,omitempty"`
+	Sums    antientropy.Sums `cbor:"10,keyasint"`
+	Sure    *Sure            `cbor:"11,keyasint,omitempty"`
 }
 
 // Sure tells a member how long ago the owner knew that no other had taken its
@@ -120,14 +120,14 @@
 
 // Copied answers Copy. If the member lags, Sums tell what it holds.
 type Copied struct {
-	Key      string             `cbor:"1,keyasint"`
-	Epoch    Epoch              `cbor:"2,keyasint"`
-	OK       bool               `cbor:"3,keyasint,omitempty"`
-	Promised Epoch              `cbor:"4,keyasint"`
-	At       Position           `cbor:"5,keyasint"`
-	Round    uint64             `cbor:"6,keyasint,omitempty"`
-	Sums     *conservation.Sums `cbor:"7,keyasint,omitempty"`
-	Mark     time.Duration      `cbor:"8,keyasint,omitempty"` // the member's clock, where it wants a Sure
+	Key      string            `cbor:"1,keyasint"`
+	Epoch    Epoch             `cbor:"2,keyasint"`
+	OK       bool              `cbor:"3,keyasint,omitempty"`
+	Promised Epoch             `cbor:"4,keyasint"`
+	At       Position          `cbor:"5,keyasint"`
+	Round    uint64            `cbor:"6,keyasint,omitempty"`
+	Sums     *antientropy.Sums `cbor:"7,keyasint,omitempty"`
+	Mark     time.Duration     `cbor:"8,keyasint,omitempty"` // the member's clock, where it wants a Sure
 }
 
 // Fetch asks for everything that a member holds.
--- a/internal/stacks/world_test.go
+++ b/internal/replication/world_test.go
@@ -1,4 +1,4 @@
-package stacks
+package replication
 
 import (
 	"fmt"
@@ -346,7 +346,7 @@
 // agree; at the end of calm the cluster has to answer again.
 func TestRandomSchedules(t *testing.T) {
 	seeds := 60
-	if v, err := strconv.Atoi(os.Getenv("STACKS_SEEDS")); err == nil {
+	if v, err := strconv.Atoi(os.Getenv("REPLICATION_SEEDS")); err == nil {
 		seeds = v
 	}
 	for seed := 1; seed <= seeds; seed++ {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -17,13 +17,13 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
+	"madderwing/internal/antientropy"
 	"madderwing/internal/charter"
-	"madderwing/internal/conservation"
 	"madderwing/internal/errata"
 )
 
 // Record is the form in which plans are kept and copied.
-type Record = conservation.Record
+type Record = antientropy.Record
 
 // Prefix begins the keys of rollouts, one a service, and the name of the one record
 // under each.
--- a/internal/courier/courier.go
+++ b/internal/transport/transport.go
@@ -1,7 +1,7 @@
-// Package courier carries messages between the system's own nodes: CBOR frames
+// Package transport carries messages between the system's own nodes: CBOR frames
 // over kept TCP connections, and single CBOR datagrams over UDP. Delivery is
 // best effort; those who need an answer ask again.
-package courier
+package transport
 
 import (
 	"bufio"
@@ -41,8 +41,8 @@
 // Handler takes a message. What it returns is sent back if the peer asked.
 type Handler func(from string, body []byte) (any, error)
 
-// Courier is one node's post.
-type Courier struct {
+// Mesh is one node's post.
+type Mesh struct {
 	self     string
 	patience time.Duration
 	log      *log.Logger
@@ -72,7 +72,7 @@
 }
 
 // New listens on address. A peer that is silent for patience is given up.
-func New(address string, patience time.Duration, logger *log.Logger) (*Courier, error) {
+func New(address string, patience time.Duration, logger *log.Logger) (*Mesh, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
@@ -81,7 +81,7 @@
 	if err == nil {
 		var u *net.UDPConn
 		if u, err = net.ListenUDP("udp4", ua); err == nil {
-			c := &Courier{self: l.Addr().String(), patience: patience, log: logger, listener: l, packets: u,
+			c := &Mesh{self: l.Addr().String(), patience: patience, log: logger, listener: l, packets: u,
 				handlers: map[string]entry{}, links: map[string]*link{},
 				waiting: map[uint64]chan frame{}, inbound: map[net.Conn]struct{}{}}
 			return c, nil
@@ -92,15 +92,15 @@
 }
 
 // Self is this node's address.
-func (c *Courier) Self() string { return c.self }
+func (c *Mesh) Self() string { return c.self }
 
 // Handle names the handler of a kind of message. It runs on the reader's
 // goroutine and may not block.
-func (c *Courier) Handle(kind string, fn Handler) { c.handlers[kind] = entry{fn, false} }
+func (c *Mesh) Handle(kind string, fn Handler) { c.handlers[kind] = entry{fn, false} }
 
 // On names the handler of a kind of message of type T, to which there is no
 // answer. What cannot be decoded is counted and dropped.
-func On[T any](c *Courier, kind string, fn func(from string, msg T)) {
+func On[T any](c *Mesh, kind string, fn func(from string, msg T)) {
 	c.Handle(kind, func(from string, body []byte) (any, error) {
 		var msg T
 		if cbor.Unmarshal(body, &msg) != nil {
@@ -113,16 +113,16 @@
 }
 
 // HandleSlow names a handler that may block.
-func (c *Courier) HandleSlow(kind string, fn Handler) { c.handlers[kind] = entry{fn, true} }
+func (c *Mesh) HandleSlow(kind string, fn Handler) { c.handlers[kind] = entry{fn, true} }
 
 // Start begins to take messages; handlers are named before.
-func (c *Courier) Start() {
+func (c *Mesh) Start() {
 	go c.accept()
 	go c.readPackets()
 }
 
 // Close ends all connections.
-func (c *Courier) Close() {
+func (c *Mesh) Close() {
 	c.mu.Lock()
 	c.closed = true
 	for conn := range c.inbound {
@@ -136,7 +136,7 @@
 	c.packets.Close()
 }
 
-func (c *Courier) accept() {
+func (c *Mesh) accept() {
 	for {
 		conn, err := c.listener.Accept()
 		if err != nil {
@@ -168,7 +168,7 @@
 	}
 }
 
-func (c *Courier) tune(conn net.Conn) {
+func (c *Mesh) tune(conn net.Conn) {
 	if t, ok := conn.(*net.TCPConn); ok {
 		SetUserTimeout(t, c.patience)
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: max(time.Second, c.patience), Interval: time.Second, Count: 2})
@@ -187,7 +187,7 @@
 }
 
 // read takes frames from a connection until it ends or sends garbage.
-func (c *Courier) read(conn net.Conn, back *link) {
+func (c *Mesh) read(conn net.Conn, back *link) {
 	r := bufio.NewReaderSize(conn, 8<<10)
 	var head [4]byte
 	for {
@@ -217,7 +217,7 @@
 
 // garbage counts a frame that cannot be read. A peer that sends nothing else must
 // not fill the log.
-func (c *Courier) garbage(from string) {
+func (c *Mesh) garbage(from string) {
 	c.Undecoded.Add(1)
 	c.garbageMu.Lock()
 	defer c.garbageMu.Unlock()
@@ -229,7 +229,7 @@
 	}
 }
 
-func (c *Courier) readPackets() {
+func (c *Mesh) readPackets() {
 	buf := make([]byte, 64<<10)
 	for {
 		n, from, err := c.packets.ReadFromUDPAddrPort(buf)
@@ -248,7 +248,7 @@
 	}
 }
 
-func (c *Courier) dispatch(f frame, back *link) {
+func (c *Mesh) dispatch(f frame, back *link) {
 	if f.Reply {
 		c.mu.Lock()
 		ch := c.waiting[f.ID]
@@ -299,7 +299,7 @@
 }
 
 // Send passes a message on without waiting. It may be lost.
-func (c *Courier) Send(to, kind string, body any) {
+func (c *Mesh) Send(to, kind string, body any) {
 	b, err := cbor.Marshal(body)
 	if err != nil {
 		return
@@ -310,7 +310,7 @@
 }
 
 // Toss sends a message as a datagram if it fits into one.
-func (c *Courier) Toss(to, kind string, body any) {
+func (c *Mesh) Toss(to, kind string, body any) {
 	b, err := cbor.Marshal(body)
 	if err != nil {
 		return
@@ -336,7 +336,7 @@
 func (f Fault) Error() string { return string(f) }
 
 // Call asks a peer and waits for its answer.
-func (c *Courier) Call(ctx context.Context, to, kind string, body, answer any) error {
+func (c *Mesh) Call(ctx context.Context, to, kind string, body, answer any) error {
 	b, err := cbor.Marshal(body)
 	if err != nil {
 		return err
@@ -371,7 +371,7 @@
 	}
 }
 
-func (c *Courier) link(to string) *link {
+func (c *Mesh) link(to string) *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.links[to]
@@ -389,7 +389,7 @@
 
 // link is one connection and the frames that wait for it.
 type link struct {
-	c    *Courier
+	c    *Mesh
 	conn net.Conn
 	out  chan []byte
 	done chan struct{}
--- a/internal/courier/courier_test.go
+++ b/internal/transport/transport_test.go
@@ -1,4 +1,4 @@
-package courier
+package transport
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-func start(t *testing.T) *Courier {
+func start(t *testing.T) *Mesh {
 	t.Helper()
 	c, err := New("127.0.0.1:0", 5*time.Second, log.New(io.Discard, "", 0))
 	if err != nil {
@@ -37,7 +37,7 @@
 func TestCallsAndWhatBecomesOfThem(t *testing.T) {
 	a, b := start(t), start(t)
 	got := make(chan string, 4)
-	for _, c := range []*Courier{a, b} {
+	for _, c := range []*Mesh{a, b} {
 		c.Handle("note", func(from string, body []byte) (any, error) {
 			var s string
 			_ = cbor.Unmarshal(body, &s)
