--- /dev/null
+++ b/internal/replication/reads.go
@@ -0,0 +1,48 @@
+package replication
+
+// This file holds reads and fencing: what a member may say of its copies, and how sure it is.
+
+import (
+	"time"
+)
+
+// Read calls done with nil once it is certain that no newer copy of the key
+// than the one in memory has been acknowledged.
+func (m *Member) Read(now time.Duration, name string, done func(error)) {
+	m.Propose(now, name, func(map[string]Record) ([]Record, error) { return nil, nil }, done)
+}
+
+// Current says at which time, on this member's clock, its committed copy of a key
+// was certainly the newest that anybody could have been told of.
+func (m *Member) Current(name string) (time.Duration, bool) {
+	k := m.key(name)
+	if k.commit != k.at || k.commit.Seq == 0 {
+		return 0, false
+	}
+	if k.role == owns {
+		return k.sure, true
+	}
+	return k.current, k.current > 0
+}
+
+// Tenure is a member's ownership of a key.
+type Tenure struct {
+	Epoch Epoch
+	Since time.Duration
+	Sure  time.Duration // then it was certain that there was no other owner
+	Heir  bool          // others may have owned the key before, with something in it
+	Free  time.Duration // no other was sure of itself later than this
+}
+
+// Tenure describes the ownership of a key that this member has and is sure of.
+func (m *Member) Tenure(now time.Duration, name string) (t Tenure, ok bool) {
+	k := m.key(name)
+	return Tenure{k.mine, k.took, k.sure, k.heir, k.free}, k.role == owns && now-k.sure <= m.cfg.Vacant
+}
+
+// Committed gives the records of a key if this member's copy is known to be
+// committed as it stands.
+func (m *Member) Committed(name string) (map[string]Record, Position, bool) {
+	k := m.key(name)
+	return k.Records, k.commit, k.commit == k.at && k.commit.Seq > 0
+}
--- /dev/null
+++ b/internal/replication/storage.go
@@ -0,0 +1,151 @@
+package replication
+
+// This file holds the form in which a member stands on its disk.
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"madderwing/internal/antientropy"
+	"madderwing/internal/ledger"
+	"time"
+)
+
+// Write is a batch that the driver has to make durable, in order.
+type Write struct {
+	ID      uint64
+	Entries []ledger.Entry
+}
+
+const (
+	follows role = iota
+	asks
+	owns
+)
+
+type metaValue struct {
+	Promised Epoch    `cbor:"1,keyasint"`
+	At       Position `cbor:"2,keyasint"`
+	Commit   Position `cbor:"3,keyasint"`
+}
+
+type nodeValue struct {
+	Voting  bool `cbor:"1,keyasint"`
+	Founded bool `cbor:"2,keyasint"`
+}
+
+const (
+	nodeEntry  = "node"
+	metaPrefix = "meta/"
+	recPrefix  = "record/"
+)
+
+type storedRecord struct {
+	Key    string `cbor:"1,keyasint"`
+	Record Record `cbor:"2,keyasint"`
+}
+
+// write asks for entries to be made durable and calls then when they are.
+func (m *Member) write(entries []ledger.Entry, then func()) {
+	m.nextWrite++
+	if m.firstOpen == m.nextWrite {
+		m.openSince = m.now
+	}
+	m.fx.Writes = append(m.fx.Writes, Write{m.nextWrite, entries})
+	if then != nil {
+		m.after[m.nextWrite] = append(m.after[m.nextWrite], then)
+	}
+}
+
+// settled calls then once everything that was asked for so far is durable.
+func (m *Member) settled(then func()) {
+	if m.firstOpen > m.nextWrite {
+		then()
+		return
+	}
+	m.after[m.nextWrite] = append(m.after[m.nextWrite], then)
+}
+
+// Durable tells that all writes up to id are on disk.
+func (m *Member) Durable(now time.Duration, id uint64) {
+	m.now = now
+	for ; m.firstOpen <= id; m.firstOpen++ {
+		thens := m.after[m.firstOpen]
+		delete(m.after, m.firstOpen)
+		m.openSince = now
+		for _, then := range thens {
+			then()
+		}
+	}
+}
+
+// Failed tells that the disk refused a write; the whole state is written again
+// until that succeeds, and nothing is answered before.
+func (m *Member) Failed(now time.Duration) {
+	m.now = now
+	m.fx.Rewrite = true
+}
+
+// Snapshot is the member's whole state as entries.
+func (m *Member) Snapshot() (entries []ledger.Entry, upTo uint64) {
+	entries = append(entries, m.nodeEntry())
+	for _, name := range m.names {
+		k := m.keys[name]
+		entries = append(entries, k.meta())
+		for _, r := range k.Pick(allRanges) {
+			entries = append(entries, k.entry(r))
+		}
+	}
+	return entries, m.nextWrite
+}
+
+var allRanges = func() (all []int) {
+	for i := 0; i < antientropy.Ranges; i++ {
+		all = append(all, i)
+	}
+	return all
+}()
+
+func marshal(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func (m *Member) nodeEntry() ledger.Entry {
+	return ledger.Entry{Key: nodeEntry, Value: marshal(nodeValue{m.voting, m.founded})}
+}
+
+func (k *key) meta() ledger.Entry {
+	return ledger.Entry{Key: metaPrefix + k.name, Value: marshal(metaValue{k.promised, k.at, k.commit})}
+}
+
+func (k *key) entry(r Record) ledger.Entry {
+	return ledger.Entry{Key: recPrefix + k.name + "/" + r.Name, Value: marshal(storedRecord{k.name, r})}
+}
+
+// set changes records in memory and returns the entries for the disk.
+func (k *key) set(changes []Record) []ledger.Entry {
+	var out []ledger.Entry
+	for _, r := range changes {
+		k.Put(r)
+		out = append(out, k.entry(r))
+	}
+	return out
+}
+
+// replace makes the named ranges hold just the given records.
+func (k *key) replace(ranges []int, records []Record) []ledger.Entry {
+	var out []ledger.Entry
+	keep := map[string]bool{}
+	for _, r := range records {
+		keep[r.Name] = true
+	}
+	for _, r := range k.Pick(ranges) {
+		if !keep[r.Name] {
+			k.Remove(r.Name)
+			out = append(out, ledger.Entry{Key: recPrefix + k.name + "/" + r.Name})
+		}
+	}
+	return append(out, k.set(records)...)
+}
