Catalogue: one number has one content; another under it is 409

Cause: Change.Apply skipped every item whose generation was not above the one that stood, without looking at it. Two operators with two contents under one number both got 200, and one of them was never in force.

Change: an item, or a removal, under the number that stands with another content refuses the whole call with a Conflict that names item and generation. Contents are compared as sent, in a canonical form (keys sorted, numbers by value, host in lower case); what the system writes is no part of it. Each record remembers the digests of the last four numbers below the one that stands, dropped records too, so an older one that is known to differ is refused as well. An unknown older number is 200 as before. The memory is part of the record and so of every copy; records without it are read.

Mended on the way, as they are holes of the same kind: - the limits were kept by the name that they gave themselves, so two limits under one number could both be taken; - of a bound route, two removals in one call, the higher first, left the lower one standing (the index of the call's own changes pointed at the binding).

Tests that asserted the old behaviour, each replaced by one as strict: - TestTheHighestGenerationHolds: another content under the number that stands is refused by name; the same content is taken; either way nothing changes. - TestRevokes, "an old version": it sent another content under the number that stood; it now sends a lower number. The former call is in TestOneNumberOneContent. - TestTheWholePath, "an older generation": the same; beside it now stand the refusal, the call sent again, and a plan.

Ruled out: a kind of its own in errata, since nodes of the last release would pass on a kind that they have no answer for; digests kept beside what stands, since they can be worked out from the text, and the text tells more.

Seen failing on the untouched code: TestOneNumberOneContent, TestContentsAreComparedByWhatTheySay, TestPlacingARouteChangesNoContent, TestOneNumberWithinOneCall, TestTwoOperatorsUnderOneNumber ("the two got [200 200]"). Each guard was taken out once: the comparison, the memory, its bound, the memory of dropped records and across placement, numbers, signs, digits, keys, host and its case, removal against content, the limits' name, the index, refusing whole. A test failed each time.

--- a/internal/archive/whole_test.go
+++ b/internal/archive/whole_test.go
@@ -233,7 +233,10 @@
 		"a wrong plan":         {"POST", "/v1/admin/plan", `{"upsert":{"services":[{"name":"a"}]}}`, 400, "generation"},
 		"retire nobody":        {"DELETE", "/v1/admin/members/ghost", "", 404, "no such node"},
 		"retire the last":      {"DELETE", "/v1/admin/members/n-1", "", 409, "not as things stand"},
-		"an older generation":  {"PATCH", "/v1/config", strings.Replace(items, "/p/", "/q/", 1), 200, ""},
+		"an older generation":  {"PATCH", "/v1/config", strings.NewReplacer("/p/", "/q/", `"generation":1`, `"generation":0`).Replace(items), 200, ""},
+		"a number taken":       {"PATCH", "/v1/config", strings.Replace(items, "/p/", "/q/", 1), 409, "route r: generation 1 "},
+		"the same again":       {"PATCH", "/v1/config", items, 200, ""},
+		"a plan under it":      {"POST", "/v1/admin/plan", strings.Replace(items, "/p/", "/q/", 1), 409, "route r: generation 1 "},
 	} {
 		status, text := s.call(t, c.method, s.control+c.path, c.body)
 		if status != c.status || !strings.Contains(text, c.says) {
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -53,12 +53,15 @@
 	Shard int   `cbor:"2,keyasint" json:"shard"`
 }
 
-// Item is the content of a route's, a service's or the limits' record. Raw is
-// the item as the operator sent it.
+// Item is the content of a route's, a tenant's, a service's or the limits' record.
+// Raw is the item as the operator sent it. Taken is the memory of what was taken
+// before under lower generations, the newest first: for each of a few, the generation
+// as a varint and eight bytes of digest; empty in records of earlier releases.
 type Item struct {
 	Host   string `cbor:"1,keyasint,omitempty"`
 	Raw    []byte `cbor:"2,keyasint,omitempty"`
 	Status Status `cbor:"3,keyasint"`
+	Taken  []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // RouteBinding names a route and the shard that serves it.
@@ -272,7 +275,9 @@
 		if err := json.Unmarshal(raw, &head); err != nil {
 			return invalid("%s: %v", name, err)
 		}
-		name += head.Name
+		if name != limitsName { // there is but one, however it may call itself
+			name += head.Name
+		}
 		if seen[name] {
 			return invalid("%s: named twice", name)
 		}
@@ -375,7 +380,9 @@
 }
 
 // Apply works out which records a call changes, given those that stand, and
-// checks the whole that would result. It runs at the owner of the catalogue.
+// checks the whole that would result. It runs at the owner of the catalogue. A
+// generation that is not above the one that stands changes nothing; one that is known
+// to have been taken with another content refuses the call with a Conflict.
 func (c *Change) Apply(have map[string]Record, reader *Reader) ([]Record, error) {
 	var changes []Record
 	at := map[string]int{} // where this call's own changes are
@@ -385,9 +392,14 @@
 			old, ok = changes[i], true
 		}
 		if ok && r.Gen <= old.Gen {
+			if err := confirms(old, r); err != nil {
+				return nil, err
+			}
 			continue // also a removal that is named twice
 		}
-		at[r.Name] = len(changes)
+		if ok {
+			r = succeeds(old, r)
+		}
 		if ok && !old.Dropped && !r.Dropped && strings.HasPrefix(r.Name, routePrefix) {
 			// A route keeps its place when the operator changes it.
 			it := decodeItem(r)
@@ -399,6 +411,7 @@
 				changes = append(changes, Record{Name: b.Name, Gen: b.Gen + 1, Dropped: true})
 			}
 		}
+		at[r.Name] = len(changes)
 		changes = append(changes, r)
 	}
 	if len(changes) == 0 {
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -89,18 +89,21 @@
 	steps := []struct {
 		body   string
 		prefix string // of route r afterwards, "" if dropped
+		says   string // of a refusal
 	}{
-		{patch("", route("r", "/old/", "a", 6), ""), "/p/"},
-		{patch("", route("r", "/same/", "a", 7), ""), "/p/"},
-		{patch("", route("r", "/new/", "a", 9), ""), "/new/"},
-		{patch("", "", `{"name":"r","generation":8}`), "/new/"},
-		{patch("", "", `{"name":"r","generation":12},{"name":"r","generation":12}`), ""},
-		{patch("", route("r", "/late/", "a", 11), ""), ""},
-		{patch("", route("r", "/back/", "a", 13), ""), "/back/"},
+		{patch("", route("r", "/old/", "a", 6), ""), "/p/", ""},
+		{patch("", route("r", "/same/", "a", 7), ""), "/p/", "route r: generation 7 "},
+		{patch("", route("r", "/p/", "a", 7), ""), "/p/", ""},
+		{patch("", route("r", "/new/", "a", 9), ""), "/new/", ""},
+		{patch("", "", `{"name":"r","generation":8}`), "/new/", ""},
+		{patch("", "", `{"name":"r","generation":12},{"name":"r","generation":12}`), "", ""},
+		{patch("", route("r", "/late/", "a", 11), ""), "", ""},
+		{patch("", route("r", "/back/", "a", 13), ""), "/back/", ""},
 	}
 	have := start(t)
 	for i, s := range steps {
-		if err := apply(t, have, s.body); err != nil {
+		err := apply(t, have, s.body)
+		if s.says == "" && err != nil || s.says != "" && (errata.KindOf(err) != errata.Conflict || !strings.Contains(err.Error(), s.says)) {
 			t.Fatalf("step %d: %v", i, err)
 		}
 		got := ""
--- a/internal/catalogue/tenants_test.go
+++ b/internal/catalogue/tenants_test.go
@@ -67,7 +67,7 @@
 		"a key is changed": {tenant("one", `"a","c"`, 2, ""), true},
 		"the tenant goes":  {`{"remove":{"tenants":[{"name":"one","generation":2}]}}`, true},
 		"another comes":    {tenant("two", `"c"`, 1, ""), false},
-		"an old version":   {tenant("one", `"a"`, 1, ""), false},
+		"an old version":   {tenant("one", `"a"`, 0, ""), false},
 	} {
 		have := map[string]Record{}
 		if _, err := take(t, have, tenant("one", `"a","b"`, 1, "")); err != nil {
