Evacuation records name the newest eight orders, as many as may be under way

Cause: a record named four. An order that was passed on again by another owner after four others of its zone was carried out a second time; up to eight orders may be under way at once.

Change: eight. Records with fewer are read as before; one takes 32 bytes more, and there is one a zone.

Seen failing with four: TestAnEvacuationPassedOnAfterSevenOthers.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -687,8 +687,9 @@
 	return b
 }
 
-// askOrders is how many of the newest orders an evacuation record names.
-const askOrders = 4
+// askOrders is how many of the newest orders an evacuation record names: as many as may
+// be under way at once.
+const askOrders = 8
 
 // Evacuation works out the change of a zone's evacuation record. An evacuation
 // may be asked for more than once, and each withdrawal takes back one ask. id names
--- a/internal/catalogue/numbers_test.go
+++ b/internal/catalogue/numbers_test.go
@@ -236,3 +236,25 @@
 		}
 	}
 }
+
+// Eight orders may be under way at once: one that is passed on again after seven others
+// of its zone is still known.
+func TestAnEvacuationPassedOnAfterSevenOthers(t *testing.T) {
+	have := map[string]Record{}
+	ask := func(on bool, id uint64) (changed bool) {
+		changes, err := Evacuation(have, "z", on, id, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range changes {
+			have[r.Name] = r
+		}
+		return len(changes) > 0
+	}
+	for id := uint64(1); id <= 8; id++ {
+		ask(id%2 == 1, id)
+	}
+	if ask(true, 1) || !have["evacuation/z"].Dropped {
+		t.Error("the first of eight orders was carried out twice")
+	}
+}
