--- a/internal/catalogue/numbers_test.go
+++ b/internal/catalogue/numbers_test.go
@@ -258,3 +258,50 @@
 		t.Error("the first of eight orders was carried out twice")
 	}
 }
+
+// Thousands of names that come and go: none of them comes back by an old change, and
+// each leaves a bounded trace, all of which counts against MaxBytes.
+func TestNamesThatComeAndGo(t *testing.T) {
+	const names, trace = 2000, 32 // bytes of a dropped route's memory, at most
+	have, reader := start(t), &Reader{}
+	take := func(body string) {
+		t.Helper()
+		c, err := Read([]byte(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes, err := c.Apply(have, reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range changes {
+			have[r.Name] = r
+		}
+	}
+	set := func(i int) string { return patch("", route(fmt.Sprintf("n%d", i), "/n/", "a", 100), "") }
+	for i := range names {
+		take(set(i))
+		changes, err := Bind(have, RouteBinding{fmt.Sprintf("n%d", i), 0}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range changes {
+			have[r.Name] = r
+		}
+		take(patch("", "", fmt.Sprintf(`{"name":"n%d","generation":200}`, i)))
+	}
+	for i := 0; i < names; i += 7 {
+		take(set(i))
+	}
+	if routes := reader.List(have); len(routes) != 1 {
+		t.Errorf("%d routes stand, not 1", len(routes))
+	}
+	for name, r := range have {
+		if r.Dropped && len(r.Data) > trace {
+			t.Fatalf("%s leaves %d bytes", name, len(r.Data))
+		}
+	}
+	if want := 2 + 2*names; len(have) != want { // a route and its binding each
+		t.Errorf("%d records, not %d", len(have), want)
+	}
+}
--- a/internal/errata/errata.go
+++ b/internal/errata/errata.go
@@ -32,7 +32,7 @@
 	Broken               // the upstream broke off; the request may have run
 	Unsealed             // an answer that is not the upstream's own
 	NoQuorum             // too few copies can be reached
-	Conflict             // a conditional write that lost
+	Conflict             // a conditional write that lost, or another content under a number that was taken
 	UnknownNode          // an order for a node that is not known
 	NotNow               // an order that what stands forbids
 	UnknownKey           // no key, or one that no tenant holds
