What a step commits is shown record by record

Cause: followers now show each step as it commits, also under a stream; each time an archive would have gone through all records. Change: the member names the records that a commit changed.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -366,7 +366,7 @@
 		}
 		changed := false
 		for _, key := range fx.Committed {
-			changed = a.show(key) || changed
+			changed = a.show(key, fx.Changed[key]) || changed
 		}
 		if changed {
 			a.lookAgain = true
@@ -408,12 +408,13 @@
 // showAll takes over what the disk held, also of keys that were made as they were needed.
 func (a *Archive) showAll() {
 	for _, key := range a.member.Keys() {
-		a.show(key)
+		a.show(key, nil)
 	}
 }
 
-// show takes over a committed copy of a key into what the desks may see.
-func (a *Archive) show(key string) bool {
+// show takes over the committed records of a key into what the desks may see: those
+// that have changed, or all if changed is nil.
+func (a *Archive) show(key string, records []replication.Record) bool {
 	if key == replication.RosterKey {
 		if r := a.member.Standing(time.Since(a.start)).String(); r != a.rosterTold {
 			a.rosterTold = r
@@ -421,9 +422,14 @@
 		}
 		return false
 	}
-	records, _, ok := a.member.Committed(key)
-	if !ok {
-		return false
+	if records == nil {
+		all, _, ok := a.member.Committed(key)
+		if !ok {
+			return false
+		}
+		for _, r := range all {
+			records = append(records, r)
+		}
 	}
 	changed, versions := false, false
 	for _, r := range records {
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -39,7 +39,10 @@
 	Writes    []Write
 	Rewrite   bool     // the last write failed: write the whole state
 	Committed []string // keys with a newer committed copy
-	Notes     []string // what is worth a line in the log
+	// Changed has, for each of them, the records that were committed since the last
+	// time; nil for a key of which that isn't known: any may have been.
+	Changed map[string][]Record
+	Notes   []string // what is worth a line in the log
 }
 
 type role int
--- a/internal/replication/steps.go
+++ b/internal/replication/steps.go
@@ -352,6 +352,21 @@
 // members at once has something to show before there is an owner.
 func (m *Member) commit(k *key, p Position) {
 	k.commit = p
+	changed, known := m.fx.Changed[k.name]
+	if k.undo == nil || p != k.at || known && changed == nil {
+		changed = nil
+	} else {
+		changed = append([]Record{}, changed...)
+		for name := range k.undo {
+			if r, ok := k.Records[name]; ok {
+				changed = append(changed, r)
+			}
+		}
+	}
+	if m.fx.Changed == nil {
+		m.fx.Changed = map[string][]Record{}
+	}
+	m.fx.Changed[k.name] = changed
 	if p == k.at {
 		k.undo = nil
 	}
