Silence towards the roster's owner makes a seat free; a member that leaves keeps its survey

Change: the owner of the roster goes by its own copies; the survey is kept. The roster's line in the log says when too few seats are left.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -181,6 +181,7 @@
 		Beat: beat, Vacant: vacant, Patience: charter.Seconds(set.Bounds.AckS * 0.17), HandBack: opt.HandBack,
 		Alive:    func(id string) bool { return a.reg.Hopeful(id) },
 		Identity: rand.Uint64() | 1, Faults: set.FaultBudget.Machines,
+		Dead: func(id string) bool { n, ok := a.reg.List().Get(id); return ok && n.State == register.Dead },
 		Left: func(id string) bool { n, ok := a.reg.List().Get(id); return ok && n.State == register.Left },
 		Peers: func() (out []string) {
 			for _, n := range a.reg.List().Live(register.Control) {
--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -138,8 +138,9 @@
 	at, promises := k.at, k.promises
 	k.promises, k.frees, k.taking = nil, nil, nil
 	m.write(append(m.apply(k, nil), k.meta()), func() { m.acked(k, m.self, at) })
-	for id, p := range promises {
-		if id != m.self {
+	for _, seat := range m.seats().all() {
+		id := m.holder(seat)
+		if p := promises[id]; p != nil && id != m.self {
 			m.mend(k, addressOf(id), id, p.At, p.Sums)
 		}
 	}
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -28,6 +28,7 @@
 	Sure      []string // keys of which members must know how old their copy is
 
 	Faults int                    // how many members may be lost at once with all rules kept
+	Dead   func(id string) bool   // others have given an address up; nil: never known
 	Left   func(id string) bool   // the process at an address has said that it goes; nil: never known
 	Peers  func() []string        // archives known to be there, for a member without a seat; nil: none
 	Zone   func(id string) string // the zone of an address; nil or empty: not known
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -458,7 +458,9 @@
 	case m.cfg.Left != nil && m.cfg.Left(address) && quiet > m.cfg.Beat:
 		return true, true
 	}
-	gone = quiet > 2*m.cfg.Vacant && !m.cfg.Alive(address) || quiet > 8*m.cfg.Vacant
+	// This member copies to every seat at each beat, so silence towards it says much;
+	// the word of others only makes it surer.
+	gone = quiet > 2*m.cfg.Vacant || quiet > 2*m.cfg.Beat && m.cfg.Dead != nil && m.cfg.Dead(address)
 	return gone, gone && quiet > 3*m.cfg.Vacant
 }
 
@@ -473,7 +475,10 @@
 // the owner of the roster.
 func (m *Member) reform() {
 	k := m.keys[RosterKey]
-	if k.role != owns || k.commit != k.at || len(k.queue) > 0 || !m.founded || m.leaving {
+	if m.leaving {
+		return // its survey is that of tickLeaving
+	}
+	if k.role != owns || k.commit != k.at || len(k.queue) > 0 || !m.founded {
 		m.survey = nil
 		return
 	}
@@ -907,5 +912,8 @@
 	if s.Joint {
 		text += "; a change is under way"
 	}
+	if n := len(s.Seats); n > 0 && n-need(n) < s.Wanted {
+		text += fmt.Sprintf("; too few: %d may be lost, %d are to be borne", n-need(n), s.Wanted)
+	}
 	return text
 }
