Seats without identities are renewed; members without a seat give up their keys at once

Also: a late word of a former disk no longer frees a seat; a member that is gone and forgotten by the register can be retired; a trial ends when the owner is heard; only the founder proposes the founding roster again. TestSeatsWithoutIdentitiesAreRenewed fails with the renewal taken out.

--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -262,7 +262,8 @@
 		m.began, m.beganAt = true, now
 	}
 	m.tickFounding()
-	if len(m.keys[RosterKey].Records) == 0 || !m.mayOwn() {
+	if !m.mayOwn() {
+		m.unseated()
 		m.enrol()
 	}
 	if m.leaving {
--- a/internal/replication/member_test.go
+++ b/internal/replication/member_test.go
@@ -378,3 +378,40 @@
 		t.Fatalf("%s owns x=%d", n.id, n.m.keys[testKey].Records["x"].Gen)
 	}
 }
+
+// The disks of a version that knew no identities: seats are addresses. They go on
+// working, and are renewed without a person's hand.
+func TestSeatsWithoutIdentitiesAreRenewed(t *testing.T) {
+	w := newWorld(t, 31, 4)
+	w.run(6 * time.Second)
+	w.mustPut(t, "x", 1)
+	w.run(w.now + time.Second)
+	for _, id := range w.ids {
+		w.crash(id, false)
+	}
+	for _, id := range w.ids {
+		disk := w.nodes[id].disk
+		disk[nodeEntry] = marshal(nodeValue{Voting: true, Founded: true})
+		for name, b := range disk {
+			var r storedRecord
+			if len(name) > len(recPrefix) && name[:len(recPrefix)] == recPrefix && unmarshal(b, &r) && r.Key == RosterKey {
+				delete(disk, name)
+				if !r.Record.Dropped {
+					r.Record.Name = addressOf(r.Record.Name)
+					disk[recPrefix+RosterKey+"/"+r.Record.Name] = marshal(r)
+				}
+			}
+		}
+		w.start(id)
+	}
+	w.mustPut(t, "x", 2)
+	w.run(w.now + 8*time.Second)
+	for _, id := range w.ids {
+		s := w.nodes[id].m.seats()
+		if len(s.after) != 4 || s.joint || !contains(s.after, w.nodes[id].m.self) {
+			t.Fatalf("%s has the roster %+v", id, s)
+		}
+	}
+	w.crash(w.ids[1], true) // a wiped one counts for nothing, as ever
+	w.mustPut(t, "x", 3)
+}
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -252,12 +252,18 @@
 		k.promised = h.At.Epoch
 	}
 	m.write(append(entries, k.meta()), nil)
-	if !m.mayOwn() {
-		m.note("this member has no seat any more")
-		for _, name := range m.names {
-			if k := m.keys[name]; k.role != follows {
-				m.release(k, ErrNotOwner)
-			}
+	m.unseated()
+}
+
+// unseated gives up the keys of a member that has no seat any more.
+func (m *Member) unseated() {
+	if m.mayOwn() {
+		return
+	}
+	for _, name := range m.names {
+		if k := m.keys[name]; k.role != follows {
+			m.yield(k)
+			m.release(k, ErrNotOwner)
 		}
 	}
 }
@@ -306,7 +312,7 @@
 // found proposes the founding roster, once all who found are known to be there.
 func (m *Member) found(k *key) {
 	by := m.founders()
-	if len(by) == 0 {
+	if len(by) == 0 || len(k.Records) > 0 && (k.at.Epoch.N != 1 || k.at.Seq != 1 || k.at.Epoch.Owner != m.cfg.Self) {
 		return
 	}
 	if len(k.Records) == 0 {
@@ -453,7 +459,8 @@
 	}
 	quiet := m.now - max(m.heardOf[id], m.keys[RosterKey].took)
 	switch {
-	case m.newest[address] != id && m.newest[address] != "" && m.now-m.heardOf[m.newest[address]] <= m.cfg.Vacant+m.cfg.Beat:
+	case quiet > m.cfg.Beat*3/2 && m.newest[address] != id && m.heardOf[m.newest[address]] > m.heardOf[id] &&
+		m.now-m.heardOf[m.newest[address]] <= m.cfg.Vacant+m.cfg.Beat:
 		return true, true // another disk is at work at its address
 	case m.cfg.Left != nil && m.cfg.Left(address) && quiet > m.cfg.Beat:
 		return true, true
@@ -774,11 +781,13 @@
 	m.Propose(now, RosterKey, func(have map[string]Record) ([]Record, error) {
 		s := m.seats()
 		next := map[string]seatState{}
-		known, leaves := false, false
+		known, leaves, atWork := false, false, false
 		for _, seat := range s.after {
 			next[seat] = seated
 			if addressOf(seat) == address {
 				next[seat], leaves = going, true
+				gone, _ := m.gone(seat)
+				atWork = !gone
 			}
 		}
 		for name := range have {
@@ -792,7 +801,7 @@
 			return nil, ErrUnknown
 		case !leaves:
 			return nil, nil
-		case m.cfg.Alive(address) || address == m.cfg.Self:
+		case address == m.cfg.Self || atWork && m.cfg.Alive(address):
 			return nil, ErrAlive
 		case len(s.after) <= 3:
 			return nil, ErrTooFew
--- a/internal/replication/steps.go
+++ b/internal/replication/steps.go
@@ -170,6 +170,8 @@
 	if k.promised != e {
 		m.stepDown(k, e)
 		m.write([]ledgerEntry{k.meta()}, nil)
+	} else if k.role == asks && k.trial {
+		m.release(k, ErrNoQuorum) // the owner is there after all
 	}
 	k.heard, k.heardAny = m.now, true
 	k.copied, k.owned = m.now, true
