Archives say fresh by the word of a majority; desks leave the others within contactS

Cause: an archive called its items fresh while it knew of an owner of the catalogue. A member that is merely asked for its promise takes the asker for the owner, so two archives that were cut off together called each other owner and went on saying fresh; their desks stayed. A frozen one was fresh by the mail that had waited. A desk that started among them called itself ready with what they had.

Change: contact (contact.go) is when each key that every archive has was certainly the newest (Member.Current): a round trip through an owner with a majority, dated by the archive's own clock; three beats of it count. All those keys are in replication's Sure now, on every site. Led is said only with Fresh. A desk leaves a source that says it is stale after one beat without a fresh word (two and a half if the other is stale too, as while an owner is replaced); one that it left comes back in the second place first. Readiness waits, once a life, for an answer to a question of the last contactS that is fresh and whole; desks that were ready stay so. Disk contents are shown before any message is heard.

Ruled out: the ages of signs of life (HeardAgo): mail that waited counts as new, and an owner without a majority sends them too.

Tests: TestSourcesAreTwoZonesApart is replaced by TestSourcesThatHaveLostTheMajorityAreLeft: in the old one the archive that took over never answered and had to be kept for half a second all the same; the new one plays answers, bounds when a cut one is first for the last time and how often it is asked. TestReadiness has the new condition. Taken out one by one and seen to fail: both shares of patience, the trial in the second place, the bar on bad seconds, each condition of readiness, the bound, the least over the keys, the log's once.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -69,6 +69,7 @@
 	post     *transport.Mesh
 	reg      *register.Service
 	start    time.Time
+	contact  *contact
 	commands chan func(now time.Duration)
 
 	// Owned by the pump's goroutine.
@@ -170,12 +171,11 @@
 		keys = append(keys, catalogue.EvacuationPrefix+z)
 	}
 	a.life = rand.Uint64() | 1
-	var sure []string
+	a.contact = newContact(charter.Seconds(set.Bounds.ContactS*contactPart), keys)
 	if set.Global() {
-		sure = []string{catalogue.Key}
 		a.serveRegistry()
 	}
-	a.member, err = replication.NewMember(replication.Config{Sure: sure,
+	a.member, err = replication.NewMember(replication.Config{Sure: keys,
 		Self: post.Self(), Life: a.life, Seeds: set.SeedArchives(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
 		Beat: beat, Vacant: vacant, Patience: charter.Seconds(set.Bounds.AckS * 0.17), HandBack: opt.HandBack,
@@ -199,6 +199,10 @@
 			}
 		})
 	a.handlers()
+	a.do(func(time.Duration) { // before anybody's word is heard
+		a.showAll()
+		a.newItems()
+	})
 	post.Start()
 	go a.reg.Run()
 	go a.keep(book)
@@ -206,11 +210,6 @@
 	stop := make(chan struct{})
 	go func() { a.pump(beat, stop); close(pumped) }()
 
-	a.do(func(time.Duration) {
-		a.showAll()
-		a.newItems()
-	})
-
 	control := &http.Server{Addr: set.Bind.Control, Handler: a.control(zones), ReadHeaderTimeout: charter.Seconds(set.Bounds.ContactS),
 		IdleTimeout: charter.Seconds(4 * set.Bounds.ContactS), ErrorLog: a.log.control}
 	failed := make(chan error, 2)
@@ -300,6 +299,7 @@
 					a.branch(now, beat)
 				}
 				a.gate(now, beat)
+				a.contact.tell(now, a.log.archive)
 				a.lookAgain = a.lookAgain || a.shelf.Due(now)
 			}
 		case <-stop:
@@ -309,6 +309,7 @@
 		now := time.Since(a.start)
 		fn(now)
 		a.settle(now)
+		a.contact.look(a.member.Current)
 	}
 }
 
@@ -458,7 +459,8 @@
 }
 
 func (a *Archive) issueTo(now time.Duration, to string, has feed.Watch, always, guessed bool) feed.Watch {
-	out := feed.Issue{Fresh: a.member.Owner(now, catalogue.Key) != "", Led: a.rolls.Led()}
+	fresh := a.contact.fresh(now)
+	out := feed.Issue{Fresh: fresh, Led: fresh && a.rolls.Led()}
 	whole := has.Sums != nil
 	if has.Sums != nil {
 		if diff := antientropy.Diff(*has.Sums, a.shown.Sums); len(diff) > 0 {
@@ -482,7 +484,7 @@
 	}
 	if always {
 		out.Loads = a.loads
-		if at, ok := a.member.Current(catalogue.Key); ok && whole && !guessed && has.Asked > 0 && a.lender != nil {
+		if at, ok := a.member.Current(catalogue.Key); ok && whole && !guessed && has.Asked > 0 {
 			out.Sure = &feed.Sure{Asked: has.Asked, Age: now - at}
 		}
 	}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -201,10 +201,10 @@
 // read owns the items: it tells the archives what it has and takes what they
 // send.
 func (d *Desk) read(beat time.Duration, stop chan struct{}) {
-	// Until it can serve, a desk asks often.
+	// Until it can serve, a desk asks often; until what it serves is confirmed, less so.
 	tick := time.NewTicker(beat / 10)
 	defer tick.Stop()
-	hurried := true
+	hurried, opened := true, false
 	watch := func(now time.Duration) {
 		sums := d.items.Sums
 		sources := d.sources.Choose(now, d.reg.List().Live(register.Control))
@@ -218,10 +218,7 @@
 			if i > 0 && hurried && now < beat {
 				continue // one is enough to begin with; both would send all there is
 			}
-			w := feed.Watch{Sums: &sums, Listing: d.stand.Version, Second: i > 0}
-			if d.set.Global() {
-				w.Asked = now
-			}
+			w := feed.Watch{Sums: &sums, Listing: d.stand.Version, Second: i > 0, Asked: max(now, 1)}
 			if i == 0 {
 				w.Zone, w.Load = d.set.Zone, d.load
 			}
@@ -242,8 +239,12 @@
 			fn(time.Since(d.start))
 		case <-tick.C:
 			watch(time.Since(d.start))
-			if hurried && d.ready.ok() {
+			if hurried && d.ready.stocked() {
 				hurried = false
+				tick.Reset(beat / 3)
+			}
+			if !opened && d.ready.ok() {
+				opened = true
 				if d.set.Global() {
 					d.reg.Open(d.set.FrontPort())
 				}
@@ -267,6 +268,7 @@
 	if d.set.Global() {
 		d.confirm(i)
 	}
+	d.ready.heard(now, i, charter.Seconds(d.set.Bounds.ContactS))
 	if len(i.Loads) > 0 && d.sources.First() == from {
 		d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetLoads(now, i.Loads) })
 	}
--- a/internal/desk/readiness.go
+++ b/internal/desk/readiness.go
@@ -1,13 +1,19 @@
 package desk
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+
+	"madderwing/internal/feed"
+)
 
 // readiness is whether the platform may send new connections here: the items
-// and the list of upstreams are known, keys may be relied on, and the desk is not
-// leaving.
+// and the list of upstreams are known, a majority has stood behind all the items once
+// in this life, keys may be relied on, and the desk is not leaving. A desk that was
+// ready stays so without any archive: it goes on with what it knows.
 type readiness struct {
-	known, listed, leaving atomic.Bool
-	confirmed              func() bool
+	known, listed, current, leaving atomic.Bool
+	confirmed                       func() bool
 
 	misses   atomic.Int32
 	believed chan struct{} // closed once the platform knows that the desk leaves
@@ -20,8 +26,21 @@
 	return &readiness{confirmed: confirmed, believed: make(chan struct{})}
 }
 
+// stocked says that there are items and a list to serve from.
+func (r *readiness) stocked() bool { return r.known.Load() && r.listed.Load() }
+
 func (r *readiness) ok() bool {
-	return r.known.Load() && r.listed.Load() && !r.leaving.Load() && r.confirmed()
+	return r.stocked() && r.current.Load() && !r.leaving.Load() && r.confirmed()
+}
+
+// heard takes an issue whose records have been taken over. It confirms the items if the
+// archive is in contact with a majority and answers, with all that it has, a question
+// that this desk asked within the time given: an answer that waited while the desk was
+// frozen says nothing of now.
+func (r *readiness) heard(now time.Duration, i feed.Issue, within time.Duration) {
+	if i.Fresh && i.Sure != nil && now-i.Sure.Asked <= within {
+		r.current.Store(true)
+	}
 }
 
 // asked answers one question of the platform's, and counts those that have been
--- a/internal/desk/readiness_test.go
+++ b/internal/desk/readiness_test.go
@@ -1,6 +1,11 @@
 package desk
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"madderwing/internal/feed"
+)
 
 func TestReadiness(t *testing.T) {
 	believed := func(r *readiness) bool {
@@ -12,6 +17,14 @@
 		}
 	}
 	confirmed := true
+	const now, contactS = 20 * time.Second, 3 * time.Second
+	answer := func(fresh bool, asked time.Duration) feed.Issue {
+		i := feed.Issue{Fresh: fresh}
+		if asked > 0 {
+			i.Sure = &feed.Sure{Asked: asked}
+		}
+		return i
+	}
 	r := newReadiness(func() bool { return confirmed })
 	for i, c := range []struct {
 		name     string
@@ -20,7 +33,12 @@
 	}{
 		{"nothing known", func() {}, false, false},
 		{"items", func() { r.known.Store(true) }, false, false},
-		{"and the list", func() { r.listed.Store(true) }, true, false},
+		{"and the list", func() { r.listed.Store(true) }, false, false},
+		{"an archive that is cut off", func() { r.heard(now, answer(false, now-1), contactS) }, false, false},
+		{"one that has sent a part", func() { r.heard(now, answer(true, 0), contactS) }, false, false},
+		{"an answer from before a freeze", func() { r.heard(now, answer(true, now-contactS-1), contactS) }, false, false},
+		{"confirmed", func() { r.heard(now, answer(true, now-1), contactS) }, true, false},
+		{"all archives cut off later", func() { r.heard(now, answer(false, now-1), contactS) }, true, false},
 		{"keys in doubt", func() { confirmed = false }, false, false},
 		{"still in doubt", func() {}, false, false}, // no sign that it leaves
 		{"keys sure", func() { confirmed = true }, true, false},
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -39,7 +39,7 @@
 	// desk tells them to one archive only.
 	Zone string             `cbor:"3,keyasint,omitempty"`
 	Load map[string]float64 `cbor:"4,keyasint,omitempty"`
-	// Asked is the sender's clock, where it needs to know how old its items are.
+	// Asked is the sender's clock, so that it can tell how old its items are.
 	Asked time.Duration `cbor:"5,keyasint,omitempty"`
 	// Second says that the sender hears of changes from another archive; this one
 	// is to answer what it asks and need not send by itself.
@@ -57,14 +57,15 @@
 type Issue struct {
 	Records []antientropy.Record `cbor:"1,keyasint,omitempty"`
 	Listing *accession.Listing   `cbor:"2,keyasint,omitempty"`
-	// Fresh says that the archive is in touch with the owner of the catalogue.
+	// Fresh says that a majority has lately stood behind all that the archive shows.
 	Fresh bool `cbor:"3,keyasint,omitempty"`
 	// Loads are those of all zones, as far as the archive knows.
 	Loads accession.Loads `cbor:"4,keyasint,omitempty"`
 	// Sure answers Asked, if the items brought or named by the question's digests
 	// are all that the archive holds and it knows how old that is.
 	Sure *Sure `cbor:"5,keyasint,omitempty"`
-	// Led says that every rollout under way has a controller that the archive hears.
+	// Led says that every rollout under way has a controller that the archive hears; it
+	// is not said without Fresh.
 	Led bool `cbor:"6,keyasint,omitempty"`
 }
 
@@ -177,22 +178,32 @@
 
 // Sources picks the two archives that a desk watches: in different zones, its
 // own zone first, and none that has lately been found wanting if others are
-// left.
+// left. One that was is first tried again in the second place.
 type Sources struct {
-	Self     string
-	Zone     string
-	Region   func(zone string) string // nil: there is but one
-	Seeds    []string
+	Self   string
+	Zone   string
+	Region func(zone string) string // nil: there is but one
+	Seeds  []string
+	// Patience is how long a source may be silent. One that answers, but out of contact
+	// with a majority, is left sooner: see stalePart.
 	Patience time.Duration
 	heard    map[string]time.Duration // last fresh word
+	stale    map[string]bool          // the last word was not fresh
 	since    map[string]time.Duration // chosen since
-	bad      map[string]time.Duration // not before
+	bad      map[string]time.Duration // not before, and then on trial until it is heard fresh
 	current  []string
 }
 
+const (
+	stalePart     = 0.35 // of Patience, for a source that says that it is stale
+	bothStalePart = 0.85 // if the other is not fresh either: an owner may be being replaced
+	badFor        = 4    // patiences for which a source that was left is not tried
+)
+
 // Heard notes an issue.
 func (s *Sources) Heard(now time.Duration, from string, fresh bool) {
 	s.init()
+	s.stale[from] = !fresh
 	if fresh {
 		s.heard[from] = now
 		delete(s.bad, from)
@@ -202,6 +213,7 @@
 func (s *Sources) init() {
 	if s.heard == nil {
 		s.heard, s.since, s.bad = map[string]time.Duration{}, map[string]time.Duration{}, map[string]time.Duration{}
+		s.stale = map[string]bool{}
 	}
 }
 
@@ -213,14 +225,37 @@
 	return s.current[0]
 }
 
+// without is how long a source has given no fresh word while it was chosen.
+func (s *Sources) without(now time.Duration, id string) time.Duration {
+	return now - max(s.heard[id], s.since[id])
+}
+
+// patience is how long a source may go without a fresh word.
+func (s *Sources) patience(now time.Duration, id string) time.Duration {
+	part := 1.0
+	if s.stale[id] {
+		part = bothStalePart
+		for _, other := range s.current {
+			if other != id && !s.stale[other] {
+				part = stalePart
+			}
+		}
+	}
+	return time.Duration(part * float64(s.Patience))
+}
+
 // Choose names the archives to watch now.
 func (s *Sources) Choose(now time.Duration, archives []register.Node) []string {
 	s.init()
+	var left []string
 	for _, a := range s.current {
-		if now-max(s.heard[a], s.since[a]) > s.Patience {
-			s.bad[a] = now + 4*s.Patience
+		if s.without(now, a) > s.patience(now, a) {
+			left = append(left, a)
 		}
 	}
+	for _, a := range left {
+		s.bad[a] = now + badFor*s.Patience
+	}
 	zones := map[string]string{}
 	var ids []string
 	for _, n := range archives {
@@ -234,27 +269,44 @@
 		}
 	}
 	order := rendezvous.Order(s.Self, ids)
-	sort.SliceStable(order, func(i, j int) bool {
-		bi, bj := s.bad[order[i]] > now, s.bad[order[j]] > now
-		if bi != bj {
-			return !bi
+	pick := func(rank func(id string) int, fit func(id string) bool) (best string) {
+		for _, id := range order {
+			if fit(id) && (best == "" || rank(id) < rank(best)) {
+				best = id
+			}
 		}
-		return s.far(zones[order[i]]) < s.far(zones[order[j]])
-	})
+		return best
+	}
+	const bad, trial = 8, 4 // above any distance
 	var out []string
-	for _, id := range order {
-		if len(out) == 1 && zones[id] == zones[out[0]] {
-			continue
+	first := pick(func(id string) int {
+		rank := s.far(zones[id])
+		if until, was := s.bad[id]; was && until > now {
+			rank += bad
+		} else if was {
+			rank += trial
 		}
-		if len(out) < 2 {
-			out = append(out, id)
+		return rank
+	}, func(string) bool { return true })
+	if first != "" {
+		out = append(out, first)
+	}
+	second := pick(func(id string) int {
+		rank := s.far(zones[id])
+		if s.bad[id] > now {
+			rank += bad
 		}
+		return rank
+	}, func(id string) bool { return zones[id] != zones[first] })
+	if second != "" {
+		out = append(out, second)
 	}
 	chosen := map[string]bool{}
 	for _, id := range out {
 		chosen[id] = true
 		if _, ok := s.since[id]; !ok {
 			s.since[id] = now
+			delete(s.stale, id)
 		}
 	}
 	for id := range s.since {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -8,31 +9,83 @@
 	"madderwing/internal/register"
 )
 
-func TestSourcesAreTwoZonesApartAndReplacedWhenStale(t *testing.T) {
+// TestSourcesThatHaveLostTheMajorityAreLeft plays a desk that asks once a beat and gets
+// its answers a little later. A cut archive answers, and says fresh only for the first
+// two beats, as contact lapses; a silent one does not answer. Sixty beats are ten
+// contactS.
+func TestSourcesThatHaveLostTheMajorityAreLeft(t *testing.T) {
+	const beat, contactS = time.Second, 6
 	archives := []register.Node{{Address: "n1", Zone: "n"}, {Address: "n2", Zone: "n"}, {Address: "s1", Zone: "s"}, {Address: "e1", Zone: "e"}}
-	s := Sources{Self: "desk", Zone: "n", Patience: time.Second, Seeds: []string{"seed"}}
-	if got := s.Choose(0, nil); len(got) != 1 || got[0] != "seed" {
-		t.Fatalf("before any archive is known: %v", got)
+	always := func(int) bool { return true }
+	from10 := func(b int) bool { return b >= 10 }
+	type state struct {
+		cut, silent func(beat int) bool
 	}
-	first := s.Choose(0, archives)
-	if len(first) != 2 || first[0][0] != 'n' || first[1][0] == 'n' {
-		t.Fatalf("chosen %v", first)
-	}
-	// The one of the own zone is cut off from the owner: it answers, not fresh.
-	now := time.Duration(0)
-	for ; now < 1500*time.Millisecond; now += 100 * time.Millisecond {
-		s.Heard(now, first[0], false)
-		s.Heard(now, first[1], true)
-		s.Choose(now, archives)
-	}
-	next := s.Choose(now, archives)
-	if next[0] == first[0] || next[0][0] != 'n' {
-		t.Fatalf("the stale one is still watched first: %v", next)
-	}
-	// Once nobody is fresh, the choice still names two.
-	for ; now < 20*time.Second; now += 100 * time.Millisecond {
-		if got := s.Choose(now, archives); len(got) != 2 {
-			t.Fatalf("chosen %v", got)
+	for name, c := range map[string]struct {
+		are  map[string]state
+		last int // beat at which one in trouble is first for the last time
+		both int // and beside another in trouble
+		all  int // how often one in trouble is asked at all
+		end  string
+	}{
+		"nothing amiss":                     {nil, 0, 0, 0, "n"},
+		"own zone's, from the start":        {map[string]state{"n1": {cut: always}, "n2": {cut: always}}, contactS - 2, 0, 20, "es"},
+		"one of the own zone's":             {map[string]state{"n1": {cut: from10}}, 10 + contactS - 4, 0, 3, "n"},
+		"the own zone's":                    {map[string]state{"n1": {cut: from10}, "n2": {cut: from10}}, 10 + contactS - 2, 0, 17, "es"},
+		"another zone's":                    {map[string]state{"e1": {cut: from10}}, 0, 0, 9, "n"},
+		"both that are watched":             {map[string]state{"n1": {cut: from10}, "n2": {cut: from10}, "e1": {cut: from10}}, 10 + contactS, 10 + contactS - 2, 60, "s"},
+		"silent ones":                       {map[string]state{"n1": {silent: from10}, "n2": {silent: from10}}, 10 + contactS, 0, 27, "es"},
+		"cut, joined, cut, joined":          {map[string]state{"n1": {cut: func(b int) bool { return b >= 10 && b < 14 || b >= 18 && b < 22 }}, "n2": {cut: from10}}, 10 + contactS - 2, 0, 5, "n"},
+		"all: two are watched all the same": {map[string]state{"n1": {cut: from10}, "n2": {cut: from10}, "s1": {cut: from10}, "e1": {cut: from10}}, 60, 60, 102, "nse"},
+	} {
+		s := Sources{Self: "desk", Zone: "n", Patience: 3 * beat, Seeds: []string{"seed"}}
+		if got := s.Choose(0, nil); len(got) != 1 || got[0] != "seed" {
+			t.Fatalf("before any archive is known: %v", got)
+		}
+		is := func(id string, b int) (cut, silent bool) {
+			x := c.are[id]
+			return x.cut != nil && x.cut(b), x.silent != nil && x.silent(b)
+		}
+		since := map[string]int{}
+		last, both, all := 0, 0, 0
+		var got []string
+		for b := 1; b <= 60; b++ {
+			now := time.Duration(b) * beat
+			got = s.Choose(now, archives)
+			if len(got) != 2 || got[0][0] == got[1][0] {
+				t.Fatalf("%s, beat %d: chosen %v", name, b, got)
+			}
+			bad := 0
+			for i, id := range got {
+				cut, silent := is(id, b)
+				if !cut && !silent {
+					continue
+				}
+				if all, bad = all+1, bad+1; i == 0 {
+					last = b
+				}
+				if bad == 2 {
+					both = b
+				}
+			}
+			for _, n := range archives {
+				if cut, _ := is(n.Address, b); !cut {
+					since[n.Address] = b + 1
+				}
+			}
+			for _, id := range got {
+				cut, silent := is(id, b)
+				if !silent {
+					fresh := !cut || b > contactS && b < since[id]+2
+					s.Heard(now+beat/20, id, fresh)
+				}
+			}
+		}
+		if last > c.last || both > c.both || all > c.all {
+			t.Errorf("%s: one that is cut off is first until beat %d, with another until %d, asked %d times; at most %d, %d, %d", name, last, both, all, c.last, c.both, c.all)
+		}
+		if first := got[0][:1]; !strings.Contains(c.end, first) {
+			t.Errorf("%s: %v at the end", name, got)
 		}
 	}
 }
