Registry and quotas: a branch out of contact says so, and no longer 200 or 429

Cause: a branch whose lender was silent refused a request as over its tenant's limit (429), though nobody had said so and the desk has a second archive to ask. A tenant without a limit went on without one at a branch that was cut off, whatever the limit had become. The registry of an archive that was cut off alone kept its last view for good.

Change: a purse answers Granted, Over or Unknown; Unknown is Away to the desk, which asks the other archive and then answers 503. Tenants without a limit are Away out of contact. The registry answers 503 with Retry-After once contact is older than contactS. Not sooner: replacing an owner takes less, its view rests on what nodes say of themselves, and a client asks the next registry after a 503.

Tests: TestOneDeskOfManyIsServedAtOnce tells the three answers apart (Take's callback was a bool); Expire with Over, and a used-up quota with Unknown, each fail it. TestDirectory asks out of contact; without the guard it fails.

--- a/internal/archive/registry.go
+++ b/internal/archive/registry.go
@@ -32,6 +32,10 @@
 		}
 		return nil
 	})
+	// While an owner is replaced, which takes less than contactS, its answers go on: they
+	// rest on what nodes say of themselves. The archives of a side that was cut off end.
+	contactS := charter.Seconds(b.ContactS)
+	a.directory.InContact = func() bool { return a.contact.within(time.Since(a.start), contactS) }
 	a.lender = readers.NewLender(readers.LenderConfig{Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack,
 		Window: charter.Seconds(b.QuotaWindowS), Life: charter.Seconds(b.ContactS * 0.7), Sure: charter.Seconds(b.ContactS * vacantPart),
 		Branches: func() []string { return a.member.Roster() }})
@@ -139,12 +143,13 @@
 
 // drawFor draws on a tenant's quota for a desk.
 func (a *Archive) drawFor(now time.Duration, from string, d readers.Draw) {
-	if !a.purse.Knows(d.Tenant) {
+	// Lent shares lapse by themselves; that a tenant has no limit may be no longer so.
+	if a.purse.Unlimited(d.Tenant) && !a.contact.fresh(now) {
 		a.post.Send(from, feed.DrawnKind, readers.Drawn{Seq: d.Seq, Away: true})
 		return
 	}
-	ask := a.purse.Take(now, d.Tenant, func(ok bool) {
-		a.post.Send(from, feed.DrawnKind, readers.Drawn{Seq: d.Seq, OK: ok})
+	ask := a.purse.Take(now, d.Tenant, func(g readers.Grant) {
+		a.post.Send(from, feed.DrawnKind, readers.Drawn{Seq: d.Seq, OK: g == readers.Granted, Away: g == readers.Unknown})
 	})
 	if ask {
 		a.report(now)
--- a/internal/readers/purse.go
+++ b/internal/readers/purse.go
@@ -48,12 +48,22 @@
 // Quota is what a tenant may have.
 type Quota struct{ Rate, Burst float64 }
 
+// Grant is what a branch can say to a request that draws on a quota.
+type Grant int
+
+// The grants.
+const (
+	Unknown Grant = iota // the limit is not known here, or the lender is silent: another may tell
+	Granted
+	Over // the quota is used up
+)
+
 type bucket struct {
 	rate, cap, fill float64
 	at              time.Duration
 	came            float64 // requests since the last report
 	demand          float64
-	waiting         []func(bool)
+	waiting         []func(Grant)
 	wanted          int // of those who wait, as last reported
 	idle            int
 }
@@ -77,14 +87,20 @@
 	p.limits = limits
 	for name, b := range p.buckets {
 		if q, ok := limits[name]; !ok || q.Rate == 0 {
-			for _, give := range b.waiting {
-				give(ok)
-			}
+			b.end(known(ok))
 			delete(p.buckets, name)
 		}
 	}
 }
 
+// known is what is said to those for whom there is no limit, if that is known.
+func known(ok bool) Grant {
+	if ok {
+		return Granted
+	}
+	return Unknown
+}
+
 func (p *Purse) bucket(name string) *bucket {
 	b := p.buckets[name]
 	if b == nil {
@@ -106,10 +122,10 @@
 	}
 }
 
-// refuse ends the wait of whoever waits.
-func (b *bucket) refuse() {
+// end ends the wait of whoever waits.
+func (b *bucket) end(g Grant) {
 	for _, give := range b.waiting {
-		give(false)
+		give(g)
 	}
 	b.waiting = nil
 }
@@ -123,10 +139,10 @@
 	}
 }
 
-// Knows says whether a tenant's limit is known here.
-func (p *Purse) Knows(tenant string) bool {
-	_, ok := p.limits[tenant]
-	return ok
+// Unlimited says whether a tenant is known here to have no limit.
+func (p *Purse) Unlimited(tenant string) bool {
+	q, ok := p.limits[tenant]
+	return ok && q.Rate == 0
 }
 
 // Heeds says whether a branch at self answers a lender's call with all that it has.
@@ -137,9 +153,9 @@
 // Take takes one request's worth of a tenant's quota. give is called with the
 // outcome, at once or when the lender has answered; ask says that the lender is
 // to be asked now.
-func (p *Purse) Take(now time.Duration, tenant string, give func(bool)) (ask bool) {
-	if q, known := p.limits[tenant]; !known || q.Rate == 0 {
-		give(known) // of a tenant that is not known here the limit is not either
+func (p *Purse) Take(now time.Duration, tenant string, give func(Grant)) (ask bool) {
+	if q, ok := p.limits[tenant]; !ok || q.Rate == 0 {
+		give(known(ok)) // of a tenant that is not known here the limit is not either
 		return false
 	}
 	p.lapse(now)
@@ -148,21 +164,22 @@
 	b.refill(now)
 	if b.fill >= 1 && len(b.waiting) == 0 {
 		b.fill--
-		give(true)
+		give(Granted)
 		return false
 	}
 	b.waiting = append(b.waiting, give)
 	return !p.Awaits(now)
 }
 
-// Expire refuses whoever has waited too long for the lender.
+// Expire ends the wait of whoever has waited too long for the lender. That is no word on
+// the quota.
 func (p *Purse) Expire(now time.Duration) {
 	if now-p.asked <= p.Patience {
 		return
 	}
 	p.waits = false
 	for _, b := range p.buckets {
-		b.refuse()
+		b.end(Unknown)
 		b.wanted = 0
 	}
 }
@@ -242,12 +259,12 @@
 			have--
 			give := b.waiting[0]
 			b.waiting = b.waiting[1:]
-			give(true)
+			give(Granted)
 		}
 		b.fill = min(have, b.cap)
 		if s.Tokens < b.wanted {
 			// The quota is used up; whoever came since is told as well.
-			b.refuse()
+			b.end(Over)
 		}
 		b.wanted = 0
 	}
--- a/internal/readers/readers_test.go
+++ b/internal/readers/readers_test.go
@@ -171,8 +171,8 @@
 			for _, t := range []string{"small", "large", "open"} {
 				if w.rng.Float64() < rates[t]*0.005/float64(len(w.nodes)) {
 					w.asked[t]++
-					if x.purse.Take(w.now, t, func(ok bool) {
-						if ok {
+					if x.purse.Take(w.now, t, func(g Grant) {
+						if g == Granted {
 							w.ran[t] = append(w.ran[t], w.now)
 						} else {
 							w.refuse++
@@ -238,8 +238,8 @@
 	l.Begin(0, Term{N: 1, Owner: "a", Life: 1}, 0, false)
 	p := &Purse{Life: 1, Patience: 300 * ms}
 	p.SetLimits(quotas)
-	var got []bool
-	if !p.Take(10*ms, "small", func(ok bool) { got = append(got, ok) }) {
+	var got []Grant
+	if !p.Take(10*ms, "small", func(g Grant) { got = append(got, g) }) {
 		t.Fatal("the lender is not asked")
 	}
 	loan, ok := l.Report(20*ms, 20*ms, "a", p.Report(10*ms, true), quotas)
@@ -247,12 +247,31 @@
 		t.Fatal("no answer")
 	}
 	p.Lent(30*ms, loan)
-	if len(got) != 1 || !got[0] {
+	if len(got) != 1 || got[0] != Granted {
 		t.Errorf("served: %v", got)
 	}
-	if p.Take(31*ms, "ghost", func(ok bool) { got = append(got, ok) }) || len(got) != 2 || got[1] {
+	if p.Take(31*ms, "ghost", func(g Grant) { got = append(got, g) }) || len(got) != 2 || got[1] != Unknown {
 		t.Errorf("a tenant whose limit is not known: %v", got)
 	}
+	// The lender falls silent: what is lent serves until it is used up, and then nobody
+	// here can say whether the tenant is over its quota.
+	drain := func(now time.Duration) {
+		for len(got) < 100 && !p.Waiting() {
+			p.Take(now, "small", func(g Grant) { got = append(got, g) })
+		}
+	}
+	drain(40 * ms)
+	p.Report(50*ms, false)
+	if p.Expire(50*ms + p.Patience + 1); got[len(got)-1] != Unknown {
+		t.Errorf("a silent lender: %v", got)
+	}
+	// It answers that the quota is used up.
+	drain(500 * ms)
+	r := p.Report(510*ms, false)
+	p.Lent(520*ms, Loan{Term: Term{N: 1, Owner: "a", Life: 1}, Seq: r.Seq, Life: time.Second, Shares: []Share{{Tenant: "small"}}})
+	if got[len(got)-1] != Over {
+		t.Errorf("used up: %v", got)
+	}
 }
 
 func TestAnswersThatDoNotCount(t *testing.T) {
--- a/internal/reference/directory.go
+++ b/internal/reference/directory.go
@@ -14,8 +14,10 @@
 
 // Directory answers from the last view that it was given.
 type Directory struct {
-	ttl       time.Duration
-	view      atomic.Pointer[view]
+	ttl  time.Duration
+	view atomic.Pointer[view]
+	// InContact, where it is set, says whether the view may still be told.
+	InContact func() bool
 	Answered  atomic.Uint64
 	Refused   atomic.Uint64
 	residency func(host string) []string
@@ -39,7 +41,7 @@
 }
 
 // SetDesks gives the directory another view. One that knows no desk is not
-// taken over from one that does: an old answer beats none.
+// taken over from one that does: while there is contact an old answer beats none.
 func (d *Directory) SetDesks(desks []Desk) {
 	if len(desks) > 0 || len(d.view.Load().desks) == 0 {
 		d.view.Store(&view{desks: desks, ready: map[string][]byte{}})
@@ -58,6 +60,9 @@
 	if len(v.desks) == 0 {
 		return nil, errata.Later(errata.NoQuorum, d.ttl, "no node known yet")
 	}
+	if d.InContact != nil && !d.InContact() {
+		return nil, errata.Later(errata.NoQuorum, d.ttl, "out of contact")
+	}
 	a := Asker{Zone: zone, Region: region, Residency: d.residency(name)}
 	key := strings.Join(append([]string{zone, region}, a.Residency...), "\x00")
 	v.mu.Lock()
--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -74,6 +74,15 @@
 	}
 	d.SetDesks(desks(2))
 	d.SetDesks(nil) // knows less than before
+	contact := false
+	d.InContact = func() bool { return contact }
+	if w := httptest.NewRecorder(); true {
+		d.ServeHTTP(w, httptest.NewRequest("GET", good, nil))
+		if w.Code != 503 || w.Header().Get("Retry-After") == "" {
+			t.Errorf("out of contact: %d %v", w.Code, w.Header())
+		}
+	}
+	contact = true
 	for url, want := range map[string]int{
 		good: 200, "/v1/resolve?name=h.example&zone=nowhere": 200, "/v1/resolve?name=h.example&region=a": 200,
 		"/v1/resolve?region=a&zone=a1": 400, "/v1/resolve?name=h.example": 400, "/v1/other": 404,
