Every answer of control rests on a majority's word; views say how old they are

Cause: 404 for an unknown zone came without asking anybody. A new rollout's prior version was taken from what the archive had been shown, also of other keys, not from the record that the round confirms. A read was laid out after its round from records that may hold a change not yet committed; a new owner could answer 404 for a rollout not shown yet. Views had no age, and counted watchers that were long gone.

Change: reads are laid out from the records that the round confirms; a no about a zone or a service takes a round at the catalogue's owner, which also tells the standing version that an order starts from; views and metrics bear Age, contact, heardAgoS and gauges; status prints them.

The cut: transport.Mesh.Intercept and archive.listen are the seams; the cut itself is in export_test.go and works one way at a time.

Seen red on the code before: unknown zone 404 when cut off; no Age. GET /v1/rollouts/X did not answer 404 from a stale copy: it asked already. Taken out and seen to fail: the round before the zone's 404, the one before a service's 404, Retry-After, fresh in issues, the registry's guard, Age, and both sources of the prior version. Not tested: the read that leaves out a change under way, and the 503 for a rollout not shown yet. TestWatchersAreForgotten has one check more (Count takes the time).

--- a/cmd/madderwing/client.go
+++ b/cmd/madderwing/client.go
@@ -292,6 +292,17 @@
 	}
 }
 
+// age says how old what an archive shows is.
+func age(c archive.Contact) string {
+	switch {
+	case !c.Known:
+		return fmt.Sprintf("OUT OF CONTACT with a majority since its start %.1f s ago", c.AgeS)
+	case !c.Fresh:
+		return fmt.Sprintf("OUT OF CONTACT with a majority: items %.1f s old", c.AgeS)
+	}
+	return fmt.Sprintf("items confirmed by a majority %.1f s ago", c.AgeS)
+}
+
 // printStatus lists everything, or sums up what there is much of. Nodes that are not
 // plainly alive are listed in any case.
 func printStatus(out io.Writer, o *archive.Overview, all bool) {
@@ -310,7 +321,7 @@
 		return a
 	}
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintf(w, "as seen by %s (voting: %v)\n", o.Node, o.Voting)
+	fmt.Fprintf(w, "as seen by %s (voting: %v), %s\n", o.Node, o.Voting, age(o.Contact))
 	short := !all && len(o.Members) > listMost
 	if short {
 		printCounts(w, "KIND", sum.Nodes)
@@ -330,9 +341,9 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.Plane, m.Zone, state, shard, m.Address)
 	}
-	fmt.Fprint(w, "\nKEY\tOWNER\tEPOCH\tSEQ\tCOMMITTED\tRECORDS\n")
+	fmt.Fprint(w, "\nKEY\tOWNER\tHEARD\tEPOCH\tSEQ\tCOMMITTED\tRECORDS\n")
 	for _, k := range o.Keys {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", k.Key, name(k.Owner), k.Epoch, k.Seq, k.Commit, k.Records)
+		fmt.Fprintf(w, "%s\t%s\t%.1f s ago\t%d\t%d\t%d\t%d\n", k.Key, name(k.Owner), k.HeardAgoS, k.Epoch, k.Seq, k.Commit, k.Records)
 	}
 	fmt.Fprint(w, "\nDUTY\tHOLDER\tTERM\n")
 	for _, d := range o.Duties {
--- a/internal/archive/admin.go
+++ b/internal/archive/admin.go
@@ -38,6 +38,9 @@
 	Seq     uint64 `json:"seq"`
 	Commit  uint64 `json:"commit"`
 	Records int    `json:"records"`
+	// HeardAgoS is how long ago the owner was heard here; at the owner, how long ago a
+	// majority confirmed it.
+	HeardAgoS float64 `json:"heardAgoS"`
 }
 
 // RouteState is a route and its placement.
@@ -89,6 +92,7 @@
 type Overview struct {
 	Node        string               `json:"node"`
 	Voting      bool                 `json:"voting"`
+	Contact     Contact              `json:"contact"`
 	Members     []Member             `json:"members"`
 	Keys        []Key                `json:"keys"`
 	Duties      []rota.State         `json:"duties"`
@@ -105,7 +109,7 @@
 }
 
 func (a *Archive) overview(now time.Duration) *Overview {
-	o := &Overview{Node: a.set.Node, Voting: a.member.Voting(), Duties: a.rota.States(now), Listing: a.stand.Version,
+	o := &Overview{Node: a.set.Node, Voting: a.member.Voting(), Contact: a.contact.state(now), Duties: a.rota.States(now), Listing: a.stand.Version,
 		Upstreams: a.stand.All(now), Evacuations: []string{}, Members: []Member{}, Delivery: []Delivery{}, Routes: []RouteState{}, Shards: []ShardState{}}
 	list := a.reg.List()
 	labels := list.Shards(a.opt.Shards)
@@ -140,7 +144,11 @@
 		}
 	}
 	for _, v := range a.member.Views(now) {
-		o.Keys = append(o.Keys, Key{v.Key, v.Owner, v.Epoch, v.Seq, v.Commit, v.Records})
+		heard := v.HeardAgo
+		if t, _ := a.member.Tenure(now, v.Key); v.Owning {
+			heard = now - t.Sure
+		}
+		o.Keys = append(o.Keys, Key{v.Key, v.Owner, v.Epoch, v.Seq, v.Commit, v.Records, heard.Round(time.Millisecond).Seconds()})
 	}
 	for _, r := range a.routes.List(a.shown.Records) {
 		o.Routes = append(o.Routes, RouteState{r.Name, r.Host, r.PathPrefix, r.Targets(), r.Generation, r.Status.Phase, r.Status.Shard})
@@ -162,7 +170,7 @@
 	o.Counters = map[string]uint64{
 		"orders": a.stats.Orders.Load(), "ordersRefused": a.stats.Refused.Load(), "ordersNoQuorum": a.stats.NoQuorum.Load(),
 		"platformCalls": a.stats.Polls.Load(), "platformErrors": a.stats.PollErrors.Load(),
-		"bindings": a.shelf.Bound, "bindingErrors": a.shelf.Errors, "watchers": uint64(a.watchers.Count()),
+		"bindings": a.shelf.Bound, "bindingErrors": a.shelf.Errors, "watchers": uint64(a.watchers.Count(now)),
 		"framesSent": a.post.FramesSent.Load(), "bytesSent": a.post.BytesSent.Load(), "framesUndecoded": a.post.Undecoded.Load(),
 	}
 	return o
@@ -216,6 +224,12 @@
 		}
 	}
 	tally.Gauge(&b, "archive", "keysOwned", owned)
+	inContact := uint64(0)
+	if o.Contact.Fresh {
+		inContact = 1
+	}
+	tally.Gauge(&b, "archive", "inContact", inContact)
+	tally.Gauge(&b, "archive", "itemsAgeMs", uint64(o.Contact.AgeS*1000))
 	tally.Gauge(&b, "archive", "routes", uint64(len(o.Routes)))
 	tally.Gauge(&b, "archive", "upstreams", uint64(len(o.Upstreams)))
 	tally.Gauge(&b, "archive", "desks", uint64(len(o.Delivery)))
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -130,6 +130,9 @@
 	whole   bool
 }
 
+// listen makes the mesh; tests put a cut into it.
+var listen = transport.New
+
 // Run serves until ctx ends, then leaves in order.
 func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
 	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
@@ -152,7 +155,7 @@
 	if err != nil && !errors.Is(err, ledger.ErrDamaged) {
 		return err
 	}
-	post, err := transport.New(set.ArchiveAddress(set.IP), charter.Seconds(set.Bounds.ContactS/6), logger("transport"))
+	post, err := listen(set.ArchiveAddress(set.IP), charter.Seconds(set.Bounds.ContactS/6), logger("transport"))
 	if err != nil {
 		return err
 	}
--- a/internal/archive/control.go
+++ b/internal/archive/control.go
@@ -42,6 +42,10 @@
 	Abort   bool                        `cbor:"11,keyasint,omitempty"`
 	Adopt   map[string]rollout.Standing `cbor:"12,keyasint,omitempty"`
 	Saw     map[string]uint64           `cbor:"13,keyasint,omitempty"`
+	// Service asks the owner of the catalogue for one; Stood is what it said stands
+	// there, for an order that begins a rollout.
+	Service string           `cbor:"15,keyasint,omitempty"`
+	Stood   rollout.Standing `cbor:"16,keyasint,omitzero"`
 }
 
 // verdict is the owner's answer.
@@ -65,6 +69,8 @@
 		}
 	}
 	refused := make([]bool, len(o.Bind))
+	var body []byte // as of the records that the round confirms
+	ordered := false
 	var steps []catalogue.Step
 	revokes := false
 	done := make(chan verdict, 1)
@@ -97,11 +103,17 @@
 				}
 				return all, nil
 			case o.Rollout != nil:
-				return rollout.Begin(have, *o.Rollout, a.serves(o.Rollout.Service))
+				return rollout.Begin(have, *o.Rollout, a.serves(have[o.Key], o))
 			case o.Abort:
 				return rollout.Abort(have, strings.TrimPrefix(o.Key, rollout.Prefix), a.rolls.Age(time.Since(a.start), strings.TrimPrefix(o.Key, rollout.Prefix)))
 			case o.Adopt != nil:
 				return rollout.Adopt(have, o.Adopt, o.Saw), nil
+			case o.Service != "":
+				body = stood(have, o.Service)
+			case o.Show:
+				_, ordered = rollout.Read(have[o.Key])
+			case o.Read:
+				body = render(o.Key, have)
 			}
 			return nil, nil
 		}, func(err error) {
@@ -121,7 +133,7 @@
 					return
 				}
 			}
-			var v verdict
+			v := verdict{Body: body}
 			if o.Plan != nil {
 				v.Body, _ = json.Marshal(steps)
 			}
@@ -130,10 +142,9 @@
 			}
 			if o.Show {
 				v.Body = a.showRollout(time.Since(a.start), strings.TrimPrefix(o.Key, rollout.Prefix))
-			}
-			if o.Read {
-				records, _, _ := a.member.Committed(o.Key)
-				v.Body = render(o.Key, records)
+				if ordered && v.Body == nil { // taken over a moment ago, and not shown yet
+					v = fault(replication.ErrNoQuorum)
+				}
 			}
 			done <- v
 		})
@@ -237,10 +248,20 @@
 		if r.URL.Path != "/metrics" {
 			w.Header().Set("Content-Type", "application/json")
 		}
+		if view(r) {
+			a.contact.stamp(time.Since(a.start), w.Header())
+		}
 		_, _ = w.Write(body)
 	})
 }
 
+// view says whether a call is answered from what this archive holds, however old: the
+// views for operators. All others wait for a majority's word.
+func view(r *http.Request) bool {
+	page, admin := strings.CutPrefix(r.URL.Path, "/v1/admin/")
+	return r.URL.Path == "/metrics" || admin && r.Method == http.MethodGet && !strings.HasPrefix(page, "rollouts/")
+}
+
 func readCall(r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxCall))
 	if err != nil {
@@ -277,13 +298,17 @@
 		return nil, errata.New(errata.WrongMethod, "%s on %s", r.Method, path)
 	case strings.HasPrefix(path, "/v1/evacuation/"):
 		zone := strings.TrimPrefix(path, "/v1/evacuation/")
-		if !zones[zone] {
-			return nil, errata.New(errata.UnknownZone, "%q", zone)
-		}
 		on := r.Method == http.MethodPost
 		if !on && r.Method != http.MethodDelete {
 			return nil, errata.New(errata.WrongMethod, "%s on %s", r.Method, path)
 		}
+		if !zones[zone] {
+			// A no rests on a majority's word as a yes does.
+			if _, err := a.submit(order{Key: catalogue.Key}); err != nil {
+				return nil, err
+			}
+			return nil, errata.New(errata.UnknownZone, "%q", zone)
+		}
 		if _, err := a.submit(order{Key: catalogue.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/archive/cut_test.go
@@ -0,0 +1,233 @@
+package archive_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"madderwing/internal/archive"
+	"madderwing/internal/charter"
+	"madderwing/internal/desk"
+)
+
+// core is four archives, each on an address and in a zone of its own, and a desk beside
+// the first.
+type core struct {
+	*system
+	control  []string // by archive
+	registry []string
+	post     []string // where they listen for each other
+}
+
+func newCore(t *testing.T) *core {
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"instances":[{"id":"i-1","target":"a","address":"127.0.0.1:1","zone":"z1","generation":"v1","capacity":4,"state":"ready","warmupLeftS":0}],"nextToken":null}`)
+	}))
+	t.Cleanup(platform.Close)
+	base := free(t, 6)
+	c := &core{system: &system{deskDone: make(chan error, 1)}}
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan error, 5)
+	for i := 1; i <= 4; i++ {
+		ip := fmt.Sprintf("127.0.0.%d", i)
+		set, err := charter.Parse([]byte(fmt.Sprintf(`
+node = "n-%d"
+ip = %q
+zone = "z%d"
+internalPorts = [%d, %d]
+seedNodes = ["127.0.0.1:%d", "127.0.0.2:%[6]d", "127.0.0.3:%[6]d"]
+bootstrap = true
+inQuorum = true
+dataDir = %q
+ingress = "registry"
+[zones]
+z1 = "home"
+z2 = "home"
+z3 = "home"
+z4 = "home"
+[bind]
+front = "%[2]s:%[8]d"
+readiness = "%[2]s:%[9]d"
+control = "%[2]s:%[6]d"
+directory = "%[2]s:%[10]d"
+[limits]
+memoryMb = 284
+maxFds = 4100
+[bounds]
+contactS = 3
+ackS = 5
+drainS = 2.5
+graceS = 1
+configApplyS = 2.5
+retryRatio = 0.2
+retryWindowS = 10
+retrySlack = 60
+warmupOvershoot = 1.5
+warmupSlack = 5
+evacuateS = 5
+revocationGlobal = true
+revokeS = 60
+quotaWindowS = 5
+quotaOvershoot = 0.1
+quotaSlack = 2
+ttl_max_s = 5
+[cloudApi]
+address = %[11]q
+`, i, ip, i, base, base+1, base+4, t.TempDir(), base+2, base+3, base+5, strings.TrimPrefix(platform.URL, "http://"))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.control, c.registry, c.post = append(c.control, set.Bind.Control), append(c.registry, set.Bind.Directory), append(c.post, set.ArchiveAddress(ip))
+		go func() { done <- archive.Run(ctx, set, archive.Options{Shards: 1, Relist: time.Minute}, nil) }()
+		if i == 1 {
+			c.ready = set.Bind.Readiness
+			go func() { done <- desk.Run(ctx, set, desk.Options{Shards: 1}, nil) }()
+		}
+	}
+	t.Cleanup(func() {
+		archive.Join()
+		leave()
+		for range 5 {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	return c
+}
+
+// watchers is how many nodes watch an archive, as that tells.
+func (c *core) watchers(t *testing.T, i int) int {
+	var n struct{ Watchers int }
+	if err := json.Unmarshal([]byte(c.until(t, 200, "GET", c.control[i]+"/v1/admin/counters", "")), &n); err != nil {
+		t.Fatal(err)
+	}
+	return n.Watchers
+}
+
+// gauge reads one gauge of an archive.
+func (c *core) gauge(t *testing.T, i int, name string) string {
+	for _, line := range strings.Split(c.until(t, 200, "GET", c.control[i]+"/metrics", ""), "\n") {
+		if rest, ok := strings.CutPrefix(line, "madderwing_archive_"+name+" "); ok {
+			return rest
+		}
+	}
+	return ""
+}
+
+func (c *core) wait(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for i := 0; !is(); i++ {
+		if i > 600 {
+			t.Fatalf("never: %s", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func TestACutOffArchiveConfirmsNothing(t *testing.T) {
+	c := newCore(t)
+	for i := range c.control {
+		c.wait(t, fmt.Sprintf("archive %d is in contact", i+1), func() bool { return c.gauge(t, i, "in_contact") == "1" })
+	}
+	c.wait(t, "four members", func() bool {
+		return strings.Count(c.until(t, 200, "GET", c.control[0]+"/v1/admin/members", ""), `"seat": true`) == 4
+	})
+	c.until(t, 200, "PATCH", c.control[3]+"/v1/config", items)
+	c.until(t, 200, "GET", c.ready+"/v1/readiness", "")
+	c.wait(t, "the desk watches the archive beside it", func() bool { return c.watchers(t, 0) > 0 })
+	const order = `{"target":"a","targetVersion":"v2","withinS":60}`
+	c.until(t, 200, "POST", c.control[1]+"/v1/rollouts", order)
+	c.until(t, 200, "GET", c.control[0]+"/v1/rollouts/a", "")
+	c.until(t, 200, "GET", c.registry[0]+"/v1/resolve?name=h.example&zone=z1", "")
+
+	// The ways to the archive and from it are cut one after the other, so that for a
+	// moment it is heard and hears nothing.
+	for i := 1; i < 4; i++ {
+		archive.Cut(c.post[i], c.post[0])
+	}
+	for i := 1; i < 4; i++ {
+		archive.Cut(c.post[0], c.post[i])
+	}
+	removed := `{"remove":{"routes":[{"name":"r","generation":2}]}}`
+	c.until(t, 200, "PATCH", c.control[2]+"/v1/config", removed)
+	type call struct {
+		method, path, body string
+		joined             int // its status after the join
+	}
+	calls := []call{
+		{"GET", "/v1/config", "", 200},
+		{"PATCH", "/v1/config", removed, 200},
+		{"PATCH", "/v1/config", items, 200}, // older than what stands
+		{"PATCH", "/v1/config", strings.NewReplacer(`"name":"r"`, `"name":"r2"`, `"target":"a"`, `"target":"new"`).Replace(items), 400}, // refused as things stood
+		{"POST", "/v1/evacuation/z2", "", 200},
+		{"DELETE", "/v1/evacuation/z2", "", 200},
+		{"POST", "/v1/evacuation/new", "", 404},
+		{"POST", "/v1/rollouts", order, 200},
+		{"POST", "/v1/rollouts", strings.Replace(order, "v2", "v3", 1), 409},
+		{"POST", "/v1/rollouts", strings.Replace(order, `"a"`, `"new"`, 1), 404},
+		{"GET", "/v1/rollouts/a", "", 200},
+		{"GET", "/v1/rollouts/new", "", 404},
+		{"GET", "/v1/admin/rollouts/a", "", 200},
+		{"DELETE", "/v1/rollouts/a", "", 200},
+		{"DELETE", "/v1/rollouts/new", "", 404},
+		{"POST", "/v1/admin/plan", items, 200},
+		{"DELETE", "/v1/admin/members/new", "", 404},
+	}
+	for _, x := range calls {
+		res, err := send(c.control[0], x.method, x.path, x.body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if res.StatusCode != 503 || res.Header.Get("Retry-After") == "" {
+			t.Errorf("cut off: %s %s %s: %d, Retry-After %q", x.method, x.path, x.body, res.StatusCode, res.Header.Get("Retry-After"))
+		}
+	}
+	c.wait(t, "the gauge says so", func() bool { return c.gauge(t, 0, "in_contact") == "0" })
+	c.until(t, 503, "GET", c.registry[0]+"/v1/resolve?name=h.example&zone=z1", "")
+	c.until(t, 503, "GET", c.control[0]+"/v1/admin/resolve?name=h.example&zone=z1", "")
+	c.wait(t, "the desk has left", func() bool { return c.watchers(t, 0) == 0 })
+	if status, _ := c.call(t, "GET", c.ready+"/v1/readiness", ""); status != 200 {
+		t.Errorf("a desk that was ready is not, for an archive that is cut off: %d", status)
+	}
+	// Views are told, with their age.
+	res, err := send(c.control[0], "GET", "/v1/admin/keys", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if age, err := strconv.Atoi(res.Header.Get("Age")); res.StatusCode != 200 || err != nil || age < 2 {
+		t.Errorf("a view: %d, Age %q", res.StatusCode, res.Header.Get("Age"))
+	}
+	if got := c.until(t, 200, "GET", c.control[0]+"/v1/admin/summary", ""); !strings.Contains(got, `"fresh": false`) {
+		t.Errorf("summary: %s", got)
+	}
+	if got := c.gauge(t, 1, "in_contact"); got != "1" {
+		t.Errorf("the others: %q", got)
+	}
+
+	archive.Join()
+	c.wait(t, "contact again", func() bool { return c.gauge(t, 0, "in_contact") == "1" })
+	for _, x := range calls {
+		c.until(t, x.joined, x.method, c.control[0]+x.path, x.body)
+	}
+	c.until(t, 200, "GET", c.registry[0]+"/v1/resolve?name=h.example&zone=z1", "")
+	c.wait(t, "the desk comes back", func() bool { return c.watchers(t, 0) > 0 })
+}
+
+func send(host, method, path, body string) (*http.Response, error) {
+	req, err := http.NewRequest(method, "http://"+host+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err == nil {
+		res.Body.Close()
+	}
+	return res, err
+}
--- /dev/null
+++ b/internal/archive/export_test.go
@@ -0,0 +1,45 @@
+package archive
+
+import (
+	"log"
+	"sync"
+	"time"
+
+	"madderwing/internal/transport"
+)
+
+// cuts are the ways between archives that are cut, from and to by address.
+var cuts sync.Map
+
+// Cut cuts the way from one archive to another, and Join opens all again. What is sent
+// is dropped where it arrives.
+func Cut(from, to string) { cuts.Store([2]string{from, to}, true) }
+
+// Join: see Cut.
+func Join() { cuts.Clear() }
+
+type lost struct{}
+
+func (lost) Error() string { return "cut" }
+
+func init() {
+	listen = func(address string, patience time.Duration, logger *log.Logger) (*transport.Mesh, error) {
+		m, err := transport.New(address, patience, logger)
+		if err != nil {
+			return nil, err
+		}
+		m.Intercept = func(_ string, next transport.Handler) transport.Handler {
+			return func(from string, body []byte) (any, error) {
+				if _, cut := cuts.Load([2]string{from, address}); cut {
+					return nil, lost{}
+				}
+				out, err := next(from, body)
+				if _, cut := cuts.Load([2]string{address, from}); cut {
+					return nil, lost{} // the answer does not arrive
+				}
+				return out, err
+			}
+		}
+		return m, nil
+	}
+}
--- a/internal/archive/restart_test.go
+++ b/internal/archive/restart_test.go
@@ -4,6 +4,9 @@
 	"log"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/accession"
 	"madderwing/internal/antientropy"
 	"madderwing/internal/catalogue"
 	"madderwing/internal/replication"
@@ -53,3 +56,32 @@
 		t.Errorf("shown after a restart: %+v", a.versions)
 	}
 }
+
+// The prior version of a new order is what the record and the catalogue's owner say, not
+// what this archive happens to have been shown.
+func TestAnOrderStartsFromWhatIsConfirmed(t *testing.T) {
+	a := &Archive{versions: map[string]rollout.Service{"s": {Standing: rollout.Standing{Version: "shown"}}}}
+	a.stand.Update(0, 1, 1, []accession.Instance{{ID: "i", Service: "s", Version: "listed"}})
+	plan := func(stage rollout.Stage) replication.Record {
+		data, err := cbor.Marshal(rollout.Plan{Service: "s", Prior: "v1", Candidate: "v2", Order: 1, Stage: stage})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return replication.Record{Name: rollout.Key("s"), Gen: 7, Data: data}
+	}
+	for name, c := range map[string]struct {
+		last  replication.Record
+		stood rollout.Standing
+		want  string
+	}{
+		"an order is complete":              {plan(rollout.Complete), rollout.Standing{Version: "v0"}, "v2"},
+		"one was reverted":                  {plan(rollout.Reverted), rollout.Standing{Version: "v0"}, "v1"},
+		"another stands since":              {plan(rollout.Complete), rollout.Standing{Version: "v3", After: 7}, "v3"},
+		"no order yet":                      {replication.Record{}, rollout.Standing{Version: "v0"}, "v0"},
+		"nothing was kept: the list's word": {replication.Record{}, rollout.Standing{}, "listed"},
+	} {
+		if got := a.serves(c.last, order{Rollout: &rollout.Ask{Service: "s"}, Stood: c.stood}); got != c.want {
+			t.Errorf("%s: %q, want %q", name, got, c.want)
+		}
+	}
+}
--- a/internal/archive/rollout.go
+++ b/internal/archive/rollout.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"madderwing/internal/accession"
 	"madderwing/internal/catalogue"
 	"madderwing/internal/errata"
@@ -92,12 +94,18 @@
 	}
 }
 
-// serves is the version of a service that stands, as this archive knows it.
-func (a *Archive) serves(service string) string {
-	if v := a.versions[service].Serves(); v != "" {
-		return v
+// serves is the version that stands as an order comes: by the record of the service's
+// last order, by what the owner of the catalogue said, or, where no version was ever
+// kept, by the platform's list.
+func (a *Archive) serves(last replication.Record, o order) string {
+	v := rollout.Service{Standing: o.Stood}
+	if p, ok := rollout.Read(last); ok {
+		v.Plan = p
+	}
+	if known := v.Serves(); known != "" {
+		return known
 	}
-	return a.listed()[service].version
+	return a.listed()[o.Rollout.Service].version
 }
 
 type listedVersions struct {
@@ -187,10 +195,11 @@
 			a.log.control.Printf("rollout refused: %v.", err)
 			return nil, err
 		}
-		if err := a.hasService(ask.Service); err != nil {
+		stood, err := a.service(ask.Service)
+		if err != nil {
 			return nil, err
 		}
-		if _, err := a.submit(order{Key: rollout.Key(ask.Service), Rollout: &ask}); err != nil {
+		if _, err := a.submit(order{Key: rollout.Key(ask.Service), Rollout: &ask, Stood: stood}); err != nil {
 			a.log.control.Printf("rollout of %s to %s not taken: %v.", ask.Service, ask.Version, err)
 			return nil, err
 		}
@@ -222,24 +231,41 @@
 	if <-has {
 		return nil
 	}
-	text, err := a.submit(order{Key: catalogue.Key, Read: true})
+	_, err := a.service(name)
+	return err
+}
+
+// standing is what the owner of the catalogue says of a service.
+type standing struct {
+	Has   bool             `cbor:"1,keyasint,omitempty"`
+	Stood rollout.Standing `cbor:"2,keyasint,omitzero"`
+}
+
+func stood(have map[string]replication.Record, service string) []byte {
+	s := standing{Has: catalogue.HasService(have, service)}
+	s.Stood, _ = rollout.ReadStanding(have[rollout.StandingPrefix+service])
+	b, err := cbor.Marshal(s)
 	if err != nil {
-		return err
+		panic(err)
 	}
-	var all struct {
-		Services []struct {
-			Name string `json:"name"`
-		} `json:"services"`
+	return b
+}
+
+// service asks the owner of the catalogue for a service, and for its version that
+// stands there.
+func (a *Archive) service(name string) (rollout.Standing, error) {
+	body, err := a.submit(order{Key: catalogue.Key, Service: name})
+	if err != nil {
+		return rollout.Standing{}, err
 	}
-	if err := json.Unmarshal(text, &all); err != nil {
-		return err
+	var s standing
+	if err := cbor.Unmarshal(body, &s); err != nil {
+		return rollout.Standing{}, err
 	}
-	for _, s := range all.Services {
-		if s.Name == name {
-			return nil
-		}
+	if !s.Has {
+		return rollout.Standing{}, errata.New(errata.UnknownService, "%q", name)
 	}
-	return errata.New(errata.UnknownService, "%q", name)
+	return s.Stood, nil
 }
 
 // ArmState is one arm of a rollout as the administration API shows it.
--- a/internal/archive/summary.go
+++ b/internal/archive/summary.go
@@ -21,6 +21,7 @@
 // Summary is an overview that stays short whatever the number of nodes.
 type Summary struct {
 	Node      string   `json:"node"`
+	Contact   Contact  `json:"contact"`
 	Nodes     []Count  `json:"nodes"`
 	Upstreams []Count  `json:"upstreams"`
 	Desks     int      `json:"desks"`
@@ -34,7 +35,7 @@
 // Summary sums an overview up by kind, zone and state.
 func (o *Overview) Summary() *Summary {
 	behind := o.behind()
-	s := &Summary{Node: o.Node, Desks: len(o.Delivery), Behind: len(behind), BehindOf: behind[:min(len(behind), behindMost)]}
+	s := &Summary{Node: o.Node, Contact: o.Contact, Desks: len(o.Delivery), Behind: len(behind), BehindOf: behind[:min(len(behind), behindMost)]}
 	nodes, ups := map[Count]int{}, map[Count]int{}
 	for _, m := range o.Members {
 		nodes[Count{m.Plane, m.Zone, m.Standing(), 0}]++
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -173,8 +173,15 @@
 	return out
 }
 
-// Count is the number of watchers.
-func (w *Watchers) Count() int { return len(w.all) }
+// Count is the number of watchers that are not forgotten.
+func (w *Watchers) Count(now time.Duration) (n int) {
+	for _, x := range w.all {
+		if now-x.seen <= w.Forget {
+			n++
+		}
+	}
+	return n
+}
 
 // Sources picks the two archives that a desk watches: in different zones, its
 // own zone first, and none that has lately been found wanting if others are
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -94,9 +94,12 @@
 	w := Watchers{Forget: time.Second}
 	w.Note(0, "a", Watch{})
 	w.Note(900*time.Millisecond, "b", Watch{})
+	if n := w.Count(1500 * time.Millisecond); n != 1 {
+		t.Errorf("%d before anything was sent", n)
+	}
 	var seen []string
 	w.Each(1500*time.Millisecond, func(to string, has Watch) Watch { seen = append(seen, to); return has })
-	if len(seen) != 1 || seen[0] != "b" || w.Count() != 1 {
+	if len(seen) != 1 || seen[0] != "b" || w.Count(1500*time.Millisecond) != 1 {
 		t.Fatalf("seen %v", seen)
 	}
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -51,10 +51,12 @@
 
 	mu       sync.Mutex
 	handlers map[string]entry
-	links    map[string]*link
-	waiting  map[uint64]chan frame
-	inbound  map[net.Conn]struct{}
-	closed   bool
+	// Intercept, where it is set before handlers are named, is put before each of them.
+	Intercept func(kind string, next Handler) Handler
+	links     map[string]*link
+	waiting   map[uint64]chan frame
+	inbound   map[net.Conn]struct{}
+	closed    bool
 
 	garbageMu   sync.Mutex
 	garbageAt   time.Time // when garbage was last logged
@@ -96,7 +98,14 @@
 
 // Handle names the handler of a kind of message. It runs on the reader's
 // goroutine and may not block.
-func (c *Mesh) Handle(kind string, fn Handler) { c.handlers[kind] = entry{fn, false} }
+func (c *Mesh) Handle(kind string, fn Handler) { c.handle(kind, fn, false) }
+
+func (c *Mesh) handle(kind string, fn Handler, async bool) {
+	if c.Intercept != nil {
+		fn = c.Intercept(kind, fn)
+	}
+	c.handlers[kind] = entry{fn, async}
+}
 
 // On names the handler of a kind of message of type T, to which there is no
 // answer. What cannot be decoded is counted and dropped.
@@ -113,7 +122,7 @@
 }
 
 // HandleSlow names a handler that may block.
-func (c *Mesh) HandleSlow(kind string, fn Handler) { c.handlers[kind] = entry{fn, true} }
+func (c *Mesh) HandleSlow(kind string, fn Handler) { c.handle(kind, fn, true) }
 
 // Start begins to take messages; handlers are named before.
 func (c *Mesh) Start() {
