--- a/internal/replication/reads.go
+++ b/internal/replication/reads.go
@@ -15,11 +15,11 @@
 // was certainly the newest that anybody could have been told of.
 func (m *Member) Current(name string) (time.Duration, bool) {
 	k := m.key(name)
-	if k.commit != k.at || k.commit.Seq == 0 {
+	if k.commit.Seq == 0 || k.commit != k.at && k.undo == nil {
 		return 0, false
 	}
 	if k.role == owns {
-		return k.sure, true
+		return k.sure, k.commit.Epoch == k.mine
 	}
 	return k.current, k.current > 0
 }
--- a/internal/replication/steps.go
+++ b/internal/replication/steps.go
@@ -209,7 +209,8 @@
 	if reply.OK {
 		m.committed(k, commit)
 	}
-	if c.Sure != nil && c.Sure.Life == m.cfg.Life && k.at == to && k.commit == to {
+	// The owner had told nobody of anything beyond Commit when it was as sure as it says.
+	if c.Sure != nil && c.Sure.Life == m.cfg.Life && c.Commit > 0 && k.commit == commit {
 		k.current = max(k.current, c.Sure.Mark+c.Sure.Held-c.Sure.Age)
 	}
 	m.reply(k, from, reply)
