--- a/cmd/madderwing/client.go
+++ b/cmd/madderwing/client.go
@@ -19,6 +19,7 @@
 	"madderwing/internal/archive"
 	"madderwing/internal/catalogue"
 	"madderwing/internal/charter"
+	"madderwing/internal/replication"
 )
 
 // client calls the archives' control interface, one after the other.
@@ -292,6 +293,22 @@
 	}
 }
 
+// printRoster tells of the seats, of the learners and of what may be lost now.
+func printRoster(w io.Writer, r replication.Standing) {
+	change := ""
+	if r.Joint {
+		change = ", a change is under way"
+	}
+	fmt.Fprintf(w, "%d seats%s; %d more may be lost now, %d are to be borne\n", len(r.Seats), change, max(0, r.Bears), r.Wanted)
+	for _, l := range r.Learners {
+		behind := "not known how far behind"
+		if l.Behind >= 0 {
+			behind = fmt.Sprintf("behind in %d keys", l.Behind)
+		}
+		fmt.Fprintf(w, "learner %s, %s\n", l.ID, behind)
+	}
+}
+
 // age says how old what an archive shows is.
 func age(c archive.Contact) string {
 	switch {
@@ -322,6 +339,7 @@
 	}
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "as seen by %s (voting: %v), %s\n", o.Node, o.Voting, age(o.Contact))
+	printRoster(w, o.Roster)
 	short := !all && len(o.Members) > listMost
 	if short {
 		printCounts(w, "KIND", sum.Nodes)
--- a/internal/archive/admin.go
+++ b/internal/archive/admin.go
@@ -93,6 +93,7 @@
 	Node        string               `json:"node"`
 	Voting      bool                 `json:"voting"`
 	Contact     Contact              `json:"contact"`
+	Roster      replication.Standing `json:"roster"`
 	Members     []Member             `json:"members"`
 	Keys        []Key                `json:"keys"`
 	Duties      []rota.State         `json:"duties"`
@@ -109,7 +110,7 @@
 }
 
 func (a *Archive) overview(now time.Duration) *Overview {
-	o := &Overview{Node: a.set.Node, Voting: a.member.Voting(), Contact: a.contact.state(now), Duties: a.rota.States(now), Listing: a.stand.Version,
+	o := &Overview{Node: a.set.Node, Voting: a.member.Voting(), Contact: a.contact.state(now), Roster: a.member.Standing(now), Duties: a.rota.States(now), Listing: a.stand.Version,
 		Upstreams: a.stand.All(now), Evacuations: []string{}, Members: []Member{}, Delivery: []Delivery{}, Routes: []RouteState{}, Shards: []ShardState{}}
 	list := a.reg.List()
 	labels := list.Shards(a.opt.Shards)
@@ -229,6 +230,16 @@
 		inContact = 1
 	}
 	tally.Gauge(&b, "archive", "inContact", inContact)
+	learnersBehind := uint64(0)
+	for _, l := range o.Roster.Learners {
+		if l.Behind > 0 {
+			learnersBehind++
+		}
+	}
+	tally.Gauge(&b, "archive", "seats", uint64(len(o.Roster.Seats)))
+	tally.Gauge(&b, "archive", "learners", uint64(len(o.Roster.Learners)))
+	tally.Gauge(&b, "archive", "learnersBehind", learnersBehind)
+	tally.Gauge(&b, "archive", "lossesBorne", uint64(max(0, o.Roster.Bears)))
 	tally.Gauge(&b, "archive", "itemsAgeMs", uint64(o.Contact.AgeS*1000))
 	tally.Gauge(&b, "archive", "routes", uint64(len(o.Routes)))
 	tally.Gauge(&b, "archive", "upstreams", uint64(len(o.Upstreams)))
--- a/internal/archive/summary.go
+++ b/internal/archive/summary.go
@@ -20,8 +20,11 @@
 
 // Summary is an overview that stays short whatever the number of nodes.
 type Summary struct {
-	Node      string   `json:"node"`
-	Contact   Contact  `json:"contact"`
+	Node    string  `json:"node"`
+	Contact Contact `json:"contact"`
+	// Bears is how many further members may be lost now, Wanted how many are to be borne.
+	Bears     int      `json:"bears"`
+	Wanted    int      `json:"wanted"`
 	Nodes     []Count  `json:"nodes"`
 	Upstreams []Count  `json:"upstreams"`
 	Desks     int      `json:"desks"`
@@ -35,7 +38,7 @@
 // Summary sums an overview up by kind, zone and state.
 func (o *Overview) Summary() *Summary {
 	behind := o.behind()
-	s := &Summary{Node: o.Node, Contact: o.Contact, Desks: len(o.Delivery), Behind: len(behind), BehindOf: behind[:min(len(behind), behindMost)]}
+	s := &Summary{Node: o.Node, Contact: o.Contact, Bears: o.Roster.Bears, Wanted: o.Roster.Wanted, Desks: len(o.Delivery), Behind: len(behind), BehindOf: behind[:min(len(behind), behindMost)]}
 	nodes, ups := map[Count]int{}, map[Count]int{}
 	for _, m := range o.Members {
 		nodes[Count{m.Plane, m.Zone, m.Standing(), 0}]++
@@ -122,7 +125,7 @@
 			"current": func(d Delivery) string { return strconv.FormatBool(d.Current) }})
 	}
 	views := map[string]any{
-		"overview": o, "keys": o.Keys, "duties": o.Duties, "bindings": o.Routes, "shards": o.Shards,
+		"overview": o, "roster": o.Roster, "keys": o.Keys, "duties": o.Duties, "bindings": o.Routes, "shards": o.Shards,
 		"evacuations": o.Evacuations, "rollouts": o.Rollouts, "counters": o.Counters,
 	}
 	if o.Quotas != nil {
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -861,25 +861,25 @@
 
 // Standing is what a member tells of the roster.
 type Standing struct {
-	Seats    []string // identities
-	Joint    bool     // a change is under way
-	Learners []LearnerState
-	Bears    int // how many further members may be lost now, as far as this one hears them
-	Wanted   int // how many are to be borne
+	Seats    []string       `json:"seats"` // each an address and the identity of a disk
+	Joint    bool           `json:"joint"` // a change is under way
+	Learners []LearnerState `json:"learners"`
+	Bears    int            `json:"bears"`  // how many further members may be lost now, of those that seem alive
+	Wanted   int            `json:"wanted"` // how many are to be borne
 }
 
 // LearnerState is a member without a seat. Behind is how many keys it lacks the newest
 // copy of, as the keys' owners here know it; -1: not known.
 type LearnerState struct {
-	ID     string
-	Behind int
+	ID     string `json:"id"`
+	Behind int    `json:"behind"`
 }
 
 // Standing describes the roster and what can be borne.
 func (m *Member) Standing(now time.Duration) Standing {
 	m.now = now
 	s := m.seats()
-	out := Standing{Seats: s.all(), Joint: s.joint, Wanted: m.cfg.Faults}
+	out := Standing{Seats: s.all(), Joint: s.joint, Learners: []LearnerState{}, Wanted: m.cfg.Faults}
 	bears := func(seats []string) int {
 		live := 0
 		for _, seat := range seats {
