--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -243,14 +243,15 @@
 			return err
 		case <-ctx.Done():
 			a.log.archive.Printf("leaving.")
+			began := time.Now()
 			a.do(func(now time.Duration) { a.member.Leave(now); a.rota.Leave(now) })
 			a.reg.Leave(false)
 			// Orders under way are answered; the heirs take over meanwhile, and what
 			// this member holds is held by enough others before it goes.
 			time.Sleep(vacant / 2)
-			a.awaitMayGo(charter.Seconds(set.Bounds.GraceS * 0.5))
+			a.awaitMayGo(began.Add(charter.Seconds(set.Bounds.GraceS * 0.8)))
 			a.reg.Leave(true)
-			grace, cancel := context.WithTimeout(context.Background(), charter.Seconds(set.Bounds.GraceS/3))
+			grace, cancel := context.WithDeadline(context.Background(), began.Add(charter.Seconds(set.Bounds.GraceS*0.95)))
 			_ = control.Shutdown(grace)
 			cancel()
 			close(stop)
@@ -262,9 +263,9 @@
 	}
 }
 
-// awaitMayGo waits until the others can do without this member, at most for limit.
-func (a *Archive) awaitMayGo(limit time.Duration) {
-	for end := time.Now().Add(limit); ; time.Sleep(a.set.Beat() / 20) {
+// awaitMayGo waits until the others can do without this member, at most until end.
+func (a *Archive) awaitMayGo(end time.Time) {
+	for ; ; time.Sleep(a.set.Beat() / 20) {
 		may := make(chan bool, 1)
 		a.do(func(now time.Duration) { may <- a.member.MayGo(now) })
 		if <-may {
