ledger: a length that overflows no longer ends the start with a panic

Cause: a torn length such as made the check of what is left overflow, and the slice after it panicked; the archive could then never start again. Change: the length is compared with what is left. FuzzScan checks that scan never panics, that what it took reads the same by itself, and that buntdb reads it too. The tests' logger writes nowhere: a line for each cut hid the failures.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -305,7 +305,7 @@
 			return nil, false
 		}
 		size, err := strconv.Atoi(string(r[1 : end-1]))
-		if err != nil || size < 0 || len(r) < end+1+size+2 {
+		if err != nil || size < 0 || size > len(r)-(end+1+2) {
 			return nil, false
 		}
 		p := r[end+1 : end+1+size]
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,13 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"os"
 	"path/filepath"
 	"testing"
 )
 
-var quiet = log.New(os.Stderr, "ledger: ", 0)
+var quiet = log.New(io.Discard, "", 0)
 
 func write(t *testing.T, dir string, n int) {
 	t.Helper()
