ledger: a torn batch that buntdb would refuse is cut off, not left in the file

Cause: the reader of commands did not look at the bytes between the parts (the CR of a length, the CR LF after a part, signs and zeros before a length). A torn last batch with one of these changed counted as whole; buntdb then refused the whole file, and the archive could not start. Change: a command is just what buntdb writes.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -28,6 +28,7 @@
 
 const (
 	fileName  = "stacks.db"
+	setHead   = "*3\r\n$3\r\nset\r\n"
 	frameHead = 4 + 8 + 4 + 1 // crc, batch, entries in the batch, gone
 	compactAt = 8             // times the size of what stands
 	compactLo = 1 << 20       // no compaction below this size
@@ -277,7 +278,7 @@
 // later says whether a batch that was begun two or more after the last whole
 // one shows up in what follows the damage.
 func later(rest []byte, last uint64) bool {
-	mark := []byte("*3\r\n$3\r\nset\r\n")
+	mark := []byte(setHead)
 	for {
 		i := bytes.Index(rest, mark)
 		if i < 0 {
@@ -292,33 +293,35 @@
 	}
 }
 
-// command reads one set command; n is its length, 0 if there is none.
+// command reads one set command; n is its length, 0 if there is none. It takes
+// just what buntdb writes: buntdb refuses a whole file for less.
 func command(b []byte) (key string, value []byte, n int) {
-	head := []byte("*3\r\n$3\r\nset\r\n")
-	if !bytes.HasPrefix(b, head) {
+	r, ok := bytes.CutPrefix(b, []byte(setHead))
+	if !ok {
 		return "", nil, 0
 	}
-	r := b[len(head):]
-	part := func() ([]byte, bool) {
-		end := bytes.IndexByte(r, '\n')
-		if end < 3 || r[0] != '$' {
-			return nil, false
-		}
-		size, err := strconv.Atoi(string(r[1 : end-1]))
-		if err != nil || size < 0 || size > len(r)-(end+1+2) {
-			return nil, false
-		}
-		p := r[end+1 : end+1+size]
-		r = r[end+1+size+2:]
-		return p, true
-	}
-	k, ok := part()
+	k, r, ok := bulk(r)
 	if !ok {
 		return "", nil, 0
 	}
-	v, ok := part()
+	v, r, ok := bulk(r)
 	if !ok {
 		return "", nil, 0
 	}
 	return string(k), v, len(b) - len(r)
 }
+
+// bulk reads one part of a command and returns what follows it.
+func bulk(b []byte) (part, rest []byte, ok bool) {
+	head, rest, ok := bytes.Cut(b, []byte("\r\n"))
+	if !ok || len(head) < 2 || head[0] != '$' {
+		return nil, nil, false
+	}
+	size, err := strconv.Atoi(string(head[1:]))
+	if err != nil || size < 0 || strconv.Itoa(size) != string(head[1:]) || size > len(rest)-2 {
+		return nil, nil, false
+	}
+	part, rest = rest[:size], rest[size:]
+	rest, ok = bytes.CutPrefix(rest, []byte("\r\n"))
+	return part, rest, ok
+}
--- a/internal/ledger/scan_test.go
+++ b/internal/ledger/scan_test.go
@@ -40,6 +40,31 @@
 	}
 }
 
+// Just what buntdb writes is a command: a file with anything else in it could
+// not be opened, so it has to be cut off as torn.
+func TestCommandIsStrict(t *testing.T) {
+	const good = setHead + "$2\r\nkk\r\n$1\r\nv\r\n"
+	if key, value, n := command([]byte(good)); key != "kk" || string(value) != "v" || n != len(good) {
+		t.Fatalf("%q, %q, %d", key, value, n)
+	}
+	for i := range good {
+		if _, _, n := command([]byte(good[:i])); n != 0 {
+			t.Errorf("cut at %d: %d", i, n)
+		}
+		if good[i] == 'k' || good[i] == 'v' {
+			continue
+		}
+		if _, _, n := command([]byte(good[:i] + "\x00" + good[i+1:])); n != 0 {
+			t.Errorf("zero at %d: %d", i, n)
+		}
+	}
+	for _, size := range []string{"+2", "02", "-0", " 2", "2 ", ""} {
+		if _, _, n := command([]byte(setHead + "$" + size + "\r\nkk\r\n$1\r\nv\r\n")); n != 0 {
+			t.Errorf("size %q: %d", size, n)
+		}
+	}
+}
+
 // Whatever the text, scan does not panic, takes nothing from a batch that is not
 // whole, and takes only what buntdb reads too.
 func FuzzScan(f *testing.F) {
