ledger: the checksum covers the key, so no torn batch stands under another key

Cause: the checksum left the key out. Of a last batch with one changed byte in a key, all was taken, under a key that nobody wrote. Change: it covers the key; a bit in the frame says so, and files of earlier versions are still read (TestScanOfAnEarlierFile, from a file that the earlier code wrote). Seen red before: TestScanAtEveryByte, 54 cases: each bit of each byte of a key in the last batch (taken) and in the one before it (not seen as damage).

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -114,18 +114,39 @@
 	return d.Sync()
 }
 
-func frame(batch uint64, n int, value []byte) string {
-	b := make([]byte, frameHead, frameHead+len(value))
+// What a frame's last byte of head says.
+const (
+	gone   = 1 << iota // the key is removed
+	sealed             // the checksum covers the key too; files of earlier versions lack it
+)
+
+// frame is the value that stands on disk for one entry of a batch of n.
+func frame(batch uint64, n int, e Entry) string {
+	b := make([]byte, frameHead, frameHead+len(e.Value))
 	binary.BigEndian.PutUint64(b[4:], batch)
 	binary.BigEndian.PutUint32(b[12:], uint32(n))
-	if value == nil {
-		b[16] = 1
+	b[16] = sealed
+	if e.Value == nil {
+		b[16] |= gone
 	}
-	b = append(b, value...)
-	binary.BigEndian.PutUint32(b, crc32.ChecksumIEEE(b[4:]))
+	b = append(b, e.Value...)
+	binary.BigEndian.PutUint32(b, checksum(e.Key, b))
 	return string(b)
 }
 
+func checksum(key string, frame []byte) uint32 {
+	sum := crc32.ChecksumIEEE(frame[4:])
+	if frame[16]&sealed != 0 {
+		sum = crc32.Update(sum, crc32.IEEETable, []byte(key))
+	}
+	return sum
+}
+
+// whole says whether a frame is as it was written for key.
+func whole(key string, frame []byte) bool {
+	return len(frame) >= frameHead && binary.BigEndian.Uint32(frame) == checksum(key, frame)
+}
+
 // Write writes a batch and syncs it. After an error the caller writes its
 // whole state again with Rewrite.
 func (l *Ledger) Write(batch []Entry) (err error) {
@@ -144,7 +165,7 @@
 	grown := int64(0)
 	err = l.db.Update(func(tx *buntdb.Tx) error {
 		for _, e := range batch {
-			v := frame(l.batch, len(batch), e.Value)
+			v := frame(l.batch, len(batch), e)
 			grown += int64(len(e.Key) + len(v) + 40)
 			if _, _, err := tx.Set(e.Key, v, nil); err != nil {
 				return err
@@ -178,7 +199,7 @@
 	l.live = 0
 	err = mem.Update(func(tx *buntdb.Tx) error {
 		for _, e := range state {
-			v := frame(l.batch, len(state), e.Value)
+			v := frame(l.batch, len(state), e)
 			l.live += int64(len(e.Key) + len(v) + 40)
 			if _, _, err := tx.Set(e.Key, v, nil); err != nil {
 				return err
@@ -241,7 +262,7 @@
 	off := 0
 	for off < len(text) {
 		key, value, n := command(text[off:])
-		if n == 0 || len(value) < frameHead || binary.BigEndian.Uint32(value) != crc32.ChecksumIEEE(value[4:]) {
+		if n == 0 || !whole(key, value) {
 			// Batches are written one at a time and each is synced before the
 			// next, so only the last one may be torn.
 			if later(text[off:], last) {
@@ -256,7 +277,7 @@
 		}
 		batch = b
 		var v []byte
-		if value[16] == 0 {
+		if value[16]&gone == 0 {
 			v = append([]byte{}, value[frameHead:]...)
 		}
 		open = append(open, item{key, v})
@@ -284,9 +305,8 @@
 		if i < 0 {
 			return false
 		}
-		_, value, n := command(rest[i:])
-		if n > 0 && len(value) >= frameHead && binary.BigEndian.Uint32(value) == crc32.ChecksumIEEE(value[4:]) &&
-			binary.BigEndian.Uint64(value[4:]) > last+1 {
+		key, value, n := command(rest[i:])
+		if n > 0 && whole(key, value) && binary.BigEndian.Uint64(value[4:]) > last+1 {
 			return true
 		}
 		rest = rest[i+len(mark):]
--- a/internal/ledger/scan_test.go
+++ b/internal/ledger/scan_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
 	"maps"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/tidwall/buntdb"
@@ -13,6 +18,39 @@
 // same says whether two states hold the same.
 func same(a, b map[string][]byte) bool { return maps.EqualFunc(a, b, bytes.Equal) }
 
+// history writes small batches, and returns the file, where each batch ends and
+// the state after each.
+func history(t *testing.T) (text []byte, ends []int, states []map[string][]byte) {
+	t.Helper()
+	dir := t.TempDir()
+	l, _, err := Open(dir, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	state := map[string][]byte{}
+	for i, batch := range [][]Entry{
+		{{"a", []byte("1")}, {"bb", []byte("1")}},
+		{{"a", []byte("2")}, {"c", []byte("")}},
+		{{"a", nil}, {"bb", []byte("3")}, {"d", []byte("\r\n$1\r\n3")}},
+	} {
+		if err := l.Write(batch); err != nil {
+			t.Fatal(err)
+		}
+		text, _ = os.ReadFile(filepath.Join(dir, fileName))
+		for _, e := range batch {
+			if state[e.Key] = e.Value; e.Value == nil {
+				delete(state, e.Key)
+			}
+		}
+		ends, states = append(ends, len(text)), append(states, maps.Clone(state))
+		if got, good, last, err := scan(text); err != nil || good != int64(len(text)) || last != uint64(i+1) || !same(got, state) {
+			t.Fatalf("batch %d: %v at %d, %v, %q", i+1, last, good, err, got)
+		}
+	}
+	return text, ends, states
+}
+
 // loads checks that buntdb takes what scan took for good.
 func loads(t *testing.T, text []byte) {
 	t.Helper()
@@ -26,6 +64,60 @@
 	}
 }
 
+// Every byte of the last batch is cut off, flipped, zeroed, or the first to be
+// there after a hole: what stands is what the batch before left. Every byte of
+// the batch before is changed: that is damage, since the last one follows it.
+func TestScanAtEveryByte(t *testing.T) {
+	text, ends, states := history(t)
+	for at := ends[0]; at < len(text); at++ {
+		batch, begin := 1, ends[0]
+		if at >= ends[1] {
+			batch, begin = 2, ends[1]
+		}
+		changed := func(what string, from, to int, f func(byte) byte) {
+			torn := bytes.Clone(text)
+			for i := from; i < to; i++ {
+				torn[i] = f(torn[i])
+			}
+			if bytes.Equal(torn, text) {
+				return
+			}
+			state, good, last, err := scan(torn)
+			if batch == 1 {
+				if !errors.Is(err, ErrDamaged) {
+					t.Errorf("batch before the last, %s at %d: %v, %q", what, at, err, state)
+				}
+			} else if err != nil || good != int64(ends[1]) || last != 2 || !same(state, states[1]) {
+				t.Errorf("last batch, %s at %d: %v, good to %d, %q", what, at, err, good, state)
+			}
+			loads(t, torn[:good])
+		}
+		for bit := range 8 {
+			changed(fmt.Sprintf("bit %d flipped", bit), at, at+1, func(b byte) byte { return b ^ 1<<bit })
+		}
+		changed("zero", at, at+1, func(byte) byte { return 0 })
+		changed("hole up to", begin, at+1, func(byte) byte { return 0 })
+		state, good, last, err := scan(text[:at])
+		if err != nil || good != int64(begin) || last != uint64(batch) || !same(state, states[batch-1]) {
+			t.Errorf("cut at %d: %v, good to %d, %q", at, err, good, state)
+		}
+	}
+}
+
+// A file of an earlier version, whose checksums leave the keys out, reads as it did.
+func TestScanOfAnEarlierFile(t *testing.T) {
+	const set, one = setHead, "\x00\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x02"
+	const two = "\x00\x00\x00\x00\x00\x00\x00\x02\x00\x00\x00\x01"
+	text := set + "$1\r\na\r\n$18\r\n%\x96\xa6'" + one + "\x001\r\n" +
+		set + "$2\r\nbb\r\n$18\r\n%\x96\xa6'" + one + "\x001\r\n" +
+		set + "$1\r\na\r\n$17\r\nGONE" + two + "\x01\r\n"
+	text = strings.Replace(text, "GONE", string(binary.BigEndian.AppendUint32(nil, crc32.ChecksumIEEE([]byte(two+"\x01")))), 1)
+	state, good, last, err := scan([]byte(text))
+	if err != nil || good != int64(len(text)) || last != 2 || !same(state, map[string][]byte{"bb": []byte("1")}) {
+		t.Errorf("%q up to %d, batch %d: %v", state, good, last, err)
+	}
+}
+
 func TestScanOfForeignText(t *testing.T) {
 	const set = "*3\r\n$3\r\nset\r\n"
 	for _, text := range []string{
