ledger: batches without entries or with a key twice can't make a whole file unreadable

Cause: a batch without entries took a number and wrote nothing; when the next one was torn, its own whole entries were two numbers on and the file counted as damaged: the member lost its memory for a torn batch. A batch that named a key twice was never whole on disk, since buntdb writes one entry a key; that was kept out one package higher, by the caller. Change: the ledger itself keeps the last entry of each key (moved from the archive) and writes nothing, and counts nothing, for an empty batch.

--- a/internal/archive/disk.go
+++ b/internal/archive/disk.go
@@ -39,11 +39,11 @@
 		var err error
 		switch {
 		case whole:
-			err = book.Rewrite(unique(entries))
+			err = book.Rewrite(entries)
 		case failed:
 			err = errors.New("waiting for a rewrite")
 		default:
-			err = book.Write(unique(entries))
+			err = book.Write(entries)
 		}
 		if err != nil {
 			if !failed || whole {
@@ -107,21 +107,3 @@
 	j.mu.Unlock()
 	j.some.Signal()
 }
-
-// unique keeps the last entry of each key, in order.
-func unique(entries []ledger.Entry) []ledger.Entry {
-	last := make(map[string]int, len(entries))
-	for i, e := range entries {
-		last[e.Key] = i
-	}
-	if len(last) == len(entries) {
-		return entries
-	}
-	out := entries[:0:0]
-	for i, e := range entries {
-		if last[e.Key] == i {
-			out = append(out, e)
-		}
-	}
-	return out
-}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -161,6 +161,9 @@
 			l.bad = true
 		}
 	}()
+	if batch = unique(batch); len(batch) == 0 {
+		return nil // all before it is synced, and a number without entries would be a gap
+	}
 	l.batch++
 	grown := int64(0)
 	err = l.db.Update(func(tx *buntdb.Tx) error {
@@ -183,6 +186,25 @@
 	return nil
 }
 
+// unique keeps the last entry of each key, in order: buntdb writes one entry of
+// a key, and a batch is whole when as many are there as it says.
+func unique(entries []Entry) []Entry {
+	last := make(map[string]int, len(entries))
+	for i, e := range entries {
+		last[e.Key] = i
+	}
+	if len(last) == len(entries) {
+		return entries
+	}
+	out := make([]Entry, 0, len(last))
+	for i, e := range entries {
+		if last[e.Key] == i {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // Full says whether the file has grown enough to be worth a Rewrite.
 func (l *Ledger) Full() bool { return l.size > compactLo && l.size > compactAt*l.live }
 
@@ -195,6 +217,7 @@
 		return err
 	}
 	defer mem.Close()
+	state = unique(state)
 	l.batch++
 	l.live = 0
 	err = mem.Update(func(tx *buntdb.Tx) error {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -115,3 +115,54 @@
 		t.Fatalf("err %v state %q size %d", err, state, after.Size())
 	}
 }
+
+// Of a key that a batch names twice the last entry stands; a batch without
+// entries leaves nothing, and a torn one after it is no damage.
+func TestBatchesOfAnyShape(t *testing.T) {
+	one, two := []byte("1"), []byte("2")
+	for _, c := range []struct {
+		name  string
+		batch []Entry
+		want  map[string][]byte
+	}{
+		{"twice", []Entry{{"a", one}, {"b", one}, {"a", two}}, map[string][]byte{"a": two, "b": one, "z": one}},
+		{"set and removed", []Entry{{"a", one}, {"a", nil}}, map[string][]byte{"z": one}},
+		{"removed and set", []Entry{{"z", nil}, {"z", two}}, map[string][]byte{"z": two}},
+		{"nothing", nil, map[string][]byte{"z": one}},
+	} {
+		for _, rewrite := range []bool{false, true} {
+			dir := t.TempDir()
+			l, _, err := Open(dir, quiet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			write := l.Write
+			if rewrite {
+				write = func(batch []Entry) error { return l.Rewrite(append([]Entry{{"z", one}}, batch...)) }
+			}
+			if err := l.Write([]Entry{{"z", one}}); err != nil {
+				t.Fatal(err)
+			}
+			if err := write(c.batch); err != nil {
+				t.Fatal(err)
+			}
+			path := filepath.Join(dir, fileName)
+			text, _ := os.ReadFile(path)
+			if state, _, _, err := scan(text); err != nil || !same(state, c.want) {
+				t.Errorf("%s, rewrite %v: %q, %v", c.name, rewrite, state, err)
+			}
+			if err := l.Write([]Entry{{"last", one}, {"also", one}}); err != nil {
+				t.Fatal(err)
+			}
+			l.Close()
+			text, _ = os.ReadFile(path)
+			text[len(text)-80] ^= 1 // in the first entry of the last batch
+			os.WriteFile(path, text, 0o600)
+			l, state, err := Open(dir, quiet)
+			if err != nil || !same(state, c.want) {
+				t.Errorf("%s, rewrite %v, torn after it: %q, %v", c.name, rewrite, state, err)
+			}
+			l.Close()
+		}
+	}
+}
