--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"log"
 	"os"
-	"path/filepath"
 
 	"github.com/tidwall/buntdb"
 )
@@ -30,7 +29,7 @@
 
 // Ledger is the open file.
 type Ledger struct {
-	dir   string
+	dir   folder
 	log   *log.Logger
 	db    *buntdb.DB
 	sync  *os.File
@@ -44,10 +43,13 @@
 // torn is cut off; a file with other damage is set aside and ErrDamaged is
 // returned together with an empty, usable ledger.
 func Open(dir string, logger *log.Logger) (*Ledger, map[string][]byte, error) {
+	return open(osFolder(dir), logger)
+}
+
+func open(dir folder, logger *log.Logger) (*Ledger, map[string][]byte, error) {
 	l := &Ledger{dir: dir, log: logger}
-	path := filepath.Join(dir, fileName)
-	_ = os.Remove(path + ".new")
-	text, err := os.ReadFile(path)
+	_ = dir.remove(fileName + ".new")
+	text, err := dir.read(fileName)
 	if err != nil && !os.IsNotExist(err) {
 		return nil, nil, err
 	}
@@ -55,18 +57,18 @@
 	l.batch = batch
 	if damage != nil {
 		logger.Printf("file set aside: %v.", damage)
-		if err := os.Rename(path, path+".damaged"); err != nil {
+		if err := dir.rename(fileName, fileName+".damaged"); err != nil {
 			return nil, nil, err
 		}
 		state, good = map[string][]byte{}, 0
 	} else if good < int64(len(text)) {
 		logger.Printf("torn batch of %d bytes cut off.", int64(len(text))-good)
-		if err := os.Truncate(path, good); err != nil {
+		if err := dir.truncate(fileName, good); err != nil {
 			return nil, nil, err
 		}
 	}
 	l.size = good
-	if err := l.open(); err != nil {
+	if err := l.attach(); err != nil {
 		return nil, nil, err
 	}
 	for k, v := range state {
@@ -75,8 +77,8 @@
 	return l, state, damage
 }
 
-func (l *Ledger) open() error {
-	path := filepath.Join(l.dir, fileName)
+func (l *Ledger) attach() error {
+	path := l.dir.path(fileName)
 	db, err := buntdb.Open(path)
 	if err != nil {
 		return err
@@ -90,22 +92,13 @@
 		db.Close()
 		return err
 	}
-	if err := f.Sync(); err != nil {
+	if err := l.dir.sync(f); err != nil {
 		db.Close()
 		f.Close()
 		return err
 	}
 	l.db, l.sync = db, f
-	return syncDir(l.dir)
-}
-
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
+	return l.dir.syncNames()
 }
 
 // Write writes a batch and syncs it. After an error the caller writes its
@@ -140,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	if err := l.sync.Sync(); err != nil {
+	if err := l.dir.sync(l.sync); err != nil {
 		return err
 	}
 	l.size += grown
@@ -172,7 +165,6 @@
 // Rewrite replaces the file by one that holds just the given state. The old
 // file stands until the new one and its name are safe.
 func (l *Ledger) Rewrite(state []Entry) error {
-	path := filepath.Join(l.dir, fileName)
 	mem, err := buntdb.Open(":memory:")
 	if err != nil {
 		return err
@@ -194,28 +186,28 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.OpenFile(path+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	f, err := l.dir.create(fileName + ".new")
 	if err != nil {
 		return err
 	}
 	if err = mem.Save(f); err == nil {
-		err = f.Sync()
+		err = l.dir.sync(f)
 	}
 	if cerr := f.Close(); err == nil {
 		err = cerr
 	}
 	if err == nil {
-		err = os.Rename(path+".new", path)
+		err = l.dir.rename(fileName+".new", fileName)
 	}
 	if err == nil {
-		err = syncDir(l.dir)
+		err = l.dir.syncNames()
 	}
 	if err != nil {
 		l.bad = true
 		return err
 	}
 	_ = l.Close()
-	if err := l.open(); err != nil {
+	if err := l.attach(); err != nil {
 		l.bad = true
 		return err
 	}
