ledger: a rewrite goes to a second file, so no lost rename can take the only copy

Cause: a rewrite renamed the new file over the old one. After a loss of power each file that was made, renamed or removed without a sync of its folder may be kept or lost by itself: the renamed file lost and the replaced one not kept left a folder without either, and the member its memory, with everything that it had acknowledged. Change: the file has two names by turns. The new one and its name are durable before the old one is removed, and that removal is durable before a batch follows. A start takes the newer whole file, makes it durable, and then drops the other; an unfinished rewrite is passed over; a damaged file that was in use is never passed over for an earlier one. A rewrite that is refused leaves no piece behind. The rewrite writes the file itself, without a second buntdb in memory. Ruled out: renaming after a sync of the folder (the rename alone may lose the file); a name for every rewrite (more to clear away, no safer). TestWhichFileIsTaken: 18 pairs of files, in both turns. Tests changed: TestRewriteKeepsStateAndShrinks and TestBatchesOfAnyShape named the file; they now take the one file that the folder holds, and fail if there are more.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,10 +4,13 @@
 package ledger
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log"
 	"os"
+	"slices"
 
 	"github.com/tidwall/buntdb"
 )
@@ -27,6 +30,9 @@
 	compactLo = 1 << 20 // no compaction below this size
 )
 
+// slots are the names that the file has by turns.
+var slots = [2]string{fileName, "stacks.2.db"}
+
 // Ledger is the open file.
 type Ledger struct {
 	dir   folder
@@ -36,55 +42,131 @@
 	batch uint64
 	size  int64
 	live  int64
-	bad   bool
+	bad   bool // nothing more may be appended
+	slot  int  // of the file in use
 }
 
-// Open opens the ledger in dir and returns what it holds. A last batch that is
-// torn is cut off; a file with other damage is set aside and ErrDamaged is
-// returned together with an empty, usable ledger.
+// Open opens the ledger in dir and returns what it holds, which is then durable.
+// A last batch that is torn is cut off; a file with other damage is set aside and
+// ErrDamaged is returned together with an empty, usable ledger.
 func Open(dir string, logger *log.Logger) (*Ledger, map[string][]byte, error) {
 	return open(osFolder(dir), logger)
 }
 
 func open(dir folder, logger *log.Logger) (*Ledger, map[string][]byte, error) {
 	l := &Ledger{dir: dir, log: logger}
-	_ = dir.remove(fileName + ".new")
-	text, err := dir.read(fileName)
-	if err != nil && !os.IsNotExist(err) {
+	state, good, damage, err := l.find()
+	if err != nil {
 		return nil, nil, err
 	}
-	state, good, batch, damage := scan(text)
-	l.batch = batch
 	if damage != nil {
-		logger.Printf("file set aside: %v.", damage)
-		if err := dir.rename(fileName, fileName+".damaged"); err != nil {
+		if err := l.setAside(damage); err != nil {
 			return nil, nil, err
 		}
 		state, good = map[string][]byte{}, 0
-	} else if good < int64(len(text)) {
-		logger.Printf("torn batch of %d bytes cut off.", int64(len(text))-good)
-		if err := dir.truncate(fileName, good); err != nil {
-			return nil, nil, err
-		}
 	}
-	l.size = good
+	// What is taken is made durable before anything else goes.
 	if err := l.attach(); err != nil {
 		return nil, nil, err
 	}
+	if err := l.dir.sync(l.sync); err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	if err := l.dir.syncNames(); err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	if err := l.drop(slots[1-l.slot], fileName+".new"); err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	l.size = good
 	for k, v := range state {
 		l.live += int64(len(k) + len(v) + frameHead + 40)
 	}
 	return l, state, damage
 }
 
+// find reads what is there, chooses the slot whose last whole batch is the
+// newest and cuts off what is torn behind that. While both slots are there, no
+// batch was reported that is in one of them only: see Rewrite.
+func (l *Ledger) find() (state map[string][]byte, good int64, damage, err error) {
+	size := int64(0)
+	state = map[string][]byte{}
+	for i, name := range slots {
+		text, err := l.dir.read(name)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, 0, nil, err
+		}
+		s, end, last, d := scan(text)
+		if d != nil {
+			// One number only: a rewrite that was not finished. More: a file in use.
+			if least, most := numbers(text); least < most {
+				last = most
+			}
+		}
+		if last > l.batch || l.batch == 0 && d != nil {
+			l.slot, l.batch, state, good, damage, size = i, last, s, end, d, int64(len(text))
+		} else if l.batch == 0 && damage == nil {
+			l.slot, size = i, int64(len(text))
+		}
+	}
+	if damage == nil && good < size {
+		l.log.Printf("torn batch of %d bytes cut off.", size-good)
+		if err := l.dir.truncate(slots[l.slot], good); err != nil {
+			return nil, 0, nil, err
+		}
+	}
+	return state, good, damage, nil
+}
+
+// setAside takes a damaged file out of the way, and first anything that could
+// be taken for an earlier state of the member.
+func (l *Ledger) setAside(damage error) error {
+	l.log.Printf("file set aside: %v.", damage)
+	if err := l.drop(slots[1-l.slot]); err != nil {
+		return err
+	}
+	if err := l.dir.syncNames(); err != nil { // a start before this one may have dropped it
+		return err
+	}
+	if err := l.dir.rename(slots[l.slot], fileName+".damaged"); err != nil {
+		return err
+	}
+	l.slot = 0
+	return nil
+}
+
+// drop removes files for good.
+func (l *Ledger) drop(names ...string) error {
+	some := false
+	for _, name := range names {
+		err := l.dir.remove(name)
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
+		some = some || err == nil
+	}
+	if !some {
+		return nil
+	}
+	return l.dir.syncNames()
+}
+
+// attach opens the file of the slot in use.
 func (l *Ledger) attach() error {
-	path := l.dir.path(fileName)
+	path := l.dir.path(slots[l.slot])
 	db, err := buntdb.Open(path)
 	if err != nil {
 		return err
 	}
 	// buntdb drops the error of its own sync, so the sync is done here.
 	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}); err != nil {
+		db.Close()
 		return err
 	}
 	f, err := os.OpenFile(path, os.O_RDWR, 0)
@@ -92,13 +174,8 @@
 		db.Close()
 		return err
 	}
-	if err := l.dir.sync(f); err != nil {
-		db.Close()
-		f.Close()
-		return err
-	}
 	l.db, l.sync = db, f
-	return l.dir.syncNames()
+	return nil
 }
 
 // Write writes a batch and syncs it. After an error the caller writes its
@@ -162,64 +239,65 @@
 // Full says whether the file has grown enough to be worth a Rewrite.
 func (l *Ledger) Full() bool { return l.size > compactLo && l.size > compactAt*l.live }
 
-// Rewrite replaces the file by one that holds just the given state. The old
-// file stands until the new one and its name are safe.
+// Rewrite writes just the given state to the other slot and goes on there. No
+// name ever stands for two files: the new file and its name are durable before
+// the old one is removed, and the old one is gone for good before a batch
+// follows in the new one. So whatever a loss of power takes, one of them is
+// left, and while both are there either holds all that was reported.
 func (l *Ledger) Rewrite(state []Entry) error {
-	mem, err := buntdb.Open(":memory:")
-	if err != nil {
-		return err
-	}
-	defer mem.Close()
-	state = unique(state)
+	l.bad = true
 	l.batch++
-	l.live = 0
-	err = mem.Update(func(tx *buntdb.Tx) error {
-		for _, e := range state {
-			v := frame(l.batch, len(state), e)
-			l.live += int64(len(e.Key) + len(v) + 40)
-			if _, _, err := tx.Set(e.Key, v, nil); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-	if err != nil {
-		return err
-	}
-	f, err := l.dir.create(fileName + ".new")
-	if err != nil {
-		return err
-	}
-	if err = mem.Save(f); err == nil {
-		err = l.dir.sync(f)
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
-	if err == nil {
-		err = l.dir.rename(fileName+".new", fileName)
-	}
+	other := 1 - l.slot
+	size, err := l.save(slots[other], state)
 	if err == nil {
 		err = l.dir.syncNames()
 	}
 	if err != nil {
-		l.bad = true
+		_ = l.dir.remove(slots[other]) // leaves room; a start would pass over it too
 		return err
 	}
 	_ = l.Close()
+	l.slot = other
+	if err := l.drop(slots[1-other]); err != nil {
+		return err
+	}
 	if err := l.attach(); err != nil {
-		l.bad = true
 		return err
 	}
-	l.size, l.bad = l.live, false
+	l.size, l.live, l.bad = size, size, false
 	return nil
 }
 
+// save writes a file that holds one batch, and syncs it.
+func (l *Ledger) save(name string, state []Entry) (size int64, err error) {
+	state = slices.DeleteFunc(slices.Clone(unique(state)), func(e Entry) bool { return e.Value == nil })
+	f, err := l.dir.create(name)
+	if err != nil {
+		return 0, err
+	}
+	w := bufio.NewWriterSize(f, 1<<16)
+	var line []byte
+	for _, e := range state {
+		line = appendCommand(line[:0], e.Key, frame(l.batch, len(state), e))
+		size += int64(len(line))
+		_, _ = w.Write(line) // Flush reports the error
+	}
+	if err = w.Flush(); err == nil {
+		err = l.dir.sync(f)
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return size, err
+}
+
 // Close closes the file.
 func (l *Ledger) Close() error {
 	if l.db == nil {
 		return nil
 	}
 	_ = l.sync.Close()
-	return l.db.Close()
+	err := l.db.Close()
+	l.db = nil
+	return err
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -12,6 +12,16 @@
 
 var quiet = log.New(io.Discard, "", 0)
 
+// file returns the path of the one file in dir.
+func file(t *testing.T, dir string) string {
+	t.Helper()
+	all, err := os.ReadDir(dir)
+	if err != nil || len(all) != 1 {
+		t.Fatalf("%v: %v", all, err)
+	}
+	return filepath.Join(dir, all[0].Name())
+}
+
 func write(t *testing.T, dir string, n int) {
 	t.Helper()
 	l, _, err := Open(dir, quiet)
@@ -93,7 +103,7 @@
 func TestRewriteKeepsStateAndShrinks(t *testing.T) {
 	dir := t.TempDir()
 	write(t, dir, 200)
-	before, _ := os.Stat(filepath.Join(dir, fileName))
+	before, _ := os.Stat(file(t, dir))
 	l, state, err := Open(dir, quiet)
 	if err != nil {
 		t.Fatal(err)
@@ -109,7 +119,7 @@
 		t.Fatal(err)
 	}
 	l.Close()
-	after, _ := os.Stat(filepath.Join(dir, fileName))
+	after, _ := os.Stat(file(t, dir))
 	_, state, err = Open(dir, quiet)
 	if err != nil || string(state["a"]) != "value-199" || string(state["z"]) != "1" || after.Size() > before.Size()/10 {
 		t.Fatalf("err %v state %q size %d", err, state, after.Size())
@@ -146,7 +156,7 @@
 			if err := write(c.batch); err != nil {
 				t.Fatal(err)
 			}
-			path := filepath.Join(dir, fileName)
+			path := file(t, dir)
 			text, _ := os.ReadFile(path)
 			if state, _, _, err := scan(text); err != nil || !same(state, c.want) {
 				t.Errorf("%s, rewrite %v: %q, %v", c.name, rewrite, state, err)
@@ -166,3 +176,63 @@
 		}
 	}
 }
+
+// Of the two files that may be there a start takes the newer one, passes over a
+// rewrite that was not finished, and goes back to no earlier one for damage.
+func TestWhichFileIsTaken(t *testing.T) {
+	batch := func(number uint64, value string) string {
+		text := ""
+		for _, key := range []string{"a", "b"} {
+			text += string(appendCommand(nil, key, frame(number, 2, Entry{key, []byte(value)})))
+		}
+		return text
+	}
+	spoilt := func(text string, at int) string { return text[:at] + "#" + text[at+1:] }
+	state := func(value string) map[string][]byte {
+		return map[string][]byte{"a": []byte(value), "b": []byte(value)}
+	}
+	none := map[string][]byte{}
+	old, snapshot := batch(1, "1")+batch(2, "2"), batch(4, "4")
+	const absent = "absent"
+	for _, c := range []struct {
+		name       string
+		file, next string
+		want       map[string][]byte
+		damaged    bool
+	}{
+		{"nothing", absent, absent, none, false},
+		{"empty", "", absent, none, false},
+		{"first batch torn", batch(1, "1")[:50], absent, none, false},
+		{"rewritten, first entry damaged", spoilt(snapshot, 3), absent, none, true},
+		{"one", old, absent, state("2"), false},
+		{"one torn", old[:len(old)-1], absent, state("1"), false},
+		{"one and an empty one", old, "", state("2"), false},
+		{"one and an unfinished rewrite", old, snapshot[:50], state("2"), false},
+		{"one and a rewrite with a hole", old, spoilt(snapshot, 3), state("2"), false},
+		{"one torn and an unfinished rewrite", old[:len(old)-1], snapshot[:50], state("1"), false},
+		{"one and a rewrite", old, snapshot, state("4"), false},
+		{"one torn and a rewrite", old[:len(old)-1], snapshot, state("4"), false},
+		{"one damaged and a rewrite", spoilt(old, 3), snapshot, state("4"), false},
+		{"one damaged and an unfinished rewrite", spoilt(old, 3), snapshot[:50], none, true},
+		{"one damaged and an empty one", spoilt(old, 3), "", none, true},
+		{"one and a newer one in use", old, snapshot + batch(5, "5"), state("5"), false},
+		{"one and a newer one damaged", old, spoilt(snapshot, 3) + batch(5, "5"), none, true},
+		{"one and a newer one damaged later", old, snapshot + spoilt(batch(5, "5"), 3) + batch(6, "6"), none, true},
+	} {
+		for turn := range 2 {
+			dir := t.TempDir()
+			for i, text := range []string{c.file, c.next} {
+				if text != absent {
+					os.WriteFile(filepath.Join(dir, slots[i^turn]), []byte(text), 0o600)
+				}
+			}
+			l, got, err := Open(dir, quiet)
+			if errors.Is(err, ErrDamaged) != c.damaged || err != nil && !c.damaged || !same(got, c.want) {
+				t.Errorf("%s, turn %d: %v, %q", c.name, turn, err, got)
+			}
+			if l != nil {
+				l.Close()
+			}
+		}
+	}
+}
--- a/internal/ledger/scan.go
+++ b/internal/ledger/scan.go
@@ -99,20 +99,43 @@
 // later says whether a batch that was begun two or more after the last whole
 // one shows up in what follows the damage.
 func later(rest []byte, last uint64) bool {
+	_, most := numbers(rest)
+	return most > last+1
+}
+
+// numbers returns the least and the greatest number of a batch of which entries
+// are whole, wherever they lie; 0 if there are none.
+func numbers(rest []byte) (least, most uint64) {
 	mark := []byte(setHead)
 	for {
 		i := bytes.Index(rest, mark)
 		if i < 0 {
-			return false
+			return least, most
 		}
-		key, value, n := command(rest[i:])
-		if n > 0 && whole(key, value) && binary.BigEndian.Uint64(value[4:]) > last+1 {
-			return true
+		if key, value, n := command(rest[i:]); n > 0 && whole(key, value) {
+			b := binary.BigEndian.Uint64(value[4:])
+			most = max(most, b)
+			if least == 0 || b < least {
+				least = b
+			}
 		}
 		rest = rest[i+len(mark):]
 	}
 }
 
+// appendCommand appends a set command as buntdb writes it.
+func appendCommand(b []byte, key, value string) []byte {
+	b = append(b, setHead...)
+	for _, part := range []string{key, value} {
+		b = append(b, '$')
+		b = strconv.AppendInt(b, int64(len(part)), 10)
+		b = append(b, "\r\n"...)
+		b = append(b, part...)
+		b = append(b, "\r\n"...)
+	}
+	return b
+}
+
 // command reads one set command; n is its length, 0 if there is none. It takes
 // just what buntdb writes: buntdb refuses a whole file for less.
 func command(b []byte) (key string, value []byte, n int) {
