ledger: damage at the end of a rewritten file is told, not cut off as a torn batch

Cause: a rewritten file is one batch; with its last entry damaged and nothing behind it, all of it was cut off as torn and the member started empty without ErrDamaged. Change: a first batch numbered above one that is not whole is damage, since a rewrite is durable before its file is the only one. Beside a whole file it is still passed over. Seen red before: the rows "rewritten, last entry damaged" and "rewritten, cut after its first entry" of TestWhichFileIsTaken, both turns.

--- a/internal/ledger/scan.go
+++ b/internal/ledger/scan.go
@@ -68,7 +68,7 @@
 			if later(text[off:], last) {
 				return state, good, last, fmt.Errorf("%w at byte %d", ErrDamaged, off)
 			}
-			return state, good, last, nil
+			break
 		}
 		b := binary.BigEndian.Uint64(value[4:])
 		count := int(binary.BigEndian.Uint32(value[12:]))
@@ -93,6 +93,10 @@
 			open, good, last = open[:0], int64(off), b
 		}
 	}
+	if len(open) > 0 && last == 0 && batch > 1 {
+		// What a rewrite wrote was durable before the file was the only one.
+		return state, good, last, fmt.Errorf("%w: rewritten batch %d is not whole", ErrDamaged, batch)
+	}
 	return state, good, last, nil
 }
 
