ledger: the file and its rewrite fit the disk whatever changes, and what stands is counted

Cause: a rewrite came at eight times what stands. With a catalogue near its 12 MB that is above the disk of 64 MB: the disk fills, and then the rewrite does not fit either; the member never writes again. What stands was counted at a start and a rewrite only, so after a shrink the file was rewritten far too late. Change: what stands is counted exactly with every batch; a rewrite is due at three times that, or when the file and its rewrite fill 7/8 of the disk; a batch after which they would fill more than 15/16 is refused before it is written (ErrRoom), and the rewrite makes the room. The size of the disk comes from the settings (diskMb). Holds as long as what stands takes no more than half of the disk; a catalogue at its limit takes 14 to 24 MB, by the length of its names.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -140,7 +140,7 @@
 	if err := os.MkdirAll(set.DataDir, 0o700); err != nil {
 		return err
 	}
-	book, disk, err := ledger.Open(set.DataDir, a.log.ledger)
+	book, disk, err := ledger.Open(set.DataDir, int64(set.Limits.DiskMb*(1<<20)), a.log.ledger)
 	if err != nil && !errors.Is(err, ledger.ErrDamaged) {
 		return err
 	}
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -67,6 +67,7 @@
 	MemoryMb    float64 `toml:"memoryMb"`
 	MaxFds      int     `toml:"maxFds"`
 	LinkMbps    float64 `toml:"linkMbps"`
+	DiskMb      float64 `toml:"diskMb"`
 }
 
 // Bounds are the figures that the rules are judged by, in seconds where the
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -24,10 +24,22 @@
 // ErrDamaged says that the file is damaged beyond a torn last batch.
 var ErrDamaged = errors.New("ledger damaged")
 
+// ErrRoom says that after a batch there would be no room on the disk to rewrite
+// the file. The batch was not written; Rewrite makes room.
+var ErrRoom = errors.New("ledger has to be rewritten to make room")
+
 const (
-	fileName  = "stacks.db"
-	compactAt = 8       // times the size of what stands
-	compactLo = 1 << 20 // no compaction below this size
+	fileName = "stacks.db"
+	mostRoom = 64 << 20 // bytes, where the settings name no disk
+
+	// The file is worth a rewrite above these: times the size of what stands,
+	// and part of the disk that it and its rewrite fill. It isn't below the
+	// least part of the disk.
+	compactAt    = 3
+	compactFill  = 7.0 / 8
+	compactLeast = 1.0 / 64
+	// No batch makes the file and its rewrite fill more than this part of the disk.
+	writeFill = 15.0 / 16
 )
 
 // slots are the names that the file has by turns.
@@ -40,21 +52,27 @@
 	db    *buntdb.DB
 	sync  *os.File
 	batch uint64
-	size  int64
-	live  int64
-	bad   bool // nothing more may be appended
-	slot  int  // of the file in use
+	room  int64 // bytes of the disk
+	size  int64 // bytes of the file
+	live  int64 // bytes that a rewrite would have
+	bad   bool  // nothing more may be appended
+	slot  int   // of the file in use
 }
 
 // Open opens the ledger in dir and returns what it holds, which is then durable.
 // A last batch that is torn is cut off; a file with other damage is set aside and
-// ErrDamaged is returned together with an empty, usable ledger.
-func Open(dir string, logger *log.Logger) (*Ledger, map[string][]byte, error) {
-	return open(osFolder(dir), logger)
+// ErrDamaged is returned together with an empty, usable ledger. The files in dir
+// stay within room, the disk's bytes (0: 64 MB), as long as what stands takes no
+// more than half of that.
+func Open(dir string, room int64, logger *log.Logger) (*Ledger, map[string][]byte, error) {
+	return open(osFolder(dir), room, logger)
 }
 
-func open(dir folder, logger *log.Logger) (*Ledger, map[string][]byte, error) {
-	l := &Ledger{dir: dir, log: logger}
+func open(dir folder, room int64, logger *log.Logger) (*Ledger, map[string][]byte, error) {
+	l := &Ledger{dir: dir, room: room, log: logger}
+	if room <= 0 {
+		l.room = mostRoom
+	}
 	state, good, damage, err := l.find()
 	if err != nil {
 		return nil, nil, err
@@ -83,7 +101,7 @@
 	}
 	l.size = good
 	for k, v := range state {
-		l.live += int64(len(k) + len(v) + frameHead + 40)
+		l.live += commandSize(len(k), frameHead+len(v))
 	}
 	return l, state, damage
 }
@@ -179,44 +197,64 @@
 }
 
 // Write writes a batch and syncs it. After an error the caller writes its
-// whole state again with Rewrite.
+// whole state again with Rewrite, at once if it is ErrRoom.
 func (l *Ledger) Write(batch []Entry) (err error) {
 	if l.bad {
 		return errors.New("ledger needs to be rewritten")
 	}
+	room := false // refused before anything was written
 	defer func() {
 		if r := recover(); r != nil {
 			err = fmt.Errorf("buntdb gave up: %v", r)
 		}
-		if err != nil {
+		if err != nil && !room {
 			l.bad = true
 		}
 	}()
 	if batch = unique(batch); len(batch) == 0 {
 		return nil // all before it is synced, and a number without entries would be a gap
 	}
-	l.batch++
-	grown := int64(0)
+	grown, live := int64(0), l.live
 	err = l.db.Update(func(tx *buntdb.Tx) error {
 		for _, e := range batch {
-			v := frame(l.batch, len(batch), e)
-			grown += int64(len(e.Key) + len(v) + 40)
-			if _, _, err := tx.Set(e.Key, v, nil); err != nil {
+			v := frame(l.batch+1, len(batch), e)
+			size := commandSize(len(e.Key), len(v))
+			grown += size
+			if e.Value != nil {
+				live += size
+			}
+			old, was, err := tx.Set(e.Key, v, nil)
+			if err != nil {
 				return err
 			}
+			if was && old[frameHead-1]&gone == 0 {
+				live -= commandSize(len(e.Key), len(old))
+			}
+		}
+		if l.size+grown+live > part(l.room, writeFill) {
+			return ErrRoom
 		}
 		return nil
 	})
+	if errors.Is(err, ErrRoom) {
+		room = true
+		return err
+	}
 	if err != nil {
 		return err
 	}
+	l.batch++
 	if err := l.dir.sync(l.sync); err != nil {
 		return err
 	}
 	l.size += grown
+	l.live = live
 	return nil
 }
 
+// part is a part of a number of bytes.
+func part(bytes int64, of float64) int64 { return int64(float64(bytes) * of) }
+
 // unique keeps the last entry of each key, in order: buntdb writes one entry of
 // a key, and a batch is whole when as many are there as it says.
 func unique(entries []Entry) []Entry {
@@ -237,7 +275,10 @@
 }
 
 // Full says whether the file has grown enough to be worth a Rewrite.
-func (l *Ledger) Full() bool { return l.size > compactLo && l.size > compactAt*l.live }
+func (l *Ledger) Full() bool {
+	return l.size > part(l.room, compactLeast) &&
+		(l.size > compactAt*l.live || l.size+l.live > part(l.room, compactFill))
+}
 
 // Rewrite writes just the given state to the other slot and goes on there. No
 // name ever stands for two files: the new file and its name are durable before
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -24,7 +24,7 @@
 
 func write(t *testing.T, dir string, n int) {
 	t.Helper()
-	l, _, err := Open(dir, quiet)
+	l, _, err := Open(dir, 0, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,7 +44,7 @@
 	path := filepath.Join(dir, fileName)
 	write(t, dir, 2)
 	before, _ := os.ReadFile(path)
-	l, _, _ := Open(dir, quiet)
+	l, _, _ := Open(dir, 0, quiet)
 	if err := l.Write([]Entry{{"a", []byte("new")}, {"b", nil}}); err != nil {
 		t.Fatal(err)
 	}
@@ -59,7 +59,7 @@
 				}
 			}
 			os.WriteFile(path, text, 0o600)
-			l, state, err := Open(dir, quiet)
+			l, state, err := Open(dir, 0, quiet)
 			if err != nil {
 				t.Fatalf("cut %d: %v", cut, err)
 			}
@@ -74,7 +74,7 @@
 				t.Fatal(err)
 			}
 			l.Close()
-			if _, state, err := Open(dir, quiet); err != nil || string(state["d"]) != "x" {
+			if _, state, err := Open(dir, 0, quiet); err != nil || string(state["d"]) != "x" {
 				t.Fatalf("cut %d: write after the cut lost: %v", cut, err)
 			}
 		}
@@ -88,7 +88,7 @@
 	text, _ := os.ReadFile(path)
 	text[len(text)/3] ^= 0xff
 	os.WriteFile(path, text, 0o600)
-	l, state, err := Open(dir, quiet)
+	l, state, err := Open(dir, 0, quiet)
 	if !errors.Is(err, ErrDamaged) || len(state) != 0 {
 		t.Fatalf("got %v and %d entries", err, len(state))
 	}
@@ -104,7 +104,7 @@
 	dir := t.TempDir()
 	write(t, dir, 200)
 	before, _ := os.Stat(file(t, dir))
-	l, state, err := Open(dir, quiet)
+	l, state, err := Open(dir, 0, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,7 +120,7 @@
 	}
 	l.Close()
 	after, _ := os.Stat(file(t, dir))
-	_, state, err = Open(dir, quiet)
+	_, state, err = Open(dir, 0, quiet)
 	if err != nil || string(state["a"]) != "value-199" || string(state["z"]) != "1" || after.Size() > before.Size()/10 {
 		t.Fatalf("err %v state %q size %d", err, state, after.Size())
 	}
@@ -142,7 +142,7 @@
 	} {
 		for _, rewrite := range []bool{false, true} {
 			dir := t.TempDir()
-			l, _, err := Open(dir, quiet)
+			l, _, err := Open(dir, 0, quiet)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -168,7 +168,7 @@
 			text, _ = os.ReadFile(path)
 			text[len(text)-80] ^= 1 // in the first entry of the last batch
 			os.WriteFile(path, text, 0o600)
-			l, state, err := Open(dir, quiet)
+			l, state, err := Open(dir, 0, quiet)
 			if err != nil || !same(state, c.want) {
 				t.Errorf("%s, rewrite %v, torn after it: %q, %v", c.name, rewrite, state, err)
 			}
@@ -229,7 +229,7 @@
 					os.WriteFile(filepath.Join(dir, slots[i^turn]), []byte(text), 0o600)
 				}
 			}
-			l, got, err := Open(dir, quiet)
+			l, got, err := Open(dir, 0, quiet)
 			if errors.Is(err, ErrDamaged) != c.damaged || err != nil && !c.damaged || !same(got, c.want) {
 				t.Errorf("%s, turn %d: %v, %q", c.name, turn, err, got)
 			}
--- a/internal/ledger/power_test.go
+++ b/internal/ledger/power_test.go
@@ -29,14 +29,19 @@
 	return &cuts{safe: have, synced: have, touched: map[string]bool{}}
 }
 
-// on returns the same folder with the given files there.
-func (c *cuts) on(t *testing.T, have files) *cuts {
-	// buntdb syncs as it closes, so a folder in memory is quicker, where there is one.
+// scratch is a folder in memory, where there is one: buntdb syncs as it closes.
+func scratch(t testing.TB) string {
 	dir, err := os.MkdirTemp("/dev/shm", "ledger")
 	if err != nil {
-		dir = t.TempDir()
+		return t.TempDir()
 	}
 	t.Cleanup(func() { os.RemoveAll(dir) })
+	return dir
+}
+
+// on returns the same folder with the given files there.
+func (c *cuts) on(t *testing.T, have files) *cuts {
+	dir := scratch(t)
 	for name, text := range have {
 		if err := os.WriteFile(osFolder(dir).path(name), text, 0o600); err != nil {
 			t.Fatal(err)
@@ -200,7 +205,7 @@
 	if deep > 0 {
 		c.left = func(at *cuts) { p.start(at, deep-1, allowed...) }
 	}
-	l, state, err := open(c, quiet)
+	l, state, err := open(c, 0, quiet)
 	if err != nil && !(p.damaged && errors.Is(err, ErrDamaged) && len(state) == 0) {
 		p.t.Errorf("start with %q: %v", have, err)
 		return
@@ -235,7 +240,7 @@
 		}
 		with := maps.Clone(have)
 		with[name] = append([]byte{'#'}, text[1:]...)
-		l, state, err := open(lost(files{}).on(p.t, with), quiet)
+		l, state, err := open(lost(files{}).on(p.t, with), 0, quiet)
 		if err != nil && !errors.Is(err, ErrDamaged) {
 			p.t.Errorf("start with %q: %v", with, err)
 			return
@@ -253,7 +258,7 @@
 		c.left = func(at *cuts) { p.start(at, 2, allowed...) }
 	}
 	allow(state)
-	l, got, err := open(c, quiet)
+	l, got, err := open(c, 0, quiet)
 	if err != nil && !p.damaged || !same(got, state) {
 		p.t.Fatalf("%v, %q", err, got)
 	}
@@ -286,7 +291,7 @@
 func TestLossOfPowerAtEveryStep(t *testing.T) {
 	whole := func(batches ...[]Entry) []byte {
 		dir := t.TempDir()
-		l, _, err := Open(dir, quiet)
+		l, _, err := Open(dir, 0, quiet)
 		if err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/ledger/room_test.go
@@ -0,0 +1,213 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// lazy is a folder without syncs: what it holds is looked at, not lost.
+type lazy struct{ osFolder }
+
+func (lazy) sync(*os.File) error { return nil }
+func (lazy) syncNames() error    { return nil }
+
+// filer keeps a state on a ledger as a member does, and watches the folder.
+type filer struct {
+	t        testing.TB
+	dir      string
+	l        *Ledger
+	state    map[string][]byte
+	most     int64 // bytes that the folder ever held
+	rewrites int
+	refused  int // batches for which there was no room
+}
+
+func (f *filer) held() (sum int64) {
+	all, _ := filepath.Glob(filepath.Join(f.dir, "*"))
+	for _, name := range all {
+		if info, err := os.Stat(name); err == nil {
+			sum += info.Size()
+		}
+	}
+	return sum
+}
+
+func (f *filer) open(room int64) {
+	f.t.Helper()
+	l, state, err := open(lazy{osFolder(f.dir)}, room, quiet)
+	if err != nil || !same(state, f.state) {
+		f.t.Fatalf("%d entries instead of %d: %v", len(state), len(f.state), err)
+	}
+	f.l = l
+}
+
+func (f *filer) rewrite() {
+	f.t.Helper()
+	var all []Entry
+	for k, v := range f.state {
+		all = append(all, Entry{k, v})
+	}
+	before := f.held()
+	if err := f.l.Rewrite(all); err != nil {
+		f.t.Fatal(err)
+	}
+	f.rewrites++
+	f.most = max(f.most, before+f.held()) // both files stood there
+}
+
+func (f *filer) change(batch ...Entry) {
+	f.t.Helper()
+	for _, e := range batch {
+		if f.state[e.Key] = e.Value; e.Value == nil {
+			delete(f.state, e.Key)
+		}
+	}
+	err := f.l.Write(batch)
+	if err != nil && !errors.Is(err, ErrRoom) {
+		f.t.Fatal(err)
+	}
+	if err != nil {
+		f.refused++
+	}
+	f.most = max(f.most, f.held())
+	if err != nil || f.l.Full() {
+		f.rewrite()
+	}
+	live := int64(0)
+	for k, v := range f.state {
+		live += commandSize(len(k), frameHead+len(v))
+	}
+	if f.l.size != f.held() || f.l.live != live {
+		f.t.Fatalf("the ledger counts %d bytes, %d of them live; the folder holds %d, %d", f.l.size, f.l.live, f.held(), live)
+	}
+	if f.l.size > max(3*live, f.l.room/64) {
+		f.t.Fatalf("%d bytes where %d stand", f.l.size, live)
+	}
+	if f.l.size == f.l.live && f.l.Full() && f.l.live < f.l.room*7/16 {
+		f.t.Fatalf("full at once after a rewrite of %d bytes", f.l.live)
+	}
+}
+
+// A catalogue near its limit of 12 MB on a disk of 64 MB, both a 64th: thousands of
+// changes of a record, and some of a range and of all; while what stands grows and shrinks;
+// with starts in between. The file and its rewrite stay within the disk, and the
+// file, looked at after each change, within three times what stands (or a 64th of
+// the disk); changes of a record never wait for room.
+func TestFileStaysWithinItsDisk(t *testing.T) {
+	const room = 1 << 20
+	const limit = room * 12 / 64
+	for _, c := range []struct {
+		what       string
+		key, value int   // bytes
+		ranges     []int // of 16, by turns; 0: a record
+		changes    int
+	}{
+		{"a record each", 20, 200, []int{0}, 3000},
+		{"a range each", 20, 200, []int{1}, 600},
+		{"all at once", 20, 200, []int{0, 1, 0, 16}, 150},
+		{"names alone, twice what a catalogue counts", 200, 0, []int{0, 1, 4, 16}, 150},
+		{"names alone, a record each", 200, 0, []int{0}, 900},
+	} {
+		t.Run(c.what, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, uint64(len(c.what))))
+			n := limit / (c.key + c.value + 64)
+			name := func(i int) string { return fmt.Sprintf("record/%0*d", c.key, i) }
+			value := func() []byte { return []byte(fmt.Sprintf("%0*d", 100+c.key+c.value, rng.IntN(1e6))) }
+			f := &filer{t: t, dir: scratch(t), state: map[string][]byte{}}
+			f.open(room)
+			for i := range n {
+				f.change(Entry{name(i), value()})
+			}
+			for i := range c.changes {
+				var batch []Entry
+				count := max(1, n*c.ranges[i%len(c.ranges)]/16)
+				for at := rng.IntN(n); len(batch) < count; at++ {
+					e := Entry{name(at % n), value()}
+					if 3*i/c.changes == 1 && rng.IntN(8) > 0 {
+						e.Value = nil // most of the second third remove
+					}
+					batch = append(batch, e)
+				}
+				f.change(batch...)
+				if i%(c.changes/6) == 9 {
+					f.l.Close()
+					f.open(room)
+				}
+			}
+			if f.most > room {
+				t.Errorf("%d bytes on a disk of %d", f.most, room)
+			}
+			if c.ranges[0] == 0 && len(c.ranges) == 1 && f.refused > 0 {
+				t.Errorf("%d changes of a record had to wait for room", f.refused)
+			}
+			t.Logf("most %.2f of the disk, %d rewrites", float64(f.most)/room, f.rewrites)
+		})
+	}
+}
+
+// A start with a file full of overwritten entries knows that it is worth a
+// rewrite, and one with a file that was just rewritten that it is not.
+func TestStartKnowsWhatStands(t *testing.T) {
+	const room = 1 << 20
+	f := &filer{t: t, dir: scratch(t), state: map[string][]byte{}}
+	f.open(room)
+	e := Entry{"a", make([]byte, 100)}
+	f.state[e.Key] = e.Value
+	for f.l.size <= room/64 {
+		if err := f.l.Write([]Entry{e}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.l.Close()
+	if f.open(room); !f.l.Full() {
+		t.Errorf("%d bytes, %d of them live, are not worth a rewrite", f.l.size, f.l.live)
+	}
+	f.rewrite()
+	f.l.Close()
+	if f.open(room); f.l.Full() || f.l.size != f.l.live {
+		t.Errorf("rewritten: %d bytes, %d of them live", f.l.size, f.l.live)
+	}
+}
+
+// BenchmarkChanges is 3,000 changes of a record and its mark at a catalogue near
+// its limit on a disk of 64 MB, then starts.
+func BenchmarkChanges(b *testing.B) {
+	f := &filer{t: b, dir: b.TempDir(), state: map[string][]byte{}}
+	value := func(i int) []byte { return fmt.Appendf(nil, "%0280d", i) }
+	name := func(i int) string { return fmt.Sprintf("record/catalogue/route/%08d", i) }
+	const records = 12 << 20 / (14 + 200 + 64)
+	var all []Entry
+	for i := range records {
+		all = append(all, Entry{name(i), value(i)})
+	}
+	l, _, err := Open(f.dir, 0, quiet)
+	if err == nil {
+		err = l.Rewrite(all)
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	fresh := l.size
+	for i := range 3000 {
+		if err := l.Write([]Entry{{name(i * 7 % records), value(i)}, {"meta/catalogue", value(i)[:80]}}); err != nil {
+			b.Fatal(err)
+		}
+		if l.Full() {
+			b.Fatalf("full after %d changes", i)
+		}
+	}
+	l.Close()
+	for b.Loop() {
+		l, state, err := Open(f.dir, 0, quiet)
+		if err != nil || len(state) != records+1 {
+			b.Fatal(err, len(state))
+		}
+		l.Close()
+	}
+	b.ReportMetric(float64(fresh)/(1<<20), "MB-rewritten")
+	b.ReportMetric(float64(l.size)/(1<<20), "MB-after-changes")
+}
--- a/internal/ledger/scan.go
+++ b/internal/ledger/scan.go
@@ -140,6 +140,19 @@
 	return b
 }
 
+// commandSize is how many bytes a command takes for a key and a frame of the given sizes.
+func commandSize(key, frame int) int64 {
+	size := len(setHead)
+	for _, n := range []int{key, frame} {
+		size += len("$\r\n\r\n") + n
+		for ; n > 9; n /= 10 {
+			size++
+		}
+		size++
+	}
+	return int64(size)
+}
+
 // command reads one set command; n is its length, 0 if there is none. It takes
 // just what buntdb writes: buntdb refuses a whole file for less.
 func command(b []byte) (key string, value []byte, n int) {
--- a/internal/ledger/scan_test.go
+++ b/internal/ledger/scan_test.go
@@ -23,7 +23,7 @@
 func history(t *testing.T) (text []byte, ends []int, states []map[string][]byte) {
 	t.Helper()
 	dir := t.TempDir()
-	l, _, err := Open(dir, quiet)
+	l, _, err := Open(dir, 0, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -161,7 +161,7 @@
 // whole, and takes only what buntdb reads too.
 func FuzzScan(f *testing.F) {
 	dir := f.TempDir()
-	l, _, err := Open(dir, quiet)
+	l, _, err := Open(dir, 0, quiet)
 	if err != nil {
 		f.Fatal(err)
 	}
