ledger: of a damaged file the damaged place is kept, not the whole file

Cause: a damaged file was kept whole. One of 40 MB beside the new file left no room for the copies that the member then fetches, nor for a rewrite. Change: 1/1024 of the disk (64 kB) around the damage is kept, over what was kept before; what an earlier version kept is cut to that; the damaged file is removed, after anything that could be taken for an earlier state.

--- a/internal/ledger/folder.go
+++ b/internal/ledger/folder.go
@@ -12,7 +12,7 @@
 	read(name string) ([]byte, error)
 	create(name string) (*os.File, error)
 	truncate(name string, size int64) error
-	rename(name, to string) error
+	size(name string) (int64, error)
 	remove(name string) error
 	sync(f *os.File) error
 	syncNames() error // makes names durable that were made, changed or removed
@@ -26,9 +26,15 @@
 	return os.OpenFile(d.path(name), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 }
 func (d osFolder) truncate(name string, size int64) error { return os.Truncate(d.path(name), size) }
-func (d osFolder) rename(name, to string) error           { return os.Rename(d.path(name), d.path(to)) }
-func (d osFolder) remove(name string) error               { return os.Remove(d.path(name)) }
-func (d osFolder) sync(f *os.File) error                  { return f.Sync() }
+func (d osFolder) size(name string) (int64, error) {
+	info, err := os.Stat(d.path(name))
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+func (d osFolder) remove(name string) error { return os.Remove(d.path(name)) }
+func (d osFolder) sync(f *os.File) error    { return f.Sync() }
 func (d osFolder) syncNames() error {
 	f, err := os.Open(string(d))
 	if err != nil {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -40,6 +40,10 @@
 	compactLeast = 1.0 / 64
 	// No batch makes the file and its rewrite fill more than this part of the disk.
 	writeFill = 15.0 / 16
+	// So much of the disk is kept of a damaged file, around the damage.
+	keptPart = 1.0 / 1024
+
+	keptName = fileName + ".damaged"
 )
 
 // slots are the names that the file has by turns.
@@ -77,6 +81,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if err := l.shorten(); err != nil {
+		return nil, nil, err
+	}
 	if damage != nil {
 		if err := l.setAside(damage); err != nil {
 			return nil, nil, err
@@ -142,8 +149,8 @@
 	return state, good, damage, nil
 }
 
-// setAside takes a damaged file out of the way, and first anything that could
-// be taken for an earlier state of the member.
+// setAside removes a damaged file, and before it anything that could be taken
+// for an earlier state of the member. For people it keeps the damaged place.
 func (l *Ledger) setAside(damage error) error {
 	l.log.Printf("file set aside: %v.", damage)
 	if err := l.drop(slots[1-l.slot]); err != nil {
@@ -152,13 +159,47 @@
 	if err := l.dir.syncNames(); err != nil { // a start before this one may have dropped it
 		return err
 	}
-	if err := l.dir.rename(slots[l.slot], fileName+".damaged"); err != nil {
+	if err := l.keep(slots[l.slot], damage); err != nil {
+		l.log.Printf("nothing of it is kept: %v.", err)
+	}
+	if err := l.drop(slots[l.slot]); err != nil {
 		return err
 	}
 	l.slot = 0
 	return nil
 }
 
+// keep copies what lies around a damaged place.
+func (l *Ledger) keep(name string, damage error) error {
+	text, err := l.dir.read(name)
+	if err != nil {
+		return err
+	}
+	size, at := int(part(l.room, keptPart)), 0
+	var place *damagedAt
+	if errors.As(damage, &place) {
+		at = max(0, place.offset-size/2)
+	}
+	f, err := l.dir.create(keptName)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(text[at:min(len(text), at+size)])
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
+// shorten cuts off what an earlier version kept, a whole damaged file.
+func (l *Ledger) shorten() error {
+	most := part(l.room, keptPart)
+	if size, err := l.dir.size(keptName); err != nil || size <= most {
+		return nil
+	}
+	return l.dir.truncate(keptName, most)
+}
+
 // drop removes files for good.
 func (l *Ledger) drop(names ...string) error {
 	some := false
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -239,3 +240,42 @@
 		}
 	}
 }
+
+// What is kept of damaged files does not grow, however large and many they are.
+func TestDamagedFilesDoNotFillTheDisk(t *testing.T) {
+	const room = 4 << 20
+	dir := t.TempDir()
+	kept := filepath.Join(dir, fileName+".damaged")
+	os.WriteFile(kept, make([]byte, room/2), 0o600) // as earlier versions left it
+	for round := range 4 {
+		l, state, err := Open(dir, room, quiet)
+		if errors.Is(err, ErrDamaged) != (round > 0) || err != nil && round == 0 || len(state) != 0 {
+			t.Fatalf("round %d: %v, %d entries", round, err, len(state))
+		}
+		for i := range 8 {
+			if err := l.Write([]Entry{{fmt.Sprint(i), make([]byte, room/32)}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		l.Close()
+		if info, err := os.Stat(kept); err != nil || info.Size() > room/512 {
+			t.Errorf("round %d: %d bytes of damaged files are kept: %v", round, info.Size(), err)
+		}
+		path := filepath.Join(dir, fileName)
+		text, _ := os.ReadFile(path)
+		copy(text[len(text)/2:], "here")
+		os.WriteFile(path, text, 0o600)
+		all, _ := os.ReadDir(dir)
+		if len(all) != 2 {
+			t.Errorf("round %d: %v", round, all)
+		}
+	}
+	if l, _, err := Open(dir, room, quiet); !errors.Is(err, ErrDamaged) {
+		t.Error(err)
+	} else {
+		l.Close()
+	}
+	if text, _ := os.ReadFile(kept); !bytes.Contains(text, []byte("here")) {
+		t.Errorf("the damage is not in what is kept, %d bytes", len(text))
+	}
+}
