ledger: when buntdb gives up with its lock held, the rewrite goes on without it

Cause: when a disk takes part of a batch and then refuses even to cut that off, buntdb panics with its lock held. Write recovered, but the rewrite that was to mend it waited for that lock in Close, for ever: the member's disk never answered again. Change: such a database is left as it is (one descriptor and its memory), and the rewrite goes on in the other file. Seen red before: TestBuntdbGivesUp, by the rewrite that hung; buntdb's file is a pipe there, that takes 64 kB and can't be cut. TestRefusedWrites (a limit on the size of files for the full disk) and TestNothingFollowsARefusal pass before and after; each fails with its guard out: removing the piece of a refused rewrite, refusing batches after one, and after a refused batch.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -51,16 +51,17 @@
 
 // Ledger is the open file.
 type Ledger struct {
-	dir   folder
-	log   *log.Logger
-	db    *buntdb.DB
-	sync  *os.File
-	batch uint64
-	room  int64 // bytes of the disk
-	size  int64 // bytes of the file
-	live  int64 // bytes that a rewrite would have
-	bad   bool  // nothing more may be appended
-	slot  int   // of the file in use
+	dir    folder
+	log    *log.Logger
+	db     *buntdb.DB
+	sync   *os.File
+	batch  uint64
+	room   int64 // bytes of the disk
+	size   int64 // bytes of the file
+	live   int64 // bytes that a rewrite would have
+	bad    bool  // nothing more may be appended
+	slot   int   // of the file in use
+	locked bool  // buntdb gave up with its lock held; it is left as it is
 }
 
 // Open opens the ledger in dir and returns what it holds, which is then durable.
@@ -247,6 +248,7 @@
 	defer func() {
 		if r := recover(); r != nil {
 			err = fmt.Errorf("buntdb gave up: %v", r)
+			l.locked = true
 		}
 		if err != nil && !room {
 			l.bad = true
@@ -379,7 +381,10 @@
 		return nil
 	}
 	_ = l.sync.Close()
-	err := l.db.Close()
-	l.db = nil
+	var err error
+	if !l.locked {
+		err = l.db.Close()
+	}
+	l.db, l.locked = nil, false
 	return err
 }
