archive: what comes of queued writes is worked out apart from time and goroutines

Cause: the order of jobs around a refusal could not be tested. Each batch written while the file was full asked for one more rewrite, though one was on its way; and a file that stays full (what stands fills the disk) would have been rewritten without end, since a rewrite asked for the next. Change: writer takes the jobs that waited together and says what is durable and whether the whole state has to be put, at once or after a pause. It is asked for once until it comes, at once if only room is lacking, and after a change only. Nothing is reported after a refusal before a whole state that was put after it.

--- a/internal/archive/disk.go
+++ b/internal/archive/disk.go
@@ -10,60 +10,117 @@
 	"madderwing/internal/ledger"
 )
 
+// writeJob is a batch to be made durable, or the whole state: that holds all
+// that was asked for up to its id, so also every job that was put before it.
 type writeJob struct {
 	entries []ledger.Entry
 	id      uint64
 	whole   bool
 }
 
+// book is what writes need of a ledger.
+type book interface {
+	Write([]ledger.Entry) error
+	Rewrite([]ledger.Entry) error
+	Full() bool
+}
+
+// writer carries jobs out, in order.
+type writer struct {
+	book   book
+	failed bool // a job was refused: nothing is written before the whole state
+	asked  bool // the whole state was asked for and is not here yet
+}
+
+// written says what came of some jobs.
+type written struct {
+	durable uint64        // all jobs up to this id are; 0: no more than before
+	rewrite rewriteChoice // whether the whole state has to be put next
+	err     error         // if it is news
+}
+
+type rewriteChoice int
+
+const (
+	noRewrite rewriteChoice = iota
+	rewriteNow
+	rewriteLater // the disk refuses
+)
+
+// write carries out jobs that waited together, as one batch. After a refusal it
+// drops all jobs up to the whole state, which holds them too.
+func (w *writer) write(jobs []writeJob) written {
+	var entries []ledger.Entry
+	whole := false
+	for _, job := range jobs {
+		if job.whole {
+			entries, whole, w.asked = nil, true, false
+		}
+		entries = append(entries, job.entries...)
+	}
+	var err error
+	switch {
+	case whole:
+		err = w.book.Rewrite(entries)
+	case w.failed:
+		return written{}
+	default:
+		err = w.book.Write(entries)
+	}
+	w.failed = err != nil
+	if err != nil {
+		if errors.Is(err, ledger.ErrRoom) {
+			return written{0, w.ask(rewriteNow), err}
+		}
+		return written{0, w.ask(rewriteLater), err}
+	}
+	done := written{durable: jobs[len(jobs)-1].id}
+	if !whole && w.book.Full() {
+		done.rewrite = w.ask(rewriteNow)
+	}
+	return done
+}
+
+// ask asks for the whole state unless that is on its way: what is written or
+// refused before it comes is in it.
+func (w *writer) ask(when rewriteChoice) rewriteChoice {
+	if w.asked {
+		return noRewrite
+	}
+	w.asked = true
+	return when
+}
+
 // keep owns the ledger: it writes batches in order and reports when they are
 // durable. Batches that wait are written together.
-func (a *Archive) keep(book *ledger.Ledger) {
-	defer book.Close()
-	failed := false
+func (a *Archive) keep(open *ledger.Ledger) {
+	defer open.Close()
+	w := writer{book: open}
 	for {
-		batch := a.writes.take()
-		if batch == nil {
+		jobs := a.writes.take()
+		if jobs == nil {
 			return
 		}
-		var entries []ledger.Entry
-		var id uint64
-		whole := false
-		for _, job := range batch {
-			if job.whole {
-				entries, whole = nil, true // it holds all that was written before
-			}
-			entries = append(entries, job.entries...)
-			id = job.id
+		done := w.write(jobs)
+		if done.err != nil {
+			a.log.ledger.Printf("write refused: %v.", done.err)
 		}
-		var err error
-		switch {
-		case whole:
-			err = book.Rewrite(entries)
-		case failed:
-			err = errors.New("waiting for a rewrite")
-		default:
-			err = book.Write(entries)
+		if done.durable > 0 || done.rewrite == rewriteNow {
+			a.do(func(now time.Duration) {
+				if done.durable > 0 {
+					a.member.Durable(now, done.durable)
+				}
+				if done.rewrite == rewriteNow {
+					a.member.Failed(now) // writes the whole state
+				}
+			})
 		}
-		if err != nil {
-			if !failed || whole {
-				a.log.ledger.Printf("write refused: %v.", err)
-				failed = true
-				go func() {
-					time.Sleep(a.set.Beat() / 2)
-					a.do(func(now time.Duration) { a.member.Failed(now) })
-				}()
-			}
-			continue
+		if done.rewrite == rewriteLater {
+			go func() {
+				time.Sleep(a.set.Beat() / 2)
+				a.do(func(now time.Duration) { a.member.Failed(now) })
+			}()
 		}
-		failed = failed && !whole
-		full := book.Full()
-		a.do(func(now time.Duration) {
-			a.member.Durable(now, id)
-			if full {
-				a.member.Failed(now) // compacts by writing the whole state
-			}
-		})
 	}
 }
 
