--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -68,6 +68,7 @@
 	MemoryMb    float64 `toml:"memoryMb"`
 	MaxFds      int     `toml:"maxFds"`
 	LinkMbps    float64 `toml:"linkMbps"`
+	DiskMb      float64 `toml:"diskMb"`
 }
 
 // FaultBudget says what may be lost at once with all rules kept: so many machines that
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,15 +4,13 @@
 package ledger
 
 import (
-	"bytes"
-	"encoding/binary"
+	"bufio"
 	"errors"
 	"fmt"
-	"hash/crc32"
+	"io/fs"
 	"log"
 	"os"
-	"path/filepath"
-	"strconv"
+	"slices"
 
 	"github.com/tidwall/buntdb"
 )
@@ -26,195 +24,355 @@
 // ErrDamaged says that the file is damaged beyond a torn last batch.
 var ErrDamaged = errors.New("ledger damaged")
 
+// ErrRoom says that after a batch there would be no room on the disk to rewrite
+// the file. The batch was not written; Rewrite makes room.
+var ErrRoom = errors.New("ledger has to be rewritten to make room")
+
 const (
-	fileName  = "stacks.db"
-	frameHead = 4 + 8 + 4 + 1 // crc, batch, entries in the batch, gone
-	compactAt = 8             // times the size of what stands
-	compactLo = 1 << 20       // no compaction below this size
+	fileName = "stacks.db"
+	mostRoom = 64 << 20 // bytes, where the settings name no disk
+
+	// The file is worth a rewrite above these: times the size of what stands,
+	// and part of the disk that it and its rewrite fill. It isn't below the
+	// least part of the disk.
+	compactAt    = 3
+	compactFill  = 7.0 / 8
+	compactLeast = 1.0 / 64
+	// No batch makes the file and its rewrite fill more than this part of the disk.
+	writeFill = 15.0 / 16
+	// So much of the disk is kept of a damaged file, around the damage.
+	keptPart = 1.0 / 1024
+
+	keptName = fileName + ".damaged"
 )
 
+// slots are the names that the file has by turns.
+var slots = [2]string{fileName, "stacks.2.db"}
+
 // Ledger is the open file.
 type Ledger struct {
-	dir   string
-	log   *log.Logger
-	db    *buntdb.DB
-	sync  *os.File
-	batch uint64
-	size  int64
-	live  int64
-	bad   bool
+	dir    folder
+	log    *log.Logger
+	db     *buntdb.DB
+	sync   *os.File
+	batch  uint64
+	room   int64 // bytes of the disk
+	size   int64 // bytes of the file
+	live   int64 // bytes that a rewrite would have
+	bad    bool  // nothing more may be appended
+	slot   int   // of the file in use
+	locked bool  // buntdb gave up with its lock held; it is left as it is
 }
 
-// Open opens the ledger in dir and returns what it holds. A last batch that is
-// torn is cut off; a file with other damage is set aside and ErrDamaged is
-// returned together with an empty, usable ledger.
-func Open(dir string, logger *log.Logger) (*Ledger, map[string][]byte, error) {
-	l := &Ledger{dir: dir, log: logger}
-	path := filepath.Join(dir, fileName)
-	_ = os.Remove(path + ".new")
-	text, err := os.ReadFile(path)
-	if err != nil && !os.IsNotExist(err) {
+// Open opens the ledger in dir and returns what it holds, which is then durable.
+// A last batch that is torn is cut off; a file with other damage is set aside and
+// ErrDamaged is returned together with an empty, usable ledger. The files in dir
+// stay within room, the disk's bytes (0: 64 MB), as long as what stands takes no
+// more than half of that.
+func Open(dir string, room int64, logger *log.Logger) (*Ledger, map[string][]byte, error) {
+	return open(osFolder(dir), room, logger)
+}
+
+func open(dir folder, room int64, logger *log.Logger) (*Ledger, map[string][]byte, error) {
+	l := &Ledger{dir: dir, room: room, log: logger}
+	if room <= 0 {
+		l.room = mostRoom
+	}
+	state, good, damage, err := l.find()
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := l.shorten(); err != nil {
 		return nil, nil, err
 	}
-	state, good, batch, damage := scan(text)
-	l.batch = batch
 	if damage != nil {
-		logger.Printf("file set aside: %v.", damage)
-		if err := os.Rename(path, path+".damaged"); err != nil {
+		if err := l.setAside(damage); err != nil {
 			return nil, nil, err
 		}
 		state, good = map[string][]byte{}, 0
-	} else if good < int64(len(text)) {
-		logger.Printf("torn batch of %d bytes cut off.", int64(len(text))-good)
-		if err := os.Truncate(path, good); err != nil {
-			return nil, nil, err
-		}
 	}
-	l.size = good
-	if err := l.open(); err != nil {
+	// What is taken is made durable before anything else goes.
+	if err := l.attach(); err != nil {
+		return nil, nil, err
+	}
+	if err := l.dir.sync(l.sync); err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	if err := l.dir.syncNames(); err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	if err := l.drop(slots[1-l.slot], fileName+".new"); err != nil {
+		l.Close()
 		return nil, nil, err
 	}
+	l.size = good
 	for k, v := range state {
-		l.live += int64(len(k) + len(v) + frameHead + 40)
+		l.live += commandSize(len(k), frameHead+len(v))
 	}
 	return l, state, damage
 }
 
-func (l *Ledger) open() error {
-	path := filepath.Join(l.dir, fileName)
-	db, err := buntdb.Open(path)
-	if err != nil {
-		return err
+// find reads what is there, chooses the slot whose last whole batch is the
+// newest and cuts off what is torn behind that. While both slots are there, no
+// batch was reported that is in one of them only: see Rewrite.
+func (l *Ledger) find() (state map[string][]byte, good int64, damage, err error) {
+	size := int64(0)
+	state = map[string][]byte{}
+	for i, name := range slots {
+		text, err := l.dir.read(name)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, 0, nil, err
+		}
+		s, end, last, d := scan(text)
+		if d != nil {
+			// One number only: a rewrite that was not finished. More: a file in use.
+			if least, most := numbers(text); least < most {
+				last = most
+			}
+		}
+		if last > l.batch || l.batch == 0 && d != nil {
+			l.slot, l.batch, state, good, damage, size = i, last, s, end, d, int64(len(text))
+		} else if l.batch == 0 && damage == nil {
+			l.slot, size = i, int64(len(text))
+		}
 	}
-	// buntdb drops the error of its own sync, so the sync is done here.
-	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}); err != nil {
+	if damage == nil && good < size {
+		l.log.Printf("torn batch of %d bytes cut off.", size-good)
+		if err := l.dir.truncate(slots[l.slot], good); err != nil {
+			return nil, 0, nil, err
+		}
+	}
+	return state, good, damage, nil
+}
+
+// setAside removes a damaged file, and before it anything that could be taken
+// for an earlier state of the member. For people it keeps the damaged place.
+func (l *Ledger) setAside(damage error) error {
+	l.log.Printf("file set aside: %v.", damage)
+	if err := l.drop(slots[1-l.slot]); err != nil {
 		return err
 	}
-	f, err := os.OpenFile(path, os.O_RDWR, 0)
-	if err != nil {
-		db.Close()
+	if err := l.dir.syncNames(); err != nil { // a start before this one may have dropped it
 		return err
 	}
-	if err := f.Sync(); err != nil {
-		db.Close()
-		f.Close()
+	if err := l.keep(slots[l.slot], damage); err != nil {
+		l.log.Printf("nothing of it is kept: %v.", err)
+	}
+	if err := l.drop(slots[l.slot]); err != nil {
 		return err
 	}
-	l.db, l.sync = db, f
-	return syncDir(l.dir)
+	l.slot = 0
+	return nil
 }
 
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
+// keep copies what lies around a damaged place.
+func (l *Ledger) keep(name string, damage error) error {
+	text, err := l.dir.read(name)
+	if err != nil {
+		return err
+	}
+	size, at := int(part(l.room, keptPart)), 0
+	var place *damagedAt
+	if errors.As(damage, &place) {
+		at = max(0, place.offset-size/2)
+	}
+	f, err := l.dir.create(keptName)
 	if err != nil {
 		return err
 	}
-	defer d.Close()
-	return d.Sync()
+	_, err = f.Write(text[at:min(len(text), at+size)])
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
+// shorten cuts off what an earlier version kept, a whole damaged file.
+func (l *Ledger) shorten() error {
+	most := part(l.room, keptPart)
+	if size, err := l.dir.size(keptName); err != nil || size <= most {
+		return nil
+	}
+	return l.dir.truncate(keptName, most)
 }
 
-func frame(batch uint64, n int, value []byte) string {
-	b := make([]byte, frameHead, frameHead+len(value))
-	binary.BigEndian.PutUint64(b[4:], batch)
-	binary.BigEndian.PutUint32(b[12:], uint32(n))
-	if value == nil {
-		b[16] = 1
-	}
-	b = append(b, value...)
-	binary.BigEndian.PutUint32(b, crc32.ChecksumIEEE(b[4:]))
-	return string(b)
+// drop removes files for good.
+func (l *Ledger) drop(names ...string) error {
+	some := false
+	for _, name := range names {
+		err := l.dir.remove(name)
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
+		some = some || err == nil
+	}
+	if !some {
+		return nil
+	}
+	return l.dir.syncNames()
+}
+
+// attach opens the file of the slot in use.
+func (l *Ledger) attach() error {
+	path := l.dir.path(slots[l.slot])
+	db, err := buntdb.Open(path)
+	if err != nil {
+		return err
+	}
+	// buntdb drops the error of its own sync, so the sync is done here.
+	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}); err != nil {
+		db.Close()
+		return err
+	}
+	f, err := os.OpenFile(path, os.O_RDWR, 0)
+	if err != nil {
+		db.Close()
+		return err
+	}
+	l.db, l.sync = db, f
+	return nil
 }
 
 // Write writes a batch and syncs it. After an error the caller writes its
-// whole state again with Rewrite.
+// whole state again with Rewrite, at once if it is ErrRoom.
 func (l *Ledger) Write(batch []Entry) (err error) {
 	if l.bad {
 		return errors.New("ledger needs to be rewritten")
 	}
+	room := false // refused before anything was written
 	defer func() {
 		if r := recover(); r != nil {
 			err = fmt.Errorf("buntdb gave up: %v", r)
+			l.locked = true
 		}
-		if err != nil {
+		if err != nil && !room {
 			l.bad = true
 		}
 	}()
-	l.batch++
-	grown := int64(0)
+	if batch = unique(batch); len(batch) == 0 {
+		return nil // all before it is synced, and a number without entries would be a gap
+	}
+	grown, live := int64(0), l.live
 	err = l.db.Update(func(tx *buntdb.Tx) error {
 		for _, e := range batch {
-			v := frame(l.batch, len(batch), e.Value)
-			grown += int64(len(e.Key) + len(v) + 40)
-			if _, _, err := tx.Set(e.Key, v, nil); err != nil {
+			v := frame(l.batch+1, len(batch), e)
+			size := commandSize(len(e.Key), len(v))
+			grown += size
+			if e.Value != nil {
+				live += size
+			}
+			old, was, err := tx.Set(e.Key, v, nil)
+			if err != nil {
 				return err
 			}
+			if was && old[frameHead-1]&gone == 0 {
+				live -= commandSize(len(e.Key), len(old))
+			}
+		}
+		if l.size+grown+live > part(l.room, writeFill) {
+			return ErrRoom
 		}
 		return nil
 	})
+	if errors.Is(err, ErrRoom) {
+		room = true
+		return err
+	}
 	if err != nil {
 		return err
 	}
-	if err := l.sync.Sync(); err != nil {
+	l.batch++
+	if err := l.dir.sync(l.sync); err != nil {
 		return err
 	}
 	l.size += grown
+	l.live = live
 	return nil
 }
 
+// part is a part of a number of bytes.
+func part(bytes int64, of float64) int64 { return int64(float64(bytes) * of) }
+
+// unique keeps the last entry of each key, in order: buntdb writes one entry of
+// a key, and a batch is whole when as many are there as it says.
+func unique(entries []Entry) []Entry {
+	last := make(map[string]int, len(entries))
+	for i, e := range entries {
+		last[e.Key] = i
+	}
+	if len(last) == len(entries) {
+		return entries
+	}
+	out := make([]Entry, 0, len(last))
+	for i, e := range entries {
+		if last[e.Key] == i {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // Full says whether the file has grown enough to be worth a Rewrite.
-func (l *Ledger) Full() bool { return l.size > compactLo && l.size > compactAt*l.live }
+func (l *Ledger) Full() bool {
+	return l.size > part(l.room, compactLeast) &&
+		(l.size > compactAt*l.live || l.size+l.live > part(l.room, compactFill))
+}
 
-// Rewrite replaces the file by one that holds just the given state. The old
-// file stands until the new one and its name are safe.
+// Rewrite writes just the given state to the other slot and goes on there. No
+// name ever stands for two files: the new file and its name are durable before
+// the old one is removed, and the old one is gone for good before a batch
+// follows in the new one. So whatever a loss of power takes, one of them is
+// left, and while both are there either holds all that was reported.
 func (l *Ledger) Rewrite(state []Entry) error {
-	path := filepath.Join(l.dir, fileName)
-	mem, err := buntdb.Open(":memory:")
-	if err != nil {
-		return err
-	}
-	defer mem.Close()
+	l.bad = true
 	l.batch++
-	l.live = 0
-	err = mem.Update(func(tx *buntdb.Tx) error {
-		for _, e := range state {
-			v := frame(l.batch, len(state), e.Value)
-			l.live += int64(len(e.Key) + len(v) + 40)
-			if _, _, err := tx.Set(e.Key, v, nil); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-	if err != nil {
-		return err
+	other := 1 - l.slot
+	size, err := l.save(slots[other], state)
+	if err == nil {
+		err = l.dir.syncNames()
 	}
-	f, err := os.OpenFile(path+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
+		_ = l.dir.remove(slots[other]) // leaves room; a start would pass over it too
 		return err
 	}
-	if err = mem.Save(f); err == nil {
-		err = f.Sync()
+	_ = l.Close()
+	l.slot = other
+	if err := l.drop(slots[1-other]); err != nil {
+		return err
 	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
+	if err := l.attach(); err != nil {
+		return err
 	}
-	if err == nil {
-		err = os.Rename(path+".new", path)
+	l.size, l.live, l.bad = size, size, false
+	return nil
+}
+
+// save writes a file that holds one batch, and syncs it.
+func (l *Ledger) save(name string, state []Entry) (size int64, err error) {
+	state = slices.DeleteFunc(slices.Clone(unique(state)), func(e Entry) bool { return e.Value == nil })
+	f, err := l.dir.create(name)
+	if err != nil {
+		return 0, err
 	}
-	if err == nil {
-		err = syncDir(l.dir)
+	w := bufio.NewWriterSize(f, 1<<16)
+	var line []byte
+	for _, e := range state {
+		line = appendCommand(line[:0], e.Key, frame(l.batch, len(state), e))
+		size += int64(len(line))
+		_, _ = w.Write(line) // Flush reports the error
 	}
-	if err != nil {
-		l.bad = true
-		return err
+	if err = w.Flush(); err == nil {
+		err = l.dir.sync(f)
 	}
-	_ = l.Close()
-	if err := l.open(); err != nil {
-		l.bad = true
-		return err
+	if cerr := f.Close(); err == nil {
+		err = cerr
 	}
-	l.size, l.bad = l.live, false
-	return nil
+	return size, err
 }
 
 // Close closes the file.
@@ -223,102 +381,10 @@
 		return nil
 	}
 	_ = l.sync.Close()
-	return l.db.Close()
-}
-
-// scan reads a file of buntdb's and returns what stands after the last whole
-// batch, where that batch ends and its number. Damage that is followed by more
-// than the remains of one batch is an error.
-func scan(text []byte) (state map[string][]byte, good int64, last uint64, damage error) {
-	state = map[string][]byte{}
-	type item struct {
-		key   string
-		value []byte
-	}
-	var open []item
-	var batch uint64
-	off := 0
-	for off < len(text) {
-		key, value, n := command(text[off:])
-		if n == 0 || len(value) < frameHead || binary.BigEndian.Uint32(value) != crc32.ChecksumIEEE(value[4:]) {
-			// Batches are written one at a time and each is synced before the
-			// next, so only the last one may be torn.
-			if later(text[off:], last) {
-				return state, good, last, fmt.Errorf("%w at byte %d", ErrDamaged, off)
-			}
-			return state, good, last, nil
-		}
-		b := binary.BigEndian.Uint64(value[4:])
-		count := int(binary.BigEndian.Uint32(value[12:]))
-		if len(open) > 0 && b != batch {
-			return state, good, last, fmt.Errorf("%w: batch %d is not whole", ErrDamaged, batch)
-		}
-		batch = b
-		var v []byte
-		if value[16] == 0 {
-			v = append([]byte{}, value[frameHead:]...)
-		}
-		open = append(open, item{key, v})
-		off += n
-		if len(open) == count {
-			for _, it := range open {
-				if it.value == nil {
-					delete(state, it.key)
-				} else {
-					state[it.key] = it.value
-				}
-			}
-			open, good, last = open[:0], int64(off), b
-		}
-	}
-	return state, good, last, nil
-}
-
-// later says whether a batch that was begun two or more after the last whole
-// one shows up in what follows the damage.
-func later(rest []byte, last uint64) bool {
-	mark := []byte("*3\r\n$3\r\nset\r\n")
-	for {
-		i := bytes.Index(rest, mark)
-		if i < 0 {
-			return false
-		}
-		_, value, n := command(rest[i:])
-		if n > 0 && len(value) >= frameHead && binary.BigEndian.Uint32(value) == crc32.ChecksumIEEE(value[4:]) &&
-			binary.BigEndian.Uint64(value[4:]) > last+1 {
-			return true
-		}
-		rest = rest[i+len(mark):]
-	}
-}
-
-// command reads one set command; n is its length, 0 if there is none.
-func command(b []byte) (key string, value []byte, n int) {
-	head := []byte("*3\r\n$3\r\nset\r\n")
-	if !bytes.HasPrefix(b, head) {
-		return "", nil, 0
-	}
-	r := b[len(head):]
-	part := func() ([]byte, bool) {
-		end := bytes.IndexByte(r, '\n')
-		if end < 3 || r[0] != '$' {
-			return nil, false
-		}
-		size, err := strconv.Atoi(string(r[1 : end-1]))
-		if err != nil || size < 0 || len(r) < end+1+size+2 {
-			return nil, false
-		}
-		p := r[end+1 : end+1+size]
-		r = r[end+1+size+2:]
-		return p, true
-	}
-	k, ok := part()
-	if !ok {
-		return "", nil, 0
-	}
-	v, ok := part()
-	if !ok {
-		return "", nil, 0
+	var err error
+	if !l.locked {
+		err = l.db.Close()
 	}
-	return string(k), v, len(b) - len(r)
+	l.db, l.locked = nil, false
+	return err
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,19 +1,31 @@
 package ledger
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"os"
 	"path/filepath"
 	"testing"
 )
 
-var quiet = log.New(os.Stderr, "ledger: ", 0)
+var quiet = log.New(io.Discard, "", 0)
+
+// file returns the path of the one file in dir.
+func file(t *testing.T, dir string) string {
+	t.Helper()
+	all, err := os.ReadDir(dir)
+	if err != nil || len(all) != 1 {
+		t.Fatalf("%v: %v", all, err)
+	}
+	return filepath.Join(dir, all[0].Name())
+}
 
 func write(t *testing.T, dir string, n int) {
 	t.Helper()
-	l, _, err := Open(dir, quiet)
+	l, _, err := Open(dir, 0, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,7 +45,7 @@
 	path := filepath.Join(dir, fileName)
 	write(t, dir, 2)
 	before, _ := os.ReadFile(path)
-	l, _, _ := Open(dir, quiet)
+	l, _, _ := Open(dir, 0, quiet)
 	if err := l.Write([]Entry{{"a", []byte("new")}, {"b", nil}}); err != nil {
 		t.Fatal(err)
 	}
@@ -48,7 +60,7 @@
 				}
 			}
 			os.WriteFile(path, text, 0o600)
-			l, state, err := Open(dir, quiet)
+			l, state, err := Open(dir, 0, quiet)
 			if err != nil {
 				t.Fatalf("cut %d: %v", cut, err)
 			}
@@ -63,7 +75,7 @@
 				t.Fatal(err)
 			}
 			l.Close()
-			if _, state, err := Open(dir, quiet); err != nil || string(state["d"]) != "x" {
+			if _, state, err := Open(dir, 0, quiet); err != nil || string(state["d"]) != "x" {
 				t.Fatalf("cut %d: write after the cut lost: %v", cut, err)
 			}
 		}
@@ -77,7 +89,7 @@
 	text, _ := os.ReadFile(path)
 	text[len(text)/3] ^= 0xff
 	os.WriteFile(path, text, 0o600)
-	l, state, err := Open(dir, quiet)
+	l, state, err := Open(dir, 0, quiet)
 	if !errors.Is(err, ErrDamaged) || len(state) != 0 {
 		t.Fatalf("got %v and %d entries", err, len(state))
 	}
@@ -92,8 +104,8 @@
 func TestRewriteKeepsStateAndShrinks(t *testing.T) {
 	dir := t.TempDir()
 	write(t, dir, 200)
-	before, _ := os.Stat(filepath.Join(dir, fileName))
-	l, state, err := Open(dir, quiet)
+	before, _ := os.Stat(file(t, dir))
+	l, state, err := Open(dir, 0, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -108,9 +120,162 @@
 		t.Fatal(err)
 	}
 	l.Close()
-	after, _ := os.Stat(filepath.Join(dir, fileName))
-	_, state, err = Open(dir, quiet)
+	after, _ := os.Stat(file(t, dir))
+	_, state, err = Open(dir, 0, quiet)
 	if err != nil || string(state["a"]) != "value-199" || string(state["z"]) != "1" || after.Size() > before.Size()/10 {
 		t.Fatalf("err %v state %q size %d", err, state, after.Size())
 	}
 }
+
+// Of a key that a batch names twice the last entry stands; a batch without
+// entries leaves nothing, and a torn one after it is no damage.
+func TestBatchesOfAnyShape(t *testing.T) {
+	one, two := []byte("1"), []byte("2")
+	for _, c := range []struct {
+		name  string
+		batch []Entry
+		want  map[string][]byte
+	}{
+		{"twice", []Entry{{"a", one}, {"b", one}, {"a", two}}, map[string][]byte{"a": two, "b": one, "z": one}},
+		{"set and removed", []Entry{{"a", one}, {"a", nil}}, map[string][]byte{"z": one}},
+		{"removed and set", []Entry{{"z", nil}, {"z", two}}, map[string][]byte{"z": two}},
+		{"nothing", nil, map[string][]byte{"z": one}},
+	} {
+		for _, rewrite := range []bool{false, true} {
+			dir := t.TempDir()
+			l, _, err := Open(dir, 0, quiet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			write := l.Write
+			if rewrite {
+				write = func(batch []Entry) error { return l.Rewrite(append([]Entry{{"z", one}}, batch...)) }
+			}
+			if err := l.Write([]Entry{{"z", one}}); err != nil {
+				t.Fatal(err)
+			}
+			if err := write(c.batch); err != nil {
+				t.Fatal(err)
+			}
+			path := file(t, dir)
+			text, _ := os.ReadFile(path)
+			if state, _, _, err := scan(text); err != nil || !same(state, c.want) {
+				t.Errorf("%s, rewrite %v: %q, %v", c.name, rewrite, state, err)
+			}
+			if err := l.Write([]Entry{{"last", one}, {"also", one}}); err != nil {
+				t.Fatal(err)
+			}
+			l.Close()
+			text, _ = os.ReadFile(path)
+			text[len(text)-80] ^= 1 // in the first entry of the last batch
+			os.WriteFile(path, text, 0o600)
+			l, state, err := Open(dir, 0, quiet)
+			if err != nil || !same(state, c.want) {
+				t.Errorf("%s, rewrite %v, torn after it: %q, %v", c.name, rewrite, state, err)
+			}
+			l.Close()
+		}
+	}
+}
+
+// Of the two files that may be there a start takes the newer one, passes over a
+// rewrite that was not finished, and goes back to no earlier one for damage.
+func TestWhichFileIsTaken(t *testing.T) {
+	batch := func(number uint64, value string) string {
+		text := ""
+		for _, key := range []string{"a", "b"} {
+			text += string(appendCommand(nil, key, frame(number, 2, Entry{key, []byte(value)})))
+		}
+		return text
+	}
+	spoilt := func(text string, at int) string { return text[:at] + "#" + text[at+1:] }
+	state := func(value string) map[string][]byte {
+		return map[string][]byte{"a": []byte(value), "b": []byte(value)}
+	}
+	none := map[string][]byte{}
+	old, snapshot := batch(1, "1")+batch(2, "2"), batch(4, "4")
+	const absent = "absent"
+	for _, c := range []struct {
+		name       string
+		file, next string
+		want       map[string][]byte
+		damaged    bool
+	}{
+		{"nothing", absent, absent, none, false},
+		{"empty", "", absent, none, false},
+		{"first batch torn", batch(1, "1")[:50], absent, none, false},
+		{"rewritten, first entry damaged", spoilt(snapshot, 3), absent, none, true},
+		{"rewritten, last entry damaged", spoilt(snapshot, len(snapshot)-9), absent, none, true},
+		{"rewritten, cut after its first entry", snapshot[:len(snapshot)/2], absent, none, true},
+		{"rewritten, its last batch torn", snapshot + batch(5, "5")[:50], absent, state("4"), false},
+		{"one", old, absent, state("2"), false},
+		{"one torn", old[:len(old)-1], absent, state("1"), false},
+		{"one and an empty one", old, "", state("2"), false},
+		{"one and an unfinished rewrite", old, snapshot[:50], state("2"), false},
+		{"one and a rewrite with a hole", old, spoilt(snapshot, 3), state("2"), false},
+		{"one torn and an unfinished rewrite", old[:len(old)-1], snapshot[:50], state("1"), false},
+		{"one and a rewrite", old, snapshot, state("4"), false},
+		{"one torn and a rewrite", old[:len(old)-1], snapshot, state("4"), false},
+		{"one damaged and a rewrite", spoilt(old, 3), snapshot, state("4"), false},
+		{"one damaged and an unfinished rewrite", spoilt(old, 3), snapshot[:50], none, true},
+		{"one damaged and an empty one", spoilt(old, 3), "", none, true},
+		{"one and a newer one in use", old, snapshot + batch(5, "5"), state("5"), false},
+		{"one and a newer one damaged", old, spoilt(snapshot, 3) + batch(5, "5"), none, true},
+		{"one and a newer one damaged later", old, snapshot + spoilt(batch(5, "5"), 3) + batch(6, "6"), none, true},
+	} {
+		for turn := range 2 {
+			dir := t.TempDir()
+			for i, text := range []string{c.file, c.next} {
+				if text != absent {
+					os.WriteFile(filepath.Join(dir, slots[i^turn]), []byte(text), 0o600)
+				}
+			}
+			l, got, err := Open(dir, 0, quiet)
+			if errors.Is(err, ErrDamaged) != c.damaged || err != nil && !c.damaged || !same(got, c.want) {
+				t.Errorf("%s, turn %d: %v, %q", c.name, turn, err, got)
+			}
+			if l != nil {
+				l.Close()
+			}
+		}
+	}
+}
+
+// What is kept of damaged files does not grow, however large and many they are.
+func TestDamagedFilesDoNotFillTheDisk(t *testing.T) {
+	const room = 4 << 20
+	dir := t.TempDir()
+	kept := filepath.Join(dir, fileName+".damaged")
+	os.WriteFile(kept, make([]byte, room/2), 0o600) // as earlier versions left it
+	for round := range 4 {
+		l, state, err := Open(dir, room, quiet)
+		if errors.Is(err, ErrDamaged) != (round > 0) || err != nil && round == 0 || len(state) != 0 {
+			t.Fatalf("round %d: %v, %d entries", round, err, len(state))
+		}
+		for i := range 8 {
+			if err := l.Write([]Entry{{fmt.Sprint(i), make([]byte, room/32)}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		l.Close()
+		if info, err := os.Stat(kept); err != nil || info.Size() > room/512 {
+			t.Errorf("round %d: %d bytes of damaged files are kept: %v", round, info.Size(), err)
+		}
+		path := filepath.Join(dir, fileName)
+		text, _ := os.ReadFile(path)
+		copy(text[len(text)/2:], "here")
+		os.WriteFile(path, text, 0o600)
+		all, _ := os.ReadDir(dir)
+		if len(all) != 2 {
+			t.Errorf("round %d: %v", round, all)
+		}
+	}
+	if l, _, err := Open(dir, room, quiet); !errors.Is(err, ErrDamaged) {
+		t.Error(err)
+	} else {
+		l.Close()
+	}
+	if text, _ := os.ReadFile(kept); !bytes.Contains(text, []byte("here")) {
+		t.Errorf("the damage is not in what is kept, %d bytes", len(text))
+	}
+}
--- /dev/null
+++ b/internal/ledger/scan_test.go
@@ -0,0 +1,187 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/tidwall/buntdb"
+)
+
+// same says whether two states hold the same.
+func same(a, b map[string][]byte) bool { return maps.EqualFunc(a, b, bytes.Equal) }
+
+// history writes small batches, and returns the file, where each batch ends and
+// the state after each.
+func history(t *testing.T) (text []byte, ends []int, states []map[string][]byte) {
+	t.Helper()
+	dir := t.TempDir()
+	l, _, err := Open(dir, 0, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	state := map[string][]byte{}
+	for i, batch := range [][]Entry{
+		{{"a", []byte("1")}, {"bb", []byte("1")}},
+		{{"a", []byte("2")}, {"c", []byte("")}},
+		{{"a", nil}, {"bb", []byte("3")}, {"d", []byte("\r\n$1\r\n3")}},
+	} {
+		if err := l.Write(batch); err != nil {
+			t.Fatal(err)
+		}
+		text, _ = os.ReadFile(filepath.Join(dir, fileName))
+		for _, e := range batch {
+			if state[e.Key] = e.Value; e.Value == nil {
+				delete(state, e.Key)
+			}
+		}
+		ends, states = append(ends, len(text)), append(states, maps.Clone(state))
+		if got, good, last, err := scan(text); err != nil || good != int64(len(text)) || last != uint64(i+1) || !same(got, state) {
+			t.Fatalf("batch %d: %v at %d, %v, %q", i+1, last, good, err, got)
+		}
+	}
+	return text, ends, states
+}
+
+// loads checks that buntdb takes what scan took for good.
+func loads(t *testing.T, text []byte) {
+	t.Helper()
+	db, err := buntdb.Open(":memory:")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer db.Close()
+	if err := db.Load(bytes.NewReader(text)); err != nil {
+		t.Errorf("buntdb refuses %q: %v", text, err)
+	}
+}
+
+// Every byte of the last batch is cut off, flipped, zeroed, or the first to be
+// there after a hole: what stands is what the batch before left. Every byte of
+// the batch before is changed: that is damage, since the last one follows it.
+func TestScanAtEveryByte(t *testing.T) {
+	text, ends, states := history(t)
+	for at := ends[0]; at < len(text); at++ {
+		batch, begin := 1, ends[0]
+		if at >= ends[1] {
+			batch, begin = 2, ends[1]
+		}
+		changed := func(what string, from, to int, f func(byte) byte) {
+			torn := bytes.Clone(text)
+			for i := from; i < to; i++ {
+				torn[i] = f(torn[i])
+			}
+			if bytes.Equal(torn, text) {
+				return
+			}
+			state, good, last, err := scan(torn)
+			if batch == 1 {
+				if !errors.Is(err, ErrDamaged) {
+					t.Errorf("batch before the last, %s at %d: %v, %q", what, at, err, state)
+				}
+			} else if err != nil || good != int64(ends[1]) || last != 2 || !same(state, states[1]) {
+				t.Errorf("last batch, %s at %d: %v, good to %d, %q", what, at, err, good, state)
+			}
+			loads(t, torn[:good])
+		}
+		for bit := range 8 {
+			changed(fmt.Sprintf("bit %d flipped", bit), at, at+1, func(b byte) byte { return b ^ 1<<bit })
+		}
+		changed("zero", at, at+1, func(byte) byte { return 0 })
+		changed("hole up to", begin, at+1, func(byte) byte { return 0 })
+		state, good, last, err := scan(text[:at])
+		if err != nil || good != int64(begin) || last != uint64(batch) || !same(state, states[batch-1]) {
+			t.Errorf("cut at %d: %v, good to %d, %q", at, err, good, state)
+		}
+	}
+}
+
+// A file of an earlier version, whose checksums leave the keys out, reads as it did.
+func TestScanOfAnEarlierFile(t *testing.T) {
+	const set, one = setHead, "\x00\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x02"
+	const two = "\x00\x00\x00\x00\x00\x00\x00\x02\x00\x00\x00\x01"
+	text := set + "$1\r\na\r\n$18\r\n%\x96\xa6'" + one + "\x001\r\n" +
+		set + "$2\r\nbb\r\n$18\r\n%\x96\xa6'" + one + "\x001\r\n" +
+		set + "$1\r\na\r\n$17\r\nGONE" + two + "\x01\r\n"
+	text = strings.Replace(text, "GONE", string(binary.BigEndian.AppendUint32(nil, crc32.ChecksumIEEE([]byte(two+"\x01")))), 1)
+	state, good, last, err := scan([]byte(text))
+	if err != nil || good != int64(len(text)) || last != 2 || !same(state, map[string][]byte{"bb": []byte("1")}) {
+		t.Errorf("%q up to %d, batch %d: %v", state, good, last, err)
+	}
+}
+
+func TestScanOfForeignText(t *testing.T) {
+	const set = "*3\r\n$3\r\nset\r\n"
+	for _, text := range []string{
+		"", "x", "\x00\x00\x00", set, set + "$", set + "$1\r\n", set + "$-1\r\n",
+		set + "$9223372036854775807\r\nk\r\n$1\r\nv\r\n",
+		set + "$9223372036854775800\r\nk\r\n$1\r\nv\r\n",
+		set + "$99999999999999999999\r\nk\r\n$1\r\nv\r\n",
+	} {
+		if state, good, last, err := scan([]byte(text)); len(state) != 0 || good != 0 || last != 0 || err != nil {
+			t.Errorf("%q: %v, %d, %d, %v", text, state, good, last, err)
+		}
+	}
+}
+
+// Just what buntdb writes is a command: a file with anything else in it could
+// not be opened, so it has to be cut off as torn.
+func TestCommandIsStrict(t *testing.T) {
+	const good = setHead + "$2\r\nkk\r\n$1\r\nv\r\n"
+	if key, value, n := command([]byte(good)); key != "kk" || string(value) != "v" || n != len(good) {
+		t.Fatalf("%q, %q, %d", key, value, n)
+	}
+	for i := range good {
+		if _, _, n := command([]byte(good[:i])); n != 0 {
+			t.Errorf("cut at %d: %d", i, n)
+		}
+		if good[i] == 'k' || good[i] == 'v' {
+			continue
+		}
+		if _, _, n := command([]byte(good[:i] + "\x00" + good[i+1:])); n != 0 {
+			t.Errorf("zero at %d: %d", i, n)
+		}
+	}
+	for _, size := range []string{"+2", "02", "-0", " 2", "2 ", ""} {
+		if _, _, n := command([]byte(setHead + "$" + size + "\r\nkk\r\n$1\r\nv\r\n")); n != 0 {
+			t.Errorf("size %q: %d", size, n)
+		}
+	}
+}
+
+// Whatever the text, scan does not panic, takes nothing from a batch that is not
+// whole, and takes only what buntdb reads too.
+func FuzzScan(f *testing.F) {
+	dir := f.TempDir()
+	l, _, err := Open(dir, 0, quiet)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for i := range 3 {
+		if err := l.Write([]Entry{{"a", []byte{byte(i)}}, {"b", nil}}); err != nil {
+			f.Fatal(err)
+		}
+	}
+	l.Close()
+	text, _ := os.ReadFile(filepath.Join(dir, fileName))
+	f.Add(text)
+	f.Add(text[:len(text)-9])
+	f.Add(append(bytes.Clone(text), text...))
+	f.Add([]byte("*3\r\n$3\r\nset\r\n$9223372036854775807\r\nk\r\n$1\r\nv\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		state, good, last, _ := scan(text)
+		again, end, number, damage := scan(text[:good])
+		if damage != nil || end != good || number != last || !same(again, state) {
+			t.Fatalf("%q up to %d: %v, %d, %d", text, good, damage, end, number)
+		}
+		loads(t, text[:good])
+	})
+}
