transport: connections may have an idle timeout

Cause: a process that talks now and then keeps a connection, and its probes, for ever. Change: Mesh.IdleTimeout closes a connection that carried nothing for so long; 0, as all have it today, keeps it. Sending counts as use, so a question under way keeps its connection. Ruled out: a call to close one link: the accepting side would keep its half. Tests: TestIdleConnectionsAreClosed and TestSendingIsUse; each of the two places that renew the deadline was taken out once and its test failed.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -49,6 +49,10 @@
 	listener net.Listener
 	packets  *net.UDPConn
 
+	// IdleTimeout is the time after which a connection that carried nothing is
+	// closed; 0: never. It is set before Start.
+	IdleTimeout time.Duration
+
 	mu       sync.Mutex
 	handlers map[string]entry
 	links    map[string]*link
@@ -191,6 +195,7 @@
 	r := bufio.NewReaderSize(conn, 8<<10)
 	var head [4]byte
 	for {
+		c.used(conn)
 		if _, err := io.ReadFull(r, head[:]); err != nil {
 			return
 		}
@@ -212,6 +217,13 @@
 	}
 }
 
+// used lets a connection's idle time begin anew.
+func (c *Mesh) used(conn net.Conn) {
+	if c.IdleTimeout > 0 {
+		_ = conn.SetReadDeadline(time.Now().Add(c.IdleTimeout))
+	}
+}
+
 // garbageEvery is the time, in patiences, for which one line on garbage is enough.
 const garbageEvery = 10
 
@@ -451,6 +463,7 @@
 				l.stop()
 				return
 			}
+			l.c.used(conn)
 			l.c.BytesSent.Add(uint64(len(b)))
 			l.c.FramesSent.Add(1)
 		case <-l.done:
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -113,3 +113,65 @@
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
 }
+
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	a, b := start(t), start(t)
+	b.IdleTimeout = 20 * time.Millisecond
+	a.Start()
+	b.Start()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	open := func() int {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.links)
+	}
+	for _, asks := range []bool{true, false, true} { // each opens another
+		l := a.link(b.Self())
+		for err := errors.New("not yet"); asks && err != nil; {
+			if err = a.Call(ctx, b.Self(), "echo", "hello", nil); ctx.Err() != nil {
+				t.Fatal(err)
+			}
+		}
+		select {
+		case <-l.done:
+		case <-ctx.Done():
+			t.Fatal("an idle connection stays")
+		}
+		for open() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// deadlines counts how often a read deadline is set.
+type deadlines struct {
+	net.Conn
+	set chan struct{}
+}
+
+func (d deadlines) SetReadDeadline(time.Time) error {
+	d.set <- struct{}{}
+	return nil
+}
+
+// What is sent counts as use: who waits for an answer keeps the connection.
+func TestSendingIsUse(t *testing.T) {
+	m := start(t)
+	m.IdleTimeout = time.Hour
+	here, there := net.Pipe()
+	defer there.Close()
+	l := &link{c: m, out: make(chan []byte, 1), done: make(chan struct{})}
+	conn := deadlines{here, make(chan struct{}, 1)}
+	go l.write(conn)
+	l.offer([]byte("x"))
+	if _, err := io.ReadFull(there, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-conn.set:
+	case <-time.After(10 * time.Second):
+		t.Error("the idle time goes on")
+	}
+	l.stop()
+}
