register: a process outside the register may introduce who joins

Cause: a node whose seeds are all in no register never finds the others. Change: Introduce answers a joining node with nodes that the caller gives. Ruled out: answering with a list of one's own making: incarnations have to be the nodes' own.

--- a/internal/register/service.go
+++ b/internal/register/service.go
@@ -92,6 +92,21 @@
 	}
 }
 
+// Introduce answers the nodes that join through a process that is in no register
+// itself: known gives the nodes that such a one is told of. It may block.
+func Introduce(post *transport.Mesh, known func(joins Node) []Node) {
+	transport.On(post, kind, func(from string, m Message) {
+		if m.From == nil || !m.Ping || m.From.Address != from {
+			return
+		}
+		go func() {
+			if nodes := known(*m.From); len(nodes) > 0 {
+				post.Send(from, kind, Message{Whole: true, Nodes: nodes})
+			}
+		}()
+	})
+}
+
 // List is the newest list.
 func (s *Service) List() *List { return s.list.Load() }
 
--- /dev/null
+++ b/internal/register/service_test.go
@@ -0,0 +1,51 @@
+package register
+
+import (
+	"io"
+	"log"
+	"testing"
+	"time"
+
+	"madderwing/internal/transport"
+)
+
+// A node whose one seed is in no register is told of an archive there, and so joins.
+func TestJoiningThroughAStranger(t *testing.T) {
+	mesh := func() *transport.Mesh {
+		m, err := transport.New("127.0.0.1:0", 5*time.Second, log.New(io.Discard, "", 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(m.Close)
+		return m
+	}
+	node := func(plane Plane, seeds ...string) (*Service, *transport.Mesh) {
+		m := mesh()
+		s := NewService(Config{Self: Node{Address: m.Self(), Plane: plane}, Seeds: seeds, Beat: 50 * time.Millisecond, Forget: time.Minute}, m, log.New(io.Discard, "", 0), nil)
+		m.Start()
+		go s.Run()
+		t.Cleanup(s.Stop)
+		return s, m
+	}
+	archive, at := node(Control)
+	stranger := mesh()
+	Introduce(stranger, func(Node) []Node { return []Node{{Address: at.Self(), Plane: Control}} })
+	stranger.Start()
+	desk, from := node(Data, stranger.Self())
+	for i := 0; ; i++ {
+		_, knows := desk.List().Get(at.Self())
+		_, known := archive.List().Get(from.Self())
+		if knows && known {
+			break
+		}
+		if i > 600 {
+			t.Fatalf("the desk knows %v, the archive %v", desk.List().Nodes, archive.List().Nodes)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, s := range []*Service{desk, archive} {
+		if _, ok := s.List().Get(stranger.Self()); ok {
+			t.Error("the stranger is in the register")
+		}
+	}
+}
