charter: faultBudget and catchUpS are read; check settings warns

Cause: settings that can be used but not as meant passed in silence. Change: both are read (the schema had them); Warnings names an archive without dataDir, a registry on one, and a fault budget whose loss leaves no majority of the zones, regions or, where fewer than three seeds are named, machines. The command prints them on stderr and ends with 0. Ruled out: reckoning seats: the settings don't tell how many archives a zone has.

--- a/cmd/madderwing/commands.go
+++ b/cmd/madderwing/commands.go
@@ -182,9 +182,13 @@
 	c := &cobra.Command{Use: "check", Short: "Check a settings file or a configuration"}
 	c.AddCommand(&cobra.Command{Use: "settings FILE", Short: "Check a settings file (TOML)", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			if _, err := charter.Load(args[0]); err != nil {
+			s, err := charter.Load(args[0])
+			if err != nil {
 				return usage(fmt.Errorf("%s: %w", args[0], err))
 			}
+			for _, warning := range s.Warnings() {
+				fmt.Fprintf(c.ErrOrStderr(), "%s: warning: %s\n", args[0], warning)
+			}
 			fmt.Fprintln(c.OutOrStdout(), args[0]+": good")
 			return nil
 		}})
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -49,6 +49,7 @@
 	Zones         map[string]string `toml:"zones"`
 	Bind          Bind              `toml:"bind"`
 	Limits        Limits            `toml:"limits"`
+	FaultBudget   FaultBudget       `toml:"faultBudget"`
 	Bounds        Bounds            `toml:"bounds"`
 	CloudAPI      CloudAPI          `toml:"cloudApi"`
 }
@@ -69,6 +70,14 @@
 	LinkMbps    float64 `toml:"linkMbps"`
 }
 
+// FaultBudget says what may be lost at once with all rules kept: so many machines that
+// count for the quorum, or zones, or regions.
+type FaultBudget struct {
+	Machines int `toml:"machines"`
+	Zones    int `toml:"zones"`
+	Regions  int `toml:"regions"`
+}
+
 // Bounds are the figures that the rules are judged by, in seconds where the
 // name ends in S.
 type Bounds struct {
@@ -81,6 +90,8 @@
 	RetryWindowS float64 `toml:"retryWindowS"`
 	RetrySlack   float64 `toml:"retrySlack"`
 	EvacuateS    float64 `toml:"evacuateS"`
+	// CatchUpS is for how long a machine that is back still counts as lost; 0: not told.
+	CatchUpS float64 `toml:"catchUpS"`
 
 	// Only where versions are rolled out.
 	ExposureShare float64 `toml:"exposureShare"`
@@ -188,6 +199,40 @@
 	return out
 }
 
+// seedsNamed is how many seeds the settings name, if there are as many machines that
+// serve control.
+const seedsNamed = 3
+
+// Warnings are lines on settings that can be used, but not as may be meant. Of the
+// fault budget they name only what no number of archives could bear: what is left must
+// be a majority.
+func (s *Settings) Warnings() (out []string) {
+	if s.Bind.Control != "" && s.DataDir == "" {
+		out = append(out, "dataDir: none, so an archive runs as a relay here")
+		if s.Bind.Directory != "" {
+			out = append(out, "bind.directory: a relay answers the registry's clients 503")
+		}
+	}
+	regions := map[string]bool{}
+	for _, r := range s.Zones {
+		regions[r] = true
+	}
+	for _, b := range []struct {
+		name       string
+		lost, have int
+		known      bool
+	}{
+		{"machines", s.FaultBudget.Machines, len(s.SeedNodes), len(s.SeedNodes) < seedsNamed},
+		{"zones", s.FaultBudget.Zones, len(s.Zones), len(s.Zones) > 0},
+		{"regions", s.FaultBudget.Regions, len(regions), len(regions) > 0},
+	} {
+		if need := 2*b.lost + 1; b.known && b.have < need {
+			out = append(out, fmt.Sprintf("faultBudget.%s: to bear the loss of %d, %d are needed, and there are %d", b.name, b.lost, need, b.have))
+		}
+	}
+	return out
+}
+
 // Check is the list of what is wrong with a document, one line each.
 type Check []string
 
--- a/internal/charter/charter_test.go
+++ b/internal/charter/charter_test.go
@@ -67,6 +67,57 @@
 	}
 }
 
+func TestWarnings(t *testing.T) {
+	const disk, zones = "dataDir = \"/data/a\"\n", "[zones]\nn = \"east\"\ns = \"east\"\nw = \"west\"\n"
+	cases := []struct {
+		name, top, tables string
+		warned            []string // what the lines begin with
+	}{
+		{"a disk", disk, "", nil},
+		{"no disk", "", "", []string{"dataDir: "}},
+		{"nor for a registry", "", "[bind]\ncontrol = \"10.0.0.1:8000\"\ndirectory = \"10.0.0.1:8001\"\n", []string{"dataDir: ", "bind.directory: "}},
+		{"one zone of three", disk, zones + "[faultBudget]\nmachines = 1\nzones = 1\nregions = 0\n", nil},
+		{"two zones of three", disk, zones + "[faultBudget]\nzones = 2\n", []string{"faultBudget.zones: to bear the loss of 2, 5 are needed, and there are 3"}},
+		{"one region of two", disk, zones + "[faultBudget]\nregions = 1\n", []string{"faultBudget.regions: to bear the loss of 1, 3 are needed, and there are 2"}},
+		{"zones that aren't named", disk, "[faultBudget]\nzones = 1\n", nil},
+		{"one machine of two", disk, "[faultBudget]\nmachines = 1\n", []string{"faultBudget.machines: to bear the loss of 1, 3 are needed, and there are 2"}},
+		{"as many machines as may be", disk, "[faultBudget]\nmachines = 3\n", nil},
+		{"a desk", "", "[bind]\nfront = \"10.0.0.1:8000\"\n", nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := good
+			if strings.Contains(c.tables, "[bind]") {
+				text = strings.Replace(text, "[bind]\ncontrol = \"10.0.0.1:8000\"\n", "", 1)
+			}
+			if len(c.warned) == 0 || !strings.Contains(c.warned[0], "machines") {
+				text = strings.Replace(text, `"10.0.0.1:8000"]`, `"10.0.0.1:8000", "10.0.0.2:8000"]`, 1)
+			}
+			s, err := Parse([]byte(c.top + text + c.tables))
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := s.Warnings()
+			ok := len(got) == len(c.warned)
+			for i := 0; ok && i < len(got); i++ {
+				ok = strings.HasPrefix(got[i], c.warned[i])
+			}
+			if !ok {
+				t.Errorf("warned of %q, want %q", got, c.warned)
+			}
+		})
+	}
+	for _, wrong := range []string{"[faultBudget]\nzones = -1\n", "[faultBudget]\nmachines = 1.5\n"} {
+		if _, err := Parse([]byte(good + wrong)); err == nil || !strings.Contains(err.Error(), "faultBudget") {
+			t.Errorf("%q: %v", wrong, err)
+		}
+	}
+	s, err := Parse([]byte(strings.Replace(good, "evacuateS = 5", "evacuateS = 5\ncatchUpS = 4", 1) + "[faultBudget]\nmachines = 1\nzones = 2\nregions = 3\n"))
+	if err != nil || s.Bounds.CatchUpS != 4 || s.FaultBudget != (FaultBudget{1, 2, 3}) {
+		t.Errorf("%v %+v", err, s)
+	}
+}
+
 // The deployment as a whole decides: nothing of the registry, keys or quotas runs
 // where clients do not ask a registry.
 func TestGlobalOnlyWhereThereIsARegistry(t *testing.T) {
