archive: without a disk it is a relay that redirects calls

Cause: an archive without dataDir ended at once and was started over and over. Change: Run branches to a relay (internal/archive/relay.go). It answers calls with 307 to an archive that has just answered its question, the owner of the key if that is known, or 503 with Retry-After; it asks only when called, is in no register and has no seat. Archives answer the question. Tests: TestPicking, TestPickingAgain, TestAnsweringRelays, TestRelaysIntroduce, TestRedirecting, TestARelay.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -129,8 +129,12 @@
 	whole   bool
 }
 
-// Run serves until ctx ends, then leaves in order.
+// Run serves until ctx ends, then leaves in order. Where the settings name no dataDir
+// it runs a relay.
 func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
+	if set.DataDir == "" {
+		return runRelay(ctx, set, reload)
+	}
 	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
 		writes: newJobs(), shown: antientropy.NewSet(), told: map[string]toldAt{},
 		asks: newAsks(charter.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
@@ -141,9 +145,6 @@
 	beat := set.Beat()
 	vacant := charter.Seconds(set.Bounds.ContactS * vacantPart)
 
-	if set.DataDir == "" {
-		return errors.New("dataDir: an archive needs a disk")
-	}
 	if err := os.MkdirAll(set.DataDir, 0o700); err != nil {
 		return err
 	}
@@ -199,6 +200,7 @@
 			}
 		})
 	a.handlers()
+	a.answerRelays()
 	post.Start()
 	go a.reg.Run()
 	go a.keep(book)
--- /dev/null
+++ b/internal/archive/relay_test.go
@@ -0,0 +1,245 @@
+package archive
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"madderwing/internal/register"
+)
+
+const (
+	testPatience = 100 * time.Millisecond
+	testLimit    = 500 * time.Millisecond
+	testRest     = 3 * time.Second
+)
+
+// fleet is what each node would answer, and whom a picker has asked.
+type fleet struct {
+	mu    sync.Mutex
+	nodes map[string]fleetNode
+	asked []string
+}
+
+type fleetNode struct {
+	down   bool          // refuses at once
+	silent bool          // never answers
+	delay  time.Duration // of its answer
+	relay  bool
+	cutOff bool // hears no owner
+	owner  string
+	knows  []string
+}
+
+func (f *fleet) picker(seeds ...string) *picker {
+	return &picker{self: "self", zone: "z", patience: testPatience, limit: testLimit, rest: testRest, seeds: seeds,
+		nodes: map[string]register.Node{}, owners: map[string]string{}, failed: map[string]time.Time{},
+		ask: func(ctx context.Context, to, _ string) (relayAnswer, error) {
+			f.mu.Lock()
+			f.asked = append(f.asked, to)
+			n, ok := f.nodes[to]
+			f.mu.Unlock()
+			if !ok || n.down {
+				return relayAnswer{}, errors.New("refused")
+			}
+			if n.silent {
+				n.delay = time.Hour
+			}
+			select {
+			case <-time.After(n.delay):
+			case <-ctx.Done():
+				return relayAnswer{}, ctx.Err()
+			}
+			a := relayAnswer{Relay: n.relay, Works: !n.relay && !n.cutOff, Owner: n.owner}
+			for _, k := range n.knows {
+				a.Nodes = append(a.Nodes, register.Node{Address: k, Plane: register.Control})
+			}
+			return a, nil
+		}}
+}
+
+func TestPicking(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		seeds []string
+		nodes map[string]fleetNode
+		want  string
+		took  time.Duration
+	}{
+		{"a seed that owns the key", []string{"a"}, map[string]fleetNode{"a": {owner: "a"}}, "a", 0},
+		{"a seed that knows no owner", []string{"a"}, map[string]fleetNode{"a": {}}, "a", 0},
+		{"the owner is somebody else", []string{"a"}, map[string]fleetNode{"a": {owner: "b"}, "b": {owner: "b"}}, "b", 0},
+		{"the owner is silent", []string{"a"}, map[string]fleetNode{"a": {owner: "b"}, "b": {silent: true}}, "a", testPatience},
+		{"the owner has lost its majority", []string{"a"}, map[string]fleetNode{"a": {owner: "b"}, "b": {cutOff: true}}, "a", 0},
+		{"an archive that has lost its majority", []string{"a"}, map[string]fleetNode{"a": {cutOff: true, owner: "a"}}, "", 0},
+		{"the seed is a relay that knows an archive", []string{"r"}, map[string]fleetNode{"r": {relay: true, knows: []string{"a"}}, "a": {}}, "a", 0},
+		{"relays that know each other", []string{"r"}, map[string]fleetNode{"r": {relay: true, knows: []string{"s", "self"}}, "s": {relay: true, knows: []string{"r"}}, "self": {}}, "", 0},
+		{"a silent seed", []string{"a", "b"}, map[string]fleetNode{"a": {silent: true}, "b": {down: true}}, "", testLimit},
+		{"all seeds refuse", []string{"a", "b", "c"}, nil, "", 0},
+		{"no seed but itself", []string{"self"}, map[string]fleetNode{"self": {}}, "", 0},
+		{"a slow one and another", []string{"a", "b"}, map[string]fleetNode{"a": {delay: 3 * testPatience, owner: "a"}, "b": {delay: 3 * testPatience, owner: "b"}}, "", 3 * testPatience},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{nodes: c.nodes}
+				begin := time.Now()
+				got := f.picker(c.seeds...).pick("k")
+				synctest.Wait()
+				if c.name == "a slow one and another" {
+					c.want = f.asked[0] // whichever was asked first answers first
+				}
+				if took := time.Since(begin); got != c.want || took != c.took {
+					t.Errorf("picked %q after %v, want %q after %v; asked %v", got, took, c.want, c.took, f.asked)
+				}
+			})
+		})
+	}
+}
+
+// What one call has learnt serves the next.
+func TestPickingAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{nodes: map[string]fleetNode{"a": {owner: "b", knows: []string{"a", "b", "c"}}, "b": {owner: "b", knows: []string{"a", "b", "c"}},
+			"c": {owner: "b", knows: []string{"a", "b", "c"}}}}
+		p := f.picker("a")
+		step := func(what, want string, asked ...string) {
+			t.Helper()
+			f.asked = nil
+			got := p.pick("k")
+			synctest.Wait() // those who were slow are done
+			if got != want || !slices.Equal(f.asked, asked) {
+				t.Errorf("%s: picked %q by asking %v, want %q by %v", what, got, f.asked, want, asked)
+			}
+		}
+		step("first", "b", "a", "b")
+		step("the owner is known", "b", "b")
+		f.nodes["b"] = fleetNode{silent: true}
+		step("the owner falls silent", "c", "b", "c")
+		step("it isn't asked again at once, nor is it believed in", "c", "c")
+		time.Sleep(testRest)
+		step("after a while it is", "c", "b", "c")
+		f.nodes["a"], f.nodes["c"], f.nodes["b"] = fleetNode{down: true}, fleetNode{down: true}, fleetNode{owner: "b", knows: []string{"b"}}
+		step("all others are gone: also who failed lately", "b", "c", "a", "b")
+		f.nodes["b"] = fleetNode{down: true}
+		f.nodes["n"] = fleetNode{owner: "n", knows: []string{"n"}}
+		p.setSeeds([]string{"n"})
+		step("new seeds", "n", "b", "n")
+		f.nodes["n"] = fleetNode{owner: "s", knows: []string{"n", "s"}}
+		f.nodes["s"] = fleetNode{silent: true}
+		step("an owner that the picker has never asked is silent", "n", "n", "s")
+		step("nor is that one asked again at once", "n", "n")
+		f.nodes["n"] = fleetNode{down: true}
+		step("archives of old that no answer names are forgotten", "", "n", "s")
+	})
+}
+
+func TestAnsweringRelays(t *testing.T) {
+	keys := []string{"catalogue", "evacuation/n"}
+	for _, c := range []struct {
+		name, key string
+		owners    map[string]string
+		leaving   bool
+		owner     string
+		works     bool
+	}{
+		{"an owner", "evacuation/n", map[string]string{"catalogue": "a", "evacuation/n": "b"}, false, "b", true},
+		{"none at the moment", "evacuation/n", map[string]string{"catalogue": "a"}, false, "", true},
+		{"a key that there is not", "evacuation/m", map[string]string{"catalogue": "a", "evacuation/m": "made by asking"}, false, "", true},
+		{"no owner of anything", "catalogue", nil, false, "", false},
+		{"about to leave", "catalogue", map[string]string{"catalogue": "a"}, true, "a", false},
+	} {
+		l := &register.List{Nodes: []register.Node{{Address: "a", Plane: register.Control, Draining: c.leaving}, {Address: "b", Plane: register.Control},
+			{Address: "c", Plane: register.Control, State: register.Dead}, {Address: "d"}, {Address: "e", Plane: register.Control, Draining: true}}}
+		got := answerRelay(c.key, "a", keys, func(key string) string { return c.owners[key] }, l)
+		want := 2
+		if c.leaving {
+			want = 1
+		}
+		if got.Owner != c.owner || got.Works != c.works || len(got.Nodes) != want || got.Nodes[want-1].Address != "b" {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
+
+// A node that joins through a relay is told the archives, which are looked for once.
+func TestRelaysIntroduce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{nodes: map[string]fleetNode{"a": {owner: "a", knows: []string{"a"}}}}
+		p := f.picker("a")
+		for range 3 {
+			if got := p.introduce(register.Node{Address: "d"}); len(got) != 1 || got[0].Address != "a" {
+				t.Errorf("told of %v", got)
+			}
+		}
+		if len(f.asked) != 1 {
+			t.Errorf("asked %v", f.asked)
+		}
+		lost := &fleet{}
+		q := lost.picker("a")
+		for range 3 {
+			q.introduce(register.Node{Address: "d"})
+		}
+		if len(lost.asked) != 1 {
+			t.Errorf("asked %v in vain", lost.asked)
+		}
+		if got := p.introduce(register.Node{Address: "b", Plane: register.Control}); len(got) != 1 {
+			t.Errorf("an archive is told of %v", got)
+		}
+		if got := p.introduce(register.Node{Address: "d"}); len(got) != 2 {
+			t.Errorf("an archive that joined isn't passed on: %v", got)
+		}
+	})
+}
+
+func TestRedirecting(t *testing.T) {
+	for _, c := range []struct {
+		name, method, target, pick string
+		key, location              string
+		status                     int
+		expects                    bool // to be asked for its body
+	}{
+		{"a change", "PATCH", "/v1/config", "10.0.0.4:7001", "catalogue", "http://10.0.0.4:8080/v1/config", 307, false},
+		{"a body that waits", "PATCH", "/v1/config", "10.0.0.4:7001", "catalogue", "http://10.0.0.4:8080/v1/config", 307, true},
+		{"a question", "GET", "/v1/admin/resolve?name=h.example&zone=a%20b", "10.0.0.4:7001", "catalogue", "http://10.0.0.4:8080/v1/admin/resolve?name=h.example&zone=a%20b", 307, false},
+		{"an evacuation", "POST", "/v1/evacuation/north", "10.0.0.4:7001", "evacuation/north", "http://10.0.0.4:8080/v1/evacuation/north", 307, false},
+		{"a rollout", "DELETE", "/v1/rollouts/a%2Fb", "10.0.0.4:7001", "rollout/a/b", "http://10.0.0.4:8080/v1/rollouts/a%2Fb", 307, false},
+		{"an order of a rollout", "POST", "/v1/rollouts", "10.0.0.4:7001", "catalogue", "http://10.0.0.4:8080/v1/rollouts", 307, false},
+		{"a retirement", "DELETE", "/v1/admin/members/n", "10.0.0.4:7001", "roster", "http://10.0.0.4:8080/v1/admin/members/n", 307, false},
+		{"nobody", "PATCH", "/v1/config", "", "catalogue", "", 503, false},
+		{"its own metrics", "GET", "/metrics", "", "", "", 200, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			key := ""
+			r := &relay{port: "8080", later: time.Second / 2, log: log.New(io.Discard, "", 0),
+				pick: func(k string) string { key = k; return c.pick }, known: func() []register.Node { return nil }}
+			w := httptest.NewRecorder()
+			body := strings.NewReader(strings.Repeat("x", 1<<20))
+			req := httptest.NewRequest(c.method, c.target, body)
+			if c.expects {
+				req.Header.Set("Expect", "100-continue")
+			}
+			r.ServeHTTP(w, req)
+			if w.Code != c.status || w.Header().Get("Location") != c.location || key != c.key {
+				t.Errorf("%d %q about %q", w.Code, w.Header().Get("Location"), key)
+			}
+			if unread := body.Len() > 0; unread != (c.expects || c.status == http.StatusOK) {
+				t.Errorf("%d bytes of the body are left", body.Len())
+			}
+			if later := w.Header().Get("Retry-After"); (later != "") != (c.status == http.StatusServiceUnavailable) {
+				t.Errorf("Retry-After %q", later)
+			}
+			if c.status == http.StatusOK && !strings.Contains(w.Body.String(), "madderwing_relay_calls_total 0\n") {
+				t.Errorf("metrics: %s", w.Body)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/archive/relay_whole_test.go
@@ -0,0 +1,144 @@
+package archive_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"madderwing/internal/archive"
+	"madderwing/internal/charter"
+)
+
+// Four archives and a relay, each on an address of its own. One of the relay's seeds is
+// the relay itself.
+func TestARelay(t *testing.T) {
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"instances":[],"nextToken":null}`)
+	}))
+	t.Cleanup(platform.Close)
+	base := free(t, 4)
+	control, registry := base+2, base+3
+	run := func(i int, more string, seeds ...string) (leave func()) {
+		ip := fmt.Sprintf("127.0.0.%d", i)
+		set, err := charter.Parse(fmt.Appendf(nil, `
+node = "n-%d"
+ip = %q
+zone = "north"
+internalPorts = [%d, %d]
+seedNodes = ["%s"]
+bootstrap = true
+%s
+[bind]
+control = "%[2]s:%[7]d"
+directory = "%[2]s:%[8]d"
+[limits]
+memoryMb = 284
+maxFds = 4100
+[bounds]
+contactS = 3
+ackS = 5
+drainS = 2.5
+graceS = 1
+configApplyS = 2.5
+retryRatio = 0.2
+retryWindowS = 10
+retrySlack = 60
+warmupOvershoot = 1.5
+warmupSlack = 5
+evacuateS = 5
+[cloudApi]
+address = %[9]q
+`, i, ip, base, base+1, strings.Join(seeds, `", "`), more, control, registry, strings.TrimPrefix(platform.URL, "http://")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- archive.Run(ctx, set, archive.Options{Shards: 1, Relist: time.Minute}, nil) }()
+		var once sync.Once
+		leave = func() {
+			once.Do(func() {
+				cancel()
+				if err := <-done; err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		t.Cleanup(leave)
+		return leave
+	}
+	at := func(i int) string { return fmt.Sprintf("127.0.0.%d:%d", i, control) }
+	leave := map[string]func(){}
+	for i := 1; i <= 4; i++ {
+		leave[at(i)] = run(i, fmt.Sprintf("dataDir = %q", t.TempDir()), at(1), at(2), at(3))
+	}
+	run(5, "", at(5), at(4))
+	s := &system{}
+	picked := func() string {
+		c := http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+		res, err := c.Get("http://" + at(5) + "/v1/config")
+		if err != nil {
+			return ""
+		}
+		res.Body.Close()
+		if where, err := res.Location(); err == nil {
+			return where.Host
+		}
+		if after, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); res.StatusCode != http.StatusServiceUnavailable || after <= 0 {
+			t.Errorf("no redirection, but %s %v", res.Status, res.Header)
+		}
+		return "none"
+	}
+	until := func(what string, is func(string) bool) (host string) {
+		for range 600 {
+			if host = picked(); is(host) {
+				return host
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Fatalf("%s: picked %q", what, host)
+		return ""
+	}
+
+	const change = `{"upsert":{"services":[{"name":"a","generation":%d,"maxConns":50}]}}`
+	s.until(t, 200, "PATCH", at(5)+"/v1/config", fmt.Sprintf(change, 1))
+	if got := s.until(t, 200, "GET", at(3)+"/v1/config", ""); !strings.Contains(got, `"a"`) {
+		t.Errorf("an archive has %s", got)
+	}
+	// All four have a seat; the relay has none and is in no list.
+	for i := 0; ; i++ {
+		members := s.until(t, 200, "GET", at(5)+"/v1/admin/members", "")
+		if strings.Contains(members, "127.0.0.5") {
+			t.Fatalf("the relay is in the register: %s", members)
+		}
+		if strings.Count(members, `"seat": true`) == 4 {
+			break
+		}
+		if i > 600 {
+			t.Fatalf("seats: %s", members)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if got := s.until(t, 200, "GET", at(5)+"/metrics", ""); !strings.Contains(got, "madderwing_relay_archives 4\n") {
+		t.Errorf("metrics: %s", got)
+	}
+	s.until(t, 503, "GET", net.JoinHostPort("127.0.0.5", strconv.Itoa(registry))+"/v1/resolve?name=h.example", "")
+
+	first := until("an archive", func(host string) bool { return leave[host] != nil })
+	leave[first]()
+	until("another archive", func(host string) bool { return leave[host] != nil && host != first })
+	s.until(t, 200, "PATCH", at(5)+"/v1/config", fmt.Sprintf(change, 2))
+	for host, stop := range leave {
+		if host != first {
+			go stop()
+		}
+	}
+	until("none", func(host string) bool { return host == "none" })
+}
