Merge relays; a system is founded whichever of its seeds are relays

A relay answers members that found a system that it has no disk; if all seeds are relays, the lowest appoints the first archive that asks.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -126,8 +126,12 @@
 // listen makes the mesh; tests put a cut into it.
 var listen = transport.New
 
-// Run serves until ctx ends, then leaves in order.
+// Run serves until ctx ends, then leaves in order. Where the settings name no dataDir
+// it runs a relay.
 func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
+	if set.DataDir == "" {
+		return runRelay(ctx, set, reload)
+	}
 	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
 		writes: newJobs(), shown: antientropy.NewSet(), told: map[string]toldAt{},
 		asks: newAsks(charter.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
@@ -138,9 +142,6 @@
 	beat := set.Beat()
 	vacant := charter.Seconds(set.Bounds.ContactS * vacantPart)
 
-	if set.DataDir == "" {
-		return errors.New("dataDir: an archive needs a disk")
-	}
 	if err := os.MkdirAll(set.DataDir, 0o700); err != nil {
 		return err
 	}
@@ -205,6 +206,7 @@
 			}
 		})
 	a.handlers()
+	a.answerRelays()
 	a.do(func(time.Duration) { // before anybody's word is heard
 		a.showAll()
 		a.newItems()
