--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -22,6 +22,7 @@
 
 const (
 	maxFrame  = 48 << 20 // a frame above this is taken for garbage
+	firstRead = 1 << 20  // of a frame, this much memory is taken before any of it has come
 	maxPacket = 1400     // a datagram above this goes over TCP instead
 	queueLen  = 256      // frames that may wait for one peer
 )
@@ -61,6 +62,7 @@
 	garbageMore int       // frames since
 
 	next       atomic.Uint64
+	Strays     atomic.Uint64 // answers that nobody waited for
 	Undecoded  atomic.Uint64 // frames that could not be read
 	BytesSent  atomic.Uint64
 	FramesSent atomic.Uint64
@@ -189,29 +191,46 @@
 // read takes frames from a connection until it ends or sends garbage.
 func (c *Mesh) read(conn net.Conn, back *link) {
 	r := bufio.NewReaderSize(conn, 8<<10)
-	var head [4]byte
 	for {
-		if _, err := io.ReadFull(r, head[:]); err != nil {
-			return
-		}
-		n := binary.BigEndian.Uint32(head[:])
-		if n > maxFrame {
-			c.garbage(conn.RemoteAddr().String())
-			return
-		}
-		buf := make([]byte, n)
-		if _, err := io.ReadFull(r, buf); err != nil {
-			return
-		}
-		var f frame
-		if cbor.Unmarshal(buf, &f) != nil {
-			c.garbage(conn.RemoteAddr().String())
+		f, err := readFrame(r)
+		if err != nil {
+			if errors.Is(err, errGarbage) {
+				c.garbage(conn.RemoteAddr().String())
+			}
 			return
 		}
 		c.dispatch(f, back)
 	}
 }
 
+var errGarbage = errors.New("not a frame")
+
+// readFrame reads one frame; errGarbage: what came is none. Any other error is the
+// reader's.
+func readFrame(r *bufio.Reader) (f frame, err error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return f, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > maxFrame {
+		return f, errGarbage
+	}
+	var buf []byte
+	for have := 0; have < int(n); have = len(buf) {
+		// No more at a time than has come already: a length alone costs little.
+		part := min(int(n)-have, max(have, firstRead))
+		buf = append(make([]byte, 0, have+part), buf...)[:have+part]
+		if _, err := io.ReadFull(r, buf[have:]); err != nil {
+			return f, err
+		}
+	}
+	if cbor.Unmarshal(buf, &f) != nil {
+		return f, errGarbage
+	}
+	return f, nil
+}
+
 // garbageEvery is the time, in patiences, for which one line on garbage is enough.
 const garbageEvery = 10
 
@@ -355,20 +374,27 @@
 	if !l.offer(encode(frame{From: c.self, Kind: kind, ID: id, Body: b})) {
 		return ErrUnreachable
 	}
+	f, err := await(ctx, ch, l.done)
+	switch {
+	case err != nil:
+		return err
+	case f.Fault != "":
+		return Fault(f.Fault)
+	case answer == nil:
+		return nil
+	}
+	return cbor.Unmarshal(f.Body, answer)
+}
+
+// await waits for an answer until the link or the time for it ends.
+func await(ctx context.Context, answer <-chan frame, ended <-chan struct{}) (frame, error) {
 	select {
-	case f := <-ch:
-		if f.Fault != "" {
-			return Fault(f.Fault)
-		}
-		if answer == nil {
-			return nil
-		}
-		return cbor.Unmarshal(f.Body, answer)
-	case <-l.done:
-		return ErrUnreachable
+	case f := <-answer:
+		return f, nil
+	case <-ended:
 	case <-ctx.Done():
-		return ErrUnreachable
 	}
+	return frame{}, ErrUnreachable
 }
 
 func (c *Mesh) link(to string) *link {
