transport: an answer is taken only from the link that the question went out on

Cause: a reply was matched by its number alone, whichever connection or datagram brought it, so a peer that was not asked could answer a call. A call now notes its link, and a reply over any other is counted (Strays) and dropped.

Seen failing without the mend: TestAnAnswerIsTakenOnlyFromThePeerAsked, with a reply from another peer, from one that called us, and in a datagram. Ruled out: comparing the sender's name in the frame, which is its own word.

--- a/internal/transport/callers_test.go
+++ b/internal/transport/callers_test.go
@@ -3,15 +3,107 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/binary"
 	"errors"
 	"io"
+	"net"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
+// peer is a stand-in that takes connections and answers their frames as it likes.
+type peer struct {
+	net.Listener
+	frames chan arrived
+}
+
+type arrived struct {
+	frame
+	conn net.Conn
+}
+
+func newPeer(t *testing.T) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{l, make(chan arrived, 1000)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(conn)
+				for {
+					f, err := readFrame(r)
+					if err != nil {
+						return
+					}
+					p.frames <- arrived{f, conn}
+				}
+			}()
+		}
+	}()
+	return p
+}
+
+func reply(id uint64, text string) []byte {
+	b, _ := cbor.Marshal(text)
+	return encode(frame{Kind: "echo", ID: id, Reply: true, Body: b})
+}
+
+// An answer is taken only from the connection that the question went out on, and once.
+func TestAnAnswerIsTakenOnlyFromThePeerAsked(t *testing.T) {
+	a, p, other := start(t), newPeer(t), newPeer(t)
+	a.Start()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	go func() { _ = a.Call(ctx, other.Addr().String(), "echo", "x", nil) }()
+	fromOther := <-other.frames // a connection of ours to another peer
+	inbound, err := net.Dial("tcp4", a.Self())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inbound.Close()
+	for name, send := range map[string]func(id uint64){
+		"another peer":      func(id uint64) { _, _ = fromOther.conn.Write(reply(id, "foreign")) },
+		"one that calls us": func(id uint64) { _, _ = inbound.Write(reply(id, "foreign")) },
+		"a datagram": func(id uint64) {
+			c, _ := net.Dial("udp4", a.Self())
+			_, _ = c.Write(reply(id, "foreign")[4:])
+			c.Close()
+		},
+		"nobody else": func(uint64) {},
+	} {
+		got := make(chan string, 1)
+		go func() {
+			var answer string
+			if err := a.Call(ctx, p.Addr().String(), "echo", "x", &answer); err != nil {
+				answer = err.Error()
+			}
+			got <- answer
+		}()
+		q := <-p.frames
+		send(q.ID)
+		for name != "nobody else" && a.Strays.Load() == 0 && len(got) == 0 && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		_, _ = q.conn.Write(append(reply(q.ID+1, "foreign"), reply(q.ID, "own")...))
+		if answer := <-got; answer != "own" {
+			t.Errorf("%s: the caller got %q", name, answer)
+		}
+		a.Strays.Store(0)
+	}
+}
+
 // A length that is told but does not come must not cost memory.
 func TestAFrameTakesMemoryAsItComes(t *testing.T) {
 	head := make([]byte, 4, 1<<10)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -39,6 +39,13 @@
 	Body  cbor.RawMessage `cbor:"6,keyasint,omitempty"`
 }
 
+// question is a call that waits for its answer, which comes over the link that the
+// question went out on or not at all.
+type question struct {
+	link   *link
+	answer chan frame
+}
+
 // Handler takes a message. What it returns is sent back if the peer asked.
 type Handler func(from string, body []byte) (any, error)
 
@@ -53,7 +60,7 @@
 	mu       sync.Mutex
 	handlers map[string]entry
 	links    map[string]*link
-	waiting  map[uint64]chan frame
+	waiting  map[uint64]question
 	inbound  map[net.Conn]struct{}
 	closed   bool
 
@@ -85,7 +92,7 @@
 		if u, err = net.ListenUDP("udp4", ua); err == nil {
 			c := &Mesh{self: l.Addr().String(), patience: patience, log: logger, listener: l, packets: u,
 				handlers: map[string]entry{}, links: map[string]*link{},
-				waiting: map[uint64]chan frame{}, inbound: map[net.Conn]struct{}{}}
+				waiting: map[uint64]question{}, inbound: map[net.Conn]struct{}{}}
 			return c, nil
 		}
 	}
@@ -270,12 +277,16 @@
 func (c *Mesh) dispatch(f frame, back *link) {
 	if f.Reply {
 		c.mu.Lock()
-		ch := c.waiting[f.ID]
-		delete(c.waiting, f.ID)
+		q, ok := c.waiting[f.ID]
+		if ok = ok && q.link == back; ok {
+			delete(c.waiting, f.ID)
+		}
 		c.mu.Unlock()
-		if ch != nil {
-			ch <- f
+		if !ok {
+			c.Strays.Add(1)
+			return
 		}
+		q.answer <- f
 		return
 	}
 	e, ok := c.handlers[f.Kind]
@@ -362,15 +373,15 @@
 	}
 	id := c.next.Add(1)
 	ch := make(chan frame, 1)
+	l := c.link(to)
 	c.mu.Lock()
-	c.waiting[id] = ch
+	c.waiting[id] = question{l, ch}
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
 		delete(c.waiting, id)
 		c.mu.Unlock()
 	}()
-	l := c.link(to)
 	if !l.offer(encode(frame{From: c.self, Kind: kind, ID: id, Body: b})) {
 		return ErrUnreachable
 	}
