transport: numbers of calls begin at random in each life

Cause: they began at 1 in each life, so an answer to a call of the former life, from a peer that answers by the caller's address, had the number of a call of the new one.

Seen failing without the mend: TestIDsDoNotRepeatOverLives. Ruled out: numbers kept on disk, which desks do not have; a life's number beside the call's, which costs a field in each frame.

--- a/internal/transport/callers_test.go
+++ b/internal/transport/callers_test.go
@@ -104,6 +104,40 @@
 	}
 }
 
+// A peer that answers by the caller's address may answer a question of its former
+// life; the new life's calls must have other ids.
+func TestIDsDoNotRepeatOverLives(t *testing.T) {
+	p := newPeer(t)
+	seen := map[uint64]bool{}
+	for life := range 8 {
+		a := start(t)
+		a.Start()
+		for range 4 {
+			got := make(chan string, 1)
+			go func() {
+				var answer string
+				if err := a.Call(context.Background(), p.Addr().String(), "echo", "x", &answer); err != nil {
+					answer = err.Error()
+				}
+				got <- answer
+			}()
+			q := <-p.frames
+			if seen[q.ID] {
+				t.Fatalf("life %d asks with an id of a former life", life)
+			}
+			for id := range seen {
+				_, _ = q.conn.Write(reply(id, "late"))
+			}
+			seen[q.ID] = true
+			_, _ = q.conn.Write(reply(q.ID, "own"))
+			if answer := <-got; answer != "own" {
+				t.Fatalf("life %d: the caller got %q", life, answer)
+			}
+		}
+		a.Close()
+	}
+}
+
 // A length that is told but does not come must not cost memory.
 func TestAFrameTakesMemoryAsItComes(t *testing.T) {
 	head := make([]byte, 4, 1<<10)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -93,6 +94,8 @@
 			c := &Mesh{self: l.Addr().String(), patience: patience, log: logger, listener: l, packets: u,
 				handlers: map[string]entry{}, links: map[string]*link{},
 				waiting: map[uint64]question{}, inbound: map[net.Conn]struct{}{}}
+			// Answers to a former life's calls must not look like answers to this one's.
+			c.next.Store(rand.Uint64() >> 1)
 			return c, nil
 		}
 	}
