transport: an answer that has come counts, though its link ends at the same moment

Cause: where answer and end of the link, or of the time, were both there, either was taken at random, and a caller that had its answer asked again.

Seen failing without the mend: TestAnAnswerCountsThoughTheConnectionEnds.

--- a/internal/transport/callers_test.go
+++ b/internal/transport/callers_test.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// An answer that came whole counts, also if the connection ends or the time is up at
+// the same moment: its caller must not have to ask again.
+func TestAnAnswerCountsThoughTheConnectionEnds(t *testing.T) {
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	ended := make(chan struct{})
+	close(ended)
+	for round := range 100 {
+		got := make(chan frame, 1)
+		got <- frame{ID: 1}
+		if f, err := await(over, got, ended); err != nil || f.ID != 1 {
+			t.Fatalf("round %d: %v", round, err)
+		}
+	}
+	if _, err := await(context.Background(), make(chan frame), ended); !errors.Is(err, ErrUnreachable) {
+		t.Errorf("no answer, and none can come: %v", err)
+	}
+}
+
 // A length that is told but does not come must not cost memory.
 func TestAFrameTakesMemoryAsItComes(t *testing.T) {
 	head := make([]byte, 4, 1<<10)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -408,7 +408,12 @@
 	case <-ended:
 	case <-ctx.Done():
 	}
-	return frame{}, ErrUnreachable
+	select {
+	case f := <-answer: // it came at the same moment
+		return f, nil
+	default:
+		return frame{}, ErrUnreachable
+	}
 }
 
 func (c *Mesh) link(to string) *link {
