circulation: a status below 100 is no interim answer

Cause: whatever was below 200 was passed over as interim, also 020. The body of such an answer was then read as the next answer, and could be passed on.

Seen failing without the mend: the row "a body for an answer" of TestAnswersThatMayNotReachTheClient.

--- a/internal/circulation/answers.go
+++ b/internal/circulation/answers.go
@@ -20,6 +20,7 @@
 
 // Why bytes are not the answer to the request that was sent.
 var (
+	errStatus    = errors.New("answer without a status")
 	errForeign   = errors.New("answer of another request")
 	errEndless   = errors.New("answer without an end")
 	errSwitching = errors.New("unasked switch of protocol")
@@ -34,6 +35,8 @@
 		switch {
 		case err != nil:
 			return nil, err
+		case r.StatusCode < 100:
+			return nil, errStatus
 		case r.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitching
 		case r.StatusCode < 200:
--- a/internal/circulation/circulation_test.go
+++ b/internal/circulation/circulation_test.go
@@ -314,6 +314,7 @@
 		"cut short":              {"HTTP/1.1 200 OK\r\nAttempt-Id: one\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf", "/put/x", "502"},
 		"without an end":         {"HTTP/1.1 200 OK\r\nAttempt-Id: one\r\nServer-Seal: s\r\n\r\nhalf", "/put/x", "502"},
 		"its own failure":        {"HTTP/1.1 500 Oops\r\nAttempt-Id: one\r\nContent-Length: 2\r\n\r\nno", "/put/x", "500"},
+		"a body for an answer":   {"HTTP/1.1 020 OK\r\nContent-Length: 99\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: one\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\nx", "/put/x", "502"},
 		"interim answers before": {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: one\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\nx", "/put/x", "200"},
 	}
 	for name, c := range cases {
