circulation: Not-Executed counts only on 503, 429 and 400

Cause: any answer with that header was taken for a refusal, so a request that may run once was sent again after a 500, and also after a sealed 200, that bore it. The protocol gives it with 503, 429, 421 and 400 only (421 counts by itself). On others it contradicts the status: a success is then not passed on (502), a failure is, and neither is sent again.

Seen failing without the mend: the rows "success, has not run" and "failure, has not run" of TestAnswersThatMayNotReachTheClient (both got 503).

--- a/internal/circulation/circulation_test.go
+++ b/internal/circulation/circulation_test.go
@@ -310,10 +310,13 @@
 		"no seal":                {"HTTP/1.1 200 OK\r\nAttempt-Id: one\r\nContent-Length: 1\r\n\r\nx", "/put/x", "502"},
 		"503 that may have run":  {"HTTP/1.1 503 Busy\r\nAttempt-Id: one\r\nContent-Length: 0\r\n\r\n", "/put/x", "502"},
 		"429 that may have run":  {"HTTP/1.1 429 Busy\r\nAttempt-Id: one\r\nContent-Length: 0\r\n\r\n", "/put/x", "502"},
+		"503 that has not run":   {"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", "/put/x", "503"},
 		"no answer at all":       {"\x00\x01garbage\r\n\r\n", "/put/x", "502"},
 		"cut short":              {"HTTP/1.1 200 OK\r\nAttempt-Id: one\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf", "/put/x", "502"},
 		"without an end":         {"HTTP/1.1 200 OK\r\nAttempt-Id: one\r\nServer-Seal: s\r\n\r\nhalf", "/put/x", "502"},
 		"its own failure":        {"HTTP/1.1 500 Oops\r\nAttempt-Id: one\r\nContent-Length: 2\r\n\r\nno", "/put/x", "500"},
+		"success, has not run":   {"HTTP/1.1 200 OK\r\nNot-Executed: 1\r\nAttempt-Id: one\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\nx", "/put/x", "502"},
+		"failure, has not run":   {"HTTP/1.1 500 Oops\r\nNot-Executed: 1\r\nAttempt-Id: one\r\nContent-Length: 2\r\n\r\nno", "/put/x", "500"},
 		"a body for an answer":   {"HTTP/1.1 020 OK\r\nContent-Length: 99\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: one\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\nx", "/put/x", "502"},
 		"interim answers before": {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: one\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\nx", "/put/x", "200"},
 	}
--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -401,11 +401,11 @@
 		return rollout.TooLate
 	case res.broke != nil:
 		return rollout.Broke
-	case r.Header.Get(hNotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest:
+	case refused(r):
 		return rollout.Unscored
 	case r.StatusCode >= http.StatusInternalServerError || promises(r.StatusCode):
 		return rollout.Errored
-	case r.StatusCode < 300 && r.Header.Get(hSeal) == "":
+	case r.StatusCode < 300 && !sealed(r):
 		return rollout.Broke
 	}
 	return rollout.Passed
@@ -459,15 +459,14 @@
 		return repeatable, errata.New(errata.Broken, "%s: %v", x.service, res.broke)
 	}
 	r := res.response
-	notRun := r.Header.Get(hNotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
 	switch {
 	case r.StatusCode == http.StatusMisdirectedRequest:
 		f.finish(g, res, accession.Other)
 		return true, f.later(x, errata.NoUpstream)
-	case notRun:
+	case refused(r):
 		f.finish(g, res, accession.Full)
 		return true, f.later(x, errata.Overloaded)
-	case r.StatusCode < 300 && r.Header.Get(hSeal) == "":
+	case r.StatusCode < 300 && !sealed(r):
 		f.finish(g, res, accession.Failing)
 		return repeatable, errata.New(errata.Unsealed, "%s", x.service)
 	case promises(r.StatusCode):
@@ -489,6 +488,21 @@
 	return false, nil
 }
 
+// refused says whether an answer tells that its request has not run. Not-Executed on any
+// other status contradicts it: the request may have run.
+func refused(r *http.Response) bool {
+	switch r.StatusCode {
+	case http.StatusMisdirectedRequest:
+		return true
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadRequest:
+		return r.Header.Get(hNotRun) != ""
+	}
+	return false
+}
+
+// sealed says whether a success is an upstream's own.
+func sealed(r *http.Response) bool { return r.Header.Get(hSeal) != "" && r.Header.Get(hNotRun) == "" }
+
 func promises(status int) bool {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
