circulation: a refusal after a break promises nothing

Cause: of two tries of a repeatable request, the last one's error was the answer, so a break at the first upstream and a refusal, or no way to connect, at the second ended in 503, which promises that the request has not run and never will. Now 502 stands once a request may have run.

Seen failing without the mend: TestARefusalAfterABreakPromisesNothing. Not measured: clients wait as told after a 503 and as they like after a 502.

--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -374,7 +374,7 @@
 				how = accession.Served // no fault of the upstream's
 			}
 			f.finish(g, res, how)
-			last = f.later(x, errata.NoUpstream)
+			last = keepWorse(last, f.later(x, errata.NoUpstream))
 			if dialled++; dialled > 4 || res.late || time.Until(x.deadline) <= 0 {
 				return last
 			}
@@ -385,13 +385,22 @@
 		if err == nil {
 			return nil
 		}
-		last = err
+		last = keepWorse(last, err)
 		if !again || sent >= tries || x.begun != nil || time.Until(x.deadline) < x.aim/16 {
 			return last
 		}
 	}
 }
 
+// keepWorse is the error of two tries, one after the other: once a request may have run,
+// no later refusal can promise that it has not.
+func keepWorse(before, now error) error {
+	if before != nil && !errata.AnswerFor(errata.KindOf(before)).NotRun {
+		return before
+	}
+	return now
+}
+
 // scored is how a sending counts for the version that it went to.
 func scored(res result) rollout.Outcome {
 	switch r := res.response; {
