circulation: on a used connection an answer has to name its request

Cause: an error without Attempt-Id was taken for the answer, since refusals need not bear it. Bytes that are left over from the answer before and come only once the next request has been written (no look at the resting connection can see them) were so passed on to another client; and a left-over refusal had a request that may run once sent again while it ran.

Now such an answer counts only on a connection that has brought none before. To an upstream that refuses without the name each request goes over a connection of its own, until it is seen to name what it refuses: so it costs one 502 and then connections, not requests. Requests without an id of their own always get a new connection.

Seen failing without the mend: TestWhatIsLeftOverOnAConnection; without the one or the other mark, TestRefusalsWithoutAName. Ruled out: a wait for a second answer (a true refusal has none); new connections for all that may run once.

--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -48,6 +48,9 @@
 type Upstream struct {
 	Instance
 	Busy int // requests of this desk that it has
+	// Nameless says that it refuses without naming the request: what it sends over a
+	// connection that has been used before cannot be told from what is left over.
+	Nameless atomic.Bool
 
 	idle     []*Conn
 	holds    map[*Hold]struct{} // requests under way that may be sent elsewhere
--- a/internal/circulation/answers.go
+++ b/internal/circulation/answers.go
@@ -11,16 +11,18 @@
 // answers reads the answers that an upstream sends over one connection.
 type answers struct {
 	*bufio.Reader
+	used bool // it has brought an answer
 }
 
 // newAnswers makes the reader of a connection.
 func newAnswers(conn io.Reader) *answers {
-	return &answers{bufio.NewReaderSize(conn, 4<<10)}
+	return &answers{Reader: bufio.NewReaderSize(conn, 4<<10)}
 }
 
 // Why bytes are not the answer to the request that was sent.
 var (
 	errStatus    = errors.New("answer without a status")
+	errNameless  = errors.New("answer that names no request")
 	errForeign   = errors.New("answer of another request")
 	errEndless   = errors.New("answer without an end")
 	errSwitching = errors.New("unasked switch of protocol")
@@ -42,8 +44,14 @@
 		case r.StatusCode < 200:
 			continue
 		}
-		if id := r.Header.Get(hAttempt); id != attempt && (id != "" || r.StatusCode < 300) {
+		// A refusal need not name its request, but then it may be one too many, left over
+		// from an answer before.
+		switch id := r.Header.Get(hAttempt); {
+		case id == attempt:
+		case id != "" || r.StatusCode < 300:
 			return nil, errForeign
+		case a.used:
+			return nil, errNameless
 		}
 		if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && method != http.MethodHead && r.StatusCode != http.StatusNoContent && r.StatusCode != http.StatusNotModified {
 			return nil, errEndless
--- a/internal/circulation/callers_test.go
+++ b/internal/circulation/callers_test.go
@@ -6,8 +6,68 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
+// What is left over on a connection that has been used must not be taken for the answer to
+// its next request; a refusal, least of all, for leave to send that again.
+func TestWhatIsLeftOverOnAConnection(t *testing.T) {
+	for _, head := range []string{"503 Busy\r\nNot-Executed: 1", "429 Busy\r\nNot-Executed: 1", "421 Misdirected", "500 Oops", "404 Not Found"} {
+		for path, want := range map[string]int{"/put/x": 502, "/get/x": 200} {
+			t.Run(head[:3]+path, func(t *testing.T) {
+				u := newUpstream(t, "u", func(c net.Conn, r *http.Request, n int) bool {
+					if n == 2 { // the rest of the first answer comes only now
+						_, _ = io.WriteString(c, "HTTP/1.1 "+head+"\r\nContent-Length: 5\r\n\r\nstray")
+						time.Sleep(time.Millisecond)
+					}
+					return steady(c, r, n)
+				})
+				other := newUpstream(t, "v", steady)
+				r := newRig(t, u)
+				if res, _, err := r.say(t, "GET", get(path)); err != nil || res.StatusCode != 200 {
+					t.Fatal(err, res)
+				}
+				r.list(u, other)
+				res, body, err := r.say(t, "GET", get(path))
+				if err != nil || res.StatusCode != want || body == "stray" {
+					t.Fatalf("%v %v %q", err, res, body)
+				}
+				if n := len(u.requests()) + len(other.requests()); n > 2 && want == 502 {
+					t.Errorf("sent %d times", n-1)
+				}
+			})
+		}
+	}
+}
+
+// Of an upstream that refuses without naming the request, a first refusal on a used
+// connection may be left over; from then on each request gets a connection of its own,
+// until it is seen to name what it refuses.
+func TestRefusalsWithoutAName(t *testing.T) {
+	full := func(head string) answerFn {
+		return func(c net.Conn, r *http.Request, n int) bool {
+			if n == 1 || n == 7 {
+				return steady(c, r, n)
+			}
+			if n == 6 {
+				head = "Attempt-Id: one\r\n"
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"+head+"Content-Length: 0\r\n\r\n")
+			return true
+		}
+	}
+	r := newRig(t, newUpstream(t, "u", full("")))
+	for i, want := range []struct {
+		status int
+		dials  uint64
+	}{{200, 1}, {502, 1}, {503, 2}, {503, 3}, {503, 4}, {503, 5}, {200, 5}} {
+		res, _, err := r.say(t, "POST", post("/put/x", "b"))
+		if err != nil || res.StatusCode != want.status || r.front.Stats.Dials.Load() != want.dials {
+			t.Errorf("%d: %v %v, %d dials", i+1, err, res.StatusCode, r.front.Stats.Dials.Load())
+		}
+	}
+}
+
 // A request that may have run at its first upstream is not promised not to have, because
 // a second one refuses it.
 func TestARefusalAfterABreakPromisesNothing(t *testing.T) {
--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -404,7 +404,7 @@
 // scored is how a sending counts for the version that it went to.
 func scored(res result) rollout.Outcome {
 	switch r := res.response; {
-	case res.untried, res.client != nil:
+	case res.untried, res.client != nil, res.broke == errNameless:
 		return rollout.Unscored
 	case res.late:
 		return rollout.TooLate
@@ -459,6 +459,8 @@
 		}
 		how := accession.Failing
 		switch {
+		case res.broke == errNameless:
+			how = accession.Full
 		case silent(res.broke):
 			how = accession.Silent
 		case errors.Is(res.broke, syscall.ECONNRESET):
--- a/internal/circulation/send.go
+++ b/internal/circulation/send.go
@@ -76,7 +76,7 @@
 // send writes the request to an upstream and reads its answer.
 func (f *Front) send(x *Exchange, g accession.Grant) (res result) {
 	conn := g.Conn
-	if conn != nil && !quiet(conn) {
+	if conn != nil && (x.attempt == "" || g.Upstream.Nameless.Load() || !quiet(conn)) {
 		conn.Close()
 		conn = nil
 	}
@@ -130,6 +130,12 @@
 	}
 
 	r, err := conn.Reader.(*answers).next(x.r.Method, x.attempt)
+	switch {
+	case err == errNameless, err == nil && r.Header.Get(hAttempt) != x.attempt:
+		g.Upstream.Nameless.Store(true)
+	case err == nil && refused(r):
+		g.Upstream.Nameless.Store(false)
+	}
 	if err != nil {
 		res.broke, res.late = err, isTimeout(err) && time.Until(x.deadline) <= 0
 		select {
@@ -169,7 +175,8 @@
 	keep := conn != nil && res.broke == nil && res.response != nil && !res.response.Close && res.whole
 	var idle time.Duration
 	if keep {
-		keep = conn.Reader.(*answers).Buffered() == 0
+		a := conn.Reader.(*answers)
+		keep, a.used = a.Buffered() == 0, true
 		idle = f.idleTime(res.response.Header)
 	}
 	if !keep && conn != nil {
