circulation: an early answer does not wait for the client's body

Cause: before it writes an answer net/http reads up to 256 kB that are left of the request's body, and waits for a read of it that is under way. A client that waits for the answer before it sends the rest got neither the upstream's early refusal nor the word of its break, nor a 504 at the deadline. Now the answer says Connection: close where the body was not read to its end, and leaves at once.

Seen failing without the mend: TestAnEarlyAnswerDoesNotWaitForTheBody (timed out).

--- a/internal/circulation/callers_test.go
+++ b/internal/circulation/callers_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -84,3 +85,32 @@
 		t.Fatalf("%v %v after %d tries", err, res, tries.Load())
 	}
 }
+
+// An answer that comes before the body has been sent reaches a client that waits for it
+// with the rest of its body in hand; so does the word that the upstream broke off.
+func TestAnEarlyAnswerDoesNotWaitForTheBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		status int
+	}{
+		"refused":   {"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", 503},
+		"answered":  {"HTTP/1.1 404 None\r\nAttempt-Id: one\r\nContent-Length: 0\r\n\r\n", 404},
+		"broke off": {"", 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(t, "u", func(conn net.Conn, _ *http.Request, _ int) bool {
+				if c.answer != "" {
+					_, _ = io.WriteString(conn, c.answer)
+					_, _ = io.Copy(io.Discard, conn) // closed with bytes unread, it would be reset
+				}
+				return false
+			})
+			r := newRig(t, u)
+			raw := strings.Replace(post("/put/x", strings.Repeat("y", 500000)), "Host:", "X-Early: 1\r\nHost:", 1)
+			res, _, err := r.say(t, "POST", raw[:len(raw)-1000])
+			if err != nil || res.StatusCode != c.status || !res.Close {
+				t.Fatalf("%v %v", err, res)
+			}
+		})
+	}
+}
--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -83,10 +83,11 @@
 }
 
 // lastOne has a connection closed after the answer that is about to be given, if this
-// desk leaves.
-func (f *Front) lastOne(w http.ResponseWriter) {
-	if f.drain.Load() {
-		w.Header().Set("Connection", "close")
+// desk leaves or has not read all of the request: net/http would read the rest first, and
+// hold the answer back for as long as the client waits for it.
+func (f *Front) lastOne(x *Exchange) {
+	if f.drain.Load() || x.begun != nil && !x.read.Load() {
+		x.w.Header().Set("Connection", "close")
 	}
 }
 
@@ -108,9 +109,10 @@
 	body     io.Reader // what the limits let through
 	hasBody  bool
 	chunked  bool
-	held     []byte  // the whole body, if it is small
-	begun    []byte  // the beginning of a body that is not
-	poor     *result // an error of an upstream's own that another may do better than
+	held     []byte      // the whole body, if it is small
+	begun    []byte      // the beginning of a body that is not
+	read     atomic.Bool // the rest of that has been read and sent on
+	poor     *result     // an error of an upstream's own that another may do better than
 }
 
 // Handler deals with a request; an error is answered from the table of errors.
@@ -144,7 +146,7 @@
 		if x.attempt != "" {
 			w.Header().Set(hAttempt, x.attempt)
 		}
-		f.lastOne(w)
+		f.lastOne(x)
 		errata.Write(w, err)
 	}
 }
@@ -533,7 +535,7 @@
 			h[name] = values
 		}
 	}
-	f.lastOne(x.w)
+	f.lastOne(x)
 	if _, ok := r.Header["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
--- a/internal/circulation/send.go
+++ b/internal/circulation/send.go
@@ -122,6 +122,7 @@
 		first := bytes.Clone(head.Bytes())
 		go func() {
 			err := x.stream(conn, first)
+			x.read.Store(err == nil)
 			sent <- err
 			if err != nil {
 				conn.Close() // the upstream must not take the part for the whole
