circulation: reading a body beyond its limit leaves the answer's headers alone

Cause: http.MaxBytesReader sets a header of the answer when the limit is passed. A large body is read by one goroutine while another may be writing an early answer's headers: two writers of one map, which ends the process. The limit now works without the writer, and 413 closes the connection by itself.

Seen failing without the mend: TestReadingABodyDoesNotTouchTheAnswer. The crash itself was not brought about.

--- a/internal/circulation/callers_test.go
+++ b/internal/circulation/callers_test.go
@@ -4,10 +4,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"madderwing/internal/errata"
 )
 
 // What is left over on a connection that has been used must not be taken for the answer to
@@ -114,3 +117,25 @@
 		})
 	}
 }
+
+// A body may still be read while its request is answered: to read it, also beyond its
+// limit, must leave the answer's headers alone.
+func TestReadingABodyDoesNotTouchTheAnswer(t *testing.T) {
+	f := newRig(t).front
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		read := f.limits(func(x *Exchange) error {
+			_, err := io.Copy(io.Discard, x.body)
+			return err
+		})
+		err := read(&Exchange{w: w, r: r, table: f.Table()})
+		if kind := errata.KindOf(errata.TooLarge(err)); kind != errata.BodyTooLarge || len(w.Header()) > 0 {
+			t.Errorf("%v, headers %v", err, w.Header())
+		}
+	}))
+	defer s.Close()
+	res, err := http.Post(s.URL, "text/plain", io.MultiReader(strings.NewReader(strings.Repeat("x", 1000001))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+}
--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -147,6 +147,9 @@
 			w.Header().Set(hAttempt, x.attempt)
 		}
 		f.lastOne(x)
+		if errata.KindOf(err) == errata.BodyTooLarge {
+			w.Header().Set("Connection", "close")
+		}
 		errata.Write(w, err)
 	}
 }
@@ -164,7 +167,9 @@
 		if x.r.ContentLength > most {
 			return errata.New(errata.BodyTooLarge, "more than %d bytes", most)
 		}
-		x.body = http.MaxBytesReader(x.w, x.r.Body, most)
+		// Without the writer: a body that is still being read when its answer is given
+		// may go beyond the limit just then, and would touch the answer's headers.
+		x.body = http.MaxBytesReader(nil, x.r.Body, most)
 		return next(x)
 	}
 }
