circulation: the head of an answer is bounded, and its reader is fuzzed

Cause: http.ReadResponse reads a head of any size, and interim answers were passed over without end, so an upstream that babbles could fill the memory until the deadline. A head, with the interim answers before it, may now be 256 kB. Probes read by the same bound.

Seen failing without the mend: TestAnAnswerWithoutAnEndOfItsHead.

--- a/internal/circulation/callers_test.go
+++ b/internal/circulation/callers_test.go
@@ -139,3 +139,31 @@
 	}
 	res.Body.Close()
 }
+
+// endless repeats some bytes for as long as anyone reads, up to 64 MB.
+type endless struct {
+	text string
+	read int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	if e.read > 64<<20 {
+		return 0, io.EOF
+	}
+	n := copy(p, e.text)
+	e.read += n
+	return n, nil
+}
+
+func TestAnAnswerWithoutAnEndOfItsHead(t *testing.T) {
+	for name, c := range map[string]struct{ head, text string }{
+		"one line":        {"HTTP/1.1 200 ", "x"},
+		"many fields":     {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		"interim answers": {"", "HTTP/1.1 103 Early\r\n\r\n"},
+	} {
+		e := &endless{text: c.text}
+		if _, err := newAnswers(io.MultiReader(strings.NewReader(c.head), e)).next("GET", "one"); err == nil || e.read > 2*answerHead {
+			t.Errorf("%s: %v after %d bytes", name, err, e.read)
+		}
+	}
+}
--- a/internal/circulation/floor.go
+++ b/internal/circulation/floor.go
@@ -88,7 +88,7 @@
 	if conn, err := f.dial(p.Address, f.patience); err == nil {
 		_ = conn.SetDeadline(time.Now().Add(2 * f.patience))
 		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", p.Path, p.Address); err == nil {
-			if res, err := http.ReadResponse(conn.Reader.(*answers).Reader, nil); err == nil {
+			if res, err := conn.Reader.(*answers).head(http.MethodGet); err == nil {
 				ms, bad := strconv.ParseFloat(res.Header.Get(hWarmup), 64)
 				if res.Header.Get(hWarmup) == "" {
 					ms, bad = 0, nil
--- a/internal/circulation/send.go
+++ b/internal/circulation/send.go
@@ -68,6 +68,7 @@
 
 const (
 	bodyHeld   = 256 << 10 // request bodies up to this size are held for a second upstream
+	answerHead = 256 << 10 // the head of an answer, with interim answers, may be no larger
 	answerHeld = 64 << 10  // answers up to this size are read whole before they are passed on
 )
 
