desk: draws and leases answer this life's questions only

Cause: archives answer a desk at its address, over a connection of their own, so an answer to a former life reaches the new one. Draws were numbered from 1 in each life and taken from any sender: a late yes to another request, perhaps of another tenant, let a request in beyond its quota. And the age of a desk's keys was counted from its own clock, as echoed, which begins anew with each life: the former one's could have confirmed keys for as long as that had lasted.

Draws are now numbered from a random start and taken only from the archive asked; the clock is told with a random epoch, and an answer to a time before this life, or not yet come, confirms nothing.

Seen failing, each guard taken out by itself: TestADrawIsAnsweredByTheArchiveAsked (sender, start), TestALeaseComesOfThisLifesQuestions (not yet, epoch). Ruled out: a field for the life in each message, which old archives would not echo.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -63,7 +63,8 @@
 	scoring  atomic.Bool
 
 	// Where clients ask a registry; see charter.Settings.Global.
-	lease atomic.Int64 // until when keys may be relied on
+	lease atomic.Int64  // until when keys may be relied on
+	epoch time.Duration // added to this life's clock where that is told to others
 	draws draws
 }
 
@@ -72,7 +73,7 @@
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	beat := set.Beat()
 	d := &Desk{set: set, opt: opt, log: logger("desk"), commands: make(chan func(time.Duration), 256), start: time.Now(),
-		items: antientropy.NewSet(), shard: -1}
+		items: antientropy.NewSet(), shard: -1, epoch: newEpoch()}
 	patience := charter.Seconds(set.Bounds.ContactS / 10)
 	post, err := transport.New(set.DeskAddress(set.IP), beat, logger("transport"))
 	if err != nil {
@@ -220,7 +221,7 @@
 			}
 			w := feed.Watch{Sums: &sums, Listing: d.stand.Version, Second: i > 0}
 			if d.set.Global() {
-				w.Asked = now
+				w.Asked = d.epoch + now
 			}
 			if i == 0 {
 				w.Zone, w.Load = d.set.Zone, d.load
@@ -265,7 +266,7 @@
 		d.apply()
 	}
 	if d.set.Global() {
-		d.confirm(i)
+		d.confirm(now, i)
 	}
 	if len(i.Loads) > 0 && d.sources.First() == from {
 		d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetLoads(now, i.Loads) })
--- a/internal/desk/tenants.go
+++ b/internal/desk/tenants.go
@@ -1,6 +1,7 @@
 package desk
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,15 +14,27 @@
 type draws struct {
 	mu      sync.Mutex
 	next    uint64
-	waiting map[uint64]chan readers.Drawn
+	waiting map[uint64]drawing
 	at      [2]string // the archives that the desk watches, the nearer first
 	badTill time.Time // the first of them has been silent
 }
 
+// drawing is a draw that waits for its answer, and the archive that it was sent to.
+type drawing struct {
+	to  string
+	got chan readers.Drawn
+}
+
+// newDraws makes the draws of one life, numbered from a random start: an archive answers
+// at this node's address, and may answer a draw of the life before.
+func newDraws() draws {
+	return draws{next: rand.Uint64(), waiting: map[uint64]drawing{}}
+}
+
 // serveTenants makes the desk hold to what must be true of tenants' keys and
 // quotas on every machine, in touch or not.
 func (d *Desk) serveTenants() {
-	d.draws.waiting = map[uint64]chan readers.Drawn{}
+	d.draws = newDraws()
 	d.front.Tenants(&d.lease, d.draw)
 }
 
@@ -46,7 +59,7 @@
 		w.mu.Lock()
 		w.next++
 		seq := w.next
-		w.waiting[seq] = got
+		w.waiting[seq] = drawing{to, got}
 		w.mu.Unlock()
 		d.post.Send(to, feed.DrawKind, readers.Draw{Seq: seq, Tenant: tenant})
 		var a readers.Drawn
@@ -75,24 +88,32 @@
 	return errata.QuotaUnknown
 }
 
-// drawn takes a branch's answer. One that comes too late is lost.
-func (d *Desk) drawn(_ string, a readers.Drawn) {
+// drawn takes the answer of the branch that was asked. One that comes too late is lost.
+func (d *Desk) drawn(from string, a readers.Drawn) {
 	d.draws.mu.Lock()
 	defer d.draws.mu.Unlock()
-	if ch := d.draws.waiting[a.Seq]; ch != nil {
+	if w, ok := d.draws.waiting[a.Seq]; ok && w.to == from {
 		delete(d.draws.waiting, a.Seq)
-		ch <- a
+		w.got <- a
 	}
 }
 
+// newEpoch draws what a life's clock is told to others from.
+func newEpoch() time.Duration { return 1 + time.Duration(rand.Int64N(1<<61)) }
+
 // confirm takes what an issue says of its own age. The lease counts from before
 // the question was asked, so however long the answer was on its way, it never
-// lasts longer than it should.
-func (d *Desk) confirm(i feed.Issue) {
+// lasts longer than it should. An answer to a question of a former life, whose clock
+// was another, confirms nothing.
+func (d *Desk) confirm(now time.Duration, i feed.Issue) {
 	if i.Sure == nil {
 		return
 	}
-	until := i.Sure.Asked - i.Sure.Age + d.set.KeyLease()
+	asked := i.Sure.Asked - d.epoch
+	if asked > now { // far below zero it lapses by itself
+		return
+	}
+	until := asked - i.Sure.Age + d.set.KeyLease()
 	if int64(until) > d.lease.Load() {
 		d.lease.Store(int64(until))
 	}
--- /dev/null
+++ b/internal/desk/tenants_test.go
@@ -0,0 +1,85 @@
+package desk
+
+import (
+	"io"
+	"log"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/charter"
+	"madderwing/internal/errata"
+	"madderwing/internal/feed"
+	"madderwing/internal/readers"
+	"madderwing/internal/transport"
+)
+
+func newMesh(t *testing.T) *transport.Mesh {
+	t.Helper()
+	m, err := transport.New("127.0.0.1:0", 5*time.Second, log.New(io.Discard, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	return m
+}
+
+// An answer lets in only the request whose draw it answers: not one of the same number of
+// a former life, and not one drawn at another archive.
+func TestADrawIsAnsweredByTheArchiveAsked(t *testing.T) {
+	var asked []uint64
+	for life := range 3 {
+		branch := newMesh(t)
+		d := &Desk{post: newMesh(t), draws: newDraws()}
+		d.draws.at = [2]string{branch.Self()}
+		branch.Handle(feed.DrawKind, func(from string, body []byte) (any, error) {
+			var q readers.Draw
+			if err := cbor.Unmarshal(body, &q); err != nil {
+				t.Error(err)
+			}
+			for _, seq := range asked { // late, to a life before
+				d.drawn(branch.Self(), readers.Drawn{Seq: seq, OK: true})
+			}
+			asked = append(asked, q.Seq)
+			d.drawn("another:1", readers.Drawn{Seq: q.Seq, OK: true})
+			d.drawn(branch.Self(), readers.Drawn{Seq: q.Seq})
+			d.drawn(branch.Self(), readers.Drawn{Seq: q.Seq, OK: true}) // twice
+			return nil, nil
+		})
+		d.post.Start()
+		branch.Start()
+		for range 3 {
+			if kind := d.draw("t", 10*time.Second); kind != errata.OverQuota {
+				t.Errorf("life %d: %v, not refused", life, errata.AnswerFor(kind))
+			}
+		}
+	}
+}
+
+// A lease on keys comes only of a question of this life that has been asked.
+func TestALeaseComesOfThisLifesQuestions(t *testing.T) {
+	set := &charter.Settings{Bounds: charter.Bounds{RevokeS: 10}}
+	const now = 2 * time.Second
+	for _, c := range []struct {
+		name  string
+		asked func(d, former *Desk) time.Duration
+		takes bool
+	}{
+		{"a second ago", func(d, _ *Desk) time.Duration { return d.epoch + now - time.Second }, true},
+		{"late in a former life", func(_, f *Desk) time.Duration { return f.epoch + time.Hour }, false},
+		{"early in a former life", func(_, f *Desk) time.Duration { return f.epoch + time.Second }, false},
+		{"by the bare clock of a former life", func(*Desk, *Desk) time.Duration { return time.Second }, false},
+		{"not yet", func(d, _ *Desk) time.Duration { return d.epoch + now + time.Second }, false},
+	} {
+		d, former := &Desk{set: set, epoch: newEpoch()}, &Desk{set: set, epoch: newEpoch()}
+		d.confirm(now, feed.Issue{Sure: &feed.Sure{Asked: c.asked(d, former)}})
+		want := int64(0)
+		if c.takes {
+			want = int64(now - time.Second + set.KeyLease())
+		}
+		if got := d.lease.Load(); got != want {
+			t.Errorf("%s: the lease lasts until %v, not %v", c.name, time.Duration(got), time.Duration(want))
+		}
+	}
+}
