--- a/internal/circulation/front.go
+++ b/internal/circulation/front.go
@@ -83,10 +83,11 @@
 }
 
 // lastOne has a connection closed after the answer that is about to be given, if this
-// desk leaves.
-func (f *Front) lastOne(w http.ResponseWriter) {
-	if f.drain.Load() {
-		w.Header().Set("Connection", "close")
+// desk leaves or has not read all of the request: net/http would read the rest first, and
+// hold the answer back for as long as the client waits for it.
+func (f *Front) lastOne(x *Exchange) {
+	if f.drain.Load() || x.begun != nil && !x.read.Load() {
+		x.w.Header().Set("Connection", "close")
 	}
 }
 
@@ -108,9 +109,10 @@
 	body     io.Reader // what the limits let through
 	hasBody  bool
 	chunked  bool
-	held     []byte  // the whole body, if it is small
-	begun    []byte  // the beginning of a body that is not
-	poor     *result // an error of an upstream's own that another may do better than
+	held     []byte      // the whole body, if it is small
+	begun    []byte      // the beginning of a body that is not
+	read     atomic.Bool // the rest of that has been read and sent on
+	poor     *result     // an error of an upstream's own that another may do better than
 }
 
 // Handler deals with a request; an error is answered from the table of errors.
@@ -144,7 +146,10 @@
 		if x.attempt != "" {
 			w.Header().Set(hAttempt, x.attempt)
 		}
-		f.lastOne(w)
+		f.lastOne(x)
+		if errata.KindOf(err) == errata.BodyTooLarge {
+			w.Header().Set("Connection", "close")
+		}
 		errata.Write(w, err)
 	}
 }
@@ -162,7 +167,9 @@
 		if x.r.ContentLength > most {
 			return errata.New(errata.BodyTooLarge, "more than %d bytes", most)
 		}
-		x.body = http.MaxBytesReader(x.w, x.r.Body, most)
+		// Without the writer: a body that is still being read when its answer is given
+		// may go beyond the limit just then, and would touch the answer's headers.
+		x.body = http.MaxBytesReader(nil, x.r.Body, most)
 		return next(x)
 	}
 }
@@ -374,7 +381,7 @@
 				how = accession.Served // no fault of the upstream's
 			}
 			f.finish(g, res, how)
-			last = f.later(x, errata.NoUpstream)
+			last = keepWorse(last, f.later(x, errata.NoUpstream))
 			if dialled++; dialled > 4 || res.late || time.Until(x.deadline) <= 0 {
 				return last
 			}
@@ -385,27 +392,36 @@
 		if err == nil {
 			return nil
 		}
-		last = err
+		last = keepWorse(last, err)
 		if !again || sent >= tries || x.begun != nil || time.Until(x.deadline) < x.aim/16 {
 			return last
 		}
 	}
 }
 
+// keepWorse is the error of two tries, one after the other: once a request may have run,
+// no later refusal can promise that it has not.
+func keepWorse(before, now error) error {
+	if before != nil && !errata.AnswerFor(errata.KindOf(before)).NotRun {
+		return before
+	}
+	return now
+}
+
 // scored is how a sending counts for the version that it went to.
 func scored(res result) rollout.Outcome {
 	switch r := res.response; {
-	case res.untried, res.client != nil:
+	case res.untried, res.client != nil, res.broke == errNameless:
 		return rollout.Unscored
 	case res.late:
 		return rollout.TooLate
 	case res.broke != nil:
 		return rollout.Broke
-	case r.Header.Get(hNotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest:
+	case refused(r):
 		return rollout.Unscored
 	case r.StatusCode >= http.StatusInternalServerError || promises(r.StatusCode):
 		return rollout.Errored
-	case r.StatusCode < 300 && r.Header.Get(hSeal) == "":
+	case r.StatusCode < 300 && !sealed(r):
 		return rollout.Broke
 	}
 	return rollout.Passed
@@ -450,6 +466,8 @@
 		}
 		how := accession.Failing
 		switch {
+		case res.broke == errNameless:
+			how = accession.Full
 		case silent(res.broke):
 			how = accession.Silent
 		case errors.Is(res.broke, syscall.ECONNRESET):
@@ -459,15 +477,14 @@
 		return repeatable, errata.New(errata.Broken, "%s: %v", x.service, res.broke)
 	}
 	r := res.response
-	notRun := r.Header.Get(hNotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
 	switch {
 	case r.StatusCode == http.StatusMisdirectedRequest:
 		f.finish(g, res, accession.Other)
 		return true, f.later(x, errata.NoUpstream)
-	case notRun:
+	case refused(r):
 		f.finish(g, res, accession.Full)
 		return true, f.later(x, errata.Overloaded)
-	case r.StatusCode < 300 && r.Header.Get(hSeal) == "":
+	case r.StatusCode < 300 && !sealed(r):
 		f.finish(g, res, accession.Failing)
 		return repeatable, errata.New(errata.Unsealed, "%s", x.service)
 	case promises(r.StatusCode):
@@ -489,6 +506,21 @@
 	return false, nil
 }
 
+// refused says whether an answer tells that its request has not run. Not-Executed on any
+// other status contradicts it: the request may have run.
+func refused(r *http.Response) bool {
+	switch r.StatusCode {
+	case http.StatusMisdirectedRequest:
+		return true
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadRequest:
+		return r.Header.Get(hNotRun) != ""
+	}
+	return false
+}
+
+// sealed says whether a success is an upstream's own.
+func sealed(r *http.Response) bool { return r.Header.Get(hSeal) != "" && r.Header.Get(hNotRun) == "" }
+
 func promises(status int) bool {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
@@ -508,7 +540,7 @@
 			h[name] = values
 		}
 	}
-	f.lastOne(x.w)
+	f.lastOne(x)
 	if _, ok := r.Header["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
--- a/internal/circulation/send.go
+++ b/internal/circulation/send.go
@@ -68,6 +68,7 @@
 
 const (
 	bodyHeld   = 256 << 10 // request bodies up to this size are held for a second upstream
+	answerHead = 256 << 10 // the head of an answer, with interim answers, may be no larger
 	answerHeld = 64 << 10  // answers up to this size are read whole before they are passed on
 )
 
@@ -76,7 +77,7 @@
 // send writes the request to an upstream and reads its answer.
 func (f *Front) send(x *Exchange, g accession.Grant) (res result) {
 	conn := g.Conn
-	if conn != nil && !quiet(conn) {
+	if conn != nil && (x.attempt == "" || g.Upstream.Nameless.Load() || !quiet(conn)) {
 		conn.Close()
 		conn = nil
 	}
@@ -122,6 +123,7 @@
 		first := bytes.Clone(head.Bytes())
 		go func() {
 			err := x.stream(conn, first)
+			x.read.Store(err == nil)
 			sent <- err
 			if err != nil {
 				conn.Close() // the upstream must not take the part for the whole
@@ -129,54 +131,32 @@
 		}()
 	}
 
-	br := conn.Reader.(*bufio.Reader)
-	req := &http.Request{Method: x.r.Method}
-	for {
-		r, err := http.ReadResponse(br, req)
-		if err != nil {
-			res.broke, res.late = err, isTimeout(err) && time.Until(x.deadline) <= 0
-			select {
-			case res.client = <-sent: // it may be the client's body that broke off
-			default:
-			}
-			conn.Close()
-			return res
-		}
-		if r.StatusCode >= 200 || r.StatusCode == http.StatusSwitchingProtocols {
-			res.response = r
-			g.Hold.On(nil) // it answers, and that is not to be cut short
-			break
-		}
-	}
-	r := res.response
-	if id := r.Header.Get(hAttempt); id != x.attempt && (id != "" || r.StatusCode < 300) {
-		res.broke = errors.New("answer of another request")
-	} else if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && x.r.Method != http.MethodHead && r.StatusCode != http.StatusNoContent && r.StatusCode != http.StatusNotModified {
-		res.broke = errors.New("answer without an end")
-	} else if r.StatusCode == http.StatusSwitchingProtocols {
-		res.broke = errors.New("unasked switch of protocol")
+	r, err := conn.Reader.(*answers).next(x.r.Method, x.attempt)
+	switch {
+	case err == errNameless, err == nil && r.Header.Get(hAttempt) != x.attempt:
+		g.Upstream.Nameless.Store(true)
+	case err == nil && refused(r):
+		g.Upstream.Nameless.Store(false)
 	}
-	if res.broke != nil {
+	if err != nil {
+		res.broke, res.late = err, isTimeout(err) && time.Until(x.deadline) <= 0
+		select {
+		case res.client = <-sent: // it may be the client's body that broke off
+		default:
+		}
 		conn.Close()
 		return res
 	}
+	res.response = r
+	g.Hold.On(nil) // it answers, and that is not to be cut short
 	// Read what fits, so that an answer cut short can be told from a whole one
 	// before the client sees any of it.
-	held := int64(answerHeld)
-	if r.ContentLength >= 0 && r.ContentLength < held {
-		held = r.ContentLength + 1
-	}
-	buf := bytes.NewBuffer(make([]byte, 0, min(held, 8<<10)))
-	_, err := io.CopyN(buf, r.Body, held)
-	switch {
-	case err == io.EOF:
-		res.whole = true
-	case err != nil:
+	res.start, res.whole, err = begin(r)
+	if err != nil {
 		res.broke, res.late = err, isTimeout(err) && time.Until(x.deadline) <= 0
 		conn.Close()
 		return res
 	}
-	res.start = buf.Bytes()
 	if !res.whole {
 		f.floor.Do(func(now time.Duration, s *accession.Stock) { s.Answering(now, g) })
 	}
@@ -197,9 +177,8 @@
 	keep := conn != nil && res.broke == nil && res.response != nil && !res.response.Close && res.whole
 	var idle time.Duration
 	if keep {
-		if br := conn.Reader.(*bufio.Reader); br.Buffered() > 0 {
-			keep = false
-		}
+		a := conn.Reader.(*answers)
+		keep, a.used = a.Buffered() == 0, true
 		idle = f.idleTime(res.response.Header)
 	}
 	if !keep && conn != nil {
@@ -259,7 +238,7 @@
 
 // quiet says whether an idle connection is still open and has sent nothing.
 func quiet(c *accession.Conn) bool {
-	if c.Reader.(*bufio.Reader).Buffered() > 0 {
+	if c.Reader.(*answers).Buffered() > 0 {
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 
 const (
 	maxFrame  = 48 << 20 // a frame above this is taken for garbage
+	firstRead = 1 << 20  // of a frame, this much memory is taken before any of it has come
 	maxPacket = 1400     // a datagram above this goes over TCP instead
 	queueLen  = 256      // frames that may wait for one peer
 )
@@ -38,6 +40,13 @@
 	Body  cbor.RawMessage `cbor:"6,keyasint,omitempty"`
 }
 
+// question is a call that waits for its answer, which comes over the link that the
+// question went out on or not at all.
+type question struct {
+	link   *link
+	answer chan frame
+}
+
 // Handler takes a message. What it returns is sent back if the peer asked.
 type Handler func(from string, body []byte) (any, error)
 
@@ -58,7 +67,7 @@
 	// Intercept, where it is set before handlers are named, is put before each of them.
 	Intercept func(kind string, next Handler) Handler
 	links     map[string]*link
-	waiting   map[uint64]chan frame
+	waiting   map[uint64]question
 	inbound   map[net.Conn]struct{}
 	closed    bool
 
@@ -67,6 +76,7 @@
 	garbageMore int       // frames since
 
 	next       atomic.Uint64
+	Strays     atomic.Uint64 // answers that nobody waited for
 	Undecoded  atomic.Uint64 // frames that could not be read
 	BytesSent  atomic.Uint64
 	FramesSent atomic.Uint64
@@ -89,7 +99,9 @@
 		if u, err = net.ListenUDP("udp4", ua); err == nil {
 			c := &Mesh{self: l.Addr().String(), patience: patience, log: logger, listener: l, packets: u,
 				handlers: map[string]entry{}, links: map[string]*link{},
-				waiting: map[uint64]chan frame{}, inbound: map[net.Conn]struct{}{}}
+				waiting: map[uint64]question{}, inbound: map[net.Conn]struct{}{}}
+			// Answers to a former life's calls must not look like answers to this one's.
+			c.next.Store(rand.Uint64() >> 1)
 			return c, nil
 		}
 	}
@@ -202,24 +214,13 @@
 // read takes frames from a connection until it ends or sends garbage.
 func (c *Mesh) read(conn net.Conn, back *link) {
 	r := bufio.NewReaderSize(conn, 8<<10)
-	var head [4]byte
 	for {
 		c.used(conn)
-		if _, err := io.ReadFull(r, head[:]); err != nil {
-			return
-		}
-		n := binary.BigEndian.Uint32(head[:])
-		if n > maxFrame {
-			c.garbage(conn.RemoteAddr().String())
-			return
-		}
-		buf := make([]byte, n)
-		if _, err := io.ReadFull(r, buf); err != nil {
-			return
-		}
-		var f frame
-		if cbor.Unmarshal(buf, &f) != nil {
-			c.garbage(conn.RemoteAddr().String())
+		f, err := readFrame(r)
+		if err != nil {
+			if errors.Is(err, errGarbage) {
+				c.garbage(conn.RemoteAddr().String())
+			}
 			return
 		}
 		c.dispatch(f, back)
@@ -233,6 +234,34 @@
 	}
 }
 
+var errGarbage = errors.New("not a frame")
+
+// readFrame reads one frame; errGarbage: what came is none. Any other error is the
+// reader's.
+func readFrame(r *bufio.Reader) (f frame, err error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return f, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > maxFrame {
+		return f, errGarbage
+	}
+	var buf []byte
+	for have := 0; have < int(n); have = len(buf) {
+		// No more at a time than has come already: a length alone costs little.
+		part := min(int(n)-have, max(have, firstRead))
+		buf = append(make([]byte, 0, have+part), buf...)[:have+part]
+		if _, err := io.ReadFull(r, buf[have:]); err != nil {
+			return f, err
+		}
+	}
+	if cbor.Unmarshal(buf, &f) != nil {
+		return f, errGarbage
+	}
+	return f, nil
+}
+
 // garbageEvery is the time, in patiences, for which one line on garbage is enough.
 const garbageEvery = 10
 
@@ -272,12 +301,16 @@
 func (c *Mesh) dispatch(f frame, back *link) {
 	if f.Reply {
 		c.mu.Lock()
-		ch := c.waiting[f.ID]
-		delete(c.waiting, f.ID)
+		q, ok := c.waiting[f.ID]
+		if ok = ok && q.link == back; ok {
+			delete(c.waiting, f.ID)
+		}
 		c.mu.Unlock()
-		if ch != nil {
-			ch <- f
+		if !ok {
+			c.Strays.Add(1)
+			return
 		}
+		q.answer <- f
 		return
 	}
 	e, ok := c.handlers[f.Kind]
@@ -364,31 +397,43 @@
 	}
 	id := c.next.Add(1)
 	ch := make(chan frame, 1)
+	l := c.link(to)
 	c.mu.Lock()
-	c.waiting[id] = ch
+	c.waiting[id] = question{l, ch}
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
 		delete(c.waiting, id)
 		c.mu.Unlock()
 	}()
-	l := c.link(to)
 	if !l.offer(encode(frame{From: c.self, Kind: kind, ID: id, Body: b})) {
 		return ErrUnreachable
 	}
+	f, err := await(ctx, ch, l.done)
+	switch {
+	case err != nil:
+		return err
+	case f.Fault != "":
+		return Fault(f.Fault)
+	case answer == nil:
+		return nil
+	}
+	return cbor.Unmarshal(f.Body, answer)
+}
+
+// await waits for an answer until the link or the time for it ends.
+func await(ctx context.Context, answer <-chan frame, ended <-chan struct{}) (frame, error) {
 	select {
-	case f := <-ch:
-		if f.Fault != "" {
-			return Fault(f.Fault)
-		}
-		if answer == nil {
-			return nil
-		}
-		return cbor.Unmarshal(f.Body, answer)
-	case <-l.done:
-		return ErrUnreachable
+	case f := <-answer:
+		return f, nil
+	case <-ended:
 	case <-ctx.Done():
-		return ErrUnreachable
+	}
+	select {
+	case f := <-answer: // it came at the same moment
+		return f, nil
+	default:
+		return frame{}, ErrUnreachable
 	}
 }
 
