accession: an answer from before a doubt does not tell warmth

Cause: while one question for an upstream's warmth was under way, a second silence, or a zone taken back again, asked none of its own, and the answer to the first, from before, had the upstream count as warm. That answer now tells nothing, and the question is asked anew.

Seen failing without the mend, and with either half of it taken out: TestAnAnswerFromBeforeADoubtDoesNotCount. Ruled out: two questions at once, since probes have a price.

--- a/internal/accession/accession_test.go
+++ b/internal/accession/accession_test.go
@@ -335,6 +335,35 @@
 	}
 }
 
+// An answer that was asked for before an upstream was lost sight of once more does not
+// tell how warm it is since.
+func TestAnAnswerFromBeforeADoubtDoesNotCount(t *testing.T) {
+	ds, sh := desks("z")
+	s := fresh("z-desk-0", "z", list(1, "z", 0), ds, sh, nil)
+	s.infos["a"] = ServiceInfo{MaxConns: 200, HealthPath: "/h", WarmupS: 3, WarmupPerS: 8}
+	lost := func(now time.Duration) {
+		s.SetEvacuated(now, map[string]bool{"z": true})
+		s.SetEvacuated(now, map[string]bool{})
+	}
+	lost(time.Second)
+	lost(2 * time.Second)
+	if len(s.Probes) != 1 {
+		t.Fatalf("%d probes at once", len(s.Probes))
+	}
+	u := s.Probes[0].Upstream
+	s.Probed(2100*ms, u, 0, true)
+	if !u.Cold(2200 * ms) {
+		t.Error("taken to be warm by an answer from before")
+	}
+	if len(s.Probes) != 2 {
+		t.Fatalf("asked %d times", len(s.Probes))
+	}
+	s.Probed(2300*ms, u, 0, true)
+	if u.Cold(2400*ms) || len(s.Probes) != 2 {
+		t.Error("the answer since does not count")
+	}
+}
+
 // The budget of all desks together holds in every window, also when desks start
 // anew and when each knows only some of the others.
 func TestRetryBudgetHoldsOverAllDesks(t *testing.T) {
--- a/internal/accession/stock.go
+++ b/internal/accession/stock.go
@@ -75,6 +75,7 @@
 	proven   bool          // a connection to it has once come up
 	fresh    bool          // it appeared after the first list
 	asking   bool          // a probe for its warmth is under way
+	outdated bool          // that was asked before its warmth came into doubt again
 	judged
 	Served uint64
 	Failed uint64
@@ -325,16 +326,31 @@
 func (s *Stock) doubt(now time.Duration, u *Upstream) {
 	info := s.infos[u.Service]
 	u.coldTill = max(u.coldTill, now+time.Duration(info.WarmupS*float64(time.Second))+s.cfg.Lag)
-	if (u.home || s.sends(u)) && !u.asking && s.poolFor(u) != nil && info.HealthPath != "" {
+	s.ask(u)
+}
+
+// ask asks an upstream how long it stays cold, if that is this desk's to do.
+func (s *Stock) ask(u *Upstream) {
+	path := s.infos[u.Service].HealthPath
+	u.outdated = u.asking
+	if (u.home || s.sends(u)) && !u.asking && s.poolFor(u) != nil && path != "" {
 		u.asking = true
-		s.Probes = append(s.Probes, Probe{u, u.ID, u.Address, info.HealthPath})
+		s.Probes = append(s.Probes, Probe{u, u.ID, u.Address, path})
 	}
 }
 
 // Probed takes the answer to a probe: how much longer the upstream stays cold.
-// Without one (ok is false) it goes on counting as cold.
+// Without one (ok is false) it goes on counting as cold. One to a question asked before
+// its warmth came into doubt again tells nothing, and it is asked anew.
 func (s *Stock) Probed(now time.Duration, u *Upstream, left time.Duration, ok bool) {
 	u.asking = false
+	if u.outdated {
+		u.outdated = false
+		if !u.gone && !s.evacuated[u.Zone] {
+			s.ask(u)
+		}
+		return
+	}
 	if ok && !s.evacuated[u.Zone] {
 		u.coldTill = now + left
 		s.serve(now, u.pool)
