circulation: a probe's garbled warmth says nothing

Cause: a Warmup-Left that is negative, not a number or beyond what a duration holds became a time in the past, so a cold upstream counted as warm.

Seen failing without the check: TestWarmupLeft.

--- a/internal/circulation/answers_test.go
+++ b/internal/circulation/answers_test.go
@@ -6,8 +6,21 @@
 	"net/http"
 	"runtime"
 	"testing"
+	"time"
 )
 
+// An upstream's word on its warmth counts only if it is a time: no other may make a cold
+// one look warm.
+func TestWarmupLeft(t *testing.T) {
+	for told, want := range map[string]time.Duration{"": 0, "0": 0, "1500": 1500 * time.Millisecond, "0.5": 500 * time.Microsecond,
+		"-1": -1, "NaN": -1, "1e300": -1, "Inf": -1, "soon": -1} {
+		left, ok := warmupLeft(http.Header{hWarmup: {told}})
+		if ok != (want >= 0) || ok && left != want {
+			t.Errorf("%q: %v %v", told, left, ok)
+		}
+	}
+}
+
 // take reads one answer as send does: its head, what is held of the body, and the rest.
 // Of the bytes it says how many belong to the answer.
 func take(in []byte, method string, used bool) (r *http.Response, body []byte, took int, err error) {
--- a/internal/circulation/floor.go
+++ b/internal/circulation/floor.go
@@ -89,12 +89,8 @@
 		_ = conn.SetDeadline(time.Now().Add(2 * f.patience))
 		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", p.Path, p.Address); err == nil {
 			if res, err := conn.Reader.(*answers).head(http.MethodGet); err == nil {
-				ms, bad := strconv.ParseFloat(res.Header.Get(hWarmup), 64)
-				if res.Header.Get(hWarmup) == "" {
-					ms, bad = 0, nil
-				}
-				left = time.Duration(ms * float64(time.Millisecond))
-				ok = bad == nil && res.StatusCode == http.StatusOK && res.Header.Get(hInstance) == p.ID
+				left, ok = warmupLeft(res.Header)
+				ok = ok && res.StatusCode == http.StatusOK && res.Header.Get(hInstance) == p.ID
 				res.Body.Close()
 			}
 		}
@@ -103,6 +99,23 @@
 	f.Do(func(now time.Duration, s *accession.Stock) { s.Probed(now, p.Upstream, left, ok) })
 }
 
+// warmupLeft is how much longer an upstream says that it stays cold: nothing, if it does
+// not say; not ok, if that is no time.
+func warmupLeft(h http.Header) (left time.Duration, ok bool) {
+	told := h.Get(hWarmup)
+	if told == "" {
+		return 0, true
+	}
+	ms, err := strconv.ParseFloat(told, 64)
+	if err != nil || !(ms >= 0 && ms <= float64(warmupMost/time.Millisecond)) {
+		return 0, false
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
+
+// warmupMost is beyond any warm-up; no sum with it overflows.
+const warmupMost = 24 * time.Hour
+
 func (f *Floor) dial(address string, limit time.Duration) (*accession.Conn, error) {
 	d := net.Dialer{Timeout: min(limit, f.patience), KeepAlive: -1}
 	c, err := d.Dial("tcp4", address)
