transport: an answer leaves nothing of the one before in its variable

Cause: an answer was decoded into the caller's variable as that was, and fields that are empty are not sent. archive.submit uses one variable for all its tries: after one that found no owner, the owner's clear yes left the fault standing, so the order was sent again until the time was up and then refused with 503, though it had been carried out, perhaps several times. Call now clears the variable first.

Seen failing without the mend: TestAnAnswerLeavesNothingOfTheOneBefore. Ruled out: to mend it in submit alone; the next caller would fall into the same hole. (An evacuation that is sent again has its number and counts once; a configuration sent again changes nothing.)

--- a/internal/transport/callers_test.go
+++ b/internal/transport/callers_test.go
@@ -157,6 +157,23 @@
 	}
 }
 
+// An answer takes the place of what its variable held, of which nothing may be left: a
+// call that is made again must not answer with parts of the call before.
+func TestAnAnswerLeavesNothingOfTheOneBefore(t *testing.T) {
+	type verdict struct {
+		Fault bool   `cbor:"1,keyasint,omitempty"`
+		Body  []byte `cbor:"2,keyasint,omitempty"`
+	}
+	a, b := start(t), start(t)
+	b.Handle("judge", func(string, []byte) (any, error) { return verdict{}, nil })
+	a.Start()
+	b.Start()
+	v := verdict{Fault: true, Body: []byte("before")}
+	if err := a.Call(context.Background(), b.Self(), "judge", "x", &v); err != nil || v.Fault || v.Body != nil {
+		t.Errorf("%v, %+v", err, v)
+	}
+}
+
 // A length that is told but does not come must not cost memory.
 func TestAFrameTakesMemoryAsItComes(t *testing.T) {
 	head := make([]byte, 4, 1<<10)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,6 +12,7 @@
 	"log"
 	"math/rand/v2"
 	"net"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -368,7 +369,8 @@
 
 func (f Fault) Error() string { return string(f) }
 
-// Call asks a peer and waits for its answer.
+// Call asks a peer and waits for its answer, which takes the place of what answer points
+// to. ErrUnreachable: there was none, and the peer may have acted all the same.
 func (c *Mesh) Call(ctx context.Context, to, kind string, body, answer any) error {
 	b, err := cbor.Marshal(body)
 	if err != nil {
@@ -397,6 +399,7 @@
 	case answer == nil:
 		return nil
 	}
+	reflect.ValueOf(answer).Elem().SetZero() // fields that the answer leaves out are zero
 	return cbor.Unmarshal(f.Body, answer)
 }
 
