--- /dev/null
+++ b/examples/local/add.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Starts one more node, N from 5 up, beside those of start.sh: a machine that takes the
+# place of one that is lost. It knows the first seeds and nothing else.
+set -eu
+cd "$(dirname "$0")/../.."
+n=${1:?the number of the node, 5 or more}
+mkdir -p /tmp/madderwing-local
+settings=/tmp/madderwing-local/node$n.toml
+sed -e "s/127\.0\.0\.4/127.0.0.$n/; s/local-west-2/local-west-$n/; s#madderwing-local/4#madderwing-local/$n#; s/^bootstrap = true/bootstrap = false/" \
+  examples/local/node4.toml > "$settings"
+trap 'kill 0' EXIT INT TERM
+target/madderwing desk --settings "$settings" &
+target/madderwing archive --settings "$settings"
--- a/examples/local/start.sh
+++ b/examples/local/start.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Starts the stand-in and three nodes, each a desk and an archive. Ctrl-C ends
+# Starts the stand-in and four nodes, each a desk and an archive. Ctrl-C ends
 # them all. The first start founds the system; later ones go on with its disks.
 set -u
 cd "$(dirname "$0")/../.."
@@ -7,7 +7,7 @@
 pids=()
 trap 'kill "${pids[@]}" 2>/dev/null; wait' EXIT INT TERM
 target/standin & pids+=($!)
-for i in 1 2 3; do
+for i in 1 2 3 4; do
   settings=examples/local/node$i.toml
   if [ -n "$(find /tmp/madderwing-local/$i -name 'stacks*.db' -size +0 2>/dev/null)" ]; then
     mkdir -p /tmp/madderwing-local
