--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -3,6 +3,8 @@
 // This file holds elections: how a key gets an owner and how an owner gives it up.
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"madderwing/internal/rendezvous"
@@ -138,8 +140,8 @@
 	at, promises := k.at, k.promises
 	k.promises, k.frees, k.taking = nil, nil, nil
 	m.write(append(m.apply(k, nil), k.meta()), func() { m.acked(k, m.self, at) })
-	for id, p := range promises {
-		if id != m.self {
+	for _, id := range slices.Sorted(maps.Keys(promises)) {
+		if p := promises[id]; id != m.self {
 			m.mend(k, addressOf(id), id, p.At, p.Sums)
 		}
 	}
