replication: an owner is sure of itself only after a round is confirmed

Cause: an owner counted as sure from its election, but members note only confirmed rounds as a word that another has to wait for. A second owner could take it to be free earlier, and lend while the first still did. Change: unsure until the first round is confirmed. Ruled out: counting promises as words, as candidates that failed would then make all wait.

--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -128,7 +128,8 @@
 	for id := range k.promises {
 		k.free = max(k.free, k.frees[id])
 	}
-	k.sure, k.took, k.heir = k.since, m.now, len(k.Records) > 0
+	// A promise is no confirmation, for which others would wait: see reply.
+	k.sure, k.took, k.heir = unsure, m.now, len(k.Records) > 0
 	k.marks = map[string]mark{}
 	k.role, k.since, k.agreed = owns, m.now, m.now
 	k.acks, k.seen = map[string]Position{}, map[string]time.Duration{}
--- a/internal/replication/reads.go
+++ b/internal/replication/reads.go
@@ -19,11 +19,14 @@
 		return 0, false
 	}
 	if k.role == owns {
-		return k.sure, true
+		return k.sure, k.sure != unsure
 	}
 	return k.current, k.current > 0
 }
 
+// unsure is the time at which an owner was last sure of itself, if it never was.
+const unsure time.Duration = -1
+
 // Tenure is a member's ownership of a key.
 type Tenure struct {
 	Epoch Epoch
@@ -36,7 +39,7 @@
 // Tenure describes the ownership of a key that this member has and is sure of.
 func (m *Member) Tenure(now time.Duration, name string) (t Tenure, ok bool) {
 	k := m.key(name)
-	return Tenure{k.mine, k.took, k.sure, k.heir, k.free}, k.role == owns && now-k.sure <= m.cfg.Vacant
+	return Tenure{k.mine, k.took, k.sure, k.heir, k.free}, k.role == owns && k.sure != unsure && now-k.sure <= m.cfg.Vacant
 }
 
 // Committed gives the records of a key as they stood at the newest position that this
--- a/internal/replication/steps.go
+++ b/internal/replication/steps.go
@@ -140,7 +140,7 @@
 // has set a mark.
 func (m *Member) sureCopy(k *key, to string, c *Copy) *Copy {
 	w, ok := k.marks[to]
-	if !ok {
+	if !ok || k.sure == unsure {
 		return c
 	}
 	own := *c
