replication: a leaving member keeps the survey that MayGo reads

Cause: reform ran at each tick of a leaving member and threw its survey away before an answer came, so MayGo was true only in the first 100 ms, if at all; the process then waited its limit out. Red before: TestAMemberThatLeavesInCalmMayGoSoon, TestALeavingMemberWaitsForTheOthers.

--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -473,7 +473,10 @@
 // the owner of the roster.
 func (m *Member) reform() {
 	k := m.keys[RosterKey]
-	if k.role != owns || k.commit != k.at || len(k.queue) > 0 || !m.founded || m.leaving {
+	if m.leaving {
+		return // the survey is that of MayGo
+	}
+	if k.role != owns || k.commit != k.at || len(k.queue) > 0 || !m.founded {
 		m.survey = nil
 		return
 	}
