replication: a leaving member loses a seat that is not needed first, and is told

Cause: a planned replacement left a dead seat for about a second. With 5 members that bear 2 losses that makes 6 seats, one dead, and a closing fault of 2 leaves 3 of 6 for good. A member whose seat had gone was copied to no more and never learnt it, so it waited. Change: a survey says that its sender leaves; above the floor the owner of the roster takes its seat first; the answer brings the newer roster, once committed. Red before: TestClosingFaultAfterReplacements (2 of 5), TestALeavingMemberWaitsForTheOthers.

--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -127,6 +127,7 @@
 	heardOf   map[string]time.Duration // when each identity last said anything
 	newest    map[string]string        // by address: the identity that spoke last
 	learners  map[string]time.Duration // identities without a seat that want one, and when they said so
+	leavers   map[string]time.Duration // identities that leave, and when they said so last
 	hailed    map[string]map[string]bool
 	survey    *survey
 	round     uint64 // of surveys
@@ -138,7 +139,7 @@
 	m := &Member{cfg: cfg, keys: map[string]*key{}, after: map[uint64][]func(){}, firstOpen: 1,
 		foundIDs: map[string]string{}, foundAcks: map[string]bool{}, relays: map[string]string{},
 		lives: map[string]uint64{}, heardOf: map[string]time.Duration{}, newest: map[string]string{},
-		learners: map[string]time.Duration{}, hailed: map[string]map[string]bool{}, told: map[string]bool{}}
+		learners: map[string]time.Duration{}, leavers: map[string]time.Duration{}, hailed: map[string]map[string]bool{}, told: map[string]bool{}}
 	for _, name := range append([]string{RosterKey}, cfg.Keys...) {
 		m.key(name)
 	}
@@ -234,7 +235,7 @@
 	case msg.Chunked != nil:
 		m.onChunked(from, id, msg.Chunked)
 	case msg.Survey != nil:
-		m.onSurvey(from, msg.Survey)
+		m.onSurvey(from, id, msg.Survey)
 	case msg.Surveyed != nil:
 		m.onSurveyed(id, msg.Surveyed)
 	case msg.Hail != nil:
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -445,6 +445,10 @@
 // beside the lost ones.
 func (m *Member) floor() int { return max(2*m.cfg.Faults+1, m.cfg.Faults+3) }
 
+// needless says that a member which goes has to lose its seat first. With dead seats,
+// the more if several members go at once, the others may not bear what they have to.
+func (m *Member) needless(n int) bool { return n > m.floor() }
+
 // gone says how surely the holder of a seat is gone.
 func (m *Member) gone(seat string) (gone, long bool) {
 	id, address := m.holder(seat), addressOf(seat)
@@ -452,7 +456,10 @@
 		return false, false
 	}
 	quiet := m.now - max(m.heardOf[id], m.keys[RosterKey].took)
+	at, leaves := m.leavers[id]
 	switch {
+	case leaves && m.now-at <= m.cfg.Beat && m.needless(len(m.seats().after)):
+		return true, true
 	case m.newest[address] != id && m.newest[address] != "" && m.now-m.heardOf[m.newest[address]] <= m.cfg.Vacant+m.cfg.Beat:
 		return true, true // another disk is at work at its address
 	case m.cfg.Left != nil && m.cfg.Left(address) && quiet > m.cfg.Beat:
@@ -493,7 +500,7 @@
 func (m *Member) sendSurvey(to []string) {
 	m.round++
 	for _, a := range to {
-		m.send(a, Message{Survey: &Survey{Round: m.round}})
+		m.send(a, Message{Survey: &Survey{m.round, m.leaving, m.keys[RosterKey].at}})
 	}
 	m.stand(func(s *Surveyed) { m.onSurveyed(m.self, s) })
 }
@@ -509,14 +516,23 @@
 	m.settled(func() { then(s) })
 }
 
-func (m *Member) onSurvey(from string, q *Survey) {
+func (m *Member) onSurvey(from, id string, q *Survey) {
+	if q.Leaving {
+		m.leavers[id] = m.now
+	}
 	m.stand(func(s *Surveyed) {
 		s.Round = q.Round
+		if k := m.keys[RosterKey]; q.Leaving && q.Roster.Less(k.at) && k.commit == k.at {
+			s.Outdated = m.rosterHolding()
+		}
 		m.send(from, Message{Surveyed: s})
 	})
 }
 
 func (m *Member) onSurveyed(id string, s *Surveyed) {
+	if s.Outdated != nil && m.leaving {
+		m.adopt(s.Outdated)
+	}
 	if m.survey == nil || s.Round > m.round {
 		return
 	}
@@ -811,13 +827,17 @@
 	m.sendSurvey(m.seatedOthers())
 }
 
-// MayGo says whether a member that leaves is needed no more: each key has another
-// owner, and all that this member holds of it is held by a majority without it.
+// MayGo says whether a member that leaves is needed no more: it has no seat, or one
+// that may be dead, and each key has another owner, and all that this member holds of
+// it is held by a majority without it.
 func (m *Member) MayGo(now time.Duration) bool {
 	m.now = now
 	if !m.leaving || !m.inRoster() {
 		return true
 	}
+	if s := m.seats(); s.joint || m.needless(len(s.after)) {
+		return false // its seat is to go first
+	}
 	for _, name := range m.names {
 		k := m.keys[name]
 		if k.at.Seq == 0 {
@@ -838,8 +858,7 @@
 			}
 			return false
 		}
-		s := m.seats()
-		if !enough(s.after, false, holds) || s.joint && !enough(s.before, false, holds) {
+		if !enough(m.seats().after, false, holds) {
 			return false
 		}
 	}
--- a/internal/replication/message.go
+++ b/internal/replication/message.go
@@ -164,7 +164,9 @@
 
 // Survey asks a member where its copies stand on its disk.
 type Survey struct {
-	Round uint64 `cbor:"1,keyasint"`
+	Round   uint64   `cbor:"1,keyasint"`
+	Leaving bool     `cbor:"2,keyasint,omitempty"` // the sender is about to go
+	Roster  Position `cbor:"3,keyasint"`           // that the sender has taken
 }
 
 // Surveyed answers Survey: the roster that the member has taken, below which it
@@ -173,6 +175,9 @@
 	Round  uint64   `cbor:"1,keyasint"`
 	Roster Position `cbor:"2,keyasint"`
 	Keys   []Stand  `cbor:"3,keyasint,omitempty"`
+	// Outdated is a newer roster, committed, for a sender that leaves: nobody copies to
+	// it once its seat has gone.
+	Outdated *Holding `cbor:"4,keyasint,omitempty"`
 }
 
 // Stand is where a member's copy of a key stands.
