replication: seats of the dead go in time

Cause: (1) any late message of a dead member made it count as heard; (2) each new owner of the roster, also by a hand-back in calm, began the wait of 3.6 s anew; (3) newcomers were seated beside the dead, up to nine seats with three dead, of which a closing fault of 2 left four. Change: only answers to rounds that this owner sent count, dated by when it sent them; no hand-back of the roster while a seat is silent or a change is due; with the register's word a seat is vacant after one Vacant and dropped after two (before: two and three); no newcomer sits down beside a suspected seat. Another disk at an address counts only by such an answer. Not shown by a test alone: the shorter waits and the suspected seat.

--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -259,7 +259,8 @@
 	heir := m.Heirs(k.name)[0]
 	at, _ := k.ackOf(heir)
 	calm := heir != m.cfg.Self && m.cfg.HandBack > 0 && m.cfg.Alive(heir) && k.commit == k.at && len(k.waiters)+len(k.queue) == 0 &&
-		at == k.at && m.now-k.seen[m.newest[heir]] <= m.cfg.Vacant && m.now-k.since > m.cfg.HandBack
+		at == k.at && m.now-k.seen[m.newest[heir]] <= m.cfg.Vacant && m.now-k.since > m.cfg.HandBack &&
+		(k.name != RosterKey || m.whole())
 	if !calm {
 		k.calmFrom = m.now
 		return
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -124,7 +124,7 @@
 	began     bool
 	beganAt   time.Duration
 	lives     map[string]uint64        // the newest life of each member
-	heardOf   map[string]time.Duration // when each identity last said anything
+	proven    map[string]time.Duration // when the newest beat of the roster that each identity has answered was sent
 	newest    map[string]string        // by address: the identity that spoke last
 	learners  map[string]time.Duration // identities without a seat that want one, and when they said so
 	leavers   map[string]time.Duration // identities that leave, and when they said so last
@@ -138,7 +138,7 @@
 func NewMember(cfg Config, disk map[string][]byte) (*Member, error) {
 	m := &Member{cfg: cfg, keys: map[string]*key{}, after: map[uint64][]func(){}, firstOpen: 1,
 		foundIDs: map[string]string{}, foundAcks: map[string]bool{}, relays: map[string]string{},
-		lives: map[string]uint64{}, heardOf: map[string]time.Duration{}, newest: map[string]string{},
+		lives: map[string]uint64{}, proven: map[string]time.Duration{}, newest: map[string]string{},
 		learners: map[string]time.Duration{}, leavers: map[string]time.Duration{}, hailed: map[string]map[string]bool{}, told: map[string]bool{}}
 	for _, name := range append([]string{RosterKey}, cfg.Keys...) {
 		m.key(name)
@@ -216,7 +216,7 @@
 func (m *Member) Handle(now time.Duration, from string, msg Message) {
 	m.now = now
 	id := idOf(from, msg.Identity)
-	m.lives[id], m.heardOf[id], m.newest[from] = msg.Life, now, id
+	m.lives[id], m.newest[from] = msg.Life, id
 	switch {
 	case msg.Found != nil:
 		m.onFound(from, msg.Found)
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -21,6 +21,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -455,18 +456,38 @@
 	if id == m.self {
 		return false, false
 	}
-	quiet := m.now - max(m.heardOf[id], m.keys[RosterKey].took)
+	quiet := m.now - max(m.proven[id], m.keys[RosterKey].took)
+	other := m.newest[address]
 	at, leaves := m.leavers[id]
 	switch {
 	case leaves && m.now-at <= m.cfg.Beat && m.needless(len(m.seats().after)):
 		return true, true
-	case m.newest[address] != id && m.newest[address] != "" && m.now-m.heardOf[m.newest[address]] <= m.cfg.Vacant+m.cfg.Beat:
+	case other != id && m.proven[other] > m.proven[id]:
 		return true, true // another disk is at work at its address
 	case m.cfg.Left != nil && m.cfg.Left(address) && quiet > m.cfg.Beat:
 		return true, true
 	}
-	gone = quiet > 2*m.cfg.Vacant && !m.cfg.Alive(address) || quiet > 8*m.cfg.Vacant
-	return gone, gone && quiet > 3*m.cfg.Vacant
+	gone = quiet > m.cfg.Vacant && !m.cfg.Alive(address) || quiet > 8*m.cfg.Vacant
+	return gone, gone && quiet > 2*m.cfg.Vacant
+}
+
+// suspect says that the holder of a seat may be found gone soon.
+func (m *Member) suspect(seat string) bool {
+	id := m.holder(seat)
+	gone, _ := m.gone(seat)
+	return !gone && id != m.self && !m.cfg.Alive(addressOf(seat)) && m.now-m.proven[id] > m.cfg.Beat*3/2
+}
+
+// whole says that all seats have answered of late and that nothing is to be changed. The
+// owner of the roster gives it to no other before, who would have to wait anew.
+func (m *Member) whole() bool {
+	s := m.seats()
+	for _, seat := range s.after {
+		if id := m.holder(seat); id != m.self && m.now-m.proven[id] > m.cfg.Vacant {
+			return false
+		}
+	}
+	return !s.joint && !m.wishes()
 }
 
 // survey is what the owner of the roster finds out before it changes it.
@@ -726,6 +747,7 @@
 			lasting = append(lasting, seat)
 		}
 	}
+	pending := slices.ContainsFunc(s.after, m.suspect)
 	surely := len(leave)
 	leave = append(leave, lasting...)
 	drop := func(seat string) {
@@ -755,8 +777,8 @@
 		if out == "" && len(leave) > 0 {
 			out = leave[0]
 		}
-		if out == "" && size >= seatsMost {
-			continue
+		if out == "" && (size >= seatsMost || pending) {
+			continue // or it would sit beside a seat that it is to replace
 		}
 		if out != "" {
 			drop(out)
--- a/internal/replication/steps.go
+++ b/internal/replication/steps.go
@@ -258,6 +258,10 @@
 		return
 	}
 	k.seen[id] = m.now
+	if at, ok := k.sentAt[c.Round]; ok && k.name == RosterKey {
+		// A word that was long on its way proves nothing of a member that is gone.
+		m.proven[id] = max(m.proven[id], at)
+	}
 	if c.Mark > 0 {
 		had, ok := k.marks[id]
 		k.marks[id] = mark{m.lives[id], c.Mark, m.now}
@@ -327,7 +331,8 @@
 		k.agreed, k.sure = max(k.agreed, at), max(k.sure, at)
 		k.spoke = m.now
 		for r := range k.sentAt {
-			if r < confirmed {
+			// Those of the roster also date the members' answers: see gone.
+			if r < confirmed && (k.name != RosterKey || m.now-k.sentAt[r] > 8*m.cfg.Vacant) {
 				delete(k.sentAt, r)
 			}
 		}
