replication: a member without a seat owns nothing

Cause: only a refusal made an owner give up; one that lost its seat by an ordinary copy of the roster beat no more, but kept the role, and the key had no owner for a Vacant and more. Promises under way could even make it owner.

--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -118,6 +118,10 @@
 	if !m.quorum(false, func(id string) bool { return k.promises[id] != nil }) {
 		return
 	}
+	if !m.mayOwn() {
+		m.release(k, ErrNotOwner) // its seat has gone meanwhile
+		return
+	}
 	if k.trial {
 		m.campaign(k)
 		return
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -265,6 +265,9 @@
 	if m.leaving {
 		m.tickLeaving()
 	}
+	if !m.mayOwn() {
+		m.resign()
+	}
 	if !m.inRoster() {
 		return
 	}
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -255,10 +255,19 @@
 	m.write(append(entries, k.meta()), nil)
 	if !m.mayOwn() {
 		m.note("this member has no seat any more")
-		for _, name := range m.names {
-			if k := m.keys[name]; k.role != follows {
-				m.release(k, ErrNotOwner)
-			}
+		m.resign()
+	}
+}
+
+// resign gives up what a member without a seat owns or asks for.
+func (m *Member) resign() {
+	for _, name := range m.names {
+		switch k := m.keys[name]; k.role {
+		case owns:
+			m.yield(k)
+			m.release(k, ErrNotOwner)
+		case asks:
+			m.release(k, ErrNotOwner)
 		}
 	}
 }
