replication: elections survive lost answers, a newer roster and a newer copy

Cause: one member with a newer, uncommitted copy stopped an election that a majority had promised, for good if it was leaving; hearing of a newer roster cost a beat of waiting; a lost question or answer cost a whole trial (4.4 s without an owner seen with 3 of 4 alive). Change: only a trial makes way for a newer copy, and not for one that can't own; the same question goes on under the newer roster; it is repeated each quarter of a beat. Red before: TestALeavingMemberWaitsForTheOthers. Not shown by a test alone: the repetition, and the way that is not made for members that can't own.

--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -43,8 +43,13 @@
 	})
 }
 
+// canvass asks all whose promise is not there yet; see Tick for how often.
 func (m *Member) canvass(k *key) {
+	k.askedAt = m.now
 	for _, to := range m.seatedOthers() {
+		if k.promises[m.newest[to]] != nil {
+			continue
+		}
 		m.send(to, Message{Ask: &Ask{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: k.at, Trial: k.trial}})
 	}
 	m.promised(k)
@@ -74,6 +79,9 @@
 	if older {
 		p.Outdated = m.rosterHolding()
 	}
+	if behind && (m.leaving || !m.mayOwn()) {
+		p.At = a.At // this member is no heir that the asker should make way for
+	}
 	m.settled(func() {
 		p.OK = p.OK && (a.Trial || k.promised == a.Epoch)
 		if p.OK && !a.Trial && k.wanted {
@@ -89,6 +97,7 @@
 
 func (m *Member) onPromise(from, id string, p *Promise) {
 	k := m.key(p.Key)
+	had := m.keys[RosterKey].at
 	if p.Outdated != nil {
 		m.adopt(p.Outdated)
 	}
@@ -101,7 +110,12 @@
 		case !p.Trial && k.mine.Less(p.Promised):
 			m.stepDown(k, p.Promised)
 			m.write([]ledgerEntry{k.meta()}, nil)
-		case p.Outdated != nil || k.at.Less(p.At):
+		case p.Outdated != nil:
+			if had != m.keys[RosterKey].at {
+				m.canvass(k) // under the roster that it has now
+			}
+		case p.Trial && k.at.Less(p.At):
+			// In earnest a majority decides, whatever the others hold.
 			m.release(k, ErrNoQuorum)
 			k.notUntil = m.now + m.cfg.Beat
 		}
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -71,6 +71,7 @@
 	mine     Epoch
 	floor    uint64 // epochs up to this number have been asked for by others
 	since    time.Duration
+	askedAt  time.Duration // when those who had not answered were last asked
 	promises map[string]*Promise
 	acks     map[string]Position // durable copies in my epoch
 	seen     map[string]time.Duration
@@ -297,6 +298,8 @@
 			if k.trial && now-k.since > m.cfg.Beat || now-k.since > m.cfg.Vacant {
 				m.release(k, ErrNoQuorum)
 				k.notUntil = now + m.cfg.Beat*time.Duration(1+m.rank(k))/2
+			} else if k.promises[m.self] != nil && now-k.askedAt >= m.cfg.Beat/4 {
+				m.canvass(k) // a question or an answer may have been lost
 			}
 		case follows:
 			wait := m.cfg.Vacant + time.Duration(m.rank(k))*m.cfg.Vacant/2
