replication: a copy from the log is bounded as others are, and sent once

Cause: a member that had lost its disk was sent the whole log in one message, again at each answer: four times 2.4 MB queued on a link of 427 kB/s, 10.8 s and not caught up. Measured by TestCatchingUpWithALargeCatalogue: 6.4 s and 7.3 s, 1.04 and 1.16 times the whole in bytes, on a link that takes 0.6 s a chunk.

--- a/internal/replication/catchup.go
+++ b/internal/replication/catchup.go
@@ -81,6 +81,14 @@
 	chunks [][]Record
 	next   int
 	moved  time.Duration // when a chunk was last sent or asked for
+	wait   time.Duration // after which it is sent again; it doubles, for links on which a chunk takes long
+}
+
+// mended is what was last sent to a member that lags: from where, and until when it may
+// be on its way. A chunk's worth may take a beat.
+type mended struct {
+	base  Position
+	until time.Duration
 }
 
 // mend brings a member that lags towards the owner's position.
@@ -88,17 +96,24 @@
 	if s := k.sending[id]; s != nil && !base.Less(s.at) {
 		delete(k.sending, id) // it has the whole of it
 	} else if s != nil {
-		if m.now-s.moved > m.cfg.Beat {
+		if m.now-s.moved > s.wait {
+			s.wait *= 2
 			m.sendChunk(k, to, s)
 		}
 		return
 	}
+	if last := k.mended[id]; last.base == base && m.now < last.until {
+		return
+	}
+	sent := func(bytes int) {
+		k.mended[id] = mended{base, m.now + m.cfg.Beat*time.Duration(bytes)/chunkBytes}
+	}
 	if base != k.at {
 		// First to what is committed, so that the member can show that.
 		if k.undo != nil && k.commit.Epoch == k.mine && base.Less(k.commit) && k.commit != k.at {
 			changes, ok := k.log.between(base, k.commit)
 			rest, whole := k.log.between(k.commit, k.at)
-			if ok && whole {
+			if ok && whole && weight(changes)+weight(rest) <= chunkBytes {
 				c := m.copy(k, base)
 				c.Seq, c.Changes = k.commit.Seq, changes
 				// The digests are those of the position after; they are compared there.
@@ -107,13 +122,15 @@
 				c = m.copy(k, k.commit)
 				c.Changes = rest
 				m.send(to, Message{Copy: c})
+				sent(weight(changes) + weight(rest))
 				return
 			}
 		}
-		if changes, ok := k.log.between(base, k.at); ok {
+		if changes, ok := k.log.between(base, k.at); ok && weight(changes) <= chunkBytes {
 			c := m.copy(k, base)
 			c.Changes = changes
 			m.send(to, Message{Copy: c})
+			sent(weight(changes))
 			return
 		}
 	}
@@ -123,9 +140,10 @@
 		c := m.copy(k, base)
 		c.Mend, c.Changes = ranges, records
 		m.send(to, Message{Copy: c})
+		sent(weight(records))
 		return
 	}
-	s := &sending{at: k.at, sums: k.Sums, ranges: ranges}
+	s := &sending{at: k.at, sums: k.Sums, ranges: ranges, wait: m.cfg.Beat}
 	for begin, i, n := 0, 0, 0; i < len(records); i++ {
 		n += weight(records[i : i+1])
 		if last := i == len(records)-1; last || n+weight(records[i+1:i+2]) > chunkBytes {
--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -152,7 +152,7 @@
 	k.role, k.since, k.agreed = owns, m.now, m.now
 	k.acks, k.seen = map[string]Position{}, map[string]time.Duration{}
 	k.rounds, k.sentAt, k.round = map[string]uint64{}, map[uint64]time.Duration{}, 0
-	k.sending = map[string]*sending{}
+	k.sending, k.mended = map[string]*sending{}, map[string]mended{}
 	base := k.at
 	k.at = Position{k.mine, base.Seq + 1}
 	k.log.add(base, k.at, nil)
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -85,6 +85,7 @@
 	notUntil time.Duration
 	calmFrom time.Duration
 	sending  map[string]*sending // snapshots under way, by member
+	mended   map[string]mended   // what was last sent to members that lag
 	taking   *taking             // the snapshot that this member is taking in
 
 	wanted  bool            // members must know how old their copy is
