--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -3,6 +3,8 @@
 // This file holds elections: how a key gets an owner and how an owner gives it up.
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"madderwing/internal/rendezvous"
@@ -41,8 +43,13 @@
 	})
 }
 
+// canvass asks all whose promise is not there yet; see Tick for how often.
 func (m *Member) canvass(k *key) {
+	k.askedAt = m.now
 	for _, to := range m.seatedOthers() {
+		if k.promises[m.newest[to]] != nil {
+			continue
+		}
 		m.send(to, Message{Ask: &Ask{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: k.at, Trial: k.trial}})
 	}
 	m.promised(k)
@@ -72,6 +79,9 @@
 	if older {
 		p.Outdated = m.rosterHolding()
 	}
+	if behind && (m.leaving || !m.mayOwn()) {
+		p.At = a.At // this member is no heir that the asker should make way for
+	}
 	m.settled(func() {
 		p.OK = p.OK && (a.Trial || k.promised == a.Epoch)
 		if p.OK && !a.Trial && k.wanted {
@@ -87,6 +97,7 @@
 
 func (m *Member) onPromise(from, id string, p *Promise) {
 	k := m.key(p.Key)
+	had := m.keys[RosterKey].at
 	if p.Outdated != nil {
 		m.adopt(p.Outdated)
 	}
@@ -99,7 +110,12 @@
 		case !p.Trial && k.mine.Less(p.Promised):
 			m.stepDown(k, p.Promised)
 			m.write([]ledgerEntry{k.meta()}, nil)
-		case p.Outdated != nil || k.at.Less(p.At):
+		case p.Outdated != nil:
+			if had != m.keys[RosterKey].at {
+				m.canvass(k) // under the roster that it has now
+			}
+		case p.Trial && k.at.Less(p.At):
+			// In earnest a majority decides, whatever the others hold.
 			m.release(k, ErrNoQuorum)
 			k.notUntil = m.now + m.cfg.Beat
 		}
@@ -116,6 +132,10 @@
 	if !m.quorum(false, func(id string) bool { return k.promises[id] != nil }) {
 		return
 	}
+	if !m.mayOwn() {
+		m.release(k, ErrNotOwner) // its seat has gone meanwhile
+		return
+	}
 	if k.trial {
 		m.campaign(k)
 		return
@@ -126,21 +146,21 @@
 	for id := range k.promises {
 		k.free = max(k.free, k.frees[id])
 	}
-	k.sure, k.took, k.heir = k.since, m.now, len(k.Records) > 0
+	// A promise is no confirmation, for which others would wait: see reply.
+	k.sure, k.took, k.heir = unsure, m.now, len(k.Records) > 0
 	k.marks = map[string]mark{}
 	k.role, k.since, k.agreed = owns, m.now, m.now
 	k.acks, k.seen = map[string]Position{}, map[string]time.Duration{}
 	k.rounds, k.sentAt, k.round = map[string]uint64{}, map[uint64]time.Duration{}, 0
-	k.sending = map[string]*sending{}
+	k.sending, k.mended = map[string]*sending{}, map[string]mended{}
 	base := k.at
 	k.at = Position{k.mine, base.Seq + 1}
 	k.log.add(base, k.at, nil)
 	at, promises := k.at, k.promises
 	k.promises, k.frees, k.taking = nil, nil, nil
 	m.write(append(m.apply(k, nil), k.meta()), func() { m.acked(k, m.self, at) })
-	for _, seat := range m.seats().all() {
-		id := m.holder(seat)
-		if p := promises[id]; p != nil && id != m.self {
+	for _, id := range slices.Sorted(maps.Keys(promises)) {
+		if p := promises[id]; id != m.self {
 			m.mend(k, addressOf(id), id, p.At, p.Sums)
 		}
 	}
@@ -257,7 +277,8 @@
 	heir := m.Heirs(k.name)[0]
 	at, _ := k.ackOf(heir)
 	calm := heir != m.cfg.Self && m.cfg.HandBack > 0 && m.cfg.Alive(heir) && k.commit == k.at && len(k.waiters)+len(k.queue) == 0 &&
-		at == k.at && m.now-k.seen[m.newest[heir]] <= m.cfg.Vacant && m.now-k.since > m.cfg.HandBack
+		at == k.at && m.now-k.seen[m.newest[heir]] <= m.cfg.Vacant && m.now-k.since > m.cfg.HandBack &&
+		(k.name != RosterKey || m.whole())
 	if !calm {
 		k.calmFrom = m.now
 		return
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -28,7 +28,6 @@
 	Sure      []string // keys of which members must know how old their copy is
 
 	Faults int                    // how many members may be lost at once with all rules kept
-	Dead   func(id string) bool   // others have given an address up; nil: never known
 	Left   func(id string) bool   // the process at an address has said that it goes; nil: never known
 	Peers  func() []string        // archives known to be there, for a member without a seat; nil: none
 	Zone   func(id string) string // the zone of an address; nil or empty: not known
@@ -75,6 +74,7 @@
 	mine     Epoch
 	floor    uint64 // epochs up to this number have been asked for by others
 	since    time.Duration
+	askedAt  time.Duration // when those who had not answered were last asked
 	promises map[string]*Promise
 	acks     map[string]Position // durable copies in my epoch
 	seen     map[string]time.Duration
@@ -88,6 +88,7 @@
 	notUntil time.Duration
 	calmFrom time.Duration
 	sending  map[string]*sending // snapshots under way, by member
+	mended   map[string]mended   // what was last sent to members that lag
 	taking   *taking             // the snapshot that this member is taking in
 
 	wanted  bool            // members must know how old their copy is
@@ -128,9 +129,10 @@
 	began     bool
 	beganAt   time.Duration
 	lives     map[string]uint64        // the newest life of each member
-	heardOf   map[string]time.Duration // when each identity last said anything
+	proven    map[string]time.Duration // when the newest beat of the roster that each identity has answered was sent
 	newest    map[string]string        // by address: the identity that spoke last
 	learners  map[string]time.Duration // identities without a seat that want one, and when they said so
+	leavers   map[string]time.Duration // identities that leave, and when they said so last
 	hailed    map[string]map[string]bool
 	survey    *survey
 	round     uint64 // of surveys
@@ -141,8 +143,8 @@
 func NewMember(cfg Config, disk map[string][]byte) (*Member, error) {
 	m := &Member{cfg: cfg, keys: map[string]*key{}, after: map[uint64][]func(){}, firstOpen: 1,
 		foundIDs: map[string]string{}, foundAcks: map[string]bool{}, relays: map[string]string{},
-		lives: map[string]uint64{}, heardOf: map[string]time.Duration{}, newest: map[string]string{},
-		learners: map[string]time.Duration{}, hailed: map[string]map[string]bool{}, told: map[string]bool{}}
+		lives: map[string]uint64{}, proven: map[string]time.Duration{}, newest: map[string]string{},
+		learners: map[string]time.Duration{}, leavers: map[string]time.Duration{}, hailed: map[string]map[string]bool{}, told: map[string]bool{}}
 	for _, name := range append([]string{RosterKey}, cfg.Keys...) {
 		m.key(name)
 	}
@@ -219,7 +221,7 @@
 func (m *Member) Handle(now time.Duration, from string, msg Message) {
 	m.now = now
 	id := idOf(from, msg.Identity)
-	m.lives[id], m.heardOf[id], m.newest[from] = msg.Life, now, id
+	m.lives[id], m.newest[from] = msg.Life, id
 	switch {
 	case msg.Found != nil:
 		m.onFound(from, msg.Found)
@@ -238,7 +240,7 @@
 	case msg.Chunked != nil:
 		m.onChunked(from, id, msg.Chunked)
 	case msg.Survey != nil:
-		m.onSurvey(from, msg.Survey)
+		m.onSurvey(from, id, msg.Survey)
 	case msg.Surveyed != nil:
 		m.onSurveyed(id, msg.Surveyed)
 	case msg.Hail != nil:
@@ -263,12 +265,14 @@
 	}
 	m.tickFounding()
 	if !m.mayOwn() {
-		m.unseated()
 		m.enrol()
 	}
 	if m.leaving {
 		m.tickLeaving()
 	}
+	if !m.mayOwn() {
+		m.resign()
+	}
 	if !m.inRoster() {
 		return
 	}
@@ -298,6 +302,8 @@
 			if k.trial && now-k.since > m.cfg.Beat || now-k.since > m.cfg.Vacant {
 				m.release(k, ErrNoQuorum)
 				k.notUntil = now + m.cfg.Beat*time.Duration(1+m.rank(k))/2
+			} else if k.promises[m.self] != nil && now-k.askedAt >= m.cfg.Beat/4 {
+				m.canvass(k) // a question or an answer may have been lost
 			}
 		case follows:
 			wait := m.cfg.Vacant + time.Duration(m.rank(k))*m.cfg.Vacant/2
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -21,6 +21,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -252,18 +253,21 @@
 		k.promised = h.At.Epoch
 	}
 	m.write(append(entries, k.meta()), nil)
-	m.unseated()
+	if !m.mayOwn() {
+		m.note("this member has no seat any more")
+		m.resign()
+	}
 }
 
-// unseated gives up the keys of a member that has no seat any more.
-func (m *Member) unseated() {
-	if m.mayOwn() {
-		return
-	}
+// resign gives up what a member without a seat owns or asks for.
+func (m *Member) resign() {
 	for _, name := range m.names {
-		if k := m.keys[name]; k.role != follows {
+		switch k := m.keys[name]; k.role {
+		case owns:
 			m.yield(k)
 			m.release(k, ErrNotOwner)
+		case asks:
+			m.release(k, ErrNotOwner)
 		}
 	}
 }
@@ -451,24 +455,50 @@
 // beside the lost ones.
 func (m *Member) floor() int { return max(2*m.cfg.Faults+1, m.cfg.Faults+3) }
 
+// needless says that a member which goes has to lose its seat first. With dead seats,
+// the more if several members go at once, the others may not bear what they have to.
+func (m *Member) needless(n int) bool { return n > m.floor() }
+
 // gone says how surely the holder of a seat is gone.
 func (m *Member) gone(seat string) (gone, long bool) {
 	id, address := m.holder(seat), addressOf(seat)
 	if id == m.self {
 		return false, false
 	}
-	quiet := m.now - max(m.heardOf[id], m.keys[RosterKey].took)
+	quiet := m.now - max(m.proven[id], m.keys[RosterKey].took)
+	other := m.newest[address]
+	at, leaves := m.leavers[id]
 	switch {
-	case quiet > m.cfg.Beat*3/2 && m.newest[address] != id && m.heardOf[m.newest[address]] > m.heardOf[id] &&
-		m.now-m.heardOf[m.newest[address]] <= m.cfg.Vacant+m.cfg.Beat:
+	case leaves && m.now-at <= m.cfg.Beat && m.needless(len(m.seats().after)):
+		return true, true
+	case other != id && m.proven[other] > m.proven[id]:
 		return true, true // another disk is at work at its address
 	case m.cfg.Left != nil && m.cfg.Left(address) && quiet > m.cfg.Beat:
 		return true, true
 	}
-	// This member copies to every seat at each beat, so silence towards it says much;
-	// the word of others only makes it surer.
-	gone = quiet > 2*m.cfg.Vacant || quiet > 2*m.cfg.Beat && m.cfg.Dead != nil && m.cfg.Dead(address)
-	return gone, gone && quiet > 3*m.cfg.Vacant
+	// This member copies to every seat at each beat, so silence towards it says much,
+	// also where nobody else watches that one; the word of others makes it surer.
+	gone = quiet > m.cfg.Vacant && !m.cfg.Alive(address) || quiet > 2*m.cfg.Vacant
+	return gone, gone && quiet > 2*m.cfg.Vacant
+}
+
+// suspect says that the holder of a seat may be found gone soon.
+func (m *Member) suspect(seat string) bool {
+	id := m.holder(seat)
+	gone, _ := m.gone(seat)
+	return !gone && id != m.self && !m.cfg.Alive(addressOf(seat)) && m.now-m.proven[id] > m.cfg.Beat*3/2
+}
+
+// whole says that all seats have answered of late and that nothing is to be changed. The
+// owner of the roster gives it to no other before, who would have to wait anew.
+func (m *Member) whole() bool {
+	s := m.seats()
+	for _, seat := range s.after {
+		if id := m.holder(seat); id != m.self && m.now-m.proven[id] > m.cfg.Vacant {
+			return false
+		}
+	}
+	return !s.joint && !m.wishes()
 }
 
 // survey is what the owner of the roster finds out before it changes it.
@@ -483,7 +513,7 @@
 func (m *Member) reform() {
 	k := m.keys[RosterKey]
 	if m.leaving {
-		return // its survey is that of tickLeaving
+		return // the survey is that of MayGo
 	}
 	if k.role != owns || k.commit != k.at || len(k.queue) > 0 || !m.founded {
 		m.survey = nil
@@ -502,7 +532,7 @@
 func (m *Member) sendSurvey(to []string) {
 	m.round++
 	for _, a := range to {
-		m.send(a, Message{Survey: &Survey{Round: m.round}})
+		m.send(a, Message{Survey: &Survey{m.round, m.leaving, m.keys[RosterKey].at}})
 	}
 	m.stand(func(s *Surveyed) { m.onSurveyed(m.self, s) })
 }
@@ -518,14 +548,23 @@
 	m.settled(func() { then(s) })
 }
 
-func (m *Member) onSurvey(from string, q *Survey) {
+func (m *Member) onSurvey(from, id string, q *Survey) {
+	if q.Leaving {
+		m.leavers[id] = m.now
+	}
 	m.stand(func(s *Surveyed) {
 		s.Round = q.Round
+		if k := m.keys[RosterKey]; q.Leaving && q.Roster.Less(k.at) && k.commit == k.at {
+			s.Outdated = m.rosterHolding()
+		}
 		m.send(from, Message{Surveyed: s})
 	})
 }
 
 func (m *Member) onSurveyed(id string, s *Surveyed) {
+	if s.Outdated != nil && m.leaving {
+		m.adopt(s.Outdated)
+	}
 	if m.survey == nil || s.Round > m.round {
 		return
 	}
@@ -719,6 +758,7 @@
 			lasting = append(lasting, seat)
 		}
 	}
+	pending := slices.ContainsFunc(s.after, m.suspect)
 	surely := len(leave)
 	leave = append(leave, lasting...)
 	drop := func(seat string) {
@@ -748,8 +788,8 @@
 		if out == "" && len(leave) > 0 {
 			out = leave[0]
 		}
-		if out == "" && size >= seatsMost {
-			continue
+		if out == "" && (size >= seatsMost || pending) {
+			continue // or it would sit beside a seat that it is to replace
 		}
 		if out != "" {
 			drop(out)
@@ -822,13 +862,17 @@
 	m.sendSurvey(m.seatedOthers())
 }
 
-// MayGo says whether a member that leaves is needed no more: each key has another
-// owner, and all that this member holds of it is held by a majority without it.
+// MayGo says whether a member that leaves is needed no more: it has no seat, or one
+// that may be dead, and each key has another owner, and all that this member holds of
+// it is held by a majority without it.
 func (m *Member) MayGo(now time.Duration) bool {
 	m.now = now
 	if !m.leaving || !m.inRoster() {
 		return true
 	}
+	if s := m.seats(); s.joint || m.needless(len(s.after)) {
+		return false // its seat is to go first
+	}
 	for _, name := range m.names {
 		k := m.keys[name]
 		if k.at.Seq == 0 {
@@ -849,8 +893,7 @@
 			}
 			return false
 		}
-		s := m.seats()
-		if !enough(s.after, false, holds) || s.joint && !enough(s.before, false, holds) {
+		if !enough(m.seats().after, false, holds) {
 			return false
 		}
 	}
