--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -104,6 +104,7 @@
 	revokedAt time.Duration // when a key was last taken from a tenant here
 
 	rosterTold string
+	seated     map[string]time.Duration // see branches
 
 	writes  *jobs
 	polling atomic.Bool
@@ -133,7 +134,7 @@
 		return runRelay(ctx, set, reload)
 	}
 	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
-		writes: newJobs(), shown: antientropy.NewSet(), told: map[string]toldAt{},
+		writes: newJobs(), shown: antientropy.NewSet(), told: map[string]toldAt{}, seated: map[string]time.Duration{},
 		asks: newAsks(charter.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	a.log.archive, a.log.replication, a.log.ledger, a.log.rota = logger("archive"), logger("replication"), logger("ledger"), logger("rota")
--- /dev/null
+++ b/internal/archive/branches_test.go
@@ -0,0 +1,38 @@
+package archive
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"madderwing/internal/charter"
+	"madderwing/internal/replication"
+)
+
+// An archive whose seat has gone may still have lent shares to desks.
+func TestABranchWithoutASeatCountsUntilItsSharesLapse(t *testing.T) {
+	const contactS = 3
+	a := &Archive{set: &charter.Settings{Bounds: charter.Bounds{ContactS: contactS}}, start: time.Now(), seated: map[string]time.Duration{}}
+	member, err := replication.NewMember(replication.Config{Self: "a", Identity: 1}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.member = member
+	for _, c := range []struct {
+		ago  time.Duration
+		want []string
+	}{
+		{time.Second, []string{"b"}},
+		{contactS*time.Second - time.Second/2, []string{"b"}},
+		{contactS*time.Second + time.Second/2, nil},
+	} {
+		a.start = time.Now().Add(-time.Minute)
+		a.seated["b"] = time.Minute - c.ago
+		if got := a.branches(); !slices.Equal(got, c.want) {
+			t.Errorf("%v after its seat went: %v, want %v", c.ago, got, c.want)
+		}
+	}
+	if len(a.seated) > 0 {
+		t.Errorf("remembered for ever: %v", a.seated)
+	}
+}
--- a/internal/archive/registry.go
+++ b/internal/archive/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,10 +39,34 @@
 	a.directory.InContact = func() bool { return a.contact.within(time.Since(a.start), contactS) }
 	a.lender = readers.NewLender(readers.LenderConfig{Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack,
 		Window: charter.Seconds(b.QuotaWindowS), Life: charter.Seconds(b.ContactS * 0.7), Sure: charter.Seconds(b.ContactS * vacantPart),
-		Branches: func() []string { return a.member.Roster() }})
+		Branches: a.branches})
 	a.purse = &readers.Purse{Life: a.life, Patience: charter.Seconds(b.ContactS / 20)}
 }
 
+// branches are the archives that may hold shares: the members, and those whose seats have
+// gone so lately that their shares may not have lapsed.
+func (a *Archive) branches() []string {
+	out := a.member.Roster()
+	now := time.Since(a.start)
+	for id, at := range a.seated {
+		switch {
+		case slices.Contains(out, id):
+			a.seated[id] = now
+		case now-at <= charter.Seconds(a.set.Bounds.ContactS):
+			out = append(out, id)
+		default:
+			delete(a.seated, id)
+		}
+	}
+	for _, id := range out {
+		if _, ok := a.seated[id]; !ok {
+			a.seated[id] = now
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // openDesks lists the desks for the registry.
 func (a *Archive) openDesks(l *register.List) (out []reference.Desk) {
 	for _, n := range l.Nodes {
--- a/internal/replication/catchup.go
+++ b/internal/replication/catchup.go
@@ -117,7 +117,7 @@
 				c := m.copy(k, base)
 				c.Seq, c.Changes = k.commit.Seq, changes
 				// The digests are those of the position after; they are compared there.
-				c.Sums = k.sumsBefore()
+				c.tells(k.sumsBefore(), m.olderVersions())
 				m.send(to, Message{Copy: c})
 				c = m.copy(k, k.commit)
 				c.Changes = rest
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -132,6 +132,16 @@
 	return seat
 }
 
+// olderVersions says that some seat's holder speaks as versions without identities do.
+func (m *Member) olderVersions() bool {
+	for _, seat := range m.seats().all() {
+		if a := addressOf(seat); m.newest[a] == a {
+			return true
+		}
+	}
+	return false
+}
+
 // Roster lists the addresses of the members that this one knows of.
 func (m *Member) Roster() []string {
 	var out []string
--- a/internal/replication/message.go
+++ b/internal/replication/message.go
@@ -103,17 +103,36 @@
 // Copy brings a member from one position to the next. Without Changes and
 // Ranges it is the owner's sign of life. A mending copy replaces whole ranges.
 type Copy struct {
-	Key     string           `cbor:"1,keyasint"`
-	Epoch   Epoch            `cbor:"2,keyasint"`
-	Base    Position         `cbor:"3,keyasint"`
-	Seq     uint64           `cbor:"4,keyasint,omitempty"`
-	Commit  uint64           `cbor:"5,keyasint,omitempty"`
-	Round   uint64           `cbor:"6,keyasint,omitempty"`
-	Roster  Position         `cbor:"7,keyasint"`
-	Changes []Record         `cbor:"8,keyasint,omitempty"`
-	Mend    []int            `cbor:"9,keyasint,omitempty"`
-	Sums    antientropy.Sums `cbor:"10,keyasint"`
-	Sure    *Sure            `cbor:"11,keyasint,omitempty"`
+	Key     string   `cbor:"1,keyasint"`
+	Epoch   Epoch    `cbor:"2,keyasint"`
+	Base    Position `cbor:"3,keyasint"`
+	Seq     uint64   `cbor:"4,keyasint,omitempty"`
+	Commit  uint64   `cbor:"5,keyasint,omitempty"`
+	Round   uint64   `cbor:"6,keyasint,omitempty"`
+	Roster  Position `cbor:"7,keyasint"`
+	Changes []Record `cbor:"8,keyasint,omitempty"`
+	Mend    []int    `cbor:"9,keyasint,omitempty"`
+	// Sum is the digest of all that the member then holds (antientropy.Sums.Fold). Members
+	// of a version before it send and read the digests by range, Sums.
+	Sums *antientropy.Sums `cbor:"10,keyasint,omitempty"`
+	Sure *Sure             `cbor:"11,keyasint,omitempty"`
+	Sum  uint64            `cbor:"12,keyasint,omitempty"`
+}
+
+// tells puts the digest of what the member then holds into a copy.
+func (c *Copy) tells(s antientropy.Sums, older bool) {
+	c.Sum, c.Sums = s.Fold(), nil
+	if older {
+		c.Sums = &s
+	}
+}
+
+// fits says whether digests are those that a copy tells.
+func (c *Copy) fits(s antientropy.Sums) bool {
+	if c.Sum == 0 && c.Sums != nil {
+		return *c.Sums == s
+	}
+	return c.Sum == s.Fold()
 }
 
 // Sure tells a member how long ago the owner knew that no other had taken its
--- a/internal/replication/steps.go
+++ b/internal/replication/steps.go
@@ -34,8 +34,9 @@
 	if k.commit.Epoch == k.mine {
 		commit = k.commit.Seq
 	}
-	return &Copy{Key: k.name, Epoch: k.mine, Base: base, Seq: k.at.Seq, Commit: commit,
-		Round: k.round, Roster: m.keys[RosterKey].at, Sums: k.Sums}
+	c := &Copy{Key: k.name, Epoch: k.mine, Base: base, Seq: k.at.Seq, Commit: commit, Round: k.round, Roster: m.keys[RosterKey].at}
+	c.tells(k.Sums, m.olderVersions())
+	return c
 }
 
 // Propose runs fn on the key's records and copies the changes that it returns.
@@ -201,11 +202,11 @@
 		}
 		k.at = to
 		m.write(append(entries, k.meta()), nil)
-	case k.at == to && c.Mend != nil && k.Sums != c.Sums:
+	case k.at == to && c.Mend != nil && !c.fits(k.Sums):
 		m.write(append(m.replace(k, c.Mend, c.Changes), k.meta()), nil)
 	}
 	reply := &Copied{Key: c.Key, Epoch: c.Epoch, Round: c.Round}
-	reply.OK = !k.at.Less(to) && !(k.at == to && k.Sums != c.Sums)
+	reply.OK = !k.at.Less(to) && !(k.at == to && !c.fits(k.Sums))
 	if reply.OK {
 		m.committed(k, commit)
 	}
