--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -219,7 +219,10 @@
 			if i > 0 && hurried && now < beat {
 				continue // one is enough to begin with; both would send all there is
 			}
-			w := feed.Watch{Sums: &sums, Listing: d.stand.Version, Second: i > 0, Asked: d.epoch + max(now, 1)}
+			w := feed.Watch{Sums: &sums, Listing: d.stand.Version, Second: i > 0}
+			if d.set.Global() || !d.ready.current.Load() {
+				w.Asked = d.epoch + max(now, 1)
+			}
 			if i == 0 {
 				w.Zone, w.Load = d.set.Zone, d.load
 			}
@@ -369,7 +372,7 @@
 }
 
 // answerTime is for how long a desk that was told to leave some time ago goes on to
-// answer what it has read: to nine tenths of its grace, however soon it was believed.
+// answer what it has read: to 0.95 of its grace, however soon it was believed.
 func answerTime(grace, since time.Duration) time.Duration {
-	return max(grace*9/10-since, grace*45/100)
+	return max(grace*95/100-since, grace*45/100)
 }
