Items go to desks packed and in parts of 64 KiB, each asked for when the last has come

Change: ranges are deflated once for all desks that read packs, and a desk asks for the next part as soon as it has one. Ruled out: a longer time for which something counts as on its way (what a reset loses would then be missing as long).

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -41,8 +41,10 @@
 	orderKind       = "order"
 )
 
-// issueMax is about how many bytes of items are sent to a watcher at once.
-const issueMax = 1 << 20
+// issueMax is about how many bytes of items are sent to a watcher at once. It asks
+// for the rest when it has them, so what is sent twice because it took longer than a
+// beat on a narrow link is never more than that.
+const issueMax = 64 << 10
 
 // vacantPart is the part of contactS for which an owner may be silent.
 const vacantPart = 0.4
@@ -75,6 +77,7 @@
 	member    *replication.Member
 	rota      *rota.Rota
 	shown     *antientropy.Set
+	packs     feed.Packs // of shown
 	routes    catalogue.Reader
 	stand     accession.Stand
 	watchers  feed.Watchers
@@ -502,13 +505,12 @@
 			// A large difference goes a few ranges at a time; the watcher says
 			// again what it has.
 			sums := *has.Sums
-			for i, size := 0, 0; i < len(diff) && size < issueMax; i++ {
-				for _, r := range a.shown.Pick(diff[i : i+1]) {
-					size += len(r.Data)
-					out.Records = append(out.Records, r)
-				}
+			i := 0
+			for size := 0; i < len(diff) && size < issueMax; i++ {
+				size += a.packs.Range(a.shown, diff[i], has.Packs, &out)
 				sums[diff[i]] = a.shown.Sums[diff[i]]
 			}
+			out.More = i < len(diff)
 			has.Sums = &sums
 			whole = sums == a.shown.Sums
 		}
--- a/internal/archive/cut_test.go
+++ b/internal/archive/cut_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -220,6 +221,28 @@
 	c.wait(t, "the desk comes back", func() bool { return c.watchers(t, 0) > 0 })
 }
 
+// A catalogue of several parts reaches a desk, and so does what changes in it later.
+func TestALargeCatalogueReachesADesk(t *testing.T) {
+	c := newCore(t)
+	c.until(t, 200, "PATCH", c.control[1]+"/v1/config", items)
+	var routes strings.Builder
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range 3000 {
+		fmt.Fprintf(&routes, `,{"name":"r-%x","pathPrefix":"/%x/","routeKind":"idempotent","deadlineS":1.5,"targetLatencyS":0.6,"priority":2,"target":"a","maxTries":2,"generation":1}`, i, rng.Uint64())
+	}
+	c.until(t, 200, "PATCH", c.control[2]+"/v1/config", `{"upsert":{"domains":[{"authority":"large.example","hostRoutes":[`+routes.String()[1:]+`]}]}}`)
+	current := func() bool {
+		got := c.until(t, 200, "GET", c.control[0]+"/v1/admin/delivery", "")
+		return strings.Contains(got, `"current": true`) && !strings.Contains(got, `"current": false`)
+	}
+	routesAt := func() string { return c.gauge(t, 0, "routes") }
+	c.wait(t, "all routes are known", func() bool { return routesAt() == "3001" })
+	c.wait(t, "the desk has the newest items", current)
+	c.until(t, 200, "PATCH", c.control[1]+"/v1/config", `{"remove":{"routes":[{"name":"r-7","generation":2}]}}`)
+	c.wait(t, "one route less", func() bool { return routesAt() == "3000" })
+	c.wait(t, "the desk has the newest items again", current)
+}
+
 func send(host, method, path, body string) (*http.Response, error) {
 	req, err := http.NewRequest(method, "http://"+host+path, strings.NewReader(body))
 	if err != nil {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -66,6 +66,10 @@
 	lease atomic.Int64  // until when keys may be relied on
 	epoch time.Duration // added to this life's clock where that is told to others
 	draws draws
+
+	// Owned by read's goroutine.
+	rest   string // the archive that has more for this desk
+	behind bool   // items have come that are not in force yet
 }
 
 // Run serves until ctx ends, then leaves in order.
@@ -206,7 +210,7 @@
 	tick := time.NewTicker(beat / 10)
 	defer tick.Stop()
 	hurried, opened := true, false
-	watch := func(now time.Duration) {
+	watch := func(now time.Duration, only string) {
 		sums := d.items.Sums
 		sources := d.sources.Choose(now, d.reg.List().Live(register.Control))
 		if d.set.Global() {
@@ -219,7 +223,10 @@
 			if i > 0 && hurried && now < beat {
 				continue // one is enough to begin with; both would send all there is
 			}
-			w := feed.Watch{Sums: &sums, Listing: d.stand.Version, Second: i > 0}
+			if only != "" && a != only {
+				continue
+			}
+			w := feed.Watch{Sums: &sums, Listing: d.stand.Version, Second: i > 0, Packs: true}
 			if d.set.Global() || !d.ready.current.Load() {
 				w.Asked = d.epoch + max(now, 1)
 			}
@@ -236,13 +243,21 @@
 			}
 		})
 	}
-	watch(0)
+	watch(0, "")
 	for {
 		select {
 		case fn := <-d.commands:
 			fn(time.Since(d.start))
+			if from := d.rest; from != "" {
+				d.rest = ""
+				watch(time.Since(d.start), from)
+			}
 		case <-tick.C:
-			watch(time.Since(d.start))
+			if d.behind {
+				d.behind = false
+				d.apply()
+			}
+			watch(time.Since(d.start), "")
 			if hurried && d.ready.stocked() {
 				hurried = false
 				tick.Reset(beat / 3)
@@ -266,9 +281,21 @@
 	if i.Led {
 		d.arms.Heard()
 	}
-	if d.items.Merge(i.Records) {
+	merged := d.items.Merge(i.Records)
+	for _, b := range i.Packs {
+		records, err := feed.Unpack(b)
+		if err != nil {
+			d.log.Printf("%s from %s.", err, from)
+			continue
+		}
+		merged = d.items.Merge(records) || merged
+	}
+	if merged && i.More {
+		d.rest = from // a table is built once all of it has come, or with the next beat
+	} else if merged || d.behind {
 		d.apply()
 	}
+	d.behind = merged && i.More
 	if d.set.Global() {
 		d.confirm(now, i)
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -44,6 +44,8 @@
 	// Second says that the sender hears of changes from another archive; this one
 	// is to answer what it asks and need not send by itself.
 	Second bool `cbor:"6,keyasint,omitempty"`
+	// Packs says that the sender reads packs.
+	Packs bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Told is what archives tell each other of those who watch them: loads by zone,
@@ -67,6 +69,10 @@
 	// Led says that every rollout under way has a controller that the archive hears; it
 	// is not said without Fresh.
 	Led bool `cbor:"6,keyasint,omitempty"`
+	// Packs are records too, folded up; More says that further ranges differ, which the
+	// watcher gets by asking again.
+	Packs [][]byte `cbor:"7,keyasint,omitempty"`
+	More  bool     `cbor:"8,keyasint,omitempty"`
 }
 
 // Sure says that what the desk has from now on was the newest, at the latest, Age
@@ -77,7 +83,7 @@
 }
 
 // Empty says whether an issue brings nothing.
-func (i *Issue) Empty() bool { return len(i.Records) == 0 && i.Listing == nil }
+func (i *Issue) Empty() bool { return len(i.Records)+len(i.Packs) == 0 && i.Listing == nil }
 
 // Watchers is the list of those who watch an archive.
 type Watchers struct {
