--- a/internal/archive/cut_test.go
+++ b/internal/archive/cut_test.go
@@ -57,22 +57,7 @@
 readiness = "%[2]s:%[9]d"
 control = "%[2]s:%[6]d"
 directory = "%[2]s:%[10]d"
-[limits]
-memoryMb = 284
-maxFds = 4100
-[bounds]
-contactS = 3
-ackS = 5
-drainS = 2.5
-graceS = 1
-configApplyS = 2.5
-retryRatio = 0.2
-retryWindowS = 10
-retrySlack = 60
-warmupOvershoot = 1.5
-warmupSlack = 5
-evacuateS = 5
-revocationGlobal = true
+`+limitsAndBounds+`revocationGlobal = true
 revokeS = 60
 quotaWindowS = 5
 quotaOvershoot = 0.1
--- a/internal/archive/numbers_test.go
+++ b/internal/archive/numbers_test.go
@@ -55,22 +55,7 @@
 z-3 = "home"
 [bind]
 control = %q
-[limits]
-memoryMb = 284
-maxFds = 4100
-[bounds]
-contactS = 3
-ackS = 5
-drainS = 2.5
-graceS = 1
-configApplyS = 2.5
-retryRatio = 0.2
-retryWindowS = 10
-retrySlack = 60
-warmupOvershoot = 1.5
-warmupSlack = 5
-evacuateS = 5
-[cloudApi]
+`+limitsAndBounds+`[cloudApi]
 address = %q
 `, i+1, base, base+1, strings.Join(seeds, ","), first, dir, s.controls[i], strings.TrimPrefix(platform.URL, "http://"))))
 			if err != nil {
--- a/internal/archive/relay_whole_test.go
+++ b/internal/archive/relay_whole_test.go
@@ -111,22 +111,7 @@
 [bind]
 control = "%[2]s:%[7]d"
 directory = "%[2]s:%[8]d"
-[limits]
-memoryMb = 284
-maxFds = 4100
-[bounds]
-contactS = 3
-ackS = 5
-drainS = 2.5
-graceS = 1
-configApplyS = 2.5
-retryRatio = 0.2
-retryWindowS = 10
-retrySlack = 60
-warmupOvershoot = 1.5
-warmupSlack = 5
-evacuateS = 5
-[cloudApi]
+`+limitsAndBounds+`[cloudApi]
 address = %[9]q
 `, i, ip, base, base+1, strings.Join(seeds, `", "`), more, base+2, base+3, strings.TrimPrefix(platform, "http://")))
 	if err != nil {
--- a/internal/archive/whole_test.go
+++ b/internal/archive/whole_test.go
@@ -82,22 +82,7 @@
 readiness = "127.0.0.1:%d"
 control = "127.0.0.1:%d"
 directory = "127.0.0.1:%d"
-[limits]
-memoryMb = 284
-maxFds = 4100
-[bounds]
-contactS = 3
-ackS = 5
-drainS = 2.5
-graceS = 1
-configApplyS = 2.5
-retryRatio = 0.2
-retryWindowS = 10
-retrySlack = 60
-warmupOvershoot = 1.5
-warmupSlack = 5
-evacuateS = 5
-revocationGlobal = true
+`+limitsAndBounds+`revocationGlobal = true
 revokeS = 1
 quotaWindowS = 5
 quotaOvershoot = 0.1
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -136,7 +136,6 @@
 	hailed    map[string]map[string]bool
 	survey    *survey
 	round     uint64 // of surveys
-	told      map[string]bool
 }
 
 // NewMember makes a member from what its disk held.
@@ -144,7 +143,7 @@
 	m := &Member{cfg: cfg, keys: map[string]*key{}, after: map[uint64][]func(){}, firstOpen: 1,
 		foundIDs: map[string]string{}, foundAcks: map[string]bool{}, relays: map[string]string{},
 		lives: map[string]uint64{}, proven: map[string]time.Duration{}, newest: map[string]string{},
-		learners: map[string]time.Duration{}, leavers: map[string]time.Duration{}, hailed: map[string]map[string]bool{}, told: map[string]bool{}}
+		learners: map[string]time.Duration{}, leavers: map[string]time.Duration{}, hailed: map[string]map[string]bool{}}
 	for _, name := range append([]string{RosterKey}, cfg.Keys...) {
 		m.key(name)
 	}
--- a/internal/replication/views.go
+++ b/internal/replication/views.go
@@ -2,9 +2,7 @@
 
 // This file holds what a member shows of itself.
 
-import (
-	"time"
-)
+import "time"
 
 // View is what a member shows of a key.
 type View struct {
