A first heir that has lost its disk is not waited for; a registry that has just started answers

A wiped archive answered the hail of those that had just started, so they waited for it as first heir, which it can't be without a seat. Change: only who may own keys answers; an address that has come back with another disk doesn't count among the heirs. TestAWipedFirstHeirIsNotWaitedFor fails without the guard (1.2 s, 1 s, 0.6 s).

--- a/internal/archive/registry.go
+++ b/internal/archive/registry.go
@@ -34,9 +34,9 @@
 		return nil
 	})
 	// While an owner is replaced, which takes less than contactS, its answers go on: they
-	// rest on what nodes say of themselves. The archives of a side that was cut off end.
-	contactS := charter.Seconds(b.ContactS)
-	a.directory.InContact = func() bool { return a.contact.within(time.Since(a.start), contactS) }
+	// rest on what nodes say of themselves. So do those of an archive that has just started.
+	// The archives of a side that was cut off end.
+	a.directory.InContact = func() bool { return a.lately(time.Since(a.start)) }
 	a.lender = readers.NewLender(readers.LenderConfig{Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack,
 		Window: charter.Seconds(b.QuotaWindowS), Life: charter.Seconds(b.ContactS * 0.7), Sure: charter.Seconds(b.ContactS * vacantPart),
 		Branches: a.branches})
@@ -67,6 +67,13 @@
 	return out
 }
 
+// lately says that this archive was in contact with a majority within contactS, or has
+// not been up for longer than that.
+func (a *Archive) lately(now time.Duration) bool {
+	contactS := charter.Seconds(a.set.Bounds.ContactS)
+	return now < contactS || a.contact.within(now, contactS)
+}
+
 // openDesks lists the desks for the registry.
 func (a *Archive) openDesks(l *register.List) (out []reference.Desk) {
 	for _, n := range l.Nodes {
@@ -169,7 +176,7 @@
 // drawFor draws on a tenant's quota for a desk.
 func (a *Archive) drawFor(now time.Duration, from string, d readers.Draw) {
 	// Lent shares lapse by themselves; that a tenant has no limit may be no longer so.
-	if a.purse.Unlimited(d.Tenant) && !a.contact.fresh(now) {
+	if a.purse.Unlimited(d.Tenant) && !a.lately(now) {
 		a.post.Send(from, feed.DrawnKind, readers.Drawn{Seq: d.Seq, Away: true})
 		return
 	}
--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -201,13 +201,19 @@
 		if id == m.cfg.Self {
 			return n
 		}
-		if id != k.promised.Owner && m.cfg.Alive(id) {
+		if id != k.promised.Owner && m.cfg.Alive(id) && !m.wiped(id) {
 			n++
 		}
 	}
 	return n
 }
 
+// wiped says that the machine at a seat's address has come back with another disk.
+func (m *Member) wiped(address string) bool {
+	id, known := m.newest[address]
+	return known && id != address && !contains(m.seats().all(), id) && !contains(m.seats().all(), address)
+}
+
 // place is this member's place among all heirs.
 func (m *Member) place(name string) int {
 	for i, id := range m.Heirs(name) {
@@ -219,6 +225,9 @@
 }
 
 func (m *Member) onHail(from string) {
+	if !m.mayOwn() || m.leaving {
+		return // whoever asks would wait for this member to take keys over
+	}
 	out := &Hailed{}
 	for _, name := range m.names {
 		if k := m.keys[name]; k.role != follows || m.Owner(m.now, name) != "" {
--- a/internal/replication/member_test.go
+++ b/internal/replication/member_test.go
@@ -415,3 +415,25 @@
 	w.crash(w.ids[1], true) // a wiped one counts for nothing, as ever
 	w.mustPut(t, "x", 3)
 }
+
+// After everything has stopped at once, those who kept their disks do not wait for a first
+// heir that has come back without its own: it may own nothing yet.
+func TestAWipedFirstHeirIsNotWaitedFor(t *testing.T) {
+	for seed := int64(1); seed <= 10; seed++ {
+		w := newWorld(t, seed, 5)
+		w.run(6 * time.Second)
+		heir := w.mustPut(t, "x", 1).m.Heirs(testKey)[0]
+		for _, id := range w.ids {
+			w.crash(id, id == heir)
+		}
+		w.run(w.now + time.Second)
+		for _, id := range w.ids {
+			w.start(id)
+		}
+		begin := w.now
+		n := w.settle(t)
+		if took := w.now - begin; n.id == heir || took > testBeat {
+			t.Errorf("seed %d: %s owns the key after %v", seed, n.id, took)
+		}
+	}
+}
