--- a/internal/replication/member_test.go
+++ b/internal/replication/member_test.go
@@ -291,6 +291,7 @@
 		t.Fatalf("an unknown member: %v", err)
 	}
 	w.crash(gone, true)
+	w.run(w.now + 4*testBeat) // before others know, it counts as being at work
 	if err := retire(gone); err != nil {
 		t.Fatal(err)
 	}
