--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -211,7 +211,7 @@
 // wiped says that the machine at a seat's address has come back with another disk.
 func (m *Member) wiped(address string) bool {
 	id, known := m.newest[address]
-	return known && id != address && !contains(m.seats().all(), id) && !contains(m.seats().all(), address)
+	return known && id != address && !slices.Contains(m.seats().all(), id) && !slices.Contains(m.seats().all(), address)
 }
 
 // place is this member's place among all heirs.
--- a/internal/replication/founding.go
+++ b/internal/replication/founding.go
@@ -2,6 +2,8 @@
 
 // This file holds how a system is founded.
 
+import "slices"
+
 // founding says that this member may take part in founding a system.
 func (m *Member) founding() bool {
 	return !m.founded && len(m.cfg.Seeds) > 0 && (m.cfg.Bootstrap && m.cfg.Empty || len(m.keys[RosterKey].Records) > 0)
@@ -79,7 +81,7 @@
 		}
 		return
 	case len(k.Records) == 0:
-		if !m.cfg.Empty || !m.cfg.Bootstrap || !containsRecord(f.Records, m.self) {
+		if !m.cfg.Empty || !m.cfg.Bootstrap || !slices.ContainsFunc(f.Records, func(r Record) bool { return r.Name == m.self }) {
 			return
 		}
 		entries := m.replace(k, allRanges, f.Records)
@@ -92,15 +94,6 @@
 	m.settled(func() { m.send(from, Message{Founded: &Founded{At: f.At}}) })
 }
 
-func containsRecord(records []Record, name string) bool {
-	for _, r := range records {
-		if r.Name == name {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *Member) onFounded(from, id string, f *Founded) {
 	switch {
 	case !m.founding():
--- a/internal/replication/member_test.go
+++ b/internal/replication/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -126,13 +127,13 @@
 		if err := w.put(w.nodes[o], "x", uint64(8+i)); err == nil {
 			t.Fatalf("%s acknowledged without a majority of the seats", o)
 		}
-		if s := w.nodes[o].m.seats(); contains(s.all(), n.m.self) || !contains(s.after, former) {
+		if s := w.nodes[o].m.seats(); slices.Contains(s.all(), n.m.self) || !slices.Contains(s.after, former) {
 			t.Fatalf("%s has the roster %+v", o, s)
 		}
 	}
 	w.start(down)
 	w.run(w.now + 6*time.Second)
-	if !n.m.Voting() || n.m.keys[testKey].Records["x"].Gen < 7 || contains(n.m.seats().all(), former) {
+	if !n.m.Voting() || n.m.keys[testKey].Records["x"].Gen < 7 || slices.Contains(n.m.seats().all(), former) {
 		t.Fatalf("it did not get its seat back: %s %+v %+v", n.m.self, n.m.seats(), n.m.keys[testKey].Records)
 	}
 }
@@ -409,7 +410,7 @@
 	w.run(w.now + 8*time.Second)
 	for _, id := range w.ids {
 		s := w.nodes[id].m.seats()
-		if len(s.after) != 4 || s.joint || !contains(s.after, w.nodes[id].m.self) {
+		if len(s.after) != 4 || s.joint || !slices.Contains(s.after, w.nodes[id].m.self) {
 			t.Fatalf("%s has the roster %+v", id, s)
 		}
 	}
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -20,6 +20,7 @@
 // all that the earlier one could have decided.
 
 import (
+	"slices"
 	"sort"
 	"strings"
 
@@ -89,7 +90,7 @@
 func (s *seats) all() []string {
 	out := append([]string(nil), s.after...)
 	for _, id := range s.before {
-		if !contains(out, id) {
+		if !slices.Contains(out, id) {
 			out = append(out, id)
 		}
 	}
@@ -97,15 +98,6 @@
 	return out
 }
 
-func contains(list []string, id string) bool {
-	for _, x := range list {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 // addressOf is the address of a member.
 func addressOf(id string) string {
 	if i := strings.IndexByte(id, '/'); i >= 0 {
@@ -143,7 +135,7 @@
 func (m *Member) Roster() []string {
 	var out []string
 	for _, id := range m.seats().all() {
-		if a := addressOf(id); !contains(out, a) {
+		if a := addressOf(id); !slices.Contains(out, a) {
 			out = append(out, a)
 		}
 	}
@@ -165,7 +157,7 @@
 func (m *Member) others() []string {
 	out := m.seatedOthers()
 	for _, id := range m.learning() {
-		if a := addressOf(id); !contains(out, a) {
+		if a := addressOf(id); !slices.Contains(out, a) {
 			out = append(out, a)
 		}
 	}
--- a/internal/replication/reform.go
+++ b/internal/replication/reform.go
@@ -21,7 +21,7 @@
 		more = append(append([]string(nil), more...), m.cfg.Peers()...)
 	}
 	for _, a := range more {
-		if a != m.cfg.Self && !contains(to, a) {
+		if a != m.cfg.Self && !slices.Contains(to, a) {
 			to = append(to, a)
 		}
 	}
@@ -31,7 +31,7 @@
 }
 
 func (m *Member) onEnroll(from, id string) {
-	if contains(m.seats().after, id) {
+	if slices.Contains(m.seats().after, id) {
 		// It has not heard of its seat yet; the next copy of the roster tells it.
 		return
 	}
@@ -295,13 +295,13 @@
 	}
 	var out []string
 	for _, id := range m.learning() {
-		if !contains(s.after, id) && m.newest[addressOf(id)] == id {
+		if !slices.Contains(s.after, id) && m.newest[addressOf(id)] == id {
 			out = append(out, id)
 		}
 	}
 	for _, seat := range s.after {
 		// A seat without an identity is renewed for whoever holds it.
-		if id := m.holder(seat); id != seat && !contains(out, id) {
+		if id := m.holder(seat); id != seat && !slices.Contains(out, id) {
 			out = append(out, id)
 		}
 	}
@@ -333,7 +333,7 @@
 		}
 	}
 	for _, id := range m.candidates() {
-		if vacant > 0 || len(s.after) < seatsMost || !contains(s.after, id) && contains(m.Roster(), addressOf(id)) {
+		if vacant > 0 || len(s.after) < seatsMost || !slices.Contains(s.after, id) && slices.Contains(m.Roster(), addressOf(id)) {
 			return true
 		}
 	}
@@ -377,7 +377,7 @@
 	}
 	changed := false
 	for _, id := range m.candidates() {
-		if !above(id) || next[id] != seated || contains(s.after, id) {
+		if !above(id) || next[id] != seated || slices.Contains(s.after, id) {
 			continue
 		}
 		out := ""
--- a/internal/replication/scenario_test.go
+++ b/internal/replication/scenario_test.go
@@ -99,7 +99,7 @@
 			p.run(p.now + 9*time.Second)
 		}
 		newer := p.truthAt[RosterKey]
-		if got := o.m.keys[RosterKey].at; !got.Less(newer) || len(o.m.seats().after) != 5 || !contains(o.m.seats().after, away[0].m.self) {
+		if got := o.m.keys[RosterKey].at; !got.Less(newer) || len(o.m.seats().after) != 5 || !slices.Contains(o.m.seats().after, away[0].m.self) {
 			t.Fatalf("seed %d: the owner has heard of the roster %v", seed, *o.m.seats())
 		}
 		// It meets those two and nobody else.
@@ -246,7 +246,7 @@
 			}
 			return fmt.Sprint(*c.k.m.seats())
 		})
-		if s := c.k.m.seats(); len(s.after) != 5 || contains(s.after, c.x.m.self) || contains(s.after, c.y.m.self) {
+		if s := c.k.m.seats(); len(s.after) != 5 || slices.Contains(s.after, c.x.m.self) || slices.Contains(s.after, c.y.m.self) {
 			t.Fatalf("seed %d: another change than was meant: %v", seed, *s)
 		}
 		if err := c.put(c.o, "x", 2); err != nil {
@@ -254,7 +254,7 @@
 		}
 		for end := c.now + 8*time.Second; c.now < end; c.run(c.now + 50*time.Millisecond) {
 			for _, n := range append(c.fresh, c.k) {
-				if n.m.keys[testKey].role == owns || !n.m.seats().joint && len(n.m.seats().after) > 0 && !contains(n.m.seats().after, c.x.m.self) {
+				if n.m.keys[testKey].role == owns || !n.m.seats().joint && len(n.m.seats().after) > 0 && !slices.Contains(n.m.seats().after, c.x.m.self) {
 					t.Fatalf("seed %d: %s decides without the seats before: %v", seed, n.id, *n.m.seats())
 				}
 			}
@@ -297,7 +297,7 @@
 			t.Fatalf("seed %d: a majority of the roster before: %v", seed, err)
 		}
 		c.run(c.now + 5*time.Second)
-		if s := c.k.m.seats(); !s.joint && !contains(s.after, c.x.m.self) {
+		if s := c.k.m.seats(); !s.joint && !slices.Contains(s.after, c.x.m.self) {
 			t.Errorf("seed %d: the joint roster ended with x=2 at %v", seed, c.world.holders("x", 2))
 		}
 		c.drop = func(from string, e Envelope) bool { return apart(lacking, from, e.To) }
@@ -342,7 +342,7 @@
 		p.drop = func(from string, e Envelope) bool { return e.Msg.Enroll != nil }
 		begin := p.now
 		p.until("its seat is taken and the key has another owner", 2*time.Second, func() string {
-			if n := p.holder(testKey); n == nil || n == o || contains(keeper.m.seats().all(), o.m.self) && !keeper.m.seats().joint {
+			if n := p.holder(testKey); n == nil || n == o || slices.Contains(keeper.m.seats().all(), o.m.self) && !keeper.m.seats().joint {
 				return fmt.Sprint(*keeper.m.seats())
 			}
 			return ""
@@ -422,7 +422,7 @@
 			})
 		}
 		p.until("its seat is taken", 2*testVacant+2*testBeat, func() string {
-			if s := keeper.m.seats(); !s.joint && !contains(s.after, n.m.self) {
+			if s := keeper.m.seats(); !s.joint && !slices.Contains(s.after, n.m.self) {
 				return ""
 			}
 			return fmt.Sprint(*keeper.m.seats())
@@ -638,7 +638,7 @@
 			if took := p.now - begin; took > 4*time.Second {
 				t.Fatalf("%d members, seed %d: it waits for %v", c.members, seed, took)
 			}
-			if s := p.holder(RosterKey); s != nil && len(s.m.seats().after) > s.m.floor() && contains(s.m.seats().after, n.m.self) {
+			if s := p.holder(RosterKey); s != nil && len(s.m.seats().after) > s.m.floor() && slices.Contains(s.m.seats().after, n.m.self) {
 				t.Fatalf("%d members, seed %d: it may go with a seat that isn't needed", c.members, seed)
 			}
 		}
--- a/internal/replication/standing.go
+++ b/internal/replication/standing.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -43,7 +44,7 @@
 		out.Bears = min(out.Bears, bears(s.before))
 	}
 	for _, id := range m.learning() {
-		if contains(s.after, id) {
+		if slices.Contains(s.after, id) {
 			continue
 		}
 		l := LearnerState{ID: id, Behind: -1}
