--- a/cmd/madderwing/client.go
+++ b/cmd/madderwing/client.go
@@ -16,10 +16,10 @@
 
 	"github.com/spf13/cobra"
 
-	"madderwing/internal/archive"
-	"madderwing/internal/catalogue"
-	"madderwing/internal/charter"
+	"madderwing/internal/config"
+	"madderwing/internal/controlplane"
 	"madderwing/internal/replication"
+	"madderwing/internal/settings"
 )
 
 // client calls the archives' control interface, one after the other.
@@ -30,12 +30,12 @@
 
 func clientFlags(c *cobra.Command) func() (*client, error) {
 	at := c.Flags().StringSlice("control", nil, "control addresses, host:port (default: the seeds in the settings)")
-	path := c.Flags().String("settings", os.Getenv(charter.PathVariable), "path of the settings file")
+	path := c.Flags().String("settings", os.Getenv(settings.PathVariable), "path of the settings file")
 	timeout := c.Flags().Duration("timeout", 5*time.Second, "how long to go on trying")
 	return func() (*client, error) {
 		list := *at
 		if len(list) == 0 {
-			s, err := charter.Load(*path)
+			s, err := settings.Load(*path)
 			if err != nil {
 				return nil, usage(fmt.Errorf("no --control given, and settings: %w", err))
 			}
@@ -88,7 +88,7 @@
 		if err != nil {
 			return err
 		}
-		var desks []archive.Delivery
+		var desks []controlplane.Delivery
 		if err := json.Unmarshal(text, &desks); err != nil {
 			return err
 		}
@@ -181,7 +181,7 @@
 		if err != nil {
 			return err
 		}
-		var steps []catalogue.Step
+		var steps []config.Step
 		if err := json.Unmarshal(answer, &steps); err != nil {
 			return err
 		}
@@ -252,7 +252,7 @@
 			fmt.Fprint(cmd.OutOrStdout(), string(text))
 			return nil
 		}
-		var o archive.Overview
+		var o controlplane.Overview
 		if err := json.Unmarshal(text, &o); err != nil {
 			return err
 		}
@@ -286,7 +286,7 @@
 // listMost is how many nodes, or upstreams, status lists unless it is told to list all.
 const listMost = 40
 
-func printCounts(w io.Writer, kind string, counts []archive.Count) {
+func printCounts(w io.Writer, kind string, counts []controlplane.Count) {
 	fmt.Fprintf(w, "\n%s\tZONE\tSTATE\tCOUNT\n", kind)
 	for _, c := range counts {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", c.Kind, c.Zone, c.State, c.Count)
@@ -310,7 +310,7 @@
 }
 
 // age says how old what an archive shows is.
-func age(c archive.Contact) string {
+func age(c controlplane.Contact) string {
 	switch {
 	case !c.Known:
 		return fmt.Sprintf("OUT OF CONTACT with a majority since its start %.1f s ago", c.AgeS)
@@ -322,7 +322,7 @@
 
 // printStatus lists everything, or sums up what there is much of. Nodes that are not
 // plainly alive are listed in any case.
-func printStatus(out io.Writer, o *archive.Overview, all bool) {
+func printStatus(out io.Writer, o *controlplane.Overview, all bool) {
 	sum := o.Summary()
 	names := map[string]string{}
 	for _, m := range o.Members {
@@ -384,7 +384,7 @@
 	} else {
 		fmt.Fprint(w, "\nUPSTREAM\tSERVICE\tZONE\tSLOTS\tSTATE\n")
 		for _, u := range o.Upstreams {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", u.ID, u.Service, u.Zone, u.Capacity, archive.Standing(u))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", u.ID, u.Service, u.Zone, u.Capacity, controlplane.Standing(u))
 		}
 	}
 	if len(o.Tenants) > 0 {
--- a/cmd/madderwing/client_test.go
+++ b/cmd/madderwing/client_test.go
@@ -9,29 +9,29 @@
 	"strings"
 	"testing"
 
-	"madderwing/internal/catalogue"
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
 )
 
 // A change that the archives refuse for its number ends at once with exit code 3 and
 // says which item and number it was; other refusals and silence have codes of their own.
 func TestConfigApplyTellsWhyItWasRefused(t *testing.T) {
 	const first = `{"upsert":{"services":[{"name":"a","generation":5,"maxConns":1}]}}`
-	have := map[string]catalogue.Record{}
+	have := map[string]config.Record{}
 	calls := 0
 	archive := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls++
 		body, _ := io.ReadAll(r.Body)
-		change, err := catalogue.Read(body)
+		change, err := config.Read(body)
 		if err == nil {
-			var changes []catalogue.Record
-			changes, err = change.Apply(have, &catalogue.Reader{})
+			var changes []config.Record
+			changes, err = change.Apply(have, &config.Reader{})
 			for _, c := range changes {
 				have[c.Name] = c
 			}
 		}
 		if err != nil {
-			errata.Write(w, err)
+			apierror.Write(w, err)
 		}
 	}))
 	defer archive.Close()
--- a/cmd/madderwing/commands.go
+++ b/cmd/madderwing/commands.go
@@ -13,10 +13,10 @@
 
 	"github.com/spf13/cobra"
 
-	"madderwing/internal/archive"
-	"madderwing/internal/catalogue"
-	"madderwing/internal/charter"
-	"madderwing/internal/desk"
+	"madderwing/internal/config"
+	"madderwing/internal/controlplane"
+	"madderwing/internal/gateway"
+	"madderwing/internal/settings"
 )
 
 // version is set by the build where one is known.
@@ -75,7 +75,7 @@
 
 // settingsFlag adds --settings.
 func settingsFlag(c *cobra.Command) *string {
-	return c.Flags().String("settings", os.Getenv(charter.PathVariable), "path of the settings file")
+	return c.Flags().String("settings", os.Getenv(settings.PathVariable), "path of the settings file")
 }
 
 func deskCommand() *cobra.Command {
@@ -87,11 +87,11 @@
 		if *pace < 0 || *pace > 1 {
 			return usage(errors.New("--pace must be between 0 and 1"))
 		}
-		return serve(*path, *shards, func(ctx context.Context, s *charter.Settings, reload <-chan *charter.Settings) error {
+		return serve(*path, *shards, func(ctx context.Context, s *settings.Settings, reload <-chan *settings.Settings) error {
 			if s.Bind.Front == "" || s.Bind.Readiness == "" {
-				return usage(charter.Check{"bind: a desk needs front and readiness"})
+				return usage(settings.Check{"bind: a desk needs front and readiness"})
 			}
-			return desk.Run(ctx, s, desk.Options{Shards: *shards, Pace: *pace}, reload)
+			return gateway.Run(ctx, s, gateway.Options{Shards: *shards, Pace: *pace}, reload)
 		})
 	}
 	return c
@@ -107,22 +107,22 @@
 		if *relist <= 0 || *handBack < 0 {
 			return usage(errors.New("--relist must be above 0, --hand-back not below"))
 		}
-		return serve(*path, *shards, func(ctx context.Context, s *charter.Settings, reload <-chan *charter.Settings) error {
+		return serve(*path, *shards, func(ctx context.Context, s *settings.Settings, reload <-chan *settings.Settings) error {
 			if s.Bind.Control == "" {
-				return usage(charter.Check{"bind: an archive needs control"})
+				return usage(settings.Check{"bind: an archive needs control"})
 			}
-			return archive.Run(ctx, s, archive.Options{Shards: *shards, Relist: *relist, HandBack: *handBack}, reload)
+			return controlplane.Run(ctx, s, controlplane.Options{Shards: *shards, Relist: *relist, HandBack: *handBack}, reload)
 		})
 	}
 	return c
 }
 
 // serve loads the settings and runs a program until SIGTERM or SIGINT.
-func serve(path string, shards int, run func(context.Context, *charter.Settings, <-chan *charter.Settings) error) error {
+func serve(path string, shards int, run func(context.Context, *settings.Settings, <-chan *settings.Settings) error) error {
 	if shards < 1 {
 		return usage(errors.New("--shards: must be at least 1"))
 	}
-	s, err := charter.Load(path)
+	s, err := settings.Load(path)
 	if err != nil {
 		return usage(fmt.Errorf("settings: %w", err))
 	}
@@ -136,8 +136,8 @@
 
 // follow reads the settings again on SIGHUP and when the file has changed. A
 // file that cannot be used is logged, and the settings in force stay.
-func follow(ctx context.Context, path string, s *charter.Settings) <-chan *charter.Settings {
-	out := make(chan *charter.Settings, 1)
+func follow(ctx context.Context, path string, s *settings.Settings) <-chan *settings.Settings {
+	out := make(chan *settings.Settings, 1)
 	logger := log.New(os.Stderr, "charter: ", 0)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -149,7 +149,7 @@
 	}
 	last, size := stamp()
 	go func() {
-		tick := time.NewTicker(charter.Seconds(s.Bounds.ContactS))
+		tick := time.NewTicker(settings.Seconds(s.Bounds.ContactS))
 		defer tick.Stop()
 		for {
 			select {
@@ -162,7 +162,7 @@
 				}
 			}
 			last, size = stamp()
-			fresh, err := charter.Load(path)
+			fresh, err := settings.Load(path)
 			if err != nil {
 				logger.Printf("new settings refused: %v.", err)
 				continue
@@ -182,7 +182,7 @@
 	c := &cobra.Command{Use: "check", Short: "Check a settings file or a configuration"}
 	c.AddCommand(&cobra.Command{Use: "settings FILE", Short: "Check a settings file (TOML)", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			s, err := charter.Load(args[0])
+			s, err := settings.Load(args[0])
 			if err != nil {
 				return usage(fmt.Errorf("%s: %w", args[0], err))
 			}
@@ -198,9 +198,9 @@
 			if err != nil {
 				return usage(err)
 			}
-			change, err := catalogue.Read(text)
+			change, err := config.Read(text)
 			if err == nil {
-				_, err = change.Apply(map[string]catalogue.Record{}, &catalogue.Reader{})
+				_, err = change.Apply(map[string]config.Record{}, &config.Reader{})
 			}
 			if err != nil {
 				return usage(fmt.Errorf("%s: %w", args[0], err))
--- a/cmd/madderwing/rollout.go
+++ b/cmd/madderwing/rollout.go
@@ -12,7 +12,7 @@
 
 	"github.com/spf13/cobra"
 
-	"madderwing/internal/archive"
+	"madderwing/internal/controlplane"
 	"madderwing/internal/rollout"
 )
 
@@ -105,7 +105,7 @@
 }
 
 // rollouts asks for all rollouts.
-func (c *client) rollouts() (all []archive.RolloutState, err error) {
+func (c *client) rollouts() (all []controlplane.RolloutState, err error) {
 	text, err := c.call(http.MethodGet, "/v1/admin/rollouts", nil)
 	if err == nil {
 		err = json.Unmarshal(text, &all)
@@ -114,12 +114,12 @@
 }
 
 // rollout is one service's rollout as its controller shows it.
-func (c *client) rollout(service string) (*archive.RolloutState, error) {
+func (c *client) rollout(service string) (*controlplane.RolloutState, error) {
 	text, err := c.call(http.MethodGet, "/v1/admin/rollouts/"+url.PathEscape(service), nil)
 	if err != nil {
 		return nil, err
 	}
-	r := &archive.RolloutState{}
+	r := &controlplane.RolloutState{}
 	return r, json.Unmarshal(text, r)
 }
 
@@ -146,7 +146,7 @@
 	}
 }
 
-func printRollout(out io.Writer, r *archive.RolloutState) error {
+func printRollout(out io.Writer, r *controlplane.RolloutState) error {
 	fmt.Fprintf(out, "%s: %s, stage %s, weight %g %%, %.1f s of %g s\n", r.Service, r.State, r.Stage, rollout.Percent(r.Weight), r.AgeS, r.WithinS)
 	if r.Reason != "" {
 		fmt.Fprintf(out, "reason: %s\n", r.Reason)
--- a/internal/errata/errata.go
+++ b/internal/apierror/apierror.go
@@ -1,6 +1,6 @@
-// Package errata is the closed list of the kinds of error that madderwing
+// Package apierror is the closed list of the kinds of error that madderwing
 // answers with, and the table from each kind to its answer.
-package errata
+package apierror
 
 import (
 	"encoding/json"
--- a/internal/catalogue/catalogue.go
+++ b/internal/config/config.go
@@ -1,7 +1,7 @@
-// Package catalogue holds the operator's items: how a call is read and checked
+// Package config holds the operator's items: how a call is read and checked
 // as a whole, how items are kept with their generations, and the tables that
 // requests are looked up in.
-package catalogue
+package config
 
 import (
 	"bytes"
@@ -20,8 +20,8 @@
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
 	"madderwing/internal/antientropy"
-	"madderwing/internal/charter"
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
+	"madderwing/internal/settings"
 )
 
 // Key is the key of the control state that holds the catalogue.
@@ -33,7 +33,7 @@
 //go:embed schema.json
 var schemaText []byte
 
-var schema = sync.OnceValue(func() *jsonschema.Schema { return charter.MustCompile("catalogue.json", schemaText) })
+var schema = sync.OnceValue(func() *jsonschema.Schema { return settings.MustCompile("catalogue.json", schemaText) })
 
 // Record is the form in which items are kept and copied.
 type Record = antientropy.Record
@@ -255,13 +255,13 @@
 }
 
 func invalid(format string, args ...any) error {
-	return errata.New(errata.InvalidConfig, format, args...)
+	return apierror.New(apierror.InvalidConfig, format, args...)
 }
 
 // Read reads and checks a call by itself. What depends on the items that stand
 // is checked by Apply.
 func Read(body []byte) (*Change, error) {
-	if err := charter.Validate(schema(), body); err != nil {
+	if err := settings.Validate(schema(), body); err != nil {
 		return nil, invalid("%s", named(body, err.Error()))
 	}
 	var c call
@@ -534,7 +534,7 @@
 		look(rec)
 	}
 	if first == nil && size > MaxBytes {
-		return errata.New(errata.BodyTooLarge, "the configuration would hold %d bytes, more than %d", size, MaxBytes)
+		return apierror.New(apierror.BodyTooLarge, "the configuration would hold %d bytes, more than %d", size, MaxBytes)
 	}
 	return first
 }
@@ -621,10 +621,10 @@
 func Bind(have map[string]Record, b RouteBinding, sawRev uint64) ([]Record, error) {
 	rec, ok := have[routePrefix+b.Route]
 	if !ok || rec.Dropped {
-		return nil, errata.New(errata.Conflict, "route %s is gone", b.Route)
+		return nil, apierror.New(apierror.Conflict, "route %s is gone", b.Route)
 	}
 	if rec.Rev != sawRev {
-		return nil, errata.New(errata.Conflict, "route %s is at revision %d, not %d", b.Route, rec.Rev, sawRev)
+		return nil, apierror.New(apierror.Conflict, "route %s is at revision %d, not %d", b.Route, rec.Rev, sawRev)
 	}
 	it := decodeItem(rec)
 	it.Status = Status{PhaseScheduled, b.Shard}
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/config/config_test.go
@@ -1,4 +1,4 @@
-package catalogue
+package config
 
 import (
 	"encoding/json"
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
 )
 
 const svc = `{"name":"a","generation":%d,"healthPath":"/h","maxConns":9,"warmupS":3,"warmupPerS":2,"extra":{"x":[1,2]}}`
@@ -71,8 +71,8 @@
 			have := start(t)
 			before := fmt.Sprint(have)
 			err := apply(t, have, body)
-			var e *errata.Error
-			if !errors.As(err, &e) || e.Kind != errata.InvalidConfig || e.Detail == "" {
+			var e *apierror.Error
+			if !errors.As(err, &e) || e.Kind != apierror.InvalidConfig || e.Detail == "" {
 				t.Fatalf("got %v", err)
 			}
 			if want := naming[name]; !strings.Contains(e.Detail, want) {
@@ -103,7 +103,7 @@
 	have := start(t)
 	for i, s := range steps {
 		err := apply(t, have, s.body)
-		if s.says == "" && err != nil || s.says != "" && (errata.KindOf(err) != errata.Conflict || !strings.Contains(err.Error(), s.says)) {
+		if s.says == "" && err != nil || s.says != "" && (apierror.KindOf(err) != apierror.Conflict || !strings.Contains(err.Error(), s.says)) {
 			t.Fatalf("step %d: %v", i, err)
 		}
 		got := ""
@@ -150,7 +150,7 @@
 		t.Fatal(err)
 	}
 	put(first)
-	if _, err := Bind(have, RouteBinding{"r", 0}, 0); errata.KindOf(err) != errata.Conflict {
+	if _, err := Bind(have, RouteBinding{"r", 0}, 0); apierror.KindOf(err) != apierror.Conflict {
 		t.Fatalf("a second binding of one revision: %v", err)
 	}
 	if err := apply(t, have, patch("", route("r", "/q/", "a", 20), "")); err != nil {
--- a/internal/catalogue/content.go
+++ b/internal/config/content.go
@@ -1,4 +1,4 @@
-package catalogue
+package config
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 	"math/big"
 	"strings"
 
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
 )
 
 // remembered is how many generations below the one that stands an item keeps the
@@ -157,6 +157,6 @@
 	if ok {
 		return nil
 	}
-	return errata.New(errata.Conflict, "%s: generation %d has been taken with another content",
+	return apierror.New(apierror.Conflict, "%s: generation %d has been taken with another content",
 		strings.Replace(sent.Name, "/", " ", 1), sent.Gen)
 }
--- a/internal/catalogue/numbers_test.go
+++ b/internal/config/numbers_test.go
@@ -1,4 +1,4 @@
-package catalogue
+package config
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
 )
 
 // Bodies of calls on items of each kind, with a generation and something that
@@ -59,7 +59,7 @@
 					}
 					continue
 				}
-				if errata.KindOf(err) != errata.Conflict || !strings.Contains(err.Error(), k.named+": ") || !strings.Contains(err.Error(), fmt.Sprintf("generation %d ", s.gen)) {
+				if apierror.KindOf(err) != apierror.Conflict || !strings.Contains(err.Error(), k.named+": ") || !strings.Contains(err.Error(), fmt.Sprintf("generation %d ", s.gen)) {
 					t.Errorf("%s, %s, step %d: got %v", kind, name, i, err)
 				}
 				if !reflect.DeepEqual(have, before) {
@@ -113,7 +113,7 @@
 		if err := apply(t, have, at("h.example", first)); err != nil {
 			t.Fatal(err)
 		}
-		if err := apply(t, have, c.body); c.same && err != nil || !c.same && errata.KindOf(err) != errata.Conflict {
+		if err := apply(t, have, c.body); c.same && err != nil || !c.same && apierror.KindOf(err) != apierror.Conflict {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
@@ -125,7 +125,7 @@
 	have := start(t)
 	put := func(body string, refused bool) {
 		t.Helper()
-		if err := apply(t, have, body); refused != (errata.KindOf(err) == errata.Conflict) || !refused && err != nil {
+		if err := apply(t, have, body); refused != (apierror.KindOf(err) == apierror.Conflict) || !refused && err != nil {
 			t.Errorf("%s: %v", body, err)
 		}
 	}
@@ -169,18 +169,18 @@
 func TestOneNumberWithinOneCall(t *testing.T) {
 	for name, c := range map[string]struct {
 		body string
-		kind errata.Kind
+		kind apierror.Kind
 		ok   bool
 	}{
 		"one removal twice":               {patch("", "", `{"name":"r","generation":9},{"name":"r","generation":9}`), 0, true},
 		"one removal, two numbers":        {patch("", "", `{"name":"r","generation":9},{"name":"r","generation":12}`), 0, true},
 		"the higher one first":            {patch("", "", `{"name":"r","generation":12},{"name":"r","generation":9}`), 0, true},
-		"set twice, one content":          {patch("", route("n", "/n/", "a", 9)+","+route("n", "/n/", "a", 9), ""), errata.InvalidConfig, false},
-		"set twice, two contents":         {patch("", route("n", "/n/", "a", 9)+","+route("n", "/m/", "a", 9), ""), errata.InvalidConfig, false},
-		"set and removed":                 {patch("", route("n", "/n/", "a", 9), `{"name":"n","generation":9}`), errata.InvalidConfig, false},
-		"the first of two is taken":       {patch("", route("r", "/x/", "a", 7)+","+route("n", "/n/", "a", 9), ""), errata.Conflict, false},
-		"the last of two is taken":        {patch("", route("n", "/n/", "a", 9)+","+route("r", "/x/", "a", 7), ""), errata.Conflict, false},
-		"a removal of what stands beside": {patch("", route("n", "/n/", "a", 9), `{"name":"r","generation":7}`), errata.Conflict, false},
+		"set twice, one content":          {patch("", route("n", "/n/", "a", 9)+","+route("n", "/n/", "a", 9), ""), apierror.InvalidConfig, false},
+		"set twice, two contents":         {patch("", route("n", "/n/", "a", 9)+","+route("n", "/m/", "a", 9), ""), apierror.InvalidConfig, false},
+		"set and removed":                 {patch("", route("n", "/n/", "a", 9), `{"name":"n","generation":9}`), apierror.InvalidConfig, false},
+		"the first of two is taken":       {patch("", route("r", "/x/", "a", 7)+","+route("n", "/n/", "a", 9), ""), apierror.Conflict, false},
+		"the last of two is taken":        {patch("", route("n", "/n/", "a", 9)+","+route("r", "/x/", "a", 7), ""), apierror.Conflict, false},
+		"a removal of what stands beside": {patch("", route("n", "/n/", "a", 9), `{"name":"r","generation":7}`), apierror.Conflict, false},
 	} {
 		have := start(t)
 		bound, err := Bind(have, RouteBinding{"r", 1}, 0)
@@ -192,7 +192,7 @@
 		}
 		before := maps.Clone(have)
 		err = apply(t, have, c.body)
-		if c.ok && err != nil || !c.ok && errata.KindOf(err) != c.kind {
+		if c.ok && err != nil || !c.ok && apierror.KindOf(err) != c.kind {
 			t.Errorf("%s: %v", name, err)
 		}
 		if !c.ok && !reflect.DeepEqual(have, before) {
--- a/internal/catalogue/scale_test.go
+++ b/internal/config/scale_test.go
@@ -1,11 +1,11 @@
-package catalogue
+package config
 
 import (
 	"fmt"
 	"strings"
 	"testing"
 
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
 )
 
 // many makes a catalogue of n routes over n/10 hosts and n/20 services.
@@ -46,7 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := c.Apply(have, &Reader{}); errata.KindOf(err) != errata.BodyTooLarge {
+	if _, err := c.Apply(have, &Reader{}); apierror.KindOf(err) != apierror.BodyTooLarge {
 		t.Fatalf("got %v", err)
 	}
 }
--- a/internal/catalogue/table.go
+++ b/internal/config/table.go
@@ -1,4 +1,4 @@
-package catalogue
+package config
 
 import (
 	"encoding/json"
@@ -6,7 +6,7 @@
 	"sort"
 	"strings"
 
-	"madderwing/internal/readers"
+	"madderwing/internal/quota"
 	"madderwing/internal/rollout"
 )
 
@@ -162,10 +162,10 @@
 }
 
 // Quotas are the limits of all tenants; a rate of 0 is none.
-func Quotas(have map[string]Record, x *Reader) map[string]readers.Quota {
-	out := map[string]readers.Quota{}
+func Quotas(have map[string]Record, x *Reader) map[string]quota.Quota {
+	out := map[string]quota.Quota{}
 	for _, t := range Tenants(have, x) {
-		out[t.Name] = readers.Quota{Rate: t.RatePerS, Burst: t.Burst}
+		out[t.Name] = quota.Quota{Rate: t.RatePerS, Burst: t.Burst}
 	}
 	return out
 }
--- a/internal/catalogue/tenants_test.go
+++ b/internal/config/tenants_test.go
@@ -1,4 +1,4 @@
-package catalogue
+package config
 
 import (
 	"fmt"
--- a/internal/archive/admin.go
+++ b/internal/controlplane/admin.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"bytes"
@@ -8,13 +8,13 @@
 	"strings"
 	"time"
 
-	"madderwing/internal/accession"
-	"madderwing/internal/catalogue"
-	"madderwing/internal/readers"
-	"madderwing/internal/register"
+	"madderwing/internal/config"
+	"madderwing/internal/election"
+	"madderwing/internal/membership"
+	"madderwing/internal/metrics"
+	"madderwing/internal/quota"
 	"madderwing/internal/replication"
-	"madderwing/internal/rota"
-	"madderwing/internal/tally"
+	"madderwing/internal/upstream"
 )
 
 // Member is a node as the administration API shows it.
@@ -45,13 +45,13 @@
 
 // RouteState is a route and its placement.
 type RouteState struct {
-	Name       string          `json:"name"`
-	Host       string          `json:"host"`
-	PathPrefix string          `json:"pathPrefix"`
-	Targets    []string        `json:"targets"`
-	Generation uint64          `json:"generation"`
-	Phase      catalogue.Phase `json:"phase"`
-	Shard      int             `json:"shard"`
+	Name       string       `json:"name"`
+	Host       string       `json:"host"`
+	PathPrefix string       `json:"pathPrefix"`
+	Targets    []string     `json:"targets"`
+	Generation uint64       `json:"generation"`
+	Phase      config.Phase `json:"phase"`
+	Shard      int          `json:"shard"`
 }
 
 // ShardState is a shard and its desks.
@@ -83,9 +83,9 @@
 
 // Quotas tells who lends tenants' quotas and, at the lender, what is lent.
 type Quotas struct {
-	Lender string              `json:"lender"`
-	Silent []string            `json:"silent,omitempty"` // branches that the lender has not heard
-	Loans  []readers.LoanState `json:"loans,omitempty"`
+	Lender string            `json:"lender"`
+	Silent []string          `json:"silent,omitempty"` // branches that the lender has not heard
+	Loans  []quota.LoanState `json:"loans,omitempty"`
 }
 
 // Overview is all that the administration API shows.
@@ -96,11 +96,11 @@
 	Roster      replication.Standing `json:"roster"`
 	Members     []Member             `json:"members"`
 	Keys        []Key                `json:"keys"`
-	Duties      []rota.State         `json:"duties"`
+	Duties      []election.State     `json:"duties"`
 	Routes      []RouteState         `json:"routes"`
 	Shards      []ShardState         `json:"shards"`
-	Upstreams   []accession.Instance `json:"upstreams"`
-	Listing     accession.Version    `json:"listing"`
+	Upstreams   []upstream.Instance  `json:"upstreams"`
+	Listing     upstream.Version     `json:"listing"`
 	Evacuations []string             `json:"evacuations"`
 	Delivery    []Delivery           `json:"delivery"`
 	Tenants     []TenantState        `json:"tenants,omitempty"`
@@ -126,9 +126,9 @@
 	}
 	for _, n := range list.Nodes {
 		m := Member{n.Name, n.Address, n.Zone, n.Plane.String(), n.State.String(), n.Draining, n.Incarnation, -1, seats[n.Address]}
-		if n.Plane == register.Data {
+		if n.Plane == membership.Data {
 			m.Shard = labels[n.Address]
-			if n.State <= register.Suspect {
+			if n.State <= membership.Suspect {
 				digest, heard := a.holds[n.Address]
 				o.Delivery = append(o.Delivery, Delivery{n.Name, n.Zone, heard, heard && digest == a.shown.Sums.Fold()})
 				s := &shards[m.Shard]
@@ -141,7 +141,7 @@
 	}
 	for id := range seats {
 		if _, known := list.Get(id); !known {
-			o.Members = append(o.Members, Member{Name: id, Address: id, Plane: register.Control.String(), State: "lost", Shard: -1, Seat: true})
+			o.Members = append(o.Members, Member{Name: id, Address: id, Plane: membership.Control.String(), State: "lost", Shard: -1, Seat: true})
 		}
 	}
 	for _, v := range a.member.Views(now) {
@@ -159,8 +159,8 @@
 	}
 	o.Shards = append(o.Shards, shards...)
 	for name, r := range a.shown.Records {
-		if strings.HasPrefix(name, catalogue.EvacuationPrefix) && !r.Dropped {
-			o.Evacuations = append(o.Evacuations, name[len(catalogue.EvacuationPrefix):])
+		if strings.HasPrefix(name, config.EvacuationPrefix) && !r.Dropped {
+			o.Evacuations = append(o.Evacuations, name[len(config.EvacuationPrefix):])
 		}
 	}
 	sort.Strings(o.Evacuations)
@@ -178,7 +178,7 @@
 }
 
 func (a *Archive) overviewTenants(o *Overview) {
-	for _, t := range catalogue.Tenants(a.shown.Records, &a.routes) {
+	for _, t := range config.Tenants(a.shown.Records, &a.routes) {
 		o.Tenants = append(o.Tenants, TenantState{t.Name, len(t.APIKeys), t.Priority, t.RatePerS, t.Burst, t.Residency, t.Generation})
 	}
 	o.Quotas = &Quotas{Lender: a.lentBy}
@@ -186,7 +186,7 @@
 		o.Quotas.Silent = a.lender.Silent()
 		for _, t := range o.Tenants {
 			if t.RatePerS > 0 {
-				o.Quotas.Loans = append(o.Quotas.Loans, a.lender.State(t.Name, readers.Quota{Rate: t.RatePerS, Burst: t.Burst}))
+				o.Quotas.Loans = append(o.Quotas.Loans, a.lender.State(t.Name, quota.Quota{Rate: t.RatePerS, Burst: t.Burst}))
 			}
 		}
 	}
@@ -197,7 +197,7 @@
 func (a *Archive) retire(node string) error {
 	address := node
 	for _, n := range a.reg.List().Nodes {
-		if n.Plane == register.Control && n.Name == node {
+		if n.Plane == membership.Control && n.Name == node {
 			address = n.Address
 		}
 	}
@@ -216,35 +216,35 @@
 	watchers := o.Counters["watchers"]
 	delete(o.Counters, "watchers")
 	var b bytes.Buffer
-	tally.Write(&b, "archive", o.Counters)
-	tally.Gauge(&b, "archive", "watchers", watchers)
+	metrics.Write(&b, "archive", o.Counters)
+	metrics.Gauge(&b, "archive", "watchers", watchers)
 	owned := uint64(0)
 	for _, k := range o.Keys {
 		if k.Owner == a.post.Self() {
 			owned++
 		}
 	}
-	tally.Gauge(&b, "archive", "keysOwned", owned)
+	metrics.Gauge(&b, "archive", "keysOwned", owned)
 	inContact := uint64(0)
 	if o.Contact.Fresh {
 		inContact = 1
 	}
-	tally.Gauge(&b, "archive", "inContact", inContact)
+	metrics.Gauge(&b, "archive", "inContact", inContact)
 	learnersBehind := uint64(0)
 	for _, l := range o.Roster.Learners {
 		if l.Behind > 0 {
 			learnersBehind++
 		}
 	}
-	tally.Gauge(&b, "archive", "seats", uint64(len(o.Roster.Seats)))
-	tally.Gauge(&b, "archive", "learners", uint64(len(o.Roster.Learners)))
-	tally.Gauge(&b, "archive", "learnersBehind", learnersBehind)
-	tally.Gauge(&b, "archive", "lossesBorne", uint64(max(0, o.Roster.Bears)))
-	tally.Gauge(&b, "archive", "itemsAgeMs", uint64(o.Contact.AgeS*1000))
-	tally.Gauge(&b, "archive", "routes", uint64(len(o.Routes)))
-	tally.Gauge(&b, "archive", "upstreams", uint64(len(o.Upstreams)))
-	tally.Gauge(&b, "archive", "desks", uint64(len(o.Delivery)))
-	tally.Gauge(&b, "archive", "desksCurrent", uint64(len(o.Delivery)-len(o.behind())))
+	metrics.Gauge(&b, "archive", "seats", uint64(len(o.Roster.Seats)))
+	metrics.Gauge(&b, "archive", "learners", uint64(len(o.Roster.Learners)))
+	metrics.Gauge(&b, "archive", "learnersBehind", learnersBehind)
+	metrics.Gauge(&b, "archive", "lossesBorne", uint64(max(0, o.Roster.Bears)))
+	metrics.Gauge(&b, "archive", "itemsAgeMs", uint64(o.Contact.AgeS*1000))
+	metrics.Gauge(&b, "archive", "routes", uint64(len(o.Routes)))
+	metrics.Gauge(&b, "archive", "upstreams", uint64(len(o.Upstreams)))
+	metrics.Gauge(&b, "archive", "desks", uint64(len(o.Delivery)))
+	metrics.Gauge(&b, "archive", "desksCurrent", uint64(len(o.Delivery)-len(o.behind())))
 	return b.Bytes()
 }
 
--- a/internal/archive/asks.go
+++ b/internal/controlplane/asks.go
@@ -1,9 +1,9 @@
-package archive
+package controlplane
 
 import (
 	"time"
 
-	"madderwing/internal/catalogue"
+	"madderwing/internal/config"
 )
 
 // asks remembers the evacuations and withdrawals that this archive has carried out
@@ -60,8 +60,8 @@
 
 // saw notes a record of a zone as it was copied here. One whose last order is not
 // of this archive's carrying out makes what it remembers of the zone worthless.
-func (a *asks) saw(now time.Duration, r catalogue.Record) {
-	id := catalogue.LastOrder(r)
+func (a *asks) saw(now time.Duration, r config.Record) {
+	id := config.LastOrder(r)
 	if _, own := a.seen[id]; own || a.newest[r.Name] == id && id != 0 {
 		return
 	}
--- a/internal/archive/asks_test.go
+++ b/internal/controlplane/asks_test.go
@@ -1,10 +1,10 @@
-package archive
+package controlplane
 
 import (
 	"testing"
 	"time"
 
-	"madderwing/internal/catalogue"
+	"madderwing/internal/config"
 )
 
 // Two operators may ask for one evacuation soon after each other, and an operator
@@ -27,11 +27,11 @@
 	}
 	for name, steps := range cases {
 		a := newAsks(5 * s)
-		have := map[string]catalogue.Record{}
+		have := map[string]config.Record{}
 		asked := 0
 		for i, st := range steps {
-			o := order{Key: catalogue.EvacuationPrefix + "z", ID: st.id, Evacuate: &st.on}
-			changes, err := catalogue.Evacuation(have, "z", st.on, st.id, a.repeats(st.at, o))
+			o := order{Key: config.EvacuationPrefix + "z", ID: st.id, Evacuate: &st.on}
+			changes, err := config.Evacuation(have, "z", st.on, st.id, a.repeats(st.at, o))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -44,7 +44,7 @@
 			} else if st.count {
 				asked--
 			}
-			r, ok := have[catalogue.EvacuationPrefix+"z"]
+			r, ok := have[config.EvacuationPrefix+"z"]
 			if stands := ok && !r.Dropped; stands != (asked > 0) {
 				t.Errorf("%s, step %d: evacuated is %v with %d asks", name, i, stands, asked)
 			}
@@ -56,7 +56,7 @@
 // record, and how long ago they came from when it was copied.
 func TestAsksAfterTheKeyHasChangedHands(t *testing.T) {
 	const s, ms = time.Second, time.Millisecond
-	const name = catalogue.EvacuationPrefix + "z"
+	const name = config.EvacuationPrefix + "z"
 	type step struct {
 		owner int // which archive carries it out; the other one copies
 		id    uint64
@@ -75,12 +75,12 @@
 		"its own, after its own withdrawal": {[]step{{0, 1, true, 0}, {0, 2, true, 7 * s}, {0, 3, false, 8 * s}, {0, 4, true, 10 * s}}, 2},
 	} {
 		both := []asks{newAsks(5 * s), newAsks(5 * s)}
-		have := map[string]catalogue.Record{}
+		have := map[string]config.Record{}
 		for _, st := range c.steps {
 			own, copies := &both[st.owner], &both[1-st.owner]
 			o := order{Key: name, ID: st.id, Evacuate: &st.on}
 			own.begins(o)
-			changes, err := catalogue.Evacuation(have, "z", st.on, st.id, own.repeats(st.at, o))
+			changes, err := config.Evacuation(have, "z", st.on, st.id, own.repeats(st.at, o))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -94,7 +94,7 @@
 		// Each withdrawal, long after, takes back one ask.
 		asks := 0
 		for ; asks < 5 && !have[name].Dropped; asks++ {
-			changes, _ := catalogue.Evacuation(have, "z", false, uint64(100+asks), false)
+			changes, _ := config.Evacuation(have, "z", false, uint64(100+asks), false)
 			have[name] = changes[0]
 		}
 		if asks != c.asks {
--- a/internal/archive/branches_test.go
+++ b/internal/controlplane/branches_test.go
@@ -1,18 +1,18 @@
-package archive
+package controlplane
 
 import (
 	"slices"
 	"testing"
 	"time"
 
-	"madderwing/internal/charter"
 	"madderwing/internal/replication"
+	"madderwing/internal/settings"
 )
 
 // An archive whose seat has gone may still have lent shares to desks.
 func TestABranchWithoutASeatCountsUntilItsSharesLapse(t *testing.T) {
 	const contactS = 3
-	a := &Archive{set: &charter.Settings{Bounds: charter.Bounds{ContactS: contactS}}, start: time.Now(), seated: map[string]time.Duration{}}
+	a := &Archive{set: &settings.Settings{Bounds: settings.Bounds{ContactS: contactS}}, start: time.Now(), seated: map[string]time.Duration{}}
 	member, err := replication.NewMember(replication.Config{Self: "a", Identity: 1}, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/archive/contact_test.go
+++ b/internal/controlplane/contact_test.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/catalogue"
+	"madderwing/internal/config"
 	"madderwing/internal/replication"
 )
 
@@ -66,7 +66,7 @@
 func (w *island) start(id string, first bool) {
 	x := w.nodes[id]
 	x.life++
-	keys := []string{catalogue.Key, catalogue.EvacuationPrefix + "z"}
+	keys := []string{config.Key, config.EvacuationPrefix + "z"}
 	m, err := replication.NewMember(replication.Config{Self: id, Life: x.life, Seeds: w.ids, Bootstrap: first, Empty: len(x.disk) == 0,
 		Keys: keys, Sure: keys, Faults: 2, Identity: w.rng.Uint64() | 1, Beat: testBeat, Vacant: time.Duration(vacantPart * float64(testContactS)), Patience: time.Second,
 		Alive: func(string) bool { return true }}, x.disk)
@@ -120,7 +120,7 @@
 		}
 		fx = x.m.Take()
 	}
-	if records, _, ok := x.m.Committed(catalogue.Key); ok {
+	if records, _, ok := x.m.Committed(config.Key); ok {
 		x.shown = maps.Clone(records)
 	}
 	x.c.look(x.m.Current)
@@ -157,10 +157,10 @@
 			}
 			x.held = nil
 			x.m.Tick(w.now)
-			if x.m.Owner(w.now, catalogue.Key) == id && w.now%(100*time.Millisecond) == 0 {
+			if x.m.Owner(w.now, config.Key) == id && w.now%(100*time.Millisecond) == 0 {
 				value := len(w.acked)
 				w.acked = append(w.acked, -1)
-				x.m.Propose(w.now, catalogue.Key, func(map[string]replication.Record) ([]replication.Record, error) {
+				x.m.Propose(w.now, config.Key, func(map[string]replication.Record) ([]replication.Record, error) {
 					return []replication.Record{{Name: "r", Gen: uint64(value + 1)}}, nil
 				}, func(err error) {
 					if err == nil {
@@ -207,7 +207,7 @@
 	// counts, it is one that owns no key.
 	unheard := func(w *island) {
 		for _, id := range w.ids {
-			if w.nodes["n0"].m.Owner(w.now, catalogue.Key) == id || w.nodes["n0"].m.Owner(w.now, catalogue.EvacuationPrefix+"z") == id {
+			if w.nodes["n0"].m.Owner(w.now, config.Key) == id || w.nodes["n0"].m.Owner(w.now, config.EvacuationPrefix+"z") == id {
 				continue
 			}
 			for _, b := range w.ids {
--- a/internal/archive/control.go
+++ b/internal/controlplane/control.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"cmp"
@@ -13,25 +13,25 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"madderwing/internal/catalogue"
-	"madderwing/internal/charter"
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
+	"madderwing/internal/placement"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
-	"madderwing/internal/shelving"
+	"madderwing/internal/settings"
 )
 
 // order is what is asked of the owner of a key; one of the fields is set
 // beside Key.
 type order struct {
-	Key      string           `cbor:"1,keyasint"`
-	Patch    []byte           `cbor:"2,keyasint,omitempty"`
-	Evacuate *bool            `cbor:"3,keyasint,omitempty"`
-	Bind     []shelving.Order `cbor:"4,keyasint,omitempty"`
-	Retire   string           `cbor:"6,keyasint,omitempty"`
-	Plan     []byte           `cbor:"7,keyasint,omitempty"`
-	Read     bool             `cbor:"5,keyasint,omitempty"`
-	Show     bool             `cbor:"14,keyasint,omitempty"` // all that the owner knows of a rollout
+	Key      string            `cbor:"1,keyasint"`
+	Patch    []byte            `cbor:"2,keyasint,omitempty"`
+	Evacuate *bool             `cbor:"3,keyasint,omitempty"`
+	Bind     []placement.Order `cbor:"4,keyasint,omitempty"`
+	Retire   string            `cbor:"6,keyasint,omitempty"`
+	Plan     []byte            `cbor:"7,keyasint,omitempty"`
+	Read     bool              `cbor:"5,keyasint,omitempty"`
+	Show     bool              `cbor:"14,keyasint,omitempty"` // all that the owner knows of a rollout
 	// ID is one call of an operator's, however often it is passed on, and Age how
 	// old that was when it was.
 	ID  uint64        `cbor:"8,keyasint,omitempty"`
@@ -50,10 +50,10 @@
 
 // verdict is the owner's answer.
 type verdict struct {
-	Fault  bool        `cbor:"1,keyasint,omitempty"`
-	Kind   errata.Kind `cbor:"2,keyasint,omitempty"`
-	Detail string      `cbor:"3,keyasint,omitempty"`
-	Body   []byte      `cbor:"4,keyasint,omitempty"`
+	Fault  bool          `cbor:"1,keyasint,omitempty"`
+	Kind   apierror.Kind `cbor:"2,keyasint,omitempty"`
+	Detail string        `cbor:"3,keyasint,omitempty"`
+	Body   []byte        `cbor:"4,keyasint,omitempty"`
 }
 
 // maxCall bounds the body of a call to control.
@@ -61,17 +61,17 @@
 
 // own carries an order out at this archive as the owner of its key.
 func (a *Archive) own(o order) verdict {
-	var change *catalogue.Change
+	var change *config.Change
 	if text := append(o.Patch, o.Plan...); text != nil {
 		var err error
-		if change, err = catalogue.Read(text); err != nil {
+		if change, err = config.Read(text); err != nil {
 			return fault(err)
 		}
 	}
 	refused := make([]bool, len(o.Bind))
 	var body []byte // as of the records that the round confirms
 	ordered := false
-	var steps []catalogue.Step
+	var steps []config.Step
 	revokes := false
 	done := make(chan verdict, 1)
 	if o.Retire != "" {
@@ -89,15 +89,15 @@
 				return nil, err
 			case change != nil:
 				changes, err := change.Apply(have, &a.routes)
-				revokes = err == nil && a.lender != nil && catalogue.Revokes(have, changes, &a.routes)
+				revokes = err == nil && a.lender != nil && config.Revokes(have, changes, &a.routes)
 				return changes, err
 			case o.Evacuate != nil:
 				a.asks.begins(o)
-				return catalogue.Evacuation(have, strings.TrimPrefix(o.Key, catalogue.EvacuationPrefix), *o.Evacuate, o.ID, a.asks.repeats(now, o))
+				return config.Evacuation(have, strings.TrimPrefix(o.Key, config.EvacuationPrefix), *o.Evacuate, o.ID, a.asks.repeats(now, o))
 			case o.Bind != nil:
 				var all []replication.Record
 				for i, b := range o.Bind {
-					changes, err := catalogue.Bind(have, b.Binding, b.SawRev)
+					changes, err := config.Bind(have, b.Binding, b.SawRev)
 					refused[i] = err != nil
 					all = append(all, changes...)
 				}
@@ -156,7 +156,7 @@
 // yet: at the right time, if that is soon, or with the advice to ask again.
 func (a *Archive) answerLater(left time.Duration, done chan<- verdict) {
 	if left > a.set.Beat()*2/3 {
-		done <- verdict{true, errata.NotYet, "keys that were taken away may be in use for " + left.String(), nil}
+		done <- verdict{true, apierror.NotYet, "keys that were taken away may be in use for " + left.String(), nil}
 		return
 	}
 	time.AfterFunc(left, func() { done <- verdict{} })
@@ -168,26 +168,26 @@
 	case err == nil:
 		return verdict{}
 	case errors.Is(err, replication.ErrUnknown):
-		return fault(errata.New(errata.UnknownNode, "it has no seat"))
+		return fault(apierror.New(apierror.UnknownNode, "it has no seat"))
 	case errors.Is(err, replication.ErrAlive), errors.Is(err, replication.ErrTooFew):
-		return fault(errata.New(errata.NotNow, "%v", err))
+		return fault(apierror.New(apierror.NotNow, "%v", err))
 	}
 	return fault(err)
 }
 
 func fault(err error) verdict {
-	var e *errata.Error
+	var e *apierror.Error
 	if errors.As(err, &e) {
 		return verdict{true, e.Kind, e.Detail, nil}
 	}
-	return verdict{true, errata.NoQuorum, err.Error(), nil}
+	return verdict{true, apierror.NoQuorum, err.Error(), nil}
 }
 
 // submit brings an order to the owner of its key, wherever that is now, and
 // waits a little where there is none.
 func (a *Archive) submit(o order) ([]byte, error) {
 	begin := time.Now()
-	limit := begin.Add(charter.Seconds(a.set.Bounds.AckS * 0.17))
+	limit := begin.Add(settings.Seconds(a.set.Bounds.AckS * 0.17))
 	o.ID = rand.Uint64() | 1
 	pause := a.set.Beat() / 10
 	var v verdict
@@ -208,21 +208,21 @@
 			}
 			cancel()
 		default:
-			v = verdict{true, errata.NoQuorum, "no owner for " + o.Key, nil}
+			v = verdict{true, apierror.NoQuorum, "no owner for " + o.Key, nil}
 		}
 		if !v.Fault {
 			return v.Body, nil
 		}
-		if v.Kind != errata.NoQuorum || time.Now().Add(pause).After(limit) {
-			return nil, errata.Later(v.Kind, retryAfter(v.Kind, a.set), "%s", v.Detail)
+		if v.Kind != apierror.NoQuorum || time.Now().Add(pause).After(limit) {
+			return nil, apierror.Later(v.Kind, retryAfter(v.Kind, a.set), "%s", v.Detail)
 		}
 		time.Sleep(pause)
 		pause *= 2
 	}
 }
 
-func retryAfter(kind errata.Kind, set *charter.Settings) time.Duration {
-	if kind == errata.NoQuorum || kind == errata.NotYet {
+func retryAfter(kind apierror.Kind, set *settings.Settings) time.Duration {
+	if kind == apierror.NoQuorum || kind == apierror.NotYet {
 		return set.Beat()
 	}
 	return 0
@@ -239,10 +239,10 @@
 		body, err := a.serve(r, known)
 		if err != nil {
 			a.stats.Refused.Add(1)
-			if errata.KindOf(err) == errata.NoQuorum {
+			if apierror.KindOf(err) == apierror.NoQuorum {
 				a.stats.NoQuorum.Add(1)
 			}
-			errata.Write(w, err)
+			apierror.Write(w, err)
 			return
 		}
 		if r.URL.Path != "/metrics" {
@@ -265,10 +265,10 @@
 func readCall(r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxCall))
 	if err != nil {
-		if large := errata.TooLarge(err); large != nil {
+		if large := apierror.TooLarge(err); large != nil {
 			return nil, large
 		}
-		return nil, errata.New(errata.BadRequest, "body not read: %v", err)
+		return nil, apierror.New(apierror.BadRequest, "body not read: %v", err)
 	}
 	return body, nil
 }
@@ -279,37 +279,37 @@
 	case path == "/v1/config":
 		switch r.Method {
 		case http.MethodGet:
-			return a.submit(order{Key: catalogue.Key, Read: true})
+			return a.submit(order{Key: config.Key, Read: true})
 		case http.MethodPatch:
 			body, err := readCall(r)
 			if err != nil {
 				return nil, err
 			}
-			if _, err := catalogue.Read(body); err != nil {
+			if _, err := config.Read(body); err != nil {
 				a.log.control.Printf("configuration refused: %v.", err)
 				return nil, err
 			}
-			if _, err := a.submit(order{Key: catalogue.Key, Patch: body}); err != nil {
+			if _, err := a.submit(order{Key: config.Key, Patch: body}); err != nil {
 				a.log.control.Printf("configuration not taken: %v.", err)
 				return nil, err
 			}
 			return ok, nil
 		}
-		return nil, errata.New(errata.WrongMethod, "%s on %s", r.Method, path)
+		return nil, apierror.New(apierror.WrongMethod, "%s on %s", r.Method, path)
 	case strings.HasPrefix(path, "/v1/evacuation/"):
 		zone := strings.TrimPrefix(path, "/v1/evacuation/")
 		on := r.Method == http.MethodPost
 		if !on && r.Method != http.MethodDelete {
-			return nil, errata.New(errata.WrongMethod, "%s on %s", r.Method, path)
+			return nil, apierror.New(apierror.WrongMethod, "%s on %s", r.Method, path)
 		}
 		if !zones[zone] {
 			// A no rests on a majority's word as a yes does.
-			if _, err := a.submit(order{Key: catalogue.Key}); err != nil {
+			if _, err := a.submit(order{Key: config.Key}); err != nil {
 				return nil, err
 			}
-			return nil, errata.New(errata.UnknownZone, "%q", zone)
+			return nil, apierror.New(apierror.UnknownZone, "%q", zone)
 		}
-		if _, err := a.submit(order{Key: catalogue.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
+		if _, err := a.submit(order{Key: config.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
 			return nil, err
 		}
 		a.log.control.Printf("evacuation of %s: %v.", zone, on)
@@ -323,7 +323,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return a.submit(order{Key: catalogue.Key, Plan: body})
+		return a.submit(order{Key: config.Key, Plan: body})
 	case strings.HasPrefix(path, "/v1/admin/rollouts/") && r.Method == http.MethodGet:
 		return a.rolloutAtController(strings.TrimPrefix(path, "/v1/admin/rollouts/"))
 	case strings.HasPrefix(path, "/v1/admin/members/") && r.Method == http.MethodDelete:
@@ -333,9 +333,9 @@
 		return a.directory.Ask(q.Get("name"), q.Get("region"), q.Get("zone"))
 	case strings.HasPrefix(path, "/v1/admin/"):
 		if r.Method != http.MethodGet {
-			return nil, errata.New(errata.WrongMethod, "%s on %s", r.Method, path)
+			return nil, apierror.New(apierror.WrongMethod, "%s on %s", r.Method, path)
 		}
 		return a.admin(strings.TrimPrefix(path, "/v1/admin/"), r.URL.Query())
 	}
-	return nil, errata.New(errata.UnknownPage, "%s", r.URL.Path)
+	return nil, apierror.New(apierror.UnknownPage, "%s", r.URL.Path)
 }
--- a/internal/archive/archive.go
+++ b/internal/controlplane/controlplane.go
@@ -1,7 +1,7 @@
-// Package archive is the control plane: it puts together the control state,
+// Package controlplane is the control plane: it puts together the control state,
 // the duties, placement and the reading of the platform's list, and serves the
 // operator's calls.
-package archive
+package controlplane
 
 import (
 	"context"
@@ -17,21 +17,21 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"madderwing/internal/accession"
 	"madderwing/internal/antientropy"
-	"madderwing/internal/catalogue"
-	"madderwing/internal/charter"
-	"madderwing/internal/errata"
-	"madderwing/internal/feed"
-	"madderwing/internal/ledger"
-	"madderwing/internal/readers"
-	"madderwing/internal/reference"
-	"madderwing/internal/register"
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
+	"madderwing/internal/delivery"
+	"madderwing/internal/election"
+	"madderwing/internal/membership"
+	"madderwing/internal/placement"
+	"madderwing/internal/quota"
+	"madderwing/internal/registry"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
-	"madderwing/internal/rota"
-	"madderwing/internal/shelving"
+	"madderwing/internal/settings"
+	"madderwing/internal/storage"
 	"madderwing/internal/transport"
+	"madderwing/internal/upstream"
 )
 
 // Kinds of message between archives.
@@ -65,27 +65,27 @@
 
 // Archive is one control-plane process.
 type Archive struct {
-	set      *charter.Settings
+	set      *settings.Settings
 	opt      Options
 	post     *transport.Mesh
-	reg      *register.Service
+	reg      *membership.Service
 	start    time.Time
 	contact  *contact
 	commands chan func(now time.Duration)
 
 	// Owned by the pump's goroutine.
 	member    *replication.Member
-	rota      *rota.Rota
+	rota      *election.Rota
 	shown     *antientropy.Set
-	packs     feed.Packs // of shown
-	routes    catalogue.Reader
-	stand     accession.Stand
-	watchers  feed.Watchers
-	shelf     shelving.Scheduler
+	packs     delivery.Packs // of shown
+	routes    config.Reader
+	stand     upstream.Stand
+	watchers  delivery.Watchers
+	shelf     placement.Scheduler
 	lookAgain bool
 	life      uint64
 	asks      asks // evacuations and withdrawals ordered here
-	loads     accession.Loads
+	loads     upstream.Loads
 	holds     map[string]uint64          // desk -> digest of the items that it has in force
 	told      map[string]toldAt          // by other archives
 	rolls     *rollout.Controller        // rollouts, as this archive sees them
@@ -94,16 +94,16 @@
 	versions  map[string]rollout.Service // as shown
 
 	// Where clients ask a registry; nil elsewhere.
-	directory *reference.Directory
-	lender    *readers.Lender
-	purse     *readers.Purse
+	directory *registry.Directory
+	lender    *quota.Lender
+	purse     *quota.Purse
 	lendAt    time.Duration
 	recallAt  time.Duration
 	lentBy    string // the lender that was last reported to
 	lendWhole bool   // the next report names all shares
-	quotas    map[string]readers.Quota
-	table     atomic.Pointer[catalogue.Table]
-	tables    catalogue.Builder
+	quotas    map[string]quota.Quota
+	table     atomic.Pointer[config.Table]
+	tables    config.Builder
 	revokedAt time.Duration // when a key was last taken from a tenant here
 
 	rosterTold string
@@ -119,7 +119,7 @@
 
 type toldAt struct {
 	at   time.Duration
-	told feed.Told
+	told delivery.Told
 }
 
 // Stats are counters that status shows.
@@ -132,34 +132,34 @@
 
 // Run serves until ctx ends, then leaves in order. Where the settings name no dataDir
 // it runs a relay.
-func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
+func Run(ctx context.Context, set *settings.Settings, opt Options, reload <-chan *settings.Settings) error {
 	if set.DataDir == "" {
 		return runRelay(ctx, set, reload)
 	}
 	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
 		writes: newJobs(), shown: antientropy.NewSet(), told: map[string]toldAt{}, seated: map[string]time.Duration{},
-		asks: newAsks(charter.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
+		asks: newAsks(settings.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	a.log.archive, a.log.replication, a.log.ledger, a.log.rota = logger("archive"), logger("replication"), logger("ledger"), logger("rota")
 	a.log.shelving, a.log.accession, a.log.register, a.log.control = logger("shelving"), logger("accession"), logger("register"), logger("control")
 	a.log.rollout = logger("rollout")
 	beat := set.Beat()
-	vacant := charter.Seconds(set.Bounds.ContactS * vacantPart)
+	vacant := settings.Seconds(set.Bounds.ContactS * vacantPart)
 
 	if err := os.MkdirAll(set.DataDir, 0o700); err != nil {
 		return err
 	}
-	book, disk, err := ledger.Open(set.DataDir, int64(set.Limits.DiskMb*(1<<20)), a.log.ledger)
-	if err != nil && !errors.Is(err, ledger.ErrDamaged) {
+	book, disk, err := storage.Open(set.DataDir, int64(set.Limits.DiskMb*(1<<20)), a.log.ledger)
+	if err != nil && !errors.Is(err, storage.ErrDamaged) {
 		return err
 	}
-	post, err := listen(set.ArchiveAddress(set.IP), charter.Seconds(set.Bounds.ContactS/6), logger("transport"))
+	post, err := listen(set.ArchiveAddress(set.IP), settings.Seconds(set.Bounds.ContactS/6), logger("transport"))
 	if err != nil {
 		return err
 	}
 	a.post = post
 
-	keys := []string{catalogue.Key}
+	keys := []string{config.Key}
 	zones := make([]string, 0, len(set.Zones))
 	for z := range set.Zones {
 		zones = append(zones, z)
@@ -169,22 +169,22 @@
 	}
 	sort.Strings(zones)
 	for _, z := range zones {
-		keys = append(keys, catalogue.EvacuationPrefix+z)
+		keys = append(keys, config.EvacuationPrefix+z)
 	}
 	a.life = rand.Uint64() | 1
-	a.contact = newContact(charter.Seconds(set.Bounds.ContactS*contactPart), keys)
+	a.contact = newContact(settings.Seconds(set.Bounds.ContactS*contactPart), keys)
 	if set.Global() {
 		a.serveRegistry()
 	}
 	a.member, err = replication.NewMember(replication.Config{Sure: keys,
 		Self: post.Self(), Life: a.life, Seeds: set.SeedArchives(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
-		Beat: beat, Vacant: vacant, Patience: charter.Seconds(set.Bounds.AckS * 0.17), HandBack: opt.HandBack,
+		Beat: beat, Vacant: vacant, Patience: settings.Seconds(set.Bounds.AckS * 0.17), HandBack: opt.HandBack,
 		Alive:    func(id string) bool { return a.reg.Hopeful(id) },
 		Identity: rand.Uint64() | 1, Faults: set.FaultBudget.Machines,
-		Left: func(id string) bool { n, ok := a.reg.List().Get(id); return ok && n.State == register.Left },
+		Left: func(id string) bool { n, ok := a.reg.List().Get(id); return ok && n.State == membership.Left },
 		Peers: func() (out []string) {
-			for _, n := range a.reg.List().Live(register.Control) {
+			for _, n := range a.reg.List().Live(membership.Control) {
 				out = append(out, n.Address)
 			}
 			return out
@@ -193,16 +193,16 @@
 	if err != nil {
 		return err
 	}
-	a.rota = rota.New(rota.Config{Self: post.Self(), Life: a.life, Duties: []string{dutyList, dutyShelf}, Lease: vacant,
+	a.rota = election.New(election.Config{Self: post.Self(), Life: a.life, Duties: []string{dutyList, dutyShelf}, Lease: vacant,
 		Roster: func() []string { return a.member.Roster() }, Alive: func(id string) bool { return a.reg.Hopeful(id) }})
 	a.watchers.Forget = 4 * beat
-	a.shelf = shelving.Scheduler{Strategy: &shelving.RoundRobin{}, Relist: opt.Relist, Pause: 2 * beat, Create: a.bind}
-	a.client = &http.Client{Timeout: charter.Seconds(set.Bounds.DrainS * 0.4),
+	a.shelf = placement.Scheduler{Strategy: &placement.RoundRobin{}, Relist: opt.Relist, Pause: 2 * beat, Create: a.bind}
+	a.client = &http.Client{Timeout: settings.Seconds(set.Bounds.DrainS * 0.4),
 		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * beat}}
 
-	me := register.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: register.Control}
-	a.reg = register.NewService(register.Config{Self: me, Seeds: set.SeedArchives(), Beat: beat, Forget: 40 * beat},
-		post, a.log.register, func(l *register.List) {
+	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
+	a.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedArchives(), Beat: beat, Forget: 40 * beat},
+		post, a.log.register, func(l *membership.List) {
 			a.do(func(time.Duration) { a.lookAgain = true })
 			if a.directory != nil {
 				a.directory.SetDesks(a.openDesks(l))
@@ -221,13 +221,13 @@
 	stop := make(chan struct{})
 	go func() { a.pump(beat, stop); close(pumped) }()
 
-	control := &http.Server{Addr: set.Bind.Control, Handler: a.control(zones), ReadHeaderTimeout: charter.Seconds(set.Bounds.ContactS),
-		IdleTimeout: charter.Seconds(4 * set.Bounds.ContactS), ErrorLog: a.log.control}
+	control := &http.Server{Addr: set.Bind.Control, Handler: a.control(zones), ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
+		IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: a.log.control}
 	failed := make(chan error, 2)
 	go func() { failed <- control.ListenAndServe() }()
 	if a.directory != nil && set.Bind.Directory != "" {
-		registry := &http.Server{Addr: set.Bind.Directory, Handler: a.directory, ReadHeaderTimeout: charter.Seconds(set.Bounds.ContactS),
-			IdleTimeout: charter.Seconds(4 * set.Bounds.ContactS), ErrorLog: a.log.control}
+		registry := &http.Server{Addr: set.Bind.Directory, Handler: a.directory, ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
+			IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: a.log.control}
 		go func() { failed <- registry.ListenAndServe() }()
 		defer registry.Close()
 	}
@@ -247,9 +247,9 @@
 			// Orders under way are answered; the heirs take over meanwhile, and what
 			// this member holds is held by enough others before it goes.
 			time.Sleep(vacant / 2)
-			a.awaitMayGo(began.Add(charter.Seconds(set.Bounds.GraceS * 0.8)))
+			a.awaitMayGo(began.Add(settings.Seconds(set.Bounds.GraceS * 0.8)))
 			a.reg.Leave(true)
-			grace, cancel := context.WithDeadline(context.Background(), began.Add(charter.Seconds(set.Bounds.GraceS*0.95)))
+			grace, cancel := context.WithDeadline(context.Background(), began.Add(settings.Seconds(set.Bounds.GraceS*0.95)))
 			_ = control.Shutdown(grace)
 			cancel()
 			close(stop)
@@ -293,7 +293,7 @@
 	tick := time.NewTicker(beat / 5)
 	defer tick.Stop()
 	var pollAt time.Duration
-	every := charter.Seconds(a.set.Bounds.DrainS / 5)
+	every := settings.Seconds(a.set.Bounds.DrainS / 5)
 	var watchAt, loadsAt time.Duration
 	for {
 		var fn func(time.Duration)
@@ -316,7 +316,7 @@
 				} else if now >= watchAt {
 					watchAt = now + beat
 					if h, _, _ := a.rota.Holder(now, dutyList); h != "" && h != a.post.Self() {
-						a.post.Send(h, feed.WatchKind, feed.Watch{Listing: a.stand.Version})
+						a.post.Send(h, delivery.WatchKind, delivery.Watch{Listing: a.stand.Version})
 					}
 				}
 				if now >= loadsAt {
@@ -444,7 +444,7 @@
 			if strings.HasPrefix(r.Name, rollout.Prefix) {
 				a.rolls.Saw(time.Since(a.start), r)
 			}
-			if strings.HasPrefix(r.Name, catalogue.EvacuationPrefix) {
+			if strings.HasPrefix(r.Name, config.EvacuationPrefix) {
 				a.asks.saw(time.Since(a.start), r)
 			}
 		}
@@ -459,8 +459,8 @@
 // and puts that together with what the others have.
 func (a *Archive) tell(now time.Duration) {
 	mine := a.watchers.Told(now)
-	a.loads, a.holds = accession.Loads{}, map[string]uint64{}
-	take := func(t feed.Told) {
+	a.loads, a.holds = upstream.Loads{}, map[string]uint64{}
+	take := func(t delivery.Told) {
 		a.loads.Add(t.Loads)
 		for id, digest := range t.Holds {
 			if have, ok := a.holds[id]; !ok || have != a.shown.Sums.Fold() {
@@ -474,7 +474,7 @@
 			continue
 		}
 		if len(mine.Holds) > 0 {
-			a.post.Toss(id, feed.ToldKind, mine)
+			a.post.Toss(id, delivery.ToldKind, mine)
 		}
 		if t, ok := a.told[id]; ok && now-t.at < a.watchers.Forget {
 			take(t.told)
@@ -484,21 +484,21 @@
 
 // issue sends every watcher what it lacks.
 func (a *Archive) issue(now time.Duration) {
-	a.watchers.Each(now, func(to string, has feed.Watch) feed.Watch {
+	a.watchers.Each(now, func(to string, has delivery.Watch) delivery.Watch {
 		return a.issueTo(now, to, has, false, true)
 	})
 	if term, mine := a.rota.Holds(now, dutyList); mine && a.stand.Version.Term == term {
 		for _, id := range a.member.Everyone() {
 			if _, watching := a.watchers.Has(id); !watching && id != a.post.Self() {
-				a.watchers.Note(now, id, a.issueTo(now, id, feed.Watch{}, false, true))
+				a.watchers.Note(now, id, a.issueTo(now, id, delivery.Watch{}, false, true))
 			}
 		}
 	}
 }
 
-func (a *Archive) issueTo(now time.Duration, to string, has feed.Watch, always, guessed bool) feed.Watch {
+func (a *Archive) issueTo(now time.Duration, to string, has delivery.Watch, always, guessed bool) delivery.Watch {
 	fresh := a.contact.fresh(now)
-	out := feed.Issue{Fresh: fresh, Led: fresh && a.rolls.Led()}
+	out := delivery.Issue{Fresh: fresh, Led: fresh && a.rolls.Led()}
 	whole := has.Sums != nil
 	if has.Sums != nil {
 		if diff := antientropy.Diff(*has.Sums, a.shown.Sums); len(diff) > 0 {
@@ -521,12 +521,12 @@
 	}
 	if always {
 		out.Loads = a.loads
-		if at, ok := a.member.Current(catalogue.Key); ok && whole && !guessed && has.Asked > 0 {
-			out.Sure = &feed.Sure{Asked: has.Asked, Age: now - at}
+		if at, ok := a.member.Current(config.Key); ok && whole && !guessed && has.Asked > 0 {
+			out.Sure = &delivery.Sure{Asked: has.Asked, Age: now - at}
 		}
 	}
 	if always || !out.Empty() {
-		a.post.Send(to, feed.IssueKind, out)
+		a.post.Send(to, delivery.IssueKind, out)
 	}
 	if !out.Empty() {
 		a.watchers.Sent(now, to)
@@ -542,14 +542,14 @@
 			}
 		})
 	})
-	transport.On(a.post, rotaKind, func(from string, m rota.Message) {
+	transport.On(a.post, rotaKind, func(from string, m election.Message) {
 		a.offer(func(now time.Duration) { a.rota.Handle(now, from, m) })
 	})
-	transport.On(a.post, feed.WatchKind, func(from string, w feed.Watch) {
+	transport.On(a.post, delivery.WatchKind, func(from string, w delivery.Watch) {
 		a.offer(func(now time.Duration) {
 			known := a.stand.Version
 			if _, term, life := a.rota.Holder(now, dutyList); term > known.Term || term == known.Term && life > known.Life {
-				known = accession.Version{Term: term, Life: life}
+				known = upstream.Version{Term: term, Life: life}
 			}
 			if known.Foreign(w.Listing) {
 				a.rota.Raise(dutyList, w.Listing.Term)
@@ -560,7 +560,7 @@
 			a.watchers.Holds(from, w)
 		})
 	})
-	transport.On(a.post, feed.IssueKind, func(from string, i feed.Issue) {
+	transport.On(a.post, delivery.IssueKind, func(from string, i delivery.Issue) {
 		a.offer(func(now time.Duration) {
 			if i.Listing != nil && a.stand.Take(now, *i.Listing) {
 				a.issue(now)
@@ -568,10 +568,10 @@
 		})
 	})
 	if a.lender != nil {
-		transport.On(a.post, feed.ReportKind, func(from string, r readers.Report) {
+		transport.On(a.post, delivery.ReportKind, func(from string, r quota.Report) {
 			a.offer(func(now time.Duration) { a.lendTo(now, from, r) })
 		})
-		transport.On(a.post, feed.RecallKind, func(from string, r readers.Recall) {
+		transport.On(a.post, delivery.RecallKind, func(from string, r quota.Recall) {
 			a.offer(func(now time.Duration) {
 				if a.purse.Heeds(a.post.Self(), from, r.Term) {
 					a.lender.End()
@@ -579,20 +579,20 @@
 				}
 			})
 		})
-		transport.On(a.post, feed.LoanKind, func(_ string, l readers.Loan) {
+		transport.On(a.post, delivery.LoanKind, func(_ string, l quota.Loan) {
 			a.offer(func(now time.Duration) { a.lent(now, l) })
 		})
-		transport.On(a.post, feed.DrawKind, func(from string, d readers.Draw) {
+		transport.On(a.post, delivery.DrawKind, func(from string, d quota.Draw) {
 			a.offer(func(now time.Duration) { a.drawFor(now, from, d) })
 		})
 	}
-	transport.On(a.post, feed.ScoreKind, func(from string, reports []rollout.Report) {
+	transport.On(a.post, delivery.ScoreKind, func(from string, reports []rollout.Report) {
 		a.offer(func(now time.Duration) { a.rolls.Heard(now, from, reports) })
 	})
-	transport.On(a.post, feed.GatherKind, func(from string, all []rollout.Gathered) {
+	transport.On(a.post, delivery.GatherKind, func(from string, all []rollout.Gathered) {
 		a.offer(func(now time.Duration) { a.rolls.Take(now, from, all) })
 	})
-	transport.On(a.post, feed.ToldKind, func(from string, t feed.Told) {
+	transport.On(a.post, delivery.ToldKind, func(from string, t delivery.Told) {
 		a.offer(func(now time.Duration) { a.told[from] = toldAt{now, t} })
 	})
 	a.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
@@ -613,14 +613,14 @@
 	go func() {
 		defer a.polling.Store(false)
 		begin := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), charter.Seconds(8*a.set.Bounds.DrainS))
+		ctx, cancel := context.WithTimeout(context.Background(), settings.Seconds(8*a.set.Bounds.DrainS))
 		defer cancel()
-		list, calls, err := accession.ReadAll(ctx, a.client, a.set.CloudAPI.Address, a.set.CloudAPI.RatePerS)
+		list, calls, err := upstream.ReadAll(ctx, a.client, a.set.CloudAPI.Address, a.set.CloudAPI.RatePerS)
 		a.stats.Polls.Add(uint64(calls))
 		// A list of many pages is read less often; one that is throttled, too.
-		if throttled := errors.Is(err, accession.ErrThrottled); throttled || calls > 1 {
-			rest := max(time.Since(begin), charter.Seconds(a.set.Bounds.DrainS/5))
-			defer time.Sleep(min(rest, charter.Seconds(a.set.Bounds.DrainS)))
+		if throttled := errors.Is(err, upstream.ErrThrottled); throttled || calls > 1 {
+			rest := max(time.Since(begin), settings.Seconds(a.set.Bounds.DrainS/5))
+			defer time.Sleep(min(rest, settings.Seconds(a.set.Bounds.DrainS)))
 		}
 		if err != nil {
 			a.stats.PollErrors.Add(1)
@@ -644,22 +644,22 @@
 }
 
 // shards counts the working desks of each shard.
-func (a *Archive) shards() []shelving.Shard {
+func (a *Archive) shards() []placement.Shard {
 	list := a.reg.List()
 	labels := list.Shards(a.opt.Shards)
 	zones := map[int][]string{}
-	for _, n := range list.Live(register.Data) {
+	for _, n := range list.Live(membership.Data) {
 		if !n.Draining {
 			zones[labels[n.Address]] = append(zones[labels[n.Address]], n.Zone)
 		}
 	}
-	return shelving.Shards(a.opt.Shards, zones)
+	return placement.Shards(a.opt.Shards, zones)
 }
 
 // bind creates bindings at the owner of the catalogue.
-func (a *Archive) bind(orders []shelving.Order, done func([]error)) {
+func (a *Archive) bind(orders []placement.Order, done func([]error)) {
 	go func() {
-		answer, err := a.submit(order{Key: catalogue.Key, Bind: orders})
+		answer, err := a.submit(order{Key: config.Key, Bind: orders})
 		var refused []bool
 		if err == nil {
 			err = cbor.Unmarshal(answer, &refused)
@@ -671,7 +671,7 @@
 		for i := range orders {
 			errs[i] = err
 			if err == nil && i < len(refused) && refused[i] {
-				errs[i] = errata.New(errata.Conflict, "route %s", orders[i].Binding.Route)
+				errs[i] = apierror.New(apierror.Conflict, "route %s", orders[i].Binding.Route)
 			}
 		}
 		a.do(func(time.Duration) { done(errs) })
--- a/internal/archive/cut_test.go
+++ b/internal/controlplane/cut_test.go
@@ -1,4 +1,4 @@
-package archive_test
+package controlplane_test
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/archive"
-	"madderwing/internal/charter"
-	"madderwing/internal/desk"
+	"madderwing/internal/controlplane"
+	"madderwing/internal/gateway"
+	"madderwing/internal/settings"
 )
 
 // core is four archives, each on an address and in a zone of its own, and a desk beside
@@ -37,7 +37,7 @@
 	done := make(chan error, 5)
 	for i := 1; i <= 4; i++ {
 		ip := fmt.Sprintf("127.0.0.%d", i)
-		set, err := charter.Parse([]byte(fmt.Sprintf(`
+		set, err := settings.Parse([]byte(fmt.Sprintf(`
 node = "n-%d"
 ip = %q
 zone = "z%d"
@@ -70,14 +70,14 @@
 			t.Fatal(err)
 		}
 		c.control, c.registry, c.post = append(c.control, set.Bind.Control), append(c.registry, set.Bind.Directory), append(c.post, set.ArchiveAddress(ip))
-		go func() { done <- archive.Run(ctx, set, archive.Options{Shards: 1, Relist: time.Minute}, nil) }()
+		go func() { done <- controlplane.Run(ctx, set, controlplane.Options{Shards: 1, Relist: time.Minute}, nil) }()
 		if i == 1 {
 			c.ready = set.Bind.Readiness
-			go func() { done <- desk.Run(ctx, set, desk.Options{Shards: 1}, nil) }()
+			go func() { done <- gateway.Run(ctx, set, gateway.Options{Shards: 1}, nil) }()
 		}
 	}
 	t.Cleanup(func() {
-		archive.Join()
+		controlplane.Join()
 		leave()
 		for range 5 {
 			if err := <-done; err != nil {
@@ -136,10 +136,10 @@
 	// The ways to the archive and from it are cut one after the other, so that for a
 	// moment it is heard and hears nothing.
 	for i := 1; i < 4; i++ {
-		archive.Cut(c.post[i], c.post[0])
+		controlplane.Cut(c.post[i], c.post[0])
 	}
 	for i := 1; i < 4; i++ {
-		archive.Cut(c.post[0], c.post[i])
+		controlplane.Cut(c.post[0], c.post[i])
 	}
 	removed := `{"remove":{"routes":[{"name":"r","generation":2}]}}`
 	c.until(t, 200, "PATCH", c.control[2]+"/v1/config", removed)
@@ -197,7 +197,7 @@
 		t.Errorf("the others: %q", got)
 	}
 
-	archive.Join()
+	controlplane.Join()
 	c.wait(t, "contact again", func() bool { return c.gauge(t, 0, "in_contact") == "1" })
 	for _, x := range calls {
 		c.until(t, x.joined, x.method, c.control[0]+x.path, x.body)
--- a/internal/archive/disk.go
+++ b/internal/controlplane/disk.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 // This file holds the queue of writes and the goroutine that owns the ledger.
 
@@ -7,21 +7,21 @@
 	"sync"
 	"time"
 
-	"madderwing/internal/ledger"
+	"madderwing/internal/storage"
 )
 
 // writeJob is a batch to be made durable, or the whole state: that holds all
 // that was asked for up to its id, so also every job that was put before it.
 type writeJob struct {
-	entries []ledger.Entry
+	entries []storage.Entry
 	id      uint64
 	whole   bool
 }
 
 // book is what writes need of a ledger.
 type book interface {
-	Write([]ledger.Entry) error
-	Rewrite([]ledger.Entry) error
+	Write([]storage.Entry) error
+	Rewrite([]storage.Entry) error
 	Full() bool
 }
 
@@ -50,7 +50,7 @@
 // write carries out jobs that waited together, as one batch. After a refusal it
 // drops all jobs up to the whole state, which holds them too.
 func (w *writer) write(jobs []writeJob) written {
-	var entries []ledger.Entry
+	var entries []storage.Entry
 	whole := false
 	for _, job := range jobs {
 		if job.whole {
@@ -69,7 +69,7 @@
 	}
 	w.failed = err != nil
 	if err != nil {
-		if errors.Is(err, ledger.ErrRoom) {
+		if errors.Is(err, storage.ErrRoom) {
 			return written{0, w.ask(rewriteNow), err}
 		}
 		return written{0, w.ask(rewriteLater), err}
@@ -93,7 +93,7 @@
 
 // keep owns the ledger: it writes batches in order and reports when they are
 // durable. Batches that wait are written together.
-func (a *Archive) keep(open *ledger.Ledger) {
+func (a *Archive) keep(open *storage.Ledger) {
 	defer open.Close()
 	w := writer{book: open}
 	for {
--- a/internal/archive/disk_test.go
+++ b/internal/controlplane/disk_test.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"madderwing/internal/ledger"
+	"madderwing/internal/storage"
 )
 
 // sheet is a book in memory that refuses what it is told to.
@@ -21,14 +21,14 @@
 	log    []string
 }
 
-func (s *sheet) Write(entries []ledger.Entry) error {
+func (s *sheet) Write(entries []storage.Entry) error {
 	if s.bad {
 		s.t.Error("a batch is written after a refusal")
 	}
 	return s.take("write", entries)
 }
 
-func (s *sheet) Rewrite(entries []ledger.Entry) error {
+func (s *sheet) Rewrite(entries []storage.Entry) error {
 	old := s.state
 	s.state = map[string]string{}
 	err := s.take("rewrite", entries)
@@ -40,7 +40,7 @@
 
 func (s *sheet) Full() bool { return s.full }
 
-func (s *sheet) take(what string, entries []ledger.Entry) error {
+func (s *sheet) take(what string, entries []storage.Entry) error {
 	keys := ""
 	for _, e := range entries {
 		keys += " " + e.Key
@@ -61,7 +61,7 @@
 func TestWriter(t *testing.T) {
 	job := func(id uint64, keys ...string) (j writeJob) {
 		for _, k := range keys {
-			j.entries = append(j.entries, ledger.Entry{Key: k, Value: []byte{1}})
+			j.entries = append(j.entries, storage.Entry{Key: k, Value: []byte{1}})
 		}
 		j.id = id
 		return j
@@ -112,7 +112,7 @@
 			{[]writeJob{job(3, "c")}, nil, false, "", written{}},
 			ok(3, "rewrite a b c", whole(3, "a", "b", "c"))}},
 		{"no room: the whole state at once", []step{
-			{[]writeJob{job(1, "a")}, ledger.ErrRoom, false, "write a", written{0, rewriteNow, ledger.ErrRoom}},
+			{[]writeJob{job(1, "a")}, storage.ErrRoom, false, "write a", written{0, rewriteNow, storage.ErrRoom}},
 			ok(1, "rewrite a", whole(1, "a"))}},
 		{"full: asked for once", []step{
 			{[]writeJob{job(1, "a")}, nil, true, "write a", written{1, rewriteNow, nil}},
@@ -152,7 +152,7 @@
 		asked, last := 0, uint64(0)
 		for n := 0; n < 200 || asked > 0 || len(queue) > 0; n++ {
 			if n < 200 && rng.IntN(2) == 0 {
-				var e ledger.Entry
+				var e storage.Entry
 				if e.Key = fmt.Sprint(rng.IntN(5)); rng.IntN(3) > 0 {
 					e.Value = fmt.Append(nil, n)
 				}
@@ -160,13 +160,13 @@
 					delete(state, e.Key)
 				}
 				states = append(states, maps.Clone(state))
-				queue = append(queue, writeJob{[]ledger.Entry{e}, uint64(len(states) - 1), false})
+				queue = append(queue, writeJob{[]storage.Entry{e}, uint64(len(states) - 1), false})
 			}
 			if asked > 0 && (n >= 200 || rng.IntN(4) == 0) {
 				asked--
 				all := writeJob{nil, uint64(len(states) - 1), true}
 				for k, v := range state {
-					all.entries = append(all.entries, ledger.Entry{Key: k, Value: []byte(v)})
+					all.entries = append(all.entries, storage.Entry{Key: k, Value: []byte(v)})
 				}
 				queue = append(queue, all)
 			}
@@ -175,7 +175,7 @@
 			}
 			s.refuse = nil
 			if n < 200 && rng.IntN(3) == 0 {
-				s.refuse = []error{ledger.ErrRoom, errors.New("refused")}[rng.IntN(2)]
+				s.refuse = []error{storage.ErrRoom, errors.New("refused")}[rng.IntN(2)]
 			}
 			s.full = rng.IntN(4) == 0
 			done := w.write(queue)
--- a/internal/archive/export_test.go
+++ b/internal/controlplane/export_test.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"log"
--- a/internal/archive/numbers_test.go
+++ b/internal/controlplane/numbers_test.go
@@ -1,4 +1,4 @@
-package archive_test
+package controlplane_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/archive"
-	"madderwing/internal/charter"
+	"madderwing/internal/controlplane"
+	"madderwing/internal/settings"
 )
 
 // trio is three archives, each with a disk and a zone of its own.
@@ -39,7 +39,7 @@
 	for i := range s.controls {
 		dir, first := t.TempDir(), true
 		s.run[i] = func() {
-			set, err := charter.Parse([]byte(fmt.Sprintf(`
+			set, err := settings.Parse([]byte(fmt.Sprintf(`
 node = "n-%d"
 ip = "127.0.0.%[1]d"
 zone = "z-%[1]d"
@@ -65,7 +65,7 @@
 			s.archives[i] = set.ArchiveAddress(set.IP)
 			ctx, leave := context.WithCancel(context.Background())
 			done := make(chan error, 1)
-			go func() { done <- archive.Run(ctx, set, archive.Options{Shards: 1, Relist: time.Minute}, nil) }()
+			go func() { done <- controlplane.Run(ctx, set, controlplane.Options{Shards: 1, Relist: time.Minute}, nil) }()
 			s.stop[i] = sync.OnceFunc(func() {
 				leave()
 				if err := <-done; err != nil {
@@ -96,7 +96,7 @@
 func (s *trio) owner(t *testing.T) int {
 	t.Helper()
 	for range 600 {
-		var o archive.Overview
+		var o controlplane.Overview
 		if _, text := s.call(t, "GET", s.controls[0]+"/v1/admin/overview", ""); json.Unmarshal([]byte(text), &o) == nil {
 			for _, k := range o.Keys {
 				for i, a := range s.archives {
--- a/internal/archive/registry.go
+++ b/internal/controlplane/registry.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"net"
@@ -6,12 +6,12 @@
 	"strconv"
 	"time"
 
-	"madderwing/internal/catalogue"
-	"madderwing/internal/charter"
-	"madderwing/internal/feed"
-	"madderwing/internal/readers"
-	"madderwing/internal/reference"
-	"madderwing/internal/register"
+	"madderwing/internal/config"
+	"madderwing/internal/delivery"
+	"madderwing/internal/membership"
+	"madderwing/internal/quota"
+	"madderwing/internal/registry"
+	"madderwing/internal/settings"
 )
 
 // What an archive does beside where clients ask a registry: it answers them, it
@@ -23,11 +23,11 @@
 	b := a.set.Bounds
 	// A desk that leaves is missing from the answers for longer than they hold
 	// before it closes its door.
-	ttl := charter.Seconds(b.GraceS * 0.4)
+	ttl := settings.Seconds(b.GraceS * 0.4)
 	if b.TTLMaxS > 0 {
-		ttl = min(ttl, charter.Seconds(b.TTLMaxS))
+		ttl = min(ttl, settings.Seconds(b.TTLMaxS))
 	}
-	a.directory = reference.NewDirectory(ttl, func(host string) []string {
+	a.directory = registry.NewDirectory(ttl, func(host string) []string {
 		if t := a.table.Load(); t != nil {
 			return t.Residency(host)
 		}
@@ -37,10 +37,10 @@
 	// rest on what nodes say of themselves. So do those of an archive that has just started.
 	// The archives of a side that was cut off end.
 	a.directory.InContact = func() bool { return a.lately(time.Since(a.start)) }
-	a.lender = readers.NewLender(readers.LenderConfig{Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack,
-		Window: charter.Seconds(b.QuotaWindowS), Life: charter.Seconds(b.ContactS * 0.7), Sure: charter.Seconds(b.ContactS * vacantPart),
+	a.lender = quota.NewLender(quota.LenderConfig{Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack,
+		Window: settings.Seconds(b.QuotaWindowS), Life: settings.Seconds(b.ContactS * 0.7), Sure: settings.Seconds(b.ContactS * vacantPart),
 		Branches: a.branches})
-	a.purse = &readers.Purse{Life: a.life, Patience: charter.Seconds(b.ContactS / 20)}
+	a.purse = &quota.Purse{Life: a.life, Patience: settings.Seconds(b.ContactS / 20)}
 }
 
 // branches are the archives that may hold shares: the members, and those whose seats have
@@ -52,7 +52,7 @@
 		switch {
 		case slices.Contains(out, id):
 			a.seated[id] = now
-		case now-at <= charter.Seconds(a.set.Bounds.ContactS):
+		case now-at <= settings.Seconds(a.set.Bounds.ContactS):
 			out = append(out, id)
 		default:
 			delete(a.seated, id)
@@ -70,22 +70,22 @@
 // lately says that this archive was in contact with a majority within contactS, or has
 // not been up for longer than that.
 func (a *Archive) lately(now time.Duration) bool {
-	contactS := charter.Seconds(a.set.Bounds.ContactS)
+	contactS := settings.Seconds(a.set.Bounds.ContactS)
 	return now < contactS || a.contact.within(now, contactS)
 }
 
 // openDesks lists the desks for the registry.
-func (a *Archive) openDesks(l *register.List) (out []reference.Desk) {
+func (a *Archive) openDesks(l *membership.List) (out []registry.Desk) {
 	for _, n := range l.Nodes {
-		if n.Plane != register.Data || n.State > register.Suspect || n.Front == 0 {
+		if n.Plane != membership.Data || n.State > membership.Suspect || n.Front == 0 {
 			continue
 		}
 		host, _, err := net.SplitHostPort(n.Address)
 		if err != nil {
 			continue
 		}
-		out = append(out, reference.Desk{Address: net.JoinHostPort(host, strconv.Itoa(int(n.Front))), Zone: n.Zone,
-			Region: a.set.RegionOf(n.Zone), Open: n.State == register.Alive && !n.Draining})
+		out = append(out, registry.Desk{Address: net.JoinHostPort(host, strconv.Itoa(int(n.Front))), Zone: n.Zone,
+			Region: a.set.RegionOf(n.Zone), Open: n.State == membership.Alive && !n.Draining})
 	}
 	return out
 }
@@ -95,14 +95,14 @@
 	if a.lender == nil {
 		return
 	}
-	a.quotas = catalogue.Quotas(a.shown.Records, &a.routes)
+	a.quotas = config.Quotas(a.shown.Records, &a.routes)
 	a.purse.SetLimits(a.quotas)
 	a.table.Store(a.tables.Build(a.shown.Records))
 }
 
 // lend begins or ends lending with the ownership of the catalogue.
 func (a *Archive) lend(now time.Duration) {
-	t, ok := a.member.Tenure(now, catalogue.Key)
+	t, ok := a.member.Tenure(now, config.Key)
 	if !ok {
 		a.lender.End()
 		return
@@ -116,15 +116,15 @@
 	if silent := a.lender.Silent(); len(silent) > 0 && now >= a.recallAt {
 		a.recallAt = now + a.set.Beat()/5
 		for _, id := range silent {
-			a.post.Send(id, feed.RecallKind, readers.Recall{Term: t.Epoch})
+			a.post.Send(id, delivery.RecallKind, quota.Recall{Term: t.Epoch})
 		}
 	}
 }
 
 // lendTo answers a branch's report.
-func (a *Archive) lendTo(now time.Duration, from string, r readers.Report) {
+func (a *Archive) lendTo(now time.Duration, from string, r quota.Report) {
 	a.lend(now)
-	t, ok := a.member.Tenure(now, catalogue.Key)
+	t, ok := a.member.Tenure(now, config.Key)
 	if !ok {
 		return
 	}
@@ -134,7 +134,7 @@
 	case from == a.post.Self():
 		a.lent(now, loan)
 	default:
-		a.post.Send(from, feed.LoanKind, loan)
+		a.post.Send(from, delivery.LoanKind, loan)
 	}
 }
 
@@ -142,7 +142,7 @@
 func (a *Archive) branch(now, beat time.Duration) {
 	a.purse.Expire(now)
 	// An archive that has lost its memory knows no owner; the lender calls it.
-	if owner := a.member.Owner(now, catalogue.Key); owner != "" && owner != a.lentBy {
+	if owner := a.member.Owner(now, config.Key); owner != "" && owner != a.lentBy {
 		a.lentBy, a.lendWhole, a.lendAt = owner, true, now
 	}
 	if now >= a.lendAt {
@@ -161,12 +161,12 @@
 	if a.lentBy == a.post.Self() {
 		a.lendTo(now, a.lentBy, r)
 	} else {
-		a.post.Send(a.lentBy, feed.ReportKind, r)
+		a.post.Send(a.lentBy, delivery.ReportKind, r)
 	}
 }
 
 // lent takes the lender's answer.
-func (a *Archive) lent(now time.Duration, l readers.Loan) {
+func (a *Archive) lent(now time.Duration, l quota.Loan) {
 	a.purse.Lent(now, l)
 	if a.lendWhole || a.purse.Waiting() {
 		a.report(now)
@@ -174,14 +174,14 @@
 }
 
 // drawFor draws on a tenant's quota for a desk.
-func (a *Archive) drawFor(now time.Duration, from string, d readers.Draw) {
+func (a *Archive) drawFor(now time.Duration, from string, d quota.Draw) {
 	// Lent shares lapse by themselves; that a tenant has no limit may be no longer so.
 	if a.purse.Unlimited(d.Tenant) && !a.lately(now) {
-		a.post.Send(from, feed.DrawnKind, readers.Drawn{Seq: d.Seq, Away: true})
+		a.post.Send(from, delivery.DrawnKind, quota.Drawn{Seq: d.Seq, Away: true})
 		return
 	}
-	ask := a.purse.Take(now, d.Tenant, func(g readers.Grant) {
-		a.post.Send(from, feed.DrawnKind, readers.Drawn{Seq: d.Seq, OK: g == readers.Granted, Away: g == readers.Unknown})
+	ask := a.purse.Take(now, d.Tenant, func(g quota.Grant) {
+		a.post.Send(from, delivery.DrawnKind, quota.Drawn{Seq: d.Seq, OK: g == quota.Granted, Away: g == quota.Unknown})
 	})
 	if ask {
 		a.report(now)
@@ -198,7 +198,7 @@
 		return 0
 	}
 	left := time.Duration(0)
-	if t, _ := a.member.Tenure(now, catalogue.Key); t.Heir {
+	if t, _ := a.member.Tenure(now, config.Key); t.Heir {
 		left = t.Since + hold - now
 	}
 	if a.revokedAt > 0 {
--- a/internal/archive/relay.go
+++ b/internal/controlplane/relay.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"bytes"
@@ -18,14 +18,14 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"madderwing/internal/catalogue"
-	"madderwing/internal/charter"
-	"madderwing/internal/errata"
-	"madderwing/internal/register"
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
+	"madderwing/internal/membership"
+	"madderwing/internal/metrics"
 	"madderwing/internal/rendezvous"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
-	"madderwing/internal/tally"
+	"madderwing/internal/settings"
 	"madderwing/internal/transport"
 )
 
@@ -46,9 +46,9 @@
 	Relay bool `cbor:"1,keyasint,omitempty"` // it is one; only Nodes says more
 	// Works says that the archive hears the owner of the key or of the catalogue, and
 	// isn't about to leave.
-	Works bool            `cbor:"2,keyasint,omitempty"`
-	Owner string          `cbor:"3,keyasint,omitempty"` // of the key, where it is known
-	Nodes []register.Node `cbor:"4,keyasint,omitempty"` // archives that are taken to be working
+	Works bool              `cbor:"2,keyasint,omitempty"`
+	Owner string            `cbor:"3,keyasint,omitempty"` // of the key, where it is known
+	Nodes []membership.Node `cbor:"4,keyasint,omitempty"` // archives that are taken to be working
 }
 
 // How long things take at a relay, as parts of contactS: an answer after which another
@@ -77,13 +77,13 @@
 
 // answerRelay is the answer about a key of an archive that has these keys, hears these
 // owners and knows these nodes.
-func answerRelay(key, self string, keys []string, owner func(key string) string, l *register.List) (out relayAnswer) {
+func answerRelay(key, self string, keys []string, owner func(key string) string, l *membership.List) (out relayAnswer) {
 	// Asking for an owner makes the key, so only what is there is asked for.
 	if slices.Contains(keys, key) {
 		out.Owner = owner(key)
 	}
-	out.Works = out.Owner != "" || owner(catalogue.Key) != ""
-	for _, n := range l.Live(register.Control) {
+	out.Works = out.Owner != "" || owner(config.Key) != ""
+	for _, n := range l.Live(membership.Control) {
 		if !n.Draining {
 			out.Nodes = append(out.Nodes, n)
 		} else if n.Address == self {
@@ -105,7 +105,7 @@
 
 	mu     sync.Mutex
 	seeds  []string
-	nodes  map[string]register.Node // archives, as the newest good answer had them
+	nodes  map[string]membership.Node // archives, as the newest good answer had them
 	owners map[string]string
 	failed map[string]time.Time
 	last   string    // that gave the newest good answer
@@ -201,7 +201,7 @@
 	switch {
 	case err == nil && a.Works && !a.Relay:
 		delete(p.failed, to)
-		p.nodes = map[string]register.Node{}
+		p.nodes = map[string]membership.Node{}
 		for _, n := range a.Nodes {
 			p.nodes[n.Address] = n
 		}
@@ -275,17 +275,17 @@
 }
 
 // known lists the archives that this relay knows of.
-func (p *picker) known() []register.Node {
+func (p *picker) known() []membership.Node {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.SortedFunc(maps.Values(p.nodes), func(a, b register.Node) int { return strings.Compare(a.Address, b.Address) })
+	return slices.SortedFunc(maps.Values(p.nodes), func(a, b membership.Node) int { return strings.Compare(a.Address, b.Address) })
 }
 
 // introduce is for a node that joins and takes this relay for an archive: it tells the
 // archives, after looking for them again if none has answered for a while.
-func (p *picker) introduce(n register.Node) []register.Node {
+func (p *picker) introduce(n membership.Node) []membership.Node {
 	p.mu.Lock()
-	if _, have := p.nodes[n.Address]; n.Plane == register.Control && !have && len(p.nodes) < maxKnown {
+	if _, have := p.nodes[n.Address]; n.Plane == membership.Control && !have && len(p.nodes) < maxKnown {
 		p.nodes[n.Address] = n
 	}
 	fresh := !p.lookAt.IsZero() && time.Since(p.lookAt) < p.rest
@@ -294,9 +294,9 @@
 	}
 	p.mu.Unlock()
 	if !fresh {
-		p.pick(catalogue.Key)
+		p.pick(config.Key)
 	}
-	return slices.DeleteFunc(p.known(), func(k register.Node) bool { return k.Address == n.Address })
+	return slices.DeleteFunc(p.known(), func(k membership.Node) bool { return k.Address == n.Address })
 }
 
 // maxKnown bounds the archives that a relay remembers from their own word alone.
@@ -305,7 +305,7 @@
 // relay is the process without a disk.
 type relay struct {
 	pick  func(key string) string
-	known func() []register.Node
+	known func() []membership.Node
 	port  string        // of control, on all machines
 	drain time.Duration // for which the rest of a call's body is read
 	later time.Duration // after which a caller may come again
@@ -316,7 +316,7 @@
 }
 
 // runRelay serves until ctx ends.
-func runRelay(ctx context.Context, set *charter.Settings, reload <-chan *charter.Settings) error {
+func runRelay(ctx context.Context, set *settings.Settings, reload <-chan *settings.Settings) error {
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	beat := set.Beat()
 	post, err := transport.New(set.ArchiveAddress(set.IP), beat, logger("transport"))
@@ -330,10 +330,10 @@
 		return err
 	}
 	p := &picker{self: post.Self(), zone: set.Zone, seeds: set.SeedArchives(),
-		patience: min(charter.Seconds(set.Bounds.ContactS*relayPatience), relayMost/4),
-		limit:    min(charter.Seconds(set.Bounds.ContactS*relayLimit), relayMost),
-		rest:     charter.Seconds(set.Bounds.ContactS),
-		nodes:    map[string]register.Node{}, owners: map[string]string{}, failed: map[string]time.Time{},
+		patience: min(settings.Seconds(set.Bounds.ContactS*relayPatience), relayMost/4),
+		limit:    min(settings.Seconds(set.Bounds.ContactS*relayLimit), relayMost),
+		rest:     settings.Seconds(set.Bounds.ContactS),
+		nodes:    map[string]membership.Node{}, owners: map[string]string{}, failed: map[string]time.Time{},
 		ask: func(ctx context.Context, to, key string) (a relayAnswer, err error) {
 			err = post.Call(ctx, to, relayKind, relayQuestion{key}, &a)
 			return a, err
@@ -341,7 +341,7 @@
 	post.HandleSlow(relayKind, func(string, []byte) (any, error) {
 		return relayAnswer{Relay: true, Nodes: p.known()}, nil
 	})
-	register.Introduce(post, p.introduce)
+	membership.Introduce(post, p.introduce)
 	f := founding{bootstrap: set.Bootstrap}
 	transport.On(post, replicationKind, func(from string, msgs []replication.Message) {
 		for _, m := range msgs {
@@ -352,10 +352,10 @@
 	})
 	post.Start()
 
-	r := &relay{pick: p.pick, known: p.known, port: port, drain: charter.Seconds(set.Bounds.ContactS), later: beat, log: logger("relay")}
+	r := &relay{pick: p.pick, known: p.known, port: port, drain: settings.Seconds(set.Bounds.ContactS), later: beat, log: logger("relay")}
 	serve := func(address string, h http.Handler) *http.Server {
-		return &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: charter.Seconds(set.Bounds.ContactS),
-			IdleTimeout: charter.Seconds(4 * set.Bounds.ContactS), ErrorLog: r.log}
+		return &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
+			IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: r.log}
 	}
 	control := serve(set.Bind.Control, r)
 	failed := make(chan error, 2)
@@ -363,7 +363,7 @@
 	if set.Bind.Directory != "" {
 		r.log.Printf("no dataDir: the registry is not served here.")
 		registry := serve(set.Bind.Directory, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			errata.Write(w, errata.Later(errata.NoArchive, r.later, "no registry on a relay"))
+			apierror.Write(w, apierror.Later(apierror.NoArchive, r.later, "no registry on a relay"))
 		}))
 		go func() { failed <- registry.ListenAndServe() }()
 		defer registry.Close()
@@ -377,7 +377,7 @@
 			return err
 		case <-ctx.Done():
 			r.log.Printf("leaving.")
-			grace, cancel := context.WithTimeout(context.Background(), charter.Seconds(set.Bounds.GraceS/3))
+			grace, cancel := context.WithTimeout(context.Background(), settings.Seconds(set.Bounds.GraceS/3))
 			defer cancel()
 			_ = control.Shutdown(grace)
 			return nil
@@ -431,7 +431,7 @@
 	host, _, err := net.SplitHostPort(to)
 	if err != nil {
 		r.refused.Add(1)
-		errata.Write(w, errata.Later(errata.NoArchive, r.later, "this one has no disk"))
+		apierror.Write(w, apierror.Later(apierror.NoArchive, r.later, "this one has no disk"))
 		return
 	}
 	r.redirected.Add(1)
@@ -442,7 +442,7 @@
 
 // keyOf names the key that a call of control concerns most.
 func keyOf(method, path string) string {
-	for prefix, key := range map[string]string{"/v1/evacuation/": catalogue.EvacuationPrefix, "/v1/rollouts/": rollout.Prefix, "/v1/admin/rollouts/": rollout.Prefix} {
+	for prefix, key := range map[string]string{"/v1/evacuation/": config.EvacuationPrefix, "/v1/rollouts/": rollout.Prefix, "/v1/admin/rollouts/": rollout.Prefix} {
 		if rest, ok := strings.CutPrefix(path, prefix); ok && rest != "" {
 			return key + rest
 		}
@@ -450,13 +450,13 @@
 	if method == http.MethodDelete && strings.HasPrefix(path, "/v1/admin/members/") {
 		return replication.RosterKey
 	}
-	return catalogue.Key
+	return config.Key
 }
 
 // metrics are those of the relay itself.
 func (r *relay) metrics() []byte {
 	var b bytes.Buffer
-	tally.Write(&b, "relay", map[string]uint64{"calls": r.calls.Load(), "redirected": r.redirected.Load(), "refused": r.refused.Load()})
-	tally.Gauge(&b, "relay", "archives", uint64(len(r.known())))
+	metrics.Write(&b, "relay", map[string]uint64{"calls": r.calls.Load(), "redirected": r.redirected.Load(), "refused": r.refused.Load()})
+	metrics.Gauge(&b, "relay", "archives", uint64(len(r.known())))
 	return b.Bytes()
 }
--- a/internal/archive/relay_test.go
+++ b/internal/controlplane/relay_test.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"testing/synctest"
 	"time"
 
-	"madderwing/internal/register"
+	"madderwing/internal/membership"
 )
 
 const (
@@ -42,7 +42,7 @@
 
 func (f *fleet) picker(seeds ...string) *picker {
 	return &picker{self: "self", zone: "z", patience: testPatience, limit: testLimit, rest: testRest, seeds: seeds,
-		nodes: map[string]register.Node{}, owners: map[string]string{}, failed: map[string]time.Time{},
+		nodes: map[string]membership.Node{}, owners: map[string]string{}, failed: map[string]time.Time{},
 		ask: func(ctx context.Context, to, _ string) (relayAnswer, error) {
 			f.mu.Lock()
 			f.asked = append(f.asked, to)
@@ -61,7 +61,7 @@
 			}
 			a := relayAnswer{Relay: n.relay, Works: !n.relay && !n.cutOff, Owner: n.owner}
 			for _, k := range n.knows {
-				a.Nodes = append(a.Nodes, register.Node{Address: k, Plane: register.Control})
+				a.Nodes = append(a.Nodes, membership.Node{Address: k, Plane: membership.Control})
 			}
 			return a, nil
 		}}
@@ -157,8 +157,8 @@
 		{"no owner of anything", "catalogue", nil, false, "", false},
 		{"about to leave", "catalogue", map[string]string{"catalogue": "a"}, true, "a", false},
 	} {
-		l := &register.List{Nodes: []register.Node{{Address: "a", Plane: register.Control, Draining: c.leaving}, {Address: "b", Plane: register.Control},
-			{Address: "c", Plane: register.Control, State: register.Dead}, {Address: "d"}, {Address: "e", Plane: register.Control, Draining: true}}}
+		l := &membership.List{Nodes: []membership.Node{{Address: "a", Plane: membership.Control, Draining: c.leaving}, {Address: "b", Plane: membership.Control},
+			{Address: "c", Plane: membership.Control, State: membership.Dead}, {Address: "d"}, {Address: "e", Plane: membership.Control, Draining: true}}}
 		got := answerRelay(c.key, "a", keys, func(key string) string { return c.owners[key] }, l)
 		want := 2
 		if c.leaving {
@@ -176,7 +176,7 @@
 		f := &fleet{nodes: map[string]fleetNode{"a": {owner: "a", knows: []string{"a"}}}}
 		p := f.picker("a")
 		for range 3 {
-			if got := p.introduce(register.Node{Address: "d"}); len(got) != 1 || got[0].Address != "a" {
+			if got := p.introduce(membership.Node{Address: "d"}); len(got) != 1 || got[0].Address != "a" {
 				t.Errorf("told of %v", got)
 			}
 		}
@@ -186,15 +186,15 @@
 		lost := &fleet{}
 		q := lost.picker("a")
 		for range 3 {
-			q.introduce(register.Node{Address: "d"})
+			q.introduce(membership.Node{Address: "d"})
 		}
 		if len(lost.asked) != 1 {
 			t.Errorf("asked %v in vain", lost.asked)
 		}
-		if got := p.introduce(register.Node{Address: "b", Plane: register.Control}); len(got) != 1 {
+		if got := p.introduce(membership.Node{Address: "b", Plane: membership.Control}); len(got) != 1 {
 			t.Errorf("an archive is told of %v", got)
 		}
-		if got := p.introduce(register.Node{Address: "d"}); len(got) != 2 {
+		if got := p.introduce(membership.Node{Address: "d"}); len(got) != 2 {
 			t.Errorf("an archive that joined isn't passed on: %v", got)
 		}
 	})
@@ -220,7 +220,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			key := ""
 			r := &relay{port: "8080", later: time.Second / 2, log: log.New(io.Discard, "", 0),
-				pick: func(k string) string { key = k; return c.pick }, known: func() []register.Node { return nil }}
+				pick: func(k string) string { key = k; return c.pick }, known: func() []membership.Node { return nil }}
 			w := httptest.NewRecorder()
 			body := strings.NewReader(strings.Repeat("x", 1<<20))
 			req := httptest.NewRequest(c.method, c.target, body)
--- a/internal/archive/relay_whole_test.go
+++ b/internal/controlplane/relay_whole_test.go
@@ -1,4 +1,4 @@
-package archive_test
+package controlplane_test
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/archive"
-	"madderwing/internal/charter"
+	"madderwing/internal/controlplane"
+	"madderwing/internal/settings"
 )
 
 // Four archives and a relay, each on an address of its own. One of the relay's seeds is
@@ -100,7 +100,7 @@
 // runNode runs an archive or a relay on 127.0.0.i until it is told to leave.
 func runNode(t *testing.T, platform string, base, i int, more string, seeds ...string) (leave func()) {
 	ip := fmt.Sprintf("127.0.0.%d", i)
-	set, err := charter.Parse(fmt.Appendf(nil, `
+	set, err := settings.Parse(fmt.Appendf(nil, `
 node = "n-%d"
 ip = %q
 zone = "north"
@@ -119,7 +119,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- archive.Run(ctx, set, archive.Options{Shards: 1, Relist: time.Minute}, nil) }()
+	go func() { done <- controlplane.Run(ctx, set, controlplane.Options{Shards: 1, Relist: time.Minute}, nil) }()
 	var once sync.Once
 	leave = func() {
 		once.Do(func() {
--- a/internal/archive/restart_test.go
+++ b/internal/controlplane/restart_test.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"log"
@@ -6,18 +6,18 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"madderwing/internal/accession"
 	"madderwing/internal/antientropy"
-	"madderwing/internal/catalogue"
+	"madderwing/internal/config"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
+	"madderwing/internal/upstream"
 )
 
 // An archive that starts with a disk shows its desks the rollouts on it at once, though
 // their keys are none of those that every archive has.
 func TestARestartedArchiveShowsRollouts(t *testing.T) {
 	const id = "10.0.0.1:1"
-	config := replication.Config{Self: id, Life: 1, Seeds: []string{id}, Bootstrap: true, Empty: true, Keys: []string{catalogue.Key},
+	config := replication.Config{Self: id, Life: 1, Seeds: []string{id}, Bootstrap: true, Empty: true, Keys: []string{config.Key},
 		Beat: 1, Vacant: 10, Patience: 100, Alive: func(string) bool { return true }}
 	first, err := replication.NewMember(config, nil)
 	if err != nil {
@@ -61,7 +61,7 @@
 // what this archive happens to have been shown.
 func TestAnOrderStartsFromWhatIsConfirmed(t *testing.T) {
 	a := &Archive{versions: map[string]rollout.Service{"s": {Standing: rollout.Standing{Version: "shown"}}}}
-	a.stand.Update(0, 1, 1, []accession.Instance{{ID: "i", Service: "s", Version: "listed"}})
+	a.stand.Update(0, 1, 1, []upstream.Instance{{ID: "i", Service: "s", Version: "listed"}})
 	plan := func(stage rollout.Stage) replication.Record {
 		data, err := cbor.Marshal(rollout.Plan{Service: "s", Prior: "v1", Candidate: "v2", Order: 1, Stage: stage})
 		if err != nil {
--- a/internal/archive/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"encoding/json"
@@ -9,13 +9,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"madderwing/internal/accession"
-	"madderwing/internal/catalogue"
-	"madderwing/internal/errata"
-	"madderwing/internal/feed"
-	"madderwing/internal/register"
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
+	"madderwing/internal/delivery"
+	"madderwing/internal/membership"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
+	"madderwing/internal/upstream"
 )
 
 // gate looks at the rollouts under way, takes the steps of those that this archive
@@ -35,7 +35,7 @@
 		}
 	}
 	for to, all := range tell {
-		a.post.Send(to, feed.GatherKind, all)
+		a.post.Send(to, delivery.GatherKind, all)
 	}
 	for _, m := range moves {
 		a.member.Propose(now, rollout.Key(m.To.Service), func(have map[string]replication.Record) ([]replication.Record, error) {
@@ -54,7 +54,7 @@
 
 // unheard names some of the live desks that have not told of a rollout.
 func (a *Archive) unheard(told map[string]int) (names []string) {
-	for _, n := range a.reg.List().Live(register.Data) {
+	for _, n := range a.reg.List().Live(membership.Data) {
 		if _, ok := told[n.Address]; !ok && len(names) < behindMost {
 			names = append(names, n.Name)
 		}
@@ -65,14 +65,14 @@
 // fill adds to what a controller looks at what this archive knows of desks, upstreams
 // and loads.
 func (a *Archive) fill(v *rollout.View, p *rollout.Plan, told map[string]int) {
-	for _, n := range a.reg.List().Live(register.Data) {
+	for _, n := range a.reg.List().Live(membership.Data) {
 		v.Live++
 		if busy, ok := told[n.Address]; ok {
 			v.Heard++
 			v.Busy += busy
 		}
 	}
-	a.stand.Each(time.Since(a.start), func(i accession.Instance, left time.Duration) {
+	a.stand.Each(time.Since(a.start), func(i upstream.Instance, left time.Duration) {
 		if i.Service != p.Service || i.Draining {
 			return
 		}
@@ -116,7 +116,7 @@
 // listed counts the versions that the platform lists.
 func (a *Archive) listed() map[string]listedVersions {
 	out := map[string]listedVersions{}
-	a.stand.Each(0, func(i accession.Instance, _ time.Duration) {
+	a.stand.Each(0, func(i upstream.Instance, _ time.Duration) {
 		l := out[i.Service]
 		if l.of == nil {
 			l.of = map[string]int{}
@@ -125,7 +125,7 @@
 		out[i.Service] = l
 	})
 	for s, l := range out {
-		l.version = accession.MostFrequent(l.of)
+		l.version = upstream.MostFrequent(l.of)
 		out[s] = l
 	}
 	return out
@@ -139,10 +139,10 @@
 		return
 	}
 	known := a.versions
-	o := order{Key: catalogue.Key, Adopt: map[string]rollout.Standing{}, Saw: map[string]uint64{}}
+	o := order{Key: config.Key, Adopt: map[string]rollout.Standing{}, Saw: map[string]uint64{}}
 	for service, l := range a.listed() {
 		v := known[service]
-		if v.Active() != nil || l.of[v.Serves()] > 0 || !catalogue.HasService(a.shown.Records, service) {
+		if v.Active() != nil || l.of[v.Serves()] > 0 || !config.HasService(a.shown.Records, service) {
 			continue
 		}
 		s := rollout.Standing{Version: l.version}
@@ -169,7 +169,7 @@
 // render lays out the records of a key for the operator.
 func render(key string, records map[string]replication.Record) []byte {
 	if !strings.HasPrefix(key, rollout.Prefix) {
-		return catalogue.Render(records)
+		return config.Render(records)
 	}
 	p, ok := rollout.Read(records[key])
 	if !ok {
@@ -181,7 +181,7 @@
 
 // rollouts serves the calls for rollouts.
 func (a *Archive) rollouts(r *http.Request, service string) ([]byte, error) {
-	wrong := errata.New(errata.WrongMethod, "%s on %s", r.Method, r.URL.Path)
+	wrong := apierror.New(apierror.WrongMethod, "%s on %s", r.Method, r.URL.Path)
 	if service == "" {
 		if r.Method != http.MethodPost {
 			return nil, wrong
@@ -213,7 +213,7 @@
 	case http.MethodGet:
 		body, err := a.submit(order{Key: rollout.Key(service), Read: true})
 		if err == nil && body == nil {
-			err = errata.New(errata.NoRollout, "%s", service)
+			err = apierror.New(apierror.NoRollout, "%s", service)
 		}
 		return body, err
 	case http.MethodDelete:
@@ -227,7 +227,7 @@
 // owner of the catalogue before it says no.
 func (a *Archive) hasService(name string) error {
 	has := make(chan bool, 1)
-	a.do(func(time.Duration) { has <- catalogue.HasService(a.shown.Records, name) })
+	a.do(func(time.Duration) { has <- config.HasService(a.shown.Records, name) })
 	if <-has {
 		return nil
 	}
@@ -242,7 +242,7 @@
 }
 
 func stood(have map[string]replication.Record, service string) []byte {
-	s := standing{Has: catalogue.HasService(have, service)}
+	s := standing{Has: config.HasService(have, service)}
 	s.Stood, _ = rollout.ReadStanding(have[rollout.StandingPrefix+service])
 	b, err := cbor.Marshal(s)
 	if err != nil {
@@ -254,7 +254,7 @@
 // service asks the owner of the catalogue for a service, and for its version that
 // stands there.
 func (a *Archive) service(name string) (rollout.Standing, error) {
-	body, err := a.submit(order{Key: catalogue.Key, Service: name})
+	body, err := a.submit(order{Key: config.Key, Service: name})
 	if err != nil {
 		return rollout.Standing{}, err
 	}
@@ -263,7 +263,7 @@
 		return rollout.Standing{}, err
 	}
 	if !s.Has {
-		return rollout.Standing{}, errata.New(errata.UnknownService, "%q", name)
+		return rollout.Standing{}, apierror.New(apierror.UnknownService, "%q", name)
 	}
 	return s.Stood, nil
 }
@@ -324,7 +324,7 @@
 	}
 	body, err := a.submit(order{Key: rollout.Key(service), Show: true})
 	if err == nil && body == nil {
-		err = errata.New(errata.NoRollout, "%s", service)
+		err = apierror.New(apierror.NoRollout, "%s", service)
 	}
 	return body, err
 }
--- a/internal/archive/rollout_test.go
+++ b/internal/controlplane/rollout_test.go
@@ -1,4 +1,4 @@
-package archive_test
+package controlplane_test
 
 import (
 	"fmt"
--- a/internal/archive/settings_test.go
+++ b/internal/controlplane/settings_test.go
@@ -1,4 +1,4 @@
-package archive_test
+package controlplane_test
 
 // limitsAndBounds is the part of the settings that all systems in these tests share; more
 // bounds may follow it.
--- a/internal/archive/summary.go
+++ b/internal/controlplane/summary.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"cmp"
@@ -6,8 +6,8 @@
 	"slices"
 	"strconv"
 
-	"madderwing/internal/accession"
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
+	"madderwing/internal/upstream"
 )
 
 // Count is how many nodes or upstreams are alike.
@@ -82,7 +82,7 @@
 }
 
 // Standing is an upstream's state in one word.
-func Standing(u accession.Instance) string {
+func Standing(u upstream.Instance) string {
 	switch {
 	case u.Draining:
 		return "draining"
@@ -97,7 +97,7 @@
 	for name := range q {
 		field, ok := fields[name]
 		if !ok {
-			return nil, errata.New(errata.BadQuestion, "no filter %q here", name)
+			return nil, apierror.New(apierror.BadQuestion, "no filter %q here", name)
 		}
 		list = slices.DeleteFunc(slices.Clone(list), func(v T) bool { return !slices.Contains(q[name], field(v)) })
 	}
@@ -115,9 +115,9 @@
 			"plane": func(m Member) string { return m.Plane },
 			"state": Member.Standing})
 	case "upstreams":
-		return filter(o.Upstreams, q, map[string]func(accession.Instance) string{
-			"zone":   func(u accession.Instance) string { return u.Zone },
-			"target": func(u accession.Instance) string { return u.Service },
+		return filter(o.Upstreams, q, map[string]func(upstream.Instance) string{
+			"zone":   func(u upstream.Instance) string { return u.Zone },
+			"target": func(u upstream.Instance) string { return u.Service },
 			"state":  Standing})
 	case "delivery":
 		return filter(o.Delivery, q, map[string]func(Delivery) string{
@@ -134,5 +134,5 @@
 	if v, ok := views[page]; ok {
 		return v, nil
 	}
-	return nil, errata.New(errata.UnknownPage, "no view %q", page)
+	return nil, apierror.New(apierror.UnknownPage, "no view %q", page)
 }
--- a/internal/archive/summary_test.go
+++ b/internal/controlplane/summary_test.go
@@ -1,4 +1,4 @@
-package archive
+package controlplane
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"reflect"
 	"testing"
 
-	"madderwing/internal/accession"
+	"madderwing/internal/upstream"
 )
 
 func TestSummaryAndFiltersOfManyNodes(t *testing.T) {
@@ -18,7 +18,7 @@
 		}
 		o.Members = append(o.Members, m)
 		o.Delivery = append(o.Delivery, Delivery{m.Name, m.Zone, true, i >= 30})
-		o.Upstreams = append(o.Upstreams, accession.Instance{ID: m.Name, Service: "a", Zone: m.Zone, Draining: i == 0})
+		o.Upstreams = append(o.Upstreams, upstream.Instance{ID: m.Name, Service: "a", Zone: m.Zone, Draining: i == 0})
 	}
 	s := o.Summary()
 	want := []Count{{"desk", "z0", "alive", 100}, {"desk", "z1", "alive", 99}, {"desk", "z1", "draining", 1},
--- a/internal/archive/whole_test.go
+++ b/internal/controlplane/whole_test.go
@@ -1,4 +1,4 @@
-package archive_test
+package controlplane_test
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/archive"
-	"madderwing/internal/charter"
-	"madderwing/internal/desk"
+	"madderwing/internal/controlplane"
+	"madderwing/internal/gateway"
+	"madderwing/internal/settings"
 )
 
 // free finds n ports in a row, below those that the system hands out by itself.
@@ -91,7 +91,7 @@
 [cloudApi]
 address = %q
 `, base, base+1, control, t.TempDir(), ingress, front, ready, control, registry, strings.TrimPrefix(platform.URL, "http://"))
-	set, err := charter.Parse([]byte(text))
+	set, err := settings.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -101,9 +101,9 @@
 	s.leaveDesk = leaveDesk
 	archiveDone := make(chan error, 1)
 	go func() {
-		archiveDone <- archive.Run(actx, set, archive.Options{Shards: 1, Relist: time.Minute}, nil)
+		archiveDone <- controlplane.Run(actx, set, controlplane.Options{Shards: 1, Relist: time.Minute}, nil)
 	}()
-	go func() { s.deskDone <- desk.Run(dctx, set, desk.Options{Shards: 1}, nil) }()
+	go func() { s.deskDone <- gateway.Run(dctx, set, gateway.Options{Shards: 1}, nil) }()
 	t.Cleanup(func() {
 		leaveDesk()
 		leaveArchive()
--- a/internal/feed/feed.go
+++ b/internal/delivery/delivery.go
@@ -1,17 +1,17 @@
-// Package feed brings the newest items and the list of upstreams from the
+// Package delivery brings the newest items and the list of upstreams from the
 // archives to the desks. A desk tells an archive again and again what it has;
 // the archive sends what is missing, at once when something changes. Nothing
 // has to be remembered for the two to agree in the end.
-package feed
+package delivery
 
 import (
 	"sort"
 	"time"
 
-	"madderwing/internal/accession"
 	"madderwing/internal/antientropy"
-	"madderwing/internal/register"
+	"madderwing/internal/membership"
 	"madderwing/internal/rendezvous"
+	"madderwing/internal/upstream"
 )
 
 // Kinds of message.
@@ -34,7 +34,7 @@
 // Watch is what a node says that it has.
 type Watch struct {
 	Sums    *antientropy.Sums `cbor:"1,keyasint,omitempty"` // nil: only the list is wanted
-	Listing accession.Version `cbor:"2,keyasint"`
+	Listing upstream.Version  `cbor:"2,keyasint"`
 	// Zone and Load are the sender's zone and requests under way by service. A
 	// desk tells them to one archive only.
 	Zone string             `cbor:"3,keyasint,omitempty"`
@@ -51,18 +51,18 @@
 // Told is what archives tell each other of those who watch them: loads by zone,
 // and the digest of the items that each desk has in force.
 type Told struct {
-	Loads accession.Loads   `cbor:"1,keyasint,omitempty"`
+	Loads upstream.Loads    `cbor:"1,keyasint,omitempty"`
 	Holds map[string]uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Issue is what an archive sends.
 type Issue struct {
 	Records []antientropy.Record `cbor:"1,keyasint,omitempty"`
-	Listing *accession.Listing   `cbor:"2,keyasint,omitempty"`
+	Listing *upstream.Listing    `cbor:"2,keyasint,omitempty"`
 	// Fresh says that a majority has lately stood behind all that the archive shows.
 	Fresh bool `cbor:"3,keyasint,omitempty"`
 	// Loads are those of all zones, as far as the archive knows.
-	Loads accession.Loads `cbor:"4,keyasint,omitempty"`
+	Loads upstream.Loads `cbor:"4,keyasint,omitempty"`
 	// Sure answers Asked, if the items brought or named by the question's digests
 	// are all that the archive holds and it knows how old that is.
 	Sure *Sure `cbor:"5,keyasint,omitempty"`
@@ -166,14 +166,14 @@
 
 // Told sums up what the watchers have told.
 func (w *Watchers) Told(now time.Duration) Told {
-	out := Told{accession.Loads{}, map[string]uint64{}}
+	out := Told{upstream.Loads{}, map[string]uint64{}}
 	for id, x := range w.all {
 		if now-x.seen > w.Forget || x.watch.Sums == nil {
 			continue
 		}
 		out.Holds[id] = x.holds
 		if x.watch.Zone != "" {
-			out.Loads.Add(accession.Loads{x.watch.Zone: x.watch.Load})
+			out.Loads.Add(upstream.Loads{x.watch.Zone: x.watch.Load})
 		}
 	}
 	return out
@@ -258,7 +258,7 @@
 }
 
 // Choose names the archives to watch now.
-func (s *Sources) Choose(now time.Duration, archives []register.Node) []string {
+func (s *Sources) Choose(now time.Duration, archives []membership.Node) []string {
 	s.init()
 	var left []string
 	for _, a := range s.current {
--- a/internal/feed/feed_test.go
+++ b/internal/delivery/delivery_test.go
@@ -1,4 +1,4 @@
-package feed
+package delivery
 
 import (
 	"strings"
@@ -6,7 +6,7 @@
 	"time"
 
 	"madderwing/internal/antientropy"
-	"madderwing/internal/register"
+	"madderwing/internal/membership"
 )
 
 // TestSourcesThatHaveLostTheMajorityAreLeft plays a desk that asks once a beat and gets
@@ -15,7 +15,7 @@
 // contactS.
 func TestSourcesThatHaveLostTheMajorityAreLeft(t *testing.T) {
 	const beat, contactS = time.Second, 6
-	archives := []register.Node{{Address: "n1", Zone: "n"}, {Address: "n2", Zone: "n"}, {Address: "s1", Zone: "s"}, {Address: "e1", Zone: "e"}}
+	archives := []membership.Node{{Address: "n1", Zone: "n"}, {Address: "n2", Zone: "n"}, {Address: "s1", Zone: "s"}, {Address: "e1", Zone: "e"}}
 	always := func(int) bool { return true }
 	from10 := func(b int) bool { return b >= 10 }
 	type state struct {
--- a/internal/feed/pack_test.go
+++ b/internal/delivery/pack_test.go
@@ -1,4 +1,4 @@
-package feed
+package delivery
 
 import (
 	"fmt"
--- a/internal/rota/rota.go
+++ b/internal/election/election.go
@@ -1,8 +1,8 @@
-// Package rota gives each duty to one archive. A duty that falls vacant is won
+// Package election gives each duty to one archive. A duty that falls vacant is won
 // by a round of ballots; its holder keeps it while a majority goes on voting
 // for it. Two holders at once do no harm to what is kept, only to cost: the
 // results of a duty are guarded by what they are written to.
-package rota
+package election
 
 import (
 	"sort"
--- a/internal/rota/rota_test.go
+++ b/internal/election/election_test.go
@@ -1,4 +1,4 @@
-package rota
+package election
 
 import (
 	"fmt"
--- a/internal/desk/desk.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,6 @@
-// Package desk is the data plane: it puts together the feed of items and
+// Package gateway is the data plane: it puts together the feed of items and
 // upstreams, the stock of upstreams, and the front that serves clients.
-package desk
+package gateway
 
 import (
 	"bytes"
@@ -12,16 +12,16 @@
 	"sync/atomic"
 	"time"
 
-	"madderwing/internal/accession"
 	"madderwing/internal/antientropy"
-	"madderwing/internal/catalogue"
-	"madderwing/internal/charter"
-	"madderwing/internal/circulation"
-	"madderwing/internal/feed"
-	"madderwing/internal/register"
+	"madderwing/internal/config"
+	"madderwing/internal/delivery"
+	"madderwing/internal/membership"
+	"madderwing/internal/metrics"
+	"madderwing/internal/proxy"
 	"madderwing/internal/rollout"
-	"madderwing/internal/tally"
+	"madderwing/internal/settings"
 	"madderwing/internal/transport"
+	"madderwing/internal/upstream"
 )
 
 // Options are what the command line adds to the settings.
@@ -37,32 +37,32 @@
 
 // Desk is one data-plane process.
 type Desk struct {
-	set   *charter.Settings
+	set   *settings.Settings
 	opt   Options
 	post  *transport.Mesh
-	reg   *register.Service
-	floor *circulation.Floor
-	front *circulation.Front
+	reg   *membership.Service
+	floor *proxy.Floor
+	front *proxy.Front
 	arms  *rollout.Arms
-	door  *circulation.Door
+	door  *proxy.Door
 	log   *log.Logger
 
 	// Owned by the reader's goroutine.
 	commands chan func(now time.Duration)
 	start    time.Time
 	items    *antientropy.Set
-	builder  catalogue.Builder
-	stand    accession.Stand
-	sources  feed.Sources
+	builder  config.Builder
+	stand    upstream.Stand
+	sources  delivery.Sources
 	shard    int
 	load     map[string]float64
-	nodes    *register.List // not yet acted on; nil: none
-	nodesAt  time.Duration  // when a list was last acted on
+	nodes    *membership.List // not yet acted on; nil: none
+	nodesAt  time.Duration    // when a list was last acted on
 	ready    *readiness
 	first    atomic.Value // the archive that is watched first
 	scoring  atomic.Bool
 
-	// Where clients ask a registry; see charter.Settings.Global.
+	// Where clients ask a registry; see settings.Settings.Global.
 	lease atomic.Int64  // until when keys may be relied on
 	epoch time.Duration // added to this life's clock where that is told to others
 	draws draws
@@ -73,48 +73,48 @@
 }
 
 // Run serves until ctx ends, then leaves in order.
-func Run(ctx context.Context, set *charter.Settings, opt Options, reload <-chan *charter.Settings) error {
+func Run(ctx context.Context, set *settings.Settings, opt Options, reload <-chan *settings.Settings) error {
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	beat := set.Beat()
 	d := &Desk{set: set, opt: opt, log: logger("desk"), commands: make(chan func(time.Duration), 256), start: time.Now(),
 		items: antientropy.NewSet(), shard: -1, epoch: newEpoch()}
-	patience := charter.Seconds(set.Bounds.ContactS / 10)
+	patience := settings.Seconds(set.Bounds.ContactS / 10)
 	post, err := transport.New(set.DeskAddress(set.IP), beat, logger("transport"))
 	if err != nil {
 		return err
 	}
 	d.post = post
-	lag := charter.Seconds(set.CloudAPI.MaxLagS + set.Bounds.DrainS*0.4)
+	lag := settings.Seconds(set.CloudAPI.MaxLagS + set.Bounds.DrainS*0.4)
 	var region func(string) string
 	if set.Global() {
 		region = set.RegionOf
 	}
-	stock := accession.NewStock(accession.Config{Self: post.Self(), Zone: set.Zone, Region: region,
-		RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, Window: charter.Seconds(set.Bounds.RetryWindowS),
+	stock := upstream.NewStock(upstream.Config{Self: post.Self(), Zone: set.Zone, Region: region,
+		RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, Window: settings.Seconds(set.Bounds.RetryWindowS),
 		Eject: patience, EjectMax: 8 * patience, Lag: lag, Calm: beat})
-	d.floor = circulation.NewFloorAt(d.start, stock, patience, patience/6)
-	d.arms = rollout.NewArms(post.Self(), charter.Seconds(set.Rollback()*silencePart), func() time.Duration { return time.Since(d.start) })
-	d.front = circulation.NewFront(d.floor, d.arms, logger("circulation"))
+	d.floor = proxy.NewFloorAt(d.start, stock, patience, patience/6)
+	d.arms = rollout.NewArms(post.Self(), settings.Seconds(set.Rollback()*silencePart), func() time.Duration { return time.Since(d.start) })
+	d.front = proxy.NewFront(d.floor, d.arms, logger("circulation"))
 	if rate := opt.Pace * set.Limits.LinkMbps * 1e6 / 8; rate > 0 {
-		d.front.Pace = circulation.NewPace(rate)
+		d.front.Pace = proxy.NewPace(rate)
 	}
 	d.ready = newReadiness(d.front.Confirmed)
 	if set.Global() {
 		d.serveTenants()
 	}
-	d.door, err = circulation.NewDoor(set.Bind.Front, int(float64(set.Limits.MaxFds)*(1-keepFds)), d.front, logger("circulation"))
+	d.door, err = proxy.NewDoor(set.Bind.Front, int(float64(set.Limits.MaxFds)*(1-keepFds)), d.front, logger("circulation"))
 	if err != nil {
 		return err
 	}
-	d.sources = feed.Sources{Self: post.Self(), Zone: set.Zone, Region: region, Seeds: set.SeedArchives(), Patience: 3 * beat}
-	me := register.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: register.Data}
-	d.reg = register.NewService(register.Config{Self: me, Seeds: set.SeedArchives(), Beat: beat, Forget: 40 * beat},
+	d.sources = delivery.Sources{Self: post.Self(), Zone: set.Zone, Region: region, Seeds: set.SeedArchives(), Patience: 3 * beat}
+	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Data}
+	d.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedArchives(), Beat: beat, Forget: 40 * beat},
 		post, logger("register"), d.nodesChanged)
-	transport.On(post, feed.IssueKind, func(from string, i feed.Issue) {
+	transport.On(post, delivery.IssueKind, func(from string, i delivery.Issue) {
 		d.commands <- func(now time.Duration) { d.take(now, from, i) }
 	})
 	if set.Global() {
-		transport.On(post, feed.DrawnKind, d.drawn)
+		transport.On(post, delivery.DrawnKind, d.drawn)
 	}
 	post.Start()
 	go d.floor.Run()
@@ -123,8 +123,8 @@
 	go d.read(beat, stop)
 
 	failed := make(chan error, 2)
-	ready := &http.Server{Addr: set.Bind.Readiness, Handler: d.pages(), ReadHeaderTimeout: charter.Seconds(set.Bounds.ContactS),
-		IdleTimeout: charter.Seconds(4 * set.Bounds.ContactS)}
+	ready := &http.Server{Addr: set.Bind.Readiness, Handler: d.pages(), ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
+		IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS)}
 	go func() { failed <- ready.ListenAndServe() }()
 	go func() { failed <- d.door.Serve() }()
 	d.log.Printf("%s in %s is up.", set.Node, set.Zone)
@@ -143,7 +143,7 @@
 			d.reg.Leave(false)
 			// Until the platform has been told often enough to believe it, new
 			// connections go on to arrive; a few are still under way then.
-			began, grace := time.Now(), charter.Seconds(set.Bounds.GraceS)
+			began, grace := time.Now(), settings.Seconds(set.Bounds.GraceS)
 			believed := d.ready.believed
 			if set.Global() {
 				believed = nil // a registry's answers are used for longer
@@ -170,7 +170,7 @@
 // nodesChanged runs on the register's goroutine. When many nodes come or go at
 // once, their news arrive in many small parts; what follows from them is worked out
 // no more than twice a beat.
-func (d *Desk) nodesChanged(l *register.List) {
+func (d *Desk) nodesChanged(l *membership.List) {
 	d.commands <- func(now time.Duration) {
 		waiting := d.nodes != nil
 		d.nodes = l
@@ -194,13 +194,13 @@
 		d.shard = n
 		d.front.SetShard(n)
 	}
-	var desks []register.Node
-	for _, n := range l.Live(register.Data) {
+	var desks []membership.Node
+	for _, n := range l.Live(membership.Data) {
 		if !n.Draining || n.Address == d.post.Self() {
 			desks = append(desks, n)
 		}
 	}
-	d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetDesks(now, desks, labels) })
+	d.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetDesks(now, desks, labels) })
 }
 
 // read owns the items: it tells the archives what it has and takes what they
@@ -212,7 +212,7 @@
 	hurried, opened := true, false
 	watch := func(now time.Duration, only string) {
 		sums := d.items.Sums
-		sources := d.sources.Choose(now, d.reg.List().Live(register.Control))
+		sources := d.sources.Choose(now, d.reg.List().Live(membership.Control))
 		if d.set.Global() {
 			d.draws.mu.Lock()
 			d.draws.at = [2]string{}
@@ -226,16 +226,16 @@
 			if only != "" && a != only {
 				continue
 			}
-			w := feed.Watch{Sums: &sums, Listing: d.stand.Version, Second: i > 0, Packs: true}
+			w := delivery.Watch{Sums: &sums, Listing: d.stand.Version, Second: i > 0, Packs: true}
 			if d.set.Global() || !d.ready.current.Load() {
 				w.Asked = d.epoch + max(now, 1)
 			}
 			if i == 0 {
 				w.Zone, w.Load = d.set.Zone, d.load
 			}
-			d.post.Send(a, feed.WatchKind, w)
+			d.post.Send(a, delivery.WatchKind, w)
 		}
-		d.floor.Do(func(_ time.Duration, s *accession.Stock) {
+		d.floor.Do(func(_ time.Duration, s *upstream.Stock) {
 			load := s.Loads()
 			select {
 			case d.commands <- func(time.Duration) { d.load = load }:
@@ -275,7 +275,7 @@
 	}
 }
 
-func (d *Desk) take(now time.Duration, from string, i feed.Issue) {
+func (d *Desk) take(now time.Duration, from string, i delivery.Issue) {
 	d.sources.Heard(now, from, i.Fresh)
 	d.first.Store(d.sources.First())
 	if i.Led {
@@ -283,7 +283,7 @@
 	}
 	merged := d.items.Merge(i.Records)
 	for _, b := range i.Packs {
-		records, err := feed.Unpack(b)
+		records, err := delivery.Unpack(b)
 		if err != nil {
 			d.log.Printf("%s from %s.", err, from)
 			continue
@@ -299,14 +299,14 @@
 	if d.set.Global() {
 		d.confirm(now, i)
 	}
-	d.ready.heard(now, d.dated(now, i), charter.Seconds(d.set.Bounds.ContactS))
+	d.ready.heard(now, d.dated(now, i), settings.Seconds(d.set.Bounds.ContactS))
 	if len(i.Loads) > 0 && d.sources.First() == from {
-		d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetLoads(now, i.Loads) })
+		d.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetLoads(now, i.Loads) })
 	}
 	if i.Listing != nil && d.stand.Take(now, *i.Listing) {
 		list := d.stand.All(now)
 		d.log.Printf("list %d.%d has %d upstreams.", d.stand.Version.Term, d.stand.Version.Seq, len(list))
-		d.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetList(now, list) })
+		d.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetList(now, list) })
 		d.ready.listed.Store(true)
 	}
 }
@@ -314,24 +314,24 @@
 // apply puts the items that are known now in force.
 func (d *Desk) apply() {
 	t := d.builder.Build(d.items.Records)
-	infos := map[string]accession.ServiceInfo{}
+	infos := map[string]upstream.ServiceInfo{}
 	for name, s := range t.Services {
-		infos[name] = accession.ServiceInfo{MaxConns: s.MaxConns, HealthPath: s.HealthPath, WarmupS: s.WarmupS, WarmupPerS: s.WarmupPerS}
+		infos[name] = upstream.ServiceInfo{MaxConns: s.MaxConns, HealthPath: s.HealthPath, WarmupS: s.WarmupS, WarmupPerS: s.WarmupPerS}
 	}
 	evacuated := map[string]bool{}
 	for z := range t.Evacuated {
 		evacuated[z] = true
 	}
 	bound := t.Placements()
-	versions := map[string]accession.Versions{}
+	versions := map[string]upstream.Versions{}
 	for name, v := range t.Versions {
-		w := accession.Versions{Stands: v.Serves(), Ordered: v.Ordered()}
+		w := upstream.Versions{Stands: v.Serves(), Ordered: v.Ordered()}
 		if p := v.Active(); p != nil {
 			w.Candidate = p.Candidate
 		}
 		versions[name] = w
 	}
-	d.floor.Do(func(now time.Duration, s *accession.Stock) {
+	d.floor.Do(func(now time.Duration, s *upstream.Stock) {
 		s.SetServices(now, infos, bound)
 		s.SetVersions(now, versions)
 		s.SetEvacuated(now, evacuated)
@@ -359,7 +359,7 @@
 	go func() {
 		for d.arms.Active() {
 			if to, _ := d.first.Load().(string); to != "" {
-				d.post.Send(to, feed.ScoreKind, d.arms.Reports())
+				d.post.Send(to, delivery.ScoreKind, d.arms.Reports())
 			}
 			time.Sleep(d.set.Beat() / scoresABeat)
 		}
@@ -378,8 +378,8 @@
 			}
 		case "/v1/counters":
 			w.Header().Set("Content-Type", "application/json")
-			ch := make(chan []accession.State, 1)
-			d.floor.Do(func(now time.Duration, s *accession.Stock) { ch <- s.States(now) })
+			ch := make(chan []upstream.State, 1)
+			d.floor.Do(func(now time.Duration, s *upstream.Stock) { ch <- s.States(now) })
 			shown := map[string]any{"node": d.set.Node, "counters": d.front.Counters(),
 				"connections": d.door.Open(), "upstreams": <-ch}
 			if d.set.Global() {
@@ -389,8 +389,8 @@
 			_, _ = w.Write(append(b, '\n'))
 		case "/metrics":
 			var b bytes.Buffer
-			tally.Write(&b, "desk", d.front.Counters())
-			tally.Gauge(&b, "desk", "connections", uint64(d.door.Open()))
+			metrics.Write(&b, "desk", d.front.Counters())
+			metrics.Gauge(&b, "desk", "connections", uint64(d.door.Open()))
 			_, _ = w.Write(b.Bytes())
 		default:
 			w.WriteHeader(http.StatusNotFound)
--- a/internal/desk/readiness.go
+++ b/internal/gateway/readiness.go
@@ -1,10 +1,10 @@
-package desk
+package gateway
 
 import (
 	"sync/atomic"
 	"time"
 
-	"madderwing/internal/feed"
+	"madderwing/internal/delivery"
 )
 
 // readiness is whether the platform may send new connections here: the items
@@ -37,7 +37,7 @@
 // archive is in contact with a majority and answers, with all that it has, a question
 // that this desk asked within the time given: an answer that waited while the desk was
 // frozen says nothing of now.
-func (r *readiness) heard(now time.Duration, i feed.Issue, within time.Duration) {
+func (r *readiness) heard(now time.Duration, i delivery.Issue, within time.Duration) {
 	if i.Fresh && i.Sure != nil && now-i.Sure.Asked <= within {
 		r.current.Store(true)
 	}
--- a/internal/desk/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -1,10 +1,10 @@
-package desk
+package gateway
 
 import (
 	"testing"
 	"time"
 
-	"madderwing/internal/feed"
+	"madderwing/internal/delivery"
 )
 
 func TestReadiness(t *testing.T) {
@@ -18,10 +18,10 @@
 	}
 	confirmed := true
 	const now, contactS = 20 * time.Second, 3 * time.Second
-	answer := func(fresh bool, asked time.Duration) feed.Issue {
-		i := feed.Issue{Fresh: fresh}
+	answer := func(fresh bool, asked time.Duration) delivery.Issue {
+		i := delivery.Issue{Fresh: fresh}
 		if asked > 0 {
-			i.Sure = &feed.Sure{Asked: asked}
+			i.Sure = &delivery.Sure{Asked: asked}
 		}
 		return i
 	}
--- a/internal/desk/tenants.go
+++ b/internal/gateway/tenants.go
@@ -1,13 +1,13 @@
-package desk
+package gateway
 
 import (
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"madderwing/internal/errata"
-	"madderwing/internal/feed"
-	"madderwing/internal/readers"
+	"madderwing/internal/apierror"
+	"madderwing/internal/delivery"
+	"madderwing/internal/quota"
 )
 
 // draws is what requests have asked of the branches that lend tenants' quotas.
@@ -22,7 +22,7 @@
 // drawing is a draw that waits for its answer, and the archive that it was sent to.
 type drawing struct {
 	to  string
-	got chan readers.Drawn
+	got chan quota.Drawn
 }
 
 // newDraws makes the draws of one life, numbered from a random start: an archive answers
@@ -40,7 +40,7 @@
 
 // draw draws on a tenant's quota at the nearer archive, or at the other one if the
 // nearer cannot tell or has lately been silent.
-func (d *Desk) draw(tenant string, limit time.Duration) errata.Kind {
+func (d *Desk) draw(tenant string, limit time.Duration) apierror.Kind {
 	w := &d.draws
 	w.mu.Lock()
 	order := w.at
@@ -55,14 +55,14 @@
 		if to == "" {
 			continue
 		}
-		got := make(chan readers.Drawn, 1)
+		got := make(chan quota.Drawn, 1)
 		w.mu.Lock()
 		w.next++
 		seq := w.next
 		w.waiting[seq] = drawing{to, got}
 		w.mu.Unlock()
-		d.post.Send(to, feed.DrawKind, readers.Draw{Seq: seq, Tenant: tenant})
-		var a readers.Drawn
+		d.post.Send(to, delivery.DrawKind, quota.Draw{Seq: seq, Tenant: tenant})
+		var a quota.Drawn
 		late := false
 		select {
 		case a = <-got:
@@ -71,9 +71,9 @@
 		}
 		switch {
 		case a.OK:
-			return errata.Internal
+			return apierror.Internal
 		case !late && !a.Away:
-			return errata.OverQuota
+			return apierror.OverQuota
 		}
 		w.mu.Lock()
 		delete(w.waiting, seq)
@@ -85,11 +85,11 @@
 			break
 		}
 	}
-	return errata.QuotaUnknown
+	return apierror.QuotaUnknown
 }
 
 // drawn takes the answer of the branch that was asked. One that comes too late is lost.
-func (d *Desk) drawn(from string, a readers.Drawn) {
+func (d *Desk) drawn(from string, a quota.Drawn) {
 	d.draws.mu.Lock()
 	defer d.draws.mu.Unlock()
 	if w, ok := d.draws.waiting[a.Seq]; ok && w.to == from {
@@ -103,7 +103,7 @@
 
 // dated turns what an issue says of its age to this life's own clock. An answer to a
 // question of a former life, whose clock was another, says nothing.
-func (d *Desk) dated(now time.Duration, i feed.Issue) feed.Issue {
+func (d *Desk) dated(now time.Duration, i delivery.Issue) delivery.Issue {
 	if i.Sure == nil {
 		return i
 	}
@@ -119,7 +119,7 @@
 // confirm takes what an issue says of its own age. The lease counts from before
 // the question was asked, so however long the answer was on its way, it never
 // lasts longer than it should.
-func (d *Desk) confirm(now time.Duration, i feed.Issue) {
+func (d *Desk) confirm(now time.Duration, i delivery.Issue) {
 	i = d.dated(now, i)
 	if i.Sure == nil {
 		return
--- a/internal/desk/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -1,4 +1,4 @@
-package desk
+package gateway
 
 import (
 	"io"
@@ -8,10 +8,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"madderwing/internal/charter"
-	"madderwing/internal/errata"
-	"madderwing/internal/feed"
-	"madderwing/internal/readers"
+	"madderwing/internal/apierror"
+	"madderwing/internal/delivery"
+	"madderwing/internal/quota"
+	"madderwing/internal/settings"
 	"madderwing/internal/transport"
 )
 
@@ -33,25 +33,25 @@
 		branch := newMesh(t)
 		d := &Desk{post: newMesh(t), draws: newDraws()}
 		d.draws.at = [2]string{branch.Self()}
-		branch.Handle(feed.DrawKind, func(from string, body []byte) (any, error) {
-			var q readers.Draw
+		branch.Handle(delivery.DrawKind, func(from string, body []byte) (any, error) {
+			var q quota.Draw
 			if err := cbor.Unmarshal(body, &q); err != nil {
 				t.Error(err)
 			}
 			for _, seq := range asked { // late, to a life before
-				d.drawn(branch.Self(), readers.Drawn{Seq: seq, OK: true})
+				d.drawn(branch.Self(), quota.Drawn{Seq: seq, OK: true})
 			}
 			asked = append(asked, q.Seq)
-			d.drawn("another:1", readers.Drawn{Seq: q.Seq, OK: true})
-			d.drawn(branch.Self(), readers.Drawn{Seq: q.Seq})
-			d.drawn(branch.Self(), readers.Drawn{Seq: q.Seq, OK: true}) // twice
+			d.drawn("another:1", quota.Drawn{Seq: q.Seq, OK: true})
+			d.drawn(branch.Self(), quota.Drawn{Seq: q.Seq})
+			d.drawn(branch.Self(), quota.Drawn{Seq: q.Seq, OK: true}) // twice
 			return nil, nil
 		})
 		d.post.Start()
 		branch.Start()
 		for range 3 {
-			if kind := d.draw("t", 10*time.Second); kind != errata.OverQuota {
-				t.Errorf("life %d: %v, not refused", life, errata.AnswerFor(kind))
+			if kind := d.draw("t", 10*time.Second); kind != apierror.OverQuota {
+				t.Errorf("life %d: %v, not refused", life, apierror.AnswerFor(kind))
 			}
 		}
 	}
@@ -59,7 +59,7 @@
 
 // A lease on keys comes only of a question of this life that has been asked.
 func TestALeaseComesOfThisLifesQuestions(t *testing.T) {
-	set := &charter.Settings{Bounds: charter.Bounds{RevokeS: 10}}
+	set := &settings.Settings{Bounds: settings.Bounds{RevokeS: 10}}
 	const now = 2 * time.Second
 	for _, c := range []struct {
 		name  string
@@ -73,7 +73,7 @@
 		{"not yet", func(d, _ *Desk) time.Duration { return d.epoch + now + time.Second }, false},
 	} {
 		d, former := &Desk{set: set, epoch: newEpoch()}, &Desk{set: set, epoch: newEpoch()}
-		d.confirm(now, feed.Issue{Sure: &feed.Sure{Asked: c.asked(d, former)}})
+		d.confirm(now, delivery.Issue{Sure: &delivery.Sure{Asked: c.asked(d, former)}})
 		want := int64(0)
 		if c.takes {
 			want = int64(now - time.Second + set.KeyLease())
--- a/internal/hollow/main.go
+++ b/internal/hollow/main.go
@@ -24,9 +24,9 @@
 	"syscall"
 	"time"
 
-	"madderwing/internal/archive"
-	"madderwing/internal/charter"
-	"madderwing/internal/desk"
+	"madderwing/internal/controlplane"
+	"madderwing/internal/gateway"
+	"madderwing/internal/settings"
 )
 
 type plan struct {
@@ -73,7 +73,7 @@
 func archiveIP(i int) string { return fmt.Sprintf("127.1.%d.1", i) }
 func deskIP(i int) string    { return fmt.Sprintf("127.2.%d.%d", i/200, 1+i%200) }
 
-func (p *plan) settings(ip, zone, node, data string) *charter.Settings {
+func (p *plan) settings(ip, zone, node, data string) *settings.Settings {
 	var seeds []string
 	for i := range min(3, p.archives) {
 		seeds = append(seeds, strconv.Quote(archiveIP(i)+":18146"))
@@ -117,7 +117,7 @@
 ratePerS = 480.0
 maxLagS = 0.8
 `, node, ip, zone, strings.Join(seeds, ", "), data, zones.String(), ip, ip, ip, listAddress)
-	set, err := charter.Parse([]byte(text))
+	set, err := settings.Parse([]byte(text))
 	if err != nil {
 		log.Fatal(err)
 	}
@@ -130,7 +130,9 @@
 	done := make(chan error, p.archives)
 	for i := range p.archives {
 		set := p.settings(archiveIP(i), p.zone(i), fmt.Sprintf("archive-%d", i), fmt.Sprintf("%s/%d", data, i))
-		go func() { done <- archive.Run(ctx, set, archive.Options{Shards: 2, Relist: 30 * time.Second}, nil) }()
+		go func() {
+			done <- controlplane.Run(ctx, set, controlplane.Options{Shards: 2, Relist: 30 * time.Second}, nil)
+		}()
 	}
 	for range p.archives {
 		if err := <-done; err != nil {
@@ -145,7 +147,7 @@
 func (p *plan) runDesks(from, to int) {
 	for i := from; i < to; i++ {
 		set := p.settings(deskIP(i), p.zone(i), fmt.Sprintf("desk-%d", i), "")
-		go func() { log.Fatal(desk.Run(context.Background(), set, desk.Options{Shards: 2}, nil)) }()
+		go func() { log.Fatal(gateway.Run(context.Background(), set, gateway.Options{Shards: 2}, nil)) }()
 		if i%20 == 19 {
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -259,7 +261,7 @@
 // behind counts the desks without the newest items; -1: not known.
 func behind() int {
 	text, err := call(http.MethodGet, "/v1/admin/delivery?current=false", nil)
-	var list []archive.Delivery
+	var list []controlplane.Delivery
 	if err != nil || json.Unmarshal(text, &list) != nil {
 		return -1
 	}
@@ -312,7 +314,7 @@
 	for calm := 0; calm < 5 && time.Since(begin) < 4*time.Minute; calm++ {
 		time.Sleep(time.Second)
 		if text, err := call(http.MethodGet, "/v1/admin/summary", nil); err == nil {
-			var s archive.Summary
+			var s controlplane.Summary
 			if json.Unmarshal(text, &s) != nil || s.Desks != p.desks || s.Behind > 0 {
 				calm = -1
 			}
--- a/internal/knownred/main.go
+++ b/internal/knownfailures/main.go
@@ -18,7 +18,7 @@
 const most = 3
 
 // entry is one line of a list: test, cause, issue. A test is named by its package and
-// name, with a dot between, as in internal/feed.TestX.
+// name, with a dot between, as in internal/delivery.TestX.
 type entry struct{ test, cause, issue string }
 
 func readList(r io.Reader) (list []entry, err error) {
--- a/internal/register/roll.go
+++ b/internal/membership/roll.go
@@ -1,7 +1,7 @@
-// Package register knows the system's nodes. Each node watches the few others
+// Package membership knows the system's nodes. Each node watches the few others
 // that rendezvous hashing names for it; what it learns spreads on the back of
 // the watching. Roll is the state machine; Service drives it.
-package register
+package membership
 
 import (
 	"math/bits"
--- a/internal/register/service_test.go
+++ b/internal/membership/service_test.go
@@ -1,4 +1,4 @@
-package register
+package membership
 
 import (
 	"io"
--- a/internal/tally/tally.go
+++ b/internal/metrics/metrics.go
@@ -1,6 +1,6 @@
-// Package tally writes counters in the text form that monitoring systems scrape.
+// Package metrics writes counters in the text form that monitoring systems scrape.
 // There is one line for each counter and no label with values without bound.
-package tally
+package metrics
 
 import (
 	"bytes"
--- a/internal/shelving/shelving.go
+++ b/internal/placement/placement.go
@@ -1,16 +1,16 @@
-// Package shelving places routes on shards of desks, after "Router Sharding
+// Package placement places routes on shards of desks, after "Router Sharding
 // (OpenShift Origin design proposal)": a scheduler watches for routes that are
 // not scheduled and relists them, hands each to a strategy, and creates a
 // binding; the binding's create path is the only writer of a route's status.
-package shelving
+package placement
 
 import (
 	"errors"
 	"sort"
 	"time"
 
-	"madderwing/internal/catalogue"
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
 )
 
 // Shard is a label on desks.
@@ -22,7 +22,7 @@
 
 // Strategy picks a shard for a route. Any error is taken to be transient.
 type Strategy interface {
-	Schedule(route *catalogue.Route, shards []Shard) (Shard, error)
+	Schedule(route *config.Route, shards []Shard) (Shard, error)
 }
 
 // ErrNoShard says that no shard has a working desk.
@@ -32,7 +32,7 @@
 type RoundRobin struct{ next int }
 
 // Schedule picks the next shard that has working desks.
-func (s *RoundRobin) Schedule(_ *catalogue.Route, shards []Shard) (Shard, error) {
+func (s *RoundRobin) Schedule(_ *config.Route, shards []Shard) (Shard, error) {
 	for range shards {
 		shard := shards[s.next%len(shards)]
 		s.next++
@@ -46,8 +46,8 @@
 // Order is a binding that is to be created, on the condition that the route is
 // still at the revision that the scheduler saw.
 type Order struct {
-	Binding catalogue.RouteBinding `cbor:"1,keyasint"`
-	SawRev  uint64                 `cbor:"2,keyasint"`
+	Binding config.RouteBinding `cbor:"1,keyasint"`
+	SawRev  uint64              `cbor:"2,keyasint"`
 }
 
 // Create carries orders to the owner of the catalogue. done gets an error for
@@ -76,8 +76,8 @@
 
 // Unscheduled says whether a route needs a binding: it is new, or its shard
 // has lost its desks while another has some.
-func Unscheduled(r *catalogue.Route, shards []Shard) bool {
-	if r.Status.Phase != catalogue.PhaseScheduled {
+func Unscheduled(r *config.Route, shards []Shard) bool {
+	if r.Status.Phase != config.PhaseScheduled {
 		return true
 	}
 	others := false
@@ -95,7 +95,7 @@
 
 // Reconcile looks at the routes after a change, or at all of them when a
 // relist is due. again is called when it should be called once more.
-func (s *Scheduler) Reconcile(now time.Duration, routes []*catalogue.Route, shards []Shard, again func()) {
+func (s *Scheduler) Reconcile(now time.Duration, routes []*config.Route, shards []Shard, again func()) {
 	if s.notUntil == nil {
 		s.notUntil, s.seen = map[string]time.Duration{}, map[string]uint64{}
 	}
@@ -133,7 +133,7 @@
 			s.notUntil[r.Name] = now + s.Pause
 			continue
 		}
-		batch = append(batch, Order{catalogue.RouteBinding{Route: r.Name, Shard: shard.Label}, r.Rev})
+		batch = append(batch, Order{config.RouteBinding{Route: r.Name, Shard: shard.Label}, r.Rev})
 	}
 	if !s.more {
 		for name := range s.notUntil {
@@ -157,7 +157,7 @@
 			case errs[i] == nil:
 				s.Bound++
 				s.seen[name] = o.SawRev + 1
-			case errata.KindOf(errs[i]) == errata.Conflict:
+			case apierror.KindOf(errs[i]) == apierror.Conflict:
 				s.Errors++ // another has bound or changed it; the watch will tell
 			default:
 				s.Errors++
--- a/internal/shelving/shelving_test.go
+++ b/internal/placement/placement_test.go
@@ -1,4 +1,4 @@
-package shelving
+package placement
 
 import (
 	"errors"
@@ -6,18 +6,18 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/catalogue"
+	"madderwing/internal/config"
 )
 
 // shelf stands in for the catalogue and its owner.
 type shelf struct {
-	have map[string]catalogue.Record
+	have map[string]config.Record
 	fail error
 	made int
 }
 
 func newShelf(t *testing.T, routes int) *shelf {
-	s := &shelf{have: map[string]catalogue.Record{}}
+	s := &shelf{have: map[string]config.Record{}}
 	body := `{"upsert":{"services":[{"name":"a","generation":1}],"domains":[{"authority":"h","hostRoutes":[`
 	for i := 0; i < routes; i++ {
 		if i > 0 {
@@ -25,11 +25,11 @@
 		}
 		body += fmt.Sprintf(`{"name":"r%d","pathPrefix":"/%d/","routeKind":"mutating","deadlineS":1,"target":"a","generation":1}`, i, i)
 	}
-	c, err := catalogue.Read([]byte(body + `]}]}}`))
+	c, err := config.Read([]byte(body + `]}]}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
-	changes, err := c.Apply(s.have, &catalogue.Reader{})
+	changes, err := c.Apply(s.have, &config.Reader{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -37,7 +37,7 @@
 	return s
 }
 
-func (s *shelf) put(changes []catalogue.Record) {
+func (s *shelf) put(changes []config.Record) {
 	for _, r := range changes {
 		s.have[r.Name] = r
 	}
@@ -48,8 +48,8 @@
 	for i, o := range orders {
 		errs[i] = s.fail
 		if s.fail == nil {
-			var changes []catalogue.Record
-			if changes, errs[i] = catalogue.Bind(s.have, o.Binding, o.SawRev); errs[i] == nil {
+			var changes []config.Record
+			if changes, errs[i] = config.Bind(s.have, o.Binding, o.SawRev); errs[i] == nil {
 				s.put(changes)
 				s.made++
 			}
@@ -60,8 +60,8 @@
 
 func (s *shelf) counts() map[int]int {
 	out := map[int]int{}
-	for _, r := range (&catalogue.Reader{}).List(s.have) {
-		if r.Status.Phase == catalogue.PhaseScheduled {
+	for _, r := range (&config.Reader{}).List(s.have) {
+		if r.Status.Phase == config.PhaseScheduled {
 			out[r.Status.Shard]++
 		}
 	}
@@ -73,7 +73,7 @@
 func TestRoundRobinBindsEveryRouteOnce(t *testing.T) {
 	s := newShelf(t, 8)
 	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: 30 * time.Second, Pause: time.Second, Create: s.create}
-	routes := (&catalogue.Reader{}).List(s.have)
+	routes := (&config.Reader{}).List(s.have)
 	sched.Reconcile(0, routes, two, func() {})
 	sched.Reconcile(1, routes, two, func() {}) // the same stale view once more
 	if c := s.counts(); c[0] != 4 || c[1] != 4 || s.made != 8 {
@@ -83,7 +83,7 @@
 
 func TestTwoSchedulersCannotBindOneRouteTwice(t *testing.T) {
 	s := newShelf(t, 6)
-	stale := (&catalogue.Reader{}).List(s.have)
+	stale := (&config.Reader{}).List(s.have)
 	for i := 0; i < 2; i++ {
 		sched := &Scheduler{Strategy: &RoundRobin{next: i}, Relist: time.Minute, Pause: time.Second, Create: s.create}
 		sched.Reconcile(0, stale, two, func() {})
@@ -95,7 +95,7 @@
 
 type moody struct{ failures int }
 
-func (m *moody) Schedule(*catalogue.Route, []Shard) (Shard, error) {
+func (m *moody) Schedule(*config.Route, []Shard) (Shard, error) {
 	if m.failures > 0 {
 		m.failures--
 		return Shard{}, errors.New("not now")
@@ -116,7 +116,7 @@
 		if !sched.Due(now) {
 			continue
 		}
-		sched.Reconcile(now, (&catalogue.Reader{}).List(s.have), two, func() {})
+		sched.Reconcile(now, (&config.Reader{}).List(s.have), two, func() {})
 		if sched.Errors > before {
 			tries++
 		}
@@ -132,13 +132,13 @@
 func TestRebindsWhenAShardLosesItsDesks(t *testing.T) {
 	s := newShelf(t, 4)
 	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: 30 * time.Second, Pause: time.Second, Create: s.create}
-	sched.Reconcile(0, (&catalogue.Reader{}).List(s.have), two, func() {})
+	sched.Reconcile(0, (&config.Reader{}).List(s.have), two, func() {})
 	none := []Shard{{Label: 0}, {Label: 1}}
-	sched.Reconcile(time.Second, (&catalogue.Reader{}).List(s.have), none, func() {})
+	sched.Reconcile(time.Second, (&config.Reader{}).List(s.have), none, func() {})
 	if c := s.counts(); c[0] != 2 || c[1] != 2 {
 		t.Fatalf("moved though there is nowhere to go: %v", c)
 	}
-	sched.Reconcile(2*time.Second, (&catalogue.Reader{}).List(s.have), []Shard{{Label: 0}, two[1]}, func() {})
+	sched.Reconcile(2*time.Second, (&config.Reader{}).List(s.have), []Shard{{Label: 0}, two[1]}, func() {})
 	if c := s.counts(); c[0] != 0 || c[1] != 4 {
 		t.Fatalf("after the loss of shard 0: %v", c)
 	}
@@ -151,7 +151,7 @@
 	var late []func([]error)
 	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: time.Minute, Pause: time.Second,
 		Create: func(_ []Order, done func([]error)) { late = append(late, done) }}
-	routes := (&catalogue.Reader{}).List(s.have)
+	routes := (&config.Reader{}).List(s.have)
 	sched.Reconcile(0, routes, two, func() {})
 	sched.Reset()
 	late[0](make([]error, 3))
@@ -176,7 +176,7 @@
 		}
 		s.create(orders, done)
 	}
-	reader := &catalogue.Reader{}
+	reader := &config.Reader{}
 	for again := true; again; {
 		again = false
 		sched.Reconcile(0, reader.List(s.have), two, func() { again = true })
--- a/internal/circulation/callers_test.go
+++ b/internal/proxy/callers_test.go
@@ -1,4 +1,4 @@
-package circulation
+package proxy
 
 import (
 	"bufio"
@@ -23,8 +23,8 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/accession"
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
+	"madderwing/internal/upstream"
 )
 
 // What is left over on a connection that has been used must not be taken for the answer to
@@ -142,7 +142,7 @@
 			return err
 		})
 		err := read(&Exchange{w: w, r: r, table: f.Table()})
-		if kind := errata.KindOf(errata.TooLarge(err)); kind != errata.BodyTooLarge || len(w.Header()) > 0 {
+		if kind := apierror.KindOf(apierror.TooLarge(err)); kind != apierror.BodyTooLarge || len(w.Header()) > 0 {
 			t.Errorf("%v, headers %v", err, w.Header())
 		}
 	}))
@@ -586,7 +586,7 @@
 }
 
 func (s *scene) play(t *testing.T) {
-	var ups []*upstream
+	var ups []*server
 	for i := range 3 {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -602,9 +602,9 @@
 				go s.serve(c)
 			}
 		}()
-		ups = append(ups, &upstream{l: l, id: fmt.Sprint("u", i)})
+		ups = append(ups, &server{l: l, id: fmt.Sprint("u", i)})
 	}
-	r := newRigOf(t, accession.Config{Self: "d", Zone: "z", RetryRatio: 1, RetrySlack: 60, Window: 10 * time.Second,
+	r := newRigOf(t, upstream.Config{Self: "d", Zone: "z", RetryRatio: 1, RetrySlack: 60, Window: 10 * time.Second,
 		Eject: time.Millisecond, EjectMax: 4 * time.Millisecond}, 2*time.Millisecond, ups...)
 	defer s.end(t, r)
 	var wrongs []string
@@ -657,7 +657,7 @@
 			break
 		}
 	}
-	r.floor.Do(func(time.Duration, *accession.Stock) { runtime.Goexit() }) // the floor's own goroutine
+	r.floor.Do(func(time.Duration, *upstream.Stock) { runtime.Goexit() }) // the floor's own goroutine
 }
 
 // What clients and upstreams may do to each other, drawn: no request that may run once
--- a/internal/circulation/floor.go
+++ b/internal/proxy/floor.go
@@ -1,6 +1,6 @@
-// Package circulation carries the traffic: the front server, the chain of
+// Package proxy carries the traffic: the front server, the chain of
 // filters that a request passes, and the connections to upstreams.
-package circulation
+package proxy
 
 import (
 	"fmt"
@@ -9,14 +9,14 @@
 	"strconv"
 	"time"
 
-	"madderwing/internal/accession"
 	"madderwing/internal/transport"
+	"madderwing/internal/upstream"
 )
 
 // Floor owns the stock of upstreams: all that is done to it goes through its
 // queue of commands.
 type Floor struct {
-	stock    *accession.Stock
+	stock    *upstream.Stock
 	start    time.Time // what durations here count from
 	commands chan func(now time.Duration)
 	patience time.Duration // until a silent peer is given up
@@ -24,17 +24,17 @@
 }
 
 // NewFloor makes the owner of a stock.
-func NewFloor(stock *accession.Stock, patience, tick time.Duration) *Floor {
+func NewFloor(stock *upstream.Stock, patience, tick time.Duration) *Floor {
 	return NewFloorAt(time.Now(), stock, patience, tick)
 }
 
 // NewFloorAt makes one whose durations count from start.
-func NewFloorAt(start time.Time, stock *accession.Stock, patience, tick time.Duration) *Floor {
+func NewFloorAt(start time.Time, stock *upstream.Stock, patience, tick time.Duration) *Floor {
 	return &Floor{stock: stock, start: start, commands: make(chan func(time.Duration), 1024), patience: patience, tick: tick}
 }
 
 // Do hands a command to the floor.
-func (f *Floor) Do(fn func(now time.Duration, s *accession.Stock)) {
+func (f *Floor) Do(fn func(now time.Duration, s *upstream.Stock)) {
 	f.commands <- func(now time.Duration) { fn(now, f.stock) }
 }
 
@@ -70,9 +70,9 @@
 }
 
 // try opens a connection to an upstream that had failed.
-func (f *Floor) try(u *accession.Upstream, address string) {
+func (f *Floor) try(u *upstream.Upstream, address string) {
 	conn, _ := f.dial(address, f.patience)
-	f.Do(func(now time.Duration, s *accession.Stock) {
+	f.Do(func(now time.Duration, s *upstream.Stock) {
 		if conn != nil {
 			conn.Expires = now + 10*f.patience
 		}
@@ -82,7 +82,7 @@
 
 // probe asks an upstream how much longer it stays cold. An answer of another
 // life, or none, says nothing.
-func (f *Floor) probe(p accession.Probe) {
+func (f *Floor) probe(p upstream.Probe) {
 	var left time.Duration
 	ok := false
 	if conn, err := f.dial(p.Address, f.patience); err == nil {
@@ -96,7 +96,7 @@
 		}
 		conn.Close()
 	}
-	f.Do(func(now time.Duration, s *accession.Stock) { s.Probed(now, p.Upstream, left, ok) })
+	f.Do(func(now time.Duration, s *upstream.Stock) { s.Probed(now, p.Upstream, left, ok) })
 }
 
 // warmupLeft is how much longer an upstream says that it stays cold: nothing, if it does
@@ -116,7 +116,7 @@
 // warmupMost is beyond any warm-up; no sum with it overflows.
 const warmupMost = 24 * time.Hour
 
-func (f *Floor) dial(address string, limit time.Duration) (*accession.Conn, error) {
+func (f *Floor) dial(address string, limit time.Duration) (*upstream.Conn, error) {
 	d := net.Dialer{Timeout: min(limit, f.patience), KeepAlive: -1}
 	c, err := d.Dial("tcp4", address)
 	if err != nil {
@@ -126,15 +126,15 @@
 		transport.SetUserTimeout(t, f.patience)
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1})
 	}
-	return &accession.Conn{Conn: c, Reader: newAnswers(c)}, nil
+	return &upstream.Conn{Conn: c, Reader: newAnswers(c)}, nil
 }
 
 // claim asks for an upstream and waits for it, but no longer than patience, nor
 // when the client has gone.
-func (f *Floor) claim(c *accession.Claim, patience time.Duration, gone <-chan struct{}) accession.Grant {
-	got := make(chan accession.Grant, 1)
-	c.Give = func(g accession.Grant) { got <- g }
-	f.Do(func(now time.Duration, s *accession.Stock) { s.Claim(now, c) })
+func (f *Floor) claim(c *upstream.Claim, patience time.Duration, gone <-chan struct{}) upstream.Grant {
+	got := make(chan upstream.Grant, 1)
+	c.Give = func(g upstream.Grant) { got <- g }
+	f.Do(func(now time.Duration, s *upstream.Stock) { s.Claim(now, c) })
 	timer := time.NewTimer(max(0, patience))
 	defer timer.Stop()
 	select {
@@ -143,23 +143,23 @@
 	case <-timer.C:
 	case <-gone:
 	}
-	f.Do(func(_ time.Duration, s *accession.Stock) { s.Withdraw(c) })
+	f.Do(func(_ time.Duration, s *upstream.Stock) { s.Withdraw(c) })
 	return <-got
 }
 
 // untouched returns an upstream that was not sent anything.
-func (f *Floor) untouched(g accession.Grant) {
-	f.Do(func(now time.Duration, s *accession.Stock) { s.Release(now, g, g.Conn, accession.Unused) })
+func (f *Floor) untouched(g upstream.Grant) {
+	f.Do(func(now time.Duration, s *upstream.Stock) { s.Release(now, g, g.Conn, upstream.Unused) })
 }
 
 // release returns an upstream; ask waits for word on whether it stands out by bad
 // answers.
-func (f *Floor) release(g accession.Grant, conn *accession.Conn, idle time.Duration, how accession.Outcome, told accession.Told, ask bool) (odd bool) {
+func (f *Floor) release(g upstream.Grant, conn *upstream.Conn, idle time.Duration, how upstream.Outcome, told upstream.Told, ask bool) (odd bool) {
 	var said chan bool
 	if ask {
 		said = make(chan bool, 1)
 	}
-	f.Do(func(now time.Duration, s *accession.Stock) {
+	f.Do(func(now time.Duration, s *upstream.Stock) {
 		if conn != nil {
 			conn.Expires = now + idle
 		}
--- a/internal/circulation/front.go
+++ b/internal/proxy/front.go
@@ -1,4 +1,4 @@
-package circulation
+package proxy
 
 import (
 	"errors"
@@ -12,11 +12,11 @@
 	"syscall"
 	"time"
 
-	"madderwing/internal/accession"
-	"madderwing/internal/catalogue"
-	"madderwing/internal/errata"
-	"madderwing/internal/readers"
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
+	"madderwing/internal/quota"
 	"madderwing/internal/rollout"
+	"madderwing/internal/upstream"
 )
 
 // Stats are a front's counters.
@@ -28,7 +28,7 @@
 // Front serves clients.
 type Front struct {
 	floor *Floor
-	table atomic.Pointer[catalogue.Table]
+	table atomic.Pointer[config.Table]
 	shard atomic.Int64
 	drain atomic.Bool
 	log   *log.Logger
@@ -42,13 +42,13 @@
 	// no word on them has to be global.
 	lease *atomic.Int64
 	// draw draws on a tenant's quota, in the time given; nil where there are none.
-	draw func(tenant string, limit time.Duration) errata.Kind
+	draw func(tenant string, limit time.Duration) apierror.Kind
 }
 
 // Tenants makes the front rely on keys only until the time, in nanoseconds on the
 // floor's clock, that lease holds, and draw requests on their tenants' quotas.
-// What draw returns is the error to answer with, errata.Internal for none.
-func (f *Front) Tenants(lease *atomic.Int64, draw func(tenant string, limit time.Duration) errata.Kind) {
+// What draw returns is the error to answer with, apierror.Internal for none.
+func (f *Front) Tenants(lease *atomic.Int64, draw func(tenant string, limit time.Duration) apierror.Kind) {
 	f.lease, f.draw = lease, draw
 }
 
@@ -61,16 +61,16 @@
 func NewFront(floor *Floor, arms *rollout.Arms, logger *log.Logger) *Front {
 	f := &Front{floor: floor, arms: arms, log: logger}
 	f.shard.Store(-1)
-	f.table.Store((&catalogue.Builder{}).Build(nil))
+	f.table.Store((&config.Builder{}).Build(nil))
 	f.chain = Chain(f.balance, f.limits, f.reader, f.route, f.deadline, f.quota, f.admit, f.stratify)
 	return f
 }
 
 // SetTable puts another table in force.
-func (f *Front) SetTable(t *catalogue.Table) { f.table.Store(t) }
+func (f *Front) SetTable(t *config.Table) { f.table.Store(t) }
 
 // Table is the table in force.
-func (f *Front) Table() *catalogue.Table { return f.table.Load() }
+func (f *Front) Table() *config.Table { return f.table.Load() }
 
 // SetShard says which shard this desk belongs to.
 func (f *Front) SetShard(n int) { f.shard.Store(int64(n)) }
@@ -79,7 +79,7 @@
 // every request that has been sent on.
 func (f *Front) Drain() {
 	f.drain.Store(true)
-	f.floor.Do(func(_ time.Duration, s *accession.Stock) { s.Leave() })
+	f.floor.Do(func(_ time.Duration, s *upstream.Stock) { s.Leave() })
 }
 
 // lastOne has a connection closed after the answer that is about to be given, if this
@@ -98,9 +98,9 @@
 	arrived  time.Time
 	deadline time.Time
 	aim      time.Duration
-	table    *catalogue.Table
-	route    *catalogue.Route
-	tenant   *catalogue.Tenant
+	table    *config.Table
+	route    *config.Route
+	tenant   *config.Tenant
 	regions  []string
 	bound    bool // to regions
 	service  string
@@ -133,8 +133,8 @@
 	f.Stats.Requests.Add(1)
 	x := &Exchange{w: w, r: r, arrived: time.Now(), table: f.table.Load(), attempt: r.Header.Get(hAttempt)}
 	if err := f.chain(x); err != nil {
-		switch a := errata.AnswerFor(errata.KindOf(err)); {
-		case errata.KindOf(err) == errata.ClientGone:
+		switch a := apierror.AnswerFor(apierror.KindOf(err)); {
+		case apierror.KindOf(err) == apierror.ClientGone:
 			f.Stats.Gone.Add(1)
 		case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests:
 			f.Stats.Refused.Add(1)
@@ -147,10 +147,10 @@
 			w.Header().Set(hAttempt, x.attempt)
 		}
 		f.lastOne(x)
-		if errata.KindOf(err) == errata.BodyTooLarge {
+		if apierror.KindOf(err) == apierror.BodyTooLarge {
 			w.Header().Set("Connection", "close")
 		}
-		errata.Write(w, err)
+		apierror.Write(w, err)
 	}
 }
 
@@ -165,7 +165,7 @@
 		x.chunked = x.r.ContentLength < 0
 		x.hasBody = x.r.ContentLength != 0
 		if x.r.ContentLength > most {
-			return errata.New(errata.BodyTooLarge, "more than %d bytes", most)
+			return apierror.New(apierror.BodyTooLarge, "more than %d bytes", most)
 		}
 		// Without the writer: a body that is still being read when its answer is given
 		// may go beyond the limit just then, and would touch the answer's headers.
@@ -179,17 +179,17 @@
 func (f *Front) reader(next Handler) Handler {
 	return func(x *Exchange) error {
 		if !x.table.Known {
-			return errata.Later(errata.NoConfiguration, f.soon(), "this node knows no items yet")
+			return apierror.Later(apierror.NoConfiguration, f.soon(), "this node knows no items yet")
 		}
 		path, _, _ := strings.Cut(x.target(), "?")
 		x.route = x.table.Lookup(x.r.Host, path)
 		if x.table.Tenants || f.lease != nil {
 			if !f.Confirmed() {
-				return errata.Later(errata.KeysUnconfirmed, f.floor.patience, "out of touch")
+				return apierror.Later(apierror.KeysUnconfirmed, f.floor.patience, "out of touch")
 			}
-			x.tenant = x.table.Readers[readers.Key(x.r.Header)]
+			x.tenant = x.table.Readers[quota.Key(x.r.Header)]
 			if x.tenant == nil && x.table.Tenants && (x.route == nil || !x.route.Public) {
-				return errata.New(errata.UnknownKey, "a tenant's key is needed")
+				return apierror.New(apierror.UnknownKey, "a tenant's key is needed")
 			}
 		}
 		return next(x)
@@ -200,15 +200,15 @@
 func (f *Front) route(next Handler) Handler {
 	return func(x *Exchange) error {
 		if x.route == nil {
-			return errata.New(errata.UnknownRoute, "%s%s", x.r.Host, x.r.URL.Path)
+			return apierror.New(apierror.UnknownRoute, "%s%s", x.r.Host, x.r.URL.Path)
 		}
 		var homes []string
 		if x.tenant != nil {
 			homes = x.tenant.Residency
 		}
-		x.regions, x.bound = catalogue.Regions(x.route.Residency, homes)
+		x.regions, x.bound = config.Regions(x.route.Residency, homes)
 		x.service = x.route.Choose(rand.Float64())
-		if s := x.route.Status; s.Phase == catalogue.PhaseScheduled && int64(s.Shard) == f.shard.Load() {
+		if s := x.route.Status; s.Phase == config.PhaseScheduled && int64(s.Shard) == f.shard.Load() {
 			f.Stats.Ordinary.Add(1)
 		} else {
 			f.Stats.Exception.Add(1)
@@ -237,7 +237,7 @@
 func (f *Front) quota(next Handler) Handler {
 	return func(x *Exchange) error {
 		if x.tenant != nil && x.tenant.RatePerS > 0 && f.draw != nil {
-			if kind := f.draw(x.tenant.Name, x.aim/4); kind != errata.Internal {
+			if kind := f.draw(x.tenant.Name, x.aim/4); kind != apierror.Internal {
 				return f.later(x, kind)
 			}
 		}
@@ -249,7 +249,7 @@
 // has no time left.
 func (f *Front) admit(next Handler) Handler {
 	return func(x *Exchange) error {
-		f.floor.Do(func(_ time.Duration, s *accession.Stock) { s.Request(x.service) })
+		f.floor.Do(func(_ time.Duration, s *upstream.Stock) { s.Request(x.service) })
 		if x.hasBody {
 			held := make([]byte, 0, max(0, min(x.r.ContentLength, bodyHeld))+512)
 			buf, err := readUpTo(held, x.body, bodyHeld)
@@ -257,16 +257,16 @@
 			case err == io.EOF:
 				x.held = buf
 			case err != nil:
-				if large := errata.TooLarge(err); large != nil {
+				if large := apierror.TooLarge(err); large != nil {
 					return large
 				}
-				return errata.New(errata.BadRequest, "body not read: %v", err)
+				return apierror.New(apierror.BadRequest, "body not read: %v", err)
 			default:
 				x.begun = buf
 			}
 		}
 		if time.Until(x.deadline) <= 0 {
-			return f.later(x, errata.Expired)
+			return f.later(x, apierror.Expired)
 		}
 		return next(x)
 	}
@@ -303,9 +303,9 @@
 
 // later is an error that tells when to come back: in a part of the aim, spread
 // so that those who were turned away together do not return together.
-func (f *Front) later(x *Exchange, kind errata.Kind) error {
+func (f *Front) later(x *Exchange, kind apierror.Kind) error {
 	after := x.aim/8 + time.Duration(rand.Float64()*float64(x.aim/4))
-	return errata.Later(kind, after, "%s", x.service)
+	return apierror.Later(kind, after, "%s", x.service)
 }
 
 // balance sends the request to an upstream, and to others where that is
@@ -314,7 +314,7 @@
 func (f *Front) balance(x *Exchange) error {
 	err := f.try(x)
 	if err != nil && x.poor != nil {
-		f.pass(x, accession.Grant{}, *x.poor)
+		f.pass(x, upstream.Grant{}, *x.poor)
 		return nil
 	}
 	return err
@@ -330,32 +330,32 @@
 		arm := f.arms.Begin(x.service, x.stratum, x.aim, prior)
 		prior = prior || arm.Candidate()
 		patience := min(x.aim/5, time.Until(x.deadline)/2)
-		claim := &accession.Claim{Service: x.service, Version: arm.Version(), Priority: x.priority(), Avoid: avoid, Retry: sent > 0,
+		claim := &upstream.Claim{Service: x.service, Version: arm.Version(), Priority: x.priority(), Avoid: avoid, Retry: sent > 0,
 			Regions: x.regions, Bound: x.bound, Aim: x.aim}
 		if x.route.Repeatable() && x.begun == nil && sent+1 < tries { // or else its wait is not to be cut short
-			claim.Hold = &accession.Hold{}
+			claim.Hold = &upstream.Hold{}
 		}
 		g := f.floor.claim(claim, patience, x.r.Context().Done())
-		if g.Refused != accession.Granted {
+		if g.Refused != upstream.Granted {
 			arm.End(rollout.Unscored)
-			if arm.Candidate() && x.r.Context().Err() == nil && time.Until(x.deadline) > 0 && g.Refused != accession.NoBudget && !f.arms.Whole(x.service) {
+			if arm.Candidate() && x.r.Context().Err() == nil && time.Until(x.deadline) > 0 && g.Refused != upstream.NoBudget && !f.arms.Whole(x.service) {
 				continue // it has no room; the prior version is still there
 			}
 			if last != nil {
 				return last
 			}
 			if x.r.Context().Err() != nil {
-				return errata.New(errata.ClientGone, "%s", x.service)
+				return apierror.New(apierror.ClientGone, "%s", x.service)
 			}
-			if g.Refused == accession.Unlisted {
-				return errata.Later(errata.NoConfiguration, f.soon(), "this node knows no upstreams yet")
+			if g.Refused == upstream.Unlisted {
+				return apierror.Later(apierror.NoConfiguration, f.soon(), "this node knows no upstreams yet")
 			}
-			if g.Refused == accession.NoneLeft {
-				return f.later(x, errata.NoUpstream)
+			if g.Refused == upstream.NoneLeft {
+				return f.later(x, apierror.NoUpstream)
 			}
-			return f.later(x, errata.Overloaded)
+			return f.later(x, apierror.Overloaded)
 		}
-		if why := f.mayNotGo(x); why != errata.Internal {
+		if why := f.mayNotGo(x); why != apierror.Internal {
 			f.floor.untouched(g)
 			arm.End(rollout.Unscored)
 			if last != nil {
@@ -376,12 +376,12 @@
 		arm.Score(scored(res))
 		if res.untried {
 			arm.End(rollout.Unscored)
-			how := accession.Failing
+			how := upstream.Failing
 			if res.late {
-				how = accession.Served // no fault of the upstream's
+				how = upstream.Served // no fault of the upstream's
 			}
 			f.finish(g, res, how)
-			last = keepWorse(last, f.later(x, errata.NoUpstream))
+			last = keepWorse(last, f.later(x, apierror.NoUpstream))
 			if dialled++; dialled > 4 || res.late || time.Until(x.deadline) <= 0 {
 				return last
 			}
@@ -402,7 +402,7 @@
 // keepWorse is the error of two tries, one after the other: once a request may have run,
 // no later refusal can promise that it has not.
 func keepWorse(before, now error) error {
-	if before != nil && !errata.AnswerFor(errata.KindOf(before)).NotRun {
+	if before != nil && !apierror.AnswerFor(apierror.KindOf(before)).NotRun {
 		return before
 	}
 	return now
@@ -428,16 +428,16 @@
 }
 
 // mayNotGo says why a request that has got an upstream is not to be sent on all the
-// same, errata.Internal if it is: its key can no longer be relied on, or its client
+// same, apierror.Internal if it is: its key can no longer be relied on, or its client
 // has gone.
-func (f *Front) mayNotGo(x *Exchange) errata.Kind {
+func (f *Front) mayNotGo(x *Exchange) apierror.Kind {
 	switch {
 	case !f.Confirmed():
-		return errata.KeysUnconfirmed
+		return apierror.KeysUnconfirmed
 	case x.r.Context().Err() != nil:
-		return errata.ClientGone
+		return apierror.ClientGone
 	}
-	return errata.Internal
+	return apierror.Internal
 }
 
 // priority is the tenant's, where it has one, or the route's.
@@ -451,55 +451,55 @@
 // judge passes an answer on, or says what became of the request and whether
 // another upstream may be asked. An error of a candidate's own is no last word: the
 // prior version may do better.
-func (f *Front) judge(x *Exchange, g accession.Grant, res result, arm *rollout.Sample) (again bool, err error) {
+func (f *Front) judge(x *Exchange, g upstream.Grant, res result, arm *rollout.Sample) (again bool, err error) {
 	defer arm.End(rollout.Unscored) // only now has all of the answer left the upstream
 	repeatable := x.route.Repeatable()
 	if res.broke != nil {
 		f.Stats.Broken.Add(1)
 		if res.late {
-			f.finish(g, res, accession.Served)
-			return false, errata.New(errata.DeadlinePassed, "%s", x.service)
+			f.finish(g, res, upstream.Served)
+			return false, apierror.New(apierror.DeadlinePassed, "%s", x.service)
 		}
-		if large := errata.TooLarge(res.client); large != nil {
-			f.finish(g, res, accession.Served)
+		if large := apierror.TooLarge(res.client); large != nil {
+			f.finish(g, res, upstream.Served)
 			return false, large
 		}
-		how := accession.Failing
+		how := upstream.Failing
 		switch {
 		case res.broke == errNameless:
-			how = accession.Full
+			how = upstream.Full
 		case silent(res.broke):
-			how = accession.Silent
+			how = upstream.Silent
 		case errors.Is(res.broke, syscall.ECONNRESET):
-			how = accession.Reset
+			how = upstream.Reset
 		}
 		f.finish(g, res, how)
-		return repeatable, errata.New(errata.Broken, "%s: %v", x.service, res.broke)
+		return repeatable, apierror.New(apierror.Broken, "%s: %v", x.service, res.broke)
 	}
 	r := res.response
 	switch {
 	case r.StatusCode == http.StatusMisdirectedRequest:
-		f.finish(g, res, accession.Other)
-		return true, f.later(x, errata.NoUpstream)
+		f.finish(g, res, upstream.Other)
+		return true, f.later(x, apierror.NoUpstream)
 	case refused(r):
-		f.finish(g, res, accession.Full)
-		return true, f.later(x, errata.Overloaded)
+		f.finish(g, res, upstream.Full)
+		return true, f.later(x, apierror.Overloaded)
 	case r.StatusCode < 300 && !sealed(r):
-		f.finish(g, res, accession.Failing)
-		return repeatable, errata.New(errata.Unsealed, "%s", x.service)
+		f.finish(g, res, upstream.Failing)
+		return repeatable, apierror.New(apierror.Unsealed, "%s", x.service)
 	case promises(r.StatusCode):
 		// These would promise that the request has not run, which is not known.
-		f.finish(g, res, accession.Served)
-		return false, errata.New(errata.Broken, "%s answered %d", x.service, r.StatusCode)
+		f.finish(g, res, upstream.Served)
+		return false, apierror.New(apierror.Broken, "%s answered %d", x.service, r.StatusCode)
 	}
 	if res.whole {
-		how := accession.Served
+		how := upstream.Served
 		if r.StatusCode >= http.StatusInternalServerError {
-			how = accession.Poor
+			how = upstream.Poor
 		}
-		if odd := f.finish(g, res, how); (odd || arm.Candidate() && how == accession.Poor) && repeatable && x.poor == nil {
+		if odd := f.finish(g, res, how); (odd || arm.Candidate() && how == upstream.Poor) && repeatable && x.poor == nil {
 			x.poor = &res // passed on if no other upstream does better
-			return true, errata.New(errata.Broken, "%s answered %d", x.service, r.StatusCode)
+			return true, apierror.New(apierror.Broken, "%s answered %d", x.service, r.StatusCode)
 		}
 	}
 	f.pass(x, g, res)
@@ -531,7 +531,7 @@
 
 // pass hands an answer to the client. An answer that is cut short ends the
 // client's connection, so that it does not look complete.
-func (f *Front) pass(x *Exchange, g accession.Grant, res result) {
+func (f *Front) pass(x *Exchange, g upstream.Grant, res result) {
 	r := res.response
 	h := x.w.Header()
 	named := connectionNamed(r.Header)
@@ -565,15 +565,15 @@
 			if res.broke == nil {
 				res.broke = err
 			}
-			how := accession.Served
+			how := upstream.Served
 			if cut != nil && !isTimeout(cut) {
-				how = accession.Failing
+				how = upstream.Failing
 			}
 			f.finish(g, res, how)
 			f.Stats.Broken.Add(1)
 			panic(http.ErrAbortHandler)
 		}
-		f.finish(g, res, accession.Served)
+		f.finish(g, res, upstream.Served)
 	}
 	f.Stats.Served.Add(1)
 }
--- a/internal/circulation/pace.go
+++ b/internal/proxy/pace.go
@@ -1,4 +1,4 @@
-package circulation
+package proxy
 
 import (
 	"io"
--- a/internal/circulation/circulation_test.go
+++ b/internal/proxy/proxy_test.go
@@ -1,4 +1,4 @@
-package circulation
+package proxy
 
 import (
 	"bufio"
@@ -18,14 +18,14 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/accession"
-	"madderwing/internal/catalogue"
+	"madderwing/internal/config"
 	"madderwing/internal/rollout"
+	"madderwing/internal/upstream"
 )
 
 // upstream is a stand-in that reads requests as they come off the wire and
 // answers as a script says.
-type upstream struct {
+type server struct {
 	l    net.Listener
 	id   string
 	mu   sync.Mutex
@@ -40,12 +40,12 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get(hAttempt), len(body), body)
 }
 
-func newUpstream(t *testing.T, id string, answer answerFn) *upstream {
+func newUpstream(t *testing.T, id string, answer answerFn) *server {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &upstream{l: l, id: id}
+	u := &server{l: l, id: id}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -59,7 +59,7 @@
 	return u
 }
 
-func (u *upstream) serve(c net.Conn, answer answerFn) {
+func (u *server) serve(c net.Conn, answer answerFn) {
 	defer c.Close()
 	var raw bytes.Buffer
 	br := bufio.NewReader(io.TeeReader(c, &raw))
@@ -85,7 +85,7 @@
 	}
 }
 
-func (u *upstream) requests() []string {
+func (u *server) requests() []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return append([]string(nil), u.seen...)
@@ -98,34 +98,34 @@
 }
 
 // tableOf builds the table of one call's items.
-func tableOf(t *testing.T, body string) *catalogue.Table {
+func tableOf(t *testing.T, body string) *config.Table {
 	t.Helper()
-	c, err := catalogue.Read([]byte(body))
+	c, err := config.Read([]byte(body))
 	if err != nil {
 		t.Fatal(err)
 	}
-	changes, err := c.Apply(nil, &catalogue.Reader{})
+	changes, err := c.Apply(nil, &config.Reader{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	have := map[string]catalogue.Record{}
+	have := map[string]config.Record{}
 	for _, r := range changes {
 		have[r.Name] = r
 	}
-	return (&catalogue.Builder{}).Build(have)
+	return (&config.Builder{}).Build(have)
 }
 
 // newRig makes a front with routes /get/ (idempotent), /put/ (mutating) and the
 // given upstreams of one service.
-func newRig(t *testing.T, ups ...*upstream) *rig {
+func newRig(t *testing.T, ups ...*server) *rig {
 	t.Helper()
-	return newRigOf(t, accession.Config{Self: "d", Zone: "z", RetryRatio: 1, RetrySlack: 60, Window: 10 * time.Second,
+	return newRigOf(t, upstream.Config{Self: "d", Zone: "z", RetryRatio: 1, RetrySlack: 60, Window: 10 * time.Second,
 		Eject: 50 * time.Millisecond, EjectMax: time.Second}, 50*time.Millisecond, ups...)
 }
 
-func newRigOf(t *testing.T, cfg accession.Config, tick time.Duration, ups ...*upstream) *rig {
+func newRigOf(t *testing.T, cfg upstream.Config, tick time.Duration, ups ...*server) *rig {
 	t.Helper()
-	stock := accession.NewStock(cfg)
+	stock := upstream.NewStock(cfg)
 	floor := NewFloor(stock, 5*time.Second, tick)
 	front := NewFront(floor, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }), log.New(io.Discard, "", 0))
 	body := `{"upsert":{"services":[{"name":"a","generation":1,"maxConns":50}],
@@ -136,8 +136,8 @@
 	 {"name":"s","pathPrefix":"/short/","routeKind":"mutating","deadlineS":0.05,"targetLatencyS":0.05,"target":"a","maxTries":2,"generation":1}]}]}}`
 	front.SetTable(tableOf(t, body))
 	go floor.Run()
-	floor.Do(func(now time.Duration, s *accession.Stock) {
-		s.SetServices(now, map[string]accession.ServiceInfo{"a": {MaxConns: 50}}, nil)
+	floor.Do(func(now time.Duration, s *upstream.Stock) {
+		s.SetServices(now, map[string]upstream.ServiceInfo{"a": {MaxConns: 50}}, nil)
 	})
 	r := &rig{front: front, floor: floor}
 	r.list(ups...)
@@ -152,12 +152,12 @@
 }
 
 // list puts a list of upstreams in force, all of the desk's zone.
-func (r *rig) list(ups ...*upstream) {
-	var list []accession.Instance
+func (r *rig) list(ups ...*server) {
+	var list []upstream.Instance
 	for _, u := range ups {
-		list = append(list, accession.Instance{ID: u.id, Service: "a", Address: u.l.Addr().String(), Zone: "z", Capacity: 4})
+		list = append(list, upstream.Instance{ID: u.id, Service: "a", Address: u.l.Addr().String(), Zone: "z", Capacity: 4})
 	}
-	r.floor.Do(func(now time.Duration, s *accession.Stock) { s.SetList(now, list) })
+	r.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetList(now, list) })
 }
 
 // say sends bytes on a new connection and reads the answer to a request of the
@@ -258,8 +258,8 @@
 	if res, _, err := r.say(t, "GET", get("/put/1")); err != nil || res.StatusCode != 200 {
 		t.Fatal(err, res)
 	}
-	r.floor.Do(func(now time.Duration, s *accession.Stock) {
-		s.SetList(now, []accession.Instance{
+	r.floor.Do(func(now time.Duration, s *upstream.Stock) {
+		s.SetList(now, []upstream.Instance{
 			{ID: "u", Service: "a", Address: u.l.Addr().String(), Zone: "z", Capacity: 4},
 			{ID: "v", Service: "a", Address: other.l.Addr().String(), Zone: "far", Capacity: 4}})
 	})
@@ -444,7 +444,7 @@
 	})
 	t.Run("no items yet: 503, not 404", func(t *testing.T) {
 		r := newRig(t, u)
-		r.front.SetTable((&catalogue.Builder{}).Build(nil))
+		r.front.SetTable((&config.Builder{}).Build(nil))
 		res, _, err := r.say(t, "GET", get("/get/x"))
 		if err != nil || res.StatusCode != http.StatusServiceUnavailable {
 			t.Fatalf("%v %v", err, res)
@@ -658,8 +658,8 @@
 // A node that knows no list yet, or no items, sends clients back no sooner than it will.
 func TestANodeThatStartsSendsClientsBackLater(t *testing.T) {
 	r := newRig(t)
-	listed := accession.NewStock(accession.Config{Self: "d", Zone: "z"})
-	bare := NewFloor(accession.NewStock(accession.Config{Self: "d", Zone: "z"}), 5*time.Second, time.Hour)
+	listed := upstream.NewStock(upstream.Config{Self: "d", Zone: "z"})
+	bare := NewFloor(upstream.NewStock(upstream.Config{Self: "d", Zone: "z"}), 5*time.Second, time.Hour)
 	none := NewFloor(listed, 5*time.Second, time.Hour)
 	listed.SetList(0, nil)
 	go bare.Run()
@@ -667,11 +667,11 @@
 	for _, c := range []struct {
 		name  string
 		floor *Floor
-		table *catalogue.Table
+		table *config.Table
 		later bool
 	}{
 		{"no list", bare, r.front.Table(), true},
-		{"no items", none, (&catalogue.Builder{}).Build(nil), true},
+		{"no items", none, (&config.Builder{}).Build(nil), true},
 		{"a list without upstreams", none, r.front.Table(), false},
 	} {
 		f := NewFront(c.floor, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }), log.New(io.Discard, "", 0))
--- a/internal/circulation/send.go
+++ b/internal/proxy/send.go
@@ -1,4 +1,4 @@
-package circulation
+package proxy
 
 import (
 	"bufio"
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"madderwing/internal/accession"
+	"madderwing/internal/upstream"
 )
 
 // The headers that are madderwing's concern.
@@ -57,7 +57,7 @@
 // result is how one sending went.
 type result struct {
 	response *http.Response
-	conn     *accession.Conn
+	conn     *upstream.Conn
 	start    []byte // the beginning of the body, or all of it if whole
 	whole    bool
 	broke    error // no answer, or a broken one
@@ -75,7 +75,7 @@
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // send writes the request to an upstream and reads its answer.
-func (f *Front) send(x *Exchange, g accession.Grant) (res result) {
+func (f *Front) send(x *Exchange, g upstream.Grant) (res result) {
 	conn := g.Conn
 	if conn != nil && (x.attempt == "" || g.Upstream.Nameless.Load() || !quiet(conn)) {
 		conn.Close()
@@ -158,7 +158,7 @@
 		return res
 	}
 	if !res.whole {
-		f.floor.Do(func(now time.Duration, s *accession.Stock) { s.Answering(now, g) })
+		f.floor.Do(func(now time.Duration, s *upstream.Stock) { s.Answering(now, g) })
 	}
 	select {
 	case err := <-sent:
@@ -172,7 +172,7 @@
 }
 
 // finish gives the connection back, or closes it if it cannot serve again.
-func (f *Front) finish(g accession.Grant, res result, how accession.Outcome) (odd bool) {
+func (f *Front) finish(g upstream.Grant, res result, how upstream.Outcome) (odd bool) {
 	conn := res.conn
 	keep := conn != nil && res.broke == nil && res.response != nil && !res.response.Close && res.whole
 	var idle time.Duration
@@ -188,16 +188,16 @@
 	if conn != nil {
 		_ = conn.SetDeadline(time.Time{})
 	}
-	var told accession.Told
+	var told upstream.Told
 	if res.response != nil {
 		told = toldLoad(res.response.Header.Get(hLoad))
 	}
-	return f.floor.release(g, conn, idle, how, told, how == accession.Poor)
+	return f.floor.release(g, conn, idle, how, told, how == upstream.Poor)
 }
 
 // toldLoad reads what an upstream says of its own load: requests running, requests
 // waiting and slots.
-func toldLoad(line string) (t accession.Told) {
+func toldLoad(line string) (t upstream.Told) {
 	parts := strings.Split(line, ",")
 	if len(parts) != 3 {
 		return t
@@ -210,7 +210,7 @@
 		}
 		n[i] = v
 	}
-	return accession.Told{Known: true, Running: n[0], Waiting: n[1]}
+	return upstream.Told{Known: true, Running: n[0], Waiting: n[1]}
 }
 
 // idleTime is how long an answer's connection may lie idle: some less than
@@ -237,7 +237,7 @@
 }
 
 // quiet says whether an idle connection is still open and has sent nothing.
-func quiet(c *accession.Conn) bool {
+func quiet(c *upstream.Conn) bool {
 	if c.Reader.(*answers).Buffered() > 0 {
 		return false
 	}
--- a/internal/circulation/server.go
+++ b/internal/proxy/server.go
@@ -1,4 +1,4 @@
-package circulation
+package proxy
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"madderwing/internal/catalogue"
+	"madderwing/internal/config"
 )
 
 // Door accepts clients' connections and hands each to a server that works by
@@ -27,7 +27,7 @@
 	current *room
 	rooms   []*room
 	closing bool
-	limits  catalogue.Limits
+	limits  config.Limits
 }
 
 // room is a server with its limits.
@@ -73,7 +73,7 @@
 }
 
 // SetLimits makes new connections subject to other limits.
-func (d *Door) SetLimits(l catalogue.Limits) {
+func (d *Door) SetLimits(l config.Limits) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closing || d.current != nil && l == d.limits {
--- a/internal/circulation/tenants_test.go
+++ b/internal/proxy/tenants_test.go
@@ -1,4 +1,4 @@
-package circulation
+package proxy
 
 import (
 	"net"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
 )
 
 // withTenants gives a rig tenants, a public route and one that may be served in
@@ -32,28 +32,28 @@
 	r := newRig(t, up)
 	withTenants(t, r)
 	var lease atomic.Int64
-	drawn := errata.Internal
+	drawn := apierror.Internal
 	asked := ""
-	r.front.Tenants(&lease, func(tenant string, _ time.Duration) errata.Kind { asked = tenant; return drawn })
+	r.front.Tenants(&lease, func(tenant string, _ time.Duration) apierror.Kind { asked = tenant; return drawn })
 	for _, c := range []struct {
 		name, path, headers string
 		leased              bool
-		draw                errata.Kind
+		draw                apierror.Kind
 		status              int
 		tenant              string
 	}{
-		{"a good key", "/get/", "Authorization: Bearer k1\r\n", true, errata.Internal, 200, "one"},
-		{"a tenant that the client names", "/get/", "Authorization: Bearer k2\r\nTenant: one\r\n", true, errata.Internal, 200, "two"},
-		{"no key", "/get/", "", true, errata.Internal, 401, ""},
-		{"an unknown key", "/get/", "Authorization: Bearer k9\r\n", true, errata.Internal, 401, ""},
-		{"an unknown key and no route", "/none/", "Authorization: Bearer k9\r\n", true, errata.Internal, 401, ""},
-		{"a good key and no route", "/none/", "Authorization: Bearer k1\r\n", true, errata.Internal, 404, ""},
-		{"a public route", "/open/", "Tenant: one\r\n", true, errata.Internal, 200, ""},
-		{"a key on a public route", "/open/", "Authorization: Bearer k1\r\n", true, errata.Internal, 200, "one"},
-		{"over the limit", "/get/", "Authorization: Bearer k1\r\n", true, errata.OverQuota, 429, ""},
-		{"the limit is not known", "/get/", "Authorization: Bearer k1\r\n", true, errata.QuotaUnknown, 503, ""},
-		{"keys that cannot be confirmed", "/get/", "Authorization: Bearer k1\r\n", false, errata.Internal, 503, ""},
-		{"no upstream in its region", "/far/", "Authorization: Bearer k2\r\n", true, errata.Internal, 503, ""},
+		{"a good key", "/get/", "Authorization: Bearer k1\r\n", true, apierror.Internal, 200, "one"},
+		{"a tenant that the client names", "/get/", "Authorization: Bearer k2\r\nTenant: one\r\n", true, apierror.Internal, 200, "two"},
+		{"no key", "/get/", "", true, apierror.Internal, 401, ""},
+		{"an unknown key", "/get/", "Authorization: Bearer k9\r\n", true, apierror.Internal, 401, ""},
+		{"an unknown key and no route", "/none/", "Authorization: Bearer k9\r\n", true, apierror.Internal, 401, ""},
+		{"a good key and no route", "/none/", "Authorization: Bearer k1\r\n", true, apierror.Internal, 404, ""},
+		{"a public route", "/open/", "Tenant: one\r\n", true, apierror.Internal, 200, ""},
+		{"a key on a public route", "/open/", "Authorization: Bearer k1\r\n", true, apierror.Internal, 200, "one"},
+		{"over the limit", "/get/", "Authorization: Bearer k1\r\n", true, apierror.OverQuota, 429, ""},
+		{"the limit is not known", "/get/", "Authorization: Bearer k1\r\n", true, apierror.QuotaUnknown, 503, ""},
+		{"keys that cannot be confirmed", "/get/", "Authorization: Bearer k1\r\n", false, apierror.Internal, 503, ""},
+		{"no upstream in its region", "/far/", "Authorization: Bearer k2\r\n", true, apierror.Internal, 503, ""},
 	} {
 		lease.Store(0)
 		if c.leased {
--- a/internal/readers/key.go
+++ b/internal/quota/key.go
@@ -1,4 +1,4 @@
-package readers
+package quota
 
 import (
 	"net/http"
--- a/internal/readers/purse.go
+++ b/internal/quota/purse.go
@@ -1,4 +1,4 @@
-// Package readers knows the tenants: the keys they come with, and the shares of
+// Package quota knows the tenants: the keys they come with, and the shares of
 // their quotas that one archive lends to the others, its branches, at which desks
 // draw for each request.
 //
@@ -6,7 +6,7 @@
 // tenant together never exceed what the tenant may have, and each lapses by
 // itself, so that no branch has to be reached for that. Lender and Purse are plain
 // state machines that do no input or output and read no clock.
-package readers
+package quota
 
 import (
 	"math"
--- a/internal/reference/directory.go
+++ b/internal/registry/directory.go
@@ -1,4 +1,4 @@
-package reference
+package registry
 
 import (
 	"encoding/json"
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
 )
 
 // Directory answers from the last view that it was given.
@@ -51,17 +51,17 @@
 // Ask answers one asker.
 func (d *Directory) Ask(name, region, zone string) ([]byte, error) {
 	if name == "" {
-		return nil, errata.New(errata.BadQuestion, "name: missing")
+		return nil, apierror.New(apierror.BadQuestion, "name: missing")
 	}
 	if region == "" && zone == "" {
-		return nil, errata.New(errata.BadQuestion, "region and zone: missing")
+		return nil, apierror.New(apierror.BadQuestion, "region and zone: missing")
 	}
 	v := d.view.Load()
 	if len(v.desks) == 0 {
-		return nil, errata.Later(errata.NoQuorum, d.ttl, "no node known yet")
+		return nil, apierror.Later(apierror.NoQuorum, d.ttl, "no node known yet")
 	}
 	if d.InContact != nil && !d.InContact() {
-		return nil, errata.Later(errata.NoQuorum, d.ttl, "out of contact")
+		return nil, apierror.Later(apierror.NoQuorum, d.ttl, "out of contact")
 	}
 	a := Asker{Zone: zone, Region: region, Residency: d.residency(name)}
 	key := strings.Join(append([]string{zone, region}, a.Residency...), "\x00")
@@ -86,16 +86,16 @@
 	var body []byte
 	switch {
 	case r.URL.Path != "/v1/resolve":
-		err = errata.New(errata.UnknownPage, "%s", r.URL.Path)
+		err = apierror.New(apierror.UnknownPage, "%s", r.URL.Path)
 	case r.Method != http.MethodGet:
-		err = errata.New(errata.WrongMethod, "%s on %s", r.Method, r.URL.Path)
+		err = apierror.New(apierror.WrongMethod, "%s on %s", r.Method, r.URL.Path)
 	default:
 		q := r.URL.Query()
 		body, err = d.Ask(q.Get("name"), q.Get("region"), q.Get("zone"))
 	}
 	if err != nil {
 		d.Refused.Add(1)
-		errata.Write(w, err)
+		apierror.Write(w, err)
 		return
 	}
 	d.Answered.Add(1)
--- a/internal/reference/reference.go
+++ b/internal/registry/registry.go
@@ -1,7 +1,7 @@
-// Package reference answers clients who ask where to go. Resolve is a pure
+// Package registry answers clients who ask where to go. Resolve is a pure
 // function of what is known of the desks and of who asks; Directory keeps the
 // answers ready.
-package reference
+package registry
 
 import (
 	"sort"
--- a/internal/reference/reference_test.go
+++ b/internal/registry/registry_test.go
@@ -1,4 +1,4 @@
-package reference
+package registry
 
 import (
 	"encoding/json"
--- a/internal/replication/storage.go
+++ b/internal/replication/storage.go
@@ -8,15 +8,15 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"madderwing/internal/antientropy"
-	"madderwing/internal/ledger"
+	"madderwing/internal/storage"
 )
 
-type ledgerEntry = ledger.Entry
+type ledgerEntry = storage.Entry
 
 // Write is a batch that the driver has to make durable, in order.
 type Write struct {
 	ID      uint64
-	Entries []ledger.Entry
+	Entries []storage.Entry
 }
 
 type metaValue struct {
@@ -43,7 +43,7 @@
 }
 
 // write asks for entries to be made durable and calls then when they are.
-func (m *Member) write(entries []ledger.Entry, then func()) {
+func (m *Member) write(entries []storage.Entry, then func()) {
 	m.nextWrite++
 	if m.firstOpen == m.nextWrite {
 		m.openSince = m.now
@@ -84,7 +84,7 @@
 }
 
 // Snapshot is the member's whole state as entries.
-func (m *Member) Snapshot() (entries []ledger.Entry, upTo uint64) {
+func (m *Member) Snapshot() (entries []storage.Entry, upTo uint64) {
 	entries = append(entries, m.nodeEntry())
 	for _, name := range m.names {
 		k := m.keys[name]
@@ -111,16 +111,16 @@
 	return b
 }
 
-func (m *Member) nodeEntry() ledger.Entry {
-	return ledger.Entry{Key: nodeEntry, Value: marshal(nodeValue{true, m.founded, m.identity})}
+func (m *Member) nodeEntry() storage.Entry {
+	return storage.Entry{Key: nodeEntry, Value: marshal(nodeValue{true, m.founded, m.identity})}
 }
 
-func (k *key) meta() ledger.Entry {
-	return ledger.Entry{Key: metaPrefix + k.name, Value: marshal(metaValue{k.promised, k.at, k.commit})}
+func (k *key) meta() storage.Entry {
+	return storage.Entry{Key: metaPrefix + k.name, Value: marshal(metaValue{k.promised, k.at, k.commit})}
 }
 
-func (k *key) entry(r Record) ledger.Entry {
-	e := ledger.Entry{Key: recPrefix + k.name + "/" + r.Name}
+func (k *key) entry(r Record) storage.Entry {
+	e := storage.Entry{Key: recPrefix + k.name + "/" + r.Name}
 	if !r.Erased {
 		e.Value = marshal(storedRecord{k.name, r})
 	}
@@ -129,11 +129,11 @@
 
 // apply takes in the changes of a step from where the key stands, notes what they
 // undo, and returns the entries for the disk.
-func (m *Member) apply(k *key, changes []Record) []ledger.Entry {
+func (m *Member) apply(k *key, changes []Record) []storage.Entry {
 	if k.undo == nil && k.commit == k.at {
 		k.undo = map[string]*Record{}
 	}
-	var out []ledger.Entry
+	var out []storage.Entry
 	for _, r := range changes {
 		if k.undo != nil {
 			if _, noted := k.undo[r.Name]; !noted {
@@ -152,9 +152,9 @@
 }
 
 // replace makes the named ranges hold just the given records.
-func (m *Member) replace(k *key, ranges []int, records []Record) []ledger.Entry {
+func (m *Member) replace(k *key, ranges []int, records []Record) []storage.Entry {
 	k.undo, k.log = nil, stepLog{}
-	var out []ledger.Entry
+	var out []storage.Entry
 	keep := map[string]bool{}
 	for _, r := range records {
 		keep[r.Name] = true
@@ -162,7 +162,7 @@
 	for _, r := range k.Pick(ranges) {
 		if !keep[r.Name] {
 			k.Remove(r.Name)
-			out = append(out, ledger.Entry{Key: recPrefix + k.name + "/" + r.Name})
+			out = append(out, storage.Entry{Key: recPrefix + k.name + "/" + r.Name})
 		}
 	}
 	for _, r := range records {
--- a/internal/replication/world_test.go
+++ b/internal/replication/world_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"madderwing/internal/ledger"
+	"madderwing/internal/storage"
 )
 
 // world is a simulated set of members: a network that delays, reorders, drops,
@@ -111,7 +111,7 @@
 }
 
 type pendingWrite struct {
-	entries []ledger.Entry
+	entries []storage.Entry
 	whole   bool
 }
 
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -18,8 +18,8 @@
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
 	"madderwing/internal/antientropy"
-	"madderwing/internal/charter"
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
+	"madderwing/internal/settings"
 )
 
 // Record is the form in which plans are kept and copied.
@@ -117,15 +117,15 @@
 //go:embed schema.json
 var schemaText []byte
 
-var schema = sync.OnceValue(func() *jsonschema.Schema { return charter.MustCompile("rollout.json", schemaText) })
+var schema = sync.OnceValue(func() *jsonschema.Schema { return settings.MustCompile("rollout.json", schemaText) })
 
 // ReadAsk reads and checks an order by itself.
 func ReadAsk(body []byte) (a Ask, err error) {
-	if err := charter.Validate(schema(), body); err != nil {
-		return a, errata.New(errata.BadOrder, "%v", err)
+	if err := settings.Validate(schema(), body); err != nil {
+		return a, apierror.New(apierror.BadOrder, "%v", err)
 	}
 	if err := json.Unmarshal(body, &a); err != nil {
-		return a, errata.New(errata.BadOrder, "%v", err)
+		return a, apierror.New(apierror.BadOrder, "%v", err)
 	}
 	return a, nil
 }
@@ -137,16 +137,16 @@
 func Begin(have map[string]Record, a Ask, standing string) ([]Record, error) {
 	old, known := have[Key(a.Service)]
 	p := &Plan{Service: a.Service, Prior: standing, Candidate: a.Version, Order: 1,
-		Within: charter.Seconds(a.WithinS)}
+		Within: settings.Seconds(a.WithinS)}
 	if known {
 		was, ok := Read(old)
 		switch {
 		case !ok:
-			return nil, errata.New(errata.Internal, "the record of %s cannot be read", a.Service)
+			return nil, apierror.New(apierror.Internal, "the record of %s cannot be read", a.Service)
 		case was.Candidate == a.Version && (was.Final() || was.Within == p.Within):
 			return nil, nil
 		case !was.Final():
-			return nil, errata.New(errata.UnderWay, "%s is on its way to %s", a.Service, was.Candidate)
+			return nil, apierror.New(apierror.UnderWay, "%s is on its way to %s", a.Service, was.Candidate)
 		}
 		p.Order = was.Order + 1
 	}
@@ -162,7 +162,7 @@
 	old := have[Key(next.Service)]
 	was, ok := Read(old)
 	if !ok || old.Gen != saw || was.Final() || next.Stage < was.Stage || next.Order != was.Order {
-		return nil, errata.New(errata.Conflict, "the rollout of %s has gone on", next.Service)
+		return nil, apierror.New(apierror.Conflict, "the rollout of %s has gone on", next.Service)
 	}
 	return []Record{next.record(old.Gen + 1)}, nil
 }
@@ -173,11 +173,11 @@
 	was, ok := Read(old)
 	switch {
 	case !known || !ok:
-		return nil, errata.New(errata.NoRollout, "%s", service)
+		return nil, apierror.New(apierror.NoRollout, "%s", service)
 	case was.Stage == Reverted:
 		return nil, nil
 	case was.Final():
-		return nil, errata.New(errata.UnderWay, "the rollout of %s is complete", service)
+		return nil, apierror.New(apierror.UnderWay, "the rollout of %s is complete", service)
 	}
 	next := was.reverse("ordered by the operator", age)
 	return []Record{next.record(old.Gen + 1)}, nil
--- a/internal/rollout/score_test.go
+++ b/internal/rollout/score_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/errata"
+	"madderwing/internal/apierror"
 )
 
 // The tests of significance against values worked out by hand.
@@ -99,11 +99,11 @@
 }
 
 func TestOrders(t *testing.T) {
-	kind := func(err error) errata.Kind {
+	kind := func(err error) apierror.Kind {
 		if err == nil {
 			return -1
 		}
-		return errata.KindOf(err)
+		return apierror.KindOf(err)
 	}
 	have := map[string]Record{}
 	put := func(changes []Record) {
@@ -124,13 +124,13 @@
 	for i, c := range []struct {
 		before  func()
 		ask     Ask
-		kind    errata.Kind
+		kind    apierror.Kind
 		changes bool
 	}{
 		{nil, Ask{"s", "v2", 12}, -1, true},
 		{nil, Ask{"s", "v2", 12}, -1, false},
-		{nil, Ask{"s", "v3", 12}, errata.UnderWay, false},
-		{nil, Ask{"s", "v2", 13}, errata.UnderWay, false},
+		{nil, Ask{"s", "v3", 12}, apierror.UnderWay, false},
+		{nil, Ask{"s", "v2", 13}, apierror.UnderWay, false},
 		{func() { stage(Reverted) }, Ask{"s", "v2", 12}, -1, false},
 		{nil, Ask{"s", "v3", 12}, -1, true},
 		{func() { stage(Complete) }, Ask{"s", "v3", 12}, -1, false},
@@ -166,7 +166,7 @@
 		t.Fatal(err)
 	}
 	have[taken[0].Name] = taken[0]
-	if _, err := Advance(have, p.Gen, &canary); errata.KindOf(err) != errata.Conflict {
+	if _, err := Advance(have, p.Gen, &canary); apierror.KindOf(err) != apierror.Conflict {
 		t.Errorf("a step taken twice: %v", err)
 	}
 	gone, err := Abort(have, "s", time.Second)
@@ -174,10 +174,10 @@
 		t.Fatal(err)
 	}
 	have[gone[0].Name] = gone[0]
-	if _, err := Advance(have, p.Gen, &canary); errata.KindOf(err) != errata.Conflict {
+	if _, err := Advance(have, p.Gen, &canary); apierror.KindOf(err) != apierror.Conflict {
 		t.Errorf("a step raced a reversal: %v", err)
 	}
-	if _, err := Advance(have, gone[0].Gen, &canary); errata.KindOf(err) != errata.Conflict {
+	if _, err := Advance(have, gone[0].Gen, &canary); apierror.KindOf(err) != apierror.Conflict {
 		t.Errorf("a step after a reversal: %v", err)
 	}
 	if again, err := Abort(have, "s", 2*time.Second); err != nil || again != nil {
@@ -199,7 +199,7 @@
 		`[]`:             "top",
 	} {
 		_, err := ReadAsk([]byte(body))
-		if why == "" && err != nil || why != "" && (errata.KindOf(err) != errata.BadOrder || !strings.Contains(err.Error(), why)) {
+		if why == "" && err != nil || why != "" && (apierror.KindOf(err) != apierror.BadOrder || !strings.Contains(err.Error(), why)) {
 			t.Errorf("%s: %v", body, err)
 		}
 	}
--- a/internal/charter/charter.go
+++ b/internal/settings/settings.go
@@ -1,7 +1,7 @@
-// Package charter holds the settings of one process: their shape, their check
+// Package settings holds the settings of one process: their shape, their check
 // against a schema, and the durations that the rest of the program derives
 // from the bounds in them.
-package charter
+package settings
 
 import (
 	"bytes"
--- a/internal/charter/charter_test.go
+++ b/internal/settings/settings_test.go
@@ -1,4 +1,4 @@
-package charter
+package settings
 
 import (
 	"strings"
--- a/internal/ledger/scan.go
+++ b/internal/storage/scan.go
@@ -1,4 +1,4 @@
-package ledger
+package storage
 
 // This file holds the form of the file: the frames of batches and their reading.
 
--- a/internal/ledger/ledger.go
+++ b/internal/storage/storage.go
@@ -1,7 +1,7 @@
-// Package ledger keeps a member's state on disk with buntdb. Every batch is
+// Package storage keeps a member's state on disk with buntdb. Every batch is
 // framed so that a start can tell a whole batch from a torn one, and is synced
 // before it is reported as written.
-package ledger
+package storage
 
 import (
 	"bufio"
--- a/internal/ledger/ledger_test.go
+++ b/internal/storage/storage_test.go
@@ -1,4 +1,4 @@
-package ledger
+package storage
 
 import (
 	"bytes"
--- a/internal/accession/judge_test.go
+++ b/internal/upstream/judge_test.go
@@ -1,4 +1,4 @@
-package accession
+package upstream
 
 import (
 	"errors"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/register"
+	"madderwing/internal/membership"
 )
 
 // answer sends one request to whichever upstream the stock picks and ends it.
@@ -135,7 +135,7 @@
 
 func TestRegionsBindAndTheOwnGoesFirst(t *testing.T) {
 	region := func(zone string) string { return zone[:1] }
-	ds := []register.Node{{Address: "d", Name: "d", Zone: "n1"}, {Address: "e", Name: "e", Zone: "s1"}}
+	ds := []membership.Node{{Address: "d", Name: "d", Zone: "n1"}, {Address: "e", Name: "e", Zone: "s1"}}
 	s := NewStock(cfg("d", "n1"))
 	s.cfg.Region = region
 	s.SetDesks(0, ds, nil)
--- a/internal/accession/listing.go
+++ b/internal/upstream/listing.go
@@ -1,7 +1,7 @@
-// Package accession knows the upstreams: the platform's list of them as one
+// Package upstream knows the upstreams: the platform's list of them as one
 // archive reads it for all, and on each desk the stock of upstreams that
 // requests are sent to, with what this desk has learnt of each.
-package accession
+package upstream
 
 import (
 	"context"
--- a/internal/accession/packed_test.go
+++ b/internal/upstream/packed_test.go
@@ -1,4 +1,4 @@
-package accession
+package upstream
 
 import (
 	"testing"
--- a/internal/accession/scale_test.go
+++ b/internal/upstream/scale_test.go
@@ -1,4 +1,4 @@
-package accession
+package upstream
 
 import (
 	"fmt"
@@ -7,14 +7,14 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/register"
+	"madderwing/internal/membership"
 )
 
 // fleet is a deployment of hundreds of desks and about a thousand upstreams.
-func fleet() (desks []register.Node, shards map[string]int, ups []Instance) {
+func fleet() (desks []membership.Node, shards map[string]int, ups []Instance) {
 	shards = map[string]int{}
 	for i := range 300 {
-		n := register.Node{Address: fmt.Sprintf("10.%d.0.%d:7660", i%6, i), Name: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i%6)}
+		n := membership.Node{Address: fmt.Sprintf("10.%d.0.%d:7660", i%6, i), Name: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i%6)}
 		desks = append(desks, n)
 		shards[n.Address] = i / 6 % 2
 	}
@@ -24,7 +24,7 @@
 	return desks, shards, ups
 }
 
-func largeStock() (*Stock, []register.Node, map[string]int, []Instance) {
+func largeStock() (*Stock, []membership.Node, map[string]int, []Instance) {
 	d, sh, ups := fleet()
 	s := NewStock(cfg(d[0].Address, "z0"))
 	s.SetServices(0, map[string]ServiceInfo{"s0": {MaxConns: 1900}, "s1": {MaxConns: 1900}}, map[string]int{"s0": 0, "s1": 1})
@@ -180,10 +180,10 @@
 	for _, size := range []struct{ desks, ups, services, zones int }{
 		{300, 1000, 8, 6}, {900, 5000, 120, 12}, {1400, 13000, 300, 25}, {2800, 26000, 590, 25},
 	} {
-		var ds []register.Node
+		var ds []membership.Node
 		shards := map[string]int{}
 		for i := range size.desks {
-			n := register.Node{Address: fmt.Sprintf("10.%d.%d.%d:7660", i%size.zones, i/200, i%200), Zone: fmt.Sprintf("z%d", i%size.zones)}
+			n := membership.Node{Address: fmt.Sprintf("10.%d.%d.%d:7660", i%size.zones, i/200, i%200), Zone: fmt.Sprintf("z%d", i%size.zones)}
 			ds = append(ds, n)
 			shards[n.Address] = i / size.zones % 2
 		}
--- a/internal/accession/stock.go
+++ b/internal/upstream/stock.go
@@ -1,4 +1,4 @@
-package accession
+package upstream
 
 import (
 	"cmp"
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"madderwing/internal/register"
+	"madderwing/internal/membership"
 	"madderwing/internal/rendezvous"
 )
 
@@ -169,7 +169,7 @@
 	services  map[string]*service
 	evacuated map[string]bool
 	infos     map[string]ServiceInfo
-	desks     []register.Node
+	desks     []membership.Node
 	shards    map[string]int
 	versions  map[string]Versions
 	listed    map[string]map[string]int // service -> version -> upstreams
@@ -358,8 +358,8 @@
 }
 
 // SetDesks takes the desks that work now, and their shards.
-func (s *Stock) SetDesks(now time.Duration, desks []register.Node, shards map[string]int) {
-	same := func(a, b register.Node) bool { return a.Address == b.Address && a.Zone == b.Zone }
+func (s *Stock) SetDesks(now time.Duration, desks []membership.Node, shards map[string]int) {
+	same := func(a, b membership.Node) bool { return a.Address == b.Address && a.Zone == b.Zone }
 	if slices.EqualFunc(desks, s.desks, same) && maps.Equal(shards, s.shards) {
 		return
 	}
