--- a/internal/accession/accession_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,4 +1,4 @@
-package accession
+package upstream
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"madderwing/internal/register"
+	"madderwing/internal/membership"
 )
 
 const ms = time.Millisecond
@@ -30,11 +30,11 @@
 	return out
 }
 
-func desks(zones ...string) (out []register.Node, shards map[string]int) {
+func desks(zones ...string) (out []membership.Node, shards map[string]int) {
 	shards = map[string]int{}
 	for _, z := range zones {
 		for i := 0; i < 3; i++ {
-			n := register.Node{Address: fmt.Sprintf("%s-desk-%d", z, i), Name: fmt.Sprintf("%s-%d", z, i), Zone: z}
+			n := membership.Node{Address: fmt.Sprintf("%s-desk-%d", z, i), Name: fmt.Sprintf("%s-%d", z, i), Zone: z}
 			out = append(out, n)
 			shards[n.Address] = i % 2
 		}
@@ -43,7 +43,7 @@
 }
 
 // fresh makes a stock that knows everything; trials succeed at once.
-func fresh(self, zone string, instances []Instance, ds []register.Node, shards map[string]int, bound map[string]int) *Stock {
+func fresh(self, zone string, instances []Instance, ds []membership.Node, shards map[string]int, bound map[string]int) *Stock {
 	s := NewStock(cfg(self, zone))
 	s.SetDesks(0, ds, shards)
 	s.SetServices(0, map[string]ServiceInfo{"a": {MaxConns: 200, WarmupS: 3, WarmupPerS: 8}}, bound)
@@ -249,9 +249,9 @@
 func TestColdPaceHoldsOverAllDesks(t *testing.T) {
 	ds, sh := desks("z", "y")
 	rng := rand.New(rand.NewSource(7))
-	for name, views := range map[string]func(i int) []register.Node{
-		"same view": func(int) []register.Node { return ds },
-		"stale views": func(i int) []register.Node { // half of the desks do not know one of them
+	for name, views := range map[string]func(i int) []membership.Node{
+		"same view": func(int) []membership.Node { return ds },
+		"stale views": func(i int) []membership.Node { // half of the desks do not know one of them
 			if i%2 == 0 {
 				return ds[:len(ds)-1]
 			}
@@ -370,7 +370,7 @@
 	ds, sh := desks("z", "y")
 	rng := rand.New(rand.NewSource(3))
 	newStock := func(i int) *Stock {
-		view := append(append([]register.Node{}, ds[:i/2]...), ds[i/2+1:]...)
+		view := append(append([]membership.Node{}, ds[:i/2]...), ds[i/2+1:]...)
 		return fresh(ds[i].Address, ds[i].Zone, list(40, "z", 0), view, sh, map[string]int{"a": 0})
 	}
 	var stocks []*Stock
