--- a/cmd/madderwing/client.go
+++ b/cmd/madderwing/client.go
@@ -22,7 +22,7 @@
 	"madderwing/internal/settings"
 )
 
-// client calls the archives' control interface, one after the other.
+// client calls the control nodes' control interface, one after the other.
 type client struct {
 	at      []string
 	timeout time.Duration
@@ -47,7 +47,7 @@
 
 func (c *client) call(method, path string, body []byte) ([]byte, error) {
 	end := time.Now().Add(c.timeout)
-	last := errors.New("no archive answered")
+	last := errors.New("no control node answered")
 	pause := 100 * time.Millisecond
 	h := &http.Client{Timeout: 2 * time.Second}
 	for i := 0; time.Now().Before(end); i++ {
@@ -80,7 +80,7 @@
 	return nil, coded{exitAway, last}
 }
 
-// inForce waits until every desk that works has the newest items.
+// inForce waits until every gateway that works has the newest items.
 func (c *client) inForce(out io.Writer, limit time.Duration) error {
 	var behind []string
 	for end := time.Now().Add(limit); ; time.Sleep(200 * time.Millisecond) {
@@ -88,18 +88,18 @@
 		if err != nil {
 			return err
 		}
-		var desks []controlplane.Delivery
-		if err := json.Unmarshal(text, &desks); err != nil {
+		var gateways []controlplane.Delivery
+		if err := json.Unmarshal(text, &gateways); err != nil {
 			return err
 		}
 		behind = behind[:0]
-		for _, d := range desks {
+		for _, d := range gateways {
 			if !d.Current {
-				behind = append(behind, d.Desk)
+				behind = append(behind, d.Gateway)
 			}
 		}
 		if len(behind) == 0 {
-			fmt.Fprintf(out, "in force on %d desks\n", len(desks))
+			fmt.Fprintf(out, "in force on %d gateways\n", len(gateways))
 			return nil
 		}
 		if time.Now().After(end) {
@@ -147,7 +147,7 @@
 	}
 	apply := &cobra.Command{Use: "apply FILE", Short: "Send a change of the configuration (- for standard input)", Args: cobra.ExactArgs(1)}
 	applyClient := clientFlags(apply)
-	wait := apply.Flags().Duration("wait", 0, "wait up to this long until every working desk has the newest items in force")
+	wait := apply.Flags().Duration("wait", 0, "wait up to this long until every working gateway has the newest items in force")
 	apply.RunE = func(cmd *cobra.Command, args []string) error {
 		text, err := readFile(cmd, args[0])
 		if err != nil {
@@ -218,7 +218,7 @@
 }
 
 func retireCommand() *cobra.Command {
-	c := &cobra.Command{Use: "retire NODE", Short: "Take an archive that is gone for good out of the roster (name or address)", Args: cobra.ExactArgs(1)}
+	c := &cobra.Command{Use: "retire NODE", Short: "Take a control node that is gone for good out of the roster (name or address)", Args: cobra.ExactArgs(1)}
 	cl := clientFlags(c)
 	c.RunE = func(cmd *cobra.Command, args []string) error {
 		k, err := cl()
@@ -309,7 +309,7 @@
 	}
 }
 
-// age says how old what an archive shows is.
+// age says how old what a control node shows is.
 func age(c controlplane.Contact) string {
 	switch {
 	case !c.Known:
@@ -373,9 +373,9 @@
 	}
 	fmt.Fprint(w, "\nSHARD\tDESKS\tZONES\tROUTES\n")
 	for _, s := range o.Shards {
-		fmt.Fprintf(w, "%d\t%d\t%d\t%d\n", s.Label, len(s.Desks), s.Zones, s.Routes)
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\n", s.Label, len(s.Gateways), s.Zones, s.Routes)
 	}
-	fmt.Fprintf(w, "\nThe newest items are in force on %d of %d desks.\n", sum.Desks-sum.Behind, sum.Desks)
+	fmt.Fprintf(w, "\nThe newest items are in force on %d of %d gateways.\n", sum.Gateways-sum.Behind, sum.Gateways)
 	if sum.Behind > 0 {
 		fmt.Fprintf(w, "Not yet on %s (%d in all).\n", strings.Join(sum.BehindOf, ", "), sum.Behind)
 	}
--- a/cmd/madderwing/client_test.go
+++ b/cmd/madderwing/client_test.go
@@ -13,13 +13,13 @@
 	"madderwing/internal/config"
 )
 
-// A change that the archives refuse for its number ends at once with exit code 3 and
+// A change that the control nodes refuse for its number ends at once with exit code 3 and
 // says which item and number it was; other refusals and silence have codes of their own.
 func TestConfigApplyTellsWhyItWasRefused(t *testing.T) {
 	const first = `{"upsert":{"services":[{"name":"a","generation":5,"maxConns":1}]}}`
 	have := map[string]config.Record{}
 	calls := 0
-	archive := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	controlNode := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls++
 		body, _ := io.ReadAll(r.Body)
 		change, err := config.Read(body)
@@ -34,7 +34,7 @@
 			apierror.Write(w, err)
 		}
 	}))
-	defer archive.Close()
+	defer controlNode.Close()
 	for _, c := range []struct {
 		name, body string
 		code       int
@@ -54,7 +54,7 @@
 		r := root()
 		var out strings.Builder
 		r.SetOut(&out)
-		r.SetArgs([]string{"config", "apply", file, "--control", archive.Listener.Addr().String()})
+		r.SetArgs([]string{"config", "apply", file, "--control", controlNode.Listener.Addr().String()})
 		err := r.Execute()
 		code, text := 0, ""
 		if err != nil {
--- a/cmd/madderwing/commands.go
+++ b/cmd/madderwing/commands.go
@@ -27,7 +27,7 @@
 	exitFailed  = 1 // the work could not be done
 	exitUsage   = 2 // the call or the settings are wrong
 	exitRefused = 3 // the system refused the order
-	exitAway    = 4 // no archive answered
+	exitAway    = 4 // no control node answered
 )
 
 // coded is an error with an exit code of its own.
@@ -66,22 +66,30 @@
 		},
 	}
 	r.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-	r.AddCommand(deskCommand(), archiveCommand(), checkCommand(), statusCommand(), resolveCommand(), configCommand(), evacuateCommand(), rolloutCommand(), retireCommand(),
+	r.AddCommand(gatewayCommand(), controlCommand(), formerly("desk", gatewayCommand()), formerly("archive", controlCommand()), checkCommand(), statusCommand(), resolveCommand(), configCommand(), evacuateCommand(), rolloutCommand(), retireCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), "madderwing "+version)
 		}})
 	return r
 }
 
+// formerly keeps a command under the name that it had in earlier releases: it is hidden,
+// and says which name to use now.
+func formerly(name string, c *cobra.Command) *cobra.Command {
+	c.Deprecated = fmt.Sprintf("use %q instead", c.Name())
+	c.Use = name
+	return c
+}
+
 // settingsFlag adds --settings.
 func settingsFlag(c *cobra.Command) *string {
 	return c.Flags().String("settings", os.Getenv(settings.PathVariable), "path of the settings file")
 }
 
-func deskCommand() *cobra.Command {
-	c := &cobra.Command{Use: "desk", Short: "Carry traffic: serve clients on an edge machine", Args: cobra.NoArgs}
+func gatewayCommand() *cobra.Command {
+	c := &cobra.Command{Use: "gateway", Short: "Carry traffic: serve clients on an edge machine", Args: cobra.NoArgs}
 	path := settingsFlag(c)
-	shards := c.Flags().Int("shards", 2, "how many shards the desks are divided into; the same on all nodes")
+	shards := c.Flags().Int("shards", 2, "how many shards the gateways are divided into; the same on all nodes")
 	pace := c.Flags().Float64("pace", 0, "part of the link's rate (limits.linkMbps) at which large answers are passed on; 0: as fast as they come")
 	c.RunE = func(*cobra.Command, []string) error {
 		if *pace < 0 || *pace > 1 {
@@ -89,7 +97,7 @@
 		}
 		return serve(*path, *shards, func(ctx context.Context, s *settings.Settings, reload <-chan *settings.Settings) error {
 			if s.Bind.Front == "" || s.Bind.Readiness == "" {
-				return usage(settings.Check{"bind: a desk needs front and readiness"})
+				return usage(settings.Check{"bind: a gateway needs front and readiness"})
 			}
 			return gateway.Run(ctx, s, gateway.Options{Shards: *shards, Pace: *pace}, reload)
 		})
@@ -97,10 +105,10 @@
 	return c
 }
 
-func archiveCommand() *cobra.Command {
-	c := &cobra.Command{Use: "archive", Short: "Hold and deliver the configuration", Args: cobra.NoArgs}
+func controlCommand() *cobra.Command {
+	c := &cobra.Command{Use: "control", Short: "Hold and deliver the configuration", Args: cobra.NoArgs}
 	path := settingsFlag(c)
-	shards := c.Flags().Int("shards", 2, "how many shards the desks are divided into; the same on all nodes")
+	shards := c.Flags().Int("shards", 2, "how many shards the gateways are divided into; the same on all nodes")
 	relist := c.Flags().Duration("relist", 30*time.Second, "how often all unscheduled routes are listed again")
 	handBack := c.Flags().Duration("hand-back", time.Minute, "calm after which a key goes back to its first heir; 0: never")
 	c.RunE = func(*cobra.Command, []string) error {
@@ -109,7 +117,7 @@
 		}
 		return serve(*path, *shards, func(ctx context.Context, s *settings.Settings, reload <-chan *settings.Settings) error {
 			if s.Bind.Control == "" {
-				return usage(settings.Check{"bind: an archive needs control"})
+				return usage(settings.Check{"bind: a control node needs control"})
 			}
 			return controlplane.Run(ctx, s, controlplane.Options{Shards: *shards, Relist: *relist, HandBack: *handBack}, reload)
 		})
@@ -138,7 +146,7 @@
 // file that cannot be used is logged, and the settings in force stay.
 func follow(ctx context.Context, path string, s *settings.Settings) <-chan *settings.Settings {
 	out := make(chan *settings.Settings, 1)
-	logger := log.New(os.Stderr, "charter: ", 0)
+	logger := log.New(os.Stderr, "settings: ", 0)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	stamp := func() (t time.Time, size int64) {
--- a/cmd/madderwing/main.go
+++ b/cmd/madderwing/main.go
@@ -1,5 +1,5 @@
-// Command madderwing is an API gateway: the desks that carry traffic, the
-// archives that hold the configuration and deliver it, and the tools for their
+// Command madderwing is an API gateway: the gateways that carry traffic, the
+// control nodes that hold the configuration and deliver it, and the tools for their
 // operators.
 package main
 
--- a/examples/local/add.sh
+++ b/examples/local/add.sh
@@ -9,5 +9,5 @@
 sed -e "s/127\.0\.0\.4/127.0.0.$n/; s/local-west-2/local-west-$n/; s#madderwing-local/4#madderwing-local/$n#; s/^bootstrap = true/bootstrap = false/" \
   examples/local/node4.toml > "$settings"
 trap 'kill 0' EXIT INT TERM
-target/madderwing desk --settings "$settings" &
-target/madderwing archive --settings "$settings"
+target/madderwing gateway --settings "$settings" &
+target/madderwing control --settings "$settings"
--- a/examples/local/start.sh
+++ b/examples/local/start.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Starts the stand-in and four nodes, each a desk and an archive. Ctrl-C ends
+# Starts the stand-in and four nodes, each a gateway and a control node. Ctrl-C ends
 # them all. The first start founds the system; later ones go on with its disks.
 set -u
 cd "$(dirname "$0")/../.."
@@ -14,7 +14,7 @@
     settings=/tmp/madderwing-local/node$i.toml
     sed 's/^bootstrap = true/bootstrap = false/' examples/local/node$i.toml > "$settings"
   fi
-  target/madderwing archive --settings "$settings" & pids+=($!)
-  target/madderwing desk --settings "$settings" & pids+=($!)
+  target/madderwing control --settings "$settings" & pids+=($!)
+  target/madderwing gateway --settings "$settings" & pids+=($!)
 done
 wait
--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -46,7 +46,7 @@
 	UnknownService       // an order for a service that does not exist
 	NoRollout            // no rollout was ever ordered for the service
 	UnderWay             // another rollout of the service is under way
-	NoArchive            // a relay that reaches no archive at work
+	NoControlNode        // a relay that reaches no control node at work
 )
 
 // Answer is what a kind is answered with. NotRun says that the answer promises
@@ -88,7 +88,7 @@
 	NoRollout:       {http.StatusNotFound, true, "no rollout"},
 	UnderWay:        {http.StatusConflict, true, "a rollout is under way"},
 	NotNow:          {http.StatusConflict, true, "not as things stand"},
-	NoArchive:       {http.StatusServiceUnavailable, true, "no archive in reach"},
+	NoControlNode:   {http.StatusServiceUnavailable, true, "no control node in reach"},
 }
 
 // Error is an error of a kind, with what is to be told about it.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -460,7 +460,7 @@
 }
 
 // MaxBytes is how large a catalogue may grow; it has to fit into one message
-// between archives.
+// between control nodes.
 const MaxBytes = 12 << 20
 
 // recordBytes is about what a record takes in a message beside its name and
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -124,7 +124,7 @@
 	return nil
 }
 
-// Placements maps each service to the shard whose desks hold its slack and its
+// Placements maps each service to the shard whose gateways hold its slack and its
 // cold pace: the shard of the first of its routes, by name, that is scheduled.
 func (t *Table) Placements() map[string]int {
 	first := map[string]*Route{}
--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -26,7 +26,7 @@
 	State       string `json:"state"`
 	Draining    bool   `json:"draining"`
 	Incarnation uint64 `json:"incarnation"`
-	Shard       int    `json:"shard"` // -1 on archives
+	Shard       int    `json:"shard"` // -1 on control nodes
 	Seat        bool   `json:"seat"`  // in the roster
 }
 
@@ -54,20 +54,20 @@
 	Shard      int          `json:"shard"`
 }
 
-// ShardState is a shard and its desks.
+// ShardState is a shard and its gateways.
 type ShardState struct {
-	Label  int      `json:"label"`
-	Desks  []string `json:"desks"`
-	Zones  int      `json:"zones"`
-	Routes int      `json:"routes"`
+	Label    int      `json:"label"`
+	Gateways []string `json:"desks"`
+	Zones    int      `json:"zones"`
+	Routes   int      `json:"routes"`
 }
 
-// Delivery is how far a desk has the newest items in force.
+// Delivery is how far a gateway has the newest items in force.
 type Delivery struct {
-	Desk    string `json:"desk"`
+	Gateway string `json:"desk"`
 	Zone    string `json:"zone"`
-	Heard   bool   `json:"heard"`   // by an archive, lately
-	Current bool   `json:"current"` // has what the archive asked knows to be newest
+	Heard   bool   `json:"heard"`   // by a control node, lately
+	Current bool   `json:"current"` // has what the control node asked knows to be newest
 }
 
 // TenantState is a tenant as the administration API shows it: without its keys.
@@ -109,7 +109,7 @@
 	Counters    map[string]uint64    `json:"counters"`
 }
 
-func (a *Archive) overview(now time.Duration) *Overview {
+func (a *Node) overview(now time.Duration) *Overview {
 	o := &Overview{Node: a.set.Node, Voting: a.member.Voting(), Contact: a.contact.state(now), Roster: a.member.Standing(now), Duties: a.rota.States(now), Listing: a.stand.Version,
 		Upstreams: a.stand.All(now), Evacuations: []string{}, Members: []Member{}, Delivery: []Delivery{}, Routes: []RouteState{}, Shards: []ShardState{}}
 	list := a.reg.List()
@@ -121,7 +121,7 @@
 	shards := make([]ShardState, a.opt.Shards)
 	zones := make([]map[string]bool, a.opt.Shards)
 	for i := range shards {
-		shards[i] = ShardState{Label: i, Desks: []string{}}
+		shards[i] = ShardState{Label: i, Gateways: []string{}}
 		zones[i] = map[string]bool{}
 	}
 	for _, n := range list.Nodes {
@@ -132,7 +132,7 @@
 				digest, heard := a.holds[n.Address]
 				o.Delivery = append(o.Delivery, Delivery{n.Name, n.Zone, heard, heard && digest == a.shown.Sums.Fold()})
 				s := &shards[m.Shard]
-				s.Desks = append(s.Desks, n.Name)
+				s.Gateways = append(s.Gateways, n.Name)
 				zones[m.Shard][n.Zone] = true
 				s.Zones = len(zones[m.Shard])
 			}
@@ -177,7 +177,7 @@
 	return o
 }
 
-func (a *Archive) overviewTenants(o *Overview) {
+func (a *Node) overviewTenants(o *Overview) {
 	for _, t := range config.Tenants(a.shown.Records, &a.routes) {
 		o.Tenants = append(o.Tenants, TenantState{t.Name, len(t.APIKeys), t.Priority, t.RatePerS, t.Burst, t.Residency, t.Generation})
 	}
@@ -192,9 +192,9 @@
 	}
 }
 
-// retire takes an archive that is gone for good out of the roster, by name or
+// retire takes a control node that is gone for good out of the roster, by name or
 // address.
-func (a *Archive) retire(node string) error {
+func (a *Node) retire(node string) error {
 	address := node
 	for _, n := range a.reg.List().Nodes {
 		if n.Plane == membership.Control && n.Name == node {
@@ -209,47 +209,47 @@
 }
 
 // metrics gives the counters in the text form that monitoring systems scrape.
-func (a *Archive) metrics() []byte {
+func (a *Node) metrics() []byte {
 	ch := make(chan *Overview, 1)
 	a.do(func(now time.Duration) { ch <- a.overview(now) })
 	o := <-ch
 	watchers := o.Counters["watchers"]
 	delete(o.Counters, "watchers")
 	var b bytes.Buffer
-	metrics.Write(&b, "archive", o.Counters)
-	metrics.Gauge(&b, "archive", "watchers", watchers)
+	metrics.Write(&b, "control", o.Counters)
+	metrics.Gauge(&b, "control", "watchers", watchers)
 	owned := uint64(0)
 	for _, k := range o.Keys {
 		if k.Owner == a.post.Self() {
 			owned++
 		}
 	}
-	metrics.Gauge(&b, "archive", "keysOwned", owned)
+	metrics.Gauge(&b, "control", "keysOwned", owned)
 	inContact := uint64(0)
 	if o.Contact.Fresh {
 		inContact = 1
 	}
-	metrics.Gauge(&b, "archive", "inContact", inContact)
+	metrics.Gauge(&b, "control", "inContact", inContact)
 	learnersBehind := uint64(0)
 	for _, l := range o.Roster.Learners {
 		if l.Behind > 0 {
 			learnersBehind++
 		}
 	}
-	metrics.Gauge(&b, "archive", "seats", uint64(len(o.Roster.Seats)))
-	metrics.Gauge(&b, "archive", "learners", uint64(len(o.Roster.Learners)))
-	metrics.Gauge(&b, "archive", "learnersBehind", learnersBehind)
-	metrics.Gauge(&b, "archive", "lossesBorne", uint64(max(0, o.Roster.Bears)))
-	metrics.Gauge(&b, "archive", "itemsAgeMs", uint64(o.Contact.AgeS*1000))
-	metrics.Gauge(&b, "archive", "routes", uint64(len(o.Routes)))
-	metrics.Gauge(&b, "archive", "upstreams", uint64(len(o.Upstreams)))
-	metrics.Gauge(&b, "archive", "desks", uint64(len(o.Delivery)))
-	metrics.Gauge(&b, "archive", "desksCurrent", uint64(len(o.Delivery)-len(o.behind())))
+	metrics.Gauge(&b, "control", "seats", uint64(len(o.Roster.Seats)))
+	metrics.Gauge(&b, "control", "learners", uint64(len(o.Roster.Learners)))
+	metrics.Gauge(&b, "control", "learnersBehind", learnersBehind)
+	metrics.Gauge(&b, "control", "lossesBorne", uint64(max(0, o.Roster.Bears)))
+	metrics.Gauge(&b, "control", "itemsAgeMs", uint64(o.Contact.AgeS*1000))
+	metrics.Gauge(&b, "control", "routes", uint64(len(o.Routes)))
+	metrics.Gauge(&b, "control", "upstreams", uint64(len(o.Upstreams)))
+	metrics.Gauge(&b, "control", "gateways", uint64(len(o.Delivery)))
+	metrics.Gauge(&b, "control", "gatewaysCurrent", uint64(len(o.Delivery)-len(o.behind())))
 	return b.Bytes()
 }
 
 // admin gives one of the read-only views.
-func (a *Archive) admin(page string, q url.Values) ([]byte, error) {
+func (a *Node) admin(page string, q url.Values) ([]byte, error) {
 	ch := make(chan *Overview, 1)
 	a.do(func(now time.Duration) { ch <- a.overview(now) })
 	v, err := (<-ch).view(page, q)
--- a/internal/controlplane/asks.go
+++ b/internal/controlplane/asks.go
@@ -6,7 +6,7 @@
 	"madderwing/internal/config"
 )
 
-// asks remembers the evacuations and withdrawals that this archive has carried out
+// asks remembers the evacuations and withdrawals that this control node has carried out
 // as owner, to tell an order that is sent again from a new one like it. Operators
 // send an order again only if they got no clear answer to it, and within ackS.
 type asks struct {
@@ -14,7 +14,7 @@
 	last map[string]lastAsk
 	seen map[uint64]time.Duration
 	// Of the records that are copied here, by name: when the newest order came that
-	// another archive carried out, and the newest order of all.
+	// another control node carried out, and the newest order of all.
 	heard  map[string]time.Duration
 	newest map[string]uint64
 }
@@ -43,7 +43,7 @@
 }
 
 // repeats says whether an order may be an earlier one that its operator sends again.
-// Where another archive carried out the last one, all that is known of it is when
+// Where another control node carried out the last one, all that is known of it is when
 // word of it came here: an evacuation within ackS of that is taken for a repeat, a
 // withdrawal for a new one.
 func (a *asks) repeats(now time.Duration, o order) bool {
@@ -59,7 +59,7 @@
 }
 
 // saw notes a record of a zone as it was copied here. One whose last order is not
-// of this archive's carrying out makes what it remembers of the zone worthless.
+// of this control node's carrying out makes what it remembers of the zone worthless.
 func (a *asks) saw(now time.Duration, r config.Record) {
 	id := config.LastOrder(r)
 	if _, own := a.seen[id]; own || a.newest[r.Name] == id && id != 0 {
@@ -70,7 +70,7 @@
 	delete(a.last, r.Name+undo)
 }
 
-// begins notes an order that this archive is about to carry out.
+// begins notes an order that this control node is about to carry out.
 func (a *asks) begins(o order) { a.newest[o.Key] = o.ID }
 
 // carriedOut notes an order that came at one time and was safe at another.
--- a/internal/controlplane/asks_test.go
+++ b/internal/controlplane/asks_test.go
@@ -58,7 +58,7 @@
 	const s, ms = time.Second, time.Millisecond
 	const name = config.EvacuationPrefix + "z"
 	type step struct {
-		owner int // which archive carries it out; the other one copies
+		owner int // which control node carries it out; the other one copies
 		id    uint64
 		on    bool
 		at    time.Duration
--- a/internal/controlplane/branches_test.go
+++ b/internal/controlplane/branches_test.go
@@ -9,10 +9,10 @@
 	"madderwing/internal/settings"
 )
 
-// An archive whose seat has gone may still have lent shares to desks.
+// A control node whose seat has gone may still have lent shares to gateways.
 func TestABranchWithoutASeatCountsUntilItsSharesLapse(t *testing.T) {
 	const contactS = 3
-	a := &Archive{set: &settings.Settings{Bounds: settings.Bounds{ContactS: contactS}}, start: time.Now(), seated: map[string]time.Duration{}}
+	a := &Node{set: &settings.Settings{Bounds: settings.Bounds{ContactS: contactS}}, start: time.Now(), seated: map[string]time.Duration{}}
 	member, err := replication.NewMember(replication.Config{Self: "a", Identity: 1}, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/controlplane/contact.go
+++ b/internal/controlplane/contact.go
@@ -13,9 +13,9 @@
 // beats. A copy's age is between one beat and two while nothing is amiss.
 const contactPart = 0.5
 
-// contact is how lately a majority stood behind the items that this archive shows. It
+// contact is how lately a majority stood behind the items that this control node shows. It
 // rests on what a member can say of its copies (replication.Member.Current), which is
-// dated by this archive's own clock and takes a round trip through an owner that a
+// dated by this control node's own clock and takes a round trip through an owner that a
 // majority follows. So it does not hold where only one way is open, where others have
 // merely asked to become owners, or for messages that waited while this process was
 // frozen; and a process that has just started has none.
@@ -59,7 +59,7 @@
 	return known && age <= bound
 }
 
-// fresh says whether this archive is in contact with a majority.
+// fresh says whether this control node is in contact with a majority.
 func (c *contact) fresh(now time.Duration) bool { return c.within(now, c.bound) }
 
 // tell logs one line when contact is lost, and one when it is there again.
@@ -77,7 +77,7 @@
 	c.from = now
 }
 
-// Contact is an archive's contact with a majority as the administration API shows it.
+// Contact is a control node's contact with a majority as the administration API shows it.
 type Contact struct {
 	Fresh bool    `json:"fresh"` // what it shows may be told as the newest
 	Known bool    `json:"known"` // there was contact in this life of the process
--- a/internal/controlplane/contact_test.go
+++ b/internal/controlplane/contact_test.go
@@ -21,7 +21,7 @@
 	testStep     = 10 * time.Millisecond
 )
 
-// island is a world of archives' members and of what each knows of its contact. Cuts
+// island is a world of control nodes' members and of what each knows of its contact. Cuts
 // work one way.
 type island struct {
 	t     *testing.T
--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -59,8 +59,8 @@
 // maxCall bounds the body of a call to control.
 const maxCall = 16 << 20
 
-// own carries an order out at this archive as the owner of its key.
-func (a *Archive) own(o order) verdict {
+// own carries an order out at this control node as the owner of its key.
+func (a *Node) own(o order) verdict {
 	var change *config.Change
 	if text := append(o.Patch, o.Plan...); text != nil {
 		var err error
@@ -154,7 +154,7 @@
 
 // answerLater answers a call that has been carried out but may not be confirmed
 // yet: at the right time, if that is soon, or with the advice to ask again.
-func (a *Archive) answerLater(left time.Duration, done chan<- verdict) {
+func (a *Node) answerLater(left time.Duration, done chan<- verdict) {
 	if left > a.set.Beat()*2/3 {
 		done <- verdict{true, apierror.NotYet, "keys that were taken away may be in use for " + left.String(), nil}
 		return
@@ -185,7 +185,7 @@
 
 // submit brings an order to the owner of its key, wherever that is now, and
 // waits a little where there is none.
-func (a *Archive) submit(o order) ([]byte, error) {
+func (a *Node) submit(o order) ([]byte, error) {
 	begin := time.Now()
 	limit := begin.Add(settings.Seconds(a.set.Bounds.AckS * 0.17))
 	o.ID = rand.Uint64() | 1
@@ -229,7 +229,7 @@
 }
 
 // control serves the operator's calls.
-func (a *Archive) control(zones []string) http.Handler {
+func (a *Node) control(zones []string) http.Handler {
 	known := map[string]bool{}
 	for _, z := range zones {
 		known[z] = true
@@ -255,7 +255,7 @@
 	})
 }
 
-// view says whether a call is answered from what this archive holds, however old: the
+// view says whether a call is answered from what this control node holds, however old: the
 // views for operators. All others wait for a majority's word.
 func view(r *http.Request) bool {
 	page, admin := strings.CutPrefix(r.URL.Path, "/v1/admin/")
@@ -273,7 +273,7 @@
 	return body, nil
 }
 
-func (a *Archive) serve(r *http.Request, zones map[string]bool) ([]byte, error) {
+func (a *Node) serve(r *http.Request, zones map[string]bool) ([]byte, error) {
 	ok := []byte("{}\n")
 	switch path := r.URL.Path; {
 	case path == "/v1/config":
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -34,7 +34,7 @@
 	"madderwing/internal/upstream"
 )
 
-// Kinds of message between archives.
+// Kinds of message between control nodes.
 const (
 	replicationKind = "stacks"
 	rotaKind        = "rota"
@@ -63,8 +63,8 @@
 	HandBack time.Duration
 }
 
-// Archive is one control-plane process.
-type Archive struct {
+// Control node is one control-plane process.
+type Node struct {
 	set      *settings.Settings
 	opt      Options
 	post     *transport.Mesh
@@ -86,9 +86,9 @@
 	life      uint64
 	asks      asks // evacuations and withdrawals ordered here
 	loads     upstream.Loads
-	holds     map[string]uint64          // desk -> digest of the items that it has in force
-	told      map[string]toldAt          // by other archives
-	rolls     *rollout.Controller        // rollouts, as this archive sees them
+	holds     map[string]uint64          // gateway -> digest of the items that it has in force
+	told      map[string]toldAt          // by other control nodes
+	rolls     *rollout.Controller        // rollouts, as this control node sees them
 	adopting  bool                       // standing versions are being kept
 	waitsAt   time.Duration              // when a rollout that waits may be logged again
 	versions  map[string]rollout.Service // as shown
@@ -114,7 +114,7 @@
 	client  *http.Client
 
 	stats Stats
-	log   struct{ archive, replication, ledger, rota, shelving, accession, register, control, rollout *log.Logger }
+	log   struct{ controlNode, replication, ledger, rota, shelving, accession, register, control, rollout *log.Logger }
 }
 
 type toldAt struct {
@@ -136,11 +136,11 @@
 	if set.DataDir == "" {
 		return runRelay(ctx, set, reload)
 	}
-	a := &Archive{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
+	a := &Node{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
 		writes: newJobs(), shown: antientropy.NewSet(), told: map[string]toldAt{}, seated: map[string]time.Duration{},
 		asks: newAsks(settings.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
-	a.log.archive, a.log.replication, a.log.ledger, a.log.rota = logger("archive"), logger("replication"), logger("ledger"), logger("rota")
+	a.log.controlNode, a.log.replication, a.log.ledger, a.log.rota = logger("control"), logger("replication"), logger("ledger"), logger("rota")
 	a.log.shelving, a.log.accession, a.log.register, a.log.control = logger("shelving"), logger("accession"), logger("register"), logger("control")
 	a.log.rollout = logger("rollout")
 	beat := set.Beat()
@@ -153,7 +153,7 @@
 	if err != nil && !errors.Is(err, storage.ErrDamaged) {
 		return err
 	}
-	post, err := listen(set.ArchiveAddress(set.IP), settings.Seconds(set.Bounds.ContactS/6), logger("transport"))
+	post, err := listen(set.ControlAddress(set.IP), settings.Seconds(set.Bounds.ContactS/6), logger("transport"))
 	if err != nil {
 		return err
 	}
@@ -177,7 +177,7 @@
 		a.serveRegistry()
 	}
 	a.member, err = replication.NewMember(replication.Config{Sure: keys,
-		Self: post.Self(), Life: a.life, Seeds: set.SeedArchives(),
+		Self: post.Self(), Life: a.life, Seeds: set.SeedControlNodes(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
 		Beat: beat, Vacant: vacant, Patience: settings.Seconds(set.Bounds.AckS * 0.17), HandBack: opt.HandBack,
 		Alive:    func(id string) bool { return a.reg.Hopeful(id) },
@@ -201,11 +201,11 @@
 		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * beat}}
 
 	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
-	a.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedArchives(), Beat: beat, Forget: 40 * beat},
+	a.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: beat, Forget: 40 * beat},
 		post, a.log.register, func(l *membership.List) {
 			a.do(func(time.Duration) { a.lookAgain = true })
 			if a.directory != nil {
-				a.directory.SetDesks(a.openDesks(l))
+				a.directory.SetGateways(a.openGateways(l))
 			}
 		})
 	a.handlers()
@@ -231,16 +231,16 @@
 		go func() { failed <- registry.ListenAndServe() }()
 		defer registry.Close()
 	}
-	a.log.archive.Printf("%s in %s is up.", set.Node, set.Zone)
+	a.log.controlNode.Printf("%s in %s is up.", set.Node, set.Zone)
 
 	for {
 		select {
 		case fresh := <-reload:
-			a.reg.Seeds(fresh.SeedArchives())
+			a.reg.Seeds(fresh.SeedControlNodes())
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
-			a.log.archive.Printf("leaving.")
+			a.log.controlNode.Printf("leaving.")
 			began := time.Now()
 			a.do(func(now time.Duration) { a.member.Leave(now); a.rota.Leave(now) })
 			a.reg.Leave(false)
@@ -262,7 +262,7 @@
 }
 
 // awaitMayGo waits until the others can do without this member, at most until end.
-func (a *Archive) awaitMayGo(end time.Time) {
+func (a *Node) awaitMayGo(end time.Time) {
 	for ; ; time.Sleep(a.set.Beat() / 20) {
 		may := make(chan bool, 1)
 		a.do(func(now time.Duration) { may <- a.member.MayGo(now) })
@@ -277,10 +277,10 @@
 }
 
 // do hands a command to the pump.
-func (a *Archive) do(fn func(now time.Duration)) { a.commands <- fn }
+func (a *Node) do(fn func(now time.Duration)) { a.commands <- fn }
 
 // offer hands a command to the pump unless its queue is full.
-func (a *Archive) offer(fn func(now time.Duration)) {
+func (a *Node) offer(fn func(now time.Duration)) {
 	select {
 	case a.commands <- fn:
 	default:
@@ -289,7 +289,7 @@
 
 // pump owns the state machines: it runs one command at a time and carries out
 // what they ask for.
-func (a *Archive) pump(beat time.Duration, stop chan struct{}) {
+func (a *Node) pump(beat time.Duration, stop chan struct{}) {
 	tick := time.NewTicker(beat / 5)
 	defer tick.Stop()
 	var pollAt time.Duration
@@ -309,7 +309,7 @@
 						a.poll()
 					}
 				} else if !a.stand.Known() && now >= pollAt {
-					// There is no list and, as far as this archive can tell, nobody
+					// There is no list and, as far as this control node can tell, nobody
 					// to read one: it reads one that any holder's replaces.
 					pollAt = now + every
 					a.poll()
@@ -328,7 +328,7 @@
 					a.branch(now, beat)
 				}
 				a.gate(now, beat)
-				a.contact.tell(now, a.log.archive)
+				a.contact.tell(now, a.log.controlNode)
 				a.lookAgain = a.lookAgain || a.shelf.Due(now)
 			}
 		case <-stop:
@@ -343,7 +343,7 @@
 }
 
 // settle carries out what the state machines want done.
-func (a *Archive) settle(now time.Duration) {
+func (a *Node) settle(now time.Duration) {
 	for again := true; again; {
 		again = false
 		fx := a.member.Take()
@@ -410,15 +410,15 @@
 }
 
 // showAll takes over what the disk held, also of keys that were made as they were needed.
-func (a *Archive) showAll() {
+func (a *Node) showAll() {
 	for _, key := range a.member.Keys() {
 		a.show(key, nil)
 	}
 }
 
-// show takes over the committed records of a key into what the desks may see: those
+// show takes over the committed records of a key into what the gateways may see: those
 // that have changed, or all if changed is nil.
-func (a *Archive) show(key string, records []replication.Record) bool {
+func (a *Node) show(key string, records []replication.Record) bool {
 	if key == replication.RosterKey {
 		if r := a.member.Standing(time.Since(a.start)).String(); r != a.rosterTold {
 			a.rosterTold = r
@@ -455,16 +455,16 @@
 	return changed
 }
 
-// tell passes on to the other archives what those who watch this one have told,
+// tell passes on to the other control nodes what those who watch this one have told,
 // and puts that together with what the others have.
-func (a *Archive) tell(now time.Duration) {
+func (a *Node) tell(now time.Duration) {
 	mine := a.watchers.Told(now)
 	a.loads, a.holds = upstream.Loads{}, map[string]uint64{}
 	take := func(t delivery.Told) {
 		a.loads.Add(t.Loads)
 		for id, digest := range t.Holds {
 			if have, ok := a.holds[id]; !ok || have != a.shown.Sums.Fold() {
-				a.holds[id] = digest // a desk watches two; the newer word counts
+				a.holds[id] = digest // a gateway watches two; the newer word counts
 			}
 		}
 	}
@@ -483,7 +483,7 @@
 }
 
 // issue sends every watcher what it lacks.
-func (a *Archive) issue(now time.Duration) {
+func (a *Node) issue(now time.Duration) {
 	a.watchers.Each(now, func(to string, has delivery.Watch) delivery.Watch {
 		return a.issueTo(now, to, has, false, true)
 	})
@@ -496,7 +496,7 @@
 	}
 }
 
-func (a *Archive) issueTo(now time.Duration, to string, has delivery.Watch, always, guessed bool) delivery.Watch {
+func (a *Node) issueTo(now time.Duration, to string, has delivery.Watch, always, guessed bool) delivery.Watch {
 	fresh := a.contact.fresh(now)
 	out := delivery.Issue{Fresh: fresh, Led: fresh && a.rolls.Led()}
 	whole := has.Sums != nil
@@ -534,7 +534,7 @@
 	return has
 }
 
-func (a *Archive) handlers() {
+func (a *Node) handlers() {
 	transport.On(a.post, replicationKind, func(from string, msgs []replication.Message) {
 		a.offer(func(now time.Duration) {
 			for _, m := range msgs {
@@ -606,7 +606,7 @@
 }
 
 // poll reads the platform's list in the background.
-func (a *Archive) poll() {
+func (a *Node) poll() {
 	if a.set.CloudAPI.Address == "" || !a.polling.CompareAndSwap(false, true) {
 		return
 	}
@@ -643,8 +643,8 @@
 	}()
 }
 
-// shards counts the working desks of each shard.
-func (a *Archive) shards() []placement.Shard {
+// shards counts the working gateways of each shard.
+func (a *Node) shards() []placement.Shard {
 	list := a.reg.List()
 	labels := list.Shards(a.opt.Shards)
 	zones := map[int][]string{}
@@ -657,7 +657,7 @@
 }
 
 // bind creates bindings at the owner of the catalogue.
-func (a *Archive) bind(orders []placement.Order, done func([]error)) {
+func (a *Node) bind(orders []placement.Order, done func([]error)) {
 	go func() {
 		answer, err := a.submit(order{Key: config.Key, Bind: orders})
 		var refused []bool
--- a/internal/controlplane/cut_test.go
+++ b/internal/controlplane/cut_test.go
@@ -17,11 +17,11 @@
 	"madderwing/internal/settings"
 )
 
-// core is four archives, each on an address and in a zone of its own, and a desk beside
+// core is four control nodes, each on an address and in a zone of its own, and a gateway beside
 // the first.
 type core struct {
 	*system
-	control  []string // by archive
+	control  []string // by control node
 	registry []string
 	post     []string // where they listen for each other
 }
@@ -32,7 +32,7 @@
 	}))
 	t.Cleanup(platform.Close)
 	base := free(t, 6)
-	c := &core{system: &system{deskDone: make(chan error, 1)}}
+	c := &core{system: &system{gatewayDone: make(chan error, 1)}}
 	ctx, leave := context.WithCancel(context.Background())
 	done := make(chan error, 5)
 	for i := 1; i <= 4; i++ {
@@ -69,7 +69,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.control, c.registry, c.post = append(c.control, set.Bind.Control), append(c.registry, set.Bind.Directory), append(c.post, set.ArchiveAddress(ip))
+		c.control, c.registry, c.post = append(c.control, set.Bind.Control), append(c.registry, set.Bind.Directory), append(c.post, set.ControlAddress(ip))
 		go func() { done <- controlplane.Run(ctx, set, controlplane.Options{Shards: 1, Relist: time.Minute}, nil) }()
 		if i == 1 {
 			c.ready = set.Bind.Readiness
@@ -88,7 +88,7 @@
 	return c
 }
 
-// watchers is how many nodes watch an archive, as that tells.
+// watchers is how many nodes watch a control node, as that tells.
 func (c *core) watchers(t *testing.T, i int) int {
 	var n struct{ Watchers int }
 	if err := json.Unmarshal([]byte(c.until(t, 200, "GET", c.control[i]+"/v1/admin/counters", "")), &n); err != nil {
@@ -97,10 +97,10 @@
 	return n.Watchers
 }
 
-// gauge reads one gauge of an archive.
+// gauge reads one gauge of a control node.
 func (c *core) gauge(t *testing.T, i int, name string) string {
 	for _, line := range strings.Split(c.until(t, 200, "GET", c.control[i]+"/metrics", ""), "\n") {
-		if rest, ok := strings.CutPrefix(line, "madderwing_archive_"+name+" "); ok {
+		if rest, ok := strings.CutPrefix(line, "madderwing_control_"+name+" "); ok {
 			return rest
 		}
 	}
@@ -117,23 +117,23 @@
 	}
 }
 
-func TestACutOffArchiveConfirmsNothing(t *testing.T) {
+func TestACutOffControlNodeConfirmsNothing(t *testing.T) {
 	c := newCore(t)
 	for i := range c.control {
-		c.wait(t, fmt.Sprintf("archive %d is in contact", i+1), func() bool { return c.gauge(t, i, "in_contact") == "1" })
+		c.wait(t, fmt.Sprintf("control node %d is in contact", i+1), func() bool { return c.gauge(t, i, "in_contact") == "1" })
 	}
 	c.wait(t, "four members", func() bool {
 		return strings.Count(c.until(t, 200, "GET", c.control[0]+"/v1/admin/members", ""), `"seat": true`) == 4
 	})
 	c.until(t, 200, "PATCH", c.control[3]+"/v1/config", items)
 	c.until(t, 200, "GET", c.ready+"/v1/readiness", "")
-	c.wait(t, "the desk watches the archive beside it", func() bool { return c.watchers(t, 0) > 0 })
+	c.wait(t, "the gateway watches the control node beside it", func() bool { return c.watchers(t, 0) > 0 })
 	const order = `{"target":"a","targetVersion":"v2","withinS":60}`
 	c.until(t, 200, "POST", c.control[1]+"/v1/rollouts", order)
 	c.until(t, 200, "GET", c.control[0]+"/v1/rollouts/a", "")
 	c.until(t, 200, "GET", c.registry[0]+"/v1/resolve?name=h.example&zone=z1", "")
 
-	// The ways to the archive and from it are cut one after the other, so that for a
+	// The ways to the control node and from it are cut one after the other, so that for a
 	// moment it is heard and hears nothing.
 	for i := 1; i < 4; i++ {
 		controlplane.Cut(c.post[i], c.post[0])
@@ -178,9 +178,9 @@
 	c.wait(t, "the gauge says so", func() bool { return c.gauge(t, 0, "in_contact") == "0" })
 	c.until(t, 503, "GET", c.registry[0]+"/v1/resolve?name=h.example&zone=z1", "")
 	c.until(t, 503, "GET", c.control[0]+"/v1/admin/resolve?name=h.example&zone=z1", "")
-	c.wait(t, "the desk has left", func() bool { return c.watchers(t, 0) == 0 })
+	c.wait(t, "the gateway has left", func() bool { return c.watchers(t, 0) == 0 })
 	if status, _ := c.call(t, "GET", c.ready+"/v1/readiness", ""); status != 200 {
-		t.Errorf("a desk that was ready is not, for an archive that is cut off: %d", status)
+		t.Errorf("a gateway that was ready is not, for a control node that is cut off: %d", status)
 	}
 	// Views are told, with their age.
 	res, err := send(c.control[0], "GET", "/v1/admin/keys", "")
@@ -203,11 +203,11 @@
 		c.until(t, x.joined, x.method, c.control[0]+x.path, x.body)
 	}
 	c.until(t, 200, "GET", c.registry[0]+"/v1/resolve?name=h.example&zone=z1", "")
-	c.wait(t, "the desk comes back", func() bool { return c.watchers(t, 0) > 0 })
+	c.wait(t, "the gateway comes back", func() bool { return c.watchers(t, 0) > 0 })
 }
 
-// A catalogue of several parts reaches a desk, and so does what changes in it later.
-func TestALargeCatalogueReachesADesk(t *testing.T) {
+// A catalogue of several parts reaches a gateway, and so does what changes in it later.
+func TestALargeCatalogueReachesAGateway(t *testing.T) {
 	c := newCore(t)
 	c.until(t, 200, "PATCH", c.control[1]+"/v1/config", items)
 	var routes strings.Builder
@@ -222,10 +222,10 @@
 	}
 	routesAt := func() string { return c.gauge(t, 0, "routes") }
 	c.wait(t, "all routes are known", func() bool { return routesAt() == "3001" })
-	c.wait(t, "the desk has the newest items", current)
+	c.wait(t, "the gateway has the newest items", current)
 	c.until(t, 200, "PATCH", c.control[1]+"/v1/config", `{"remove":{"routes":[{"name":"r-7","generation":2}]}}`)
 	c.wait(t, "one route less", func() bool { return routesAt() == "3000" })
-	c.wait(t, "the desk has the newest items again", current)
+	c.wait(t, "the gateway has the newest items again", current)
 }
 
 func send(host, method, path, body string) (*http.Response, error) {
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -93,7 +93,7 @@
 
 // keep owns the ledger: it writes batches in order and reports when they are
 // durable. Batches that wait are written together.
-func (a *Archive) keep(open *storage.Ledger) {
+func (a *Node) keep(open *storage.Ledger) {
 	defer open.Close()
 	w := writer{book: open}
 	for {
--- a/internal/controlplane/export_test.go
+++ b/internal/controlplane/export_test.go
@@ -8,10 +8,10 @@
 	"madderwing/internal/transport"
 )
 
-// cuts are the ways between archives that are cut, from and to by address.
+// cuts are the ways between control nodes that are cut, from and to by address.
 var cuts sync.Map
 
-// Cut cuts the way from one archive to another, and Join opens all again. What is sent
+// Cut cuts the way from one control node to another, and Join opens all again. What is sent
 // is dropped where it arrives.
 func Cut(from, to string) { cuts.Store([2]string{from, to}, true) }
 
--- a/internal/controlplane/numbers_test.go
+++ b/internal/controlplane/numbers_test.go
@@ -15,12 +15,12 @@
 	"madderwing/internal/settings"
 )
 
-// trio is three archives, each with a disk and a zone of its own.
+// trio is three control nodes, each with a disk and a zone of its own.
 type trio struct {
 	system
-	controls, archives [3]string
-	run                [3]func() // starts one
-	stop               [3]func() // ends one and waits for it
+	controls, controlNodes [3]string
+	run                    [3]func() // starts one
+	stop                   [3]func() // ends one and waits for it
 }
 
 func newTrio(t *testing.T) *trio {
@@ -62,7 +62,7 @@
 				t.Fatal(err)
 			}
 			first = false
-			s.archives[i] = set.ArchiveAddress(set.IP)
+			s.controlNodes[i] = set.ControlAddress(set.IP)
 			ctx, leave := context.WithCancel(context.Background())
 			done := make(chan error, 1)
 			go func() { done <- controlplane.Run(ctx, set, controlplane.Options{Shards: 1, Relist: time.Minute}, nil) }()
@@ -99,7 +99,7 @@
 		var o controlplane.Overview
 		if _, text := s.call(t, "GET", s.controls[0]+"/v1/admin/overview", ""); json.Unmarshal([]byte(text), &o) == nil {
 			for _, k := range o.Keys {
-				for i, a := range s.archives {
+				for i, a := range s.controlNodes {
 					if k.Key == "catalogue" && k.Owner == a {
 						return i
 					}
--- a/internal/controlplane/registry.go
+++ b/internal/controlplane/registry.go
@@ -14,14 +14,14 @@
 	"madderwing/internal/settings"
 )
 
-// What an archive does beside where clients ask a registry: it answers them, it
+// What a control node does beside where clients ask a registry: it answers them, it
 // lends tenants' quotas while it owns the catalogue, and it holds the answer to
-// a call that takes a key away until no desk can rely on that key.
+// a call that takes a key away until no gateway can rely on that key.
 
 // serveRegistry makes ready for that.
-func (a *Archive) serveRegistry() {
+func (a *Node) serveRegistry() {
 	b := a.set.Bounds
-	// A desk that leaves is missing from the answers for longer than they hold
+	// A gateway that leaves is missing from the answers for longer than they hold
 	// before it closes its door.
 	ttl := settings.Seconds(b.GraceS * 0.4)
 	if b.TTLMaxS > 0 {
@@ -34,8 +34,8 @@
 		return nil
 	})
 	// While an owner is replaced, which takes less than contactS, its answers go on: they
-	// rest on what nodes say of themselves. So do those of an archive that has just started.
-	// The archives of a side that was cut off end.
+	// rest on what nodes say of themselves. So do those of a control node that has just started.
+	// The control nodes of a side that was cut off end.
 	a.directory.InContact = func() bool { return a.lately(time.Since(a.start)) }
 	a.lender = quota.NewLender(quota.LenderConfig{Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack,
 		Window: settings.Seconds(b.QuotaWindowS), Life: settings.Seconds(b.ContactS * 0.7), Sure: settings.Seconds(b.ContactS * vacantPart),
@@ -43,9 +43,9 @@
 	a.purse = &quota.Purse{Life: a.life, Patience: settings.Seconds(b.ContactS / 20)}
 }
 
-// branches are the archives that may hold shares: the members, and those whose seats have
+// branches are the control nodes that may hold shares: the members, and those whose seats have
 // gone so lately that their shares may not have lapsed.
-func (a *Archive) branches() []string {
+func (a *Node) branches() []string {
 	out := a.member.Roster()
 	now := time.Since(a.start)
 	for id, at := range a.seated {
@@ -67,15 +67,15 @@
 	return out
 }
 
-// lately says that this archive was in contact with a majority within contactS, or has
+// lately says that this control node was in contact with a majority within contactS, or has
 // not been up for longer than that.
-func (a *Archive) lately(now time.Duration) bool {
+func (a *Node) lately(now time.Duration) bool {
 	contactS := settings.Seconds(a.set.Bounds.ContactS)
 	return now < contactS || a.contact.within(now, contactS)
 }
 
-// openDesks lists the desks for the registry.
-func (a *Archive) openDesks(l *membership.List) (out []registry.Desk) {
+// openGateways lists the gateways for the registry.
+func (a *Node) openGateways(l *membership.List) (out []registry.Gateway) {
 	for _, n := range l.Nodes {
 		if n.Plane != membership.Data || n.State > membership.Suspect || n.Front == 0 {
 			continue
@@ -84,14 +84,14 @@
 		if err != nil {
 			continue
 		}
-		out = append(out, registry.Desk{Address: net.JoinHostPort(host, strconv.Itoa(int(n.Front))), Zone: n.Zone,
+		out = append(out, registry.Gateway{Address: net.JoinHostPort(host, strconv.Itoa(int(n.Front))), Zone: n.Zone,
 			Region: a.set.RegionOf(n.Zone), Open: n.State == membership.Alive && !n.Draining})
 	}
 	return out
 }
 
 // newItems takes over what of the items concerns the registry and the lender.
-func (a *Archive) newItems() {
+func (a *Node) newItems() {
 	if a.lender == nil {
 		return
 	}
@@ -101,7 +101,7 @@
 }
 
 // lend begins or ends lending with the ownership of the catalogue.
-func (a *Archive) lend(now time.Duration) {
+func (a *Node) lend(now time.Duration) {
 	t, ok := a.member.Tenure(now, config.Key)
 	if !ok {
 		a.lender.End()
@@ -122,7 +122,7 @@
 }
 
 // lendTo answers a branch's report.
-func (a *Archive) lendTo(now time.Duration, from string, r quota.Report) {
+func (a *Node) lendTo(now time.Duration, from string, r quota.Report) {
 	a.lend(now)
 	t, ok := a.member.Tenure(now, config.Key)
 	if !ok {
@@ -139,9 +139,9 @@
 }
 
 // branch reports to the lender at every beat, and at once to a new one.
-func (a *Archive) branch(now, beat time.Duration) {
+func (a *Node) branch(now, beat time.Duration) {
 	a.purse.Expire(now)
-	// An archive that has lost its memory knows no owner; the lender calls it.
+	// A control node that has lost its memory knows no owner; the lender calls it.
 	if owner := a.member.Owner(now, config.Key); owner != "" && owner != a.lentBy {
 		a.lentBy, a.lendWhole, a.lendAt = owner, true, now
 	}
@@ -152,7 +152,7 @@
 }
 
 // report reports to the lender, unless its last answer is still awaited.
-func (a *Archive) report(now time.Duration) {
+func (a *Node) report(now time.Duration) {
 	if a.lentBy == "" || a.purse.Awaits(now) {
 		return
 	}
@@ -166,15 +166,15 @@
 }
 
 // lent takes the lender's answer.
-func (a *Archive) lent(now time.Duration, l quota.Loan) {
+func (a *Node) lent(now time.Duration, l quota.Loan) {
 	a.purse.Lent(now, l)
 	if a.lendWhole || a.purse.Waiting() {
 		a.report(now)
 	}
 }
 
-// drawFor draws on a tenant's quota for a desk.
-func (a *Archive) drawFor(now time.Duration, from string, d quota.Draw) {
+// drawFor draws on a tenant's quota for a gateway.
+func (a *Node) drawFor(now time.Duration, from string, d quota.Draw) {
 	// Lent shares lapse by themselves; that a tenant has no limit may be no longer so.
 	if a.purse.Unlimited(d.Tenant) && !a.lately(now) {
 		a.post.Send(from, delivery.DrawnKind, quota.Drawn{Seq: d.Seq, Away: true})
@@ -189,10 +189,10 @@
 }
 
 // held says how much longer the answer to a call that names tenants is to wait:
-// until the leases have lapsed under which a desk that has not heard of it may go
+// until the leases have lapsed under which a gateway that has not heard of it may go
 // on using a key. An owner that follows another does not know when that one last
 // took a key away.
-func (a *Archive) held(now time.Duration) time.Duration {
+func (a *Node) held(now time.Duration) time.Duration {
 	hold := a.set.HoldRevocation()
 	if hold == 0 {
 		return 0
--- a/internal/controlplane/relay.go
+++ b/internal/controlplane/relay.go
@@ -29,11 +29,11 @@
 	"madderwing/internal/transport"
 )
 
-// A relay is an archive whose settings name no dataDir: it holds nothing, is in no
-// list, and redirects the operator's calls to an archive at work. It does nothing
+// A relay is a control node whose settings name no dataDir: it holds nothing, is in no
+// list, and redirects the operator's calls to a control node at work. It does nothing
 // between calls.
 
-// relayKind is the question of a relay, which archives and relays answer.
+// relayKind is the question of a relay, which control nodes and relays answer.
 const relayKind = "relay"
 
 // relayQuestion asks who can serve a call that concerns a key.
@@ -41,18 +41,18 @@
 	Key string `cbor:"1,keyasint"`
 }
 
-// relayAnswer is what an archive, or another relay, knows.
+// relayAnswer is what a control node, or another relay, knows.
 type relayAnswer struct {
 	Relay bool `cbor:"1,keyasint,omitempty"` // it is one; only Nodes says more
-	// Works says that the archive hears the owner of the key or of the catalogue, and
+	// Works says that the control node hears the owner of the key or of the catalogue, and
 	// isn't about to leave.
 	Works bool              `cbor:"2,keyasint,omitempty"`
 	Owner string            `cbor:"3,keyasint,omitempty"` // of the key, where it is known
-	Nodes []membership.Node `cbor:"4,keyasint,omitempty"` // archives that are taken to be working
+	Nodes []membership.Node `cbor:"4,keyasint,omitempty"` // control nodes that are taken to be working
 }
 
 // How long things take at a relay, as parts of contactS: an answer after which another
-// archive is asked as well, and a call in all. A caller gives a node up after a second.
+// control node is asked as well, and a call in all. A caller gives a node up after a second.
 const (
 	relayPatience = 1.0 / 20
 	relayLimit    = 1.0 / 6
@@ -60,7 +60,7 @@
 )
 
 // answerRelays answers the questions of relays.
-func (a *Archive) answerRelays() {
+func (a *Node) answerRelays() {
 	a.post.HandleSlow(relayKind, func(_ string, body []byte) (any, error) {
 		var q relayQuestion
 		if err := cbor.Unmarshal(body, &q); err != nil {
@@ -75,7 +75,7 @@
 	})
 }
 
-// answerRelay is the answer about a key of an archive that has these keys, hears these
+// answerRelay is the answer about a key of a control node that has these keys, hears these
 // owners and knows these nodes.
 func answerRelay(key, self string, keys []string, owner func(key string) string, l *membership.List) (out relayAnswer) {
 	// Asking for an owner makes the key, so only what is there is asked for.
@@ -93,26 +93,26 @@
 	return out
 }
 
-// picker finds the archive that a call is redirected to. It asks archives only when it
+// picker finds the control node that a call is redirected to. It asks control nodes only when it
 // is asked itself.
 type picker struct {
 	self     string
 	zone     string
 	patience time.Duration // then another is asked as well
 	limit    time.Duration // for a call in all
-	rest     time.Duration // for which an archive that gave no good answer comes last
+	rest     time.Duration // for which a control node that gave no good answer comes last
 	ask      func(ctx context.Context, to, key string) (relayAnswer, error)
 
 	mu     sync.Mutex
 	seeds  []string
-	nodes  map[string]membership.Node // archives, as the newest good answer had them
+	nodes  map[string]membership.Node // control nodes, as the newest good answer had them
 	owners map[string]string
 	failed map[string]time.Time
 	last   string    // that gave the newest good answer
 	lookAt time.Time // when there was one, or somebody who joins had one looked for
 }
 
-// pick names a working archive, the owner of the key where that is known and answers;
+// pick names a working control node, the owner of the key where that is known and answers;
 // empty: none answered in time.
 func (p *picker) pick(key string) string {
 	ctx, cancel := context.WithTimeout(context.Background(), p.limit)
@@ -237,7 +237,7 @@
 	return ok && time.Since(at) < p.rest
 }
 
-// candidates lists whom to ask: the owner, who answered last, the other archives, those
+// candidates lists whom to ask: the owner, who answered last, the other control nodes, those
 // of the own zone first, the seeds; and at the end those that lately gave no good
 // answer, the one that did so longest ago first.
 func (p *picker) candidates(key string) []string {
@@ -274,15 +274,15 @@
 	p.seeds = seeds
 }
 
-// known lists the archives that this relay knows of.
+// known lists the control nodes that this relay knows of.
 func (p *picker) known() []membership.Node {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.SortedFunc(maps.Values(p.nodes), func(a, b membership.Node) int { return strings.Compare(a.Address, b.Address) })
 }
 
-// introduce is for a node that joins and takes this relay for an archive: it tells the
-// archives, after looking for them again if none has answered for a while.
+// introduce is for a node that joins and takes this relay for a control node: it tells the
+// control nodes, after looking for them again if none has answered for a while.
 func (p *picker) introduce(n membership.Node) []membership.Node {
 	p.mu.Lock()
 	if _, have := p.nodes[n.Address]; n.Plane == membership.Control && !have && len(p.nodes) < maxKnown {
@@ -299,7 +299,7 @@
 	return slices.DeleteFunc(p.known(), func(k membership.Node) bool { return k.Address == n.Address })
 }
 
-// maxKnown bounds the archives that a relay remembers from their own word alone.
+// maxKnown bounds the control nodes that a relay remembers from their own word alone.
 const maxKnown = 64
 
 // relay is the process without a disk.
@@ -312,14 +312,14 @@
 	log   *log.Logger
 
 	calls, redirected, refused atomic.Uint64
-	away                       atomic.Bool // the last call found no archive
+	away                       atomic.Bool // the last call found no control node
 }
 
 // runRelay serves until ctx ends.
 func runRelay(ctx context.Context, set *settings.Settings, reload <-chan *settings.Settings) error {
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	beat := set.Beat()
-	post, err := transport.New(set.ArchiveAddress(set.IP), beat, logger("transport"))
+	post, err := transport.New(set.ControlAddress(set.IP), beat, logger("transport"))
 	if err != nil {
 		return err
 	}
@@ -329,7 +329,7 @@
 	if err != nil {
 		return err
 	}
-	p := &picker{self: post.Self(), zone: set.Zone, seeds: set.SeedArchives(),
+	p := &picker{self: post.Self(), zone: set.Zone, seeds: set.SeedControlNodes(),
 		patience: min(settings.Seconds(set.Bounds.ContactS*relayPatience), relayMost/4),
 		limit:    min(settings.Seconds(set.Bounds.ContactS*relayLimit), relayMost),
 		rest:     settings.Seconds(set.Bounds.ContactS),
@@ -363,16 +363,16 @@
 	if set.Bind.Directory != "" {
 		r.log.Printf("no dataDir: the registry is not served here.")
 		registry := serve(set.Bind.Directory, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			apierror.Write(w, apierror.Later(apierror.NoArchive, r.later, "no registry on a relay"))
+			apierror.Write(w, apierror.Later(apierror.NoControlNode, r.later, "no registry on a relay"))
 		}))
 		go func() { failed <- registry.ListenAndServe() }()
 		defer registry.Close()
 	}
-	r.log.Printf("%s in %s is up, without a disk: it redirects to archives.", set.Node, set.Zone)
+	r.log.Printf("%s in %s is up, without a disk: it redirects to control nodes.", set.Node, set.Zone)
 	for {
 		select {
 		case fresh := <-reload:
-			p.setSeeds(fresh.SeedArchives())
+			p.setSeeds(fresh.SeedControlNodes())
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
@@ -387,7 +387,7 @@
 
 // founding is a relay's part in the founding of a system whose seeds name it: it says that
 // it can be no member. If all seeds are relays, the lowest one's word on who is to found
-// counts; that is the first archive that asks, and nobody once the process has been
+// counts; that is the first control node that asks, and nobody once the process has been
 // started again, as it no longer knows whom it named.
 type founding struct {
 	bootstrap bool
@@ -408,7 +408,7 @@
 	return &replication.Founded{Relay: true, Appointed: f.appointed}
 }
 
-// ServeHTTP answers a call: 307 to an archive, or 503 where none is in reach.
+// ServeHTTP answers a call: 307 to a control node, or 503 where none is in reach.
 func (r *relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if req.URL.Path == "/metrics" && req.Method == http.MethodGet {
 		_, _ = w.Write(r.metrics())
@@ -418,7 +418,7 @@
 	to := r.pick(keyOf(req.Method, req.URL.Path))
 	if away := to == ""; r.away.Swap(away) != away {
 		if away {
-			r.log.Printf("no archive in reach.")
+			r.log.Printf("no control node in reach.")
 		} else {
 			r.log.Printf("redirecting to %s.", to)
 		}
@@ -431,7 +431,7 @@
 	host, _, err := net.SplitHostPort(to)
 	if err != nil {
 		r.refused.Add(1)
-		apierror.Write(w, apierror.Later(apierror.NoArchive, r.later, "this one has no disk"))
+		apierror.Write(w, apierror.Later(apierror.NoControlNode, r.later, "this one has no disk"))
 		return
 	}
 	r.redirected.Add(1)
@@ -457,6 +457,6 @@
 func (r *relay) metrics() []byte {
 	var b bytes.Buffer
 	metrics.Write(&b, "relay", map[string]uint64{"calls": r.calls.Load(), "redirected": r.redirected.Load(), "refused": r.refused.Load()})
-	metrics.Gauge(&b, "relay", "archives", uint64(len(r.known())))
+	metrics.Gauge(&b, "relay", "controlNodes", uint64(len(r.known())))
 	return b.Bytes()
 }
--- a/internal/controlplane/relay_test.go
+++ b/internal/controlplane/relay_test.go
@@ -80,8 +80,8 @@
 		{"the owner is somebody else", []string{"a"}, map[string]fleetNode{"a": {owner: "b"}, "b": {owner: "b"}}, "b", 0},
 		{"the owner is silent", []string{"a"}, map[string]fleetNode{"a": {owner: "b"}, "b": {silent: true}}, "a", testPatience},
 		{"the owner has lost its majority", []string{"a"}, map[string]fleetNode{"a": {owner: "b"}, "b": {cutOff: true}}, "a", 0},
-		{"an archive that has lost its majority", []string{"a"}, map[string]fleetNode{"a": {cutOff: true, owner: "a"}}, "", 0},
-		{"the seed is a relay that knows an archive", []string{"r"}, map[string]fleetNode{"r": {relay: true, knows: []string{"a"}}, "a": {}}, "a", 0},
+		{"a control node that has lost its majority", []string{"a"}, map[string]fleetNode{"a": {cutOff: true, owner: "a"}}, "", 0},
+		{"the seed is a relay that knows a control node", []string{"r"}, map[string]fleetNode{"r": {relay: true, knows: []string{"a"}}, "a": {}}, "a", 0},
 		{"relays that know each other", []string{"r"}, map[string]fleetNode{"r": {relay: true, knows: []string{"s", "self"}}, "s": {relay: true, knows: []string{"r"}}, "self": {}}, "", 0},
 		{"a silent seed", []string{"a", "b"}, map[string]fleetNode{"a": {silent: true}, "b": {down: true}}, "", testLimit},
 		{"all seeds refuse", []string{"a", "b", "c"}, nil, "", 0},
@@ -138,7 +138,7 @@
 		step("an owner that the picker has never asked is silent", "n", "n", "s")
 		step("nor is that one asked again at once", "n", "n")
 		f.nodes["n"] = fleetNode{down: true}
-		step("archives of old that no answer names are forgotten", "", "n", "s")
+		step("control nodes of old that no answer names are forgotten", "", "n", "s")
 	})
 }
 
@@ -170,7 +170,7 @@
 	}
 }
 
-// A node that joins through a relay is told the archives, which are looked for once.
+// A node that joins through a relay is told the control nodes, which are looked for once.
 func TestRelaysIntroduce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{nodes: map[string]fleetNode{"a": {owner: "a", knows: []string{"a"}}}}
@@ -192,10 +192,10 @@
 			t.Errorf("asked %v in vain", lost.asked)
 		}
 		if got := p.introduce(membership.Node{Address: "b", Plane: membership.Control}); len(got) != 1 {
-			t.Errorf("an archive is told of %v", got)
+			t.Errorf("a control node is told of %v", got)
 		}
 		if got := p.introduce(membership.Node{Address: "d"}); len(got) != 2 {
-			t.Errorf("an archive that joined isn't passed on: %v", got)
+			t.Errorf("a control node that joined isn't passed on: %v", got)
 		}
 	})
 }
--- a/internal/controlplane/relay_whole_test.go
+++ b/internal/controlplane/relay_whole_test.go
@@ -16,7 +16,7 @@
 	"madderwing/internal/settings"
 )
 
-// Four archives and a relay, each on an address of its own. One of the relay's seeds is
+// Four control nodes and a relay, each on an address of its own. One of the relay's seeds is
 // the relay itself.
 func TestARelay(t *testing.T) {
 	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -64,7 +64,7 @@
 	const change = `{"upsert":{"services":[{"name":"a","generation":%d,"maxConns":50}]}}`
 	s.until(t, 200, "PATCH", at(5)+"/v1/config", fmt.Sprintf(change, 1))
 	if got := s.until(t, 200, "GET", at(3)+"/v1/config", ""); !strings.Contains(got, `"a"`) {
-		t.Errorf("an archive has %s", got)
+		t.Errorf("a control node has %s", got)
 	}
 	// All four have a seat; the relay has none and is in no list.
 	for i := 0; ; i++ {
@@ -80,14 +80,14 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	if got := s.until(t, 200, "GET", at(5)+"/metrics", ""); !strings.Contains(got, "madderwing_relay_archives 4\n") {
+	if got := s.until(t, 200, "GET", at(5)+"/metrics", ""); !strings.Contains(got, "madderwing_relay_control_nodes 4\n") {
 		t.Errorf("metrics: %s", got)
 	}
 	s.until(t, 503, "GET", net.JoinHostPort("127.0.0.5", strconv.Itoa(registry))+"/v1/resolve?name=h.example", "")
 
-	first := until("an archive", func(host string) bool { return leave[host] != nil })
+	first := until("a control node", func(host string) bool { return leave[host] != nil })
 	leave[first]()
-	until("another archive", func(host string) bool { return leave[host] != nil && host != first })
+	until("another control node", func(host string) bool { return leave[host] != nil && host != first })
 	s.until(t, 200, "PATCH", at(5)+"/v1/config", fmt.Sprintf(change, 2))
 	for host, stop := range leave {
 		if host != first {
@@ -97,7 +97,7 @@
 	until("none", func(host string) bool { return host == "none" })
 }
 
-// runNode runs an archive or a relay on 127.0.0.i until it is told to leave.
+// runNode runs a control node or a relay on 127.0.0.i until it is told to leave.
 func runNode(t *testing.T, platform string, base, i int, more string, seeds ...string) (leave func()) {
 	ip := fmt.Sprintf("127.0.0.%d", i)
 	set, err := settings.Parse(fmt.Appendf(nil, `
@@ -134,7 +134,7 @@
 }
 
 // Seeds may be machines without a disk, all of them even; the system is founded once, and
-// every archive gets its seat.
+// every control node gets its seat.
 func TestFoundingWithRelaysAmongTheSeeds(t *testing.T) {
 	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(w, `{"instances":[],"nextToken":null}`)
@@ -148,18 +148,18 @@
 		t.Run(name, func(t *testing.T) {
 			base := free(t, 4)
 			at := func(i int) string { return fmt.Sprintf("127.0.0.%d:%d", i, base+2) }
-			archives := 0
+			controlNodes := 0
 			for i := 1; i <= 6; i++ {
 				disk := ""
 				if !relays[i] {
 					disk = fmt.Sprintf("dataDir = %q", t.TempDir())
-					archives++
+					controlNodes++
 				}
 				runNode(t, platform.URL, base, i, disk, at(1), at(2), at(3))
 			}
 			s := &system{}
 			s.until(t, 200, "PATCH", at(6)+"/v1/config", `{"upsert":{"services":[{"name":"a","generation":1,"maxConns":50}]}}`)
-			for i := 0; strings.Count(s.until(t, 200, "GET", at(4)+"/v1/admin/members", ""), `"seat": true`) != archives; i++ {
+			for i := 0; strings.Count(s.until(t, 200, "GET", at(4)+"/v1/admin/members", ""), `"seat": true`) != controlNodes; i++ {
 				if i > 400 {
 					t.Fatal(s.until(t, 200, "GET", at(4)+"/v1/admin/members", ""))
 				}
--- a/internal/controlplane/restart_test.go
+++ b/internal/controlplane/restart_test.go
@@ -13,9 +13,9 @@
 	"madderwing/internal/upstream"
 )
 
-// An archive that starts with a disk shows its desks the rollouts on it at once, though
-// their keys are none of those that every archive has.
-func TestARestartedArchiveShowsRollouts(t *testing.T) {
+// A control node that starts with a disk shows its gateways the rollouts on it at once, though
+// their keys are none of those that every control node has.
+func TestARestartedControlNodeShowsRollouts(t *testing.T) {
 	const id = "10.0.0.1:1"
 	config := replication.Config{Self: id, Life: 1, Seeds: []string{id}, Bootstrap: true, Empty: true, Keys: []string{config.Key},
 		Beat: 1, Vacant: 10, Patience: 100, Alive: func(string) bool { return true }}
@@ -49,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &Archive{member: again, shown: antientropy.NewSet(), rolls: rollout.NewController(), asks: newAsks(1)}
+	a := &Node{member: again, shown: antientropy.NewSet(), rolls: rollout.NewController(), asks: newAsks(1)}
 	a.log.replication = log.New(t.Output(), "", 0)
 	a.showAll()
 	if p := a.versions["s"].Active(); p == nil || p.Candidate != "v2" {
@@ -58,9 +58,9 @@
 }
 
 // The prior version of a new order is what the record and the catalogue's owner say, not
-// what this archive happens to have been shown.
+// what this control node happens to have been shown.
 func TestAnOrderStartsFromWhatIsConfirmed(t *testing.T) {
-	a := &Archive{versions: map[string]rollout.Service{"s": {Standing: rollout.Standing{Version: "shown"}}}}
+	a := &Node{versions: map[string]rollout.Service{"s": {Standing: rollout.Standing{Version: "shown"}}}}
 	a.stand.Update(0, 1, 1, []upstream.Instance{{ID: "i", Service: "s", Version: "listed"}})
 	plan := func(stage rollout.Stage) replication.Record {
 		data, err := cbor.Marshal(rollout.Plan{Service: "s", Prior: "v1", Candidate: "v2", Order: 1, Stage: stage})
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -18,9 +18,9 @@
 	"madderwing/internal/upstream"
 )
 
-// gate looks at the rollouts under way, takes the steps of those that this archive
+// gate looks at the rollouts under way, takes the steps of those that this control node
 // controls as their key's owner, and passes on what it has heard of the others.
-func (a *Archive) gate(now, beat time.Duration) {
+func (a *Node) gate(now, beat time.Duration) {
 	moves, tell := a.rolls.Look(now, a.versions, rollout.Surroundings{
 		Self: a.post.Self(), Fresh: 2 * beat, Fill: a.fill,
 		Owner: func(key string) string { return a.member.Owner(now, key) }})
@@ -52,8 +52,8 @@
 	}
 }
 
-// unheard names some of the live desks that have not told of a rollout.
-func (a *Archive) unheard(told map[string]int) (names []string) {
+// unheard names some of the live gateways that have not told of a rollout.
+func (a *Node) unheard(told map[string]int) (names []string) {
 	for _, n := range a.reg.List().Live(membership.Data) {
 		if _, ok := told[n.Address]; !ok && len(names) < behindMost {
 			names = append(names, n.Name)
@@ -62,9 +62,9 @@
 	return names
 }
 
-// fill adds to what a controller looks at what this archive knows of desks, upstreams
+// fill adds to what a controller looks at what this control node knows of gateways, upstreams
 // and loads.
-func (a *Archive) fill(v *rollout.View, p *rollout.Plan, told map[string]int) {
+func (a *Node) fill(v *rollout.View, p *rollout.Plan, told map[string]int) {
 	for _, n := range a.reg.List().Live(membership.Data) {
 		v.Live++
 		if busy, ok := told[n.Address]; ok {
@@ -97,7 +97,7 @@
 // serves is the version that stands as an order comes: by the record of the service's
 // last order, by what the owner of the catalogue said, or, where no version was ever
 // kept, by the platform's list.
-func (a *Archive) serves(last replication.Record, o order) string {
+func (a *Node) serves(last replication.Record, o order) string {
 	v := rollout.Service{Standing: o.Stood}
 	if p, ok := rollout.Read(last); ok {
 		v.Plan = p
@@ -114,7 +114,7 @@
 }
 
 // listed counts the versions that the platform lists.
-func (a *Archive) listed() map[string]listedVersions {
+func (a *Node) listed() map[string]listedVersions {
 	out := map[string]listedVersions{}
 	a.stand.Each(0, func(i upstream.Instance, _ time.Duration) {
 		l := out[i.Service]
@@ -134,7 +134,7 @@
 // adopt has the versions that stand without an order kept with the items: the first
 // that a service has, and another where the platform no longer lists any upstream of
 // the one that stands and no order is under way.
-func (a *Archive) adopt(now time.Duration) {
+func (a *Node) adopt(now time.Duration) {
 	if a.adopting || !a.member.Voting() {
 		return
 	}
@@ -180,7 +180,7 @@
 }
 
 // rollouts serves the calls for rollouts.
-func (a *Archive) rollouts(r *http.Request, service string) ([]byte, error) {
+func (a *Node) rollouts(r *http.Request, service string) ([]byte, error) {
 	wrong := apierror.New(apierror.WrongMethod, "%s on %s", r.Method, r.URL.Path)
 	if service == "" {
 		if r.Method != http.MethodPost {
@@ -223,9 +223,9 @@
 	return nil, wrong
 }
 
-// hasService says whether a service stands; an archive that does not know it asks the
+// hasService says whether a service stands; a control node that does not know it asks the
 // owner of the catalogue before it says no.
-func (a *Archive) hasService(name string) error {
+func (a *Node) hasService(name string) error {
 	has := make(chan bool, 1)
 	a.do(func(time.Duration) { has <- config.HasService(a.shown.Records, name) })
 	if <-has {
@@ -253,7 +253,7 @@
 
 // service asks the owner of the catalogue for a service, and for its version that
 // stands there.
-func (a *Archive) service(name string) (rollout.Standing, error) {
+func (a *Node) service(name string) (rollout.Standing, error) {
 	body, err := a.submit(order{Key: config.Key, Service: name})
 	if err != nil {
 		return rollout.Standing{}, err
@@ -293,7 +293,7 @@
 }
 
 // rolloutStates shows all rollouts; figures of the arms are known at the controller.
-func (a *Archive) rolloutStates(now time.Duration) (out []RolloutState) {
+func (a *Node) rolloutStates(now time.Duration) (out []RolloutState) {
 	out = []RolloutState{}
 	for service, v := range a.versions {
 		p := v.Plan
@@ -318,7 +318,7 @@
 }
 
 // rolloutAtController shows a rollout as its controller knows it.
-func (a *Archive) rolloutAtController(service string) ([]byte, error) {
+func (a *Node) rolloutAtController(service string) ([]byte, error) {
 	if err := a.hasService(service); err != nil {
 		return nil, err
 	}
@@ -329,7 +329,7 @@
 	return body, err
 }
 
-func (a *Archive) showRollout(now time.Duration, service string) []byte {
+func (a *Node) showRollout(now time.Duration, service string) []byte {
 	for _, s := range a.rolloutStates(now) {
 		if s.Service == service {
 			b, _ := json.MarshalIndent(s, "", "  ")
--- a/internal/controlplane/summary.go
+++ b/internal/controlplane/summary.go
@@ -12,7 +12,7 @@
 
 // Count is how many nodes or upstreams are alike.
 type Count struct {
-	Kind  string `json:"kind"` // desk, archive, or the service
+	Kind  string `json:"kind"` // gateway, control node, or the service
 	Zone  string `json:"zone"`
 	State string `json:"state"`
 	Count int    `json:"count"`
@@ -27,18 +27,18 @@
 	Wanted    int      `json:"wanted"`
 	Nodes     []Count  `json:"nodes"`
 	Upstreams []Count  `json:"upstreams"`
-	Desks     int      `json:"desks"`
-	Behind    int      `json:"behind"`   // desks without the newest items
+	Gateways  int      `json:"desks"`
+	Behind    int      `json:"behind"`   // gateways without the newest items
 	BehindOf  []string `json:"behindOf"` // the first of them
 }
 
-// behindMost is how many of the desks that lag behind a summary names.
+// behindMost is how many of the gateways that lag behind a summary names.
 const behindMost = 10
 
 // Summary sums an overview up by kind, zone and state.
 func (o *Overview) Summary() *Summary {
 	behind := o.behind()
-	s := &Summary{Node: o.Node, Contact: o.Contact, Bears: o.Roster.Bears, Wanted: o.Roster.Wanted, Desks: len(o.Delivery), Behind: len(behind), BehindOf: behind[:min(len(behind), behindMost)]}
+	s := &Summary{Node: o.Node, Contact: o.Contact, Bears: o.Roster.Bears, Wanted: o.Roster.Wanted, Gateways: len(o.Delivery), Behind: len(behind), BehindOf: behind[:min(len(behind), behindMost)]}
 	nodes, ups := map[Count]int{}, map[Count]int{}
 	for _, m := range o.Members {
 		nodes[Count{m.Plane, m.Zone, m.Standing(), 0}]++
@@ -50,12 +50,12 @@
 	return s
 }
 
-// behind names the desks without the newest items.
+// behind names the gateways without the newest items.
 func (o *Overview) behind() []string {
 	out := []string{}
 	for _, d := range o.Delivery {
 		if !d.Current {
-			out = append(out, d.Desk)
+			out = append(out, d.Gateway)
 		}
 	}
 	return out
--- a/internal/controlplane/summary_test.go
+++ b/internal/controlplane/summary_test.go
@@ -12,7 +12,7 @@
 func TestSummaryAndFiltersOfManyNodes(t *testing.T) {
 	o := &Overview{Node: "n"}
 	for i := range 300 {
-		m := Member{Name: fmt.Sprintf("edge-%d", i), Zone: fmt.Sprintf("z%d", i%3), Plane: "desk", State: "alive", Draining: i == 4}
+		m := Member{Name: fmt.Sprintf("edge-%d", i), Zone: fmt.Sprintf("z%d", i%3), Plane: "gateway", State: "alive", Draining: i == 4}
 		if i == 5 {
 			m.State = "suspect"
 		}
@@ -21,8 +21,8 @@
 		o.Upstreams = append(o.Upstreams, upstream.Instance{ID: m.Name, Service: "a", Zone: m.Zone, Draining: i == 0})
 	}
 	s := o.Summary()
-	want := []Count{{"desk", "z0", "alive", 100}, {"desk", "z1", "alive", 99}, {"desk", "z1", "draining", 1},
-		{"desk", "z2", "alive", 99}, {"desk", "z2", "suspect", 1}}
+	want := []Count{{"gateway", "z0", "alive", 100}, {"gateway", "z1", "alive", 99}, {"gateway", "z1", "draining", 1},
+		{"gateway", "z2", "alive", 99}, {"gateway", "z2", "suspect", 1}}
 	if !reflect.DeepEqual(s.Nodes, want) || len(s.Upstreams) != 4 || s.Behind != 30 || len(s.BehindOf) != behindMost {
 		t.Errorf("%+v", s)
 	}
--- a/internal/controlplane/whole_test.go
+++ b/internal/controlplane/whole_test.go
@@ -43,11 +43,11 @@
 type system struct {
 	control, front, ready string
 	registry              string
-	leaveDesk             context.CancelFunc
-	deskDone              chan error
+	leaveGateway          context.CancelFunc
+	gatewayDone           chan error
 }
 
-// newSystem runs an archive and a desk in one zone against a stand-in for the
+// newSystem runs a control node and a gateway in one zone against a stand-in for the
 // platform's list.
 func newSystem(t *testing.T, upstream string) *system { return newSystemOf(t, upstream, "vip") }
 
@@ -95,19 +95,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &system{registry: set.Bind.Directory, control: set.Bind.Control, front: set.Bind.Front, ready: set.Bind.Readiness, deskDone: make(chan error, 1)}
-	actx, leaveArchive := context.WithCancel(context.Background())
-	dctx, leaveDesk := context.WithCancel(context.Background())
-	s.leaveDesk = leaveDesk
-	archiveDone := make(chan error, 1)
+	s := &system{registry: set.Bind.Directory, control: set.Bind.Control, front: set.Bind.Front, ready: set.Bind.Readiness, gatewayDone: make(chan error, 1)}
+	actx, leaveControlNode := context.WithCancel(context.Background())
+	dctx, leaveGateway := context.WithCancel(context.Background())
+	s.leaveGateway = leaveGateway
+	controlNodeDone := make(chan error, 1)
 	go func() {
-		archiveDone <- controlplane.Run(actx, set, controlplane.Options{Shards: 1, Relist: time.Minute}, nil)
+		controlNodeDone <- controlplane.Run(actx, set, controlplane.Options{Shards: 1, Relist: time.Minute}, nil)
 	}()
-	go func() { s.deskDone <- gateway.Run(dctx, set, gateway.Options{Shards: 1}, nil) }()
+	go func() { s.gatewayDone <- gateway.Run(dctx, set, gateway.Options{Shards: 1}, nil) }()
 	t.Cleanup(func() {
-		leaveDesk()
-		leaveArchive()
-		if err := <-archiveDone; err != nil {
+		leaveGateway()
+		leaveControlNode()
+		if err := <-controlNodeDone; err != nil {
 			t.Error(err)
 		}
 	})
@@ -196,7 +196,7 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 
-	for page, line := range map[string]string{s.ready: "madderwing_desk_served_total 1\n", s.control: "madderwing_archive_desks_current 1\n"} {
+	for page, line := range map[string]string{s.ready: "madderwing_gateway_served_total 1\n", s.control: "madderwing_control_gateways_current 1\n"} {
 		if got := s.until(t, 200, "GET", page+"/metrics", ""); !strings.Contains(got, line) {
 			t.Errorf("%q is not in %s", line, got)
 		}
@@ -235,20 +235,20 @@
 	s.until(t, 200, "DELETE", s.control+"/v1/evacuation/north", "")
 	s.until(t, 200, "POST", s.front+"/p/x", "b", "Attempt-Id", "3")
 
-	// A desk that leaves finishes what it has in hand.
+	// A gateway that leaves finishes what it has in hand.
 	done := make(chan string, 1)
 	go func() {
 		status, text := s.call(t, "POST", s.front+"/p/slow", "b", "Attempt-Id", "4")
 		done <- fmt.Sprint(status, text)
 	}()
 	<-arrived
-	s.leaveDesk()
+	s.leaveGateway()
 	s.until(t, 503, "GET", s.ready+"/v1/readiness", "")
 	answer <- struct{}{}
 	if got := <-done; got != "200i-1" {
 		t.Errorf("in hand when it left: %s", got)
 	}
-	if err := <-s.deskDone; err != nil {
+	if err := <-s.gatewayDone; err != nil {
 		t.Error(err)
 	}
 }
@@ -292,7 +292,7 @@
 		t.Errorf("the overview shows no tenant, or its keys: %s", got)
 	}
 
-	// A removal is confirmed only once no desk can go on using the key, which
+	// A removal is confirmed only once no gateway can go on using the key, which
 	// takes longer than the news of it.
 	gone := `{"upsert":{"tenants":[{"name":"team","apiKeys":["new"],"ratePerS":2,"burst":2,"generation":2}]}}`
 	if status, text := s.call(t, "PATCH", s.control+"/v1/config", gone); status != 503 || !strings.Contains(text, "everywhere yet") {
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -1,6 +1,6 @@
 // Package delivery brings the newest items and the list of upstreams from the
-// archives to the desks. A desk tells an archive again and again what it has;
-// the archive sends what is missing, at once when something changes. Nothing
+// control nodes to the gateways. A gateway tells a control node again and again what it has;
+// the control node sends what is missing, at once when something changes. Nothing
 // has to be remembered for the two to agree in the end.
 package delivery
 
@@ -16,15 +16,15 @@
 
 // Kinds of message.
 const (
-	ToldKind = "told" // between archives
+	ToldKind = "told" // between control nodes
 
-	ScoreKind  = "score"  // a desk to the archive that it watches first
-	GatherKind = "gather" // and an archive to the controller of a rollout
+	ScoreKind  = "score"  // a gateway to the control node that it watches first
+	GatherKind = "gather" // and a control node to the controller of a rollout
 
 	WatchKind = "watch"
 	IssueKind = "issue"
 
-	DrawKind   = "draw"   // a desk to a branch that lends quotas
+	DrawKind   = "draw"   // a gateway to a branch that lends quotas
 	DrawnKind  = "drawn"  // and its answer
 	ReportKind = "report" // a branch to the lender
 	LoanKind   = "loan"   // and its answer
@@ -36,37 +36,37 @@
 	Sums    *antientropy.Sums `cbor:"1,keyasint,omitempty"` // nil: only the list is wanted
 	Listing upstream.Version  `cbor:"2,keyasint"`
 	// Zone and Load are the sender's zone and requests under way by service. A
-	// desk tells them to one archive only.
+	// gateway tells them to one control node only.
 	Zone string             `cbor:"3,keyasint,omitempty"`
 	Load map[string]float64 `cbor:"4,keyasint,omitempty"`
 	// Asked is the sender's clock, so that it can tell how old its items are.
 	Asked time.Duration `cbor:"5,keyasint,omitempty"`
-	// Second says that the sender hears of changes from another archive; this one
+	// Second says that the sender hears of changes from another control node; this one
 	// is to answer what it asks and need not send by itself.
 	Second bool `cbor:"6,keyasint,omitempty"`
 	// Packs says that the sender reads packs.
 	Packs bool `cbor:"7,keyasint,omitempty"`
 }
 
-// Told is what archives tell each other of those who watch them: loads by zone,
-// and the digest of the items that each desk has in force.
+// Told is what control nodes tell each other of those who watch them: loads by zone,
+// and the digest of the items that each gateway has in force.
 type Told struct {
 	Loads upstream.Loads    `cbor:"1,keyasint,omitempty"`
 	Holds map[string]uint64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Issue is what an archive sends.
+// Issue is what a control node sends.
 type Issue struct {
 	Records []antientropy.Record `cbor:"1,keyasint,omitempty"`
 	Listing *upstream.Listing    `cbor:"2,keyasint,omitempty"`
-	// Fresh says that a majority has lately stood behind all that the archive shows.
+	// Fresh says that a majority has lately stood behind all that the control node shows.
 	Fresh bool `cbor:"3,keyasint,omitempty"`
-	// Loads are those of all zones, as far as the archive knows.
+	// Loads are those of all zones, as far as the control node knows.
 	Loads upstream.Loads `cbor:"4,keyasint,omitempty"`
 	// Sure answers Asked, if the items brought or named by the question's digests
-	// are all that the archive holds and it knows how old that is.
+	// are all that the control node holds and it knows how old that is.
 	Sure *Sure `cbor:"5,keyasint,omitempty"`
-	// Led says that every rollout under way has a controller that the archive hears; it
+	// Led says that every rollout under way has a controller that the control node hears; it
 	// is not said without Fresh.
 	Led bool `cbor:"6,keyasint,omitempty"`
 	// Packs are records too, folded up; More says that further ranges differ, which the
@@ -75,7 +75,7 @@
 	More  bool     `cbor:"8,keyasint,omitempty"`
 }
 
-// Sure says that what the desk has from now on was the newest, at the latest, Age
+// Sure says that what the gateway has from now on was the newest, at the latest, Age
 // before it asked. Durations only: the two need no common clock.
 type Sure struct {
 	Asked time.Duration `cbor:"1,keyasint"`
@@ -85,7 +85,7 @@
 // Empty says whether an issue brings nothing.
 func (i *Issue) Empty() bool { return len(i.Records)+len(i.Packs) == 0 && i.Listing == nil }
 
-// Watchers is the list of those who watch an archive.
+// Watchers is the list of those who watch a control node.
 type Watchers struct {
 	Forget time.Duration
 	all    map[string]*watcher
@@ -147,7 +147,7 @@
 }
 
 // Each calls fn for every watcher that is not forgotten, and has not said that
-// another archive sends it what changes, with what it is
+// another control node sends it what changes, with what it is
 // believed to have; fn returns what it has from then on.
 func (w *Watchers) Each(now time.Duration, fn func(to string, has Watch) Watch) {
 	ids := make([]string, 0, len(w.all))
@@ -189,7 +189,7 @@
 	return n
 }
 
-// Sources picks the two archives that a desk watches: in different zones, its
+// Sources picks the two control nodes that a gateway watches: in different zones, its
 // own zone first, and none that has lately been found wanting if others are
 // left. One that was is first tried again in the second place.
 type Sources struct {
@@ -230,7 +230,7 @@
 	}
 }
 
-// First is the archive that the desk watches first.
+// First is the control node that the gateway watches first.
 func (s *Sources) First() string {
 	if len(s.current) == 0 {
 		return ""
@@ -257,8 +257,8 @@
 	return time.Duration(part * float64(s.Patience))
 }
 
-// Choose names the archives to watch now.
-func (s *Sources) Choose(now time.Duration, archives []membership.Node) []string {
+// Choose names the control nodes to watch now.
+func (s *Sources) Choose(now time.Duration, controlNodes []membership.Node) []string {
 	s.init()
 	var left []string
 	for _, a := range s.current {
@@ -271,7 +271,7 @@
 	}
 	zones := map[string]string{}
 	var ids []string
-	for _, n := range archives {
+	for _, n := range controlNodes {
 		ids = append(ids, n.Address)
 		zones[n.Address] = n.Zone
 	}
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -9,13 +9,13 @@
 	"madderwing/internal/membership"
 )
 
-// TestSourcesThatHaveLostTheMajorityAreLeft plays a desk that asks once a beat and gets
-// its answers a little later. A cut archive answers, and says fresh only for the first
+// TestSourcesThatHaveLostTheMajorityAreLeft plays a gateway that asks once a beat and gets
+// its answers a little later. A cut control node answers, and says fresh only for the first
 // two beats, as contact lapses; a silent one does not answer. Sixty beats are ten
 // contactS.
 func TestSourcesThatHaveLostTheMajorityAreLeft(t *testing.T) {
 	const beat, contactS = time.Second, 6
-	archives := []membership.Node{{Address: "n1", Zone: "n"}, {Address: "n2", Zone: "n"}, {Address: "s1", Zone: "s"}, {Address: "e1", Zone: "e"}}
+	controlNodes := []membership.Node{{Address: "n1", Zone: "n"}, {Address: "n2", Zone: "n"}, {Address: "s1", Zone: "s"}, {Address: "e1", Zone: "e"}}
 	always := func(int) bool { return true }
 	from10 := func(b int) bool { return b >= 10 }
 	type state struct {
@@ -38,9 +38,9 @@
 		"cut, joined, cut, joined":          {map[string]state{"n1": {cut: func(b int) bool { return b >= 10 && b < 14 || b >= 18 && b < 22 }}, "n2": {cut: from10}}, 10 + contactS - 2, 0, 5, "n"},
 		"all: two are watched all the same": {map[string]state{"n1": {cut: from10}, "n2": {cut: from10}, "s1": {cut: from10}, "e1": {cut: from10}}, 60, 60, 102, "nse"},
 	} {
-		s := Sources{Self: "desk", Zone: "n", Patience: 3 * beat, Seeds: []string{"seed"}}
+		s := Sources{Self: "gateway", Zone: "n", Patience: 3 * beat, Seeds: []string{"seed"}}
 		if got := s.Choose(0, nil); len(got) != 1 || got[0] != "seed" {
-			t.Fatalf("before any archive is known: %v", got)
+			t.Fatalf("before any control node is known: %v", got)
 		}
 		is := func(id string, b int) (cut, silent bool) {
 			x := c.are[id]
@@ -51,7 +51,7 @@
 		var got []string
 		for b := 1; b <= 60; b++ {
 			now := time.Duration(b) * beat
-			got = s.Choose(now, archives)
+			got = s.Choose(now, controlNodes)
 			if len(got) != 2 || got[0][0] == got[1][0] {
 				t.Fatalf("%s, beat %d: chosen %v", name, b, got)
 			}
@@ -68,7 +68,7 @@
 					both = b
 				}
 			}
-			for _, n := range archives {
+			for _, n := range controlNodes {
 				if cut, _ := is(n.Address, b); !cut {
 					since[n.Address] = b + 1
 				}
--- a/internal/delivery/pack_test.go
+++ b/internal/delivery/pack_test.go
@@ -17,7 +17,7 @@
 	return s
 }
 
-// What a watcher takes in is what the archive shows, packed or not, before and after a change.
+// What a watcher takes in is what the control node shows, packed or not, before and after a change.
 func TestPacksHoldWhatTheRangesHold(t *testing.T) {
 	for _, c := range []struct {
 		routes int
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -1,4 +1,4 @@
-// Package election gives each duty to one archive. A duty that falls vacant is won
+// Package election gives each duty to one control node. A duty that falls vacant is won
 // by a round of ballots; its holder keeps it while a majority goes on voting
 // for it. Two holders at once do no harm to what is kept, only to cost: the
 // results of a duty are guarded by what they are written to.
@@ -22,7 +22,7 @@
 	Life   uint64 `cbor:"7,keyasint,omitempty"` // of the candidate
 }
 
-// Envelope is a message to one archive.
+// Envelope is a message to one control node.
 type Envelope struct {
 	To  string
 	Msg Message
@@ -58,7 +58,7 @@
 	notUntil time.Duration // a pause after a ballot that was refused
 }
 
-// Rota is one archive's part in the ballots.
+// Rota is one control node's part in the ballots.
 type Rota struct {
 	cfg     Config
 	duties  []*duty
@@ -94,13 +94,13 @@
 	return out, changed
 }
 
-// Holds says whether this archive has a duty, and under which term.
+// Holds says whether this control node has a duty, and under which term.
 func (r *Rota) Holds(now time.Duration, name string) (uint64, bool) {
 	d := r.duty(name)
 	return d.term, d != nil && d.holding && now < d.until
 }
 
-// Holder is the archive that this one voted for, the term and its life.
+// Holder is the control node that this one voted for, the term and its life.
 func (r *Rota) Holder(now time.Duration, name string) (id string, term, life uint64) {
 	d := r.duty(name)
 	if d == nil || now >= d.grantUntil {
@@ -110,7 +110,7 @@
 }
 
 // Raise tells that terms up to used were held by somebody else, before the
-// archives lost their memory: whoever holds one of them now has to begin a
+// control nodes lost their memory: whoever holds one of them now has to begin a
 // later one.
 func (r *Rota) Raise(name string, used uint64) {
 	if d := r.duty(name); d != nil {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -117,7 +117,7 @@
 	if len(next) != 1 || next[0] == first {
 		t.Fatalf("after the resignation of %s: %v", first, next)
 	}
-	// One archive that is not the holder has seen a term of a former life.
+	// One control node that is not the holder has seen a term of a former life.
 	for id, r := range h.rotas {
 		if id != next[0] && id != first {
 			r.Raise("list", 100)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,8 +35,8 @@
 // keepFds are descriptors that are not for clients: files, upstreams, nodes.
 const keepFds = 0.4
 
-// Desk is one data-plane process.
-type Desk struct {
+// Gateway is one data-plane process.
+type Gateway struct {
 	set   *settings.Settings
 	opt   Options
 	post  *transport.Mesh
@@ -59,7 +59,7 @@
 	nodes    *membership.List // not yet acted on; nil: none
 	nodesAt  time.Duration    // when a list was last acted on
 	ready    *readiness
-	first    atomic.Value // the archive that is watched first
+	first    atomic.Value // the control node that is watched first
 	scoring  atomic.Bool
 
 	// Where clients ask a registry; see settings.Settings.Global.
@@ -68,7 +68,7 @@
 	draws draws
 
 	// Owned by read's goroutine.
-	rest   string // the archive that has more for this desk
+	rest   string // the control node that has more for this gateway
 	behind bool   // items have come that are not in force yet
 }
 
@@ -76,10 +76,10 @@
 func Run(ctx context.Context, set *settings.Settings, opt Options, reload <-chan *settings.Settings) error {
 	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	beat := set.Beat()
-	d := &Desk{set: set, opt: opt, log: logger("desk"), commands: make(chan func(time.Duration), 256), start: time.Now(),
+	d := &Gateway{set: set, opt: opt, log: logger("gateway"), commands: make(chan func(time.Duration), 256), start: time.Now(),
 		items: antientropy.NewSet(), shard: -1, epoch: newEpoch()}
 	patience := settings.Seconds(set.Bounds.ContactS / 10)
-	post, err := transport.New(set.DeskAddress(set.IP), beat, logger("transport"))
+	post, err := transport.New(set.GatewayAddress(set.IP), beat, logger("transport"))
 	if err != nil {
 		return err
 	}
@@ -106,9 +106,9 @@
 	if err != nil {
 		return err
 	}
-	d.sources = delivery.Sources{Self: post.Self(), Zone: set.Zone, Region: region, Seeds: set.SeedArchives(), Patience: 3 * beat}
+	d.sources = delivery.Sources{Self: post.Self(), Zone: set.Zone, Region: region, Seeds: set.SeedControlNodes(), Patience: 3 * beat}
 	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Data}
-	d.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedArchives(), Beat: beat, Forget: 40 * beat},
+	d.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: beat, Forget: 40 * beat},
 		post, logger("register"), d.nodesChanged)
 	transport.On(post, delivery.IssueKind, func(from string, i delivery.Issue) {
 		d.commands <- func(now time.Duration) { d.take(now, from, i) }
@@ -132,8 +132,8 @@
 	for {
 		select {
 		case fresh := <-reload:
-			d.reg.Seeds(fresh.SeedArchives())
-			d.commands <- func(time.Duration) { d.sources.Seeds = fresh.SeedArchives() }
+			d.reg.Seeds(fresh.SeedControlNodes())
+			d.commands <- func(time.Duration) { d.sources.Seeds = fresh.SeedControlNodes() }
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
@@ -170,7 +170,7 @@
 // nodesChanged runs on the register's goroutine. When many nodes come or go at
 // once, their news arrive in many small parts; what follows from them is worked out
 // no more than twice a beat.
-func (d *Desk) nodesChanged(l *membership.List) {
+func (d *Gateway) nodesChanged(l *membership.List) {
 	d.commands <- func(now time.Duration) {
 		waiting := d.nodes != nil
 		d.nodes = l
@@ -183,7 +183,7 @@
 }
 
 // useNodes acts on the newest list of nodes.
-func (d *Desk) useNodes(now time.Duration) {
+func (d *Gateway) useNodes(now time.Duration) {
 	l := d.nodes
 	if l == nil {
 		return
@@ -194,19 +194,19 @@
 		d.shard = n
 		d.front.SetShard(n)
 	}
-	var desks []membership.Node
+	var gateways []membership.Node
 	for _, n := range l.Live(membership.Data) {
 		if !n.Draining || n.Address == d.post.Self() {
-			desks = append(desks, n)
+			gateways = append(gateways, n)
 		}
 	}
-	d.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetDesks(now, desks, labels) })
+	d.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetGateways(now, gateways, labels) })
 }
 
-// read owns the items: it tells the archives what it has and takes what they
+// read owns the items: it tells the control nodes what it has and takes what they
 // send.
-func (d *Desk) read(beat time.Duration, stop chan struct{}) {
-	// Until it can serve, a desk asks often; until what it serves is confirmed, less so.
+func (d *Gateway) read(beat time.Duration, stop chan struct{}) {
+	// Until it can serve, a gateway asks often; until what it serves is confirmed, less so.
 	tick := time.NewTicker(beat / 10)
 	defer tick.Stop()
 	hurried, opened := true, false
@@ -275,7 +275,7 @@
 	}
 }
 
-func (d *Desk) take(now time.Duration, from string, i delivery.Issue) {
+func (d *Gateway) take(now time.Duration, from string, i delivery.Issue) {
 	d.sources.Heard(now, from, i.Fresh)
 	d.first.Store(d.sources.First())
 	if i.Led {
@@ -312,7 +312,7 @@
 }
 
 // apply puts the items that are known now in force.
-func (d *Desk) apply() {
+func (d *Gateway) apply() {
 	t := d.builder.Build(d.items.Records)
 	infos := map[string]upstream.ServiceInfo{}
 	for name, s := range t.Services {
@@ -343,16 +343,16 @@
 	d.ready.known.Store(t.Known)
 }
 
-// scoresABeat is how often in a beat a desk tells what it has seen of rollouts.
+// scoresABeat is how often in a beat a gateway tells what it has seen of rollouts.
 const scoresABeat = 4
 
-// silencePart is the part of rollbackS after which a desk that hears of no controller
+// silencePart is the part of rollbackS after which a gateway that hears of no controller
 // gives a candidate nothing.
 const silencePart = 0.5
 
-// score tells the archive that this desk watches first what it has seen of the rollouts
+// score tells the control node that this gateway watches first what it has seen of the rollouts
 // under way, again and again until there are none.
-func (d *Desk) score() {
+func (d *Gateway) score() {
 	if !d.arms.Active() || !d.scoring.CompareAndSwap(false, true) {
 		return
 	}
@@ -368,8 +368,8 @@
 	}()
 }
 
-// pages serves readiness and this desk's own counters.
-func (d *Desk) pages() http.Handler {
+// pages serves readiness and this gateway's own counters.
+func (d *Gateway) pages() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/v1/readiness":
@@ -389,8 +389,8 @@
 			_, _ = w.Write(append(b, '\n'))
 		case "/metrics":
 			var b bytes.Buffer
-			metrics.Write(&b, "desk", d.front.Counters())
-			metrics.Gauge(&b, "desk", "connections", uint64(d.door.Open()))
+			metrics.Write(&b, "gateway", d.front.Counters())
+			metrics.Gauge(&b, "gateway", "connections", uint64(d.door.Open()))
 			_, _ = w.Write(b.Bytes())
 		default:
 			w.WriteHeader(http.StatusNotFound)
@@ -398,7 +398,7 @@
 	})
 }
 
-// answerTime is for how long a desk that was told to leave some time ago goes on to
+// answerTime is for how long a gateway that was told to leave some time ago goes on to
 // answer what it has read: to 0.95 of its grace, however soon it was believed.
 func answerTime(grace, since time.Duration) time.Duration {
 	return max(grace*95/100-since, grace*45/100)
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -9,14 +9,14 @@
 
 // readiness is whether the platform may send new connections here: the items
 // and the list of upstreams are known, a majority has stood behind all the items once
-// in this life, keys may be relied on, and the desk is not leaving. A desk that was
-// ready stays so without any archive: it goes on with what it knows.
+// in this life, keys may be relied on, and the gateway is not leaving. A gateway that was
+// ready stays so without any control node: it goes on with what it knows.
 type readiness struct {
 	known, listed, current, leaving atomic.Bool
 	confirmed                       func() bool
 
 	misses   atomic.Int32
-	believed chan struct{} // closed once the platform knows that the desk leaves
+	believed chan struct{} // closed once the platform knows that the gateway leaves
 }
 
 // missesBelieved is how many misses in a row the platform believes.
@@ -34,8 +34,8 @@
 }
 
 // heard takes an issue whose records have been taken over. It confirms the items if the
-// archive is in contact with a majority and answers, with all that it has, a question
-// that this desk asked within the time given: an answer that waited while the desk was
+// control node is in contact with a majority and answers, with all that it has, a question
+// that this gateway asked within the time given: an answer that waited while the gateway was
 // frozen says nothing of now.
 func (r *readiness) heard(now time.Duration, i delivery.Issue, within time.Duration) {
 	if i.Fresh && i.Sure != nil && now-i.Sure.Asked <= within {
@@ -44,7 +44,7 @@
 }
 
 // asked answers one question of the platform's, and counts those that have been
-// told that the desk leaves.
+// told that the gateway leaves.
 func (r *readiness) asked() bool {
 	if r.leaving.Load() && r.misses.Add(1) == missesBelieved {
 		close(r.believed)
--- a/internal/gateway/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -34,11 +34,11 @@
 		{"nothing known", func() {}, false, false},
 		{"items", func() { r.known.Store(true) }, false, false},
 		{"and the list", func() { r.listed.Store(true) }, false, false},
-		{"an archive that is cut off", func() { r.heard(now, answer(false, now-1), contactS) }, false, false},
+		{"a control node that is cut off", func() { r.heard(now, answer(false, now-1), contactS) }, false, false},
 		{"one that has sent a part", func() { r.heard(now, answer(true, 0), contactS) }, false, false},
 		{"an answer from before a freeze", func() { r.heard(now, answer(true, now-contactS-1), contactS) }, false, false},
 		{"confirmed", func() { r.heard(now, answer(true, now-1), contactS) }, true, false},
-		{"all archives cut off later", func() { r.heard(now, answer(false, now-1), contactS) }, true, false},
+		{"all control nodes cut off later", func() { r.heard(now, answer(false, now-1), contactS) }, true, false},
 		{"keys in doubt", func() { confirmed = false }, false, false},
 		{"still in doubt", func() {}, false, false}, // no sign that it leaves
 		{"keys sure", func() { confirmed = true }, true, false},
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -15,32 +15,32 @@
 	mu      sync.Mutex
 	next    uint64
 	waiting map[uint64]drawing
-	at      [2]string // the archives that the desk watches, the nearer first
+	at      [2]string // the control nodes that the gateway watches, the nearer first
 	badTill time.Time // the first of them has been silent
 }
 
-// drawing is a draw that waits for its answer, and the archive that it was sent to.
+// drawing is a draw that waits for its answer, and the control node that it was sent to.
 type drawing struct {
 	to  string
 	got chan quota.Drawn
 }
 
-// newDraws makes the draws of one life, numbered from a random start: an archive answers
+// newDraws makes the draws of one life, numbered from a random start: a control node answers
 // at this node's address, and may answer a draw of the life before.
 func newDraws() draws {
 	return draws{next: rand.Uint64(), waiting: map[uint64]drawing{}}
 }
 
-// serveTenants makes the desk hold to what must be true of tenants' keys and
+// serveTenants makes the gateway hold to what must be true of tenants' keys and
 // quotas on every machine, in touch or not.
-func (d *Desk) serveTenants() {
+func (d *Gateway) serveTenants() {
 	d.draws = newDraws()
 	d.front.Tenants(&d.lease, d.draw)
 }
 
-// draw draws on a tenant's quota at the nearer archive, or at the other one if the
+// draw draws on a tenant's quota at the nearer control node, or at the other one if the
 // nearer cannot tell or has lately been silent.
-func (d *Desk) draw(tenant string, limit time.Duration) apierror.Kind {
+func (d *Gateway) draw(tenant string, limit time.Duration) apierror.Kind {
 	w := &d.draws
 	w.mu.Lock()
 	order := w.at
@@ -89,7 +89,7 @@
 }
 
 // drawn takes the answer of the branch that was asked. One that comes too late is lost.
-func (d *Desk) drawn(from string, a quota.Drawn) {
+func (d *Gateway) drawn(from string, a quota.Drawn) {
 	d.draws.mu.Lock()
 	defer d.draws.mu.Unlock()
 	if w, ok := d.draws.waiting[a.Seq]; ok && w.to == from {
@@ -103,7 +103,7 @@
 
 // dated turns what an issue says of its age to this life's own clock. An answer to a
 // question of a former life, whose clock was another, says nothing.
-func (d *Desk) dated(now time.Duration, i delivery.Issue) delivery.Issue {
+func (d *Gateway) dated(now time.Duration, i delivery.Issue) delivery.Issue {
 	if i.Sure == nil {
 		return i
 	}
@@ -119,7 +119,7 @@
 // confirm takes what an issue says of its own age. The lease counts from before
 // the question was asked, so however long the answer was on its way, it never
 // lasts longer than it should.
-func (d *Desk) confirm(now time.Duration, i delivery.Issue) {
+func (d *Gateway) confirm(now time.Duration, i delivery.Issue) {
 	i = d.dated(now, i)
 	if i.Sure == nil {
 		return
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -26,12 +26,12 @@
 }
 
 // An answer lets in only the request whose draw it answers: not one of the same number of
-// a former life, and not one drawn at another archive.
-func TestADrawIsAnsweredByTheArchiveAsked(t *testing.T) {
+// a former life, and not one drawn at another control node.
+func TestADrawIsAnsweredByTheControlNodeAsked(t *testing.T) {
 	var asked []uint64
 	for life := range 3 {
 		branch := newMesh(t)
-		d := &Desk{post: newMesh(t), draws: newDraws()}
+		d := &Gateway{post: newMesh(t), draws: newDraws()}
 		d.draws.at = [2]string{branch.Self()}
 		branch.Handle(delivery.DrawKind, func(from string, body []byte) (any, error) {
 			var q quota.Draw
@@ -63,16 +63,16 @@
 	const now = 2 * time.Second
 	for _, c := range []struct {
 		name  string
-		asked func(d, former *Desk) time.Duration
+		asked func(d, former *Gateway) time.Duration
 		takes bool
 	}{
-		{"a second ago", func(d, _ *Desk) time.Duration { return d.epoch + now - time.Second }, true},
-		{"late in a former life", func(_, f *Desk) time.Duration { return f.epoch + time.Hour }, false},
-		{"early in a former life", func(_, f *Desk) time.Duration { return f.epoch + time.Second }, false},
-		{"by the bare clock of a former life", func(*Desk, *Desk) time.Duration { return time.Second }, false},
-		{"not yet", func(d, _ *Desk) time.Duration { return d.epoch + now + time.Second }, false},
+		{"a second ago", func(d, _ *Gateway) time.Duration { return d.epoch + now - time.Second }, true},
+		{"late in a former life", func(_, f *Gateway) time.Duration { return f.epoch + time.Hour }, false},
+		{"early in a former life", func(_, f *Gateway) time.Duration { return f.epoch + time.Second }, false},
+		{"by the bare clock of a former life", func(*Gateway, *Gateway) time.Duration { return time.Second }, false},
+		{"not yet", func(d, _ *Gateway) time.Duration { return d.epoch + now + time.Second }, false},
 	} {
-		d, former := &Desk{set: set, epoch: newEpoch()}, &Desk{set: set, epoch: newEpoch()}
+		d, former := &Gateway{set: set, epoch: newEpoch()}, &Gateway{set: set, epoch: newEpoch()}
 		d.confirm(now, delivery.Issue{Sure: &delivery.Sure{Asked: c.asked(d, former)}})
 		want := int64(0)
 		if c.takes {
--- a/internal/hollow/main.go
+++ b/internal/hollow/main.go
@@ -1,9 +1,9 @@
-// Command hollow measures what nodes cost with nothing to carry: real desks and
-// archives, many to a process, each at a loopback address of its own, with a stand-in
+// Command hollow measures what nodes cost with nothing to carry: real gateways and
+// control nodes, many to a process, each at a loopback address of its own, with a stand-in
 // for the platform's list, a configuration of any size, and changes of it. docs/CAPACITY.md
 // says how it is run and what it showed.
 //
-// The archives are in one process and the desks in others, so that the system tells what
+// The control nodes are in one process and the gateways in others, so that the system tells what
 // each kind uses.
 package main
 
@@ -30,18 +30,18 @@
 )
 
 type plan struct {
-	desks, archives, zones, upstreams, services, routes int
-	changes, keys                                       int
-	span                                                time.Duration
-	rollout                                             bool
+	gateways, controlNodes, zones, upstreams, services, routes int
+	changes, keys                                              int
+	span                                                       time.Duration
+	rollout                                                    bool
 }
 
 const listAddress = "127.9.0.1:18142"
 
 func main() {
 	var p plan
-	flag.IntVar(&p.desks, "desks", 100, "data-plane nodes")
-	flag.IntVar(&p.archives, "archives", 4, "control-plane nodes, one a zone")
+	flag.IntVar(&p.gateways, "gateways", 100, "data-plane nodes")
+	flag.IntVar(&p.controlNodes, "controlNodes", 4, "control-plane nodes, one a zone")
 	flag.IntVar(&p.upstreams, "upstreams", 300, "upstreams that the platform lists")
 	flag.IntVar(&p.services, "services", 4, "services")
 	flag.IntVar(&p.routes, "routes", 100, "routes")
@@ -53,14 +53,14 @@
 	data := flag.String("data", "", "for its own use")
 	from := flag.Int("from", 0, "for its own use")
 	flag.Parse()
-	p.zones = p.archives
+	p.zones = p.controlNodes
 	log.SetFlags(0)
 	switch *role {
-	case "archives":
-		p.runArchives(*data)
+	case "controlNodes":
+		p.runControlNodes(*data)
 		return
-	case "desks":
-		p.runDesks(*from, min(*from+perProcess, p.desks))
+	case "gateways":
+		p.runGateways(*from, min(*from+perProcess, p.gateways))
 		return
 	}
 	if err := p.run(); err != nil {
@@ -70,13 +70,13 @@
 
 func (p *plan) zone(i int) string { return fmt.Sprintf("z%02d", i%p.zones) }
 
-func archiveIP(i int) string { return fmt.Sprintf("127.1.%d.1", i) }
-func deskIP(i int) string    { return fmt.Sprintf("127.2.%d.%d", i/200, 1+i%200) }
+func controlNodeIP(i int) string { return fmt.Sprintf("127.1.%d.1", i) }
+func gatewayIP(i int) string     { return fmt.Sprintf("127.2.%d.%d", i/200, 1+i%200) }
 
 func (p *plan) settings(ip, zone, node, data string) *settings.Settings {
 	var seeds []string
-	for i := range min(3, p.archives) {
-		seeds = append(seeds, strconv.Quote(archiveIP(i)+":18146"))
+	for i := range min(3, p.controlNodes) {
+		seeds = append(seeds, strconv.Quote(controlNodeIP(i)+":18146"))
 	}
 	var zones strings.Builder
 	for i := range p.zones {
@@ -124,29 +124,29 @@
 	return set
 }
 
-func (p *plan) runArchives(data string) {
+func (p *plan) runControlNodes(data string) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	done := make(chan error, p.archives)
-	for i := range p.archives {
-		set := p.settings(archiveIP(i), p.zone(i), fmt.Sprintf("archive-%d", i), fmt.Sprintf("%s/%d", data, i))
+	done := make(chan error, p.controlNodes)
+	for i := range p.controlNodes {
+		set := p.settings(controlNodeIP(i), p.zone(i), fmt.Sprintf("control node-%d", i), fmt.Sprintf("%s/%d", data, i))
 		go func() {
 			done <- controlplane.Run(ctx, set, controlplane.Options{Shards: 2, Relist: 30 * time.Second}, nil)
 		}()
 	}
-	for range p.archives {
+	for range p.controlNodes {
 		if err := <-done; err != nil {
 			log.Fatal(err)
 		}
 	}
 }
 
-// perProcess is how many desks a process holds: each needs some 25 descriptors.
+// perProcess is how many gateways a process holds: each needs some 25 descriptors.
 const perProcess = 350
 
-func (p *plan) runDesks(from, to int) {
+func (p *plan) runGateways(from, to int) {
 	for i := from; i < to; i++ {
-		set := p.settings(deskIP(i), p.zone(i), fmt.Sprintf("desk-%d", i), "")
+		set := p.settings(gatewayIP(i), p.zone(i), fmt.Sprintf("gateway-%d", i), "")
 		go func() { log.Fatal(gateway.Run(context.Background(), set, gateway.Options{Shards: 2}, nil)) }()
 		if i%20 == 19 {
 			time.Sleep(100 * time.Millisecond)
@@ -199,7 +199,7 @@
 func call(method, path string, body []byte) ([]byte, error) {
 	var last error
 	for range 100 {
-		req, err := http.NewRequest(method, "http://"+archiveIP(0)+":18146"+path, bytes.NewReader(body))
+		req, err := http.NewRequest(method, "http://"+controlNodeIP(0)+":18146"+path, bytes.NewReader(body))
 		if err != nil {
 			return nil, err
 		}
@@ -258,7 +258,7 @@
 	return n
 }
 
-// behind counts the desks without the newest items; -1: not known.
+// behind counts the gateways without the newest items; -1: not known.
 func behind() int {
 	text, err := call(http.MethodGet, "/v1/admin/delivery?current=false", nil)
 	var list []controlplane.Delivery
@@ -295,32 +295,32 @@
 			_ = c.Wait()
 		}
 	}()
-	control, err := start("-role", "archives", "-data", data)
+	control, err := start("-role", "controlNodes", "-data", data)
 	if err != nil {
 		return err
 	}
 	if _, err := call(http.MethodPatch, "/v1/config", p.config()); err != nil {
 		return err
 	}
-	var desks []int
-	for from := 0; from < p.desks; from += perProcess {
-		pid, err := start("-role", "desks", "-from", strconv.Itoa(from))
+	var gateways []int
+	for from := 0; from < p.gateways; from += perProcess {
+		pid, err := start("-role", "gateways", "-from", strconv.Itoa(from))
 		if err != nil {
 			return err
 		}
-		desks = append(desks, pid)
+		gateways = append(gateways, pid)
 	}
 	begin := time.Now()
 	for calm := 0; calm < 5 && time.Since(begin) < 4*time.Minute; calm++ {
 		time.Sleep(time.Second)
 		if text, err := call(http.MethodGet, "/v1/admin/summary", nil); err == nil {
 			var s controlplane.Summary
-			if json.Unmarshal(text, &s) != nil || s.Desks != p.desks || s.Behind > 0 {
+			if json.Unmarshal(text, &s) != nil || s.Gateways != p.gateways || s.Behind > 0 {
 				calm = -1
 			}
 		}
 	}
-	fmt.Printf("settled after %.0f s with %d desks behind\n", time.Since(begin).Seconds(), behind())
+	fmt.Printf("settled after %.0f s with %d gateways behind\n", time.Since(begin).Seconds(), behind())
 	time.Sleep(5 * time.Second)
 
 	get := func() (c counters) {
@@ -341,7 +341,7 @@
 		}
 		time.Sleep(3 * time.Second)
 	}
-	d0, a0, l0, c0, at := used(desks...), used(control), loopback(), get(), time.Now()
+	d0, a0, l0, c0, at := used(gateways...), used(control), loopback(), get(), time.Now()
 	var slowest time.Duration
 	for n := range p.changes {
 		time.Sleep(p.span / time.Duration(p.changes+1))
@@ -354,15 +354,15 @@
 		slowest = max(slowest, time.Since(sent))
 	}
 	time.Sleep(time.Until(at.Add(p.span)))
-	d1, a1, l1, c1, span := used(desks...), used(control), loopback(), get(), time.Since(at).Seconds()
+	d1, a1, l1, c1, span := used(gateways...), used(control), loopback(), get(), time.Since(at).Seconds()
 	per := func(n float64, of int) float64 { return n / span / float64(of) }
-	fmt.Printf("desks %d archives %d upstreams %d services %d routes %d changes %d keys %d rollout %v\n", p.desks, p.archives, p.upstreams, p.services, p.routes, p.changes, p.keys, p.rollout)
-	fmt.Printf("desk:    %.3f %% of a core, %.2f MB resident\n", 100*per((d1.cpu-d0.cpu).Seconds(), p.desks), d1.memory/float64(p.desks))
-	fmt.Printf("archive: %.3f %% of a core, %.1f MB resident; one sends %.2f kB/s in %.1f frames\n", 100*per((a1.cpu-a0.cpu).Seconds(), p.archives),
-		a1.memory/float64(p.archives), per(float64(c1.BytesSent-c0.BytesSent), 1)/1e3, per(float64(c1.FramesSent-c0.FramesSent), 1))
-	fmt.Printf("all:     %.2f kB/s a node, headers and datagrams included\n", per(float64(l1-l0), p.desks+p.archives)/1e3)
+	fmt.Printf("gateways %d control nodes %d upstreams %d services %d routes %d changes %d keys %d rollout %v\n", p.gateways, p.controlNodes, p.upstreams, p.services, p.routes, p.changes, p.keys, p.rollout)
+	fmt.Printf("gateway:    %.3f %% of a core, %.2f MB resident\n", 100*per((d1.cpu-d0.cpu).Seconds(), p.gateways), d1.memory/float64(p.gateways))
+	fmt.Printf("control node: %.3f %% of a core, %.1f MB resident; one sends %.2f kB/s in %.1f frames\n", 100*per((a1.cpu-a0.cpu).Seconds(), p.controlNodes),
+		a1.memory/float64(p.controlNodes), per(float64(c1.BytesSent-c0.BytesSent), 1)/1e3, per(float64(c1.FramesSent-c0.FramesSent), 1))
+	fmt.Printf("all:     %.2f kB/s a node, headers and datagrams included\n", per(float64(l1-l0), p.gateways+p.controlNodes)/1e3)
 	if p.changes > 0 {
-		fmt.Printf("changes: the slowest was acknowledged after %.0f ms; %d desks are behind at the end\n", slowest.Seconds()*1e3, behind())
+		fmt.Printf("changes: the slowest was acknowledged after %.0f ms; %d gateways are behind at the end\n", slowest.Seconds()*1e3, behind())
 	}
 	return nil
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -152,7 +152,7 @@
 	w.run(12)
 	for a, s := range list().Shards(2) {
 		if before[a] != s {
-			t.Fatalf("%s moved from shard %d to %d when another desk died", a, before[a], s)
+			t.Fatalf("%s moved from shard %d to %d when another gateway died", a, before[a], s)
 		}
 	}
 }
--- a/internal/membership/roll.go
+++ b/internal/membership/roll.go
@@ -36,7 +36,7 @@
 	Control
 )
 
-func (p Plane) String() string { return [...]string{"desk", "archive"}[p] }
+func (p Plane) String() string { return [...]string{"gateway", "control"}[p] }
 
 // Node is one process of the system.
 type Node struct {
@@ -95,7 +95,7 @@
 // Config is what a roll is told.
 type Config struct {
 	Self   Node
-	Seeds  []string // addresses of archives
+	Seeds  []string // addresses of control nodes
 	Beat   time.Duration
 	Forget time.Duration // how long a dead node is remembered
 }
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -36,9 +36,9 @@
 	return out
 }
 
-// Shards labels the desks: the desks of each zone, in the order of their
-// names, take the labels in turn, so that each shard has desks in every zone.
-// Dead desks keep their place until they are forgotten, so labels stay put.
+// Shards labels the gateways: the gateways of each zone, in the order of their
+// names, take the labels in turn, so that each shard has gateways in every zone.
+// Dead gateways keep their place until they are forgotten, so labels stay put.
 func (l *List) Shards(count int) map[string]int {
 	zones := map[string][]Node{}
 	for _, n := range l.Nodes {
@@ -47,9 +47,9 @@
 		}
 	}
 	out := map[string]int{}
-	for _, desks := range zones {
-		sort.Slice(desks, func(i, j int) bool { return desks[i].Name < desks[j].Name })
-		for i, n := range desks {
+	for _, gateways := range zones {
+		sort.Slice(gateways, func(i, j int) bool { return gateways[i].Name < gateways[j].Name })
+		for i, n := range gateways {
 			out[n.Address] = i % count
 		}
 	}
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -9,7 +9,7 @@
 	"madderwing/internal/transport"
 )
 
-// A node whose one seed is in no register is told of an archive there, and so joins.
+// A node whose one seed is in no register is told of a control node there, and so joins.
 func TestJoiningThroughAStranger(t *testing.T) {
 	mesh := func() *transport.Mesh {
 		m, err := transport.New("127.0.0.1:0", 5*time.Second, log.New(io.Discard, "", 0))
@@ -27,23 +27,23 @@
 		t.Cleanup(s.Stop)
 		return s, m
 	}
-	archive, at := node(Control)
+	controlNode, at := node(Control)
 	stranger := mesh()
 	Introduce(stranger, func(Node) []Node { return []Node{{Address: at.Self(), Plane: Control}} })
 	stranger.Start()
-	desk, from := node(Data, stranger.Self())
+	gateway, from := node(Data, stranger.Self())
 	for i := 0; ; i++ {
-		_, knows := desk.List().Get(at.Self())
-		_, known := archive.List().Get(from.Self())
+		_, knows := gateway.List().Get(at.Self())
+		_, known := controlNode.List().Get(from.Self())
 		if knows && known {
 			break
 		}
 		if i > 600 {
-			t.Fatalf("the desk knows %v, the archive %v", desk.List().Nodes, archive.List().Nodes)
+			t.Fatalf("the gateway knows %v, the control node %v", gateway.List().Nodes, controlNode.List().Nodes)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	for _, s := range []*Service{desk, archive} {
+	for _, s := range []*Service{gateway, controlNode} {
 		if _, ok := s.List().Get(stranger.Self()); ok {
 			t.Error("the stranger is in the register")
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,4 +1,4 @@
-// Package placement places routes on shards of desks, after "Router Sharding
+// Package placement places routes on shards of gateways, after "Router Sharding
 // (OpenShift Origin design proposal)": a scheduler watches for routes that are
 // not scheduled and relists them, hands each to a strategy, and creates a
 // binding; the binding's create path is the only writer of a route's status.
@@ -13,11 +13,11 @@
 	"madderwing/internal/config"
 )
 
-// Shard is a label on desks.
+// Shard is a label on gateways.
 type Shard struct {
-	Label int
-	Desks int // how many desks that carry it are working
-	Zones int
+	Label    int
+	Gateways int // how many gateways that carry it are working
+	Zones    int
 }
 
 // Strategy picks a shard for a route. Any error is taken to be transient.
@@ -25,18 +25,18 @@
 	Schedule(route *config.Route, shards []Shard) (Shard, error)
 }
 
-// ErrNoShard says that no shard has a working desk.
-var ErrNoShard = errors.New("no shard with a working desk")
+// ErrNoShard says that no shard has a working gateway.
+var ErrNoShard = errors.New("no shard with a working gateway")
 
 // RoundRobin gives the shards their turn.
 type RoundRobin struct{ next int }
 
-// Schedule picks the next shard that has working desks.
+// Schedule picks the next shard that has working gateways.
 func (s *RoundRobin) Schedule(_ *config.Route, shards []Shard) (Shard, error) {
 	for range shards {
 		shard := shards[s.next%len(shards)]
 		s.next++
-		if shard.Desks > 0 {
+		if shard.Gateways > 0 {
 			return shard, nil
 		}
 	}
@@ -75,7 +75,7 @@
 }
 
 // Unscheduled says whether a route needs a binding: it is new, or its shard
-// has lost its desks while another has some.
+// has lost its gateways while another has some.
 func Unscheduled(r *config.Route, shards []Shard) bool {
 	if r.Status.Phase != config.PhaseScheduled {
 		return true
@@ -83,10 +83,10 @@
 	others := false
 	for _, s := range shards {
 		if s.Label == r.Status.Shard {
-			if s.Desks > 0 {
+			if s.Gateways > 0 {
 				return false
 			}
-		} else if s.Desks > 0 {
+		} else if s.Gateways > 0 {
 			others = true
 		}
 	}
@@ -190,7 +190,7 @@
 	s.tenure++
 }
 
-// Shards counts the working desks of each label. desks maps a desk's label to
+// Shards counts the working gateways of each label. gateways maps a gateway's label to
 // the zones of those that work.
 func Shards(count int, zones map[int][]string) []Shard {
 	out := make([]Shard, count)
@@ -199,7 +199,7 @@
 		for _, z := range zones[i] {
 			distinct[z] = true
 		}
-		out[i] = Shard{Label: i, Desks: len(zones[i]), Zones: len(distinct)}
+		out[i] = Shard{Label: i, Gateways: len(zones[i]), Zones: len(distinct)}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Label < out[j].Label })
 	return out
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -68,7 +68,7 @@
 	return out
 }
 
-var two = []Shard{{Label: 0, Desks: 5, Zones: 4}, {Label: 1, Desks: 6, Zones: 4}}
+var two = []Shard{{Label: 0, Gateways: 5, Zones: 4}, {Label: 1, Gateways: 6, Zones: 4}}
 
 func TestRoundRobinBindsEveryRouteOnce(t *testing.T) {
 	s := newShelf(t, 8)
@@ -129,7 +129,7 @@
 	}
 }
 
-func TestRebindsWhenAShardLosesItsDesks(t *testing.T) {
+func TestRebindsWhenAShardLosesItsGateways(t *testing.T) {
 	s := newShelf(t, 4)
 	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: 30 * time.Second, Pause: time.Second, Create: s.create}
 	sched.Reconcile(0, (&config.Reader{}).List(s.have), two, func() {})
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -72,7 +72,7 @@
 // Table is the table in force.
 func (f *Front) Table() *config.Table { return f.table.Load() }
 
-// SetShard says which shard this desk belongs to.
+// SetShard says which shard this gateway belongs to.
 func (f *Front) SetShard(n int) { f.shard.Store(int64(n)) }
 
 // Drain makes the front close connections after their next answer, and wait for
@@ -83,7 +83,7 @@
 }
 
 // lastOne has a connection closed after the answer that is about to be given, if this
-// desk leaves or has not read all of the request: net/http would read the rest first, and
+// gateway leaves or has not read all of the request: net/http would read the rest first, and
 // hold the answer back for as long as the client waits for it.
 func (f *Front) lastOne(x *Exchange) {
 	if f.drain.Load() || x.begun != nil && !x.read.Load() {
--- a/internal/proxy/pace.go
+++ b/internal/proxy/pace.go
@@ -9,7 +9,7 @@
 // On a narrow link a few large answers make a line in which everything small waits
 // behind them, for a second and more. Large answers are therefore passed on in small
 // parts and at a pace a little below the link's, so that the line at the link stays
-// short and what is small goes by. All large answers of a desk share one pace.
+// short and what is small goes by. All large answers of a gateway share one pace.
 
 const (
 	paceFrom = 16 << 10 // answers above this are paced
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -151,7 +151,7 @@
 	return r
 }
 
-// list puts a list of upstreams in force, all of the desk's zone.
+// list puts a list of upstreams in force, all of the gateway's zone.
 func (r *rig) list(ups ...*server) {
 	var list []upstream.Instance
 	for _, u := range ups {
@@ -531,7 +531,7 @@
 	}
 }
 
-// A desk that leaves waits for an upstream that is at work, and closes what is idle.
+// A gateway that leaves waits for an upstream that is at work, and closes what is idle.
 func TestLeavingWaitsForUpstreamsAtWork(t *testing.T) {
 	release := make(chan struct{})
 	u := newUpstream(t, "u", func(c net.Conn, r *http.Request, n int) bool {
@@ -582,7 +582,7 @@
 	<-down
 }
 
-// A request that is read while its desk closes what lies idle is answered: whatever the
+// A request that is read while its gateway closes what lies idle is answered: whatever the
 // moment, a client gets an answer or finds the connection closed unread.
 func TestLeavingAnswersWhatItHasRead(t *testing.T) {
 	for n := range 300 {
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -33,7 +33,7 @@
 func most(n int) float64 { return min(1, 2/float64(n)+0.1) }
 
 type held struct {
-	force, offer Share // what the desk said that it has, and what it was last offered
+	force, offer Share // what the gateway said that it has, and what it was last offered
 }
 
 func (h *held) rate() float64 { return max(h.force.Rate, h.offer.Rate) }
@@ -191,7 +191,7 @@
 	a.demand += h.force.Demand
 }
 
-// forget ends what a desk has.
+// forget ends what a gateway has.
 func (l *Lender) forget(now time.Duration, id string) {
 	for t, h := range l.borrowers[id].shares {
 		if a := l.accounts[t]; a != nil {
@@ -211,7 +211,7 @@
 	}
 }
 
-// Report takes a desk's report and answers it. sure is when it was last certain
+// Report takes a gateway's report and answers it. sure is when it was last certain
 // that there was no other lender. quotas gives the tenants' limits.
 func (l *Lender) Report(now, sure time.Duration, from string, r Report, quotas map[string]Quota) (Loan, bool) {
 	l.Tick(now)
@@ -289,7 +289,7 @@
 	return out, true
 }
 
-// offer works out a desk's share, given what the others have.
+// offer works out a gateway's share, given what the others have.
 func (l *Lender) offer(now time.Duration, a *account, s Share) Share {
 	top := l.ceiling(now, a)
 	demand := a.demand + s.Demand + a.asked
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -1,5 +1,5 @@
 // Package quota knows the tenants: the keys they come with, and the shares of
-// their quotas that one archive lends to the others, its branches, at which desks
+// their quotas that one control node lends to the others, its branches, at which gateways
 // draw for each request.
 //
 // A share is a rate and a cap, used up by a bucket at the branch. All shares of a
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -233,7 +233,7 @@
 	}
 }
 
-func TestOneDeskOfManyIsServedAtOnce(t *testing.T) {
+func TestOneGatewayOfManyIsServedAtOnce(t *testing.T) {
 	l := NewLender(config("a", "b"))
 	l.Begin(0, Term{N: 1, Owner: "a", Life: 1}, 0, false)
 	p := &Purse{Life: 1, Patience: 300 * ms}
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -24,9 +24,9 @@
 }
 
 type view struct {
-	desks []Desk
-	mu    sync.Mutex
-	ready map[string][]byte // answers by asker
+	gateways []Gateway
+	mu       sync.Mutex
+	ready    map[string][]byte // answers by asker
 }
 
 // readyMax bounds the answers that are kept; askers name what they like.
@@ -40,11 +40,11 @@
 	return d
 }
 
-// SetDesks gives the directory another view. One that knows no desk is not
+// SetGateways gives the directory another view. One that knows no gateway is not
 // taken over from one that does: while there is contact an old answer beats none.
-func (d *Directory) SetDesks(desks []Desk) {
-	if len(desks) > 0 || len(d.view.Load().desks) == 0 {
-		d.view.Store(&view{desks: desks, ready: map[string][]byte{}})
+func (d *Directory) SetGateways(gateways []Gateway) {
+	if len(gateways) > 0 || len(d.view.Load().gateways) == 0 {
+		d.view.Store(&view{gateways: gateways, ready: map[string][]byte{}})
 	}
 }
 
@@ -57,7 +57,7 @@
 		return nil, apierror.New(apierror.BadQuestion, "region and zone: missing")
 	}
 	v := d.view.Load()
-	if len(v.desks) == 0 {
+	if len(v.gateways) == 0 {
 		return nil, apierror.Later(apierror.NoQuorum, d.ttl, "no node known yet")
 	}
 	if d.InContact != nil && !d.InContact() {
@@ -73,7 +73,7 @@
 	b, err := json.Marshal(struct {
 		Addresses []string `json:"addresses"`
 		TTLS      float64  `json:"ttlS"`
-	}{Resolve(v.desks, a), math.Round(d.ttl.Seconds()*1000) / 1000})
+	}{Resolve(v.gateways, a), math.Round(d.ttl.Seconds()*1000) / 1000})
 	if err == nil && len(v.ready) < readyMax {
 		v.ready[key] = b
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,5 +1,5 @@
 // Package registry answers clients who ask where to go. Resolve is a pure
-// function of what is known of the desks and of who asks; Directory keeps the
+// function of what is known of the gateways and of who asks; Directory keeps the
 // answers ready.
 package registry
 
@@ -9,8 +9,8 @@
 	"madderwing/internal/rendezvous"
 )
 
-// Desk is a desk as the registry sees it.
-type Desk struct {
+// Gateway is a gateway as the registry sees it.
+type Gateway struct {
 	Address string // where it serves clients
 	Zone    string
 	Region  string
@@ -26,23 +26,23 @@
 // MaxAnswer is how many addresses an answer may name.
 const MaxAnswer = 64
 
-// enough is the share of a zone's desks that must be open for the zone to serve
+// enough is the share of a zone's gateways that must be open for the zone to serve
 // its clients alone.
 const enough = 0.5
 
 // Resolve lists the addresses that an asker is to use. Its own zone comes first;
-// where too few of its desks are open, those of the region join in, and where
-// the region has none, those of the others. While any desk may be up the answer
+// where too few of its gateways are open, those of the region join in, and where
+// the region has none, those of the others. While any gateway may be up the answer
 // is not empty: if none is known to be open, all are named.
-func Resolve(desks []Desk, a Asker) []string {
+func Resolve(gateways []Gateway, a Asker) []string {
 	region := a.Region
 	zoneKnown := false
-	for _, d := range desks {
+	for _, d := range gateways {
 		if d.Zone == a.Zone {
 			zoneKnown, region = true, d.Region // the zone's own region counts
 		}
 	}
-	allowed := func(d Desk) bool {
+	allowed := func(d Gateway) bool {
 		if len(a.Residency) == 0 {
 			return true
 		}
@@ -53,8 +53,8 @@
 		}
 		return false
 	}
-	pick := func(fit func(Desk) bool) (open []string, known int) {
-		for _, d := range desks {
+	pick := func(fit func(Gateway) bool) (open []string, known int) {
+		for _, d := range gateways {
 			if fit(d) {
 				known++
 				if d.Open {
@@ -65,28 +65,28 @@
 		return open, known
 	}
 	if zoneKnown {
-		open, known := pick(func(d Desk) bool { return d.Zone == a.Zone && allowed(d) })
+		open, known := pick(func(d Gateway) bool { return d.Zone == a.Zone && allowed(d) })
 		if known > 0 && float64(len(open)) >= enough*float64(known) {
 			return bound(a, open)
 		}
 	}
-	for _, fit := range []func(Desk) bool{
-		func(d Desk) bool { return d.Region == region && allowed(d) },
+	for _, fit := range []func(Gateway) bool{
+		func(d Gateway) bool { return d.Region == region && allowed(d) },
 		allowed,
-		func(Desk) bool { return true },
+		func(Gateway) bool { return true },
 	} {
 		if open, _ := pick(fit); len(open) > 0 {
 			return bound(a, open)
 		}
 	}
-	all := make([]string, 0, len(desks))
-	for _, d := range desks {
+	all := make([]string, 0, len(gateways))
+	for _, d := range gateways {
 		all = append(all, d.Address)
 	}
 	return bound(a, all)
 }
 
-// bound keeps an answer to its greatest size; which desks it leaves out differs
+// bound keeps an answer to its greatest size; which gateways it leaves out differs
 // from zone to zone.
 func bound(a Asker, list []string) []string {
 	if len(list) > MaxAnswer {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -9,12 +9,12 @@
 	"time"
 )
 
-// desks makes n desks in each zone; names in shut are not open.
-func desks(n int, shut ...string) (out []Desk) {
+// gateways makes n gateways in each zone; names in shut are not open.
+func gateways(n int, shut ...string) (out []Gateway) {
 	for _, z := range []string{"a1/a", "a2/a", "b1/b", "b2/b"} {
 		zone, region, _ := strings.Cut(z, "/")
 		for i := range n {
-			d := Desk{Address: fmt.Sprintf("%s-%d", zone, i), Zone: zone, Region: region, Open: true}
+			d := Gateway{Address: fmt.Sprintf("%s-%d", zone, i), Zone: zone, Region: region, Open: true}
 			for _, s := range shut {
 				d.Open = d.Open && !strings.HasPrefix(d.Address, s)
 			}
@@ -26,26 +26,26 @@
 
 func TestResolve(t *testing.T) {
 	cases := []struct {
-		name  string
-		desks []Desk
-		ask   Asker
-		want  string // how many of which zones
+		name     string
+		gateways []Gateway
+		ask      Asker
+		want     string // how many of which zones
 	}{
-		{"its own zone", desks(4), Asker{Zone: "a1", Region: "a"}, "a1:4"},
-		{"its own zone though some are down", desks(4, "a1-0"), Asker{Zone: "a1", Region: "a"}, "a1:3"},
-		{"too few there: the region", desks(4, "a1-0", "a1-1", "a1-2"), Asker{Zone: "a1", Region: "a"}, "a1:1 a2:4"},
-		{"its region is down: the others", desks(2, "a"), Asker{Zone: "a1", Region: "a"}, "b1:2 b2:2"},
-		{"an unknown zone of a known region", desks(2), Asker{Zone: "x", Region: "b"}, "b1:2 b2:2"},
-		{"the zone's region goes before the one named", desks(2, "a1"), Asker{Zone: "a1", Region: "b"}, "a2:2"},
-		{"unknown altogether", desks(1), Asker{Zone: "x", Region: "y"}, "a1:1 a2:1 b1:1 b2:1"},
-		{"the host is at home elsewhere", desks(2), Asker{Zone: "a1", Region: "a", Residency: []string{"b"}}, "b1:2 b2:2"},
-		{"its home is down: anywhere", desks(2, "b"), Asker{Zone: "a1", Region: "a", Residency: []string{"b"}}, "a1:2 a2:2"},
-		{"none is known to be open", desks(1, "a", "b"), Asker{Zone: "a1", Region: "a"}, "a1:1 a2:1 b1:1 b2:1"},
-		{"no more than may be named", desks(200), Asker{Zone: "a1", Region: "a"}, "a1:64"},
+		{"its own zone", gateways(4), Asker{Zone: "a1", Region: "a"}, "a1:4"},
+		{"its own zone though some are down", gateways(4, "a1-0"), Asker{Zone: "a1", Region: "a"}, "a1:3"},
+		{"too few there: the region", gateways(4, "a1-0", "a1-1", "a1-2"), Asker{Zone: "a1", Region: "a"}, "a1:1 a2:4"},
+		{"its region is down: the others", gateways(2, "a"), Asker{Zone: "a1", Region: "a"}, "b1:2 b2:2"},
+		{"an unknown zone of a known region", gateways(2), Asker{Zone: "x", Region: "b"}, "b1:2 b2:2"},
+		{"the zone's region goes before the one named", gateways(2, "a1"), Asker{Zone: "a1", Region: "b"}, "a2:2"},
+		{"unknown altogether", gateways(1), Asker{Zone: "x", Region: "y"}, "a1:1 a2:1 b1:1 b2:1"},
+		{"the host is at home elsewhere", gateways(2), Asker{Zone: "a1", Region: "a", Residency: []string{"b"}}, "b1:2 b2:2"},
+		{"its home is down: anywhere", gateways(2, "b"), Asker{Zone: "a1", Region: "a", Residency: []string{"b"}}, "a1:2 a2:2"},
+		{"none is known to be open", gateways(1, "a", "b"), Asker{Zone: "a1", Region: "a"}, "a1:1 a2:1 b1:1 b2:1"},
+		{"no more than may be named", gateways(200), Asker{Zone: "a1", Region: "a"}, "a1:64"},
 	}
 	for _, c := range cases {
 		count := map[string]int{}
-		for _, a := range Resolve(c.desks, c.ask) {
+		for _, a := range Resolve(c.gateways, c.ask) {
 			zone, _, _ := strings.Cut(a, "-")
 			count[zone]++
 		}
@@ -70,10 +70,10 @@
 	}
 	const good = "/v1/resolve?name=h.example&region=a&zone=a1"
 	if code, _ := ask(good); code != 503 {
-		t.Errorf("before any desk is known: %d", code)
+		t.Errorf("before any gateway is known: %d", code)
 	}
-	d.SetDesks(desks(2))
-	d.SetDesks(nil) // knows less than before
+	d.SetGateways(gateways(2))
+	d.SetGateways(nil) // knows less than before
 	contact := false
 	d.InContact = func() bool { return contact }
 	if w := httptest.NewRecorder(); true {
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -29,7 +29,7 @@
 
 	Faults int                    // how many members may be lost at once with all rules kept
 	Left   func(id string) bool   // the process at an address has said that it goes; nil: never known
-	Peers  func() []string        // archives known to be there, for a member without a seat; nil: none
+	Peers  func() []string        // control nodes known to be there, for a member without a seat; nil: none
 	Zone   func(id string) string // the zone of an address; nil or empty: not known
 }
 
--- a/internal/replication/reform.go
+++ b/internal/replication/reform.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// seatsMost is how many seats there are at most; further archives are learners that
+// seatsMost is how many seats there are at most; further control nodes are learners that
 // stand by, and so are all that hold no more than what is copied to them.
 const seatsMost = 9
 
--- a/internal/rollout/bench_test.go
+++ b/internal/rollout/bench_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// BenchmarkRequest is what a rollout adds to one request on a desk: without one, and with.
+// BenchmarkRequest is what a rollout adds to one request on a gateway: without one, and with.
 func BenchmarkRequest(b *testing.B) {
 	for _, under := range []bool{false, true} {
 		for _, routes := range []int{10, 100, 1000, 4000} {
@@ -31,18 +31,18 @@
 	}
 }
 
-// BenchmarkGather is what an archive does with the reports of the desks that tell it, and
-// a controller with what all archives have gathered.
+// BenchmarkGather is what a control node does with the reports of the gateways that tell it, and
+// a controller with what all control nodes have gathered.
 func BenchmarkGather(b *testing.B) {
-	for _, desks := range []int{10, 100, 400, 1600} {
-		b.Run(fmt.Sprintf("desks=%d", desks), func(b *testing.B) {
+	for _, gateways := range []int{10, 100, 400, 1600} {
+		b.Run(fmt.Sprintf("gateways=%d", gateways), func(b *testing.B) {
 			reports := map[string]Report{}
-			for i := range desks {
+			for i := range gateways {
 				s := Sums{}
 				for k := uint8(0); k < Buckets; k++ {
 					s[k] = Pair{cell(50, 1, 100*time.Millisecond), cell(10, 1, 200*time.Millisecond)}
 				}
-				reports[fmt.Sprint("desk", i)] = Report{Service: "s", Gen: 1, Sums: s}
+				reports[fmt.Sprint("gateway", i)] = Report{Service: "s", Gen: 1, Sums: s}
 			}
 			for b.Loop() {
 				g := Gather("s", 1, reports)
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Controller is what an archive knows of rollouts beside their records. Of those whose
+// Controller is what a control node knows of rollouts beside their records. Of those whose
 // key it owns it takes the steps; for the others it passes on what it has heard.
 type Controller struct {
 	by  map[string]*watched
@@ -19,8 +19,8 @@
 	aged  time.Duration // the order's age then
 	order uint64
 
-	nodes   map[string]heard[Report]   // desks that tell this archive
-	others  map[string]heard[Gathered] // what other archives have gathered
+	nodes   map[string]heard[Report]   // gateways that tell this control node
+	others  map[string]heard[Gathered] // what other control nodes have gathered
 	sums    Gathered                   // of the present record, as last put together
 	base    Sums                       // of a record before
 	view    View                       // as last looked at, by the controller
@@ -87,14 +87,14 @@
 // Led says that every rollout under way has a controller that is heard here.
 func (c *Controller) Led() bool { return c.led }
 
-// Heard takes what a desk has seen.
+// Heard takes what a gateway has seen.
 func (c *Controller) Heard(now time.Duration, from string, reports []Report) {
 	for _, r := range reports {
 		c.of(r.Service).nodes[from] = heard[Report]{now, r}
 	}
 }
 
-// Take takes what another archive has gathered.
+// Take takes what another control node has gathered.
 func (c *Controller) Take(now time.Duration, from string, all []Gathered) {
 	for _, g := range all {
 		c.of(g.Service).others[from] = heard[Gathered]{now, g}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -1,6 +1,6 @@
 // Package rollout moves a service's traffic from one version of its upstreams to
 // another through four stages: shadow, canary, percentage, full. The owner of the
-// key of a service is the controller of its rollout (Next); every desk splits the
+// key of a service is the controller of its rollout (Next); every gateway splits the
 // requests of the service between the two arms, scores both, and stops giving the
 // candidate anything by itself when that turns bad (Arms).
 //
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -17,7 +17,7 @@
 	now     time.Duration
 	nodes   []*node
 	ctrls   []*Controller
-	has     [][]Record // what each controller's archive shows
+	has     [][]Record // what each controller's control node shows
 	owner   int        // -1: none
 	ownedAt time.Duration
 	frozen  int // a controller that does not run; -1: none
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -151,7 +151,7 @@
 	return zone
 }
 
-// KeyLease is how long a desk may go on using keys that it cannot have confirmed,
+// KeyLease is how long a gateway may go on using keys that it cannot have confirmed,
 // and HoldRevocation how long the acknowledgement of a removal waits for that:
 // leases are longer than revokeS by the time that the acknowledgement is held,
 // less a margin.
@@ -177,23 +177,23 @@
 	return uint16(n)
 }
 
-// DeskAddress and ArchiveAddress are where the two kinds of process listen for
+// GatewayAddress and ControlAddress are where the two kinds of process listen for
 // other nodes on a machine.
-func (s *Settings) DeskAddress(ip string) string {
+func (s *Settings) GatewayAddress(ip string) string {
 	return net.JoinHostPort(ip, strconv.Itoa(s.InternalPorts[0]))
 }
 
-// ArchiveAddress is the address for other nodes of the archive on a machine.
-func (s *Settings) ArchiveAddress(ip string) string {
+// ControlAddress is the address for other nodes of the control node on a machine.
+func (s *Settings) ControlAddress(ip string) string {
 	return net.JoinHostPort(ip, strconv.Itoa(s.InternalPorts[0]+1))
 }
 
-// SeedArchives are the addresses for other nodes of the seeds, sorted.
-func (s *Settings) SeedArchives() []string {
+// SeedControlNodes are the addresses for other nodes of the seeds, sorted.
+func (s *Settings) SeedControlNodes() []string {
 	var out []string
 	for _, seed := range s.SeedNodes {
 		if host, _, err := net.SplitHostPort(seed); err == nil {
-			out = append(out, s.ArchiveAddress(host))
+			out = append(out, s.ControlAddress(host))
 		}
 	}
 	sort.Strings(out)
@@ -205,11 +205,11 @@
 const seedsNamed = 3
 
 // Warnings are lines on settings that can be used, but not as may be meant. Of the
-// fault budget they name only what no number of archives could bear: what is left must
+// fault budget they name only what no number of control nodes could bear: what is left must
 // be a majority.
 func (s *Settings) Warnings() (out []string) {
 	if s.Bind.Control != "" && s.DataDir == "" {
-		out = append(out, "dataDir: none, so an archive runs as a relay here")
+		out = append(out, "dataDir: none, so a control node runs as a relay here")
 		if s.Bind.Directory != "" {
 			out = append(out, "bind.directory: a relay answers the registry's clients 503")
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -55,7 +55,7 @@
 			}
 			s, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
 			if c.named == "" {
-				if err != nil || s.Bounds.RetrySlack != 62 || s.SeedArchives()[0] != "10.0.0.1:7001" {
+				if err != nil || s.Bounds.RetrySlack != 62 || s.SeedControlNodes()[0] != "10.0.0.1:7001" {
 					t.Fatalf("%v %+v", err, s)
 				}
 				return
@@ -82,7 +82,7 @@
 		{"zones that aren't named", disk, "[faultBudget]\nzones = 1\n", nil},
 		{"one machine of two", disk, "[faultBudget]\nmachines = 1\n", []string{"faultBudget.machines: to bear the loss of 1, 3 are needed, and there are 2"}},
 		{"as many machines as may be", disk, "[faultBudget]\nmachines = 3\n", nil},
-		{"a desk", "", "[bind]\nfront = \"10.0.0.1:8000\"\n", nil},
+		{"a gateway", "", "[bind]\nfront = \"10.0.0.1:8000\"\n", nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -130,7 +130,7 @@
 	if !s.Global() {
 		t.Error("a registry is not seen")
 	}
-	// A desk that has not heard of a removal stops before revokeS after the answer.
+	// A gateway that has not heard of a removal stops before revokeS after the answer.
 	if lease, hold := s.KeyLease(), s.HoldRevocation(); lease >= hold+Seconds(s.Bounds.RevokeS) || hold >= Seconds(s.Bounds.AckS) {
 		t.Errorf("lease %v, hold %v", lease, hold)
 	}
--- a/internal/upstream/budget.go
+++ b/internal/upstream/budget.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Budget is a desk's own part in what all desks may send beyond the first of
+// Budget is a gateway's own part in what all gateways may send beyond the first of
 // each request to a service. It starts empty, so that a process that starts
 // anew adds nothing to what its former life has spent.
 type Budget struct {
@@ -15,7 +15,7 @@
 	b.tokens = min(b.tokens+ratio, max(ceiling, 1))
 }
 
-// Refill adds what the slack allots to this desk for the time that has passed.
+// Refill adds what the slack allots to this gateway for the time that has passed.
 func (b *Budget) Refill(now time.Duration, perS, ceiling float64) {
 	if now > b.at {
 		if b.at > 0 {
--- a/internal/upstream/judge.go
+++ b/internal/upstream/judge.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// A desk judges upstreams by how they answer its own requests, since their word
+// A gateway judges upstreams by how they answer its own requests, since their word
 // on their own health may be wrong. Three signs count: errors of their own, the
 // time they take, and requests that they sit on. All are compared with the other
 // upstreams of the service, so what goes wrong everywhere is held against nobody.
@@ -32,7 +32,7 @@
 	took   float64 // seconds an answer took lately; 0: not known
 	at     time.Duration
 	since  []wait  // its requests that are under way and not yet answered
-	others float64 // requests of other desks that it has told of
+	others float64 // requests of other gateways that it has told of
 	toldAt time.Duration
 	tells  bool
 	roomy  float64 // seconds an answer took lately when it had room
@@ -131,7 +131,7 @@
 // an answer takes: by then the requests that it spoke of have ended.
 const toldSpan = 1.5
 
-// Tell takes an upstream's word on its load. What is beyond this desk's own
+// Tell takes an upstream's word on its load. What is beyond this gateway's own
 // requests is the others'.
 func (s *Stock) Tell(now time.Duration, u *Upstream, t Told) {
 	if !t.Known {
@@ -140,7 +140,7 @@
 	u.others, u.toldAt, u.tells = max(0, float64(t.Running+t.Waiting-u.Busy)), now, true
 }
 
-// crowd is how many requests of other desks an upstream probably has.
+// crowd is how many requests of other gateways an upstream probably has.
 func (s *Stock) crowd(now time.Duration, v *service, u *Upstream) float64 {
 	if !u.tells {
 		return 0
--- a/internal/upstream/judge_test.go
+++ b/internal/upstream/judge_test.go
@@ -23,8 +23,8 @@
 }
 
 func TestAnUpstreamThatFailsItsShareIsLeftAlone(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", list(12, "z", 0), ds[:1], sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", list(12, "z", 0), ds[:1], sh, nil)
 	bad := ""
 	after := 0
 	for i := 0; i < 600; i++ {
@@ -48,8 +48,8 @@
 }
 
 func TestWhatFailsEverywhereIsHeldAgainstNobody(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", list(6, "z", 0), ds[:1], sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", list(6, "z", 0), ds[:1], sh, nil)
 	for i := 0; i < 200; i++ {
 		answer(t, s, time.Duration(i)*10*ms, func(string) (Outcome, time.Duration) { return Poor, 5 * ms })
 	}
@@ -65,8 +65,8 @@
 }
 
 func TestSlowOnesGetLess(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", list(6, "z", 0), ds[:1], sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", list(6, "z", 0), ds[:1], sh, nil)
 	slow, got := "", 0
 	for i := 0; i < 100; i++ {
 		now := time.Duration(i) * 40 * ms
@@ -109,8 +109,8 @@
 		{"two that wait", 2, 600 * ms, true},
 	}
 	for _, c := range cases {
-		ds, sh := desks("z")
-		s := fresh("z-desk-0", "z", list(6, "z", 0), ds[:1], sh, nil)
+		ds, sh := gateways("z")
+		s := fresh("z-gateway-0", "z", list(6, "z", 0), ds[:1], sh, nil)
 		for i := 0; i < 100; i++ {
 			answer(t, s, time.Duration(i)*ms, func(string) (Outcome, time.Duration) { return Served, 60 * ms })
 		}
@@ -138,7 +138,7 @@
 	ds := []membership.Node{{Address: "d", Name: "d", Zone: "n1"}, {Address: "e", Name: "e", Zone: "s1"}}
 	s := NewStock(cfg("d", "n1"))
 	s.cfg.Region = region
-	s.SetDesks(0, ds, nil)
+	s.SetGateways(0, ds, nil)
 	s.SetServices(0, map[string]ServiceInfo{"a": {MaxConns: 200}}, nil)
 	s.SetList(0, append(list(4, "n1", 0), list(4, "s1", 0)...))
 	prove(s, 0)
@@ -179,10 +179,10 @@
 	}
 }
 
-// A desk that leaves waits for what it has sent on; one that stays cuts a wait short
+// A gateway that leaves waits for what it has sent on; one that stays cuts a wait short
 // where an upstream falls silent, or sits on requests that the budget allows to be sent
 // elsewhere: a wait that is cut short for nothing ends a request that may yet be answered.
-func TestALeavingDeskCutsNoWaitShort(t *testing.T) {
+func TestALeavingGatewayCutsNoWaitShort(t *testing.T) {
 	for _, c := range []struct {
 		name            string
 		leaving, silent bool
@@ -196,8 +196,8 @@
 		{"leaves, upstream sits", true, false, 30, 0},
 		{"leaves, upstream falls silent", true, true, 30, 0},
 	} {
-		ds, sh := desks("z")
-		s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+		ds, sh := gateways("z")
+		s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
 		for i := 0; i < 100; i++ {
 			answer(t, s, time.Duration(i)*ms, func(string) (Outcome, time.Duration) { return Served, 60 * ms })
 		}
--- a/internal/upstream/lending.go
+++ b/internal/upstream/lending.go
@@ -6,7 +6,7 @@
 	"sort"
 )
 
-// Loads is how many requests of each service the desks of each zone have under
+// Loads is how many requests of each service the gateways of each zone have under
 // way or waiting, on average of the last moments: zone -> service -> requests.
 type Loads map[string]map[string]float64
 
@@ -29,17 +29,17 @@
 
 // lend works out which upstreams of a service other zones use as their own: a
 // zone with more requests than its own upstreams can well bear borrows from the
-// zone that has most to spare, one upstream at a time. All desks come to the
+// zone that has most to spare, one upstream at a time. All gateways come to the
 // same plan from the same loads; where their views differ for a moment, an
-// upstream is used first by two desks or by none, which does no harm.
-func lend(service string, ups []*Upstream, loads Loads, deskZones map[string]bool) map[string]string {
+// upstream is used first by two gateways or by none, which does no harm.
+func lend(service string, ups []*Upstream, loads Loads, gatewayZones map[string]bool) map[string]string {
 	slots := map[string]float64{}
 	for _, u := range ups {
 		slots[u.Zone] += float64(u.Capacity)
 	}
 	plan := map[string]string{}
 	needed := false
-	for z := range deskZones {
+	for z := range gatewayZones {
 		needed = needed || loads[z][service] > lendAbove*slots[z]
 	}
 	if !needed {
@@ -50,11 +50,11 @@
 		spare[u.Zone] = append(spare[u.Zone], u)
 	}
 	var zones []string
-	for z := range deskZones {
+	for z := range gatewayZones {
 		zones = append(zones, z)
 	}
 	for z := range slots {
-		if !deskZones[z] {
+		if !gatewayZones[z] {
 			zones = append(zones, z)
 		}
 	}
@@ -75,7 +75,7 @@
 	for range ups {
 		hi, lo := "", ""
 		for _, z := range zones {
-			if deskZones[z] && (hi == "" || factor(z, slots[z]) > factor(hi, slots[hi])) {
+			if gatewayZones[z] && (hi == "" || factor(z, slots[z]) > factor(hi, slots[hi])) {
 				hi = z
 			}
 			if len(spare[z]) > 1 && (lo == "" || factor(z, slots[z]) < factor(lo, slots[lo])) {
--- a/internal/upstream/listing.go
+++ b/internal/upstream/listing.go
@@ -1,6 +1,6 @@
 // Package upstream knows the upstreams: the platform's list of them as one
-// archive reads it for all, and on each desk the stock of upstreams that
-// requests are sent to, with what this desk has learnt of each.
+// control node reads it for all, and on each gateway the stock of upstreams that
+// requests are sent to, with what this gateway has learnt of each.
 package upstream
 
 import (
@@ -30,7 +30,7 @@
 
 // Version orders listings: the term of the duty, then the number within it.
 // Life tells apart two holders under one term, which there may be when all
-// archives have lost their memory in between.
+// control nodes have lost their memory in between.
 type Version struct {
 	Term uint64 `cbor:"1,keyasint,omitempty" json:"term"`
 	Seq  uint64 `cbor:"2,keyasint,omitempty" json:"seq"`
--- a/internal/upstream/packed.go
+++ b/internal/upstream/packed.go
@@ -6,7 +6,7 @@
 )
 
 // Some upstreams slow down so much when they are nearly full that they get less
-// done than with a few requests fewer. A desk sees that at the upstreams that it uses
+// done than with a few requests fewer. A gateway sees that at the upstreams that it uses
 // first, whose load it knows: how much longer they take when packed than when they
 // have room. Where keeping to keepPart of the slots would get more done, it does.
 
@@ -47,7 +47,7 @@
 	}
 }
 
-// most is how many requests this desk may have under way at an upstream.
+// most is how many requests this gateway may have under way at an upstream.
 func (s *Stock) most(now time.Duration, v *service, u *Upstream) int {
 	if !u.home || v.packed.known < packedFrom {
 		return u.limit
--- a/internal/upstream/packed_test.go
+++ b/internal/upstream/packed_test.go
@@ -19,12 +19,12 @@
 		{"one slot", 2.2, 1, 1},
 	}
 	for _, c := range cases {
-		ds, sh := desks("z")
+		ds, sh := gateways("z")
 		ups := list(4, "z", 0)
 		for i := range ups {
 			ups[i].Capacity = c.slots
 		}
-		s := fresh("z-desk-0", "z", ups, ds[:1], sh, nil)
+		s := fresh("z-gateway-0", "z", ups, ds[:1], sh, nil)
 		now := time.Duration(0)
 		for range 40 {
 			now += time.Second
--- a/internal/upstream/scale_test.go
+++ b/internal/upstream/scale_test.go
@@ -10,18 +10,18 @@
 	"madderwing/internal/membership"
 )
 
-// fleet is a deployment of hundreds of desks and about a thousand upstreams.
-func fleet() (desks []membership.Node, shards map[string]int, ups []Instance) {
+// fleet is a deployment of hundreds of gateways and about a thousand upstreams.
+func fleet() (gateways []membership.Node, shards map[string]int, ups []Instance) {
 	shards = map[string]int{}
 	for i := range 300 {
 		n := membership.Node{Address: fmt.Sprintf("10.%d.0.%d:7660", i%6, i), Name: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i%6)}
-		desks = append(desks, n)
+		gateways = append(gateways, n)
 		shards[n.Address] = i / 6 % 2
 	}
 	for i := range 990 {
 		ups = append(ups, Instance{ID: fmt.Sprintf("i-%08x", i*2654435761), Service: fmt.Sprintf("s%d", i%8/7), Address: fmt.Sprintf("10.128.%d.%d:80", i/200, i%200), Zone: fmt.Sprintf("z%d", i%6), Capacity: 3})
 	}
-	return desks, shards, ups
+	return gateways, shards, ups
 }
 
 func largeStock() (*Stock, []membership.Node, map[string]int, []Instance) {
@@ -29,14 +29,14 @@
 	s := NewStock(cfg(d[0].Address, "z0"))
 	s.SetServices(0, map[string]ServiceInfo{"s0": {MaxConns: 1900}, "s1": {MaxConns: 1900}}, map[string]int{"s0": 0, "s1": 1})
 	s.SetList(0, ups)
-	s.SetDesks(0, d, sh)
+	s.SetGateways(0, d, sh)
 	return s, d, sh, ups
 }
 
-func BenchmarkDesksChange(b *testing.B) {
+func BenchmarkGatewaysChange(b *testing.B) {
 	s, d, sh, _ := largeStock()
 	for i := range b.N {
-		s.SetDesks(time.Second, d[:len(d)-1-i%2], sh)
+		s.SetGateways(time.Second, d[:len(d)-1-i%2], sh)
 	}
 }
 
@@ -79,9 +79,9 @@
 	}
 }
 
-// While desks come up, each of them is for a moment the only one that it knows;
+// While gateways come up, each of them is for a moment the only one that it knows;
 // it must not open a connection to every upstream of its zone then.
-func TestPoolsAreOpenedOnceDesksAreCalm(t *testing.T) {
+func TestPoolsAreOpenedOnceGatewaysAreCalm(t *testing.T) {
 	d, sh, ups := fleet()
 	c := cfg(d[0].Address, "z0")
 	c.Calm = time.Second
@@ -94,12 +94,12 @@
 		most int // trials up to here
 	}{
 		{100 * ms, func(now time.Duration) { s.SetList(now, ups) }, 0},
-		{200 * ms, func(now time.Duration) { s.SetDesks(now, d[:1], sh) }, 0},
-		{900 * ms, func(now time.Duration) { s.SetDesks(now, d[:40], sh) }, 0},
+		{200 * ms, func(now time.Duration) { s.SetGateways(now, d[:1], sh) }, 0},
+		{900 * ms, func(now time.Duration) { s.SetGateways(now, d[:40], sh) }, 0},
 		{1500 * ms, s.Tick, 0},
-		{1800 * ms, func(now time.Duration) { s.SetDesks(now, d, sh) }, 0},
+		{1800 * ms, func(now time.Duration) { s.SetGateways(now, d, sh) }, 0},
 		{2700 * ms, s.Tick, 0},
-		{2900 * ms, s.Tick, 5}, // 165 upstreams of its zone for 50 desks
+		{2900 * ms, s.Tick, 5}, // 165 upstreams of its zone for 50 gateways
 	}
 	for _, st := range steps {
 		st.do(st.at)
@@ -114,7 +114,7 @@
 	}
 }
 
-// One more desk or upstream must cost each desk little: with hundreds of them that
+// One more gateway or upstream must cost each gateway little: with hundreds of them that
 // happens all the time.
 func TestWhoIsColdDecidesNothingUntilAsked(t *testing.T) {
 	s, _, _, ups := largeStock()
@@ -132,18 +132,18 @@
 	senders := 0
 	for _, self := range d {
 		o := NewStock(cfg(self.Address, self.Zone))
-		o.SetDesks(0, d, sh)
+		o.SetGateways(0, d, sh)
 		o.SetList(0, ups[:1])
 		if o.sends(o.ups[ups[0].ID]) {
 			senders++
 		}
 	}
 	if senders != ColdSenders {
-		t.Errorf("%d desks may send to a cold upstream", senders)
+		t.Errorf("%d gateways may send to a cold upstream", senders)
 	}
 }
 
-// A desk that has missed some differences gets them as one, not the whole list.
+// A gateway that has missed some differences gets them as one, not the whole list.
 func TestMissedDifferencesComeAsOne(t *testing.T) {
 	_, _, ups := fleet()
 	var s Stand
@@ -174,15 +174,15 @@
 	}
 }
 
-// BenchmarkSizes is what a change of the list, a change of desks, a tick and a request cost
+// BenchmarkSizes is what a change of the list, a change of gateways, a tick and a request cost
 // as the deployment grows; docs/CAPACITY.md takes its slopes from it.
 func BenchmarkSizes(b *testing.B) {
-	for _, size := range []struct{ desks, ups, services, zones int }{
+	for _, size := range []struct{ gateways, ups, services, zones int }{
 		{300, 1000, 8, 6}, {900, 5000, 120, 12}, {1400, 13000, 300, 25}, {2800, 26000, 590, 25},
 	} {
 		var ds []membership.Node
 		shards := map[string]int{}
-		for i := range size.desks {
+		for i := range size.gateways {
 			n := membership.Node{Address: fmt.Sprintf("10.%d.%d.%d:7660", i%size.zones, i/200, i%200), Zone: fmt.Sprintf("z%d", i%size.zones)}
 			ds = append(ds, n)
 			shards[n.Address] = i / size.zones % 2
@@ -198,23 +198,23 @@
 		}
 		s := NewStock(cfg(ds[0].Address, "z0"))
 		s.SetServices(0, infos, nil)
-		s.SetDesks(0, ds, shards)
+		s.SetGateways(0, ds, shards)
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		s.SetList(0, ups)
 		runtime.GC()
 		runtime.ReadMemStats(&after)
-		name := fmt.Sprintf("desks=%d/upstreams=%d/", size.desks, size.ups)
+		name := fmt.Sprintf("gateways=%d/upstreams=%d/", size.gateways, size.ups)
 		b.Run(name+"list", func(b *testing.B) {
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
 			for i := range b.N {
 				s.SetList(time.Second, ups[:len(ups)-1-i%2])
 			}
 		})
-		b.Run(name+"desks", func(b *testing.B) {
+		b.Run(name+"gateways", func(b *testing.B) {
 			for i := range b.N {
-				s.SetDesks(time.Second, ds[:len(ds)-1-i%2], shards)
+				s.SetGateways(time.Second, ds[:len(ds)-1-i%2], shards)
 			}
 		})
 		b.Run(name+"tick", func(b *testing.B) {
--- a/internal/upstream/stock.go
+++ b/internal/upstream/stock.go
@@ -16,14 +16,14 @@
 
 // Config holds the figures that a stock works by.
 type Config struct {
-	Self       string // this desk's address
+	Self       string // this gateway's address
 	Zone       string
 	RetryRatio float64
 	RetrySlack float64
 	Window     time.Duration // retryWindowS
 	Eject      time.Duration // first pause after a failure; a third of it after a first reset
 	EjectMax   time.Duration
-	Calm       time.Duration // how long desks must be the same before pools are opened
+	Calm       time.Duration // how long gateways must be the same before pools are opened
 	Lag        time.Duration // how old the platform's word may be when it is here
 	// Region tells the region of a zone; nil: there is but one.
 	Region func(zone string) string
@@ -44,10 +44,10 @@
 	Expires time.Duration
 }
 
-// Upstream is one life of an upstream as this desk knows it.
+// Upstream is one life of an upstream as this gateway knows it.
 type Upstream struct {
 	Instance
-	Busy int // requests of this desk that it has
+	Busy int // requests of this gateway that it has
 	// Nameless says that it refuses without naming the request: what it sends over a
 	// connection that has been used before cannot be told from what is left over.
 	Nameless atomic.Bool
@@ -56,17 +56,17 @@
 	holds    map[*Hold]struct{} // requests under way that may be sent elsewhere
 	coldTill time.Duration
 	pace     Pace
-	senders  int  // how many desks may send to it while it is cold, and whether this one
+	senders  int  // how many gateways may send to it while it is cold, and whether this one
 	sender   bool // is one of them: as of the plan that few names; see few
 	few      uint64
 	pool     *service // of its service and version; the last one it was in
-	home     bool     // this desk is the one of its zone that uses it first
+	home     bool     // this gateway is the one of its zone that uses it first
 	zone     string   // the zone that uses it as its own
-	rank     uint64   // for this desk
+	rank     uint64   // for this gateway
 	order    uint64   // for its service
 	limit    int
 	region   string
-	near     bool // of this desk's region
+	near     bool // of this gateway's region
 	gone     bool
 	failures int
 	until    time.Duration // ejected till then
@@ -127,7 +127,7 @@
 	Abroad   bool // the upstream is in another region
 	Began    time.Duration
 	Cold     bool
-	Busy     int // how many requests of this desk the upstream had then, with this one
+	Busy     int // how many requests of this gateway the upstream had then, with this one
 }
 
 // Refusal says why a claim was not granted.
@@ -149,11 +149,11 @@
 	of      string // of the service
 	info    ServiceInfo
 	ups     []*Upstream
-	homes   []*Upstream // those that this desk uses first
+	homes   []*Upstream // those that this gateway uses first
 	reach   []*Upstream // those that it uses at all, as long as enough of them work
 	budget  Budget
 	waiting []*Claim
-	slots   int     // of the upstreams that this desk uses first
+	slots   int     // of the upstreams that this gateway uses first
 	bad     float64 // share of bad answers lately
 	took    float64 // seconds that its answers take
 	known   int     // answers so far
@@ -162,28 +162,28 @@
 	lent    map[string]string // upstream -> the zone that uses it as its own
 }
 
-// Stock is the table of upstreams on one desk. One goroutine owns it.
+// Stock is the table of upstreams on one gateway. One goroutine owns it.
 type Stock struct {
 	cfg       Config
 	ups       map[string]*Upstream
 	services  map[string]*service
 	evacuated map[string]bool
 	infos     map[string]ServiceInfo
-	desks     []membership.Node
+	gateways  []membership.Node
 	shards    map[string]int
 	versions  map[string]Versions
 	listed    map[string]map[string]int // service -> version -> upstreams
 	first     map[string]string         // service -> version first seen, while nobody has said what stands
-	bound     map[string]int            // service -> shard whose desks hold its slack
+	bound     map[string]int            // service -> shard whose gateways hold its slack
 	plan      uint64                    // counts the times that upstreams were shared out anew
-	zones     map[string][]string       // zone -> desks, as of that plan
-	nearOf    map[[2]string][]string    // zone, service -> desks that may send to cold ones there
+	zones     map[string][]string       // zone -> gateways, as of that plan
+	nearOf    map[[2]string][]string    // zone, service -> gateways that may send to cold ones there
 	loads     Loads
 	loadAt    time.Duration
 	seq       uint64
 	known     bool
 	unproven  bool          // there may be upstreams to be proven
-	calmAt    time.Duration // when desks will have been the same for long enough
+	calmAt    time.Duration // when gateways will have been the same for long enough
 	leaving   bool
 
 	Trials []*Upstream // connections to be opened to see whether an upstream is back
@@ -269,7 +269,7 @@
 	u.idle = nil
 }
 
-// Leave says that this desk goes. From now on every request that has been sent on
+// Leave says that this gateway goes. From now on every request that has been sent on
 // is waited for: to cut its wait short could end it with an error of our own while
 // its upstream is at work.
 func (s *Stock) Leave() { s.leaving = true }
@@ -329,7 +329,7 @@
 	s.ask(u)
 }
 
-// ask asks an upstream how long it stays cold, if that is this desk's to do.
+// ask asks an upstream how long it stays cold, if that is this gateway's to do.
 func (s *Stock) ask(u *Upstream) {
 	path := s.infos[u.Service].HealthPath
 	u.outdated = u.asking
@@ -357,25 +357,25 @@
 	}
 }
 
-// SetDesks takes the desks that work now, and their shards.
-func (s *Stock) SetDesks(now time.Duration, desks []membership.Node, shards map[string]int) {
+// SetGateways takes the gateways that work now, and their shards.
+func (s *Stock) SetGateways(now time.Duration, gateways []membership.Node, shards map[string]int) {
 	same := func(a, b membership.Node) bool { return a.Address == b.Address && a.Zone == b.Zone }
-	if slices.EqualFunc(desks, s.desks, same) && maps.Equal(shards, s.shards) {
+	if slices.EqualFunc(gateways, s.gateways, same) && maps.Equal(shards, s.shards) {
 		return
 	}
-	s.desks, s.shards, s.calmAt = desks, shards, now+s.cfg.Calm
+	s.gateways, s.shards, s.calmAt = gateways, shards, now+s.cfg.Calm
 	s.assign(now)
 	s.serveAll(now)
 }
 
-// ColdSenders is how many desks may send to an upstream while it is cold.
+// ColdSenders is how many gateways may send to an upstream while it is cold.
 const ColdSenders = 2
 
-// assign works out which upstreams this desk uses first.
+// assign works out which upstreams this gateway uses first.
 func (s *Stock) assign(now time.Duration) {
 	s.plan++
 	s.zones, s.nearOf = map[string][]string{}, map[[2]string][]string{}
-	for _, d := range s.desks {
+	for _, d := range s.gateways {
 		s.zones[d.Zone] = append(s.zones[d.Zone], d.Address)
 	}
 	for _, v := range s.services {
@@ -390,15 +390,15 @@
 			v.ups = append(v.ups, u)
 		}
 	}
-	desks := s.zones[s.cfg.Zone]
-	if len(desks) == 0 {
-		desks = []string{s.cfg.Self}
+	gateways := s.zones[s.cfg.Zone]
+	if len(gateways) == 0 {
+		gateways = []string{s.cfg.Self}
 	}
 	for _, v := range s.services {
 		slices.SortFunc(v.ups, byOrder)
-		s.nameHomes(v, desks)
-		s.setLimits(v, len(s.desks))
-		s.nameReach(v, len(desks))
+		s.nameHomes(v, gateways)
+		s.setLimits(v, len(s.gateways))
+		s.nameReach(v, len(gateways))
 	}
 	s.prove(now)
 }
@@ -411,7 +411,7 @@
 	return cmp.Compare(a.ID, b.ID)
 }
 
-// sends says whether this desk is one of the few that may send to an upstream while
+// sends says whether this gateway is one of the few that may send to an upstream while
 // it is cold. That is worked out when it is asked for: few upstreams are cold.
 func (s *Stock) sends(u *Upstream) bool {
 	if u.few != s.plan {
@@ -422,7 +422,7 @@
 	return u.sender
 }
 
-// near lists the desks of which a few may send to cold upstreams of a service in a
+// near lists the gateways of which a few may send to cold upstreams of a service in a
 // zone: those of the zone, or all where it has none, and of these the ones of the
 // shard that has the service, if there are any.
 func (s *Stock) near(zone, service string) []string {
@@ -432,7 +432,7 @@
 	}
 	near := s.zones[zone]
 	if len(near) == 0 {
-		for _, d := range s.desks {
+		for _, d := range s.gateways {
 			near = append(near, d.Address)
 		}
 	}
@@ -452,9 +452,9 @@
 }
 
 // nameHomes shares the upstreams that the zone uses as its own out among its
-// desks: each goes to the desk of highest weight that has not yet got its even
+// gateways: each goes to the gateway of highest weight that has not yet got its even
 // share.
-func (s *Stock) nameHomes(v *service, desks []string) {
+func (s *Stock) nameHomes(v *service, gateways []string) {
 	var local []*Upstream
 	v.lent = s.lend(v)
 	for _, u := range v.ups {
@@ -467,10 +467,10 @@
 		}
 	}
 	v.homes = v.homes[:0]
-	most := (len(local) + len(desks) - 1) / len(desks)
+	most := (len(local) + len(gateways) - 1) / len(gateways)
 	have := map[string]int{}
 	for _, u := range local { // in the order of weight, as v.ups are
-		for _, d := range rendezvous.Order(u.ID, desks) {
+		for _, d := range rendezvous.Order(u.ID, gateways) {
 			if have[d] == most {
 				continue
 			}
@@ -485,8 +485,8 @@
 	}
 }
 
-// Each upstream is in reach of so many desks of the zone that uses it, beside the one
-// that uses it first, and of so many of all other zones; and each desk reaches so many
+// Each upstream is in reach of so many gateways of the zone that uses it, beside the one
+// that uses it first, and of so many of all other zones; and each gateway reaches so many
 // of its zone at least.
 const (
 	reachedNear = 4
@@ -494,7 +494,7 @@
 	reachMin    = 8
 )
 
-// nameReach names the upstreams that this desk uses at all. With few desks that is
+// nameReach names the upstreams that this gateway uses at all. With few gateways that is
 // all of them. With hundreds, each with little to send elsewhere, an upstream would
 // get a request from many at once and be full without any of them knowing.
 func (s *Stock) nameReach(v *service, near int) {
@@ -505,7 +505,7 @@
 		}
 	}
 	shareNear := max(reachedNear/float64(near), reachMin/float64(max(1, local)))
-	shareFar := max(reachedFar/float64(max(1, len(s.desks)-near)), reachMin/float64(max(1, len(v.ups)-local)))
+	shareFar := max(reachedFar/float64(max(1, len(s.gateways)-near)), reachMin/float64(max(1, len(v.ups)-local)))
 	v.reach = v.reach[:0]
 	for _, u := range v.ups {
 		share := shareFar
@@ -518,11 +518,11 @@
 	}
 }
 
-// setLimits bounds what this desk may have under way at each upstream. The desk
+// setLimits bounds what this gateway may have under way at each upstream. The gateway
 // that uses one first may fill its slots; the others together may make it queue
-// a little. Connections are shared out evenly, with room for two desks that are
+// a little. Connections are shared out evenly, with room for two gateways that are
 // not known here.
-func (s *Stock) setLimits(v *service, desks int) {
+func (s *Stock) setLimits(v *service, gateways int) {
 	conns := v.info.MaxConns
 	if conns == 0 {
 		conns = 64
@@ -532,14 +532,14 @@
 		if u.home {
 			u.limit = u.Capacity
 		}
-		u.limit = max(1, min(u.limit, conns/(desks+2)))
+		u.limit = max(1, min(u.limit, conns/(gateways+2)))
 	}
 }
 
-// lend plans among the zones of this desk's region only.
+// lend plans among the zones of this gateway's region only.
 func (s *Stock) lend(v *service) map[string]string {
 	zones := map[string]bool{s.cfg.Zone: true}
-	for _, d := range s.desks {
+	for _, d := range s.gateways {
 		if s.region(d.Zone) == s.region(s.cfg.Zone) {
 			zones[d.Zone] = true
 		}
@@ -568,7 +568,7 @@
 	}
 }
 
-// Loads are this desk's own.
+// Loads are this gateway's own.
 func (s *Stock) Loads() map[string]float64 {
 	out := map[string]float64{}
 	for name, v := range s.services {
@@ -595,13 +595,13 @@
 // loadSpan is the time over which loads are averaged: some requests long.
 const loadSpan = 1500 * time.Millisecond
 
-// prove opens a first connection to upstreams that this desk uses first: the
+// prove opens a first connection to upstreams that this gateway uses first: the
 // warm pools of the services whose routes are bound to its shard, and, whatever
 // the shard, to those that have newly appeared, so that no request has to find
-// out whether they are there yet. While desks come and go, who uses what first
+// out whether they are there yet. While gateways come and go, who uses what first
 // changes too often: it waits for a calm.
 func (s *Stock) prove(now time.Duration) {
-	s.unproven = now < s.calmAt || len(s.desks) == 0
+	s.unproven = now < s.calmAt || len(s.gateways) == 0
 	if s.unproven {
 		return
 	}
@@ -618,7 +618,7 @@
 	}
 }
 
-// holds says whether this desk is of the shard that has a service's routes, or
+// holds says whether this gateway is of the shard that has a service's routes, or
 // no shard has them yet.
 func (s *Stock) holds(service string) bool {
 	shard, bound := s.bound[service]
@@ -629,11 +629,11 @@
 func (u *Upstream) Cold(now time.Duration) bool { return now < u.coldTill }
 
 // othersFrom is the start, in slots, that an upstream has over one of the zone that
-// another desk uses first.
+// another gateway uses first.
 const othersFrom = 0.84
 
 // score is how far an upstream is from being the one to send to: its load in
-// units of its slots, with a start for the upstreams that other desks use
+// units of its slots, with a start for the upstreams that other gateways use
 // first. Infinite: not at present.
 func (s *Stock) score(now time.Duration, v *service, u *Upstream) float64 {
 	if u.gone || now < u.until || now < u.rest || u.trying || u.Busy >= s.most(now, v, u) || u.trial && u.Busy > 0 {
@@ -667,7 +667,7 @@
 
 // pick finds the upstream to send to.
 func (s *Stock) pick(now time.Duration, v *service, c *Claim) (best *Upstream, any bool) {
-	// Nearly always one of the few that this desk uses first will do, and then no
+	// Nearly always one of the few that this gateway uses first will do, and then no
 	// other can be better.
 	best, score, any := s.pickFrom(now, v, c, v.homes)
 	if score < othersFrom {
@@ -720,14 +720,14 @@
 	v.budget.Earn(s.cfg.RetryRatio, s.ceiling(v))
 }
 
-// ceiling is how many tokens this desk may save up: an even share of half the
-// slack for the desks of the shard that has the service, a token for the rest.
-// The other half covers desks that are not known here.
+// ceiling is how many tokens this gateway may save up: an even share of half the
+// slack for the gateways of the shard that has the service, a token for the rest.
+// The other half covers gateways that are not known here.
 func (s *Stock) ceiling(v *service) float64 {
-	n := len(s.desks)
+	n := len(s.gateways)
 	if shard, ok := s.bound[v.of]; ok {
 		mine, of := false, 0
-		for _, d := range s.desks {
+		for _, d := range s.gateways {
 			if s.shards[d.Address] == shard {
 				of++
 				mine = mine || d.Address == s.cfg.Self
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -30,11 +30,11 @@
 	return out
 }
 
-func desks(zones ...string) (out []membership.Node, shards map[string]int) {
+func gateways(zones ...string) (out []membership.Node, shards map[string]int) {
 	shards = map[string]int{}
 	for _, z := range zones {
 		for i := 0; i < 3; i++ {
-			n := membership.Node{Address: fmt.Sprintf("%s-desk-%d", z, i), Name: fmt.Sprintf("%s-%d", z, i), Zone: z}
+			n := membership.Node{Address: fmt.Sprintf("%s-gateway-%d", z, i), Name: fmt.Sprintf("%s-%d", z, i), Zone: z}
 			out = append(out, n)
 			shards[n.Address] = i % 2
 		}
@@ -45,7 +45,7 @@
 // fresh makes a stock that knows everything; trials succeed at once.
 func fresh(self, zone string, instances []Instance, ds []membership.Node, shards map[string]int, bound map[string]int) *Stock {
 	s := NewStock(cfg(self, zone))
-	s.SetDesks(0, ds, shards)
+	s.SetGateways(0, ds, shards)
 	s.SetServices(0, map[string]ServiceInfo{"a": {MaxConns: 200, WarmupS: 3, WarmupPerS: 8}}, bound)
 	s.SetList(0, instances)
 	prove(s, 0)
@@ -69,8 +69,8 @@
 }
 
 func TestOwnZoneFirstAndNoUpstreamBeyondItsLimit(t *testing.T) {
-	ds, sh := desks("z", "y")
-	s := fresh("z-desk-0", "z", append(list(6, "z", 0), list(6, "y", 0)...), ds, sh, nil)
+	ds, sh := gateways("z", "y")
+	s := fresh("z-gateway-0", "z", append(list(6, "z", 0), list(6, "y", 0)...), ds, sh, nil)
 	home := 0
 	for _, st := range s.States(0) {
 		if st.Home {
@@ -81,7 +81,7 @@
 		}
 	}
 	if home != 2 {
-		t.Fatalf("this desk uses %d of 6 upstreams of its zone with 3 desks first", home)
+		t.Fatalf("this gateway uses %d of 6 upstreams of its zone with 3 gateways first", home)
 	}
 	counts := map[string]int{}
 	for i := 0; ; i++ {
@@ -140,7 +140,7 @@
 			if fmt.Sprint(got) != fmt.Sprint(c.want) {
 				t.Fatalf("used as own: %v, want %v", got, c.want)
 			}
-			for i := 0; i < 5; i++ { // every desk comes to the same plan
+			for i := 0; i < 5; i++ { // every gateway comes to the same plan
 				rand.New(rand.NewSource(int64(i))).Shuffle(len(ups), func(a, b int) { ups[a], ups[b] = ups[b], ups[a] })
 				if again := lend("a", ups, loads, zones); fmt.Sprint(again) != fmt.Sprint(plan) {
 					t.Fatalf("plans differ: %v and %v", again, plan)
@@ -151,7 +151,7 @@
 }
 
 func TestHomesAreSharedOutEvenlyAndOnce(t *testing.T) {
-	ds, sh := desks("z")
+	ds, sh := gateways("z")
 	owners := map[string]int{}
 	for _, d := range ds {
 		s := fresh(d.Address, "z", list(7, "z", 0), ds, sh, nil)
@@ -163,13 +163,13 @@
 	}
 	for _, i := range list(7, "z", 0) {
 		if owners[i.ID] != 1 {
-			t.Errorf("%s is used first by %d desks", i.ID, owners[i.ID])
+			t.Errorf("%s is used first by %d gateways", i.ID, owners[i.ID])
 		}
 	}
 }
 
 func TestLeavingUpstreamsGetNothingMore(t *testing.T) {
-	ds, sh := desks("z")
+	ds, sh := gateways("z")
 	cases := map[string]func(s *Stock){
 		"draining":  func(s *Stock) { l := list(1, "z", 0); l[0].Draining = true; s.SetList(ms, l) },
 		"gone":      func(s *Stock) { s.SetList(ms, nil) },
@@ -177,7 +177,7 @@
 	}
 	for name, leave := range cases {
 		t.Run(name, func(t *testing.T) {
-			s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+			s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
 			g, ok := claim(s, 0, &Claim{})
 			if !ok || g.Refused != Granted {
 				t.Fatal("no upstream")
@@ -192,8 +192,8 @@
 }
 
 func TestANewLifeAtTheSameAddressIsAnotherUpstream(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
 	g, _ := claim(s, 0, &Claim{})
 	s.Release(ms, g, &Conn{Expires: time.Hour}, Served)
 	next := list(1, "z", 0)
@@ -209,8 +209,8 @@
 }
 
 func TestFailuresKeepRequestsAwayUntilATrialSucceeds(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
 	g, _ := claim(s, 0, &Claim{})
 	s.Release(0, g, nil, Failing)
 	var later Grant
@@ -244,14 +244,14 @@
 	}
 }
 
-// All desks together, in whatever view of each other they have, may send no
+// All gateways together, in whatever view of each other they have, may send no
 // more to a cold upstream in any second than the rule allows.
-func TestColdPaceHoldsOverAllDesks(t *testing.T) {
-	ds, sh := desks("z", "y")
+func TestColdPaceHoldsOverAllGateways(t *testing.T) {
+	ds, sh := gateways("z", "y")
 	rng := rand.New(rand.NewSource(7))
 	for name, views := range map[string]func(i int) []membership.Node{
 		"same view": func(int) []membership.Node { return ds },
-		"stale views": func(i int) []membership.Node { // half of the desks do not know one of them
+		"stale views": func(i int) []membership.Node { // half of the gateways do not know one of them
 			if i%2 == 0 {
 				return ds[:len(ds)-1]
 			}
@@ -296,8 +296,8 @@
 }
 
 func TestAZoneTakenBackCountsAsColdAtFirst(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", list(2, "z", 0), ds, sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", list(2, "z", 0), ds, sh, nil)
 	s.SetEvacuated(ms, map[string]bool{"z": true})
 	s.SetEvacuated(time.Second, map[string]bool{})
 	for _, st := range s.States(time.Second + ms) {
@@ -312,10 +312,10 @@
 	}
 }
 
-// Warmth that is not known is asked for by the few desks that may send to a
+// Warmth that is not known is asked for by the few gateways that may send to a
 // cold upstream, and only by them.
 func TestUnknownWarmthIsAskedForByFew(t *testing.T) {
-	ds, sh := desks("z", "y")
+	ds, sh := gateways("z", "y")
 	asked := 0
 	for _, d := range ds {
 		s := fresh(d.Address, d.Zone, list(1, "z", 0), ds, sh, nil)
@@ -338,8 +338,8 @@
 // An answer that was asked for before an upstream was lost sight of once more does not
 // tell how warm it is since.
 func TestAnAnswerFromBeforeADoubtDoesNotCount(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", list(1, "z", 0), ds, sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", list(1, "z", 0), ds, sh, nil)
 	s.infos["a"] = ServiceInfo{MaxConns: 200, HealthPath: "/h", WarmupS: 3, WarmupPerS: 8}
 	lost := func(now time.Duration) {
 		s.SetEvacuated(now, map[string]bool{"z": true})
@@ -364,10 +364,10 @@
 	}
 }
 
-// The budget of all desks together holds in every window, also when desks start
+// The budget of all gateways together holds in every window, also when gateways start
 // anew and when each knows only some of the others.
-func TestRetryBudgetHoldsOverAllDesks(t *testing.T) {
-	ds, sh := desks("z", "y")
+func TestRetryBudgetHoldsOverAllGateways(t *testing.T) {
+	ds, sh := gateways("z", "y")
 	rng := rand.New(rand.NewSource(3))
 	newStock := func(i int) *Stock {
 		view := append(append([]membership.Node{}, ds[:i/2]...), ds[i/2+1:]...)
@@ -419,8 +419,8 @@
 }
 
 func TestCrowdedStockRefusesTheLeastUrgent(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
 	for {
 		if _, ok := claim(s, 0, &Claim{}); !ok {
 			break
@@ -530,8 +530,8 @@
 // When an upstream falls silent for one request, those that wait there and may
 // run again are let go; the others wait on.
 func TestSilenceLetsGoOfThoseWhoMayRunAgain(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", list(1, "z", 0), ds[:1], sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
 	wait := func(h *Hold) (Grant, *deadlines) {
 		g, ok := claim(s, 0, &Claim{Hold: h})
 		if !ok || g.Refused != Granted {
--- a/internal/upstream/versions_test.go
+++ b/internal/upstream/versions_test.go
@@ -73,8 +73,8 @@
 		{"no versions at all", func(s *Stock) { s.SetList(0, versioned("", 4)) }, "", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			ds, sh := desks("z")
-			s := fresh("z-desk-0", "z", nil, ds[:1], sh, nil)
+			ds, sh := gateways("z")
+			s := fresh("z-gateway-0", "z", nil, ds[:1], sh, nil)
 			s.known = false
 			c.steps(s)
 			prove(s, 0)
@@ -100,8 +100,8 @@
 // What waits for a candidate is not lost when that is reversed, and connections to
 // what gets nothing more are closed.
 func TestAReversalLetsGoOfTheCandidate(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", nil, ds[:1], sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", nil, ds[:1], sh, nil)
 	s.SetVersions(0, map[string]Versions{"a": {Stands: "v1", Candidate: "v2", Ordered: true}})
 	s.SetList(0, append(versioned("v1", 3), versioned("v2", 1)...))
 	prove(s, 0)
@@ -138,8 +138,8 @@
 
 // Further tries draw on one budget, whatever the version.
 func TestOneBudgetForBothArms(t *testing.T) {
-	ds, sh := desks("z")
-	s := fresh("z-desk-0", "z", nil, ds[:1], sh, nil)
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", nil, ds[:1], sh, nil)
 	s.SetVersions(0, map[string]Versions{"a": {Stands: "v1", Candidate: "v2", Ordered: true}})
 	s.SetList(0, append(versioned("v1", 6), versioned("v2", 6)...))
 	prove(s, 0)
