--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -643,7 +643,7 @@
 		}
 	}
 	sort.Strings(names)
-	var services, tenants, routes []json.RawMessage
+	var services, tenants []json.RawMessage
 	var limits json.RawMessage
 	hosts := map[string][]json.RawMessage{}
 	var order []string
@@ -661,7 +661,6 @@
 				order = append(order, it.Host)
 			}
 			hosts[it.Host] = append(hosts[it.Host], it.Raw)
-			routes = append(routes, it.Raw)
 		}
 	}
 	type domain struct {
--- a/internal/replication/member_test.go
+++ b/internal/replication/member_test.go
@@ -186,10 +186,10 @@
 // A copy that has silently gone bad is found by its digests and mended.
 func TestDigestsFindAndMendABadCopy(t *testing.T) {
 	w := newWorld(t, 6, 4)
-	owner := w.mustPut(t, "x", 5)
+	w.mustPut(t, "x", 5)
 	w.mustPut(t, "y", 6)
 	w.run(w.now + time.Second)
-	owner = w.settle(t)
+	owner := w.settle(t)
 	for _, id := range w.ids {
 		if id == owner.id {
 			continue
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -19,8 +19,7 @@
 	ctrls   []*Controller
 	has     [][]Record // what each controller's control node shows
 	owner   int        // -1: none
-	ownedAt time.Duration
-	frozen  int // a controller that does not run; -1: none
+	frozen  int        // a controller that does not run; -1: none
 	rec     map[string]Record
 	ups     View // slots, and what the version's upstreams are
 	kind    string
@@ -31,7 +30,6 @@
 	bad     []time.Duration
 	sentBad []sent // requests to the candidate
 	stages  []Plan
-	stops   time.Duration // until when nobody owns the key
 	steal   bool
 	stolen  *Move
 }
