--- a/cmd/madderwing/commands.go
+++ b/cmd/madderwing/commands.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -16,6 +15,7 @@
 	"madderwing/internal/config"
 	"madderwing/internal/controlplane"
 	"madderwing/internal/gateway"
+	"madderwing/internal/logging"
 	"madderwing/internal/settings"
 )
 
@@ -56,15 +56,22 @@
 func usage(err error) error { return coded{exitUsage, err} }
 
 func root() *cobra.Command {
+	var logFormat, logLevel string
 	r := &cobra.Command{
 		Use:           "madderwing",
 		Short:         "An API gateway of many nodes",
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		PersistentPreRun: func(*cobra.Command, []string) {
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if err := logging.Setup(os.Stderr, logFormat, logLevel); err != nil {
+				return usage(err)
+			}
 			begun = true
+			return nil
 		},
 	}
+	r.PersistentFlags().StringVar(&logFormat, "log-format", logging.FormatText, "format of the log: text or json")
+	r.PersistentFlags().StringVar(&logLevel, "log-level", "info", "least level that is logged: debug, info, warn or error")
 	r.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	r.AddCommand(gatewayCommand(), controlCommand(), formerly("desk", gatewayCommand()), formerly("archive", controlCommand()), checkCommand(), statusCommand(), resolveCommand(), configCommand(), evacuateCommand(), rolloutCommand(), retireCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
@@ -146,7 +153,7 @@
 // file that cannot be used is logged, and the settings in force stay.
 func follow(ctx context.Context, path string, s *settings.Settings) <-chan *settings.Settings {
 	out := make(chan *settings.Settings, 1)
-	logger := log.New(os.Stderr, "settings: ", 0)
+	logger := logging.For(logging.Settings)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	stamp := func() (t time.Time, size int64) {
@@ -172,10 +179,10 @@
 			last, size = stamp()
 			fresh, err := settings.Load(path)
 			if err != nil {
-				logger.Printf("new settings refused: %v.", err)
+				logger.Warn("new settings refused", "error", err)
 				continue
 			}
-			logger.Printf("settings read again.")
+			logger.Info("settings read again")
 			select {
 			case out <- fresh:
 			case <-ctx.Done():
--- a/cmd/madderwing/commands_test.go
+++ b/cmd/madderwing/commands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -36,3 +37,26 @@
 		}
 	}
 }
+
+// The log's flags are checked before a command does anything.
+func TestLogFlags(t *testing.T) {
+	before := slog.Default()
+	t.Cleanup(func() { slog.SetDefault(before) })
+	for flag, want := range map[string]int{
+		"--log-format=json": 0, "--log-format=text": 0, "--log-level=debug": 0, "--log-level=error": 0,
+		"--log-format=xml": exitUsage, "--log-level=loud": exitUsage,
+	} {
+		begun = false
+		var out bytes.Buffer
+		cmd := root()
+		cmd.SetArgs([]string{"version", flag})
+		cmd.SetOut(&out)
+		err := cmd.Execute()
+		if err == nil && want != 0 || err != nil && exitCode(err) != want {
+			t.Errorf("%s: %v", flag, err)
+		}
+		if begun != (want == 0) || (out.Len() > 0) != (want == 0) {
+			t.Errorf("%s: the command has run: %v, %q", flag, begun, out.String())
+		}
+	}
+}
--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -204,7 +204,7 @@
 	if _, err := a.submit(order{Key: replication.RosterKey, Retire: address}); err != nil {
 		return err
 	}
-	a.log.control.Printf("%s retired.", node)
+	a.log.control.Info("control node retired", "retired", node)
 	return nil
 }
 
--- a/internal/controlplane/contact.go
+++ b/internal/controlplane/contact.go
@@ -1,7 +1,7 @@
 package controlplane
 
 import (
-	"log"
+	"log/slog"
 	"math"
 	"net/http"
 	"strconv"
@@ -62,17 +62,20 @@
 // fresh says whether this control node is in contact with a majority.
 func (c *contact) fresh(now time.Duration) bool { return c.within(now, c.bound) }
 
+// logSeconds is a duration as the log shows it, in seconds to the tenth.
+func logSeconds(d time.Duration) float64 { return math.Round(d.Seconds()*10) / 10 }
+
 // tell logs one line when contact is lost, and one when it is there again.
-func (c *contact) tell(now time.Duration, to *log.Logger) {
+func (c *contact) tell(now time.Duration, to *slog.Logger) {
 	if c.fresh(now) == c.in {
 		return
 	}
 	c.in = !c.in
 	if c.in {
-		to.Printf("in contact with a majority, after %.1f s without.", (now - c.from).Seconds())
+		to.Info("in contact with a majority", "afterS", logSeconds(now-c.from))
 	} else {
 		age, _ := c.age(now)
-		to.Printf("out of contact with a majority: items are %.1f s old.", age.Seconds())
+		to.Warn("out of contact with a majority", "itemsAgeS", logSeconds(age))
 	}
 	c.from = now
 }
--- a/internal/controlplane/contact_test.go
+++ b/internal/controlplane/contact_test.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"fmt"
-	"log"
+	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"strings"
@@ -298,7 +298,7 @@
 func TestContactIsToldOnce(t *testing.T) {
 	var text bytes.Buffer
 	c := newContact(time.Second, []string{"a", "b"})
-	to := log.New(&text, "", 0)
+	to := slog.New(slog.NewTextHandler(&text, nil))
 	at := map[string]time.Duration{}
 	current := func(key string) (time.Duration, bool) { d, ok := at[key]; return d, ok }
 	for _, x := range []struct {
@@ -329,7 +329,7 @@
 			t.Errorf("%v: fresh %v, age %v, %d lines; want %+v", x.now, c.fresh(x.now), age, lines, x)
 		}
 	}
-	if !strings.Contains(text.String(), "without") || !strings.Contains(text.String(), "2.0 s old") {
+	if !strings.Contains(text.String(), `msg="in contact with a majority" afterS=3`) || !strings.Contains(text.String(), "msg=\"out of contact with a majority\" itemsAgeS=2\n") {
 		t.Error(text.String())
 	}
 }
--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -286,11 +286,11 @@
 				return nil, err
 			}
 			if _, err := config.Read(body); err != nil {
-				a.log.control.Printf("configuration refused: %v.", err)
+				a.log.control.Warn("configuration refused", "error", err)
 				return nil, err
 			}
 			if _, err := a.submit(order{Key: config.Key, Patch: body}); err != nil {
-				a.log.control.Printf("configuration not taken: %v.", err)
+				a.log.control.Warn("configuration not taken", "error", err)
 				return nil, err
 			}
 			return ok, nil
@@ -312,7 +312,7 @@
 		if _, err := a.submit(order{Key: config.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
 			return nil, err
 		}
-		a.log.control.Printf("evacuation of %s: %v.", zone, on)
+		a.log.control.Info("evacuation ordered", "zone", zone, "on", on)
 		return ok, nil
 	case path == "/v1/rollouts" || strings.HasPrefix(path, "/v1/rollouts/"):
 		return a.rollouts(r, strings.TrimPrefix(strings.TrimPrefix(path, "/v1/rollouts"), "/"))
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -22,6 +22,7 @@
 	"madderwing/internal/config"
 	"madderwing/internal/delivery"
 	"madderwing/internal/election"
+	"madderwing/internal/logging"
 	"madderwing/internal/membership"
 	"madderwing/internal/placement"
 	"madderwing/internal/quota"
@@ -114,7 +115,7 @@
 	client  *http.Client
 
 	stats Stats
-	log   struct{ controlNode, replication, ledger, rota, shelving, accession, register, control, rollout *log.Logger }
+	log   loggers
 }
 
 type toldAt struct {
@@ -122,6 +123,18 @@
 	told delivery.Told
 }
 
+// loggers are those of the components that a control node logs for.
+type loggers struct {
+	control, replication, storage, election, placement, upstream, rollout *slog.Logger
+}
+
+func newLoggers() loggers {
+	return loggers{control: logging.For(logging.Control), replication: logging.For(logging.Replication),
+		storage: logging.For(logging.Storage), election: logging.For(logging.Election),
+		placement: logging.For(logging.Placement), upstream: logging.For(logging.Upstream),
+		rollout: logging.For(logging.Rollout)}
+}
+
 // Stats are counters that status shows.
 type Stats struct {
 	Orders, Refused, NoQuorum, Polls, PollErrors atomic.Uint64
@@ -138,22 +151,18 @@
 	}
 	a := &Node{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
 		writes: newJobs(), shown: antientropy.NewSet(), told: map[string]toldAt{}, seated: map[string]time.Duration{},
-		asks: newAsks(settings.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
-	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
-	a.log.controlNode, a.log.replication, a.log.ledger, a.log.rota = logger("control"), logger("replication"), logger("ledger"), logger("rota")
-	a.log.shelving, a.log.accession, a.log.register, a.log.control = logger("shelving"), logger("accession"), logger("register"), logger("control")
-	a.log.rollout = logger("rollout")
+		asks: newAsks(settings.Seconds(set.Bounds.AckS)), rolls: rollout.NewController(), log: newLoggers()}
 	beat := set.Beat()
 	vacant := settings.Seconds(set.Bounds.ContactS * vacantPart)
 
 	if err := os.MkdirAll(set.DataDir, 0o700); err != nil {
 		return err
 	}
-	book, disk, err := storage.Open(set.DataDir, int64(set.Limits.DiskMb*(1<<20)), a.log.ledger)
+	book, disk, err := storage.Open(set.DataDir, int64(set.Limits.DiskMb*(1<<20)), a.log.storage)
 	if err != nil && !errors.Is(err, storage.ErrDamaged) {
 		return err
 	}
-	post, err := listen(set.ControlAddress(set.IP), settings.Seconds(set.Bounds.ContactS/6), logger("transport"))
+	post, err := listen(set.ControlAddress(set.IP), settings.Seconds(set.Bounds.ContactS/6), logging.For(logging.Transport))
 	if err != nil {
 		return err
 	}
@@ -202,7 +211,7 @@
 
 	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
 	a.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: beat, Forget: 40 * beat},
-		post, a.log.register, func(l *membership.List) {
+		post, func(l *membership.List) {
 			a.do(func(time.Duration) { a.lookAgain = true })
 			if a.directory != nil {
 				a.directory.SetGateways(a.openGateways(l))
@@ -222,16 +231,16 @@
 	go func() { a.pump(beat, stop); close(pumped) }()
 
 	control := &http.Server{Addr: set.Bind.Control, Handler: a.control(zones), ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
-		IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: a.log.control}
+		IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: slog.NewLogLogger(a.log.control.Handler(), slog.LevelWarn)}
 	failed := make(chan error, 2)
 	go func() { failed <- control.ListenAndServe() }()
 	if a.directory != nil && set.Bind.Directory != "" {
 		registry := &http.Server{Addr: set.Bind.Directory, Handler: a.directory, ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
-			IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: a.log.control}
+			IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: slog.NewLogLogger(a.log.control.Handler(), slog.LevelWarn)}
 		go func() { failed <- registry.ListenAndServe() }()
 		defer registry.Close()
 	}
-	a.log.controlNode.Printf("%s in %s is up.", set.Node, set.Zone)
+	a.log.control.Info("control node is up", "node", set.Node, "zone", set.Zone)
 
 	for {
 		select {
@@ -240,7 +249,7 @@
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
-			a.log.controlNode.Printf("leaving.")
+			a.log.control.Info("leaving")
 			began := time.Now()
 			a.do(func(now time.Duration) { a.member.Leave(now); a.rota.Leave(now) })
 			a.reg.Leave(false)
@@ -270,7 +279,7 @@
 			return
 		}
 		if time.Now().After(end) {
-			a.log.replication.Printf("this member goes although too few others hold what it holds.")
+			a.log.replication.Warn("this member goes although too few others hold what it holds")
 			return
 		}
 	}
@@ -328,7 +337,7 @@
 					a.branch(now, beat)
 				}
 				a.gate(now, beat)
-				a.contact.tell(now, a.log.controlNode)
+				a.contact.tell(now, a.log.control)
 				a.lookAgain = a.lookAgain || a.shelf.Due(now)
 			}
 		case <-stop:
@@ -366,7 +375,7 @@
 			a.writes.put(writeJob{entries, upTo, true})
 		}
 		for _, n := range fx.Notes {
-			a.log.replication.Printf("%s.", n)
+			a.log.replication.Info(n)
 		}
 		changed := false
 		for _, key := range fx.Committed {
@@ -385,9 +394,9 @@
 			again = true
 			_, mine := a.rota.Holds(now, d)
 			if mine {
-				a.log.rota.Printf("duty %s won.", d)
+				a.log.election.Info("duty won", "duty", d)
 			} else {
-				a.log.rota.Printf("duty %s given up.", d)
+				a.log.election.Info("duty given up", "duty", d)
 			}
 			switch d {
 			case dutyShelf:
@@ -422,7 +431,7 @@
 	if key == replication.RosterKey {
 		if r := a.member.Standing(time.Since(a.start)).String(); r != a.rosterTold {
 			a.rosterTold = r
-			a.log.replication.Printf("roster: %s.", r)
+			a.log.replication.Info("roster changed", "roster", r)
 		}
 		return false
 	}
@@ -624,7 +633,7 @@
 		}
 		if err != nil {
 			a.stats.PollErrors.Add(1)
-			a.log.accession.Printf("list not read: %v.", err)
+			a.log.upstream.Warn("list not read", "error", err)
 			return
 		}
 		a.do(func(now time.Duration) {
@@ -633,7 +642,7 @@
 				term = 0
 			}
 			if (mine || !a.stand.Known()) && a.stand.Update(now, term, a.life, list) {
-				a.log.accession.Printf("list %d.%d has %d upstreams.", a.stand.Version.Term, a.stand.Version.Seq, len(list))
+				a.log.upstream.Info("list read", "term", a.stand.Version.Term, "seq", a.stand.Version.Seq, "upstreams", len(list))
 				a.issue(now)
 			}
 			if mine {
@@ -665,7 +674,7 @@
 			err = cbor.Unmarshal(answer, &refused)
 		}
 		if err != nil {
-			a.log.shelving.Printf("%d routes not bound: %v.", len(orders), err)
+			a.log.placement.Warn("routes not bound", "routes", len(orders), "error", err)
 		}
 		errs := make([]error, len(orders))
 		for i := range orders {
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -103,7 +103,7 @@
 		}
 		done := w.write(jobs)
 		if done.err != nil {
-			a.log.ledger.Printf("write refused: %v.", done.err)
+			a.log.storage.Warn("write refused", "error", done.err)
 		}
 		if done.durable > 0 || done.rewrite == rewriteNow {
 			a.do(func(now time.Duration) {
--- a/internal/controlplane/export_test.go
+++ b/internal/controlplane/export_test.go
@@ -1,7 +1,7 @@
 package controlplane
 
 import (
-	"log"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -23,7 +23,7 @@
 func (lost) Error() string { return "cut" }
 
 func init() {
-	listen = func(address string, patience time.Duration, logger *log.Logger) (*transport.Mesh, error) {
+	listen = func(address string, patience time.Duration, logger *slog.Logger) (*transport.Mesh, error) {
 		m, err := transport.New(address, patience, logger)
 		if err != nil {
 			return nil, err
--- a/internal/controlplane/relay.go
+++ b/internal/controlplane/relay.go
@@ -5,11 +5,10 @@
 	"cmp"
 	"context"
 	"io"
-	"log"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +19,7 @@
 
 	"madderwing/internal/apierror"
 	"madderwing/internal/config"
+	"madderwing/internal/logging"
 	"madderwing/internal/membership"
 	"madderwing/internal/metrics"
 	"madderwing/internal/rendezvous"
@@ -309,7 +309,7 @@
 	port  string        // of control, on all machines
 	drain time.Duration // for which the rest of a call's body is read
 	later time.Duration // after which a caller may come again
-	log   *log.Logger
+	log   *slog.Logger
 
 	calls, redirected, refused atomic.Uint64
 	away                       atomic.Bool // the last call found no control node
@@ -317,9 +317,8 @@
 
 // runRelay serves until ctx ends.
 func runRelay(ctx context.Context, set *settings.Settings, reload <-chan *settings.Settings) error {
-	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	beat := set.Beat()
-	post, err := transport.New(set.ControlAddress(set.IP), beat, logger("transport"))
+	post, err := transport.New(set.ControlAddress(set.IP), beat, logging.For(logging.Transport))
 	if err != nil {
 		return err
 	}
@@ -352,23 +351,23 @@
 	})
 	post.Start()
 
-	r := &relay{pick: p.pick, known: p.known, port: port, drain: settings.Seconds(set.Bounds.ContactS), later: beat, log: logger("relay")}
+	r := &relay{pick: p.pick, known: p.known, port: port, drain: settings.Seconds(set.Bounds.ContactS), later: beat, log: logging.For(logging.Relay)}
 	serve := func(address string, h http.Handler) *http.Server {
 		return &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
-			IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: r.log}
+			IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: slog.NewLogLogger(r.log.Handler(), slog.LevelWarn)}
 	}
 	control := serve(set.Bind.Control, r)
 	failed := make(chan error, 2)
 	go func() { failed <- control.ListenAndServe() }()
 	if set.Bind.Directory != "" {
-		r.log.Printf("no dataDir: the registry is not served here.")
+		r.log.Warn("the registry is not served without a dataDir")
 		registry := serve(set.Bind.Directory, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			apierror.Write(w, apierror.Later(apierror.NoControlNode, r.later, "no registry on a relay"))
 		}))
 		go func() { failed <- registry.ListenAndServe() }()
 		defer registry.Close()
 	}
-	r.log.Printf("%s in %s is up, without a disk: it redirects to control nodes.", set.Node, set.Zone)
+	r.log.Info("relay is up and redirects to control nodes", "node", set.Node, "zone", set.Zone)
 	for {
 		select {
 		case fresh := <-reload:
@@ -376,7 +375,7 @@
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
-			r.log.Printf("leaving.")
+			r.log.Info("leaving")
 			grace, cancel := context.WithTimeout(context.Background(), settings.Seconds(set.Bounds.GraceS/3))
 			defer cancel()
 			_ = control.Shutdown(grace)
@@ -418,9 +417,9 @@
 	to := r.pick(keyOf(req.Method, req.URL.Path))
 	if away := to == ""; r.away.Swap(away) != away {
 		if away {
-			r.log.Printf("no control node in reach.")
+			r.log.Warn("no control node in reach")
 		} else {
-			r.log.Printf("redirecting to %s.", to)
+			r.log.Info("redirecting", "to", to)
 		}
 	}
 	// A connection that is closed over unread bytes may lose the answer.
--- a/internal/controlplane/relay_test.go
+++ b/internal/controlplane/relay_test.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"log"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -219,7 +218,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			key := ""
-			r := &relay{port: "8080", later: time.Second / 2, log: log.New(io.Discard, "", 0),
+			r := &relay{port: "8080", later: time.Second / 2, log: slog.New(slog.DiscardHandler),
 				pick: func(k string) string { key = k; return c.pick }, known: func() []membership.Node { return nil }}
 			w := httptest.NewRecorder()
 			body := strings.NewReader(strings.Repeat("x", 1<<20))
--- a/internal/controlplane/restart_test.go
+++ b/internal/controlplane/restart_test.go
@@ -1,7 +1,7 @@
 package controlplane
 
 import (
-	"log"
+	"log/slog"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	a := &Node{member: again, shown: antientropy.NewSet(), rolls: rollout.NewController(), asks: newAsks(1)}
-	a.log.replication = log.New(t.Output(), "", 0)
+	a.log.replication = slog.New(slog.NewTextHandler(t.Output(), nil))
 	a.showAll()
 	if p := a.versions["s"].Active(); p == nil || p.Candidate != "v2" {
 		t.Errorf("shown after a restart: %+v", a.versions)
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -29,8 +29,8 @@
 			w := a.rolls.View(service)
 			if w.Stage > 2*beat && now >= a.waitsAt {
 				a.waitsAt = now + 2*beat
-				a.log.rollout.Printf("%s waits at full weight: %d of %d nodes heard, not %s; %d requests at another version.",
-					service, w.Heard, w.Live, strings.Join(a.unheard(a.rolls.Gathered(service).Nodes), ", "), w.Busy)
+				a.log.rollout.Info("waits at full weight", "service", service, "heard", w.Heard, "live", w.Live,
+					"unheard", a.unheard(a.rolls.Gathered(service).Nodes), "requestsAtOtherVersion", w.Busy)
 			}
 		}
 	}
@@ -43,11 +43,11 @@
 		}, func(err error) {
 			a.rolls.Moved(m)
 			if err != nil {
-				a.log.rollout.Printf("%s: step to %s not taken: %v.", m.To.Service, m.To.Stage, err)
+				a.log.rollout.Warn("step not taken", "service", m.To.Service, "stage", m.To.Stage.String(), "error", err)
 				return
 			}
-			a.log.rollout.Printf("%s %s -> %s: %s, %g %%, after %.1f s. %s", m.To.Service, m.To.Prior, m.To.Candidate, m.To.Stage,
-				rollout.Percent(m.To.Weight), m.To.Age.Seconds(), m.To.Reason)
+			a.log.rollout.Info("step taken", "service", m.To.Service, "prior", m.To.Prior, "candidate", m.To.Candidate, "stage", m.To.Stage.String(),
+				"percent", rollout.Percent(m.To.Weight), "afterS", logSeconds(m.To.Age), "reason", m.To.Reason)
 		})
 	}
 }
@@ -160,7 +160,7 @@
 		a.do(func(time.Duration) {
 			a.adopting = false
 			if err != nil {
-				a.log.rollout.Printf("standing versions not kept: %v.", err)
+				a.log.rollout.Warn("standing versions not kept", "error", err)
 			}
 		})
 	}()
@@ -192,7 +192,7 @@
 		}
 		ask, err := rollout.ReadAsk(body)
 		if err != nil {
-			a.log.control.Printf("rollout refused: %v.", err)
+			a.log.control.Warn("rollout refused", "error", err)
 			return nil, err
 		}
 		stood, err := a.service(ask.Service)
@@ -200,10 +200,10 @@
 			return nil, err
 		}
 		if _, err := a.submit(order{Key: rollout.Key(ask.Service), Rollout: &ask, Stood: stood}); err != nil {
-			a.log.control.Printf("rollout of %s to %s not taken: %v.", ask.Service, ask.Version, err)
+			a.log.control.Warn("rollout not taken", "service", ask.Service, "version", ask.Version, "error", err)
 			return nil, err
 		}
-		a.log.control.Printf("rollout of %s to %s taken.", ask.Service, ask.Version)
+		a.log.control.Info("rollout taken", "service", ask.Service, "version", ask.Version)
 		return []byte("{}\n"), nil
 	}
 	if err := a.hasService(service); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,15 +6,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"log"
+	"log/slog"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
 	"madderwing/internal/antientropy"
 	"madderwing/internal/config"
 	"madderwing/internal/delivery"
+	"madderwing/internal/logging"
 	"madderwing/internal/membership"
 	"madderwing/internal/metrics"
 	"madderwing/internal/proxy"
@@ -45,7 +45,7 @@
 	front *proxy.Front
 	arms  *rollout.Arms
 	door  *proxy.Door
-	log   *log.Logger
+	log   *slog.Logger
 
 	// Owned by the reader's goroutine.
 	commands chan func(now time.Duration)
@@ -74,12 +74,11 @@
 
 // Run serves until ctx ends, then leaves in order.
 func Run(ctx context.Context, set *settings.Settings, opt Options, reload <-chan *settings.Settings) error {
-	logger := func(part string) *log.Logger { return log.New(os.Stderr, part+": ", 0) }
 	beat := set.Beat()
-	d := &Gateway{set: set, opt: opt, log: logger("gateway"), commands: make(chan func(time.Duration), 256), start: time.Now(),
+	d := &Gateway{set: set, opt: opt, log: logging.For(logging.Gateway), commands: make(chan func(time.Duration), 256), start: time.Now(),
 		items: antientropy.NewSet(), shard: -1, epoch: newEpoch()}
 	patience := settings.Seconds(set.Bounds.ContactS / 10)
-	post, err := transport.New(set.GatewayAddress(set.IP), beat, logger("transport"))
+	post, err := transport.New(set.GatewayAddress(set.IP), beat, logging.For(logging.Transport))
 	if err != nil {
 		return err
 	}
@@ -94,7 +93,7 @@
 		Eject: patience, EjectMax: 8 * patience, Lag: lag, Calm: beat})
 	d.floor = proxy.NewFloorAt(d.start, stock, patience, patience/6)
 	d.arms = rollout.NewArms(post.Self(), settings.Seconds(set.Rollback()*silencePart), func() time.Duration { return time.Since(d.start) })
-	d.front = proxy.NewFront(d.floor, d.arms, logger("circulation"))
+	d.front = proxy.NewFront(d.floor, d.arms)
 	if rate := opt.Pace * set.Limits.LinkMbps * 1e6 / 8; rate > 0 {
 		d.front.Pace = proxy.NewPace(rate)
 	}
@@ -102,14 +101,14 @@
 	if set.Global() {
 		d.serveTenants()
 	}
-	d.door, err = proxy.NewDoor(set.Bind.Front, int(float64(set.Limits.MaxFds)*(1-keepFds)), d.front, logger("circulation"))
+	d.door, err = proxy.NewDoor(set.Bind.Front, int(float64(set.Limits.MaxFds)*(1-keepFds)), d.front, logging.For(logging.Proxy))
 	if err != nil {
 		return err
 	}
 	d.sources = delivery.Sources{Self: post.Self(), Zone: set.Zone, Region: region, Seeds: set.SeedControlNodes(), Patience: 3 * beat}
 	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Data}
 	d.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: beat, Forget: 40 * beat},
-		post, logger("register"), d.nodesChanged)
+		post, d.nodesChanged)
 	transport.On(post, delivery.IssueKind, func(from string, i delivery.Issue) {
 		d.commands <- func(now time.Duration) { d.take(now, from, i) }
 	})
@@ -127,7 +126,7 @@
 		IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS)}
 	go func() { failed <- ready.ListenAndServe() }()
 	go func() { failed <- d.door.Serve() }()
-	d.log.Printf("%s in %s is up.", set.Node, set.Zone)
+	d.log.Info("gateway is up", "node", set.Node, "zone", set.Zone)
 
 	for {
 		select {
@@ -137,7 +136,7 @@
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
-			d.log.Printf("leaving.")
+			d.log.Info("leaving")
 			d.ready.leaving.Store(true)
 			d.front.Drain()
 			d.reg.Leave(false)
@@ -285,7 +284,7 @@
 	for _, b := range i.Packs {
 		records, err := delivery.Unpack(b)
 		if err != nil {
-			d.log.Printf("%s from %s.", err, from)
+			d.log.Warn("items not unpacked", "from", from, "error", err)
 			continue
 		}
 		merged = d.items.Merge(records) || merged
@@ -305,7 +304,7 @@
 	}
 	if i.Listing != nil && d.stand.Take(now, *i.Listing) {
 		list := d.stand.All(now)
-		d.log.Printf("list %d.%d has %d upstreams.", d.stand.Version.Term, d.stand.Version.Seq, len(list))
+		d.log.Info("list taken", "term", d.stand.Version.Term, "seq", d.stand.Version.Seq, "upstreams", len(list))
 		d.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetList(now, list) })
 		d.ready.listed.Store(true)
 	}
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -1,8 +1,7 @@
 package gateway
 
 import (
-	"io"
-	"log"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -17,7 +16,7 @@
 
 func newMesh(t *testing.T) *transport.Mesh {
 	t.Helper()
-	m, err := transport.New("127.0.0.1:0", 5*time.Second, log.New(io.Discard, "", 0))
+	m, err := transport.New("127.0.0.1:0", 5*time.Second, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"log"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -68,7 +67,7 @@
 }
 
 // NewService makes the service; onChange runs on the service's goroutine.
-func NewService(cfg Config, post *transport.Mesh, logger *log.Logger, onChange func(*List)) *Service {
+func NewService(cfg Config, post *transport.Mesh, onChange func(*List)) *Service {
 	s := &Service{roll: NewRoll(cfg), post: post, commands: make(chan func(time.Duration), 256),
 		start: time.Now(), onChange: onChange, done: make(chan struct{})}
 	s.publish()
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -1,8 +1,7 @@
 package membership
 
 import (
-	"io"
-	"log"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -12,7 +11,7 @@
 // A node whose one seed is in no register is told of a control node there, and so joins.
 func TestJoiningThroughAStranger(t *testing.T) {
 	mesh := func() *transport.Mesh {
-		m, err := transport.New("127.0.0.1:0", 5*time.Second, log.New(io.Discard, "", 0))
+		m, err := transport.New("127.0.0.1:0", 5*time.Second, slog.New(slog.DiscardHandler))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -21,7 +20,7 @@
 	}
 	node := func(plane Plane, seeds ...string) (*Service, *transport.Mesh) {
 		m := mesh()
-		s := NewService(Config{Self: Node{Address: m.Self(), Plane: plane}, Seeds: seeds, Beat: 50 * time.Millisecond, Forget: time.Minute}, m, log.New(io.Discard, "", 0), nil)
+		s := NewService(Config{Self: Node{Address: m.Self(), Plane: plane}, Seeds: seeds, Beat: 50 * time.Millisecond, Forget: time.Minute}, m, nil)
 		m.Start()
 		go s.Run()
 		t.Cleanup(s.Stop)
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"log"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -31,7 +30,6 @@
 	table atomic.Pointer[config.Table]
 	shard atomic.Int64
 	drain atomic.Bool
-	log   *log.Logger
 	chain Handler
 	Stats Stats
 	// arms splits the requests of services whose version changes.
@@ -58,8 +56,8 @@
 }
 
 // NewFront makes a front over a floor.
-func NewFront(floor *Floor, arms *rollout.Arms, logger *log.Logger) *Front {
-	f := &Front{floor: floor, arms: arms, log: logger}
+func NewFront(floor *Floor, arms *rollout.Arms) *Front {
+	f := &Front{floor: floor, arms: arms}
 	f.shard.Store(-1)
 	f.table.Store((&config.Builder{}).Build(nil))
 	f.chain = Chain(f.balance, f.limits, f.reader, f.route, f.deadline, f.quota, f.admit, f.stratify)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -7,7 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -127,7 +127,7 @@
 	t.Helper()
 	stock := upstream.NewStock(cfg)
 	floor := NewFloor(stock, 5*time.Second, tick)
-	front := NewFront(floor, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }), log.New(io.Discard, "", 0))
+	front := NewFront(floor, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }))
 	body := `{"upsert":{"services":[{"name":"a","generation":1,"maxConns":50}],
 	 "limits":{"generation":1,"maxHeaderBytes":4096,"maxBodyBytes":1000000,"headerTimeoutS":0.2,"idleTimeoutS":15},
 	 "domains":[{"authority":"h.example","hostRoutes":[
@@ -141,7 +141,7 @@
 	})
 	r := &rig{front: front, floor: floor}
 	r.list(ups...)
-	door, err := NewDoor("127.0.0.1:0", 100, front, log.New(io.Discard, "", 0))
+	door, err := NewDoor("127.0.0.1:0", 100, front, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -674,7 +674,7 @@
 		{"no items", none, (&config.Builder{}).Build(nil), true},
 		{"a list without upstreams", none, r.front.Table(), false},
 	} {
-		f := NewFront(c.floor, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }), log.New(io.Discard, "", 0))
+		f := NewFront(c.floor, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }))
 		f.SetTable(c.table)
 		req := httptest.NewRequest("GET", "/get/x", nil)
 		req.Host = "h.example"
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -17,7 +17,7 @@
 // the limits in force when it came.
 type Door struct {
 	front    *Front
-	log      *log.Logger
+	log      *slog.Logger
 	listener net.Listener
 	most     int64
 	open     atomic.Int64
@@ -62,7 +62,7 @@
 func (r *room) Addr() net.Addr { return r.addr }
 
 // NewDoor listens on address for up to most connections.
-func NewDoor(address string, most int, front *Front, logger *log.Logger) (*Door, error) {
+func NewDoor(address string, most int, front *Front, logger *slog.Logger) (*Door, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
@@ -90,7 +90,7 @@
 		ReadHeaderTimeout: time.Duration(l.HeaderTimeoutS * float64(time.Second)),
 		IdleTimeout:       time.Duration(l.IdleTimeoutS * float64(time.Second)),
 		MaxHeaderBytes:    l.MaxHeaderBytes,
-		ErrorLog:          log.New(quietWriter{}, "", 0),
+		ErrorLog:          slog.NewLogLogger(d.log.Handler(), slog.LevelDebug), // of clients that misbehave
 		ConnState:         d.state,
 	}
 	d.current = r
@@ -98,11 +98,6 @@
 	go func() { _ = r.server.Serve(r) }()
 }
 
-// quietWriter drops what net/http says of clients that misbehave.
-type quietWriter struct{}
-
-func (quietWriter) Write(b []byte) (int, error) { return len(b), nil }
-
 func (d *Door) state(c net.Conn, s http.ConnState) {
 	if t, ok := c.(*guest); ok {
 		switch s {
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -8,7 +8,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
-	"log"
+	"log/slog"
 	"os"
 	"slices"
 
@@ -52,7 +52,7 @@
 // Ledger is the open file.
 type Ledger struct {
 	dir    folder
-	log    *log.Logger
+	log    *slog.Logger
 	db     *buntdb.DB
 	sync   *os.File
 	batch  uint64
@@ -69,11 +69,11 @@
 // ErrDamaged is returned together with an empty, usable ledger. The files in dir
 // stay within room, the disk's bytes (0: 64 MB), as long as what stands takes no
 // more than half of that.
-func Open(dir string, room int64, logger *log.Logger) (*Ledger, map[string][]byte, error) {
+func Open(dir string, room int64, logger *slog.Logger) (*Ledger, map[string][]byte, error) {
 	return open(osFolder(dir), room, logger)
 }
 
-func open(dir folder, room int64, logger *log.Logger) (*Ledger, map[string][]byte, error) {
+func open(dir folder, room int64, logger *slog.Logger) (*Ledger, map[string][]byte, error) {
 	l := &Ledger{dir: dir, room: room, log: logger}
 	if room <= 0 {
 		l.room = mostRoom
@@ -142,7 +142,7 @@
 		}
 	}
 	if damage == nil && good < size {
-		l.log.Printf("torn batch of %d bytes cut off.", size-good)
+		l.log.Warn("torn batch cut off", "bytes", size-good)
 		if err := l.dir.truncate(slots[l.slot], good); err != nil {
 			return nil, 0, nil, err
 		}
@@ -153,7 +153,7 @@
 // setAside removes a damaged file, and before it anything that could be taken
 // for an earlier state of the member. For people it keeps the damaged place.
 func (l *Ledger) setAside(damage error) error {
-	l.log.Printf("file set aside: %v.", damage)
+	l.log.Error("damaged file set aside", "error", damage)
 	if err := l.drop(slots[1-l.slot]); err != nil {
 		return err
 	}
@@ -161,7 +161,7 @@
 		return err
 	}
 	if err := l.keep(slots[l.slot], damage); err != nil {
-		l.log.Printf("nothing of it is kept: %v.", err)
+		l.log.Warn("nothing of the damaged file is kept", "error", err)
 	}
 	if err := l.drop(slots[l.slot]); err != nil {
 		return err
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -4,14 +4,13 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
-	"log"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"testing"
 )
 
-var quiet = log.New(io.Discard, "", 0)
+var quiet = slog.New(slog.DiscardHandler)
 
 // file returns the path of the one file in dir.
 func file(t *testing.T, dir string) string {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -5,7 +5,7 @@
 
 import (
 	"errors"
-	"log"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -32,7 +32,7 @@
 type Mesh struct {
 	self     string
 	patience time.Duration
-	log      *log.Logger
+	log      *slog.Logger
 	listener net.Listener
 	packets  *net.UDPConn
 
@@ -66,7 +66,7 @@
 }
 
 // New listens on address. A peer that is silent for patience is given up.
-func New(address string, patience time.Duration, logger *log.Logger) (*Mesh, error) {
+func New(address string, patience time.Duration, logger *slog.Logger) (*Mesh, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
@@ -149,7 +149,7 @@
 	c.garbageMu.Lock()
 	defer c.garbageMu.Unlock()
 	if now := time.Now(); c.garbageAt.IsZero() || now.Sub(c.garbageAt) > garbageEvery*c.patience {
-		c.log.Printf("undecodable frame from %s, %d more since the last such line.", from, c.garbageMore)
+		c.log.Warn("undecodable frame", "from", from, "moreSinceLastLine", c.garbageMore)
 		c.garbageAt, c.garbageMore = now, 0
 	} else {
 		c.garbageMore++
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -5,7 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"strings"
 	"testing"
@@ -16,7 +16,7 @@
 
 func start(t *testing.T) *Mesh {
 	t.Helper()
-	c, err := New("127.0.0.1:0", 5*time.Second, log.New(io.Discard, "", 0))
+	c, err := New("127.0.0.1:0", 5*time.Second, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -71,7 +71,7 @@
 func TestGarbageEndsTheConnectionAndIsCounted(t *testing.T) {
 	c, other := start(t), start(t)
 	var lines strings.Builder
-	c.log = log.New(&lines, "", 0)
+	c.log = slog.New(slog.NewTextHandler(&lines, nil))
 	c.Start()
 	other.Start()
 	frame := func(b []byte) []byte {
