controlplane: quotas, the registry and the configuration have controllers of their own

Cause: one struct of some 45 fields held all that a control node does, and every method could touch every field. Change: Node wires controllers. environment is what they share (settings, transport, the replica, the queue of the pump); configuration is what is shown to gateways; quotaController and registryController hold what they alone use, with their messages and ticks, and exist only where clients ask a registry. The pump's goroutine still owns all of it, calls come in the same order, and messages are the same. branches_test.go goes with the code to quotas_test.go. Ruled out: a goroutine for each controller, which would change who may read whose state.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -130,7 +130,7 @@
 			m.Shard = labels[n.Address]
 			if n.State <= membership.Suspect {
 				digest, heard := a.holds[n.Address]
-				o.Delivery = append(o.Delivery, Delivery{n.Name, n.Zone, heard, heard && digest == a.shown.Sums.Fold()})
+				o.Delivery = append(o.Delivery, Delivery{n.Name, n.Zone, heard, heard && digest == a.configuration.shown.Sums.Fold()})
 				s := &shards[m.Shard]
 				s.Gateways = append(s.Gateways, n.Name)
 				zones[m.Shard][n.Zone] = true
@@ -151,22 +151,22 @@
 		}
 		o.Keys = append(o.Keys, Key{v.Key, v.Owner, v.Epoch, v.Seq, v.Commit, v.Records, heard.Round(time.Millisecond).Seconds()})
 	}
-	for _, r := range a.routes.List(a.shown.Records) {
+	for _, r := range a.configuration.routes.List(a.configuration.shown.Records) {
 		o.Routes = append(o.Routes, RouteState{r.Name, r.Host, r.PathPrefix, r.Targets(), r.Generation, r.Status.Phase, r.Status.Shard})
 		if r.Status.Shard >= 0 && r.Status.Shard < len(shards) {
 			shards[r.Status.Shard].Routes++
 		}
 	}
 	o.Shards = append(o.Shards, shards...)
-	for name, r := range a.shown.Records {
+	for name, r := range a.configuration.shown.Records {
 		if strings.HasPrefix(name, config.EvacuationPrefix) && !r.Dropped {
 			o.Evacuations = append(o.Evacuations, name[len(config.EvacuationPrefix):])
 		}
 	}
 	sort.Strings(o.Evacuations)
 	o.Rollouts = a.rolloutStates(now)
-	if a.lender != nil {
-		a.overviewTenants(o)
+	if a.quotas != nil {
+		o.Tenants, o.Quotas = a.quotas.states()
 	}
 	o.Counters = map[string]uint64{
 		"orders": a.stats.Orders.Load(), "ordersRefused": a.stats.Refused.Load(), "ordersNoQuorum": a.stats.NoQuorum.Load(),
@@ -177,21 +177,6 @@
 	return o
 }
 
-func (a *Node) overviewTenants(o *Overview) {
-	for _, t := range config.Tenants(a.shown.Records, &a.routes) {
-		o.Tenants = append(o.Tenants, TenantState{t.Name, len(t.APIKeys), t.Priority, t.RatePerS, t.Burst, t.Residency, t.Generation})
-	}
-	o.Quotas = &Quotas{Lender: a.lentBy}
-	if _, lending := a.lender.Lending(); lending {
-		o.Quotas.Silent = a.lender.Silent()
-		for _, t := range o.Tenants {
-			if t.RatePerS > 0 {
-				o.Quotas.Loans = append(o.Quotas.Loans, a.lender.State(t.Name, quota.Quota{Rate: t.RatePerS, Burst: t.Burst}))
-			}
-		}
-	}
-}
-
 // retire takes a control node that is gone for good out of the roster, by name or
 // address.
 func (a *Node) retire(node string) error {
--- /dev/null
+++ b/internal/controlplane/configuration.go
@@ -0,0 +1,31 @@
+package controlplane
+
+import (
+	"madderwing/internal/antientropy"
+	"madderwing/internal/config"
+)
+
+// configuration is the committed configuration as this control node shows it to gateways: the
+// records of all keys that hold items, evacuations or rollouts.
+type configuration struct {
+	shown  *antientropy.Set
+	routes config.Reader
+}
+
+func newConfiguration() *configuration { return &configuration{shown: antientropy.NewSet()} }
+
+// merge takes over the committed records that are newer than what is shown, and returns them.
+func (c *configuration) merge(records []config.Record) (taken []config.Record) {
+	for _, r := range records {
+		if old, have := c.shown.Records[r.Name]; !have || r.Newer(old) {
+			c.shown.Put(r)
+			taken = append(taken, r)
+		}
+	}
+	return taken
+}
+
+// hasService says whether a service is configured, as far as is known here.
+func (c *configuration) hasService(name string) bool {
+	return config.HasService(c.shown.Records, name)
+}
--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -85,11 +85,11 @@
 			switch {
 			case o.Plan != nil:
 				var err error
-				steps, err = change.Plan(have, &a.routes)
+				steps, err = change.Plan(have, &a.configuration.routes)
 				return nil, err
 			case change != nil:
-				changes, err := change.Apply(have, &a.routes)
-				revokes = err == nil && a.lender != nil && config.Revokes(have, changes, &a.routes)
+				changes, err := change.Apply(have, &a.configuration.routes)
+				revokes = err == nil && a.quotas != nil && config.Revokes(have, changes, &a.configuration.routes)
 				return changes, err
 			case o.Evacuate != nil:
 				a.asks.begins(o)
@@ -105,7 +105,7 @@
 			case o.Rollout != nil:
 				return rollout.Begin(have, *o.Rollout, a.serves(have[o.Key], o))
 			case o.Abort:
-				return rollout.Abort(have, strings.TrimPrefix(o.Key, rollout.Prefix), a.rolls.Age(time.Since(a.start), strings.TrimPrefix(o.Key, rollout.Prefix)))
+				return rollout.Abort(have, strings.TrimPrefix(o.Key, rollout.Prefix), a.rolls.Age(a.now(), strings.TrimPrefix(o.Key, rollout.Prefix)))
 			case o.Adopt != nil:
 				return rollout.Adopt(have, o.Adopt, o.Saw), nil
 			case o.Service != "":
@@ -122,13 +122,13 @@
 				return
 			}
 			if o.Evacuate != nil {
-				a.asks.carriedOut(now, time.Since(a.start), o)
+				a.asks.carriedOut(now, a.now(), o)
 			}
 			if revokes {
-				a.revokedAt = time.Since(a.start)
+				a.quotas.revokedAt = a.now()
 			}
-			if change != nil && o.Plan == nil && a.lender != nil && change.NamesTenants() {
-				if left := a.held(time.Since(a.start)); left > 0 {
+			if change != nil && o.Plan == nil && a.quotas != nil && change.NamesTenants() {
+				if left := a.quotas.held(a.now()); left > 0 {
 					a.answerLater(left, done)
 					return
 				}
@@ -141,7 +141,7 @@
 				v.Body, _ = cbor.Marshal(refused)
 			}
 			if o.Show {
-				v.Body = a.showRollout(time.Since(a.start), strings.TrimPrefix(o.Key, rollout.Prefix))
+				v.Body = a.showRollout(a.now(), strings.TrimPrefix(o.Key, rollout.Prefix))
 				if ordered && v.Body == nil { // taken over a moment ago, and not shown yet
 					v = fault(replication.ErrNoQuorum)
 				}
@@ -249,7 +249,7 @@
 			w.Header().Set("Content-Type", "application/json")
 		}
 		if view(r) {
-			a.contact.stamp(time.Since(a.start), w.Header())
+			a.contact.stamp(a.now(), w.Header())
 		}
 		_, _ = w.Write(body)
 	})
@@ -328,9 +328,9 @@
 		return a.rolloutAtController(strings.TrimPrefix(path, "/v1/admin/rollouts/"))
 	case strings.HasPrefix(path, "/v1/admin/members/") && r.Method == http.MethodDelete:
 		return ok, a.retire(strings.TrimPrefix(path, "/v1/admin/members/"))
-	case path == "/v1/admin/resolve" && a.directory != nil && r.Method == http.MethodGet:
+	case path == "/v1/admin/resolve" && a.registry != nil && r.Method == http.MethodGet:
 		q := r.URL.Query()
-		return a.directory.Ask(q.Get("name"), q.Get("region"), q.Get("zone"))
+		return a.registry.directory.Ask(q.Get("name"), q.Get("region"), q.Get("zone"))
 	case strings.HasPrefix(path, "/v1/admin/"):
 		if r.Method != http.MethodGet {
 			return nil, apierror.New(apierror.WrongMethod, "%s on %s", r.Method, path)
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -25,8 +25,6 @@
 	"madderwing/internal/logging"
 	"madderwing/internal/membership"
 	"madderwing/internal/placement"
-	"madderwing/internal/quota"
-	"madderwing/internal/registry"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
 	"madderwing/internal/settings"
@@ -64,27 +62,21 @@
 	HandBack time.Duration
 }
 
-// Control node is one control-plane process.
+// Node is one control-plane process. It wires its controllers, each of which has a state
+// of its own, and runs the pump, whose goroutine owns them all.
 type Node struct {
-	set      *settings.Settings
-	opt      Options
-	post     *transport.Mesh
-	reg      *membership.Service
-	start    time.Time
-	contact  *contact
-	commands chan func(now time.Duration)
+	*environment
+
+	configuration *configuration
+	quotas        *quotaController    // nil where clients ask no registry
+	registry      *registryController // the same
 
 	// Owned by the pump's goroutine.
-	member    *replication.Member
-	rota      *election.Rota
-	shown     *antientropy.Set
 	packs     delivery.Packs // of shown
-	routes    config.Reader
 	stand     upstream.Stand
 	watchers  delivery.Watchers
 	shelf     placement.Scheduler
 	lookAgain bool
-	life      uint64
 	asks      asks // evacuations and withdrawals ordered here
 	loads     upstream.Loads
 	holds     map[string]uint64          // gateway -> digest of the items that it has in force
@@ -94,28 +86,11 @@
 	waitsAt   time.Duration              // when a rollout that waits may be logged again
 	versions  map[string]rollout.Service // as shown
 
-	// Where clients ask a registry; nil elsewhere.
-	directory *registry.Directory
-	lender    *quota.Lender
-	purse     *quota.Purse
-	lendAt    time.Duration
-	recallAt  time.Duration
-	lentBy    string // the lender that was last reported to
-	lendWhole bool   // the next report names all shares
-	quotas    map[string]quota.Quota
-	table     atomic.Pointer[config.Table]
-	tables    config.Builder
-	revokedAt time.Duration // when a key was last taken from a tenant here
-
 	rosterTold string
-	seated     map[string]time.Duration // see branches
 
 	writes  *jobs
 	polling atomic.Bool
 	client  *http.Client
-
-	stats Stats
-	log   loggers
 }
 
 type toldAt struct {
@@ -123,23 +98,6 @@
 	told delivery.Told
 }
 
-// loggers are those of the components that a control node logs for.
-type loggers struct {
-	control, replication, storage, election, placement, upstream, rollout *slog.Logger
-}
-
-func newLoggers() loggers {
-	return loggers{control: logging.For(logging.Control), replication: logging.For(logging.Replication),
-		storage: logging.For(logging.Storage), election: logging.For(logging.Election),
-		placement: logging.For(logging.Placement), upstream: logging.For(logging.Upstream),
-		rollout: logging.For(logging.Rollout)}
-}
-
-// Stats are counters that status shows.
-type Stats struct {
-	Orders, Refused, NoQuorum, Polls, PollErrors atomic.Uint64
-}
-
 // listen makes the mesh; tests put a cut into it.
 var listen = transport.New
 
@@ -149,9 +107,9 @@
 	if set.DataDir == "" {
 		return runRelay(ctx, set, reload)
 	}
-	a := &Node{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024),
-		writes: newJobs(), shown: antientropy.NewSet(), told: map[string]toldAt{}, seated: map[string]time.Duration{},
-		asks: newAsks(settings.Seconds(set.Bounds.AckS)), rolls: rollout.NewController(), log: newLoggers()}
+	env := &environment{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024), log: newLoggers()}
+	a := &Node{environment: env, configuration: newConfiguration(), writes: newJobs(), told: map[string]toldAt{},
+		asks: newAsks(settings.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
 	beat := set.Beat()
 	vacant := settings.Seconds(set.Bounds.ContactS * vacantPart)
 
@@ -183,7 +141,8 @@
 	a.life = rand.Uint64() | 1
 	a.contact = newContact(settings.Seconds(set.Bounds.ContactS*contactPart), keys)
 	if set.Global() {
-		a.serveRegistry()
+		a.registry = newRegistryController(env)
+		a.quotas = newQuotaController(env, a.configuration)
 	}
 	a.member, err = replication.NewMember(replication.Config{Sure: keys,
 		Self: post.Self(), Life: a.life, Seeds: set.SeedControlNodes(),
@@ -213,15 +172,15 @@
 	a.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: beat, Forget: 40 * beat},
 		post, func(l *membership.List) {
 			a.do(func(time.Duration) { a.lookAgain = true })
-			if a.directory != nil {
-				a.directory.SetGateways(a.openGateways(l))
+			if a.registry != nil {
+				a.registry.setNodes(l)
 			}
 		})
 	a.handlers()
 	a.answerRelays()
 	a.do(func(time.Duration) { // before anybody's word is heard
 		a.showAll()
-		a.newItems()
+		a.configurationChanged()
 	})
 	post.Start()
 	go a.reg.Run()
@@ -234,8 +193,8 @@
 		IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: slog.NewLogLogger(a.log.control.Handler(), slog.LevelWarn)}
 	failed := make(chan error, 2)
 	go func() { failed <- control.ListenAndServe() }()
-	if a.directory != nil && set.Bind.Directory != "" {
-		registry := &http.Server{Addr: set.Bind.Directory, Handler: a.directory, ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
+	if a.registry != nil && set.Bind.Directory != "" {
+		registry := &http.Server{Addr: set.Bind.Directory, Handler: a.registry.directory, ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
 			IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: slog.NewLogLogger(a.log.control.Handler(), slog.LevelWarn)}
 		go func() { failed <- registry.ListenAndServe() }()
 		defer registry.Close()
@@ -285,17 +244,6 @@
 	}
 }
 
-// do hands a command to the pump.
-func (a *Node) do(fn func(now time.Duration)) { a.commands <- fn }
-
-// offer hands a command to the pump unless its queue is full.
-func (a *Node) offer(fn func(now time.Duration)) {
-	select {
-	case a.commands <- fn:
-	default:
-	}
-}
-
 // pump owns the state machines: it runs one command at a time and carries out
 // what they ask for.
 func (a *Node) pump(beat time.Duration, stop chan struct{}) {
@@ -332,9 +280,8 @@
 					loadsAt = now + beat
 					a.tell(now)
 				}
-				if a.lender != nil {
-					a.lend(now)
-					a.branch(now, beat)
+				if a.quotas != nil {
+					a.quotas.tick(now)
 				}
 				a.gate(now, beat)
 				a.contact.tell(now, a.log.control)
@@ -344,7 +291,7 @@
 			a.writes.close()
 			return
 		}
-		now := time.Since(a.start)
+		now := a.now()
 		fn(now)
 		a.settle(now)
 		a.contact.look(a.member.Current)
@@ -384,7 +331,7 @@
 		if changed {
 			a.lookAgain = true
 			a.issue(now)
-			a.newItems()
+			a.configurationChanged()
 		}
 		out, duties := a.rota.Take()
 		for _, e := range out {
@@ -411,7 +358,7 @@
 		if a.lookAgain {
 			a.lookAgain = false
 			if _, mine := a.rota.Holds(now, dutyShelf); mine {
-				a.shelf.Reconcile(now, a.routes.List(a.shown.Records), a.shards(), func() { a.lookAgain = true })
+				a.shelf.Reconcile(now, a.configuration.routes.List(a.configuration.shown.Records), a.shards(), func() { a.lookAgain = true })
 				again = true
 			}
 		}
@@ -429,7 +376,7 @@
 // that have changed, or all if changed is nil.
 func (a *Node) show(key string, records []replication.Record) bool {
 	if key == replication.RosterKey {
-		if r := a.member.Standing(time.Since(a.start)).String(); r != a.rosterTold {
+		if r := a.member.Standing(a.now()).String(); r != a.rosterTold {
 			a.rosterTold = r
 			a.log.replication.Info("roster changed", "roster", r)
 		}
@@ -444,24 +391,29 @@
 			records = append(records, r)
 		}
 	}
-	changed, versions := false, false
-	for _, r := range records {
-		if old, have := a.shown.Records[r.Name]; !have || r.Newer(old) {
-			a.shown.Put(r)
-			changed = true
-			versions = versions || rollout.Names(r.Name)
-			if strings.HasPrefix(r.Name, rollout.Prefix) {
-				a.rolls.Saw(time.Since(a.start), r)
-			}
-			if strings.HasPrefix(r.Name, config.EvacuationPrefix) {
-				a.asks.saw(time.Since(a.start), r)
-			}
+	taken, versions := a.configuration.merge(records), false
+	for _, r := range taken {
+		versions = versions || rollout.Names(r.Name)
+		if strings.HasPrefix(r.Name, rollout.Prefix) {
+			a.rolls.Saw(a.now(), r)
+		}
+		if strings.HasPrefix(r.Name, config.EvacuationPrefix) {
+			a.asks.saw(a.now(), r)
 		}
 	}
 	if versions {
-		a.versions = rollout.Services(a.shown.Records)
+		a.versions = rollout.Services(a.configuration.shown.Records)
+	}
+	return len(taken) > 0
+}
+
+// configurationChanged has the controllers take over what concerns them.
+func (a *Node) configurationChanged() {
+	if a.registry == nil {
+		return
 	}
-	return changed
+	a.quotas.setConfiguration()
+	a.registry.setConfiguration(a.configuration.shown.Records)
 }
 
 // tell passes on to the other control nodes what those who watch this one have told,
@@ -472,7 +424,7 @@
 	take := func(t delivery.Told) {
 		a.loads.Add(t.Loads)
 		for id, digest := range t.Holds {
-			if have, ok := a.holds[id]; !ok || have != a.shown.Sums.Fold() {
+			if have, ok := a.holds[id]; !ok || have != a.configuration.shown.Sums.Fold() {
 				a.holds[id] = digest // a gateway watches two; the newer word counts
 			}
 		}
@@ -510,18 +462,18 @@
 	out := delivery.Issue{Fresh: fresh, Led: fresh && a.rolls.Led()}
 	whole := has.Sums != nil
 	if has.Sums != nil {
-		if diff := antientropy.Diff(*has.Sums, a.shown.Sums); len(diff) > 0 {
+		if diff := antientropy.Diff(*has.Sums, a.configuration.shown.Sums); len(diff) > 0 {
 			// A large difference goes a few ranges at a time; the watcher says
 			// again what it has.
 			sums := *has.Sums
 			i := 0
 			for size := 0; i < len(diff) && size < issueMax; i++ {
-				size += a.packs.Range(a.shown, diff[i], has.Packs, &out)
-				sums[diff[i]] = a.shown.Sums[diff[i]]
+				size += a.packs.Range(a.configuration.shown, diff[i], has.Packs, &out)
+				sums[diff[i]] = a.configuration.shown.Sums[diff[i]]
 			}
 			out.More = i < len(diff)
 			has.Sums = &sums
-			whole = sums == a.shown.Sums
+			whole = sums == a.configuration.shown.Sums
 		}
 	}
 	if l := a.stand.Since(now, has.Listing); l != nil {
@@ -576,24 +528,8 @@
 			}
 		})
 	})
-	if a.lender != nil {
-		transport.On(a.post, delivery.ReportKind, func(from string, r quota.Report) {
-			a.offer(func(now time.Duration) { a.lendTo(now, from, r) })
-		})
-		transport.On(a.post, delivery.RecallKind, func(from string, r quota.Recall) {
-			a.offer(func(now time.Duration) {
-				if a.purse.Heeds(a.post.Self(), from, r.Term) {
-					a.lender.End()
-					a.lentBy, a.lendWhole, a.lendAt = from, true, now
-				}
-			})
-		})
-		transport.On(a.post, delivery.LoanKind, func(_ string, l quota.Loan) {
-			a.offer(func(now time.Duration) { a.lent(now, l) })
-		})
-		transport.On(a.post, delivery.DrawKind, func(from string, d quota.Draw) {
-			a.offer(func(now time.Duration) { a.drawFor(now, from, d) })
-		})
+	if a.quotas != nil {
+		a.quotas.handle()
 	}
 	transport.On(a.post, delivery.ScoreKind, func(from string, reports []rollout.Report) {
 		a.offer(func(now time.Duration) { a.rolls.Heard(now, from, reports) })
--- /dev/null
+++ b/internal/controlplane/environment.go
@@ -0,0 +1,73 @@
+package controlplane
+
+import (
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"madderwing/internal/election"
+	"madderwing/internal/logging"
+	"madderwing/internal/membership"
+	"madderwing/internal/replication"
+	"madderwing/internal/settings"
+	"madderwing/internal/transport"
+)
+
+// environment is what all controllers of a control node share: its settings, its ways to
+// other nodes, its replica of the control state, and the queue of the pump. The pump's goroutine
+// alone runs the state machines and touches what the controllers hold; all others hand
+// it commands.
+type environment struct {
+	set      *settings.Settings
+	opt      Options
+	post     *transport.Mesh
+	reg      *membership.Service
+	start    time.Time
+	life     uint64 // tells this life of the process from others
+	contact  *contact
+	commands chan func(now time.Duration)
+	stats    Stats
+	log      loggers
+
+	// Owned by the pump's goroutine.
+	member *replication.Member
+	rota   *election.Rota
+}
+
+// Stats are counters that status shows.
+type Stats struct {
+	Orders, Refused, NoQuorum, Polls, PollErrors atomic.Uint64
+}
+
+// loggers are those of the components that a control node logs for.
+type loggers struct {
+	control, replication, storage, election, placement, upstream, rollout *slog.Logger
+}
+
+func newLoggers() loggers {
+	return loggers{control: logging.For(logging.Control), replication: logging.For(logging.Replication),
+		storage: logging.For(logging.Storage), election: logging.For(logging.Election),
+		placement: logging.For(logging.Placement), upstream: logging.For(logging.Upstream),
+		rollout: logging.For(logging.Rollout)}
+}
+
+// do hands a command to the pump.
+func (e *environment) do(fn func(now time.Duration)) { e.commands <- fn }
+
+// offer hands a command to the pump unless its queue is full.
+func (e *environment) offer(fn func(now time.Duration)) {
+	select {
+	case e.commands <- fn:
+	default:
+	}
+}
+
+// now is the time on this process's clock, which begins with its life.
+func (e *environment) now() time.Duration { return time.Since(e.start) }
+
+// lately says that this control node was in contact with a majority within contactS, or has
+// not been up for longer than that.
+func (e *environment) lately(now time.Duration) bool {
+	contactS := settings.Seconds(e.set.Bounds.ContactS)
+	return now < contactS || e.contact.within(now, contactS)
+}
--- a/internal/controlplane/branches_test.go
+++ b/internal/controlplane/quotas_test.go
@@ -12,7 +12,8 @@
 // A control node whose seat has gone may still have lent shares to gateways.
 func TestABranchWithoutASeatCountsUntilItsSharesLapse(t *testing.T) {
 	const contactS = 3
-	a := &Node{set: &settings.Settings{Bounds: settings.Bounds{ContactS: contactS}}, start: time.Now(), seated: map[string]time.Duration{}}
+	a := &quotaController{seated: map[string]time.Duration{},
+		environment: &environment{set: &settings.Settings{Bounds: settings.Bounds{ContactS: contactS}}, start: time.Now()}}
 	member, err := replication.NewMember(replication.Config{Self: "a", Identity: 1}, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/controlplane/restart_test.go
+++ b/internal/controlplane/restart_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"madderwing/internal/antientropy"
 	"madderwing/internal/config"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
@@ -49,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &Node{member: again, shown: antientropy.NewSet(), rolls: rollout.NewController(), asks: newAsks(1)}
+	a := &Node{environment: &environment{member: again}, configuration: newConfiguration(), rolls: rollout.NewController(), asks: newAsks(1)}
 	a.log.replication = slog.New(slog.NewTextHandler(t.Output(), nil))
 	a.showAll()
 	if p := a.versions["s"].Active(); p == nil || p.Candidate != "v2" {
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -72,7 +72,7 @@
 			v.Busy += busy
 		}
 	}
-	a.stand.Each(time.Since(a.start), func(i upstream.Instance, left time.Duration) {
+	a.stand.Each(a.now(), func(i upstream.Instance, left time.Duration) {
 		if i.Service != p.Service || i.Draining {
 			return
 		}
@@ -142,14 +142,14 @@
 	o := order{Key: config.Key, Adopt: map[string]rollout.Standing{}, Saw: map[string]uint64{}}
 	for service, l := range a.listed() {
 		v := known[service]
-		if v.Active() != nil || l.of[v.Serves()] > 0 || !config.HasService(a.shown.Records, service) {
+		if v.Active() != nil || l.of[v.Serves()] > 0 || !a.configuration.hasService(service) {
 			continue
 		}
 		s := rollout.Standing{Version: l.version}
 		if v.Plan != nil {
 			s.After = v.Plan.Gen
 		}
-		o.Adopt[service], o.Saw[service] = s, a.shown.Records[rollout.StandingPrefix+service].Gen
+		o.Adopt[service], o.Saw[service] = s, a.configuration.shown.Records[rollout.StandingPrefix+service].Gen
 	}
 	if len(o.Adopt) == 0 {
 		return
@@ -227,7 +227,7 @@
 // owner of the catalogue before it says no.
 func (a *Node) hasService(name string) error {
 	has := make(chan bool, 1)
-	a.do(func(time.Duration) { has <- config.HasService(a.shown.Records, name) })
+	a.do(func(time.Duration) { has <- a.configuration.hasService(name) })
 	if <-has {
 		return nil
 	}
