controlplane: the list, delivery and placement have controllers of their own

Change: listController reads, holds and follows the platform's list; deliveryController keeps the watchers and what all control nodes heard of gateways; placementController runs the scheduler while the duty is held. The pump's tick calls each in the order in which their lines stood there. What each needs of another is a field that Run sets. Messages, timing and counters are the same.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -110,8 +110,8 @@
 }
 
 func (a *Node) overview(now time.Duration) *Overview {
-	o := &Overview{Node: a.set.Node, Voting: a.member.Voting(), Contact: a.contact.state(now), Roster: a.member.Standing(now), Duties: a.rota.States(now), Listing: a.stand.Version,
-		Upstreams: a.stand.All(now), Evacuations: []string{}, Members: []Member{}, Delivery: []Delivery{}, Routes: []RouteState{}, Shards: []ShardState{}}
+	o := &Overview{Node: a.set.Node, Voting: a.member.Voting(), Contact: a.contact.state(now), Roster: a.member.Standing(now), Duties: a.rota.States(now), Listing: a.list.stand.Version,
+		Upstreams: a.list.stand.All(now), Evacuations: []string{}, Members: []Member{}, Delivery: []Delivery{}, Routes: []RouteState{}, Shards: []ShardState{}}
 	list := a.reg.List()
 	labels := list.Shards(a.opt.Shards)
 	seats := map[string]bool{}
@@ -129,7 +129,7 @@
 		if n.Plane == membership.Data {
 			m.Shard = labels[n.Address]
 			if n.State <= membership.Suspect {
-				digest, heard := a.holds[n.Address]
+				digest, heard := a.delivery.holds[n.Address]
 				o.Delivery = append(o.Delivery, Delivery{n.Name, n.Zone, heard, heard && digest == a.configuration.shown.Sums.Fold()})
 				s := &shards[m.Shard]
 				s.Gateways = append(s.Gateways, n.Name)
@@ -151,7 +151,7 @@
 		}
 		o.Keys = append(o.Keys, Key{v.Key, v.Owner, v.Epoch, v.Seq, v.Commit, v.Records, heard.Round(time.Millisecond).Seconds()})
 	}
-	for _, r := range a.configuration.routes.List(a.configuration.shown.Records) {
+	for _, r := range a.configuration.routes() {
 		o.Routes = append(o.Routes, RouteState{r.Name, r.Host, r.PathPrefix, r.Targets(), r.Generation, r.Status.Phase, r.Status.Shard})
 		if r.Status.Shard >= 0 && r.Status.Shard < len(shards) {
 			shards[r.Status.Shard].Routes++
@@ -170,8 +170,8 @@
 	}
 	o.Counters = map[string]uint64{
 		"orders": a.stats.Orders.Load(), "ordersRefused": a.stats.Refused.Load(), "ordersNoQuorum": a.stats.NoQuorum.Load(),
-		"platformCalls": a.stats.Polls.Load(), "platformErrors": a.stats.PollErrors.Load(),
-		"bindings": a.shelf.Bound, "bindingErrors": a.shelf.Errors, "watchers": uint64(a.watchers.Count(now)),
+		"platformCalls": a.list.polls.Load(), "platformErrors": a.list.errors.Load(),
+		"bindings": a.placement.scheduler.Bound, "bindingErrors": a.placement.scheduler.Errors, "watchers": uint64(a.delivery.watchers.Count(now)),
 		"framesSent": a.post.FramesSent.Load(), "bytesSent": a.post.BytesSent.Load(), "framesUndecoded": a.post.Undecoded.Load(),
 	}
 	return o
--- a/internal/controlplane/configuration.go
+++ b/internal/controlplane/configuration.go
@@ -9,7 +9,7 @@
 // records of all keys that hold items, evacuations or rollouts.
 type configuration struct {
 	shown  *antientropy.Set
-	routes config.Reader
+	reader config.Reader
 }
 
 func newConfiguration() *configuration { return &configuration{shown: antientropy.NewSet()} }
@@ -25,6 +25,9 @@
 	return taken
 }
 
+// routes are the routes that are shown, with their placement.
+func (c *configuration) routes() []*config.Route { return c.reader.List(c.shown.Records) }
+
 // hasService says whether a service is configured, as far as is known here.
 func (c *configuration) hasService(name string) bool {
 	return config.HasService(c.shown.Records, name)
--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -85,11 +85,11 @@
 			switch {
 			case o.Plan != nil:
 				var err error
-				steps, err = change.Plan(have, &a.configuration.routes)
+				steps, err = change.Plan(have, &a.configuration.reader)
 				return nil, err
 			case change != nil:
-				changes, err := change.Apply(have, &a.configuration.routes)
-				revokes = err == nil && a.quotas != nil && config.Revokes(have, changes, &a.configuration.routes)
+				changes, err := change.Apply(have, &a.configuration.reader)
+				revokes = err == nil && a.quotas != nil && config.Revokes(have, changes, &a.configuration.reader)
 				return changes, err
 			case o.Evacuate != nil:
 				a.asks.begins(o)
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -12,25 +12,20 @@
 	"os"
 	"sort"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
-	"madderwing/internal/antientropy"
-	"madderwing/internal/apierror"
 	"madderwing/internal/config"
 	"madderwing/internal/delivery"
 	"madderwing/internal/election"
 	"madderwing/internal/logging"
 	"madderwing/internal/membership"
-	"madderwing/internal/placement"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
 	"madderwing/internal/settings"
 	"madderwing/internal/storage"
 	"madderwing/internal/transport"
-	"madderwing/internal/upstream"
 )
 
 // Kinds of message between control nodes.
@@ -40,11 +35,6 @@
 	orderKind       = "order"
 )
 
-// issueMax is about how many bytes of items are sent to a watcher at once. It asks
-// for the rest when it has them, so what is sent twice because it took longer than a
-// beat on a narrow link is never more than that.
-const issueMax = 64 << 10
-
 // vacantPart is the part of contactS for which an owner may be silent.
 const vacantPart = 0.4
 
@@ -68,34 +58,22 @@
 	*environment
 
 	configuration *configuration
+	list          *listController
+	delivery      *deliveryController
+	placement     *placementController
 	quotas        *quotaController    // nil where clients ask no registry
 	registry      *registryController // the same
 
 	// Owned by the pump's goroutine.
-	packs     delivery.Packs // of shown
-	stand     upstream.Stand
-	watchers  delivery.Watchers
-	shelf     placement.Scheduler
-	lookAgain bool
-	asks      asks // evacuations and withdrawals ordered here
-	loads     upstream.Loads
-	holds     map[string]uint64          // gateway -> digest of the items that it has in force
-	told      map[string]toldAt          // by other control nodes
-	rolls     *rollout.Controller        // rollouts, as this control node sees them
-	adopting  bool                       // standing versions are being kept
-	waitsAt   time.Duration              // when a rollout that waits may be logged again
-	versions  map[string]rollout.Service // as shown
+	asks     asks                       // evacuations and withdrawals ordered here
+	rolls    *rollout.Controller        // rollouts, as this control node sees them
+	adopting bool                       // standing versions are being kept
+	waitsAt  time.Duration              // when a rollout that waits may be logged again
+	versions map[string]rollout.Service // as shown
 
 	rosterTold string
 
-	writes  *jobs
-	polling atomic.Bool
-	client  *http.Client
-}
-
-type toldAt struct {
-	at   time.Duration
-	told delivery.Told
+	writes *jobs
 }
 
 // listen makes the mesh; tests put a cut into it.
@@ -108,7 +86,7 @@
 		return runRelay(ctx, set, reload)
 	}
 	env := &environment{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024), log: newLoggers()}
-	a := &Node{environment: env, configuration: newConfiguration(), writes: newJobs(), told: map[string]toldAt{},
+	a := &Node{environment: env, configuration: newConfiguration(), writes: newJobs(),
 		asks: newAsks(settings.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
 	beat := set.Beat()
 	vacant := settings.Seconds(set.Bounds.ContactS * vacantPart)
@@ -163,15 +141,15 @@
 	}
 	a.rota = election.New(election.Config{Self: post.Self(), Life: a.life, Duties: []string{dutyList, dutyShelf}, Lease: vacant,
 		Roster: func() []string { return a.member.Roster() }, Alive: func(id string) bool { return a.reg.Hopeful(id) }})
-	a.watchers.Forget = 4 * beat
-	a.shelf = placement.Scheduler{Strategy: &placement.RoundRobin{}, Relist: opt.Relist, Pause: 2 * beat, Create: a.bind}
-	a.client = &http.Client{Timeout: settings.Seconds(set.Bounds.DrainS * 0.4),
-		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * beat}}
+	a.list = newListController(env)
+	a.delivery = newDeliveryController(env, a.configuration, a.list, a.rolls.Led)
+	a.placement = newPlacementController(env, a.configuration, a.submit)
+	a.list.changed, a.list.polled = a.delivery.issue, a.adopt
 
 	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
 	a.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: beat, Forget: 40 * beat},
 		post, func(l *membership.List) {
-			a.do(func(time.Duration) { a.lookAgain = true })
+			a.do(func(time.Duration) { a.placement.look() })
 			if a.registry != nil {
 				a.registry.setNodes(l)
 			}
@@ -249,9 +227,6 @@
 func (a *Node) pump(beat time.Duration, stop chan struct{}) {
 	tick := time.NewTicker(beat / 5)
 	defer tick.Stop()
-	var pollAt time.Duration
-	every := settings.Seconds(a.set.Bounds.DrainS / 5)
-	var watchAt, loadsAt time.Duration
 	for {
 		var fn func(time.Duration)
 		select {
@@ -260,32 +235,14 @@
 			fn = func(now time.Duration) {
 				a.member.Tick(now)
 				a.rota.Tick(now)
-				if _, mine := a.rota.Holds(now, dutyList); mine {
-					if now >= pollAt {
-						pollAt = now + every
-						a.poll()
-					}
-				} else if !a.stand.Known() && now >= pollAt {
-					// There is no list and, as far as this control node can tell, nobody
-					// to read one: it reads one that any holder's replaces.
-					pollAt = now + every
-					a.poll()
-				} else if now >= watchAt {
-					watchAt = now + beat
-					if h, _, _ := a.rota.Holder(now, dutyList); h != "" && h != a.post.Self() {
-						a.post.Send(h, delivery.WatchKind, delivery.Watch{Listing: a.stand.Version})
-					}
-				}
-				if now >= loadsAt {
-					loadsAt = now + beat
-					a.tell(now)
-				}
+				a.list.tick(now)
+				a.delivery.tick(now)
 				if a.quotas != nil {
 					a.quotas.tick(now)
 				}
 				a.gate(now, beat)
 				a.contact.tell(now, a.log.control)
-				a.lookAgain = a.lookAgain || a.shelf.Due(now)
+				a.placement.tick(now)
 			}
 		case <-stop:
 			a.writes.close()
@@ -329,8 +286,8 @@
 			changed = a.show(key, fx.Changed[key]) || changed
 		}
 		if changed {
-			a.lookAgain = true
-			a.issue(now)
+			a.placement.look()
+			a.delivery.issue(now)
 			a.configurationChanged()
 		}
 		out, duties := a.rota.Take()
@@ -347,21 +304,14 @@
 			}
 			switch d {
 			case dutyShelf:
-				a.shelf.Reset()
-				a.lookAgain = true
+				a.placement.dutyChanged()
 			case dutyList:
 				if mine {
-					a.poll()
+					a.list.poll()
 				}
 			}
 		}
-		if a.lookAgain {
-			a.lookAgain = false
-			if _, mine := a.rota.Holds(now, dutyShelf); mine {
-				a.shelf.Reconcile(now, a.configuration.routes.List(a.configuration.shown.Records), a.shards(), func() { a.lookAgain = true })
-				again = true
-			}
-		}
+		again = a.placement.reconcile(now) || again
 	}
 }
 
@@ -416,85 +366,6 @@
 	a.registry.setConfiguration(a.configuration.shown.Records)
 }
 
-// tell passes on to the other control nodes what those who watch this one have told,
-// and puts that together with what the others have.
-func (a *Node) tell(now time.Duration) {
-	mine := a.watchers.Told(now)
-	a.loads, a.holds = upstream.Loads{}, map[string]uint64{}
-	take := func(t delivery.Told) {
-		a.loads.Add(t.Loads)
-		for id, digest := range t.Holds {
-			if have, ok := a.holds[id]; !ok || have != a.configuration.shown.Sums.Fold() {
-				a.holds[id] = digest // a gateway watches two; the newer word counts
-			}
-		}
-	}
-	take(mine)
-	for _, id := range a.member.Everyone() {
-		if id == a.post.Self() {
-			continue
-		}
-		if len(mine.Holds) > 0 {
-			a.post.Toss(id, delivery.ToldKind, mine)
-		}
-		if t, ok := a.told[id]; ok && now-t.at < a.watchers.Forget {
-			take(t.told)
-		}
-	}
-}
-
-// issue sends every watcher what it lacks.
-func (a *Node) issue(now time.Duration) {
-	a.watchers.Each(now, func(to string, has delivery.Watch) delivery.Watch {
-		return a.issueTo(now, to, has, false, true)
-	})
-	if term, mine := a.rota.Holds(now, dutyList); mine && a.stand.Version.Term == term {
-		for _, id := range a.member.Everyone() {
-			if _, watching := a.watchers.Has(id); !watching && id != a.post.Self() {
-				a.watchers.Note(now, id, a.issueTo(now, id, delivery.Watch{}, false, true))
-			}
-		}
-	}
-}
-
-func (a *Node) issueTo(now time.Duration, to string, has delivery.Watch, always, guessed bool) delivery.Watch {
-	fresh := a.contact.fresh(now)
-	out := delivery.Issue{Fresh: fresh, Led: fresh && a.rolls.Led()}
-	whole := has.Sums != nil
-	if has.Sums != nil {
-		if diff := antientropy.Diff(*has.Sums, a.configuration.shown.Sums); len(diff) > 0 {
-			// A large difference goes a few ranges at a time; the watcher says
-			// again what it has.
-			sums := *has.Sums
-			i := 0
-			for size := 0; i < len(diff) && size < issueMax; i++ {
-				size += a.packs.Range(a.configuration.shown, diff[i], has.Packs, &out)
-				sums[diff[i]] = a.configuration.shown.Sums[diff[i]]
-			}
-			out.More = i < len(diff)
-			has.Sums = &sums
-			whole = sums == a.configuration.shown.Sums
-		}
-	}
-	if l := a.stand.Since(now, has.Listing); l != nil {
-		out.Listing = l
-		has.Listing = l.Version
-	}
-	if always {
-		out.Loads = a.loads
-		if at, ok := a.member.Current(config.Key); ok && whole && !guessed && has.Asked > 0 {
-			out.Sure = &delivery.Sure{Asked: has.Asked, Age: now - at}
-		}
-	}
-	if always || !out.Empty() {
-		a.post.Send(to, delivery.IssueKind, out)
-	}
-	if !out.Empty() {
-		a.watchers.Sent(now, to)
-	}
-	return has
-}
-
 func (a *Node) handlers() {
 	transport.On(a.post, replicationKind, func(from string, msgs []replication.Message) {
 		a.offer(func(now time.Duration) {
@@ -506,28 +377,8 @@
 	transport.On(a.post, rotaKind, func(from string, m election.Message) {
 		a.offer(func(now time.Duration) { a.rota.Handle(now, from, m) })
 	})
-	transport.On(a.post, delivery.WatchKind, func(from string, w delivery.Watch) {
-		a.offer(func(now time.Duration) {
-			known := a.stand.Version
-			if _, term, life := a.rota.Holder(now, dutyList); term > known.Term || term == known.Term && life > known.Life {
-				known = upstream.Version{Term: term, Life: life}
-			}
-			if known.Foreign(w.Listing) {
-				a.rota.Raise(dutyList, w.Listing.Term)
-			}
-			has, guessed := a.watchers.Believe(now, from, w, a.set.Beat())
-			a.watchers.Note(now, from, has)
-			a.watchers.Note(now, from, a.issueTo(now, from, has, true, guessed))
-			a.watchers.Holds(from, w)
-		})
-	})
-	transport.On(a.post, delivery.IssueKind, func(from string, i delivery.Issue) {
-		a.offer(func(now time.Duration) {
-			if i.Listing != nil && a.stand.Take(now, *i.Listing) {
-				a.issue(now)
-			}
-		})
-	})
+	a.list.handle()
+	a.delivery.handle()
 	if a.quotas != nil {
 		a.quotas.handle()
 	}
@@ -537,9 +388,6 @@
 	transport.On(a.post, delivery.GatherKind, func(from string, all []rollout.Gathered) {
 		a.offer(func(now time.Duration) { a.rolls.Take(now, from, all) })
 	})
-	transport.On(a.post, delivery.ToldKind, func(from string, t delivery.Told) {
-		a.offer(func(now time.Duration) { a.told[from] = toldAt{now, t} })
-	})
 	a.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
 		var o order
 		if err := cbor.Unmarshal(body, &o); err != nil {
@@ -549,76 +397,3 @@
 		return a.own(o), nil
 	})
 }
-
-// poll reads the platform's list in the background.
-func (a *Node) poll() {
-	if a.set.CloudAPI.Address == "" || !a.polling.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer a.polling.Store(false)
-		begin := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), settings.Seconds(8*a.set.Bounds.DrainS))
-		defer cancel()
-		list, calls, err := upstream.ReadAll(ctx, a.client, a.set.CloudAPI.Address, a.set.CloudAPI.RatePerS)
-		a.stats.Polls.Add(uint64(calls))
-		// A list of many pages is read less often; one that is throttled, too.
-		if throttled := errors.Is(err, upstream.ErrThrottled); throttled || calls > 1 {
-			rest := max(time.Since(begin), settings.Seconds(a.set.Bounds.DrainS/5))
-			defer time.Sleep(min(rest, settings.Seconds(a.set.Bounds.DrainS)))
-		}
-		if err != nil {
-			a.stats.PollErrors.Add(1)
-			a.log.upstream.Warn("list not read", "error", err)
-			return
-		}
-		a.do(func(now time.Duration) {
-			term, mine := a.rota.Holds(now, dutyList)
-			if !mine {
-				term = 0
-			}
-			if (mine || !a.stand.Known()) && a.stand.Update(now, term, a.life, list) {
-				a.log.upstream.Info("list read", "term", a.stand.Version.Term, "seq", a.stand.Version.Seq, "upstreams", len(list))
-				a.issue(now)
-			}
-			if mine {
-				a.adopt(now)
-			}
-		})
-	}()
-}
-
-// shards counts the working gateways of each shard.
-func (a *Node) shards() []placement.Shard {
-	list := a.reg.List()
-	labels := list.Shards(a.opt.Shards)
-	zones := map[int][]string{}
-	for _, n := range list.Live(membership.Data) {
-		if !n.Draining {
-			zones[labels[n.Address]] = append(zones[labels[n.Address]], n.Zone)
-		}
-	}
-	return placement.Shards(a.opt.Shards, zones)
-}
-
-// bind creates bindings at the owner of the catalogue.
-func (a *Node) bind(orders []placement.Order, done func([]error)) {
-	go func() {
-		answer, err := a.submit(order{Key: config.Key, Bind: orders})
-		var refused []bool
-		if err == nil {
-			err = cbor.Unmarshal(answer, &refused)
-		}
-		if err != nil {
-			a.log.placement.Warn("routes not bound", "routes", len(orders), "error", err)
-		}
-		errs := make([]error, len(orders))
-		for i := range orders {
-			errs[i] = err
-			if err == nil && i < len(refused) && refused[i] {
-				errs[i] = apierror.New(apierror.Conflict, "route %s", orders[i].Binding.Route)
-			}
-		}
-		a.do(func(time.Duration) { done(errs) })
-	}()
-}
--- /dev/null
+++ b/internal/controlplane/delivery.go
@@ -0,0 +1,157 @@
+package controlplane
+
+import (
+	"time"
+
+	"madderwing/internal/antientropy"
+	"madderwing/internal/config"
+	"madderwing/internal/delivery"
+	"madderwing/internal/transport"
+	"madderwing/internal/upstream"
+)
+
+// issueMax is about how many bytes of items are sent to a watcher at once. It asks
+// for the rest when it has them, so what is sent twice because it took longer than a
+// beat on a narrow link is never more than that.
+const issueMax = 64 << 10
+
+// deliveryController brings the configuration and the list to those who watch this control
+// node, and gathers what they tell of themselves.
+type deliveryController struct {
+	*environment
+	configuration *configuration
+	list          *listController
+	led           func() bool // whether the rollouts under way have controllers at work
+
+	packs    delivery.Packs // of the configuration
+	watchers delivery.Watchers
+	told     map[string]toldAt // by other control nodes
+	tellAt   time.Duration     // when the others are to be told next
+	loads    upstream.Loads    // of all gateways
+	holds    map[string]uint64 // gateway -> digest of the items that it has in force
+}
+
+// toldAt is what another control node told, and when.
+type toldAt struct {
+	at   time.Duration
+	told delivery.Told
+}
+
+func newDeliveryController(env *environment, shown *configuration, list *listController, led func() bool) *deliveryController {
+	c := &deliveryController{environment: env, configuration: shown, list: list, led: led, told: map[string]toldAt{}}
+	c.watchers.Forget = 4 * env.set.Beat()
+	return c
+}
+
+// handle takes the messages of watchers and of other control nodes.
+func (c *deliveryController) handle() {
+	transport.On(c.post, delivery.WatchKind, func(from string, w delivery.Watch) {
+		c.offer(func(now time.Duration) { c.watched(now, from, w) })
+	})
+	transport.On(c.post, delivery.ToldKind, func(from string, t delivery.Told) {
+		c.offer(func(now time.Duration) { c.told[from] = toldAt{now, t} })
+	})
+}
+
+// watched answers a watcher.
+func (c *deliveryController) watched(now time.Duration, from string, w delivery.Watch) {
+	if c.list.known(now).Foreign(w.Listing) {
+		c.rota.Raise(dutyList, w.Listing.Term)
+	}
+	has, guessed := c.watchers.Believe(now, from, w, c.set.Beat())
+	c.watchers.Note(now, from, has)
+	c.watchers.Note(now, from, c.issueTo(now, from, has, true, guessed))
+	c.watchers.Holds(from, w)
+}
+
+// tick is due at every tick of the pump.
+func (c *deliveryController) tick(now time.Duration) {
+	if now >= c.tellAt {
+		c.tellAt = now + c.set.Beat()
+		c.tell(now)
+	}
+}
+
+// tell passes on to the other control nodes what those who watch this one have told,
+// and puts that together with what the others have.
+func (c *deliveryController) tell(now time.Duration) {
+	mine := c.watchers.Told(now)
+	c.loads, c.holds = upstream.Loads{}, map[string]uint64{}
+	c.add(mine)
+	for _, id := range c.member.Everyone() {
+		if id == c.post.Self() {
+			continue
+		}
+		if len(mine.Holds) > 0 {
+			c.post.Toss(id, delivery.ToldKind, mine)
+		}
+		if t, ok := c.told[id]; ok && now-t.at < c.watchers.Forget {
+			c.add(t.told)
+		}
+	}
+}
+
+// add adds what one control node told to what is known of all gateways.
+func (c *deliveryController) add(t delivery.Told) {
+	c.loads.Add(t.Loads)
+	for id, digest := range t.Holds {
+		if have, ok := c.holds[id]; !ok || have != c.configuration.shown.Sums.Fold() {
+			c.holds[id] = digest // a gateway watches two; the newer word counts
+		}
+	}
+}
+
+// issue sends every watcher what it lacks.
+func (c *deliveryController) issue(now time.Duration) {
+	c.watchers.Each(now, func(to string, has delivery.Watch) delivery.Watch {
+		return c.issueTo(now, to, has, false, true)
+	})
+	if term, mine := c.rota.Holds(now, dutyList); mine && c.list.stand.Version.Term == term {
+		for _, id := range c.member.Everyone() {
+			if _, watching := c.watchers.Has(id); !watching && id != c.post.Self() {
+				c.watchers.Note(now, id, c.issueTo(now, id, delivery.Watch{}, false, true))
+			}
+		}
+	}
+}
+
+// issueTo sends a watcher what it lacks, always or only if it lacks something, and returns what
+// it has then. guessed says that what it has is not its own word.
+func (c *deliveryController) issueTo(now time.Duration, to string, has delivery.Watch, always, guessed bool) delivery.Watch {
+	shown := c.configuration.shown
+	fresh := c.contact.fresh(now)
+	out := delivery.Issue{Fresh: fresh, Led: fresh && c.led()}
+	whole := has.Sums != nil
+	if has.Sums != nil {
+		if diff := antientropy.Diff(*has.Sums, shown.Sums); len(diff) > 0 {
+			// A large difference goes a few ranges at a time; the watcher says
+			// again what it has.
+			sums := *has.Sums
+			i := 0
+			for size := 0; i < len(diff) && size < issueMax; i++ {
+				size += c.packs.Range(shown, diff[i], has.Packs, &out)
+				sums[diff[i]] = shown.Sums[diff[i]]
+			}
+			out.More = i < len(diff)
+			has.Sums = &sums
+			whole = sums == shown.Sums
+		}
+	}
+	if l := c.list.stand.Since(now, has.Listing); l != nil {
+		out.Listing = l
+		has.Listing = l.Version
+	}
+	if always {
+		out.Loads = c.loads
+		if at, ok := c.member.Current(config.Key); ok && whole && !guessed && has.Asked > 0 {
+			out.Sure = &delivery.Sure{Asked: has.Asked, Age: now - at}
+		}
+	}
+	if always || !out.Empty() {
+		c.post.Send(to, delivery.IssueKind, out)
+	}
+	if !out.Empty() {
+		c.watchers.Sent(now, to)
+	}
+	return has
+}
--- a/internal/controlplane/environment.go
+++ b/internal/controlplane/environment.go
@@ -36,7 +36,7 @@
 
 // Stats are counters that status shows.
 type Stats struct {
-	Orders, Refused, NoQuorum, Polls, PollErrors atomic.Uint64
+	Orders, Refused, NoQuorum atomic.Uint64
 }
 
 // loggers are those of the components that a control node logs for.
--- /dev/null
+++ b/internal/controlplane/placement.go
@@ -0,0 +1,90 @@
+package controlplane
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
+	"madderwing/internal/membership"
+	"madderwing/internal/placement"
+)
+
+// placementController has routes bound to shards while this control node holds the duty.
+type placementController struct {
+	*environment
+	configuration *configuration
+	submit        func(order) ([]byte, error)
+
+	scheduler placement.Scheduler
+	pending   bool // routes, shards or the duty have changed since the last look
+}
+
+func newPlacementController(env *environment, shown *configuration, submit func(order) ([]byte, error)) *placementController {
+	c := &placementController{environment: env, configuration: shown, submit: submit}
+	c.scheduler = placement.Scheduler{Strategy: &placement.RoundRobin{}, Relist: env.opt.Relist, Pause: 2 * env.set.Beat(), Create: c.bind}
+	return c
+}
+
+// look has the routes looked at once the command under way has run.
+func (c *placementController) look() { c.pending = true }
+
+// tick is due at every tick of the pump.
+func (c *placementController) tick(now time.Duration) {
+	c.pending = c.pending || c.scheduler.Due(now)
+}
+
+// dutyChanged makes the scheduler begin anew.
+func (c *placementController) dutyChanged() {
+	c.scheduler.Reset()
+	c.look()
+}
+
+// reconcile looks at the routes if that is due here, and says whether it did.
+func (c *placementController) reconcile(now time.Duration) bool {
+	if !c.pending {
+		return false
+	}
+	c.pending = false
+	if _, mine := c.rota.Holds(now, dutyShelf); !mine {
+		return false
+	}
+	c.scheduler.Reconcile(now, c.configuration.routes(), c.shards(), c.look)
+	return true
+}
+
+// shards counts the working gateways of each shard.
+func (c *placementController) shards() []placement.Shard {
+	list := c.reg.List()
+	labels := list.Shards(c.opt.Shards)
+	zones := map[int][]string{}
+	for _, n := range list.Live(membership.Data) {
+		if !n.Draining {
+			zones[labels[n.Address]] = append(zones[labels[n.Address]], n.Zone)
+		}
+	}
+	return placement.Shards(c.opt.Shards, zones)
+}
+
+// bind creates bindings at the owner of the catalogue.
+func (c *placementController) bind(orders []placement.Order, done func([]error)) {
+	go func() {
+		answer, err := c.submit(order{Key: config.Key, Bind: orders})
+		var refused []bool
+		if err == nil {
+			err = cbor.Unmarshal(answer, &refused)
+		}
+		if err != nil {
+			c.log.placement.Warn("routes not bound", "routes", len(orders), "error", err)
+		}
+		errs := make([]error, len(orders))
+		for i := range orders {
+			errs[i] = err
+			if err == nil && i < len(refused) && refused[i] {
+				errs[i] = apierror.New(apierror.Conflict, "route %s", orders[i].Binding.Route)
+			}
+		}
+		c.do(func(time.Duration) { done(errs) })
+	}()
+}
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -88,7 +88,7 @@
 
 // setConfiguration takes over the tenants' quotas.
 func (c *quotaController) setConfiguration() {
-	c.quotas = config.Quotas(c.configuration.shown.Records, &c.configuration.routes)
+	c.quotas = config.Quotas(c.configuration.shown.Records, &c.configuration.reader)
 	c.purse.SetLimits(c.quotas)
 }
 
@@ -214,7 +214,7 @@
 
 // states shows the tenants, without their keys, and who lends their quotas.
 func (c *quotaController) states() (tenants []TenantState, quotas *Quotas) {
-	for _, t := range config.Tenants(c.configuration.shown.Records, &c.configuration.routes) {
+	for _, t := range config.Tenants(c.configuration.shown.Records, &c.configuration.reader) {
 		tenants = append(tenants, TenantState{t.Name, len(t.APIKeys), t.Priority, t.RatePerS, t.Burst, t.Residency, t.Generation})
 	}
 	quotas = &Quotas{Lender: c.lentBy}
--- a/internal/controlplane/restart_test.go
+++ b/internal/controlplane/restart_test.go
@@ -59,8 +59,8 @@
 // The prior version of a new order is what the record and the catalogue's owner say, not
 // what this control node happens to have been shown.
 func TestAnOrderStartsFromWhatIsConfirmed(t *testing.T) {
-	a := &Node{versions: map[string]rollout.Service{"s": {Standing: rollout.Standing{Version: "shown"}}}}
-	a.stand.Update(0, 1, 1, []upstream.Instance{{ID: "i", Service: "s", Version: "listed"}})
+	a := &Node{list: &listController{}, versions: map[string]rollout.Service{"s": {Standing: rollout.Standing{Version: "shown"}}}}
+	a.list.stand.Update(0, 1, 1, []upstream.Instance{{ID: "i", Service: "s", Version: "listed"}})
 	plan := func(stage rollout.Stage) replication.Record {
 		data, err := cbor.Marshal(rollout.Plan{Service: "s", Prior: "v1", Candidate: "v2", Order: 1, Stage: stage})
 		if err != nil {
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -72,7 +72,7 @@
 			v.Busy += busy
 		}
 	}
-	a.stand.Each(a.now(), func(i upstream.Instance, left time.Duration) {
+	a.list.stand.Each(a.now(), func(i upstream.Instance, left time.Duration) {
 		if i.Service != p.Service || i.Draining {
 			return
 		}
@@ -85,7 +85,7 @@
 			v.Warm += float64(i.Capacity)
 		}
 	})
-	for _, services := range a.loads {
+	for _, services := range a.delivery.loads {
 		for name, load := range services {
 			if of, _, _ := strings.Cut(name, "@"); of == p.Service {
 				v.Load += load
@@ -105,30 +105,7 @@
 	if known := v.Serves(); known != "" {
 		return known
 	}
-	return a.listed()[o.Rollout.Service].version
-}
-
-type listedVersions struct {
-	version string         // the most frequent
-	of      map[string]int // upstreams by version
-}
-
-// listed counts the versions that the platform lists.
-func (a *Node) listed() map[string]listedVersions {
-	out := map[string]listedVersions{}
-	a.stand.Each(0, func(i upstream.Instance, _ time.Duration) {
-		l := out[i.Service]
-		if l.of == nil {
-			l.of = map[string]int{}
-		}
-		l.of[i.Version]++
-		out[i.Service] = l
-	})
-	for s, l := range out {
-		l.version = upstream.MostFrequent(l.of)
-		out[s] = l
-	}
-	return out
+	return a.list.versions()[o.Rollout.Service].version
 }
 
 // adopt has the versions that stand without an order kept with the items: the first
@@ -140,7 +117,7 @@
 	}
 	known := a.versions
 	o := order{Key: config.Key, Adopt: map[string]rollout.Standing{}, Saw: map[string]uint64{}}
-	for service, l := range a.listed() {
+	for service, l := range a.list.versions() {
 		v := known[service]
 		if v.Active() != nil || l.of[v.Serves()] > 0 || !a.configuration.hasService(service) {
 			continue
