controlplane: rollouts and evacuations have controllers of their own

Change: rolloutController holds the rollouts' state machine, the versions that are shown and what is under way to keep them; the operators' calls and the views on rollouts stand in rollout_http.go and rollout_state.go. asks becomes evacuations, file and tests with it, and picks the records that concern it. Node keeps nothing of either. No message changes.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -164,7 +164,7 @@
 		}
 	}
 	sort.Strings(o.Evacuations)
-	o.Rollouts = a.rolloutStates(now)
+	o.Rollouts = a.rollouts.states(now)
 	if a.quotas != nil {
 		o.Tenants, o.Quotas = a.quotas.states()
 	}
--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -92,8 +92,8 @@
 				revokes = err == nil && a.quotas != nil && config.Revokes(have, changes, &a.configuration.reader)
 				return changes, err
 			case o.Evacuate != nil:
-				a.asks.begins(o)
-				return config.Evacuation(have, strings.TrimPrefix(o.Key, config.EvacuationPrefix), *o.Evacuate, o.ID, a.asks.repeats(now, o))
+				a.evacuations.begins(o)
+				return config.Evacuation(have, strings.TrimPrefix(o.Key, config.EvacuationPrefix), *o.Evacuate, o.ID, a.evacuations.repeats(now, o))
 			case o.Bind != nil:
 				var all []replication.Record
 				for i, b := range o.Bind {
@@ -103,9 +103,9 @@
 				}
 				return all, nil
 			case o.Rollout != nil:
-				return rollout.Begin(have, *o.Rollout, a.serves(have[o.Key], o))
+				return rollout.Begin(have, *o.Rollout, a.rollouts.serves(have[o.Key], o))
 			case o.Abort:
-				return rollout.Abort(have, strings.TrimPrefix(o.Key, rollout.Prefix), a.rolls.Age(a.now(), strings.TrimPrefix(o.Key, rollout.Prefix)))
+				return rollout.Abort(have, strings.TrimPrefix(o.Key, rollout.Prefix), a.rollouts.controller.Age(a.now(), strings.TrimPrefix(o.Key, rollout.Prefix)))
 			case o.Adopt != nil:
 				return rollout.Adopt(have, o.Adopt, o.Saw), nil
 			case o.Service != "":
@@ -122,7 +122,7 @@
 				return
 			}
 			if o.Evacuate != nil {
-				a.asks.carriedOut(now, a.now(), o)
+				a.evacuations.carriedOut(now, a.now(), o)
 			}
 			if revokes {
 				a.quotas.revokedAt = a.now()
@@ -141,7 +141,7 @@
 				v.Body, _ = cbor.Marshal(refused)
 			}
 			if o.Show {
-				v.Body = a.showRollout(a.now(), strings.TrimPrefix(o.Key, rollout.Prefix))
+				v.Body = a.rollouts.shownState(a.now(), strings.TrimPrefix(o.Key, rollout.Prefix))
 				if ordered && v.Body == nil { // taken over a moment ago, and not shown yet
 					v = fault(replication.ErrNoQuorum)
 				}
@@ -315,7 +315,7 @@
 		a.log.control.Info("evacuation ordered", "zone", zone, "on", on)
 		return ok, nil
 	case path == "/v1/rollouts" || strings.HasPrefix(path, "/v1/rollouts/"):
-		return a.rollouts(r, strings.TrimPrefix(strings.TrimPrefix(path, "/v1/rollouts"), "/"))
+		return a.rollouts.serve(r, strings.TrimPrefix(strings.TrimPrefix(path, "/v1/rollouts"), "/"))
 	case path == "/metrics" && r.Method == http.MethodGet:
 		return a.metrics(), nil
 	case path == "/v1/admin/plan" && r.Method == http.MethodPost:
@@ -325,7 +325,7 @@
 		}
 		return a.submit(order{Key: config.Key, Plan: body})
 	case strings.HasPrefix(path, "/v1/admin/rollouts/") && r.Method == http.MethodGet:
-		return a.rolloutAtController(strings.TrimPrefix(path, "/v1/admin/rollouts/"))
+		return a.rollouts.stateAtController(strings.TrimPrefix(path, "/v1/admin/rollouts/"))
 	case strings.HasPrefix(path, "/v1/admin/members/") && r.Method == http.MethodDelete:
 		return ok, a.retire(strings.TrimPrefix(path, "/v1/admin/members/"))
 	case path == "/v1/admin/resolve" && a.registry != nil && r.Method == http.MethodGet:
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -11,21 +11,19 @@
 	"net/http"
 	"os"
 	"sort"
-	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"madderwing/internal/config"
-	"madderwing/internal/delivery"
 	"madderwing/internal/election"
 	"madderwing/internal/logging"
 	"madderwing/internal/membership"
 	"madderwing/internal/replication"
-	"madderwing/internal/rollout"
 	"madderwing/internal/settings"
 	"madderwing/internal/storage"
 	"madderwing/internal/transport"
+	"madderwing/internal/upstream"
 )
 
 // Kinds of message between control nodes.
@@ -61,16 +59,12 @@
 	list          *listController
 	delivery      *deliveryController
 	placement     *placementController
+	rollouts      *rolloutController
+	evacuations   *evacuations
 	quotas        *quotaController    // nil where clients ask no registry
 	registry      *registryController // the same
 
 	// Owned by the pump's goroutine.
-	asks     asks                       // evacuations and withdrawals ordered here
-	rolls    *rollout.Controller        // rollouts, as this control node sees them
-	adopting bool                       // standing versions are being kept
-	waitsAt  time.Duration              // when a rollout that waits may be logged again
-	versions map[string]rollout.Service // as shown
-
 	rosterTold string
 
 	writes *jobs
@@ -87,7 +81,7 @@
 	}
 	env := &environment{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024), log: newLoggers()}
 	a := &Node{environment: env, configuration: newConfiguration(), writes: newJobs(),
-		asks: newAsks(settings.Seconds(set.Bounds.AckS)), rolls: rollout.NewController()}
+		evacuations: newEvacuations(settings.Seconds(set.Bounds.AckS))}
 	beat := set.Beat()
 	vacant := settings.Seconds(set.Bounds.ContactS * vacantPart)
 
@@ -142,9 +136,11 @@
 	a.rota = election.New(election.Config{Self: post.Self(), Life: a.life, Duties: []string{dutyList, dutyShelf}, Lease: vacant,
 		Roster: func() []string { return a.member.Roster() }, Alive: func(id string) bool { return a.reg.Hopeful(id) }})
 	a.list = newListController(env)
-	a.delivery = newDeliveryController(env, a.configuration, a.list, a.rolls.Led)
+	a.rollouts = newRolloutController(env, a.configuration, a.list, a.submit)
+	a.delivery = newDeliveryController(env, a.configuration, a.list, a.rollouts.controller.Led)
 	a.placement = newPlacementController(env, a.configuration, a.submit)
-	a.list.changed, a.list.polled = a.delivery.issue, a.adopt
+	a.list.changed, a.list.polled = a.delivery.issue, a.rollouts.adopt
+	a.rollouts.loads = func() upstream.Loads { return a.delivery.loads }
 
 	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
 	a.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: beat, Forget: 40 * beat},
@@ -240,7 +236,7 @@
 				if a.quotas != nil {
 					a.quotas.tick(now)
 				}
-				a.gate(now, beat)
+				a.rollouts.tick(now)
 				a.contact.tell(now, a.log.control)
 				a.placement.tick(now)
 			}
@@ -341,19 +337,9 @@
 			records = append(records, r)
 		}
 	}
-	taken, versions := a.configuration.merge(records), false
-	for _, r := range taken {
-		versions = versions || rollout.Names(r.Name)
-		if strings.HasPrefix(r.Name, rollout.Prefix) {
-			a.rolls.Saw(a.now(), r)
-		}
-		if strings.HasPrefix(r.Name, config.EvacuationPrefix) {
-			a.asks.saw(a.now(), r)
-		}
-	}
-	if versions {
-		a.versions = rollout.Services(a.configuration.shown.Records)
-	}
+	taken := a.configuration.merge(records)
+	a.rollouts.saw(taken)
+	a.evacuations.committed(a.now(), taken)
 	return len(taken) > 0
 }
 
@@ -382,12 +368,7 @@
 	if a.quotas != nil {
 		a.quotas.handle()
 	}
-	transport.On(a.post, delivery.ScoreKind, func(from string, reports []rollout.Report) {
-		a.offer(func(now time.Duration) { a.rolls.Heard(now, from, reports) })
-	})
-	transport.On(a.post, delivery.GatherKind, func(from string, all []rollout.Gathered) {
-		a.offer(func(now time.Duration) { a.rolls.Take(now, from, all) })
-	})
+	a.rollouts.handle()
 	a.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
 		var o order
 		if err := cbor.Unmarshal(body, &o); err != nil {
--- a/internal/controlplane/asks_test.go
+++ b/internal/controlplane/evacuations_test.go
@@ -26,7 +26,7 @@
 		"a withdrawal sent again":            {{1, true, 0, 10 * ms, true}, {2, true, 6 * s, 10 * ms, true}, {3, false, 8 * s, 2 * s, true}, {4, false, 10500 * ms, 10 * ms, false}, {5, false, 30 * s, 10 * ms, true}},
 	}
 	for name, steps := range cases {
-		a := newAsks(5 * s)
+		a := newEvacuations(5 * s)
 		have := map[string]config.Record{}
 		asked := 0
 		for i, st := range steps {
@@ -74,10 +74,10 @@
 		"and back to the first owner":       {[]step{{0, 1, true, 0}, {1, 2, true, 7 * s}, {0, 3, true, 9 * s}}, 2},
 		"its own, after its own withdrawal": {[]step{{0, 1, true, 0}, {0, 2, true, 7 * s}, {0, 3, false, 8 * s}, {0, 4, true, 10 * s}}, 2},
 	} {
-		both := []asks{newAsks(5 * s), newAsks(5 * s)}
+		both := []*evacuations{newEvacuations(5 * s), newEvacuations(5 * s)}
 		have := map[string]config.Record{}
 		for _, st := range c.steps {
-			own, copies := &both[st.owner], &both[1-st.owner]
+			own, copies := both[st.owner], both[1-st.owner]
 			o := order{Key: name, ID: st.id, Evacuate: &st.on}
 			own.begins(o)
 			changes, err := config.Evacuation(have, "z", st.on, st.id, own.repeats(st.at, o))
--- a/internal/controlplane/restart_test.go
+++ b/internal/controlplane/restart_test.go
@@ -48,19 +48,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &Node{environment: &environment{member: again}, configuration: newConfiguration(), rolls: rollout.NewController(), asks: newAsks(1)}
+	a := &Node{environment: &environment{member: again}, configuration: newConfiguration(), evacuations: newEvacuations(1)}
+	a.rollouts = newRolloutController(a.environment, a.configuration, nil, nil)
 	a.log.replication = slog.New(slog.NewTextHandler(t.Output(), nil))
 	a.showAll()
-	if p := a.versions["s"].Active(); p == nil || p.Candidate != "v2" {
-		t.Errorf("shown after a restart: %+v", a.versions)
+	if p := a.rollouts.versions["s"].Active(); p == nil || p.Candidate != "v2" {
+		t.Errorf("shown after a restart: %+v", a.rollouts.versions)
 	}
 }
 
 // The prior version of a new order is what the record and the catalogue's owner say, not
 // what this control node happens to have been shown.
 func TestAnOrderStartsFromWhatIsConfirmed(t *testing.T) {
-	a := &Node{list: &listController{}, versions: map[string]rollout.Service{"s": {Standing: rollout.Standing{Version: "shown"}}}}
-	a.list.stand.Update(0, 1, 1, []upstream.Instance{{ID: "i", Service: "s", Version: "listed"}})
+	c := &rolloutController{list: &listController{}, versions: map[string]rollout.Service{"s": {Standing: rollout.Standing{Version: "shown"}}}}
+	c.list.stand.Update(0, 1, 1, []upstream.Instance{{ID: "i", Service: "s", Version: "listed"}})
 	plan := func(stage rollout.Stage) replication.Record {
 		data, err := cbor.Marshal(rollout.Plan{Service: "s", Prior: "v1", Candidate: "v2", Order: 1, Stage: stage})
 		if err != nil {
@@ -68,7 +69,7 @@
 		}
 		return replication.Record{Name: rollout.Key("s"), Gen: 7, Data: data}
 	}
-	for name, c := range map[string]struct {
+	for name, x := range map[string]struct {
 		last  replication.Record
 		stood rollout.Standing
 		want  string
@@ -79,8 +80,8 @@
 		"no order yet":                      {replication.Record{}, rollout.Standing{Version: "v0"}, "v0"},
 		"nothing was kept: the list's word": {replication.Record{}, rollout.Standing{}, "listed"},
 	} {
-		if got := a.serves(c.last, order{Rollout: &rollout.Ask{Service: "s"}, Stood: c.stood}); got != c.want {
-			t.Errorf("%s: %q, want %q", name, got, c.want)
+		if got := c.serves(x.last, order{Rollout: &rollout.Ask{Service: "s"}, Stood: x.stood}); got != x.want {
+			t.Errorf("%s: %q, want %q", name, got, x.want)
 		}
 	}
 }
--- /dev/null
+++ b/internal/controlplane/rollout_http.go
@@ -0,0 +1,117 @@
+package controlplane
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
+	"madderwing/internal/replication"
+	"madderwing/internal/rollout"
+)
+
+// rollouts serves the calls for rollouts.
+func (c *rolloutController) serve(r *http.Request, service string) ([]byte, error) {
+	wrong := apierror.New(apierror.WrongMethod, "%s on %s", r.Method, r.URL.Path)
+	if service == "" {
+		if r.Method != http.MethodPost {
+			return nil, wrong
+		}
+		body, err := readCall(r)
+		if err != nil {
+			return nil, err
+		}
+		ask, err := rollout.ReadAsk(body)
+		if err != nil {
+			c.log.control.Warn("rollout refused", "error", err)
+			return nil, err
+		}
+		stood, err := c.service(ask.Service)
+		if err != nil {
+			return nil, err
+		}
+		if _, err := c.submit(order{Key: rollout.Key(ask.Service), Rollout: &ask, Stood: stood}); err != nil {
+			c.log.control.Warn("rollout not taken", "service", ask.Service, "version", ask.Version, "error", err)
+			return nil, err
+		}
+		c.log.control.Info("rollout taken", "service", ask.Service, "version", ask.Version)
+		return []byte("{}\n"), nil
+	}
+	if err := c.hasService(service); err != nil {
+		return nil, err
+	}
+	switch r.Method {
+	case http.MethodGet:
+		body, err := c.submit(order{Key: rollout.Key(service), Read: true})
+		if err == nil && body == nil {
+			err = apierror.New(apierror.NoRollout, "%s", service)
+		}
+		return body, err
+	case http.MethodDelete:
+		_, err := c.submit(order{Key: rollout.Key(service), Abort: true})
+		return []byte("{}\n"), err
+	}
+	return nil, wrong
+}
+
+// hasService says whether a service stands; a control node that does not know it asks the
+// owner of the catalogue before it says no.
+func (c *rolloutController) hasService(name string) error {
+	has := make(chan bool, 1)
+	c.do(func(time.Duration) { has <- c.configuration.hasService(name) })
+	if <-has {
+		return nil
+	}
+	_, err := c.service(name)
+	return err
+}
+
+// service asks the owner of the catalogue for a service, and for its version that
+// stands there.
+func (c *rolloutController) service(name string) (rollout.Standing, error) {
+	body, err := c.submit(order{Key: config.Key, Service: name})
+	if err != nil {
+		return rollout.Standing{}, err
+	}
+	var s standing
+	if err := cbor.Unmarshal(body, &s); err != nil {
+		return rollout.Standing{}, err
+	}
+	if !s.Has {
+		return rollout.Standing{}, apierror.New(apierror.UnknownService, "%q", name)
+	}
+	return s.Stood, nil
+}
+
+// standing is what the owner of the catalogue says of a service.
+type standing struct {
+	Has   bool             `cbor:"1,keyasint,omitempty"`
+	Stood rollout.Standing `cbor:"2,keyasint,omitzero"`
+}
+
+func stood(have map[string]replication.Record, service string) []byte {
+	s := standing{Has: config.HasService(have, service)}
+	s.Stood, _ = rollout.ReadStanding(have[rollout.StandingPrefix+service])
+	b, err := cbor.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// render lays out the records of a key for the operator.
+func render(key string, records map[string]replication.Record) []byte {
+	if !strings.HasPrefix(key, rollout.Prefix) {
+		return config.Render(records)
+	}
+	p, ok := rollout.Read(records[key])
+	if !ok {
+		return nil
+	}
+	b, _ := json.Marshal(map[string]string{"state": p.State(), "targetVersion": p.Candidate})
+	return b
+}
--- /dev/null
+++ b/internal/controlplane/rollout_state.go
@@ -0,0 +1,90 @@
+package controlplane
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"madderwing/internal/apierror"
+	"madderwing/internal/rollout"
+)
+
+// ArmState is one arm of a rollout as the administration API shows it.
+type ArmState struct {
+	Version  string  `json:"version"`
+	Answers  uint64  `json:"answers"` // scored, at the present weight
+	Failed   uint64  `json:"failed"`
+	P99AtMs  float64 `json:"p99AtMostMs"` // 0: too few answers
+	MeanTime float64 `json:"meanTimeScore"`
+}
+
+// RolloutState is a rollout as the administration API shows it.
+type RolloutState struct {
+	Service    string     `json:"service"`
+	State      string     `json:"state"`
+	Stage      string     `json:"stage"`
+	Weight     float64    `json:"weight"`
+	Controller string     `json:"controller"`
+	AgeS       float64    `json:"ageS"`
+	WithinS    float64    `json:"withinS"`
+	Reason     string     `json:"reason,omitempty"`
+	Heard      int        `json:"heard"` // nodes with this weight in force
+	Braked     int        `json:"braked"`
+	Arms       []ArmState `json:"arms"`
+}
+
+// rolloutStates shows all rollouts; figures of the arms are known at the controller.
+func (c *rolloutController) states(now time.Duration) (out []RolloutState) {
+	out = []RolloutState{}
+	for service, v := range c.versions {
+		p := v.Plan
+		if p == nil {
+			continue
+		}
+		sums := c.controller.Gathered(service)
+		s := RolloutState{Service: service, State: p.State(), Stage: p.Stage.String(), Weight: p.Weight, AgeS: p.Age.Seconds(),
+			Controller: c.member.Owner(now, rollout.Key(service)), WithinS: p.Within.Seconds(), Reason: p.Reason,
+			Heard: len(sums.Nodes), Braked: sums.Braked}
+		if !p.Final() {
+			s.AgeS = c.controller.Age(now, service).Seconds()
+		}
+		all := sums.Sums.All()
+		for arm, version := range []string{p.Prior, p.Candidate} {
+			s.Arms = append(s.Arms, armState(version, all[arm]))
+		}
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
+func (c *rolloutController) shownState(now time.Duration, service string) []byte {
+	for _, s := range c.states(now) {
+		if s.Service == service {
+			b, _ := json.MarshalIndent(s, "", "  ")
+			return append(b, '\n')
+		}
+	}
+	return nil
+}
+
+// rolloutAtController shows a rollout as its controller knows it.
+func (c *rolloutController) stateAtController(service string) ([]byte, error) {
+	if err := c.hasService(service); err != nil {
+		return nil, err
+	}
+	body, err := c.submit(order{Key: rollout.Key(service), Show: true})
+	if err == nil && body == nil {
+		err = apierror.New(apierror.NoRollout, "%s", service)
+	}
+	return body, err
+}
+
+func armState(version string, c rollout.Cell) ArmState {
+	s := ArmState{Version: version, Answers: c.Ended, Failed: c.Failed()}
+	if c.N > 0 {
+		s.MeanTime = c.Sum / float64(c.N)
+		s.P99AtMs = float64(c.Tail()) / float64(time.Millisecond)
+	}
+	return s
+}
