controlplane: orders have a controller, and one task for each kind

Cause: one function carried out eleven kinds of order, with variables that only some of them used. Change: orderController brings orders to the owners of their keys (orders.go); the message between control nodes is as it was, field for field, and the owner carries out the task that it stands for, a type of its own with the change and the answer (tasks.go). New tests: the bytes of each order and the task that it stands for, and which changes wait for the leases of keys. Ruled out: a message for each kind, which control nodes of earlier releases could not read.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -186,7 +186,7 @@
 			address = n.Address
 		}
 	}
-	if _, err := a.submit(order{Key: replication.RosterKey, Retire: address}); err != nil {
+	if _, err := a.orders.submit(order{Key: replication.RosterKey, Retire: address}); err != nil {
 		return err
 	}
 	a.log.control.Info("control node retired", "retired", node)
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -13,8 +13,6 @@
 	"sort"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"madderwing/internal/config"
 	"madderwing/internal/election"
 	"madderwing/internal/logging"
@@ -30,7 +28,6 @@
 const (
 	replicationKind = "stacks"
 	rotaKind        = "rota"
-	orderKind       = "order"
 )
 
 // vacantPart is the part of contactS for which an owner may be silent.
@@ -61,6 +58,7 @@
 	placement     *placementController
 	rollouts      *rolloutController
 	evacuations   *evacuations
+	orders        *orderController
 	quotas        *quotaController    // nil where clients ask no registry
 	registry      *registryController // the same
 
@@ -136,9 +134,11 @@
 	a.rota = election.New(election.Config{Self: post.Self(), Life: a.life, Duties: []string{dutyList, dutyShelf}, Lease: vacant,
 		Roster: func() []string { return a.member.Roster() }, Alive: func(id string) bool { return a.reg.Hopeful(id) }})
 	a.list = newListController(env)
-	a.rollouts = newRolloutController(env, a.configuration, a.list, a.submit)
+	a.orders = &orderController{environment: env, configuration: a.configuration, evacuations: a.evacuations, quotas: a.quotas}
+	a.rollouts = newRolloutController(env, a.configuration, a.list, a.orders.submit)
+	a.orders.rollouts = a.rollouts
 	a.delivery = newDeliveryController(env, a.configuration, a.list, a.rollouts.controller.Led)
-	a.placement = newPlacementController(env, a.configuration, a.submit)
+	a.placement = newPlacementController(env, a.configuration, a.orders.submit)
 	a.list.changed, a.list.polled = a.delivery.issue, a.rollouts.adopt
 	a.rollouts.loads = func() upstream.Loads { return a.delivery.loads }
 
@@ -369,12 +369,5 @@
 		a.quotas.handle()
 	}
 	a.rollouts.handle()
-	a.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
-		var o order
-		if err := cbor.Unmarshal(body, &o); err != nil {
-			a.post.Undecoded.Add(1)
-			return nil, err
-		}
-		return a.own(o), nil
-	})
+	a.orders.handle()
 }
--- /dev/null
+++ b/internal/controlplane/orders.go
@@ -0,0 +1,170 @@
+package controlplane
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/apierror"
+	"madderwing/internal/placement"
+	"madderwing/internal/replication"
+	"madderwing/internal/rollout"
+	"madderwing/internal/settings"
+)
+
+// orderKind is the kind of message in which an order goes to the owner of its key.
+const orderKind = "order"
+
+// order is what is asked of the owner of a key, as it goes between control nodes; one of the
+// fields is set beside Key. The owner carries out the task that it stands for.
+type order struct {
+	Key      string            `cbor:"1,keyasint"`
+	Patch    []byte            `cbor:"2,keyasint,omitempty"`
+	Evacuate *bool             `cbor:"3,keyasint,omitempty"`
+	Bind     []placement.Order `cbor:"4,keyasint,omitempty"`
+	Retire   string            `cbor:"6,keyasint,omitempty"`
+	Plan     []byte            `cbor:"7,keyasint,omitempty"`
+	Read     bool              `cbor:"5,keyasint,omitempty"`
+	Show     bool              `cbor:"14,keyasint,omitempty"` // all that the owner knows of a rollout
+	// ID is one call of an operator's, however often it is passed on, and Age how
+	// old that was when it was.
+	ID  uint64        `cbor:"8,keyasint,omitempty"`
+	Age time.Duration `cbor:"9,keyasint,omitempty"`
+	// Rollout begins one, Abort reverses the one of the key; Adopt names versions that
+	// stand, each with the generation of the record that the caller saw.
+	Rollout *rollout.Ask                `cbor:"10,keyasint,omitempty"`
+	Abort   bool                        `cbor:"11,keyasint,omitempty"`
+	Adopt   map[string]rollout.Standing `cbor:"12,keyasint,omitempty"`
+	Saw     map[string]uint64           `cbor:"13,keyasint,omitempty"`
+	// Service asks the owner of the catalogue for one; Stood is what it said stands
+	// there, for an order that begins a rollout.
+	Service string           `cbor:"15,keyasint,omitempty"`
+	Stood   rollout.Standing `cbor:"16,keyasint,omitzero"`
+}
+
+// verdict is the owner's answer.
+type verdict struct {
+	Fault  bool          `cbor:"1,keyasint,omitempty"`
+	Kind   apierror.Kind `cbor:"2,keyasint,omitempty"`
+	Detail string        `cbor:"3,keyasint,omitempty"`
+	Body   []byte        `cbor:"4,keyasint,omitempty"`
+}
+
+// orderController brings orders to the owners of their keys, and carries out those whose key
+// this control node owns.
+type orderController struct {
+	*environment
+	configuration *configuration
+	evacuations   *evacuations
+	rollouts      *rolloutController
+	quotas        *quotaController // nil where clients ask no registry
+}
+
+// handle takes the orders that other control nodes pass on.
+func (c *orderController) handle() {
+	c.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
+		var o order
+		if err := cbor.Unmarshal(body, &o); err != nil {
+			c.post.Undecoded.Add(1)
+			return nil, err
+		}
+		return c.own(o), nil
+	})
+}
+
+// submit brings an order to the owner of its key, wherever that is now, and
+// waits a little where there is none.
+func (c *orderController) submit(o order) ([]byte, error) {
+	begin := time.Now()
+	limit := begin.Add(settings.Seconds(c.set.Bounds.AckS * 0.17))
+	o.ID = rand.Uint64() | 1
+	pause := c.set.Beat() / 10
+	var v verdict
+	for {
+		owner := make(chan string, 1)
+		c.do(func(now time.Duration) {
+			owner <- cmp.Or(c.member.Owner(now, o.Key), c.member.Founder(now, o.Key))
+		})
+		to := <-owner
+		o.Age = time.Since(begin)
+		switch {
+		case to == c.post.Self():
+			v = c.own(o)
+		case to != "":
+			ctx, cancel := context.WithDeadline(context.Background(), limit)
+			if err := c.post.Call(ctx, to, orderKind, o, &v); err != nil {
+				v = fault(err)
+			}
+			cancel()
+		default:
+			v = verdict{true, apierror.NoQuorum, "no owner for " + o.Key, nil}
+		}
+		if !v.Fault {
+			return v.Body, nil
+		}
+		if v.Kind != apierror.NoQuorum || time.Now().Add(pause).After(limit) {
+			return nil, apierror.Later(v.Kind, retryAfter(v.Kind, c.set), "%s", v.Detail)
+		}
+		time.Sleep(pause)
+		pause *= 2
+	}
+}
+
+// own carries an order out at this control node as the owner of its key.
+func (c *orderController) own(o order) verdict {
+	t, err := c.task(o)
+	if err != nil {
+		return fault(err)
+	}
+	done := make(chan verdict, 1)
+	if o.Retire != "" {
+		c.do(func(now time.Duration) {
+			c.member.Retire(now, o.Retire, func(err error) { done <- outcome(err) })
+		})
+		return <-done
+	}
+	c.do(func(now time.Duration) {
+		c.member.Propose(now, o.Key, func(have map[string]replication.Record) ([]replication.Record, error) {
+			return t.change(now, have)
+		}, func(err error) {
+			if err != nil {
+				done <- fault(err)
+				return
+			}
+			t.finish(now, c.now(), func(v verdict) { done <- v })
+		})
+	})
+	return <-done
+}
+
+// outcome is the verdict on an order that brings nothing back.
+func outcome(err error) verdict {
+	switch {
+	case err == nil:
+		return verdict{}
+	case errors.Is(err, replication.ErrUnknown):
+		return fault(apierror.New(apierror.UnknownNode, "it has no seat"))
+	case errors.Is(err, replication.ErrAlive), errors.Is(err, replication.ErrTooFew):
+		return fault(apierror.New(apierror.NotNow, "%v", err))
+	}
+	return fault(err)
+}
+
+func fault(err error) verdict {
+	var e *apierror.Error
+	if errors.As(err, &e) {
+		return verdict{true, e.Kind, e.Detail, nil}
+	}
+	return verdict{true, apierror.NoQuorum, err.Error(), nil}
+}
+
+func retryAfter(kind apierror.Kind, set *settings.Settings) time.Duration {
+	if kind == apierror.NoQuorum || kind == apierror.NotYet {
+		return set.Beat()
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/controlplane/orders_test.go
@@ -0,0 +1,107 @@
+package controlplane
+
+import (
+	"encoding/hex"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/config"
+	"madderwing/internal/placement"
+	"madderwing/internal/quota"
+	"madderwing/internal/replication"
+	"madderwing/internal/rollout"
+	"madderwing/internal/settings"
+)
+
+// Each order goes over the wire in the form that earlier releases read, and stands for one
+// task at the owner.
+func TestOrdersOnTheWire(t *testing.T) {
+	on := true
+	const items = `{"upsert":{"services":[{"name":"a","generation":1,"maxConns":1}]}}`
+	for name, c := range map[string]struct {
+		order order
+		wire  string // without the key
+		task  task
+	}{
+		"a change":          {order{Patch: []byte(items)}, "025842" + hex.EncodeToString([]byte(items)), &patchTask{}},
+		"an evacuation":     {order{Evacuate: &on, ID: 9}, "03f50809", evacuationTask{}},
+		"bindings":          {order{Bind: []placement.Order{{}}}, "", &bindTask{}},
+		"a read":            {order{Read: true}, "05f5", &questionTask{}},
+		"a plan":            {order{Plan: []byte(items)}, "075842" + hex.EncodeToString([]byte(items)), &planTask{}},
+		"a rollout":         {order{Rollout: &rollout.Ask{}}, "", beginTask{}},
+		"a reversal":        {order{Abort: true}, "0bf5", abortTask{}},
+		"standing versions": {order{Adopt: map[string]rollout.Standing{"a": {}}, Saw: map[string]uint64{"a": 2}}, "", adoptTask{}},
+		"all of a rollout":  {order{Show: true}, "0ef5", &showTask{}},
+		"a service":         {order{Service: "a"}, "0f6161", &questionTask{}},
+		"a confirmation":    {order{}, "", confirmTask{}},
+		"an empty plan":     {order{Plan: []byte{}}, "", confirmTask{}}, // is not sent
+	} {
+		c.order.Key = "k"
+		wire, err := cbor.Marshal(c.order)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := hex.EncodeToString(wire); c.wire != "" && got[2:] != "01616b"+c.wire {
+			t.Errorf("%s: %s on the wire", name, got)
+		}
+		var o order
+		if err := cbor.Unmarshal(wire, &o); err != nil {
+			t.Fatal(err)
+		}
+		for _, at := range []order{c.order, o} {
+			task, err := (&orderController{}).task(at)
+			if err != nil || reflect.TypeOf(task) != reflect.TypeOf(c.task) {
+				t.Errorf("%s: %T, %v", name, task, err)
+			}
+		}
+	}
+	if _, err := (&orderController{}).task(order{Patch: []byte("{")}); err == nil {
+		t.Error("a change that cannot be read is taken")
+	}
+}
+
+// Only a change that names tenants waits for the leases of keys that were taken away.
+func TestAChangeThatRevokesIsHeld(t *testing.T) {
+	member, err := replication.NewMember(replication.Config{Self: "a", Identity: 1}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const at = 10 * time.Second
+	env := &environment{set: &settings.Settings{Bounds: settings.Bounds{ContactS: 3, AckS: 5, RevokeS: 1, RevocationGlobal: true}}, member: member, start: time.Now().Add(-at)}
+	for name, c := range map[string]struct {
+		text    string
+		revokes bool
+		ago     time.Duration // since the last key was taken; 0: none was
+		quotas  bool
+		held    bool
+	}{
+		"a key is taken":         {`{"remove":{"tenants":[{"name":"t","generation":2}]}}`, true, 0, true, true},
+		"a tenant is added":      {`{"upsert":{"tenants":[{"name":"u","generation":1,"apiKeys":["k-0123456789abcdef"]}]}}`, false, 0, true, false},
+		"no tenant is named":     {`{"upsert":{"services":[{"name":"a","generation":1,"maxConns":1}]}}`, false, time.Second, true, false},
+		"there are no tenants":   {`{"remove":{"tenants":[{"name":"t","generation":2}]}}`, true, 0, false, false},
+		"a key went before":      {`{"remove":{"tenants":[{"name":"t","generation":2}]}}`, false, time.Second, true, true},
+		"a key went long before": {`{"remove":{"tenants":[{"name":"t","generation":2}]}}`, false, 3 * time.Second, true, false},
+	} {
+		asked, err := config.Read([]byte(c.text))
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		orders := &orderController{environment: env}
+		if c.quotas {
+			orders.quotas = &quotaController{environment: env, purse: &quota.Purse{}}
+			if c.ago > 0 {
+				orders.quotas.revokedAt = at - c.ago
+			}
+		}
+		var answers []verdict
+		task := &patchTask{orders: orders, asked: asked, revokes: c.revokes}
+		task.finish(0, env.now(), func(v verdict) { answers = append(answers, v) })
+		if len(answers) != 1 || answers[0].Fault != c.held {
+			t.Errorf("%s: %+v", name, answers)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controlplane/tasks.go
@@ -0,0 +1,232 @@
+package controlplane
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
+	"madderwing/internal/placement"
+	"madderwing/internal/replication"
+	"madderwing/internal/rollout"
+)
+
+// records are those of one key, by name.
+type records = map[string]replication.Record
+
+// task is what the owner of a key does for one order. Its methods run on the pump's
+// goroutine.
+type task interface {
+	// change works out the change on the key's records, which a round then makes safe or
+	// confirms; came is when the order was taken up. An error refuses the order.
+	change(came time.Duration, have records) ([]replication.Record, error)
+	// finish answers, once the round has ended well. It may answer later.
+	finish(came, now time.Duration, answer func(verdict))
+}
+
+// task is the one that an order stands for.
+func (c *orderController) task(o order) (task, error) {
+	service := strings.TrimPrefix(o.Key, rollout.Prefix)
+	switch {
+	case len(o.Plan) > 0:
+		change, err := config.Read(o.Plan)
+		return &planTask{orders: c, asked: change}, err
+	case len(o.Patch) > 0:
+		change, err := config.Read(o.Patch)
+		return &patchTask{orders: c, asked: change}, err
+	case o.Evacuate != nil:
+		return evacuationTask{evacuations: c.evacuations, order: o}, nil
+	case o.Bind != nil:
+		return &bindTask{bindings: o.Bind, refused: make([]bool, len(o.Bind))}, nil
+	case o.Rollout != nil:
+		return beginTask{rollouts: c.rollouts, order: o}, nil
+	case o.Abort:
+		return abortTask{rollouts: c.rollouts, service: service}, nil
+	case o.Adopt != nil:
+		return adoptTask{order: o}, nil
+	case o.Service != "":
+		return &questionTask{answer: func(have records) []byte { return stood(have, o.Service) }}, nil
+	case o.Show:
+		return &showTask{rollouts: c.rollouts, service: service}, nil
+	case o.Read:
+		return &questionTask{answer: func(have records) []byte { return render(o.Key, have) }}, nil
+	}
+	return confirmTask{}, nil
+}
+
+// noBody is part of tasks whose answer says only that they were carried out.
+type noBody struct{}
+
+func (noBody) finish(_, _ time.Duration, answer func(verdict)) { answer(verdict{}) }
+
+// confirmTask changes nothing: the round confirms that this control node owns the key.
+type confirmTask struct{ noBody }
+
+func (confirmTask) change(time.Duration, records) ([]replication.Record, error) { return nil, nil }
+
+// questionTask answers from the records that the round confirms.
+type questionTask struct {
+	answer func(records) []byte
+	body   []byte
+}
+
+func (t *questionTask) change(_ time.Duration, have records) ([]replication.Record, error) {
+	t.body = t.answer(have)
+	return nil, nil
+}
+
+func (t *questionTask) finish(_, _ time.Duration, answer func(verdict)) {
+	answer(verdict{Body: t.body})
+}
+
+// planTask says what a change of the configuration would do.
+type planTask struct {
+	orders *orderController
+	asked  *config.Change
+	steps  []config.Step
+}
+
+func (t *planTask) change(_ time.Duration, have records) (_ []replication.Record, err error) {
+	t.steps, err = t.asked.Plan(have, &t.orders.configuration.reader)
+	return nil, err
+}
+
+func (t *planTask) finish(_, _ time.Duration, answer func(verdict)) {
+	body, _ := json.Marshal(t.steps)
+	answer(verdict{Body: body})
+}
+
+// patchTask changes the configuration.
+type patchTask struct {
+	orders  *orderController
+	asked   *config.Change
+	revokes bool // it takes a key from a tenant
+}
+
+func (t *patchTask) change(_ time.Duration, have records) ([]replication.Record, error) {
+	reader := &t.orders.configuration.reader
+	changes, err := t.asked.Apply(have, reader)
+	t.revokes = err == nil && t.orders.quotas != nil && config.Revokes(have, changes, reader)
+	return changes, err
+}
+
+func (t *patchTask) finish(_, now time.Duration, answer func(verdict)) {
+	quotas := t.orders.quotas
+	if quotas == nil {
+		answer(verdict{})
+		return
+	}
+	if t.revokes {
+		quotas.revokedAt = now
+	}
+	if t.asked.NamesTenants() {
+		if left := quotas.held(t.orders.now()); left > 0 {
+			t.orders.answerLater(left, answer)
+			return
+		}
+	}
+	answer(verdict{})
+}
+
+// answerLater answers a call that has been carried out but may not be confirmed
+// yet: at the right time, if that is soon, or with the advice to ask again.
+func (c *orderController) answerLater(left time.Duration, answer func(verdict)) {
+	if left > c.set.Beat()*2/3 {
+		answer(verdict{true, apierror.NotYet, "keys that were taken away may be in use for " + left.String(), nil})
+		return
+	}
+	time.AfterFunc(left, func() { answer(verdict{}) })
+}
+
+// evacuationTask orders or withdraws the evacuation of a zone.
+type evacuationTask struct {
+	evacuations *evacuations
+	order       order
+}
+
+func (t evacuationTask) change(came time.Duration, have records) ([]replication.Record, error) {
+	o := t.order
+	t.evacuations.begins(o)
+	return config.Evacuation(have, strings.TrimPrefix(o.Key, config.EvacuationPrefix), *o.Evacuate, o.ID, t.evacuations.repeats(came, o))
+}
+
+func (t evacuationTask) finish(came, now time.Duration, answer func(verdict)) {
+	t.evacuations.carriedOut(came, now, t.order)
+	answer(verdict{})
+}
+
+// bindTask creates bindings of routes to shards, and says of each whether it was refused.
+type bindTask struct {
+	bindings []placement.Order
+	refused  []bool
+}
+
+func (t *bindTask) change(_ time.Duration, have records) (all []replication.Record, _ error) {
+	for i, b := range t.bindings {
+		changes, err := config.Bind(have, b.Binding, b.SawRev)
+		t.refused[i] = err != nil
+		all = append(all, changes...)
+	}
+	return all, nil
+}
+
+func (t *bindTask) finish(_, _ time.Duration, answer func(verdict)) {
+	body, _ := cbor.Marshal(t.refused)
+	answer(verdict{Body: body})
+}
+
+// beginTask begins a rollout.
+type beginTask struct {
+	noBody
+	rollouts *rolloutController
+	order    order
+}
+
+func (t beginTask) change(_ time.Duration, have records) ([]replication.Record, error) {
+	return rollout.Begin(have, *t.order.Rollout, t.rollouts.serves(have[t.order.Key], t.order))
+}
+
+// abortTask has a rollout reversed.
+type abortTask struct {
+	noBody
+	rollouts *rolloutController
+	service  string
+}
+
+func (t abortTask) change(_ time.Duration, have records) ([]replication.Record, error) {
+	return rollout.Abort(have, t.service, t.rollouts.controller.Age(t.rollouts.now(), t.service))
+}
+
+// adoptTask keeps the versions that stand without an order.
+type adoptTask struct {
+	noBody
+	order order
+}
+
+func (t adoptTask) change(_ time.Duration, have records) ([]replication.Record, error) {
+	return rollout.Adopt(have, t.order.Adopt, t.order.Saw), nil
+}
+
+// showTask shows all that the owner knows of a rollout.
+type showTask struct {
+	rollouts *rolloutController
+	service  string
+	ordered  bool // there is a rollout
+}
+
+func (t *showTask) change(_ time.Duration, have records) ([]replication.Record, error) {
+	_, t.ordered = rollout.Read(have[rollout.Key(t.service)])
+	return nil, nil
+}
+
+func (t *showTask) finish(_, now time.Duration, answer func(verdict)) {
+	body := t.rollouts.shownState(now, t.service)
+	if t.ordered && body == nil { // taken over a moment ago, and not shown yet
+		answer(fault(replication.ErrNoQuorum))
+		return
+	}
+	answer(verdict{Body: body})
+}
