An empty plan is refused; it ended the control node that owns the catalogue

Passed on from another control node the empty text was not sent, and the answer was 200 without a body. Change: such a call is 400, "a plan needs a body". The table of bad calls has the case.

--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -107,6 +107,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(body) == 0 {
+			return nil, apierror.New(apierror.BadRequest, "a plan needs a body")
+		}
 		return a.orders.submit(order{Key: config.Key, Plan: body})
 	case strings.HasPrefix(path, "/v1/admin/rollouts/") && r.Method == http.MethodGet:
 		return a.rollouts.stateAtController(strings.TrimPrefix(path, "/v1/admin/rollouts/"))
--- a/internal/controlplane/whole_test.go
+++ b/internal/controlplane/whole_test.go
@@ -216,6 +216,7 @@
 		"unknown view":         {"GET", "/v1/admin/secrets", "", 404, "no such page"},
 		"views are read-only":  {"POST", "/v1/admin/keys", "", 405, "method not allowed"},
 		"a wrong plan":         {"POST", "/v1/admin/plan", `{"upsert":{"services":[{"name":"a"}]}}`, 400, "generation"},
+		"an empty plan":        {"POST", "/v1/admin/plan", "", 400, "a plan needs a body"},
 		"retire nobody":        {"DELETE", "/v1/admin/members/ghost", "", 404, "no such node"},
 		"retire the last":      {"DELETE", "/v1/admin/members/n-1", "", 409, "not as things stand"},
 		"an older generation":  {"PATCH", "/v1/config", strings.NewReplacer("/p/", "/q/", `"generation":1`, `"generation":0`).Replace(items), 200, ""},
