controlplane: administration is a controller; views stand where their state is

Cause: one function of 75 lines read the fields of everything to show it, and Node counted operators' calls. Change: administration holds the counters and puts the overview together from what each controller shows of itself (delivery, placement, quotas, rollouts, configuration); the types of the views stand in views.go. The JSON is the same.

--- a/internal/controlplane/configuration.go
+++ b/internal/controlplane/configuration.go
@@ -1,6 +1,9 @@
 package controlplane
 
 import (
+	"slices"
+	"strings"
+
 	"madderwing/internal/antientropy"
 	"madderwing/internal/config"
 )
@@ -32,3 +35,15 @@
 func (c *configuration) hasService(name string) bool {
 	return config.HasService(c.shown.Records, name)
 }
+
+// evacuated names the zones that are evacuated, in order.
+func (c *configuration) evacuated() []string {
+	out := []string{}
+	for name, r := range c.shown.Records {
+		if zone, ok := strings.CutPrefix(name, config.EvacuationPrefix); ok && !r.Dropped {
+			out = append(out, zone)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/controlplane/configuration_test.go
@@ -0,0 +1,41 @@
+package controlplane
+
+import (
+	"slices"
+	"testing"
+
+	"madderwing/internal/config"
+)
+
+// What is shown never goes back to an older record, and only what is newer is passed on.
+func TestConfigurationTakesOnlyWhatIsNewer(t *testing.T) {
+	c := newConfiguration()
+	record := func(name string, gen uint64, dropped bool) config.Record {
+		return config.Record{Name: name, Gen: gen, Dropped: dropped}
+	}
+	const south, north = config.EvacuationPrefix + "south", config.EvacuationPrefix + "north"
+	for _, x := range []struct {
+		give []config.Record
+		want []string
+	}{
+		{[]config.Record{record(south, 1, false), record(north, 2, false)}, []string{south, north}},
+		{[]config.Record{record(south, 1, false), record(north, 1, true)}, nil},
+		{[]config.Record{record("route/r", 1, false), record(south, 2, true)}, []string{"route/r", south}},
+		{[]config.Record{record(south, 3, false)}, []string{south}},
+	} {
+		var got []string
+		for _, r := range c.merge(x.give) {
+			got = append(got, r.Name)
+		}
+		if !slices.Equal(got, x.want) {
+			t.Errorf("of %v taken: %v, want %v", x.give, got, x.want)
+		}
+	}
+	if got := c.evacuated(); !slices.Equal(got, []string{"north", "south"}) {
+		t.Errorf("evacuated: %v", got)
+	}
+	c.merge([]config.Record{record(north, 3, true)})
+	if got := c.evacuated(); !slices.Equal(got, []string{"south"}) {
+		t.Errorf("evacuated, after one is taken back: %v", got)
+	}
+}
--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -19,12 +19,12 @@
 		known[z] = true
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		a.stats.Orders.Add(1)
+		a.administration.calls.Add(1)
 		body, err := a.serve(r, known)
 		if err != nil {
-			a.stats.Refused.Add(1)
+			a.administration.refused.Add(1)
 			if apierror.KindOf(err) == apierror.NoQuorum {
-				a.stats.NoQuorum.Add(1)
+				a.administration.noQuorum.Add(1)
 			}
 			apierror.Write(w, err)
 			return
@@ -101,7 +101,7 @@
 	case path == "/v1/rollouts" || strings.HasPrefix(path, "/v1/rollouts/"):
 		return a.rollouts.serve(r, strings.TrimPrefix(strings.TrimPrefix(path, "/v1/rollouts"), "/"))
 	case path == "/metrics" && r.Method == http.MethodGet:
-		return a.metrics(), nil
+		return a.administration.metrics(), nil
 	case path == "/v1/admin/plan" && r.Method == http.MethodPost:
 		body, err := readCall(r)
 		if err != nil {
@@ -114,7 +114,7 @@
 	case strings.HasPrefix(path, "/v1/admin/rollouts/") && r.Method == http.MethodGet:
 		return a.rollouts.stateAtController(strings.TrimPrefix(path, "/v1/admin/rollouts/"))
 	case strings.HasPrefix(path, "/v1/admin/members/") && r.Method == http.MethodDelete:
-		return ok, a.retire(strings.TrimPrefix(path, "/v1/admin/members/"))
+		return ok, a.administration.retire(strings.TrimPrefix(path, "/v1/admin/members/"))
 	case path == "/v1/admin/resolve" && a.registry != nil && r.Method == http.MethodGet:
 		q := r.URL.Query()
 		return a.registry.directory.Ask(q.Get("name"), q.Get("region"), q.Get("zone"))
@@ -122,7 +122,7 @@
 		if r.Method != http.MethodGet {
 			return nil, apierror.New(apierror.WrongMethod, "%s on %s", r.Method, path)
 		}
-		return a.admin(strings.TrimPrefix(path, "/v1/admin/"), r.URL.Query())
+		return a.administration.page(strings.TrimPrefix(path, "/v1/admin/"), r.URL.Query())
 	}
 	return nil, apierror.New(apierror.UnknownPage, "%s", r.URL.Path)
 }
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -59,8 +59,10 @@
 	rollouts      *rolloutController
 	evacuations   *evacuations
 	orders        *orderController
-	quotas        *quotaController    // nil where clients ask no registry
-	registry      *registryController // the same
+	// administration is what operators see.
+	administration *administration
+	quotas         *quotaController    // nil where clients ask no registry
+	registry       *registryController // the same
 
 	// Owned by the pump's goroutine.
 	rosterTold string
@@ -139,6 +141,8 @@
 	a.orders.rollouts = a.rollouts
 	a.delivery = newDeliveryController(env, a.configuration, a.list, a.rollouts.controller.Led)
 	a.placement = newPlacementController(env, a.configuration, a.orders.submit)
+	a.administration = &administration{environment: env, configuration: a.configuration, list: a.list, delivery: a.delivery,
+		placement: a.placement, rollouts: a.rollouts, quotas: a.quotas, orders: a.orders}
 	a.list.changed, a.list.polled = a.delivery.issue, a.rollouts.adopt
 	a.rollouts.loads = func() upstream.Loads { return a.delivery.loads }
 
--- a/internal/controlplane/delivery.go
+++ b/internal/controlplane/delivery.go
@@ -6,6 +6,7 @@
 	"madderwing/internal/antientropy"
 	"madderwing/internal/config"
 	"madderwing/internal/delivery"
+	"madderwing/internal/membership"
 	"madderwing/internal/transport"
 	"madderwing/internal/upstream"
 )
@@ -155,3 +156,16 @@
 	}
 	return has
 }
+
+// states shows how far the gateways have the newest items in force.
+func (c *deliveryController) states(list *membership.List) []Delivery {
+	out := []Delivery{}
+	newest := c.configuration.shown.Sums.Fold()
+	for _, n := range list.Nodes {
+		if n.Plane == membership.Data && n.State <= membership.Suspect {
+			digest, heard := c.holds[n.Address]
+			out = append(out, Delivery{n.Name, n.Zone, heard, heard && digest == newest})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/controlplane/delivery_test.go
@@ -0,0 +1,34 @@
+package controlplane
+
+import (
+	"reflect"
+	"testing"
+
+	"madderwing/internal/config"
+	"madderwing/internal/delivery"
+	"madderwing/internal/membership"
+	"madderwing/internal/upstream"
+)
+
+// items: the word that it has them counts, whichever comes first.
+func TestTheNewerWordOnAGatewayCounts(t *testing.T) {
+	shown := newConfiguration()
+	shown.merge([]config.Record{{Name: "route/r", Gen: 1}})
+	newest := shown.shown.Sums.Fold()
+	for _, words := range [][2]uint64{{newest, newest + 1}, {newest + 1, newest}} {
+		c := &deliveryController{configuration: shown, loads: upstream.Loads{}, holds: map[string]uint64{}}
+		for _, digest := range words {
+			c.add(delivery.Told{Holds: map[string]uint64{"10.0.0.1:1": digest}})
+		}
+		list := &membership.List{Nodes: []membership.Node{
+			{Address: "10.0.0.1:1", Name: "g1", Zone: "north", Plane: membership.Data},
+			{Address: "10.0.0.2:1", Name: "g2", Zone: "south", Plane: membership.Data},
+			{Address: "10.0.0.3:1", Name: "g3", Zone: "south", Plane: membership.Data, State: membership.Left},
+			{Address: "10.0.0.4:1", Name: "c1", Zone: "south", Plane: membership.Control},
+		}}
+		want := []Delivery{{"g1", "north", true, true}, {"g2", "south", false, false}}
+		if got := c.states(list); !reflect.DeepEqual(got, want) {
+			t.Errorf("%v: %+v, want %+v", words, got, want)
+		}
+	}
+}
--- a/internal/controlplane/environment.go
+++ b/internal/controlplane/environment.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"madderwing/internal/election"
@@ -26,7 +25,6 @@
 	life     uint64 // tells this life of the process from others
 	contact  *contact
 	commands chan func(now time.Duration)
-	stats    Stats
 	log      loggers
 
 	// Owned by the pump's goroutine.
@@ -34,11 +32,6 @@
 	rota   *election.Rota
 }
 
-// Stats are counters that status shows.
-type Stats struct {
-	Orders, Refused, NoQuorum atomic.Uint64
-}
-
 // loggers are those of the components that a control node logs for.
 type loggers struct {
 	control, replication, storage, election, placement, upstream, rollout *slog.Logger
--- a/internal/controlplane/placement.go
+++ b/internal/controlplane/placement.go
@@ -88,3 +88,29 @@
 		c.do(func(time.Duration) { done(errs) })
 	}()
 }
+
+// states shows the routes, and the shards with their gateways.
+func (c *placementController) states(list *membership.List, labels map[string]int) ([]RouteState, []ShardState) {
+	routes, shards := []RouteState{}, make([]ShardState, c.opt.Shards)
+	zones := make([]map[string]bool, c.opt.Shards)
+	for i := range shards {
+		shards[i] = ShardState{Label: i, Gateways: []string{}}
+		zones[i] = map[string]bool{}
+	}
+	for _, n := range list.Nodes {
+		if n.Plane != membership.Data || n.State > membership.Suspect {
+			continue
+		}
+		s := &shards[labels[n.Address]]
+		s.Gateways = append(s.Gateways, n.Name)
+		zones[s.Label][n.Zone] = true
+		s.Zones = len(zones[s.Label])
+	}
+	for _, r := range c.configuration.routes() {
+		routes = append(routes, RouteState{r.Name, r.Host, r.PathPrefix, r.Targets(), r.Generation, r.Status.Phase, r.Status.Shard})
+		if r.Status.Shard >= 0 && r.Status.Shard < len(shards) {
+			shards[r.Status.Shard].Routes++
+		}
+	}
+	return routes, shards
+}
--- /dev/null
+++ b/internal/controlplane/views.go
@@ -0,0 +1,101 @@
+package controlplane
+
+import (
+	"madderwing/internal/config"
+	"madderwing/internal/election"
+	"madderwing/internal/quota"
+	"madderwing/internal/replication"
+	"madderwing/internal/upstream"
+)
+
+// Member is a node as the administration API shows it.
+type Member struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Plane       string `json:"plane"`
+	State       string `json:"state"`
+	Draining    bool   `json:"draining"`
+	Incarnation uint64 `json:"incarnation"`
+	Shard       int    `json:"shard"` // -1 on control nodes
+	Seat        bool   `json:"seat"`  // in the roster
+}
+
+// Key is a key of the control state as the administration API shows it.
+type Key struct {
+	Key     string `json:"key"`
+	Owner   string `json:"owner"`
+	Epoch   uint64 `json:"epoch"`
+	Seq     uint64 `json:"seq"`
+	Commit  uint64 `json:"commit"`
+	Records int    `json:"records"`
+	// HeardAgoS is how long ago the owner was heard here; at the owner, how long ago a
+	// majority confirmed it.
+	HeardAgoS float64 `json:"heardAgoS"`
+}
+
+// RouteState is a route and its placement.
+type RouteState struct {
+	Name       string       `json:"name"`
+	Host       string       `json:"host"`
+	PathPrefix string       `json:"pathPrefix"`
+	Targets    []string     `json:"targets"`
+	Generation uint64       `json:"generation"`
+	Phase      config.Phase `json:"phase"`
+	Shard      int          `json:"shard"`
+}
+
+// ShardState is a shard and its gateways.
+type ShardState struct {
+	Label    int      `json:"label"`
+	Gateways []string `json:"desks"`
+	Zones    int      `json:"zones"`
+	Routes   int      `json:"routes"`
+}
+
+// Delivery is how far a gateway has the newest items in force.
+type Delivery struct {
+	Gateway string `json:"desk"`
+	Zone    string `json:"zone"`
+	Heard   bool   `json:"heard"`   // by a control node, lately
+	Current bool   `json:"current"` // has what the control node asked knows to be newest
+}
+
+// TenantState is a tenant as the administration API shows it: without its keys.
+type TenantState struct {
+	Name       string   `json:"name"`
+	Keys       int      `json:"keys"`
+	Priority   *int     `json:"priority,omitempty"`
+	RatePerS   float64  `json:"ratePerS"`
+	Burst      float64  `json:"burst"`
+	Residency  []string `json:"residency,omitempty"`
+	Generation uint64   `json:"generation"`
+}
+
+// Quotas tells who lends tenants' quotas and, at the lender, what is lent.
+type Quotas struct {
+	Lender string            `json:"lender"`
+	Silent []string          `json:"silent,omitempty"` // branches that the lender has not heard
+	Loans  []quota.LoanState `json:"loans,omitempty"`
+}
+
+// Overview is all that the administration API shows.
+type Overview struct {
+	Node        string               `json:"node"`
+	Voting      bool                 `json:"voting"`
+	Contact     Contact              `json:"contact"`
+	Roster      replication.Standing `json:"roster"`
+	Members     []Member             `json:"members"`
+	Keys        []Key                `json:"keys"`
+	Duties      []election.State     `json:"duties"`
+	Routes      []RouteState         `json:"routes"`
+	Shards      []ShardState         `json:"shards"`
+	Upstreams   []upstream.Instance  `json:"upstreams"`
+	Listing     upstream.Version     `json:"listing"`
+	Evacuations []string             `json:"evacuations"`
+	Delivery    []Delivery           `json:"delivery"`
+	Tenants     []TenantState        `json:"tenants,omitempty"`
+	Quotas      *Quotas              `json:"quotas,omitempty"`
+	Rollouts    []RolloutState       `json:"rollouts"`
+	Counters    map[string]uint64    `json:"counters"`
+}
