controlplane: start, wiring, pump and leaving are functions of their own

Cause: Run was 130 lines that opened, wired, served and left; settle did what the replica and what the election ask for in one body. The order of calls is as it was, but for the disk's goroutine, which starts before the transport does and then waits.

--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -13,18 +13,18 @@
 const maxCall = 16 << 20
 
 // control serves the operator's calls.
-func (a *Node) control(zones []string) http.Handler {
+func (n *Node) control(zones []string) http.Handler {
 	known := map[string]bool{}
 	for _, z := range zones {
 		known[z] = true
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		a.administration.calls.Add(1)
-		body, err := a.serve(r, known)
+		n.administration.calls.Add(1)
+		body, err := n.serve(r, known)
 		if err != nil {
-			a.administration.refused.Add(1)
+			n.administration.refused.Add(1)
 			if apierror.KindOf(err) == apierror.NoQuorum {
-				a.administration.noQuorum.Add(1)
+				n.administration.noQuorum.Add(1)
 			}
 			apierror.Write(w, err)
 			return
@@ -33,7 +33,7 @@
 			w.Header().Set("Content-Type", "application/json")
 		}
 		if view(r) {
-			a.contact.stamp(a.now(), w.Header())
+			n.contact.stamp(n.now(), w.Header())
 		}
 		_, _ = w.Write(body)
 	})
@@ -57,24 +57,24 @@
 	return body, nil
 }
 
-func (a *Node) serve(r *http.Request, zones map[string]bool) ([]byte, error) {
+func (n *Node) serve(r *http.Request, zones map[string]bool) ([]byte, error) {
 	ok := []byte("{}\n")
 	switch path := r.URL.Path; {
 	case path == "/v1/config":
 		switch r.Method {
 		case http.MethodGet:
-			return a.orders.submit(order{Key: config.Key, Read: true})
+			return n.orders.submit(order{Key: config.Key, Read: true})
 		case http.MethodPatch:
 			body, err := readCall(r)
 			if err != nil {
 				return nil, err
 			}
 			if _, err := config.Read(body); err != nil {
-				a.log.control.Warn("configuration refused", "error", err)
+				n.log.control.Warn("configuration refused", "error", err)
 				return nil, err
 			}
-			if _, err := a.orders.submit(order{Key: config.Key, Patch: body}); err != nil {
-				a.log.control.Warn("configuration not taken", "error", err)
+			if _, err := n.orders.submit(order{Key: config.Key, Patch: body}); err != nil {
+				n.log.control.Warn("configuration not taken", "error", err)
 				return nil, err
 			}
 			return ok, nil
@@ -88,20 +88,20 @@
 		}
 		if !zones[zone] {
 			// A no rests on a majority's word as a yes does.
-			if _, err := a.orders.submit(order{Key: config.Key}); err != nil {
+			if _, err := n.orders.submit(order{Key: config.Key}); err != nil {
 				return nil, err
 			}
 			return nil, apierror.New(apierror.UnknownZone, "%q", zone)
 		}
-		if _, err := a.orders.submit(order{Key: config.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
+		if _, err := n.orders.submit(order{Key: config.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
 			return nil, err
 		}
-		a.log.control.Info("evacuation ordered", "zone", zone, "on", on)
+		n.log.control.Info("evacuation ordered", "zone", zone, "on", on)
 		return ok, nil
 	case path == "/v1/rollouts" || strings.HasPrefix(path, "/v1/rollouts/"):
-		return a.rollouts.serve(r, strings.TrimPrefix(strings.TrimPrefix(path, "/v1/rollouts"), "/"))
+		return n.rollouts.serve(r, strings.TrimPrefix(strings.TrimPrefix(path, "/v1/rollouts"), "/"))
 	case path == "/metrics" && r.Method == http.MethodGet:
-		return a.administration.metrics(), nil
+		return n.administration.metrics(), nil
 	case path == "/v1/admin/plan" && r.Method == http.MethodPost:
 		body, err := readCall(r)
 		if err != nil {
@@ -110,19 +110,19 @@
 		if len(body) == 0 {
 			return nil, apierror.New(apierror.BadRequest, "a plan needs a body")
 		}
-		return a.orders.submit(order{Key: config.Key, Plan: body})
+		return n.orders.submit(order{Key: config.Key, Plan: body})
 	case strings.HasPrefix(path, "/v1/admin/rollouts/") && r.Method == http.MethodGet:
-		return a.rollouts.stateAtController(strings.TrimPrefix(path, "/v1/admin/rollouts/"))
+		return n.rollouts.stateAtController(strings.TrimPrefix(path, "/v1/admin/rollouts/"))
 	case strings.HasPrefix(path, "/v1/admin/members/") && r.Method == http.MethodDelete:
-		return ok, a.administration.retire(strings.TrimPrefix(path, "/v1/admin/members/"))
-	case path == "/v1/admin/resolve" && a.registry != nil && r.Method == http.MethodGet:
+		return ok, n.administration.retire(strings.TrimPrefix(path, "/v1/admin/members/"))
+	case path == "/v1/admin/resolve" && n.registry != nil && r.Method == http.MethodGet:
 		q := r.URL.Query()
-		return a.registry.directory.Ask(q.Get("name"), q.Get("region"), q.Get("zone"))
+		return n.registry.directory.Ask(q.Get("name"), q.Get("region"), q.Get("zone"))
 	case strings.HasPrefix(path, "/v1/admin/"):
 		if r.Method != http.MethodGet {
 			return nil, apierror.New(apierror.WrongMethod, "%s on %s", r.Method, path)
 		}
-		return a.administration.page(strings.TrimPrefix(path, "/v1/admin/"), r.URL.Query())
+		return n.administration.page(strings.TrimPrefix(path, "/v1/admin/"), r.URL.Query())
 	}
 	return nil, apierror.New(apierror.UnknownPage, "%s", r.URL.Path)
 }
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -7,10 +7,11 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"sort"
+	"slices"
 	"time"
 
 	"madderwing/internal/config"
@@ -52,14 +53,13 @@
 type Node struct {
 	*environment
 
-	configuration *configuration
-	list          *listController
-	delivery      *deliveryController
-	placement     *placementController
-	rollouts      *rolloutController
-	evacuations   *evacuations
-	orders        *orderController
-	// administration is what operators see.
+	configuration  *configuration
+	list           *listController
+	delivery       *deliveryController
+	placement      *placementController
+	rollouts       *rolloutController
+	evacuations    *evacuations
+	orders         *orderController
 	administration *administration
 	quotas         *quotaController    // nil where clients ask no registry
 	registry       *registryController // the same
@@ -68,6 +68,7 @@
 	rosterTold string
 
 	writes *jobs
+	zones  []string // that operators may name
 }
 
 // listen makes the mesh; tests put a cut into it.
@@ -79,299 +80,182 @@
 	if set.DataDir == "" {
 		return runRelay(ctx, set, reload)
 	}
-	env := &environment{set: set, opt: opt, start: time.Now(), commands: make(chan func(time.Duration), 1024), log: newLoggers()}
-	a := &Node{environment: env, configuration: newConfiguration(), writes: newJobs(),
-		evacuations: newEvacuations(settings.Seconds(set.Bounds.AckS))}
-	beat := set.Beat()
-	vacant := settings.Seconds(set.Bounds.ContactS * vacantPart)
-
 	if err := os.MkdirAll(set.DataDir, 0o700); err != nil {
 		return err
 	}
-	book, disk, err := storage.Open(set.DataDir, int64(set.Limits.DiskMb*(1<<20)), a.log.storage)
+	book, disk, err := storage.Open(set.DataDir, int64(set.Limits.DiskMb*(1<<20)), logging.For(logging.Storage))
 	if err != nil && !errors.Is(err, storage.ErrDamaged) {
 		return err
 	}
-	post, err := listen(set.ControlAddress(set.IP), settings.Seconds(set.Bounds.ContactS/6), logging.For(logging.Transport))
+	n, err := newNode(set, opt, disk)
 	if err != nil {
 		return err
 	}
-	a.post = post
+	go n.keep(book)
+	return n.run(ctx, reload)
+}
 
+// newNode makes a control node over what its disk holds. It runs nothing yet.
+func newNode(set *settings.Settings, opt Options, disk map[string][]byte) (*Node, error) {
+	post, err := listen(set.ControlAddress(set.IP), settings.Seconds(set.Bounds.ContactS/6), logging.For(logging.Transport))
+	if err != nil {
+		return nil, err
+	}
+	zones := zonesOf(set)
 	keys := []string{config.Key}
-	zones := make([]string, 0, len(set.Zones))
-	for z := range set.Zones {
-		zones = append(zones, z)
+	for _, zone := range zones {
+		keys = append(keys, config.EvacuationPrefix+zone)
 	}
-	if len(zones) == 0 {
-		zones = append(zones, set.Zone)
+	env := &environment{set: set, opt: opt, post: post, start: time.Now(), life: rand.Uint64() | 1,
+		contact:  newContact(settings.Seconds(set.Bounds.ContactS*contactPart), keys),
+		commands: make(chan func(time.Duration), commandQueue), log: newLoggers()}
+	n := &Node{environment: env, configuration: newConfiguration(), writes: newJobs(), zones: zones,
+		evacuations: newEvacuations(settings.Seconds(set.Bounds.AckS))}
+	if set.Global() {
+		n.registry = newRegistryController(env)
+		n.quotas = newQuotaController(env, n.configuration)
 	}
-	sort.Strings(zones)
-	for _, z := range zones {
-		keys = append(keys, config.EvacuationPrefix+z)
+	if n.member, err = newReplica(env, keys, disk); err != nil {
+		return nil, err
 	}
-	a.life = rand.Uint64() | 1
-	a.contact = newContact(settings.Seconds(set.Bounds.ContactS*contactPart), keys)
-	if set.Global() {
-		a.registry = newRegistryController(env)
-		a.quotas = newQuotaController(env, a.configuration)
+	n.rota = election.New(election.Config{Self: post.Self(), Life: env.life, Duties: []string{dutyList, dutyShelf}, Lease: vacant(set),
+		Roster: func() []string { return n.member.Roster() }, Alive: func(id string) bool { return n.reg.Hopeful(id) }})
+	n.wire()
+	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
+	n.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: set.Beat(), Forget: 40 * set.Beat()},
+		post, n.nodesChanged)
+	n.handle()
+	n.do(func(time.Duration) { // before anybody's word is heard
+		n.showAll()
+		n.configurationChanged()
+	})
+	return n, nil
+}
+
+// commandQueue is how many commands may wait for the pump.
+const commandQueue = 1024
+
+// zonesOf names the zones of the settings, in order.
+func zonesOf(set *settings.Settings) []string {
+	if len(set.Zones) == 0 {
+		return []string{set.Zone}
 	}
-	a.member, err = replication.NewMember(replication.Config{Sure: keys,
-		Self: post.Self(), Life: a.life, Seeds: set.SeedControlNodes(),
+	return slices.Sorted(maps.Keys(set.Zones))
+}
+
+// vacant is how long an owner, or the holder of a duty, may be silent.
+func vacant(set *settings.Settings) time.Duration {
+	return settings.Seconds(set.Bounds.ContactS * vacantPart)
+}
+
+// newReplica makes this control node's replica of the control state.
+func newReplica(env *environment, keys []string, disk map[string][]byte) (*replication.Member, error) {
+	set := env.set
+	node := func(id string) (membership.Node, bool) { return env.reg.List().Get(id) }
+	return replication.NewMember(replication.Config{Sure: keys,
+		Self: env.post.Self(), Life: env.life, Seeds: set.SeedControlNodes(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
-		Beat: beat, Vacant: vacant, Patience: settings.Seconds(set.Bounds.AckS * 0.17), HandBack: opt.HandBack,
-		Alive:    func(id string) bool { return a.reg.Hopeful(id) },
+		Beat: set.Beat(), Vacant: vacant(set), Patience: settings.Seconds(set.Bounds.AckS * 0.17), HandBack: env.opt.HandBack,
+		Alive:    func(id string) bool { return env.reg.Hopeful(id) },
 		Identity: rand.Uint64() | 1, Faults: set.FaultBudget.Machines,
-		Left: func(id string) bool { n, ok := a.reg.List().Get(id); return ok && n.State == membership.Left },
+		Left: func(id string) bool { n, ok := node(id); return ok && n.State == membership.Left },
 		Peers: func() (out []string) {
-			for _, n := range a.reg.List().Live(membership.Control) {
+			for _, n := range env.reg.List().Live(membership.Control) {
 				out = append(out, n.Address)
 			}
 			return out
 		},
-		Zone: func(id string) string { n, _ := a.reg.List().Get(id); return n.Zone }}, disk)
-	if err != nil {
-		return err
+		Zone: func(id string) string { n, _ := node(id); return n.Zone }}, disk)
+}
+
+// wire makes the controllers and gives each what it needs of others.
+func (n *Node) wire() {
+	n.list = newListController(n.environment)
+	n.orders = &orderController{environment: n.environment, configuration: n.configuration, evacuations: n.evacuations, quotas: n.quotas}
+	n.rollouts = newRolloutController(n.environment, n.configuration, n.list, n.orders.submit)
+	n.orders.rollouts = n.rollouts
+	n.delivery = newDeliveryController(n.environment, n.configuration, n.list, n.rollouts.controller.Led)
+	n.placement = newPlacementController(n.environment, n.configuration, n.orders.submit)
+	n.administration = &administration{environment: n.environment, configuration: n.configuration, list: n.list, delivery: n.delivery,
+		placement: n.placement, rollouts: n.rollouts, quotas: n.quotas, orders: n.orders}
+	n.list.changed, n.list.polled = n.delivery.issue, n.rollouts.adopt
+	n.rollouts.loads = func() upstream.Loads { return n.delivery.loads }
+}
+
+// nodesChanged takes over another list of nodes. It runs on the goroutine of membership.
+func (n *Node) nodesChanged(l *membership.List) {
+	n.do(func(time.Duration) { n.placement.look() })
+	if n.registry != nil {
+		n.registry.setNodes(l)
 	}
-	a.rota = election.New(election.Config{Self: post.Self(), Life: a.life, Duties: []string{dutyList, dutyShelf}, Lease: vacant,
-		Roster: func() []string { return a.member.Roster() }, Alive: func(id string) bool { return a.reg.Hopeful(id) }})
-	a.list = newListController(env)
-	a.orders = &orderController{environment: env, configuration: a.configuration, evacuations: a.evacuations, quotas: a.quotas}
-	a.rollouts = newRolloutController(env, a.configuration, a.list, a.orders.submit)
-	a.orders.rollouts = a.rollouts
-	a.delivery = newDeliveryController(env, a.configuration, a.list, a.rollouts.controller.Led)
-	a.placement = newPlacementController(env, a.configuration, a.orders.submit)
-	a.administration = &administration{environment: env, configuration: a.configuration, list: a.list, delivery: a.delivery,
-		placement: a.placement, rollouts: a.rollouts, quotas: a.quotas, orders: a.orders}
-	a.list.changed, a.list.polled = a.delivery.issue, a.rollouts.adopt
-	a.rollouts.loads = func() upstream.Loads { return a.delivery.loads }
+}
 
-	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
-	a.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: beat, Forget: 40 * beat},
-		post, func(l *membership.List) {
-			a.do(func(time.Duration) { a.placement.look() })
-			if a.registry != nil {
-				a.registry.setNodes(l)
-			}
-		})
-	a.handlers()
-	a.answerRelays()
-	a.do(func(time.Duration) { // before anybody's word is heard
-		a.showAll()
-		a.configurationChanged()
-	})
-	post.Start()
-	go a.reg.Run()
-	go a.keep(book)
-	pumped := make(chan struct{})
-	stop := make(chan struct{})
-	go func() { a.pump(beat, stop); close(pumped) }()
+// run serves until ctx ends, then leaves in order.
+func (n *Node) run(ctx context.Context, reload <-chan *settings.Settings) error {
+	n.post.Start()
+	go n.reg.Run()
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() { n.pump(stop); close(stopped) }()
 
-	control := &http.Server{Addr: set.Bind.Control, Handler: a.control(zones), ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
-		IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: slog.NewLogLogger(a.log.control.Handler(), slog.LevelWarn)}
 	failed := make(chan error, 2)
+	control := n.server(n.set.Bind.Control, n.control(n.zones))
 	go func() { failed <- control.ListenAndServe() }()
-	if a.registry != nil && set.Bind.Directory != "" {
-		registry := &http.Server{Addr: set.Bind.Directory, Handler: a.registry.directory, ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
-			IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: slog.NewLogLogger(a.log.control.Handler(), slog.LevelWarn)}
+	if n.registry != nil && n.set.Bind.Directory != "" {
+		registry := n.server(n.set.Bind.Directory, n.registry.directory)
 		go func() { failed <- registry.ListenAndServe() }()
 		defer registry.Close()
 	}
-	a.log.control.Info("control node is up", "node", set.Node, "zone", set.Zone)
-
+	n.log.control.Info("control node is up", "node", n.set.Node, "zone", n.set.Zone)
 	for {
 		select {
 		case fresh := <-reload:
-			a.reg.Seeds(fresh.SeedControlNodes())
+			n.reg.Seeds(fresh.SeedControlNodes())
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
-			a.log.control.Info("leaving")
-			began := time.Now()
-			a.do(func(now time.Duration) { a.member.Leave(now); a.rota.Leave(now) })
-			a.reg.Leave(false)
-			// Orders under way are answered; the heirs take over meanwhile, and what
-			// this member holds is held by enough others before it goes.
-			time.Sleep(vacant / 2)
-			a.awaitMayGo(began.Add(settings.Seconds(set.Bounds.GraceS * 0.8)))
-			a.reg.Leave(true)
-			grace, cancel := context.WithDeadline(context.Background(), began.Add(settings.Seconds(set.Bounds.GraceS*0.95)))
-			_ = control.Shutdown(grace)
-			cancel()
+			n.leave(control)
 			close(stop)
-			<-pumped
-			a.reg.Stop()
-			post.Close()
+			<-stopped
+			n.reg.Stop()
+			n.post.Close()
 			return nil
 		}
 	}
 }
 
+// server serves clients or operators at an address.
+func (n *Node) server(address string, handler http.Handler) *http.Server {
+	return &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: settings.Seconds(n.set.Bounds.ContactS),
+		IdleTimeout: settings.Seconds(4 * n.set.Bounds.ContactS), ErrorLog: slog.NewLogLogger(n.log.control.Handler(), slog.LevelWarn)}
+}
+
+// leave hands over what this control node does for others, and ends the operators' calls.
+func (n *Node) leave(control *http.Server) {
+	n.log.control.Info("leaving")
+	began := time.Now()
+	n.do(func(now time.Duration) { n.member.Leave(now); n.rota.Leave(now) })
+	n.reg.Leave(false)
+	// Orders under way are answered; the heirs take over meanwhile, and what
+	// this member holds is held by enough others before it goes.
+	time.Sleep(vacant(n.set) / 2)
+	n.awaitMayGo(began.Add(settings.Seconds(n.set.Bounds.GraceS * 0.8)))
+	n.reg.Leave(true)
+	grace, cancel := context.WithDeadline(context.Background(), began.Add(settings.Seconds(n.set.Bounds.GraceS*0.95)))
+	defer cancel()
+	_ = control.Shutdown(grace)
+}
+
 // awaitMayGo waits until the others can do without this member, at most until end.
-func (a *Node) awaitMayGo(end time.Time) {
-	for ; ; time.Sleep(a.set.Beat() / 20) {
+func (n *Node) awaitMayGo(end time.Time) {
+	for ; ; time.Sleep(n.set.Beat() / 20) {
 		may := make(chan bool, 1)
-		a.do(func(now time.Duration) { may <- a.member.MayGo(now) })
+		n.do(func(now time.Duration) { may <- n.member.MayGo(now) })
 		if <-may {
 			return
 		}
 		if time.Now().After(end) {
-			a.log.replication.Warn("this member goes although too few others hold what it holds")
-			return
-		}
-	}
-}
-
-// pump owns the state machines: it runs one command at a time and carries out
-// what they ask for.
-func (a *Node) pump(beat time.Duration, stop chan struct{}) {
-	tick := time.NewTicker(beat / 5)
-	defer tick.Stop()
-	for {
-		var fn func(time.Duration)
-		select {
-		case fn = <-a.commands:
-		case <-tick.C:
-			fn = func(now time.Duration) {
-				a.member.Tick(now)
-				a.rota.Tick(now)
-				a.list.tick(now)
-				a.delivery.tick(now)
-				if a.quotas != nil {
-					a.quotas.tick(now)
-				}
-				a.rollouts.tick(now)
-				a.contact.tell(now, a.log.control)
-				a.placement.tick(now)
-			}
-		case <-stop:
-			a.writes.close()
+			n.log.replication.Warn("this member goes although too few others hold what it holds")
 			return
 		}
-		now := a.now()
-		fn(now)
-		a.settle(now)
-		a.contact.look(a.member.Current)
-	}
-}
-
-// settle carries out what the state machines want done.
-func (a *Node) settle(now time.Duration) {
-	for again := true; again; {
-		again = false
-		fx := a.member.Take()
-		byPeer := map[string][]replication.Message{}
-		var order []string
-		for _, e := range fx.Send {
-			if byPeer[e.To] == nil {
-				order = append(order, e.To)
-			}
-			byPeer[e.To] = append(byPeer[e.To], e.Msg)
-		}
-		for _, to := range order {
-			a.post.Send(to, replicationKind, byPeer[to])
-		}
-		for _, w := range fx.Writes {
-			a.writes.put(writeJob{w.Entries, w.ID, false})
-		}
-		if fx.Rewrite {
-			entries, upTo := a.member.Snapshot()
-			a.writes.put(writeJob{entries, upTo, true})
-		}
-		for _, n := range fx.Notes {
-			a.log.replication.Info(n)
-		}
-		changed := false
-		for _, key := range fx.Committed {
-			changed = a.show(key, fx.Changed[key]) || changed
-		}
-		if changed {
-			a.placement.look()
-			a.delivery.issue(now)
-			a.configurationChanged()
-		}
-		out, duties := a.rota.Take()
-		for _, e := range out {
-			a.post.Send(e.To, rotaKind, e.Msg)
-		}
-		for _, d := range duties {
-			again = true
-			_, mine := a.rota.Holds(now, d)
-			if mine {
-				a.log.election.Info("duty won", "duty", d)
-			} else {
-				a.log.election.Info("duty given up", "duty", d)
-			}
-			switch d {
-			case dutyShelf:
-				a.placement.dutyChanged()
-			case dutyList:
-				if mine {
-					a.list.poll()
-				}
-			}
-		}
-		again = a.placement.reconcile(now) || again
-	}
-}
-
-// showAll takes over what the disk held, also of keys that were made as they were needed.
-func (a *Node) showAll() {
-	for _, key := range a.member.Keys() {
-		a.show(key, nil)
-	}
-}
-
-// show takes over the committed records of a key into what the gateways may see: those
-// that have changed, or all if changed is nil.
-func (a *Node) show(key string, records []replication.Record) bool {
-	if key == replication.RosterKey {
-		if r := a.member.Standing(a.now()).String(); r != a.rosterTold {
-			a.rosterTold = r
-			a.log.replication.Info("roster changed", "roster", r)
-		}
-		return false
-	}
-	if records == nil {
-		all, _, ok := a.member.Committed(key)
-		if !ok {
-			return false
-		}
-		for _, r := range all {
-			records = append(records, r)
-		}
-	}
-	taken := a.configuration.merge(records)
-	a.rollouts.saw(taken)
-	a.evacuations.committed(a.now(), taken)
-	return len(taken) > 0
-}
-
-// configurationChanged has the controllers take over what concerns them.
-func (a *Node) configurationChanged() {
-	if a.registry == nil {
-		return
-	}
-	a.quotas.setConfiguration()
-	a.registry.setConfiguration(a.configuration.shown.Records)
-}
-
-func (a *Node) handlers() {
-	transport.On(a.post, replicationKind, func(from string, msgs []replication.Message) {
-		a.offer(func(now time.Duration) {
-			for _, m := range msgs {
-				a.member.Handle(now, from, m)
-			}
-		})
-	})
-	transport.On(a.post, rotaKind, func(from string, m election.Message) {
-		a.offer(func(now time.Duration) { a.rota.Handle(now, from, m) })
-	})
-	a.list.handle()
-	a.delivery.handle()
-	if a.quotas != nil {
-		a.quotas.handle()
 	}
-	a.rollouts.handle()
-	a.orders.handle()
 }
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -93,32 +93,32 @@
 
 // keep owns the ledger: it writes batches in order and reports when they are
 // durable. Batches that wait are written together.
-func (a *Node) keep(open *storage.Ledger) {
+func (n *Node) keep(open *storage.Ledger) {
 	defer open.Close()
 	w := writer{book: open}
 	for {
-		jobs := a.writes.take()
+		jobs := n.writes.take()
 		if jobs == nil {
 			return
 		}
 		done := w.write(jobs)
 		if done.err != nil {
-			a.log.storage.Warn("write refused", "error", done.err)
+			n.log.storage.Warn("write refused", "error", done.err)
 		}
 		if done.durable > 0 || done.rewrite == rewriteNow {
-			a.do(func(now time.Duration) {
+			n.do(func(now time.Duration) {
 				if done.durable > 0 {
-					a.member.Durable(now, done.durable)
+					n.member.Durable(now, done.durable)
 				}
 				if done.rewrite == rewriteNow {
-					a.member.Failed(now) // writes the whole state
+					n.member.Failed(now) // writes the whole state
 				}
 			})
 		}
 		if done.rewrite == rewriteLater {
 			go func() {
-				time.Sleep(a.set.Beat() / 2)
-				a.do(func(now time.Duration) { a.member.Failed(now) })
+				time.Sleep(n.set.Beat() / 2)
+				n.do(func(now time.Duration) { n.member.Failed(now) })
 			}()
 		}
 	}
--- a/internal/controlplane/relay.go
+++ b/internal/controlplane/relay.go
@@ -60,16 +60,16 @@
 )
 
 // answerRelays answers the questions of relays.
-func (a *Node) answerRelays() {
-	a.post.HandleSlow(relayKind, func(_ string, body []byte) (any, error) {
+func (n *Node) answerRelays() {
+	n.post.HandleSlow(relayKind, func(_ string, body []byte) (any, error) {
 		var q relayQuestion
 		if err := cbor.Unmarshal(body, &q); err != nil {
-			a.post.Undecoded.Add(1)
+			n.post.Undecoded.Add(1)
 			return nil, err
 		}
 		ch := make(chan relayAnswer, 1)
-		a.do(func(now time.Duration) {
-			ch <- answerRelay(q.Key, a.post.Self(), a.member.Keys(), func(key string) string { return a.member.Owner(now, key) }, a.reg.List())
+		n.do(func(now time.Duration) {
+			ch <- answerRelay(q.Key, n.post.Self(), n.member.Keys(), func(key string) string { return n.member.Owner(now, key) }, n.reg.List())
 		})
 		return <-ch, nil
 	})
