controlplane: the relay's parts stand in files of their own

Cause: relay.go held a process, an HTTP handler, a search for control nodes, a part of the founding and the messages.

--- /dev/null
+++ b/internal/controlplane/relay_founding.go
@@ -0,0 +1,30 @@
+package controlplane
+
+import (
+	"sync"
+
+	"madderwing/internal/replication"
+)
+
+// founding is a relay's part in the founding of a system whose seeds name it: it says that
+// it can be no member. If all seeds are relays, the lowest one's word on who is to found
+// counts; that is the first control node that asks, and nobody once the process has been
+// started again, as it no longer knows whom it named.
+type founding struct {
+	bootstrap bool
+	mu        sync.Mutex
+	appointed string
+}
+
+// answer is what to say to a member; nil: nothing.
+func (f *founding) answer(from string, m replication.Message) *replication.Founded {
+	if m.Found == nil || len(m.Found.Records) > 0 {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.bootstrap && f.appointed == "" {
+		f.appointed = from
+	}
+	return &replication.Founded{Relay: true, Appointed: f.appointed}
+}
--- /dev/null
+++ b/internal/controlplane/relay_picker.go
@@ -0,0 +1,247 @@
+package controlplane
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"madderwing/internal/config"
+	"madderwing/internal/membership"
+	"madderwing/internal/rendezvous"
+	"madderwing/internal/settings"
+	"madderwing/internal/transport"
+)
+
+// How long things take at a relay, as parts of contactS: an answer after which another
+// control node is asked as well, and a call in all. A caller gives a node up after a second.
+const (
+	relayPatience = 1.0 / 20
+	relayLimit    = 1.0 / 6
+	relayMost     = time.Second / 2
+)
+
+// maxKnown bounds the control nodes that a relay remembers from their own word alone.
+const maxKnown = 64
+
+// picker finds the control node that a call is redirected to. It asks control nodes only when it
+// is asked itself.
+type picker struct {
+	self     string
+	zone     string
+	patience time.Duration // then another is asked as well
+	limit    time.Duration // for a call in all
+	rest     time.Duration // for which a control node that gave no good answer comes last
+	ask      func(ctx context.Context, to, key string) (relayAnswer, error)
+
+	mu     sync.Mutex
+	seeds  []string
+	nodes  map[string]membership.Node // control nodes, as the newest good answer had them
+	owners map[string]string
+	failed map[string]time.Time
+	last   string    // that gave the newest good answer
+	lookAt time.Time // when there was one, or somebody who joins had one looked for
+}
+
+// newPicker makes the picker of a relay, which asks over the transport.
+func newPicker(set *settings.Settings, post *transport.Mesh) *picker {
+	return &picker{self: post.Self(), zone: set.Zone, seeds: set.SeedControlNodes(),
+		patience: min(settings.Seconds(set.Bounds.ContactS*relayPatience), relayMost/4),
+		limit:    min(settings.Seconds(set.Bounds.ContactS*relayLimit), relayMost),
+		rest:     settings.Seconds(set.Bounds.ContactS),
+		nodes:    map[string]membership.Node{}, owners: map[string]string{}, failed: map[string]time.Time{},
+		ask: func(ctx context.Context, to, key string) (a relayAnswer, err error) {
+			err = post.Call(ctx, to, relayKind, relayQuestion{key}, &a)
+			return a, err
+		}}
+}
+
+// pick names a working control node, the owner of the key where that is known and answers;
+// empty: none answered in time.
+func (p *picker) pick(key string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), p.limit)
+	defer cancel()
+	asked := map[string]bool{p.self: true}
+	first, owner := p.first(ctx, key, asked)
+	if owner == "" || asked[owner] || p.resting(owner) {
+		return first // none is known, or it answers no question
+	}
+	ctx, cancel = context.WithTimeout(ctx, p.patience)
+	defer cancel()
+	a, err := p.question(ctx, owner, key)
+	switch {
+	case err != nil:
+		p.fails(owner)
+	case a.Works && !a.Relay:
+		return owner
+	}
+	return first
+}
+
+type heard struct {
+	from   string
+	answer relayAnswer
+	err    error
+}
+
+// first asks one candidate after the other, another as well where one is slow, and
+// gives the first that works and whom that takes for the owner. Those in asked are not
+// asked, and all that are come into it.
+func (p *picker) first(ctx context.Context, key string, asked map[string]bool) (from, owner string) {
+	queue := p.candidates(key)
+	answers := make(chan heard)
+	slow := time.NewTimer(p.patience)
+	defer slow.Stop()
+	open, newest := 0, ""
+	next := func() {
+		for len(queue) > 0 {
+			to := queue[0]
+			queue = queue[1:]
+			if asked[to] {
+				continue
+			}
+			asked[to], newest = true, to
+			open++
+			slow.Reset(p.patience)
+			go func() {
+				answer, err := p.question(ctx, to, key)
+				select {
+				case answers <- heard{to, answer, err}:
+				case <-ctx.Done():
+				}
+			}()
+			return
+		}
+	}
+	for next(); open > 0; {
+		select {
+		case h := <-answers:
+			open--
+			switch {
+			case h.err != nil:
+			case h.answer.Relay:
+				for _, n := range h.answer.Nodes {
+					queue = append(queue, n.Address)
+				}
+			case h.answer.Works:
+				return h.from, h.answer.Owner
+			}
+			next()
+		case <-slow.C:
+			p.fails(newest) // unless it answers yet
+			next()
+		case <-ctx.Done():
+			return "", ""
+		}
+	}
+	return "", ""
+}
+
+// question asks one node, and notes what comes of it.
+func (p *picker) question(ctx context.Context, to, key string) (relayAnswer, error) {
+	a, err := p.ask(ctx, to, key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err == nil && a.Works && !a.Relay:
+		delete(p.failed, to)
+		p.nodes = map[string]membership.Node{}
+		for _, n := range a.Nodes {
+			p.nodes[n.Address] = n
+		}
+		if a.Owner != "" {
+			p.owners[key] = a.Owner
+		}
+		p.last, p.lookAt = to, time.Now()
+		maps.DeleteFunc(p.failed, func(id string, at time.Time) bool { return time.Since(at) > p.rest })
+	case err != nil && ctx.Err() != nil:
+		// Another was quicker, or the time is over: whoever asked knows what that says.
+	default:
+		p.failed[to] = time.Now()
+	}
+	return a, err
+}
+
+// fails notes that a node gives no good answer.
+func (p *picker) fails(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed[id] = time.Now()
+}
+
+// resting says whether a node has lately given no good answer.
+func (p *picker) resting(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lately(id)
+}
+
+func (p *picker) lately(id string) bool {
+	at, ok := p.failed[id]
+	return ok && time.Since(at) < p.rest
+}
+
+// candidates lists whom to ask: the owner, who answered last, the other control nodes, those
+// of the own zone first, the seeds; and at the end those that lately gave no good
+// answer, the one that did so longest ago first.
+func (p *picker) candidates(key string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []string{p.owners[key], p.last}
+	known := rendezvous.Order(p.self, slices.Collect(maps.Keys(p.nodes)))
+	slices.SortStableFunc(known, func(a, b string) int {
+		return cmp.Compare(p.away(a), p.away(b))
+	})
+	out = append(append(out, known...), rendezvous.Order(p.self, p.seeds)...)
+	seen := map[string]bool{"": true, p.self: true}
+	out = slices.DeleteFunc(out, func(id string) bool {
+		again := seen[id]
+		seen[id] = true
+		return again
+	})
+	bad := slices.DeleteFunc(slices.Clone(out), func(id string) bool { return !p.lately(id) })
+	slices.SortStableFunc(bad, func(a, b string) int { return p.failed[a].Compare(p.failed[b]) })
+	return append(slices.DeleteFunc(out, p.lately), bad...)
+}
+
+func (p *picker) away(id string) int {
+	if p.nodes[id].Zone == p.zone {
+		return 0
+	}
+	return 1
+}
+
+// setSeeds takes over other seeds.
+func (p *picker) setSeeds(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+}
+
+// known lists the control nodes that this relay knows of.
+func (p *picker) known() []membership.Node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.SortedFunc(maps.Values(p.nodes), func(a, b membership.Node) int { return strings.Compare(a.Address, b.Address) })
+}
+
+// introduce is for a node that joins and takes this relay for a control node: it tells the
+// control nodes, after looking for them again if none has answered for a while.
+func (p *picker) introduce(n membership.Node) []membership.Node {
+	p.mu.Lock()
+	if _, have := p.nodes[n.Address]; n.Plane == membership.Control && !have && len(p.nodes) < maxKnown {
+		p.nodes[n.Address] = n
+	}
+	fresh := !p.lookAt.IsZero() && time.Since(p.lookAt) < p.rest
+	if !fresh {
+		p.lookAt = time.Now() // one look for all that join at once
+	}
+	p.mu.Unlock()
+	if !fresh {
+		p.pick(config.Key)
+	}
+	return slices.DeleteFunc(p.known(), func(k membership.Node) bool { return k.Address == n.Address })
+}
