controlplane: names of the field for elections and the placement duty

Cause: rota, shelf and catalogue were words of an earlier theme. Change: names and comments only; what is on the wire, on disk and in the key's name keeps its form.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -30,7 +30,7 @@
 // overview is all that there is to show.
 func (c *administration) overview(now time.Duration) *Overview {
 	o := &Overview{Node: c.set.Node, Voting: c.member.Voting(), Contact: c.contact.state(now), Roster: c.member.Standing(now),
-		Duties: c.rota.States(now), Listing: c.list.stand.Version, Upstreams: c.list.stand.All(now),
+		Duties: c.election.States(now), Listing: c.list.stand.Version, Upstreams: c.list.stand.All(now),
 		Keys: c.keys(now), Evacuations: c.configuration.evacuated(), Rollouts: c.rollouts.states(now), Counters: c.counters(now)}
 	list := c.reg.List()
 	labels := list.Shards(c.opt.Shards)
--- a/internal/controlplane/contact_test.go
+++ b/internal/controlplane/contact_test.go
@@ -126,7 +126,7 @@
 	x.c.look(x.m.Current)
 }
 
-// run lets time pass. A change is proposed to whoever owns the catalogue ten times a
+// run lets time pass. A change is proposed to whoever owns the configuration ten times a
 // second; whoever says that it is fresh must have what was acknowledged long enough ago.
 func (w *island) run(d time.Duration) {
 	for end := w.now + d; w.now < end; w.now += testStep {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -25,19 +25,19 @@
 	"madderwing/internal/upstream"
 )
 
-// Kinds of message between control nodes.
+// Kinds of message between control nodes, as earlier releases name them.
 const (
 	replicationKind = "stacks"
-	rotaKind        = "rota"
+	electionKind    = "rota"
 )
 
 // vacantPart is the part of contactS for which an owner may be silent.
 const vacantPart = 0.4
 
-// The duties.
+// The duties, as earlier releases name them.
 const (
-	dutyList  = "list"
-	dutyShelf = "shelve"
+	dutyList      = "list"
+	dutyPlacement = "shelve"
 )
 
 // Options are what the command line adds to the settings.
@@ -118,7 +118,7 @@
 	if n.member, err = newReplica(env, keys, disk); err != nil {
 		return nil, err
 	}
-	n.rota = election.New(election.Config{Self: post.Self(), Life: env.life, Duties: []string{dutyList, dutyShelf}, Lease: vacant(set),
+	n.election = election.New(election.Config{Self: post.Self(), Life: env.life, Duties: []string{dutyList, dutyPlacement}, Lease: vacant(set),
 		Roster: func() []string { return n.member.Roster() }, Alive: func(id string) bool { return n.reg.Hopeful(id) }})
 	n.wire()
 	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
@@ -233,7 +233,7 @@
 func (n *Node) leave(control *http.Server) {
 	n.log.control.Info("leaving")
 	began := time.Now()
-	n.do(func(now time.Duration) { n.member.Leave(now); n.rota.Leave(now) })
+	n.do(func(now time.Duration) { n.member.Leave(now); n.election.Leave(now) })
 	n.reg.Leave(false)
 	// Orders under way are answered; the heirs take over meanwhile, and what
 	// this member holds is held by enough others before it goes.
--- a/internal/controlplane/delivery.go
+++ b/internal/controlplane/delivery.go
@@ -57,7 +57,7 @@
 // watched answers a watcher.
 func (c *deliveryController) watched(now time.Duration, from string, w delivery.Watch) {
 	if c.list.known(now).Foreign(w.Listing) {
-		c.rota.Raise(dutyList, w.Listing.Term)
+		c.election.Raise(dutyList, w.Listing.Term)
 	}
 	has, guessed := c.watchers.Believe(now, from, w, c.set.Beat())
 	c.watchers.Note(now, from, has)
@@ -107,7 +107,7 @@
 	c.watchers.Each(now, func(to string, has delivery.Watch) delivery.Watch {
 		return c.issueTo(now, to, has, false, true)
 	})
-	if term, mine := c.rota.Holds(now, dutyList); mine && c.list.stand.Version.Term == term {
+	if term, mine := c.election.Holds(now, dutyList); mine && c.list.stand.Version.Term == term {
 		for _, id := range c.member.Everyone() {
 			if _, watching := c.watchers.Has(id); !watching && id != c.post.Self() {
 				c.watchers.Note(now, id, c.issueTo(now, id, delivery.Watch{}, false, true))
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -1,6 +1,6 @@
 package controlplane
 
-// This file holds the queue of writes and the goroutine that owns the ledger.
+// This file holds the queue of writes and the goroutine that owns the file.
 
 import (
 	"errors"
@@ -18,7 +18,7 @@
 	whole   bool
 }
 
-// book is what writes need of a ledger.
+// book is what writes need of the storage.
 type book interface {
 	Write([]storage.Entry) error
 	Rewrite([]storage.Entry) error
@@ -91,7 +91,7 @@
 	return when
 }
 
-// keep owns the ledger: it writes batches in order and reports when they are
+// keep owns the file: it writes batches in order and reports when they are
 // durable. Batches that wait are written together.
 func (n *Node) keep(open *storage.Ledger) {
 	defer open.Close()
@@ -124,7 +124,7 @@
 	}
 }
 
-// jobs is the queue of the ledger's goroutine. It has no bound, so that a disk
+// jobs is the queue of the file's goroutine. It has no bound, so that a disk
 // that hangs never holds up those who write.
 type jobs struct {
 	mu     sync.Mutex
--- a/internal/controlplane/environment.go
+++ b/internal/controlplane/environment.go
@@ -28,8 +28,8 @@
 	log      loggers
 
 	// Owned by the pump's goroutine.
-	member *replication.Member
-	rota   *election.Rota
+	member   *replication.Member
+	election *election.Rota
 }
 
 // loggers are those of the components that a control node logs for.
--- a/internal/controlplane/list.go
+++ b/internal/controlplane/list.go
@@ -48,7 +48,7 @@
 
 // tick is due at every tick of the pump.
 func (c *listController) tick(now time.Duration) {
-	if _, mine := c.rota.Holds(now, dutyList); mine {
+	if _, mine := c.election.Holds(now, dutyList); mine {
 		c.pollWhenDue(now)
 	} else if !c.stand.Known() && now >= c.pollAt {
 		// There is no list and, as far as this control node can tell, nobody
@@ -56,7 +56,7 @@
 		c.pollWhenDue(now)
 	} else if now >= c.watchAt {
 		c.watchAt = now + c.set.Beat()
-		if h, _, _ := c.rota.Holder(now, dutyList); h != "" && h != c.post.Self() {
+		if h, _, _ := c.election.Holder(now, dutyList); h != "" && h != c.post.Self() {
 			c.post.Send(h, delivery.WatchKind, delivery.Watch{Listing: c.stand.Version})
 		}
 	}
@@ -72,7 +72,7 @@
 // known is the newest version of the list that this control node knows of.
 func (c *listController) known(now time.Duration) upstream.Version {
 	known := c.stand.Version
-	if _, term, life := c.rota.Holder(now, dutyList); term > known.Term || term == known.Term && life > known.Life {
+	if _, term, life := c.election.Holder(now, dutyList); term > known.Term || term == known.Term && life > known.Life {
 		known = upstream.Version{Term: term, Life: life}
 	}
 	return known
@@ -106,7 +106,7 @@
 
 // take takes over a list that was read from the platform.
 func (c *listController) take(now time.Duration, list []upstream.Instance) {
-	term, mine := c.rota.Holds(now, dutyList)
+	term, mine := c.election.Holds(now, dutyList)
 	if !mine {
 		term = 0
 	}
--- a/internal/controlplane/numbers_test.go
+++ b/internal/controlplane/numbers_test.go
@@ -92,7 +92,7 @@
 	return status, text
 }
 
-// owner finds the node that owns the catalogue.
+// owner finds the node that owns the configuration.
 func (s *trio) owner(t *testing.T) int {
 	t.Helper()
 	for range 600 {
@@ -161,7 +161,7 @@
 	s.run[was]()
 	again("after the owner came back")
 
-	// An older number that was taken is still known, whoever owns the catalogue.
+	// An older number that was taken is still known, whoever owns the configuration.
 	if status, text := s.clear(t, was, `{"upsert":{"services":[{"name":"a","generation":8}]}}`); status != 200 {
 		t.Fatalf("a higher number: %d %s", status, text)
 	}
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -40,7 +40,7 @@
 	Abort   bool                        `cbor:"11,keyasint,omitempty"`
 	Adopt   map[string]rollout.Standing `cbor:"12,keyasint,omitempty"`
 	Saw     map[string]uint64           `cbor:"13,keyasint,omitempty"`
-	// Service asks the owner of the catalogue for one; Stood is what it said stands
+	// Service asks the owner of the configuration for one; Stood is what it said stands
 	// there, for an order that begins a rollout.
 	Service string           `cbor:"15,keyasint,omitempty"`
 	Stood   rollout.Standing `cbor:"16,keyasint,omitzero"`
--- a/internal/controlplane/placement.go
+++ b/internal/controlplane/placement.go
@@ -47,7 +47,7 @@
 		return false
 	}
 	c.pending = false
-	if _, mine := c.rota.Holds(now, dutyShelf); !mine {
+	if _, mine := c.election.Holds(now, dutyPlacement); !mine {
 		return false
 	}
 	c.scheduler.Reconcile(now, c.configuration.routes(), c.shards(), c.look)
@@ -67,7 +67,7 @@
 	return placement.Shards(c.opt.Shards, zones)
 }
 
-// bind creates bindings at the owner of the catalogue.
+// bind creates bindings at the owner of the configuration.
 func (c *placementController) bind(orders []placement.Order, done func([]error)) {
 	go func() {
 		answer, err := c.submit(order{Key: config.Key, Bind: orders})
--- a/internal/controlplane/pump.go
+++ b/internal/controlplane/pump.go
@@ -33,7 +33,7 @@
 // tick lets time pass for the state machines and the controllers.
 func (n *Node) tick(now time.Duration) {
 	n.member.Tick(now)
-	n.rota.Tick(now)
+	n.election.Tick(now)
 	n.list.tick(now)
 	n.delivery.tick(now)
 	if n.quotas != nil {
@@ -91,19 +91,19 @@
 // settleDuties sends what the election of duties asks for, and takes up or gives up duties. It says
 // whether there were any.
 func (n *Node) settleDuties(now time.Duration) bool {
-	out, duties := n.rota.Take()
+	out, duties := n.election.Take()
 	for _, e := range out {
-		n.post.Send(e.To, rotaKind, e.Msg)
+		n.post.Send(e.To, electionKind, e.Msg)
 	}
 	for _, d := range duties {
-		_, mine := n.rota.Holds(now, d)
+		_, mine := n.election.Holds(now, d)
 		if mine {
 			n.log.election.Info("duty won", "duty", d)
 		} else {
 			n.log.election.Info("duty given up", "duty", d)
 		}
 		switch d {
-		case dutyShelf:
+		case dutyPlacement:
 			n.placement.dutyChanged()
 		case dutyList:
 			if mine {
@@ -164,8 +164,8 @@
 			}
 		})
 	})
-	transport.On(n.post, rotaKind, func(from string, m election.Message) {
-		n.offer(func(now time.Duration) { n.rota.Handle(now, from, m) })
+	transport.On(n.post, electionKind, func(from string, m election.Message) {
+		n.offer(func(now time.Duration) { n.election.Handle(now, from, m) })
 	})
 	n.list.handle()
 	n.delivery.handle()
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -11,7 +11,7 @@
 	"madderwing/internal/transport"
 )
 
-// quotaController lends tenants' quotas while this control node owns the catalogue, draws on what
+// quotaController lends tenants' quotas while this control node owns the configuration, draws on what
 // was lent to it for gateways, and holds the answer to a call that takes a key away until no
 // gateway can rely on that key. It exists only where clients ask a registry.
 type quotaController struct {
@@ -92,7 +92,7 @@
 	c.purse.SetLimits(c.quotas)
 }
 
-// lend begins or ends lending with the ownership of the catalogue.
+// lend begins or ends lending with the ownership of the configuration.
 func (c *quotaController) lend(now time.Duration) {
 	t, ok := c.member.Tenure(now, config.Key)
 	if !ok {
--- a/internal/controlplane/relay_messages.go
+++ b/internal/controlplane/relay_messages.go
@@ -21,7 +21,7 @@
 // relayAnswer is what a control node, or another relay, knows.
 type relayAnswer struct {
 	Relay bool `cbor:"1,keyasint,omitempty"` // it is one; only Nodes says more
-	// Works says that the control node hears the owner of the key or of the catalogue, and
+	// Works says that the control node hears the owner of the key or of the configuration, and
 	// isn't about to leave.
 	Works bool              `cbor:"2,keyasint,omitempty"`
 	Owner string            `cbor:"3,keyasint,omitempty"` // of the key, where it is known
--- a/internal/controlplane/restart_test.go
+++ b/internal/controlplane/restart_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// The prior version of a new order is what the record and the catalogue's owner say, not
+// The prior version of a new order is what the record and the configuration's owner say, not
 // what this control node happens to have been shown.
 func TestAnOrderStartsFromWhatIsConfirmed(t *testing.T) {
 	c := &rolloutController{list: &listController{}, versions: map[string]rollout.Service{"s": {Standing: rollout.Standing{Version: "shown"}}}}
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -134,7 +134,7 @@
 }
 
 // serves is the version that stands as an order comes: by the record of the service's
-// last order, by what the owner of the catalogue said, or, where no version was ever
+// last order, by what the owner of the configuration said, or, where no version was ever
 // kept, by the platform's list.
 func (c *rolloutController) serves(last replication.Record, o order) string {
 	v := rollout.Service{Standing: o.Stood}
--- a/internal/controlplane/rollout_http.go
+++ b/internal/controlplane/rollout_http.go
@@ -59,7 +59,7 @@
 }
 
 // hasService says whether a service stands; a control node that does not know it asks the
-// owner of the catalogue before it says no.
+// owner of the configuration before it says no.
 func (c *rolloutController) hasService(name string) error {
 	has := make(chan bool, 1)
 	c.do(func(time.Duration) { has <- c.configuration.hasService(name) })
@@ -70,7 +70,7 @@
 	return err
 }
 
-// service asks the owner of the catalogue for a service, and for its version that
+// service asks the owner of the configuration for a service, and for its version that
 // stands there.
 func (c *rolloutController) service(name string) (rollout.Standing, error) {
 	body, err := c.submit(order{Key: config.Key, Service: name})
@@ -87,7 +87,7 @@
 	return s.Stood, nil
 }
 
-// standing is what the owner of the catalogue says of a service.
+// standing is what the owner of the configuration says of a service.
 type standing struct {
 	Has   bool             `cbor:"1,keyasint,omitempty"`
 	Stood rollout.Standing `cbor:"2,keyasint,omitzero"`
