Coordination: locks, counters, cells and watches at every control node

Cause: the pages of applications were answered 404. Change: internal/coordination holds the state machine of a partition and the committed feed for watches; internal/controlplane/coordination*.go forward calls to the owner of the partition and answer watches from the local copy. Sixteen partitions, each a key of the control state made at its first use. Their records are not shown to gateways. Not measured yet.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -230,6 +230,7 @@
 	metrics.Gauge(&b, "control", "upstreams", uint64(len(o.Upstreams)))
 	metrics.Gauge(&b, "control", "gateways", uint64(len(o.Delivery)))
 	metrics.Gauge(&b, "control", "gatewaysCurrent", uint64(len(o.Delivery)-len(o.behind())))
+	a.coordinationState().writeMetrics(&b)
 	return b.Bytes()
 }
 
--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -235,6 +235,10 @@
 		known[z] = true
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isCoordination(r.URL.Path) {
+			a.coordination.ServeHTTP(w, r)
+			return
+		}
 		a.stats.Orders.Add(1)
 		body, err := a.serve(r, known)
 		if err != nil {
@@ -318,6 +322,8 @@
 		return a.rollouts(r, strings.TrimPrefix(strings.TrimPrefix(path, "/v1/rollouts"), "/"))
 	case path == "/metrics" && r.Method == http.MethodGet:
 		return a.metrics(), nil
+	case path == coordinationAdminPage && r.Method == http.MethodGet:
+		return a.coordinationState().page()
 	case path == "/v1/admin/plan" && r.Method == http.MethodPost:
 		body, err := readCall(r)
 		if err != nil {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -20,6 +20,7 @@
 	"madderwing/internal/antientropy"
 	"madderwing/internal/apierror"
 	"madderwing/internal/config"
+	"madderwing/internal/coordination"
 	"madderwing/internal/delivery"
 	"madderwing/internal/election"
 	"madderwing/internal/logging"
@@ -88,6 +89,8 @@
 
 	rosterTold string
 
+	coordination *coordinator
+
 	writes  *jobs
 	polling atomic.Bool
 	client  *http.Client
@@ -144,7 +147,7 @@
 		a.registry = newRegistryController(env)
 		a.quotas = newQuotaController(env, a.configuration)
 	}
-	a.member, err = replication.NewMember(replication.Config{Sure: keys,
+	a.member, err = replication.NewMember(replication.Config{Sure: keys, SurePrefix: coordination.KeyPrefix,
 		Self: post.Self(), Life: a.life, Seeds: set.SeedControlNodes(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
 		Beat: beat, Vacant: vacant, Patience: settings.Seconds(set.Bounds.AckS * 0.17), HandBack: opt.HandBack,
@@ -177,6 +180,7 @@
 			}
 		})
 	a.handlers()
+	a.coordinate(logger("coordination"))
 	a.answerRelays()
 	a.do(func(time.Duration) { // before anybody's word is heard
 		a.showAll()
@@ -210,6 +214,7 @@
 		case <-ctx.Done():
 			a.log.control.Info("leaving")
 			began := time.Now()
+			a.coordination.close()
 			a.do(func(now time.Duration) { a.member.Leave(now); a.rota.Leave(now) })
 			a.reg.Leave(false)
 			// Orders under way are answered; the heirs take over meanwhile, and what
@@ -284,6 +289,7 @@
 					a.quotas.tick(now)
 				}
 				a.gate(now, beat)
+				a.coordination.tick(now)
 				a.contact.tell(now, a.log.control)
 				a.lookAgain = a.lookAgain || a.shelf.Due(now)
 			}
@@ -382,6 +388,10 @@
 		}
 		return false
 	}
+	if strings.HasPrefix(key, coordination.KeyPrefix) {
+		a.coordination.saw(key, records)
+		return false // gateways need none of it
+	}
 	if records == nil {
 		all, _, ok := a.member.Committed(key)
 		if !ok {
