--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -227,6 +227,7 @@
 			cancel()
 			close(stop)
 			<-pumped
+			a.coordination.end()
 			a.reg.Stop()
 			post.Close()
 			return nil
@@ -389,7 +390,7 @@
 		return false
 	}
 	if strings.HasPrefix(key, coordination.KeyPrefix) {
-		a.coordination.saw(key, records)
+		a.coordination.server.Committed(key, records)
 		return false // gateways need none of it
 	}
 	if records == nil {
--- a/internal/controlplane/coordination.go
+++ b/internal/controlplane/coordination.go
@@ -1,20 +1,20 @@
 package controlplane
 
 // This file holds how calls for locks, counters and cells reach the owner of their
-// partition, and how the owner carries them out.
+// partition.
 
 import (
 	"cmp"
 	"context"
 	"errors"
 	"log"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"madderwing/internal/coordination"
-	"madderwing/internal/replication"
 	"madderwing/internal/settings"
 	"madderwing/internal/transport"
 )
@@ -23,15 +23,25 @@
 const coordinationKind = "coordination"
 
 // A caller gives up after a second of silence (callerPatience). Within coordinationLimit it
-// has an answer, forwarding included; the owner has forwardPart of what is left.
+// has an answer, forwarding included. A call begins at the owner within beginLimit, and the
+// owner answers within executionLimit after that.
 const (
 	callerPatience    = time.Second
 	coordinationLimit = callerPatience * 4 / 5
-	forwardPart       = 0.9
+	beginLimit        = coordinationLimit * 9 / 10
+	executionLimit    = (coordinationLimit - beginLimit) / 2
 )
 
-// Parts of contactS: the pause before a call is tried again, between two sweeps of a
-// partition, and the age up to which a copy is good enough for watches.
+// A process that stood still for longer than stallLimit refuses the calls that may have come
+// meanwhile: their callers may have gone on. It takes wakeTime to read those. A call that
+// waited for less begins before its caller gives up.
+const (
+	stallLimit = callerPatience / 4
+	wakeTime   = callerPatience / 20
+)
+
+// Parts of contactS: the pause before a call is tried again, and the time between two
+// sweeps of a partition.
 const (
 	coordinationPausePart = 1.0 / 100
 	sweepPart             = 1.0
@@ -49,84 +59,65 @@
 	defaultDiskMb         = 64
 )
 
-// replicaOfPartitions is what coordination needs of a replica. It is used on the loop that
-// owns the replica.
-type replicaOfPartitions interface {
-	Propose(now time.Duration, key string, fn func(map[string]replication.Record) ([]replication.Record, error), done func(error))
-	Tenure(now time.Duration, key string) (replication.Tenure, bool)
+// ownerFinder tells to whom a call goes. It is used on the loop of the replica.
+type ownerFinder interface {
 	Owner(now time.Duration, key string) string
 	Founder(now time.Duration, key string) string
-	Committed(key string) (map[string]replication.Record, replication.Position, bool)
-	Current(key string) (time.Duration, bool)
 }
 
 // coordinator serves the calls of applications at a control node.
 type coordinator struct {
-	replica   replicaOfPartitions
+	owners    ownerFinder
 	transport *transport.Mesh
 	run       func(func(now time.Duration)) // on the loop of the replica
-	clock     func() time.Duration          // the time of that loop
 	inContact func(now time.Duration) bool
-	limits    coordination.Limits
 	pause     time.Duration // before a call is tried again
 	retry     time.Duration // after which a refused caller may come again
-	sweep     time.Duration // between two sweeps of a partition
-	freshness time.Duration // age up to which a copy is good enough for watches
-	log       *log.Logger
 
-	// Owned by the loop of the replica.
-	owned   map[string]*ownedPartition
-	feeds   map[string]*coordination.Feed
-	watches map[string]map[*watch]bool // by group
+	clock func() time.Duration // of the loop of the replica
+
+	server *coordination.Server // owned by the loop of the replica
+
+	tickedAt atomic.Int64 // time of the newest tick
+	wokeAt   atomic.Int64 // when a tick was last late by more than stallLimit; 0: never
+
+	clocksMutex sync.Mutex
+	clocks      *coordination.PeerClocks
 
 	calls, watching atomic.Int64 // that wait here
-	closed          chan struct{}
+	closed          chan struct{} // when the node begins to leave
+	ended           chan struct{} // when it has left
 	stats           coordinationStats
 }
 
-// ownedPartition is a partition during a term of ownership of this node.
-type ownedPartition struct {
-	epoch   replication.Epoch
-	state   *coordination.Partition // nil: it cannot be used
-	sweepAt time.Duration
-}
-
-// newCoordinator makes the coordinator of a control node; its replica, transport and loop are
-// set by the node.
-func newCoordinator(set *settings.Settings, logger *log.Logger) *coordinator {
+// serverConfig is the configuration of a node's coordination server.
+func serverConfig(set *settings.Settings, self string, life uint64, clock func() time.Duration, logger *log.Logger) coordination.ServerConfig {
 	diskMb := cmp.Or(set.Limits.DiskMb, defaultDiskMb)
 	bytes := int(diskMb * (1 << 20) * coordinationDiskShare / coordination.Partitions)
-	part := func(part float64) time.Duration { return settings.Seconds(set.Bounds.ContactS * part) }
-	return &coordinator{
-		limits: coordination.Limits{History: time.Duration(historyRetentions * float64(set.Retention())),
-			Bytes: bytes, HistoryBytes: int(float64(bytes) * historyShare)},
-		pause: part(coordinationPausePart), retry: set.Beat(), sweep: part(sweepPart), freshness: part(contactPart), log: logger,
-		owned: map[string]*ownedPartition{}, feeds: map[string]*coordination.Feed{}, watches: map[string]map[*watch]bool{},
-		closed: make(chan struct{}), stats: newCoordinationStats(),
+	return coordination.ServerConfig{
+		Self: self, Life: life, Clock: clock, Log: logger.Printf,
+		Limits: coordination.Limits{
+			History:      time.Duration(historyRetentions * float64(set.Retention())),
+			Bytes:        bytes,
+			HistoryBytes: int(float64(bytes) * historyShare),
+		},
+		Sweep:     settings.Seconds(set.Bounds.ContactS * sweepPart),
+		Freshness: settings.Seconds(set.Bounds.ContactS * contactPart),
 	}
 }
 
-// forwardedCall is a call on its way to the owner of its partition.
+// forwardedCall is a call on its way to the owner of its partition. It does not begin after
+// the deadline, on the clock of the owner.
 type forwardedCall struct {
-	Call  coordination.Call `cbor:"1,keyasint"`
-	Limit time.Duration     `cbor:"2,keyasint"` // for the answer
+	Call     coordination.Call         `cbor:"1,keyasint"`
+	Deadline coordination.ClockReading `cbor:"2,keyasint"`
 }
 
-// effect says what may have become of a call.
-type effect uint8
-
-// The effects. Their numbers are part of the messages between nodes.
-const (
-	answered     effect = iota + 1
-	notDone             // it has not taken effect and never will
-	maybeDone           // it may have taken effect, or may yet
-	unknownToOld        // the peer does not know the operation
-)
-
 // forwardedAnswer is what the owner answers.
 type forwardedAnswer struct {
-	Effect effect              `cbor:"1,keyasint"`
-	Answer coordination.Answer `cbor:"2,keyasint"`
+	Effect coordination.Effect       `cbor:"1,keyasint"`
+	Answer coordination.Answer       `cbor:"2,keyasint"`
+	Clock  coordination.ClockReading `cbor:"3,keyasint"` // of the owner
 }
 
 // listen answers calls that other nodes forward.
@@ -137,163 +128,113 @@
 			c.transport.Undecoded.Add(1)
 			return nil, err
 		}
-		if !forwarded.Call.Operation.Known() {
-			return forwardedAnswer{Effect: unknownToOld}, nil
+		result := coordination.Result{Effect: coordination.NotDone}
+		if forwarded.Call.Operation.Known() {
+			result = c.execute(forwarded.Call, forwarded.Deadline)
 		}
-		return c.execute(forwarded.Call, min(forwarded.Limit, coordinationLimit)), nil
+		return forwardedAnswer{Effect: result.Effect, Answer: result.Answer, Clock: c.server.Clock()}, nil
 	})
 }
 
 // submit brings a call to the owner of its partition, wherever that is, and gives its
-// answer. A call that may have been carried out is not sent again, unless it only reads.
-func (c *coordinator) submit(call coordination.Call) forwardedAnswer {
-	deadline := time.Now().Add(coordinationLimit)
+// result. A call that may have been carried out is not sent again, unless it only reads.
+func (c *coordinator) submit(call coordination.Call) coordination.Result {
+	begin := c.clock()
 	key := call.Key()
 	for pause := c.pause; ; pause *= 2 {
-		answer := c.attempt(key, call, deadline)
-		final := answer.Effect == answered || answer.Effect == maybeDone && !call.Operation.Reads()
-		if final || time.Now().Add(pause).After(deadline) {
-			return answer
+		result := c.attempt(key, call, begin)
+		final := result.Effect == coordination.Answered || result.Effect == coordination.MaybeDone && !call.Operation.Reads()
+		if final || c.clock()+pause > begin+coordinationLimit {
+			return result
 		}
 		time.Sleep(pause)
 	}
 }
 
-// attempt tries a call once.
-func (c *coordinator) attempt(key string, call coordination.Call, deadline time.Time) forwardedAnswer {
+// attempt tries a call once that came at the time begin.
+func (c *coordinator) attempt(key string, call coordination.Call, begin time.Duration) coordination.Result {
 	found := make(chan string, 1)
 	c.run(func(now time.Duration) {
-		found <- cmp.Or(c.replica.Owner(now, key), c.replica.Founder(now, key))
+		found <- cmp.Or(c.owners.Owner(now, key), c.owners.Founder(now, key))
 	})
-	owner := <-found
-	left := time.Until(deadline)
-	switch {
-	case left <= 0 || owner == "":
-		return forwardedAnswer{Effect: notDone}
-	case owner == c.transport.Self():
-		return c.execute(call, left)
+	deadline := begin + beginLimit
+	switch owner := <-found; owner {
+	case "":
+		return coordination.Result{Effect: coordination.NotDone}
+	case c.transport.Self():
+		return c.execute(call, coordination.ClockReading{Life: c.server.Clock().Life, Time: deadline})
+	default:
+		return c.forward(owner, call, deadline)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+}
+
+// forward sends a call to its owner, to be begun before a deadline on the clock here.
+func (c *coordinator) forward(owner string, call coordination.Call, deadline time.Duration) coordination.Result {
+	c.clocksMutex.Lock()
+	theirs, _ := c.clocks.At(owner, deadline)
+	c.clocksMutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+2*executionLimit-c.clock())
 	defer cancel()
-	forwarded := forwardedCall{Call: call, Limit: time.Duration(float64(left) * forwardPart)}
 	var answer forwardedAnswer
-	if c.transport.Call(ctx, owner, coordinationKind, forwarded, &answer) != nil {
-		return forwardedAnswer{Effect: maybeDone}
+	err := c.transport.Call(ctx, owner, coordinationKind, forwardedCall{Call: call, Deadline: theirs}, &answer)
+	if err != nil {
+		return coordination.Result{Effect: coordination.MaybeDone}
 	}
-	if answer.Effect == unknownToOld {
-		answer.Effect = notDone
+	c.clocksMutex.Lock()
+	c.clocks.Heard(owner, answer.Clock, c.clock())
+	c.clocksMutex.Unlock()
+	if answer.Clock.Life != theirs.Life && c.clock() < deadline {
+		return c.forward(owner, call, deadline) // it was refused for a clock that is known now
 	}
-	return answer
-}
-
-// stage is how far the execution of a call has come.
-type stage int32
-
-const (
-	queued stage = iota
-	begun
-	abandoned // it will never begin
-)
-
-// execution is a call that is being carried out by this node as the owner.
-type execution struct {
-	stage   atomic.Int32
-	answer  coordination.Answer
-	changes bool
-	usable  bool // the partition can be used
-	result  chan forwardedAnswer
+	return coordination.Result{Effect: answer.Effect, Answer: answer.Answer}
 }
 
 // execute carries a call out at this node, if it is the owner of the partition.
-func (c *coordinator) execute(call coordination.Call, limit time.Duration) forwardedAnswer {
-	e := &execution{result: make(chan forwardedAnswer, 1)}
-	key := call.Key()
-	c.run(func(now time.Duration) {
-		c.replica.Propose(now, key, func(records map[string]replication.Record) ([]replication.Record, error) {
-			if !e.stage.CompareAndSwap(int32(queued), int32(begun)) {
-				return nil, nil
-			}
-			state := c.partition(key, records)
-			if e.usable = state != nil; !e.usable {
-				return nil, nil
-			}
-			answer, changes := state.Execute(c.clock(), call)
-			e.answer, e.changes = answer, len(changes) > 0
-			return changes, nil
-		}, func(err error) { e.result <- e.outcome(err) })
-	})
-	timer := time.NewTimer(limit)
+func (c *coordinator) execute(call coordination.Call, deadline coordination.ClockReading) coordination.Result {
+	results := make(chan coordination.Result, 1)
+	execution := coordination.NewExecution(call, deadline, func(r coordination.Result) { results <- r })
+	c.run(func(now time.Duration) { c.server.Execute(now, execution) })
+	timer := time.NewTimer(max(0, deadline.Time-c.clock()) + executionLimit)
 	defer timer.Stop()
 	select {
-	case result := <-e.result:
+	case result := <-results:
 		return result
 	case <-timer.C:
+		return coordination.Result{Effect: execution.Abandon()}
 	}
-	if e.stage.CompareAndSwap(int32(queued), int32(abandoned)) {
-		return forwardedAnswer{Effect: notDone}
-	}
-	return forwardedAnswer{Effect: maybeDone}
-}
-
-// outcome is what has become of a call whose proposal has ended.
-func (e *execution) outcome(err error) forwardedAnswer {
-	hasBegun := e.stage.Load() == int32(begun)
-	switch {
-	case err == nil && hasBegun && e.usable:
-		return forwardedAnswer{Effect: answered, Answer: e.answer}
-	case hasBegun && e.changes:
-		return forwardedAnswer{Effect: maybeDone}
-	}
-	return forwardedAnswer{Effect: notDone}
 }
 
-// partition gives the state of a partition that this node owns; nil if it cannot be used.
-// It is called with the records of a proposal that is about to run, so this node owns the
-// partition, and all changes of this term have gone through the state.
-func (c *coordinator) partition(key string, records map[string]replication.Record) *coordination.Partition {
+// stalled says that the process stood still a moment ago, or stands still but for the caller.
+func (c *coordinator) stalled() bool {
 	now := c.clock()
-	tenure, _ := c.replica.Tenure(now, key)
-	if had := c.owned[key]; had != nil && had.epoch == tenure.Epoch {
-		return had.state
-	}
-	state, err := coordination.Load(records, tenure.Since, c.limits)
-	if err != nil {
-		c.log.Printf("partition %s cannot be used: %v.", key, err)
-	} else {
-		counts := state.Counts()
-		c.log.Printf("partition %s taken over: %d locks, %d counters, %d cells.", key, counts.Locks, counts.Counters, counts.Cells)
-	}
-	c.owned[key] = &ownedPartition{epoch: tenure.Epoch, state: state, sweepAt: now + c.sweep}
-	return state
+	ticked, woke := time.Duration(c.tickedAt.Load()), time.Duration(c.wokeAt.Load())
+	return now-ticked > stallLimit || woke > 0 && now-woke < wakeTime
 }
 
-// tick lets time pass for the partitions that this node owns, and for the watches here. It
-// runs on the loop of the replica.
-func (c *coordinator) tick(now time.Duration) {
-	for key, owned := range c.owned {
-		if tenure, _ := c.replica.Tenure(now, key); tenure.Epoch != owned.epoch || !c.owns(now, key) {
-			delete(c.owned, key)
-			continue
+// watchdog notes the times at which the process runs, until the node is closed.
+func (c *coordinator) watchdog() {
+	ticker := time.NewTicker(stallLimit / 5)
+	defer ticker.Stop()
+	c.tickedAt.Store(int64(c.clock()))
+	for {
+		select {
+		case <-ticker.C:
+		case <-c.ended:
+			return
 		}
-		if now < owned.sweepAt || owned.state == nil {
-			continue
+		now := int64(c.clock())
+		if now-c.tickedAt.Swap(now) > int64(stallLimit) {
+			c.wokeAt.Store(now)
 		}
-		owned.sweepAt = now + c.sweep
-		if !owned.state.SweepDue(now) {
-			continue
-		}
-		c.replica.Propose(now, key, func(records map[string]replication.Record) ([]replication.Record, error) {
-			if state := c.partition(key, records); state != nil {
-				return state.Sweep(c.clock()), nil
-			}
-			return nil, nil
-		}, func(error) {})
 	}
-	c.endStaleWatches(now)
 }
 
-func (c *coordinator) owns(now time.Duration, key string) bool {
-	return c.replica.Owner(now, key) == c.transport.Self()
+// tick lets time pass. It runs on the loop of the replica.
+func (c *coordinator) tick(now time.Duration) {
+	c.server.Tick(now)
+	if !c.inContact(now) {
+		c.server.EndStaleWatches(now)
+	}
 }
 
 // errShutdown says that this node is about to leave.
@@ -301,3 +242,6 @@
 
 // close ends the watches; further ones are refused.
 func (c *coordinator) close() { close(c.closed) }
+
+// end ends the watchdog.
+func (c *coordinator) end() { close(c.ended) }
--- a/internal/controlplane/coordination_admin.go
+++ b/internal/controlplane/coordination_admin.go
@@ -109,10 +109,10 @@
 func (c *coordinator) state(now time.Duration, keys []string) CoordinationState {
 	out := CoordinationState{Partitions: []PartitionState{}, Watches: c.watching.Load(), Waiting: c.calls.Load(), Calls: c.stats.states()}
 	for _, key := range keys {
-		p := PartitionState{Partition: key, Owner: c.replica.Owner(now, key), Here: c.owns(now, key)}
-		if owned := c.owned[key]; p.Here && owned != nil && owned.state != nil {
-			counts := CountsState(owned.state.Counts())
-			p.Counts, p.Locks = &counts, lockStates(owned.state.Locks(now))
+		p := PartitionState{Partition: key, Owner: c.owners.Owner(now, key), Here: c.server.Owns(now, key)}
+		if partition := c.server.Partition(now, key); partition != nil {
+			counts := CountsState(partition.Counts())
+			p.Counts, p.Locks = &counts, lockStates(partition.Locks(now))
 		}
 		out.Partitions = append(out.Partitions, p)
 	}
--- a/internal/controlplane/coordination_http.go
+++ b/internal/controlplane/coordination_http.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -67,12 +68,15 @@
 		c.calls.Add(-1)
 		return writeFault(w, apierror.Later(apierror.TooMany, c.retry, "%d calls wait here", maxWaitingCalls))
 	}
-	outcome := c.submit(call)
+	result := coordination.Result{Effect: coordination.NotDone}
+	if !c.stalled() {
+		result = c.submit(call)
+	}
 	c.calls.Add(-1)
-	switch outcome.Effect {
-	case answered:
-		return c.writeAnswer(w, call, outcome.Answer)
-	case maybeDone:
+	switch result.Effect {
+	case coordination.Answered:
+		return c.writeAnswer(w, call, result.Answer)
+	case coordination.MaybeDone:
 		if !call.Operation.Reads() {
 			return writeFault(w, apierror.New(apierror.OutcomeUnknown, "no answer from the owner of the partition in time"))
 		}
@@ -251,21 +255,27 @@
 		status = apierror.AnswerFor(apierror.KindOf(err)).Status
 		apierror.Write(w, err)
 	} else {
-		writeJSON(w, status, result)
+		writeJSON(w, status, watchAnswer{Events: slices.Concat([]coordination.Event{}, result.Events), Revision: result.Revision})
 	}
 	c.stats.count("watch", status, time.Since(begin))
 }
 
+// watchAnswer is the body of the answer to a watch.
+type watchAnswer struct {
+	Events   []coordination.Event `json:"events"`
+	Revision uint64               `json:"revision"`
+}
+
 // boundedWatch refuses watches beyond the bound, and those that come to a node that leaves.
-func (c *coordinator) boundedWatch(r *http.Request, group string, after uint64, wait time.Duration) (watchResult, error) {
+func (c *coordinator) boundedWatch(r *http.Request, group string, after uint64, wait time.Duration) (coordination.WatchResult, error) {
 	select {
 	case <-c.closed:
-		return watchResult{}, apierror.Later(apierror.NoQuorum, c.retry, "%v", errShutdown)
+		return coordination.WatchResult{}, apierror.Later(apierror.NoQuorum, c.retry, "%v", errShutdown)
 	default:
 	}
 	defer c.watching.Add(-1)
 	if c.watching.Add(1) > maxWatches {
-		return watchResult{}, apierror.Later(apierror.TooMany, c.retry, "%d watches wait here", maxWatches)
+		return coordination.WatchResult{}, apierror.Later(apierror.TooMany, c.retry, "%d watches wait here", maxWatches)
 	}
 	return c.watchGroup(r.Context(), group, after, wait)
 }
--- a/internal/controlplane/coordination_node.go
+++ b/internal/controlplane/coordination_node.go
@@ -15,12 +15,15 @@
 
 // coordinate makes the coordinator of this node. It is called before the transport starts.
 func (a *Node) coordinate(logger *log.Logger) {
-	c := newCoordinator(a.set, logger)
-	c.replica, c.transport, c.run = a.member, a.post, a.do
-	c.clock = func() time.Duration { return time.Since(a.start) }
-	c.inContact = a.contact.fresh
-	c.listen()
-	a.coordination = c
+	clock := func() time.Duration { return time.Since(a.start) }
+	a.coordination = &coordinator{
+		owners: a.member, transport: a.post, run: a.do, clock: clock, clocks: coordination.NewPeerClocks(), inContact: a.contact.fresh,
+		pause: time.Duration(coordinationPausePart * a.set.Bounds.ContactS * float64(time.Second)), retry: a.set.Beat(),
+		server: coordination.NewServer(serverConfig(a.set, a.post.Self(), a.life, clock, logger), a.member),
+		closed: make(chan struct{}), ended: make(chan struct{}), stats: newCoordinationStats(),
+	}
+	a.coordination.listen()
+	go a.coordination.watchdog()
 }
 
 // coordinationState describes coordination as this node sees it.
