--- a/internal/controlplane/coordination.go
+++ b/internal/controlplane/coordination.go
@@ -84,7 +84,7 @@
 	clocksMutex sync.Mutex
 	clocks      *coordination.PeerClocks
 
-	calls, watching atomic.Int64 // that wait here
+	calls, watching atomic.Int64  // that wait here
 	closed          chan struct{} // when the node begins to leave
 	ended           chan struct{} // when it has left
 	stats           coordinationStats
@@ -215,17 +215,22 @@
 func (c *coordinator) watchdog() {
 	ticker := time.NewTicker(stallLimit / 5)
 	defer ticker.Stop()
-	c.tickedAt.Store(int64(c.clock()))
+	c.noteRunning(c.clock())
 	for {
 		select {
 		case <-ticker.C:
 		case <-c.ended:
 			return
 		}
-		now := int64(c.clock())
-		if now-c.tickedAt.Swap(now) > int64(stallLimit) {
-			c.wokeAt.Store(now)
-		}
+		c.noteRunning(c.clock())
+	}
+}
+
+// noteRunning notes that the process runs now.
+func (c *coordinator) noteRunning(now time.Duration) {
+	last := time.Duration(c.tickedAt.Swap(int64(now)))
+	if last > 0 && now-last > stallLimit {
+		c.wokeAt.Store(int64(now))
 	}
 }
 
--- a/internal/controlplane/coordination_http.go
+++ b/internal/controlplane/coordination_http.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -255,7 +254,7 @@
 		status = apierror.AnswerFor(apierror.KindOf(err)).Status
 		apierror.Write(w, err)
 	} else {
-		writeJSON(w, status, watchAnswer{Events: slices.Concat([]coordination.Event{}, result.Events), Revision: result.Revision})
+		writeJSON(w, status, newWatchAnswer(result))
 	}
 	c.stats.count("watch", status, time.Since(begin))
 }
@@ -266,6 +265,14 @@
 	Revision uint64               `json:"revision"`
 }
 
+func newWatchAnswer(r coordination.WatchResult) watchAnswer {
+	answer := watchAnswer{Events: r.Events, Revision: r.Revision}
+	if answer.Events == nil {
+		answer.Events = []coordination.Event{} // a list in JSON, not null
+	}
+	return answer
+}
+
 // boundedWatch refuses watches beyond the bound, and those that come to a node that leaves.
 func (c *coordinator) boundedWatch(r *http.Request, group string, after uint64, wait time.Duration) (coordination.WatchResult, error) {
 	select {
