--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"madderwing/internal/config"
+	"madderwing/internal/coordination"
 	"madderwing/internal/election"
 	"madderwing/internal/logging"
 	"madderwing/internal/membership"
@@ -63,6 +64,7 @@
 	administration *administration
 	quotas         *quotaController    // nil where clients ask no registry
 	registry       *registryController // the same
+	coordination   *coordinator
 
 	// Owned by the pump's goroutine.
 	rosterTold string
@@ -124,6 +126,7 @@
 	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
 	n.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: set.Beat(), Forget: 40 * set.Beat()},
 		post, n.nodesChanged)
+	n.coordinate()
 	n.handle()
 	n.do(func(time.Duration) { // before anybody's word is heard
 		n.showAll()
@@ -152,7 +155,7 @@
 func newReplica(env *environment, keys []string, disk map[string][]byte) (*replication.Member, error) {
 	set := env.set
 	node := func(id string) (membership.Node, bool) { return env.reg.List().Get(id) }
-	return replication.NewMember(replication.Config{Sure: keys,
+	return replication.NewMember(replication.Config{Sure: keys, SurePrefix: coordination.KeyPrefix,
 		Self: env.post.Self(), Life: env.life, Seeds: set.SeedControlNodes(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
 		Beat: set.Beat(), Vacant: vacant(set), Patience: settings.Seconds(set.Bounds.AckS * 0.17), HandBack: env.opt.HandBack,
@@ -177,7 +180,7 @@
 	n.delivery = newDeliveryController(n.environment, n.configuration, n.list, n.rollouts.controller.Led)
 	n.placement = newPlacementController(n.environment, n.configuration, n.orders.submit)
 	n.administration = &administration{environment: n.environment, configuration: n.configuration, list: n.list, delivery: n.delivery,
-		placement: n.placement, rollouts: n.rollouts, quotas: n.quotas, orders: n.orders}
+		placement: n.placement, rollouts: n.rollouts, quotas: n.quotas, orders: n.orders, coordination: n.coordinationState}
 	n.list.changed, n.list.polled = n.delivery.issue, n.rollouts.adopt
 	n.rollouts.loads = func() upstream.Loads { return n.delivery.loads }
 }
@@ -216,6 +219,7 @@
 			n.leave(control)
 			close(stop)
 			<-stopped
+			n.coordination.end()
 			n.reg.Stop()
 			n.post.Close()
 			return nil
@@ -233,6 +237,7 @@
 func (n *Node) leave(control *http.Server) {
 	n.log.control.Info("leaving")
 	began := time.Now()
+	n.coordination.close()
 	n.do(func(now time.Duration) { n.member.Leave(now); n.election.Leave(now) })
 	n.reg.Leave(false)
 	// Orders under way are answered; the heirs take over meanwhile, and what
