election: Rota is an Elector, ballots are elections and votes

Cause: words of an earlier theme. Change: names and comments; messages are the same. Tests of election pass.

--- a/internal/controlplane/environment.go
+++ b/internal/controlplane/environment.go
@@ -29,7 +29,7 @@
 
 	// Owned by the pump's goroutine.
 	member   *replication.Member
-	election *election.Rota
+	election *election.Elector
 }
 
 // loggers are those of the components that a control node logs for.
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -9,21 +9,21 @@
 const lease = 1200 * time.Millisecond
 
 type hall struct {
-	now   time.Duration
-	rotas map[string]*Rota
-	down  map[string]bool
-	ids   []string
+	now      time.Duration
+	electors map[string]*Elector
+	down     map[string]bool
+	ids      []string
 }
 
 func newHall(n int) *hall {
-	h := &hall{rotas: map[string]*Rota{}, down: map[string]bool{}}
+	h := &hall{electors: map[string]*Elector{}, down: map[string]bool{}}
 	var ids []string
 	for i := 0; i < n; i++ {
 		ids = append(ids, fmt.Sprintf("a%d", i))
 	}
 	h.ids = ids
 	for _, id := range ids {
-		h.rotas[id] = New(Config{Self: id, Duties: []string{"list"}, Lease: lease,
+		h.electors[id] = New(Config{Self: id, Duties: []string{"list"}, Lease: lease,
 			Roster: func() []string { return ids }, Alive: func(o string) bool { return !h.down[o] }})
 	}
 	return h
@@ -34,17 +34,17 @@
 	for end := h.now + d; h.now < end; h.now += 50 * time.Millisecond {
 		for _, id := range h.ids {
 			if !h.down[id] {
-				h.rotas[id].Tick(h.now)
+				h.electors[id].Tick(h.now)
 			}
 		}
 		for again := true; again; {
 			again = false
 			for _, id := range h.ids {
-				out, _ := h.rotas[id].Take()
+				out, _ := h.electors[id].Take()
 				for _, e := range out {
 					if !h.down[id] && !h.down[e.To] {
 						again = true
-						h.rotas[e.To].Handle(h.now, id, e.Msg)
+						h.electors[e.To].Handle(h.now, id, e.Msg)
 					}
 				}
 			}
@@ -56,7 +56,7 @@
 }
 
 func (h *hall) holders() (out []string) {
-	for id, r := range h.rotas {
+	for id, r := range h.electors {
 		if _, ok := r.Holds(h.now, "list"); ok {
 			out = append(out, id)
 		}
@@ -72,14 +72,14 @@
 		if len(first) != 1 {
 			t.Fatalf("holders %v", first)
 		}
-		term, _ := h.rotas[first[0]].Holds(h.now, "list")
+		term, _ := h.electors[first[0]].Holds(h.now, "list")
 		h.down[first[0]] = true
 		h.run(t, 3*time.Second)
 		next := h.holders()
 		if len(next) != 1 || next[0] == first[0] {
 			t.Fatalf("after %v: %v", first, next)
 		}
-		if later, _ := h.rotas[next[0]].Holds(h.now, "list"); later <= term {
+		if later, _ := h.electors[next[0]].Holds(h.now, "list"); later <= term {
 			t.Fatalf("term %d after %d", later, term)
 		}
 		h.down[first[0]] = false
@@ -87,7 +87,7 @@
 	}
 }
 
-func TestABallotWaitsForThoseWhoComeUpLate(t *testing.T) {
+func TestAnElectionWaitsForThoseWhoComeUpLate(t *testing.T) {
 	h := newHall(4)
 	h.down["a2"], h.down["a3"] = true, true
 	h.run(t, 400*time.Millisecond)
@@ -111,20 +111,20 @@
 	h := newHall(4)
 	h.run(t, 2*time.Second)
 	first := h.holders()[0]
-	h.rotas[first].Leave(h.now)
+	h.electors[first].Leave(h.now)
 	h.run(t, lease)
 	next := h.holders()
 	if len(next) != 1 || next[0] == first {
 		t.Fatalf("after the resignation of %s: %v", first, next)
 	}
 	// One control node that is not the holder has seen a term of a former life.
-	for id, r := range h.rotas {
+	for id, r := range h.electors {
 		if id != next[0] && id != first {
 			r.Raise("list", 100)
 		}
 	}
 	h.run(t, lease)
-	if term, ok := h.rotas[next[0]].Holds(h.now, "list"); !ok || term <= 100 {
+	if term, ok := h.electors[next[0]].Holds(h.now, "list"); !ok || term <= 100 {
 		t.Fatalf("term %d after the floor was raised to 100", term)
 	}
 }
@@ -134,11 +134,11 @@
 // again, they would let nobody win.
 func TestWhoGivesUpFreesFarVotersToo(t *testing.T) {
 	ids := []string{"a", "near", "far"}
-	rota := func(self string) *Rota {
+	elector := func(self string) *Elector {
 		return New(Config{Self: self, Duties: []string{"list"}, Lease: lease,
 			Roster: func() []string { return ids }, Alive: func(string) bool { return true }})
 	}
-	a, far := rota("a"), rota("far")
+	a, far := elector("a"), elector("far")
 	a.Tick(0)
 	a.Tick(lease)
 	var toFar []Message
@@ -152,7 +152,7 @@
 	}
 	collect()
 	if len(toFar) == 0 {
-		t.Fatal("no ballot")
+		t.Fatal("no election")
 	}
 	a.Handle(lease, "near", Message{Duty: "list", Term: toFar[0].Term, Vote: true}) // refused
 	collect()
