--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -9,15 +9,15 @@
 	"madderwing/internal/config"
 )
 
-// shelf stands in for the catalogue and its owner.
-type shelf struct {
+// store stands in for the catalogue and its owner.
+type store struct {
 	have map[string]config.Record
 	fail error
 	made int
 }
 
-func newShelf(t *testing.T, routes int) *shelf {
-	s := &shelf{have: map[string]config.Record{}}
+func newStore(t *testing.T, routes int) *store {
+	s := &store{have: map[string]config.Record{}}
 	body := `{"upsert":{"services":[{"name":"a","generation":1}],"domains":[{"authority":"h","hostRoutes":[`
 	for i := 0; i < routes; i++ {
 		if i > 0 {
@@ -37,13 +37,13 @@
 	return s
 }
 
-func (s *shelf) put(changes []config.Record) {
+func (s *store) put(changes []config.Record) {
 	for _, r := range changes {
 		s.have[r.Name] = r
 	}
 }
 
-func (s *shelf) create(orders []Order, done func([]error)) {
+func (s *store) create(orders []Order, done func([]error)) {
 	errs := make([]error, len(orders))
 	for i, o := range orders {
 		errs[i] = s.fail
@@ -58,7 +58,7 @@
 	done(errs)
 }
 
-func (s *shelf) counts() map[int]int {
+func (s *store) counts() map[int]int {
 	out := map[int]int{}
 	for _, r := range (&config.Reader{}).List(s.have) {
 		if r.Status.Phase == config.PhaseScheduled {
@@ -71,7 +71,7 @@
 var two = []Shard{{Label: 0, Gateways: 5, Zones: 4}, {Label: 1, Gateways: 6, Zones: 4}}
 
 func TestRoundRobinBindsEveryRouteOnce(t *testing.T) {
-	s := newShelf(t, 8)
+	s := newStore(t, 8)
 	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: 30 * time.Second, Pause: time.Second, Create: s.create}
 	routes := (&config.Reader{}).List(s.have)
 	sched.Reconcile(0, routes, two, func() {})
@@ -82,7 +82,7 @@
 }
 
 func TestTwoSchedulersCannotBindOneRouteTwice(t *testing.T) {
-	s := newShelf(t, 6)
+	s := newStore(t, 6)
 	stale := (&config.Reader{}).List(s.have)
 	for i := 0; i < 2; i++ {
 		sched := &Scheduler{Strategy: &RoundRobin{next: i}, Relist: time.Minute, Pause: time.Second, Create: s.create}
@@ -104,7 +104,7 @@
 }
 
 func TestErrorsAreRetriedUntilABindingSucceeds(t *testing.T) {
-	s := newShelf(t, 1)
+	s := newStore(t, 1)
 	s.fail = errors.New("no quorum")
 	sched := &Scheduler{Strategy: &moody{failures: 3}, Relist: time.Hour, Pause: time.Second, Create: s.create}
 	tries := 0
@@ -130,7 +130,7 @@
 }
 
 func TestRebindsWhenAShardLosesItsGateways(t *testing.T) {
-	s := newShelf(t, 4)
+	s := newStore(t, 4)
 	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: 30 * time.Second, Pause: time.Second, Create: s.create}
 	sched.Reconcile(0, (&config.Reader{}).List(s.have), two, func() {})
 	none := []Shard{{Label: 0}, {Label: 1}}
@@ -147,7 +147,7 @@
 // An answer that comes after the duty was lost must neither be counted nor
 // disturb what has begun since.
 func TestLateAnswersAfterTheDutyChangedHands(t *testing.T) {
-	s := newShelf(t, 3)
+	s := newStore(t, 3)
 	var late []func([]error)
 	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: time.Minute, Pause: time.Second,
 		Create: func(_ []Order, done func([]error)) { late = append(late, done) }}
@@ -167,7 +167,7 @@
 }
 
 func TestManyRoutesAreBoundInBatches(t *testing.T) {
-	s := newShelf(t, 3*Batch+10)
+	s := newStore(t, 3*Batch+10)
 	batches := 0
 	sched := &Scheduler{Strategy: &RoundRobin{}, Relist: time.Minute, Pause: time.Second}
 	sched.Create = func(orders []Order, done func([]error)) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -296,7 +296,7 @@
 	return s, nil
 }
 
-var settingsSchema = sync.OnceValue(func() *jsonschema.Schema { return MustCompile("charter.json", schemaText) })
+var settingsSchema = sync.OnceValue(func() *jsonschema.Schema { return MustCompile("settings.json", schemaText) })
 
 // MustCompile compiles a schema that is part of the program.
 func MustCompile(name string, text []byte) *jsonschema.Schema {
