--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -65,30 +65,45 @@
 		Owner: func(key string) string { return c.member.Owner(now, key) }})
 	for service, v := range c.versions {
 		if p := v.Active(); p != nil && p.Stage == rollout.Full && c.member.Owner(now, rollout.Key(service)) == c.post.Self() {
-			w := c.controller.View(service)
-			if w.Stage > 2*beat && now >= c.waitsAt {
-				c.waitsAt = now + 2*beat
-				c.log.rollout.Info("waits at full weight", "service", service, "heard", w.Heard, "live", w.Live,
-					"unheard", c.unheard(c.controller.Gathered(service).Nodes), "requestsAtOtherVersion", w.Busy)
-			}
+			c.logWaiting(now, service)
 		}
 	}
 	for to, all := range tell {
 		c.post.Send(to, delivery.GatherKind, all)
 	}
 	for _, m := range moves {
-		c.member.Propose(now, rollout.Key(m.To.Service), func(have map[string]replication.Record) ([]replication.Record, error) {
-			return rollout.Advance(have, m.From.Gen, m.To)
-		}, func(err error) {
-			c.controller.Moved(m)
-			if err != nil {
-				c.log.rollout.Warn("step not taken", "service", m.To.Service, "stage", m.To.Stage.String(), "error", err)
-				return
-			}
-			c.log.rollout.Info("step taken", "service", m.To.Service, "prior", m.To.Prior, "candidate", m.To.Candidate, "stage", m.To.Stage.String(),
-				"percent", rollout.Percent(m.To.Weight), "afterS", logSeconds(m.To.Age), "reason", m.To.Reason)
-		})
+		c.take(now, m)
+	}
+}
+
+// logWaiting logs, once in a while, what a rollout waits for that has been at full weight for longer than
+// gateways take to tell of it.
+func (c *rolloutController) logWaiting(now time.Duration, service string) {
+	patience := 2 * c.set.Beat()
+	view := c.controller.View(service)
+	if view.Stage <= patience || now < c.waitsAt {
+		return
+	}
+	c.waitsAt = now + patience
+	c.log.rollout.Info("waits at full weight", "service", service, "heard", view.Heard, "live", view.Live,
+		"unheard", c.unheard(c.controller.Gathered(service).Nodes), "requestsAtOtherVersion", view.Busy)
+}
+
+// take has a step of a rollout committed.
+func (c *rolloutController) take(now time.Duration, m rollout.Move) {
+	plan := m.To
+	change := func(have map[string]replication.Record) ([]replication.Record, error) {
+		return rollout.Advance(have, m.From.Gen, plan)
 	}
+	c.member.Propose(now, rollout.Key(plan.Service), change, func(err error) {
+		c.controller.Moved(m)
+		if err != nil {
+			c.log.rollout.Warn("step not taken", "service", plan.Service, "stage", plan.Stage.String(), "error", err)
+			return
+		}
+		c.log.rollout.Info("step taken", "service", plan.Service, "prior", plan.Prior, "candidate", plan.Candidate, "stage", plan.Stage.String(),
+			"percent", rollout.Percent(plan.Weight), "afterS", logSeconds(plan.Age), "reason", plan.Reason)
+	})
 }
 
 // unheard names some of the live gateways that have not told of a rollout.
