client: Go package for locks, elections, counters, keys and watches

Change: package client. Calls go on to another node after a failure, a 5xx, a 429 or a second of silence, follow 307 twice, and pause longer each time. 503, 429 and connections that never came up count as not done; after anything else only what may be repeated is: acquire, renewal and release by the same owner, draws, and puts of the same value for 5 s. A lease counts from when the call was sent; a 200 that comes after its end counts for nothing; its context ends when it does. Each lease has an owner name of its own unless the caller gives one, so that goroutines exclude each other.

Ruled out: one owner name for each process (two goroutines would share a lock); giving an abandoned grant back under a name that the caller chose (it may be in use again); treating a connection that timed out while it was opened as unclear (httptrace tells it apart).

Tests run on synctest's clock against a stand-in of the interface in memory. Not measured.

--- /dev/null
+++ b/client/call_test.go
@@ -0,0 +1,125 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Each call goes on to another node where the answer allows it, and only there.
+func TestCallsGoOnToOtherNodes(t *testing.T) {
+	draw := func(c *Client, ctx context.Context) error { _, err := c.Counter("n").Next(ctx); return err }
+	put := func(c *Client, ctx context.Context) error { _, err := c.Put(ctx, "g.k", "v"); return err }
+	putIf := func(c *Client, ctx context.Context) error { _, err := c.PutIf(ctx, "g.k", "v", 7); return err }
+	get := func(c *Client, ctx context.Context) error { _, err := c.Get(ctx, "g.k"); return err }
+	acquire := func(c *Client, ctx context.Context) error {
+		_, err := c.RequestGrant(ctx, "l", "me", 3*time.Second)
+		return err
+	}
+	all := func(f fault) []fault {
+		return []fault{f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f, f}
+	}
+	silent := fault{answerDelay: time.Hour}
+	for name, c := range map[string]struct {
+		call   func(*Client, context.Context) error
+		faults []fault
+		hosts  string // those asked, in order; "*": not looked at
+		ends   string
+		after  time.Duration
+	}{
+		"answered":                  {draw, nil, "n0", "<nil>", 0},
+		"503, 429":                  {draw, []fault{{status: 503}, {status: 429}}, "n0 n1 n2", "<nil>", 45 * time.Millisecond},
+		"refused":                   {draw, []fault{{refuseConnection: true}}, "n0 n1", "<nil>", 15 * time.Millisecond},
+		"silence":                   {draw, []fault{silent}, "n0 n1", "<nil>", 1015 * time.Millisecond},
+		"a draw is repeated":        {draw, []fault{{answerStatus: 502}, {answerStatus: 504}, {reset: true}}, "n0 n1 n2 n0", "<nil>", 100 * time.Millisecond},
+		"an acquire is repeated":    {acquire, []fault{{answerStatus: 500}, {reset: true}}, "n0 n1 n2", "<nil>", 45 * time.Millisecond},
+		"a put is repeated":         {put, []fault{{reset: true}, silent}, "n0 n1 n2", "<nil>", 1045 * time.Millisecond},
+		"a body that can't be read": {draw, []fault{{body: `{"value":`}}, "n0 n1", "<nil>", 15 * time.Millisecond},
+		"redirected twice":          {draw, []fault{{location: "http://n7:1/v1/numbers/n"}, {location: "http://n8:1/v1/numbers/n"}}, "n0 n7 n8", "<nil>", 0},
+		"redirected too often": {draw, []fault{{location: "http://n7:1/a"}, {location: "http://n8:1/a"}, {location: "http://n9:1/a"}},
+			"n0 n7 n8 n1", "<nil>", 15 * time.Millisecond},
+		"a put isn't repeated for long": {put, all(fault{answerStatus: 502}), "*", "unclear", 4600 * time.Millisecond},
+		"a put that was never sent goes on": {put, append(all(fault{refuseConnection: true})[:10], fault{status: 503}), "*", "<nil>",
+			5400 * time.Millisecond},
+		"no node at all":      {draw, all(fault{status: 503}), "*", "unavailable", 8 * time.Second},
+		"no clear answer":     {draw, all(fault{answerStatus: 504}), "*", "unclear", 8 * time.Second},
+		"a read is never so":  {get, all(fault{answerStatus: 504}), "*", "unavailable", 8 * time.Second},
+		"not found":           {get, nil, "n0", "not found", 0},
+		"another revision":    {putIf, nil, "n0", "conflict", 0},
+		"refused for good":    {draw, []fault{{status: 400}}, "n0", "400", 0},
+		"too large":           {put, []fault{{status: 413}}, "n0", "413", 0},
+		"a conflict is final": {acquire, []fault{{status: 409}}, "n0", "held", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(t *testing.T, s *standIn) {
+				s.failing(c.faults...)
+				err := c.call(newTestClient(t, s), within(t, 8*time.Second))
+				took := time.Since(s.begun)
+				if got := describe(err); got != c.ends {
+					t.Errorf("%s (%v), want %s", got, err, c.ends)
+				}
+				if got := s.hosts(); c.hosts != "*" && got != c.hosts {
+					t.Errorf("asked %s, want %s", got, c.hosts)
+				}
+				if slack := 100*time.Millisecond + c.after/4; took < c.after-slack || took > c.after+slack {
+					t.Errorf("took %v, want about %v", took, c.after)
+				}
+				if isDeadline := c.after == 8*time.Second; isDeadline != errors.Is(err, context.DeadlineExceeded) {
+					t.Errorf("%v: deadline %v", err, !isDeadline)
+				}
+			})
+		})
+	}
+}
+
+// A put is sent again with the same value and condition, and gets its first revision.
+func TestAPutIsRepeatedAsItWas(t *testing.T) {
+	simulate(t, func(t *testing.T, s *standIn) {
+		c := newTestClient(t, s)
+		s.failing(fault{answerStatus: 502}, fault{answerDelay: time.Hour})
+		revision, err := c.PutIf(t.Context(), "g.k", "v1", 0)
+		if err != nil || revision != 1 || len(s.attempts) != 3 {
+			t.Fatal(revision, err, s.attempts)
+		}
+		for _, a := range s.attempts {
+			if a.body != `{"value":"v1","enabled":0}` {
+				t.Errorf("sent %s", a.body)
+			}
+		}
+		_, err = c.PutIf(t.Context(), "g.k", "v2", 0)
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) || conflict.Revision != 1 || conflict.Key != "g.k" {
+			t.Error(err)
+		}
+		entry, err := c.Get(t.Context(), "g.k")
+		if err != nil || entry != (Entry{"g.k", "v1", 1}) {
+			t.Error(entry, err)
+		}
+	})
+}
+
+func TestRetryAfterCountsOnceAllWereAsked(t *testing.T) {
+	retries := backoff{endpoints: 2}
+	if first := retries.next(time.Second); first > firstPause {
+		t.Errorf("paused %v before the other node was asked", first)
+	}
+	if second := retries.next(time.Second); second != time.Second {
+		t.Errorf("paused %v, not for Retry-After", second)
+	}
+}
+
+func TestEndpoints(t *testing.T) {
+	for text, good := range map[string]bool{"h:1": true, "http://h:1": true, "https://h:1/": true, "": false, "h:1/path": false, "http://": false} {
+		if _, err := New([]string{text}, Options{}); (err == nil) != good {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if _, err := New(nil, Options{}); err == nil {
+		t.Error("no endpoints are taken")
+	}
+	if name := ownerPrefix("a b/c" + strings.Repeat("x", 99)); len(name) > 60 || strings.ContainsAny(name, "/ ") {
+		t.Error(name)
+	}
+}
--- /dev/null
+++ b/client/lease.go
@@ -0,0 +1,166 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	// renewalsPerHold and attemptsPerHold are parts of the hold time: when a lease is renewed,
+	// and how long a renewal waits for one node if that is less than answerTimeout.
+	renewalsPerHold = 3
+	attemptsPerHold = 5
+)
+
+// Lease is a lock that is held and renewed in the background until Release, or until it is
+// lost.
+type Lease struct {
+	client  *Client
+	ctx     context.Context
+	end     context.CancelCauseFunc
+	renewed chan struct{} // closed when the renewals have ended
+
+	mu     sync.Mutex
+	grant  Grant
+	expiry *time.Timer
+}
+
+// TryAcquire takes a lock if nobody else holds it, else it returns ErrHeld. Hold is how long
+// the lock stays with this holder if it dies. An empty owner is the usual case: the client
+// makes up a name of its own for each lease, so that goroutines exclude each other as well.
+//
+// An owner name that the caller chooses takes its lock back, with the same token, if it
+// still holds it from an earlier life. Two holders must never use the same name.
+//
+// The context bounds only the call, not the lease.
+func (c *Client) TryAcquire(ctx context.Context, name, owner string, hold time.Duration) (*Lease, error) {
+	if hold <= 0 {
+		return nil, fmt.Errorf("lock %s: the hold time must be above 0", name)
+	}
+	grant, err := c.RequestGrant(ctx, name, owner, hold)
+	if err != nil {
+		return nil, err
+	}
+	return c.newLease(ctx, grant), nil
+}
+
+// Acquire takes a lock, and waits for it while another owner holds it. See TryAcquire.
+func (c *Client) Acquire(ctx context.Context, name, owner string, hold time.Duration) (*Lease, error) {
+	if owner == "" {
+		owner = c.newOwner()
+	}
+	for {
+		lease, err := c.TryAcquire(ctx, name, owner, hold)
+		if !errors.Is(err, ErrHeld) {
+			return lease, err
+		}
+		if ended := sleep(ctx, jitter(c.acquireInterval)); ended != nil {
+			return nil, errors.Join(err, ended)
+		}
+	}
+}
+
+func (c *Client) newLease(ctx context.Context, grant Grant) *Lease {
+	l := &Lease{client: c, grant: grant, renewed: make(chan struct{})}
+	l.ctx, l.end = context.WithCancelCause(context.WithoutCancel(ctx))
+	l.mu.Lock()
+	l.expiry = time.AfterFunc(time.Until(grant.Until), l.checkExpiry)
+	l.mu.Unlock()
+	go l.renew()
+	return l
+}
+
+// Name is the lock's name.
+func (l *Lease) Name() string { return l.grant.Name }
+
+// Owner is the name that the lock is held under.
+func (l *Lease) Owner() string { return l.grant.Owner }
+
+// Token is the lease's fencing token. Each holder's token is higher than those of all
+// holders before. Pass it with each write to whatever the lock protects, and let that refuse
+// a token below the highest it has seen: the lease's end alone can't stop a write that is
+// already under way, nor one by a process that was frozen.
+func (l *Lease) Token() uint64 { return l.grant.Token }
+
+// Context ends when the lease does. context.Cause tells why: ErrLeaseLost, ErrLeaseExpired
+// or ErrReleased.
+func (l *Lease) Context() context.Context { return l.ctx }
+
+// Remaining is how much longer the lease lasts unless it is renewed; 0 or less if it has
+// ended. In a process that has just been frozen it is more exact than Context.
+func (l *Lease) Remaining() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return 0
+	}
+	return time.Until(l.grant.Until)
+}
+
+// Release ends the lease and gives the lock back. With an error the lock stays taken for
+// others until its hold time is over.
+func (l *Lease) Release(ctx context.Context) error {
+	l.end(ErrReleased)
+	l.expiry.Stop()
+	<-l.renewed
+	return l.client.ReturnGrant(ctx, l.current())
+}
+
+func (l *Lease) current() Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grant
+}
+
+// checkExpiry ends the lease once its time has run out without a renewal.
+func (l *Lease) checkExpiry() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if remaining := time.Until(l.grant.Until); remaining > 0 {
+		l.expiry.Reset(remaining)
+		return
+	}
+	l.end(ErrLeaseExpired)
+}
+
+// renew keeps the lease until it ends.
+func (l *Lease) renew() {
+	defer close(l.renewed)
+	hold := l.grant.Hold
+	interval := hold / renewalsPerHold
+	pause := interval
+	for sleep(l.ctx, pause) == nil {
+		begun := time.Now()
+		err := l.renewOnce()
+		switch {
+		case errors.Is(err, ErrLeaseLost), errors.Is(err, ErrLeaseExpired):
+			l.end(err)
+			return
+		case err != nil:
+			pause = interval / renewalsPerHold
+		default:
+			pause = interval - time.Since(begun)
+		}
+	}
+}
+
+// renewOnce tries one renewal until the lease's end.
+func (l *Lease) renewOnce() error {
+	grant := l.current()
+	ctx, cancel := context.WithDeadline(l.ctx, grant.Until)
+	defer cancel()
+	fresh, err := l.client.renewGrant(ctx, grant, min(answerTimeout, grant.Hold/attemptsPerHold))
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.grant.expired() {
+		return ErrLeaseExpired // the answer came in time, but this goroutine ran too late
+	}
+	l.grant.Until = fresh.Until
+	return nil
+}
--- /dev/null
+++ b/client/lease_test.go
@@ -0,0 +1,151 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const testHold = 3 * time.Second
+
+// The lease counts from when the call was sent, and ends then unless it is renewed.
+func TestALeaseEndsInTime(t *testing.T) {
+	silent := fault{answerDelay: time.Hour}
+	for name, c := range map[string]struct {
+		acquired  fault               // of the acquire
+		renewals  func(nth int) fault // of the attempts to renew, from 0
+		meanwhile func(s *standIn)    // done half a second after the acquire
+		ends      time.Duration       // after the acquire was sent; 0: not in a minute
+		cause     error
+	}{
+		"renewed":                {renewals: func(int) fault { return fault{} }},
+		"acquired slowly":        {acquired: fault{answerDelay: 900 * time.Millisecond}, renewals: func(int) fault { return silent }, ends: testHold, cause: ErrLeaseExpired},
+		"nodes silent":           {renewals: func(int) fault { return silent }, ends: testHold, cause: ErrLeaseExpired},
+		"nodes without a quorum": {renewals: func(int) fault { return fault{status: 503} }, ends: testHold, cause: ErrLeaseExpired},
+		"refused for good":       {renewals: func(int) fault { return fault{status: 400} }, ends: testHold, cause: ErrLeaseExpired},
+		"one answer lost": {renewals: func(nth int) fault {
+			if nth%2 == 0 {
+				return fault{reset: true}
+			}
+			return fault{}
+		}},
+		"answers slow": {renewals: func(int) fault { return fault{answerDelay: 500 * time.Millisecond} }},
+		// The last renewal that succeeds is sent 1 s after the one before it.
+		"nodes silent after a while": {renewals: func(nth int) fault {
+			if nth < 2 {
+				return fault{}
+			}
+			return silent
+		}, ends: 2*time.Second + testHold, cause: ErrLeaseExpired},
+		"lost": {renewals: func(int) fault { return fault{} }, meanwhile: func(s *standIn) { s.mu.Lock(); defer s.mu.Unlock(); delete(s.locks, "l") },
+			ends: time.Second, cause: ErrLeaseLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(t *testing.T, s *standIn) {
+				renewals := 0
+				s.setFault(func(_ int, r *http.Request) fault {
+					switch r.Method {
+					case http.MethodPost:
+						return c.acquired
+					case http.MethodPut:
+						renewals++
+						return c.renewals(renewals - 1)
+					}
+					return fault{}
+				})
+				lease, err := newTestClient(t, s).TryAcquire(t.Context(), "l", "", testHold)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if c.meanwhile != nil {
+					time.Sleep(500 * time.Millisecond)
+					c.meanwhile(s)
+				}
+				select {
+				case <-lease.Context().Done():
+				case <-time.After(time.Minute):
+				}
+				ended, cause := time.Since(s.begun), context.Cause(lease.Context())
+				if c.ends == 0 {
+					c.ends = time.Minute
+				}
+				if !errors.Is(cause, c.cause) || ended < c.ends || ended > c.ends+c.acquired.answerDelay {
+					t.Errorf("ended after %v: %v; want %v: %v", ended, cause, c.ends, c.cause)
+				}
+				if left := lease.Remaining(); (left > 0) != (c.cause == nil) {
+					t.Errorf("%v remain", left)
+				}
+				if err := lease.Release(t.Context()); err != nil || lease.Context().Err() == nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+// A 200 that comes after the grant's end counts for nothing.
+func TestALateAnswerGivesNoLease(t *testing.T) {
+	const hold = 500 * time.Millisecond
+	late := fault{answerDelay: 700 * time.Millisecond}
+	simulate(t, func(t *testing.T, s *standIn) {
+		c := newTestClient(t, s)
+		s.failing(late)
+		grant, err := c.RequestGrant(t.Context(), "l", "me", hold)
+		if err != nil || len(s.attempts) != 2 || time.Until(grant.Until) != hold {
+			t.Error("acquire:", grant, err, s.hosts())
+		}
+		s.failing(late)
+		if _, err := c.RenewGrant(t.Context(), grant); !errors.Is(err, ErrLeaseExpired) {
+			t.Error("renewal:", err)
+		}
+	})
+}
+
+// A lock that is held is waited for; goroutines of one client exclude each other; tokens rise.
+func TestAcquireWaits(t *testing.T) {
+	simulate(t, func(t *testing.T, s *standIn) {
+		c := newTestClient(t, s)
+		first, err := c.Acquire(t.Context(), "l", "", testHold)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.TryAcquire(t.Context(), "l", "", testHold); !errors.Is(err, ErrHeld) {
+			t.Error(err)
+		}
+		if _, err := c.Acquire(within(t, 5*time.Second), "l", "", testHold); !errors.Is(err, ErrHeld) || !errors.Is(err, context.DeadlineExceeded) {
+			t.Error(err)
+		}
+		time.AfterFunc(10*time.Second, func() { _ = first.Release(context.Background()) })
+		second, err := c.Acquire(t.Context(), "l", "", testHold)
+		if err != nil || second.Token() <= first.Token() || first.Context().Err() == nil || !about(time.Since(s.begun), 15*time.Second) {
+			t.Fatal(second, err, time.Since(s.begun))
+		}
+		if err := first.Release(t.Context()); err != nil || second.Context().Err() != nil {
+			t.Error("a second release:", err, second.Context().Err())
+		}
+		if err := second.Release(t.Context()); err != nil || len(s.locks) != 0 {
+			t.Error(err, s.locks)
+		}
+	})
+}
+
+// What is granted after the caller has gone is given back, unless the caller chose the owner.
+func TestAnAbandonedGrantIsGivenBack(t *testing.T) {
+	for owner, want := range map[string]int{"": 0, "mine": 1} {
+		simulate(t, func(t *testing.T, s *standIn) {
+			s.failing(fault{delay: 800 * time.Millisecond})
+			_, err := newTestClient(t, s).TryAcquire(within(t, 100*time.Millisecond), "l", owner, testHold)
+			if !errors.Is(err, ErrUnclear) || time.Since(s.begun) != 100*time.Millisecond {
+				t.Error(err, time.Since(s.begun))
+			}
+			time.Sleep(time.Second)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if len(s.locks) != want {
+				t.Errorf("owner %q: %v", owner, s.locks)
+			}
+		})
+	}
+}
