--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -47,6 +47,10 @@
 	NoRollout            // no rollout was ever ordered for the service
 	UnderWay             // another rollout of the service is under way
 	NoControlNode        // a relay that reaches no control node at work
+	OutcomeUnknown       // a call that may have taken effect, or may yet
+	TooMany              // a bound on calls, watches or records is reached
+	NoCell               // a cell that holds no value
+	HistoryGone          // a watch from a revision whose history is no longer kept
 )
 
 // Answer is what a kind is answered with. NotRun says that the answer promises
@@ -89,6 +93,10 @@
 	UnderWay:        {http.StatusConflict, true, "a rollout is under way"},
 	NotNow:          {http.StatusConflict, true, "not as things stand"},
 	NoControlNode:   {http.StatusServiceUnavailable, true, "no control node in reach"},
+	OutcomeUnknown:  {http.StatusGatewayTimeout, false, "outcome not known"},
+	TooMany:         {http.StatusTooManyRequests, true, "too many"},
+	NoCell:          {http.StatusNotFound, true, "no such cell"},
+	HistoryGone:     {http.StatusGone, true, "history no longer kept"},
 }
 
 // Error is an error of a kind, with what is to be told about it.
--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -23,6 +23,7 @@
 	rollouts      *rolloutController
 	quotas        *quotaController // nil where clients ask no registry
 	orders        *orderController
+	coordination  *coordinator
 
 	calls, refused, noQuorum atomic.Uint64 // of operators
 }
@@ -140,6 +141,7 @@
 	metrics.Gauge(&b, "control", "upstreams", uint64(len(o.Upstreams)))
 	metrics.Gauge(&b, "control", "gateways", uint64(len(o.Delivery)))
 	metrics.Gauge(&b, "control", "gatewaysCurrent", uint64(len(o.Delivery)-len(o.behind())))
+	c.coordination.currentState().writeMetrics(&b)
 	return b.Bytes()
 }
 
--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -19,6 +19,10 @@
 		known[z] = true
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isCoordination(r.URL.Path) {
+			n.coordination.ServeHTTP(w, r)
+			return
+		}
 		n.administration.calls.Add(1)
 		body, err := n.serve(r, known)
 		if err != nil {
@@ -102,6 +106,8 @@
 		return n.rollouts.serve(r, strings.TrimPrefix(strings.TrimPrefix(path, "/v1/rollouts"), "/"))
 	case path == "/metrics" && r.Method == http.MethodGet:
 		return n.administration.metrics(), nil
+	case path == coordinationAdminPage && r.Method == http.MethodGet:
+		return n.coordination.currentState().page()
 	case path == "/v1/admin/plan" && r.Method == http.MethodPost:
 		body, err := readCall(r)
 		if err != nil {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"madderwing/internal/config"
+	"madderwing/internal/coordination"
 	"madderwing/internal/election"
 	"madderwing/internal/logging"
 	"madderwing/internal/membership"
@@ -61,6 +62,7 @@
 	evacuations    *evacuations
 	orders         *orderController
 	administration *administration
+	coordination   *coordinator
 	quotas         *quotaController    // nil where clients ask no registry
 	registry       *registryController // the same
 
@@ -152,7 +154,7 @@
 func newReplica(env *environment, keys []string, disk map[string][]byte) (*replication.Member, error) {
 	set := env.set
 	node := func(id string) (membership.Node, bool) { return env.reg.List().Get(id) }
-	return replication.NewMember(replication.Config{Sure: keys,
+	return replication.NewMember(replication.Config{Sure: keys, SurePrefix: coordination.KeyPrefix,
 		Self: env.post.Self(), Life: env.life, Seeds: set.SeedControlNodes(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
 		Beat: set.Beat(), Vacant: vacant(set), Patience: settings.Seconds(set.Bounds.AckS * 0.17), HandBack: env.opt.HandBack,
@@ -178,6 +180,8 @@
 	n.placement = newPlacementController(n.environment, n.configuration, n.orders.submit)
 	n.administration = &administration{environment: n.environment, configuration: n.configuration, list: n.list, delivery: n.delivery,
 		placement: n.placement, rollouts: n.rollouts, quotas: n.quotas, orders: n.orders}
+	n.coordination = newCoordinator(n.environment)
+	n.administration.coordination = n.coordination
 	n.list.changed, n.list.polled = n.delivery.issue, n.rollouts.adopt
 	n.rollouts.loads = func() upstream.Loads { return n.delivery.loads }
 }
@@ -196,6 +200,7 @@
 	go n.reg.Run()
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() { n.pump(stop); close(stopped) }()
+	go n.coordination.watchdog(stop)
 
 	failed := make(chan error, 2)
 	control := n.server(n.set.Bind.Control, n.control(n.zones))
@@ -233,6 +238,7 @@
 func (n *Node) leave(control *http.Server) {
 	n.log.control.Info("leaving")
 	began := time.Now()
+	n.coordination.close()
 	n.do(func(now time.Duration) { n.member.Leave(now); n.election.Leave(now) })
 	n.reg.Leave(false)
 	// Orders under way are answered; the heirs take over meanwhile, and what
--- /dev/null
+++ b/internal/controlplane/coordination.go
@@ -0,0 +1,249 @@
+package controlplane
+
+// This file holds how calls for locks, counters and cells reach the owner of their
+// partition.
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/coordination"
+	"madderwing/internal/settings"
+	"madderwing/internal/transport"
+)
+
+// coordinationKind is the message that forwards a call to the owner of its partition.
+const coordinationKind = "coordination"
+
+// A caller gives up after a second of silence (callerPatience). Within coordinationLimit it
+// has an answer, forwarding included. A call begins at the owner within beginLimit, and the
+// owner answers within executionLimit after that.
+const (
+	callerPatience    = time.Second
+	coordinationLimit = callerPatience * 4 / 5
+	beginLimit        = coordinationLimit * 9 / 10
+	executionLimit    = (coordinationLimit - beginLimit) / 2
+)
+
+// A process that stood still for longer than stallLimit refuses the calls that may have come
+// meanwhile: their callers may have gone on. It takes wakeTime to read those. A call that
+// waited for less begins before its caller gives up.
+const (
+	stallLimit = callerPatience / 4
+	wakeTime   = callerPatience / 20
+)
+
+// Parts of contactS: the pause before a call is tried again, and the time between two
+// sweeps of a partition.
+const (
+	coordinationPausePart = 1.0 / 100
+	sweepPart             = 1.0
+)
+
+// historyRetentions is for how long history is kept, in retentions. Watches that were
+// given a revision late, and puts that come again, find it for longer than retentionS.
+const historyRetentions = 1.5
+
+// Shares of the disk that all partitions together may fill, and of that for history. The
+// storage needs the other half for rewrites.
+const (
+	coordinationDiskShare = 0.3
+	historyShare          = 0.4
+	defaultDiskMb         = 64
+)
+
+// ownerFinder tells to whom a call goes. It is used on the loop of the replica.
+type ownerFinder interface {
+	Owner(now time.Duration, key string) string
+	Founder(now time.Duration, key string) string
+}
+
+// coordinator serves the calls of applications at a control node.
+type coordinator struct {
+	owners    ownerFinder
+	keys      func() []string // of the control state; on the loop of the replica
+	transport *transport.Mesh
+	run       func(func(now time.Duration)) // on the loop of the replica
+	inContact func(now time.Duration) bool
+	pause     time.Duration // before a call is tried again
+	retry     time.Duration // after which a refused caller may come again
+
+	clock func() time.Duration // of the loop of the replica
+
+	server *coordination.Server // owned by the loop of the replica
+
+	tickedAt atomic.Int64 // time of the newest tick
+	wokeAt   atomic.Int64 // when a tick was last late by more than stallLimit; 0: never
+
+	clocksMutex sync.Mutex
+	clocks      *coordination.PeerClocks
+
+	calls, watching atomic.Int64  // that wait here
+	closed          chan struct{} // when the node begins to leave
+	stats           coordinationStats
+}
+
+// serverConfig is the configuration of a node's coordination server.
+func serverConfig(set *settings.Settings, self string, life uint64, clock func() time.Duration, logger *slog.Logger) coordination.ServerConfig {
+	diskMb := cmp.Or(set.Limits.DiskMb, defaultDiskMb)
+	bytes := int(diskMb * (1 << 20) * coordinationDiskShare / coordination.Partitions)
+	return coordination.ServerConfig{
+		Self: self, Life: life, Clock: clock, Log: logger,
+		Limits: coordination.Limits{
+			History:      time.Duration(historyRetentions * float64(set.Retention())),
+			Bytes:        bytes,
+			HistoryBytes: int(float64(bytes) * historyShare),
+		},
+		Sweep:     settings.Seconds(set.Bounds.ContactS * sweepPart),
+		Freshness: settings.Seconds(set.Bounds.ContactS * contactPart),
+	}
+}
+
+// forwardedCall is a call on its way to the owner of its partition. It does not begin after
+// the deadline, on the clock of the owner.
+type forwardedCall struct {
+	Call     coordination.Call         `cbor:"1,keyasint"`
+	Deadline coordination.ClockReading `cbor:"2,keyasint"`
+}
+
+// forwardedAnswer is what the owner answers.
+type forwardedAnswer struct {
+	Effect coordination.Effect       `cbor:"1,keyasint"`
+	Answer coordination.Answer       `cbor:"2,keyasint"`
+	Clock  coordination.ClockReading `cbor:"3,keyasint"` // of the owner
+}
+
+// handle answers calls that other nodes forward.
+func (c *coordinator) handle() {
+	c.transport.HandleSlow(coordinationKind, func(_ string, body []byte) (any, error) {
+		var forwarded forwardedCall
+		if err := cbor.Unmarshal(body, &forwarded); err != nil {
+			c.transport.Undecoded.Add(1)
+			return nil, err
+		}
+		result := coordination.Result{Effect: coordination.NotDone}
+		if forwarded.Call.Operation.Known() {
+			result = c.execute(forwarded.Call, forwarded.Deadline)
+		}
+		return forwardedAnswer{Effect: result.Effect, Answer: result.Answer, Clock: c.server.Clock()}, nil
+	})
+}
+
+// submit brings a call to the owner of its partition, wherever that is, and gives its
+// result. A call that may have been carried out is not sent again, unless it only reads.
+func (c *coordinator) submit(call coordination.Call) coordination.Result {
+	begin := c.clock()
+	key := call.Key()
+	for pause := c.pause; ; pause *= 2 {
+		result := c.attempt(key, call, begin)
+		final := result.Effect == coordination.Answered || result.Effect == coordination.MaybeDone && !call.Operation.Reads()
+		if final || c.clock()+pause > begin+coordinationLimit {
+			return result
+		}
+		time.Sleep(pause)
+	}
+}
+
+// attempt tries a call once that came at the time begin.
+func (c *coordinator) attempt(key string, call coordination.Call, begin time.Duration) coordination.Result {
+	found := make(chan string, 1)
+	c.run(func(now time.Duration) {
+		found <- cmp.Or(c.owners.Owner(now, key), c.owners.Founder(now, key))
+	})
+	deadline := begin + beginLimit
+	switch owner := <-found; owner {
+	case "":
+		return coordination.Result{Effect: coordination.NotDone}
+	case c.transport.Self():
+		return c.execute(call, coordination.ClockReading{Life: c.server.Clock().Life, Time: deadline})
+	default:
+		return c.forward(owner, call, deadline)
+	}
+}
+
+// forward sends a call to its owner, to be begun before a deadline on the clock here.
+func (c *coordinator) forward(owner string, call coordination.Call, deadline time.Duration) coordination.Result {
+	c.clocksMutex.Lock()
+	theirs, _ := c.clocks.At(owner, deadline)
+	c.clocksMutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+2*executionLimit-c.clock())
+	defer cancel()
+	var answer forwardedAnswer
+	err := c.transport.Call(ctx, owner, coordinationKind, forwardedCall{Call: call, Deadline: theirs}, &answer)
+	if err != nil {
+		return coordination.Result{Effect: coordination.MaybeDone}
+	}
+	c.clocksMutex.Lock()
+	c.clocks.Heard(owner, answer.Clock, c.clock())
+	c.clocksMutex.Unlock()
+	if answer.Clock.Life != theirs.Life && c.clock() < deadline {
+		return c.forward(owner, call, deadline) // it was refused for a clock that is known now
+	}
+	return coordination.Result{Effect: answer.Effect, Answer: answer.Answer}
+}
+
+// execute carries a call out at this node, if it is the owner of the partition.
+func (c *coordinator) execute(call coordination.Call, deadline coordination.ClockReading) coordination.Result {
+	results := make(chan coordination.Result, 1)
+	execution := coordination.NewExecution(call, deadline, func(r coordination.Result) { results <- r })
+	c.run(func(now time.Duration) { c.server.Execute(now, execution) })
+	timer := time.NewTimer(max(0, deadline.Time-c.clock()) + executionLimit)
+	defer timer.Stop()
+	select {
+	case result := <-results:
+		return result
+	case <-timer.C:
+		return coordination.Result{Effect: execution.Abandon()}
+	}
+}
+
+// stalled says that the process stood still a moment ago, or stands still but for the caller.
+func (c *coordinator) stalled() bool {
+	now := c.clock()
+	ticked, woke := time.Duration(c.tickedAt.Load()), time.Duration(c.wokeAt.Load())
+	return now-ticked > stallLimit || woke > 0 && now-woke < wakeTime
+}
+
+// watchdog notes the times at which the process runs, until stop.
+func (c *coordinator) watchdog(stop <-chan struct{}) {
+	ticker := time.NewTicker(stallLimit / 5)
+	defer ticker.Stop()
+	c.noteRunning(c.clock())
+	for {
+		select {
+		case <-ticker.C:
+		case <-stop:
+			return
+		}
+		c.noteRunning(c.clock())
+	}
+}
+
+// noteRunning notes that the process runs now.
+func (c *coordinator) noteRunning(now time.Duration) {
+	last := time.Duration(c.tickedAt.Swap(int64(now)))
+	if last > 0 && now-last > stallLimit {
+		c.wokeAt.Store(int64(now))
+	}
+}
+
+// tick lets time pass. It runs on the loop of the replica.
+func (c *coordinator) tick(now time.Duration) {
+	c.server.Tick(now)
+	if !c.inContact(now) {
+		c.server.EndStaleWatches(now)
+	}
+}
+
+// errShutdown says that this node is about to leave.
+var errShutdown = errors.New("this node is about to leave")
+
+// close ends the watches; further ones are refused.
+func (c *coordinator) close() { close(c.closed) }
--- /dev/null
+++ b/internal/controlplane/coordination_call_test.go
@@ -0,0 +1,165 @@
+package controlplane
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"madderwing/internal/apierror"
+	"madderwing/internal/coordination"
+	"madderwing/internal/replication"
+	"madderwing/internal/rollout"
+)
+
+// Calls that cannot be meant are refused, saying what is wrong.
+func TestCoordinationCallsAreChecked(t *testing.T) {
+	large := strings.Repeat("x", maxValue+1)
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		says               string
+	}{
+		{"POST", "/v1/locks/l", `{"owner":"a","holdS":3}`, 0, ""},
+		{"POST", "/v1/locks/l", `{"owner":"a","holdS":3`, 400, "body"},
+		{"POST", "/v1/locks/l", `[]`, 400, "body"},
+		{"POST", "/v1/locks/l", ``, 400, "owner"},
+		{"POST", "/v1/locks/l", `{"owner":"","holdS":3}`, 400, "owner: empty"},
+		{"POST", "/v1/locks/l", `{"owner":"a"}`, 400, "holdS: missing"},
+		{"POST", "/v1/locks/l", `{"owner":"a","holdS":0}`, 400, "holdS: not positive"},
+		{"POST", "/v1/locks/l", `{"owner":"a","holdS":-1}`, 400, "holdS: not positive"},
+		{"POST", "/v1/locks/l", `{"owner":"a","holdS":1e9}`, 400, "holdS: more"},
+		{"POST", "/v1/locks/", `{"owner":"a","holdS":3}`, 400, "name: empty"},
+		{"POST", "/v1/locks/a/b", `{"owner":"a","holdS":3}`, 400, "name"},
+		{"POST", "/v1/locks/l", `{"owner":"` + strings.Repeat("x", maxCoordinationBody) + `"}`, 413, "more than"},
+		{"GET", "/v1/locks/l", ``, 405, "GET"},
+		{"PUT", "/v1/locks/l", `{"owner":"a","fence":1,"holdS":3}`, 0, ""},
+		{"PUT", "/v1/locks/l", `{"owner":"a","holdS":3}`, 400, "fence: missing"},
+		{"PUT", "/v1/locks/l", `{"owner":"a","fence":-1,"holdS":3}`, 400, "body"},
+		{"DELETE", "/v1/locks/l", `{"owner":"a","fence":1}`, 0, ""},
+		{"DELETE", "/v1/locks/l", `{"owner":"a"}`, 400, "fence: missing"},
+		{"POST", "/v1/numbers/n", `{}`, 0, ""},
+		{"POST", "/v1/numbers/n", ``, 0, ""},
+		{"PUT", "/v1/numbers/n", `{}`, 405, "PUT"},
+		{"PUT", "/v1/cells/g.a", `{"value":"x","enabled":0}`, 0, ""},
+		{"PUT", "/v1/cells/g.a", `{"value":""}`, 0, ""},
+		{"PUT", "/v1/cells/g.a", `{"enabled":3}`, 400, "value: missing"},
+		{"PUT", "/v1/cells/g.a", `{"value":"x","enabled":-3}`, 400, "body"},
+		{"PUT", "/v1/cells/g.a", `{"value":"` + large + `"}`, 413, "value"},
+		{"GET", "/v1/cells/g.a", ``, 0, ""},
+		{"DELETE", "/v1/cells/g.a", ``, 405, "DELETE"},
+	} {
+		_, err := readCoordinationCall(httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+		checkFault(t, c.method+" "+c.path+" "+c.body[:min(40, len(c.body))], err, c.status, c.says)
+	}
+	for _, c := range []struct {
+		method, path string
+		status       int
+		says         string
+	}{
+		{"GET", "/v1/watch/g.?after=3&waitMs=20", 0, ""},
+		{"GET", "/v1/watch/g.", 0, ""},
+		{"GET", "/v1/watch/g.?after=-1", 400, "after"},
+		{"GET", "/v1/watch/g.?after=1&waitMs=-1", 400, "waitMs"},
+		{"GET", "/v1/watch/g.?after=x", 400, "after"},
+		{"GET", "/v1/watch/g", 400, "group"},
+		{"GET", "/v1/watch/g.a", 400, "group"},
+		{"PUT", "/v1/watch/g.", 405, "PUT"},
+	} {
+		r := httptest.NewRequest(c.method, c.path, nil)
+		_, _, err := readWatch(r, strings.TrimPrefix(r.URL.Path, watchPage))
+		checkFault(t, c.method+" "+c.path, err, c.status, c.says)
+	}
+}
+
+func checkFault(t *testing.T, call string, err error, status int, says string) {
+	t.Helper()
+	switch {
+	case err == nil && status != 0:
+		t.Errorf("%s is taken, want %d", call, status)
+	case err != nil && (apierror.AnswerFor(apierror.KindOf(err)).Status != status || !strings.Contains(err.Error(), says)):
+		t.Errorf("%s: %v, want %d and %q", call, err, status, says)
+	}
+}
+
+// A relay redirects a call to the owner of its partition, as a node forwards it.
+func TestRelaysKnowThePartitionOfACall(t *testing.T) {
+	for path, call := range map[string]coordination.Call{
+		"/v1/locks/l1f":  {Operation: coordination.Release, Name: "l1f"},
+		"/v1/numbers/n2": {Operation: coordination.Draw, Name: "n2"},
+		"/v1/cells/g1.2": {Operation: coordination.Put, Name: "g1.2"},
+		"/v1/watch/g1.":  {Operation: coordination.Get, Name: "g1.2"},
+	} {
+		if got := keyOf("GET", path); got != call.Key() {
+			t.Errorf("%s: %s, want %s", path, got, call.Key())
+		}
+	}
+	if got := keyOf("GET", "/v1/rollouts/a"); got != rollout.Prefix+"a" {
+		t.Errorf("a rollout: %s", got)
+	}
+}
+
+// What came while a process stood still is refused, as its caller may have gone on.
+func TestAProcessThatStoodStillKnowsIt(t *testing.T) {
+	now := time.Minute
+	c := &coordinator{clock: func() time.Duration { return now }}
+	tick := func() { c.noteRunning(now) }
+	tick()
+	now += stallLimit / 2
+	if c.stalled() {
+		t.Error("a tick that is late by little")
+	}
+	tick()
+	now += 2 * stallLimit
+	if !c.stalled() {
+		t.Error("before the tick after a stall")
+	}
+	tick()
+	now += wakeTime / 2
+	if !c.stalled() {
+		t.Error("a moment after the stall")
+	}
+	now += wakeTime
+	if c.stalled() {
+		t.Error("later")
+	}
+}
+
+// loneReplica owns everything and is always sure of it.
+type loneReplica struct{}
+
+func (loneReplica) Propose(_ time.Duration, _ string, fn func(map[string]replication.Record) ([]replication.Record, error), done func(error)) {
+	_, err := fn(nil)
+	done(err)
+}
+func (loneReplica) Tenure(time.Duration, string) (t replication.Tenure, sure bool) { return t, true }
+func (loneReplica) Owner(time.Duration, string) string                             { return "self" }
+func (loneReplica) Committed(string) (r map[string]replication.Record, p replication.Position, known bool) {
+	return r, p, true
+}
+func (loneReplica) Current(string) (time.Duration, bool) { return time.Minute, true }
+
+func TestWatchesEndWhenTheNodeLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &coordinator{run: func(fn func(time.Duration)) { fn(time.Minute) }, closed: make(chan struct{}), stats: newCoordinationStats(), retry: time.Second,
+			server: coordination.NewServer(coordination.ServerConfig{Self: "self"}, loneReplica{})}
+		answers := make(chan *httptest.ResponseRecorder, 1)
+		ask := func() {
+			w := httptest.NewRecorder()
+			c.ServeHTTP(w, httptest.NewRequest("GET", "/v1/watch/g.?after=7&waitMs=30000", nil))
+			answers <- w
+		}
+		begin := time.Now()
+		go ask()
+		time.Sleep(time.Second)
+		c.close()
+		if w := <-answers; w.Code != 200 || w.Body.String() != `{"events":[],"revision":7}` || time.Since(begin) > time.Second {
+			t.Errorf("a watch that waits: %d %s after %v", w.Code, w.Body, time.Since(begin))
+		}
+		ask()
+		if w := <-answers; w.Code != 503 || w.Header().Get("Retry-After") == "" {
+			t.Errorf("a further one: %d", w.Code)
+		}
+	})
+}
--- /dev/null
+++ b/internal/controlplane/coordination_http.go
@@ -0,0 +1,338 @@
+package controlplane
+
+// This file holds the wire form of the calls of applications.
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"madderwing/internal/apierror"
+	"madderwing/internal/coordination"
+)
+
+// Bounds on what callers may ask for.
+const (
+	maxCoordinationBody = 64 << 10
+	maxValue            = 16 << 10
+	maxHold             = 24 * time.Hour
+	maxWait             = time.Minute // longer waits end after this
+	maxWaitingCalls     = 1024
+	maxWatches          = 4096
+)
+
+// The pages of the calls.
+const (
+	lockPage    = "/v1/locks/"
+	counterPage = "/v1/numbers/"
+	cellPage    = "/v1/cells/"
+	watchPage   = "/v1/watch/"
+)
+
+// isCoordination says whether a call is one of an application for coordination.
+func isCoordination(path string) bool {
+	for _, page := range []string{lockPage, counterPage, cellPage, watchPage} {
+		if strings.HasPrefix(path, page) {
+			return true
+		}
+	}
+	return false
+}
+
+// ServeHTTP answers one call.
+func (c *coordinator) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if name, ok := strings.CutPrefix(r.URL.Path, watchPage); ok {
+		c.serveWatch(w, r, name)
+		return
+	}
+	begin := time.Now()
+	call, err := readCoordinationCall(r)
+	if err != nil {
+		c.stats.count("refused", apierror.AnswerFor(apierror.KindOf(err)).Status, 0)
+		apierror.Write(w, err)
+		return
+	}
+	status := c.serveCall(w, call)
+	c.stats.count(call.Operation.String(), status, time.Since(begin))
+}
+
+// serveCall carries a call out, writes its answer and gives the status of that.
+func (c *coordinator) serveCall(w http.ResponseWriter, call coordination.Call) int {
+	if c.calls.Add(1) > maxWaitingCalls {
+		c.calls.Add(-1)
+		return writeFault(w, apierror.Later(apierror.TooMany, c.retry, "%d calls wait here", maxWaitingCalls))
+	}
+	result := coordination.Result{Effect: coordination.NotDone}
+	if !c.stalled() {
+		result = c.submit(call)
+	}
+	c.calls.Add(-1)
+	switch result.Effect {
+	case coordination.Answered:
+		return c.writeAnswer(w, call, result.Answer)
+	case coordination.MaybeDone:
+		if !call.Operation.Reads() {
+			return writeFault(w, apierror.New(apierror.OutcomeUnknown, "no answer from the owner of the partition in time"))
+		}
+	}
+	return writeFault(w, apierror.Later(apierror.NoQuorum, c.retry, "no owner of the partition answers"))
+}
+
+// callAnswer is the body of an answer. Fields that an operation doesn't return are absent.
+type callAnswer struct {
+	Fence    uint64  `json:"fence,omitempty"`
+	Number   uint64  `json:"value,omitempty"`
+	Revision *uint64 `json:"revision,omitempty"`
+}
+
+// cellAnswer is the body of the answer to a read.
+type cellAnswer struct {
+	Value    string `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+func (c *coordinator) writeAnswer(w http.ResponseWriter, call coordination.Call, answer coordination.Answer) int {
+	switch answer.Status {
+	case coordination.OK:
+		if call.Operation == coordination.Get {
+			return writeJSON(w, http.StatusOK, cellAnswer{answer.Value, answer.Revision})
+		}
+		body := callAnswer{Fence: answer.Fence, Number: answer.Number}
+		if call.Operation == coordination.Put {
+			body.Revision = &answer.Revision
+		}
+		return writeJSON(w, http.StatusOK, body)
+	case coordination.Mismatch:
+		return writeJSON(w, http.StatusPreconditionFailed, callAnswer{Revision: &answer.Revision})
+	case coordination.Held:
+		return writeFault(w, apierror.New(apierror.Conflict, "lock %s is held by another", call.Name))
+	case coordination.Missing:
+		return writeFault(w, apierror.New(apierror.NoCell, "%s", call.Name))
+	case coordination.Full:
+		return writeFault(w, apierror.Later(apierror.TooMany, c.retry, "the partition of %s is full", call.Name))
+	}
+	return writeFault(w, apierror.New(apierror.Internal, "unexpected answer %d", answer.Status))
+}
+
+func writeFault(w http.ResponseWriter, err *apierror.Error) int {
+	apierror.Write(w, err)
+	return apierror.AnswerFor(err.Kind).Status
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) int {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return writeFault(w, apierror.New(apierror.Internal, "%v", err))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = w.Write(text)
+	return status
+}
+
+// callBody is the body of all calls; each page uses some of its fields.
+type callBody struct {
+	Owner    *string  `json:"owner"`
+	HoldS    *float64 `json:"holdS"`
+	Fence    *uint64  `json:"fence"`
+	Value    *string  `json:"value"`
+	Expected *uint64  `json:"enabled"`
+}
+
+// operations are those of each page, by method.
+var operations = map[string]map[string]coordination.Operation{
+	lockPage:    {http.MethodPost: coordination.Acquire, http.MethodPut: coordination.Renew, http.MethodDelete: coordination.Release},
+	counterPage: {http.MethodPost: coordination.Draw},
+	cellPage:    {http.MethodPut: coordination.Put, http.MethodGet: coordination.Get},
+}
+
+// readCoordinationCall reads and checks a call.
+func readCoordinationCall(r *http.Request) (coordination.Call, error) {
+	var call coordination.Call
+	for page, methods := range operations {
+		if name, ok := strings.CutPrefix(r.URL.Path, page); ok {
+			call.Name, call.Operation = name, methods[r.Method]
+		}
+	}
+	if !call.Operation.Known() {
+		return call, apierror.New(apierror.WrongMethod, "%s on %s", r.Method, r.URL.Path)
+	}
+	if err := coordination.CheckName("name", call.Name); err != nil {
+		return call, apierror.New(apierror.BadRequest, "%v", err)
+	}
+	if call.Operation == coordination.Get {
+		return call, nil
+	}
+	var body callBody
+	if err := readCallBody(r, &body); err != nil {
+		return call, err
+	}
+	return call, body.fill(&call)
+}
+
+func readCallBody(r *http.Request, body *callBody) error {
+	text, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxCoordinationBody))
+	if err != nil {
+		if large := apierror.TooLarge(err); large != nil {
+			return large
+		}
+		return apierror.New(apierror.BadRequest, "body not read: %v", err)
+	}
+	if len(strings.TrimSpace(string(text))) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(text, body); err != nil {
+		return apierror.New(apierror.BadRequest, "body: %v", err)
+	}
+	return nil
+}
+
+// fill takes over into a call what its operation needs.
+func (b *callBody) fill(call *coordination.Call) error {
+	switch call.Operation {
+	case coordination.Acquire, coordination.Renew, coordination.Release:
+		return b.fillLock(call)
+	case coordination.Put:
+		switch {
+		case b.Value == nil:
+			return apierror.New(apierror.BadRequest, "value: missing")
+		case len(*b.Value) > maxValue:
+			return apierror.New(apierror.BodyTooLarge, "value: more than %d bytes", maxValue)
+		}
+		call.Value, call.Expected = *b.Value, b.Expected
+	}
+	return nil
+}
+
+func (b *callBody) fillLock(call *coordination.Call) error {
+	if b.Owner == nil {
+		return apierror.New(apierror.BadRequest, "owner: missing")
+	}
+	if err := coordination.CheckName("owner", *b.Owner); err != nil {
+		return apierror.New(apierror.BadRequest, "%v", err)
+	}
+	call.Owner = *b.Owner
+	if call.Operation != coordination.Acquire {
+		if b.Fence == nil {
+			return apierror.New(apierror.BadRequest, "fence: missing")
+		}
+		call.Fence = *b.Fence
+	}
+	if call.Operation == coordination.Release {
+		return nil
+	}
+	switch {
+	case b.HoldS == nil:
+		return apierror.New(apierror.BadRequest, "holdS: missing")
+	case *b.HoldS <= 0:
+		return apierror.New(apierror.BadRequest, "holdS: not positive")
+	case *b.HoldS > maxHold.Seconds():
+		return apierror.New(apierror.BadRequest, "holdS: more than %v", maxHold.Seconds())
+	}
+	call.Hold = time.Duration(*b.HoldS * float64(time.Second))
+	return nil
+}
+
+// serveWatch answers a watch.
+func (c *coordinator) serveWatch(w http.ResponseWriter, r *http.Request, group string) {
+	begin := time.Now()
+	after, wait, err := readWatch(r, group)
+	if err != nil {
+		c.stats.count("watch", apierror.AnswerFor(apierror.KindOf(err)).Status, 0)
+		apierror.Write(w, err)
+		return
+	}
+	result, err := c.boundedWatch(r, group, after, wait)
+	status := http.StatusOK
+	if err != nil {
+		status = apierror.AnswerFor(apierror.KindOf(err)).Status
+		apierror.Write(w, err)
+	} else {
+		writeJSON(w, status, newWatchAnswer(result))
+	}
+	c.stats.count("watch", status, time.Since(begin))
+}
+
+// watchAnswer is the body of the answer to a watch.
+type watchAnswer struct {
+	Events   []coordination.Event `json:"events"`
+	Revision uint64               `json:"revision"`
+}
+
+func newWatchAnswer(r coordination.WatchResult) watchAnswer {
+	answer := watchAnswer{Events: r.Events, Revision: r.Revision}
+	if answer.Events == nil {
+		answer.Events = []coordination.Event{} // a list in JSON, not null
+	}
+	return answer
+}
+
+// boundedWatch refuses watches beyond the bound, and those that come to a node that leaves.
+func (c *coordinator) boundedWatch(r *http.Request, group string, after uint64, wait time.Duration) (coordination.WatchResult, error) {
+	select {
+	case <-c.closed:
+		return coordination.WatchResult{}, apierror.Later(apierror.NoQuorum, c.retry, "%v", errShutdown)
+	default:
+	}
+	defer c.watching.Add(-1)
+	if c.watching.Add(1) > maxWatches {
+		return coordination.WatchResult{}, apierror.Later(apierror.TooMany, c.retry, "%d watches wait here", maxWatches)
+	}
+	return c.watchGroup(r.Context(), group, after, wait)
+}
+
+// readWatch reads and checks a watch.
+func readWatch(r *http.Request, group string) (after uint64, wait time.Duration, err error) {
+	if r.Method != http.MethodGet {
+		return 0, 0, apierror.New(apierror.WrongMethod, "%s on %s", r.Method, r.URL.Path)
+	}
+	if err := coordination.CheckName("group", group); err != nil {
+		return 0, 0, apierror.New(apierror.BadRequest, "%v", err)
+	}
+	if !coordination.IsGroup(group) {
+		return 0, 0, apierror.New(apierror.BadRequest, "group: %q does not end with its only dot", group)
+	}
+	query := r.URL.Query()
+	if after, err = queryNumber(query, "after"); err != nil {
+		return 0, 0, err
+	}
+	waitMs, err := queryNumber(query, "waitMs")
+	if err != nil {
+		return 0, 0, err
+	}
+	return after, time.Duration(min(waitMs, uint64(maxWait/time.Millisecond))) * time.Millisecond, nil
+}
+
+// queryNumber reads a number of the query that is 0 if it is absent.
+func queryNumber(query url.Values, name string) (uint64, error) {
+	text := query.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		reason := errors.Unwrap(err)
+		return 0, apierror.New(apierror.BadRequest, "%s: %q: %v", name, text, reason)
+	}
+	return n, nil
+}
+
+// coordinationKey is the key of the control state that a call on a page concerns.
+func coordinationKey(path string) string {
+	if group, ok := strings.CutPrefix(path, watchPage); ok {
+		return coordination.GroupKey(group)
+	}
+	if cell, ok := strings.CutPrefix(path, cellPage); ok {
+		return coordination.GroupKey(coordination.GroupOf(cell))
+	}
+	if counter, ok := strings.CutPrefix(path, counterPage); ok {
+		return coordination.Call{Operation: coordination.Draw, Name: counter}.Key()
+	}
+	return coordination.Call{Operation: coordination.Acquire, Name: strings.TrimPrefix(path, lockPage)}.Key()
+}
--- /dev/null
+++ b/internal/controlplane/coordination_node.go
@@ -0,0 +1,43 @@
+package controlplane
+
+// This file ties the coordinator to the control node that it runs in.
+
+import (
+	"strings"
+	"time"
+
+	"madderwing/internal/coordination"
+	"madderwing/internal/logging"
+	"madderwing/internal/settings"
+)
+
+// coordinationAdminPage shows operators the partitions and their locks.
+const coordinationAdminPage = "/v1/admin/coordination"
+
+// newCoordinator makes the coordinator of a node whose replica and transport are there, and
+// whose transport has not started.
+func newCoordinator(env *environment) *coordinator {
+	logger := logging.For(logging.Coordination)
+	return &coordinator{
+		owners: env.member, keys: env.member.Keys, transport: env.post, run: env.do, clock: env.now, inContact: env.contact.fresh,
+		pause: settings.Seconds(coordinationPausePart * env.set.Bounds.ContactS), retry: env.set.Beat(),
+		server: coordination.NewServer(serverConfig(env.set, env.post.Self(), env.life, env.now, logger), env.member),
+		clocks: coordination.NewPeerClocks(), closed: make(chan struct{}),
+		stats: newCoordinationStats(),
+	}
+}
+
+// currentState describes coordination as this node sees it.
+func (c *coordinator) currentState() CoordinationState {
+	result := make(chan CoordinationState, 1)
+	c.run(func(now time.Duration) {
+		var keys []string
+		for _, key := range c.keys() {
+			if strings.HasPrefix(key, coordination.KeyPrefix) {
+				keys = append(keys, key)
+			}
+		}
+		result <- c.state(now, keys)
+	})
+	return <-result
+}
--- /dev/null
+++ b/internal/controlplane/coordination_watch.go
@@ -0,0 +1,61 @@
+package controlplane
+
+// This file holds the waiting of watches.
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"madderwing/internal/apierror"
+	"madderwing/internal/coordination"
+)
+
+// watchGroup waits for puts in a group above a revision, for at most wait. Revision 0 asks
+// for the present revision only.
+func (c *coordinator) watchGroup(ctx context.Context, group string, after uint64, wait time.Duration) (coordination.WatchResult, error) {
+	begin := time.Now()
+	results := make(chan coordination.WatchResult, 1)
+	w := &coordination.Watch{Group: group, After: after, Done: func(r coordination.WatchResult) { results <- r }}
+	if after == 0 || !c.fresh(group) {
+		// The owner's word, since the copy here may lack what was acknowledged.
+		result := c.submit(coordination.Call{Operation: coordination.Revision, Name: group})
+		if result.Effect != coordination.Answered {
+			return coordination.WatchResult{}, apierror.Later(apierror.NoQuorum, c.retry, "no owner of the group answers")
+		}
+		if w.Least = result.Answer.Revision; after == 0 {
+			return coordination.WatchResult{Revision: w.Least}, nil
+		}
+	}
+	c.run(func(time.Duration) { c.server.Watch(w) })
+	result := c.awaitWatch(ctx, w, results, wait-time.Since(begin))
+	switch {
+	case result.Err == nil:
+		return result, nil
+	case errors.Is(result.Err, coordination.ErrCompacted):
+		return result, apierror.New(apierror.HistoryGone, "%v", result.Err)
+	}
+	return result, apierror.Later(apierror.NoQuorum, c.retry, "%v", result.Err)
+}
+
+// fresh says whether the copy of a group here is recent.
+func (c *coordinator) fresh(group string) bool {
+	fresh := make(chan bool, 1)
+	c.run(func(now time.Duration) { fresh <- c.server.Fresh(now, group) })
+	return <-fresh
+}
+
+// awaitWatch waits for the end of a watch.
+func (c *coordinator) awaitWatch(ctx context.Context, w *coordination.Watch, results <-chan coordination.WatchResult, wait time.Duration) coordination.WatchResult {
+	timer := time.NewTimer(max(0, wait))
+	defer timer.Stop()
+	select {
+	case result := <-results:
+		return result
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-c.closed:
+	}
+	c.run(func(time.Duration) { c.server.EndWatch(w) })
+	return <-results
+}
--- a/internal/controlplane/pump.go
+++ b/internal/controlplane/pump.go
@@ -1,8 +1,10 @@
 package controlplane
 
 import (
+	"strings"
 	"time"
 
+	"madderwing/internal/coordination"
 	"madderwing/internal/election"
 	"madderwing/internal/replication"
 	"madderwing/internal/transport"
@@ -40,6 +42,7 @@
 		n.quotas.tick(now)
 	}
 	n.rollouts.tick(now)
+	n.coordination.tick(now)
 	n.contact.tell(now, n.log.control)
 	n.placement.tick(now)
 }
@@ -131,6 +134,10 @@
 		}
 		return false
 	}
+	if strings.HasPrefix(key, coordination.KeyPrefix) {
+		n.coordination.server.Committed(key, records)
+		return false // gateways need none of it
+	}
 	if records == nil {
 		all, _, ok := n.member.Committed(key)
 		if !ok {
@@ -174,5 +181,6 @@
 	}
 	n.rollouts.handle()
 	n.orders.handle()
+	n.coordination.handle()
 	n.answerRelays()
 }
--- a/internal/controlplane/relay.go
+++ b/internal/controlplane/relay.go
@@ -132,6 +132,9 @@
 
 // keyOf names the key that a call of control concerns most.
 func keyOf(method, path string) string {
+	if isCoordination(path) {
+		return coordinationKey(path)
+	}
 	for prefix, key := range map[string]string{"/v1/evacuation/": config.EvacuationPrefix, "/v1/rollouts/": rollout.Prefix, "/v1/admin/rollouts/": rollout.Prefix} {
 		if rest, ok := strings.CutPrefix(path, prefix); ok && rest != "" {
 			return key + rest
--- /dev/null
+++ b/internal/coordination/bench_test.go
@@ -0,0 +1,114 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkGrants tells how many locks one owner grants in a second of simulated time, and
+// how long a grant takes, by the time of a sync and the number of callers. Messages take
+// 0.9 ms one way. A write waits for the one before it, which is stricter than a disk that
+// writes together what waits.
+func BenchmarkGrants(b *testing.B) {
+	for _, sync := range []time.Duration{time.Millisecond, 2 * time.Millisecond} {
+		for _, callers := range []int{1, 10, 100} {
+			b.Run(fmt.Sprintf("sync=%v/callers=%d", sync, callers), func(b *testing.B) {
+				for b.Loop() {
+					grants, took := grantsOf(b, sync, callers)
+					b.ReportMetric(float64(grants)/benchmarkSpan.Seconds(), "grants/simulated-s")
+					b.ReportMetric(took.Seconds()*1000/float64(max(grants, 1)), "simulated-ms/grant")
+				}
+			})
+		}
+	}
+}
+
+const benchmarkSpan = 3 * time.Second
+
+// grantsOf runs callers that take and give back a lock each, all of one partition.
+func grantsOf(b *testing.B, sync time.Duration, callers int) (grants int, took time.Duration) {
+	w := newWorld(b, 1, 5)
+	w.latency, w.sync = 900*time.Microsecond, sync
+	names := namesOf(partitionKey(lockPrefix+"l0"), callers)
+	w.run(3 * time.Second)
+	w.call(w.nodes[0], Call{Operation: Acquire, Name: names[0], Owner: "first", Hold: time.Millisecond}, func(Result) {})
+	w.run(6 * time.Second)
+	until := w.now + benchmarkSpan
+	for i, name := range names {
+		n := w.nodes[i%len(w.nodes)]
+		var next func()
+		next = func() {
+			if w.now > until {
+				return
+			}
+			sent := w.now
+			w.call(n, Call{Operation: Acquire, Name: name, Owner: "a", Hold: time.Hour}, func(r Result) {
+				if r.Effect == Answered && r.Answer.Status == OK && w.now <= until {
+					grants, took = grants+1, took+w.now-sent
+				}
+				w.call(n, Call{Operation: Release, Name: name, Owner: "a", Fence: r.Answer.Fence}, func(Result) { next() })
+			})
+		}
+		next()
+	}
+	w.run(until)
+	return grants, took
+}
+
+// namesOf finds names of locks in a partition.
+func namesOf(key string, count int) (names []string) {
+	for i := 0; len(names) < count; i++ {
+		if name := fmt.Sprintf("l%d", i); partitionKey(lockPrefix+name) == key {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// BenchmarkTakeover loads a partition with 1,000 leases, as a new owner does.
+func BenchmarkTakeover(b *testing.B) {
+	s, err := Load(map[string]Record{}, 0, testLimits)
+	if err != nil {
+		b.Fatal(err)
+	}
+	records := map[string]Record{}
+	for i := range 1000 {
+		_, changes := s.Execute(0, Call{Operation: Acquire, Name: fmt.Sprintf("l%d", i), Owner: "a", Hold: time.Minute})
+		for _, r := range changes {
+			records[r.Name] = r
+		}
+	}
+	for b.Loop() {
+		if _, err := Load(records, 0, testLimits); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkPut puts into a group that watches wait for at one node, and tells them.
+func BenchmarkPut(b *testing.B) {
+	for _, watching := range []int{0, 1, 10, 100} {
+		b.Run(fmt.Sprintf("watches=%d", watching), func(b *testing.B) {
+			s := newStandIn()
+			s.replica.records = map[string]Record{}
+			p, err := Load(s.replica.records, 0, Limits{History: time.Hour, Bytes: 1 << 40, HistoryBytes: 1 << 40})
+			if err != nil {
+				b.Fatal(err)
+			}
+			s.Committed(groupKey("g."), nil)
+			told, revision := 0, uint64(0)
+			for b.Loop() {
+				for range watching {
+					s.Watch(&Watch{Group: "g.", After: revision, Done: func(WatchResult) { told++ }})
+				}
+				revision++
+				_, changes := p.Execute(0, putCell("g.a", fmt.Sprint(revision), nil))
+				s.Committed(groupKey("g."), changes)
+			}
+			if told != watching*int(revision) {
+				b.Fatalf("%d watches were told of %d puts", told, revision)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/coordination/feed.go
@@ -0,0 +1,136 @@
+package coordination
+
+import (
+	"errors"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Event is a put as watches show it.
+type Event struct {
+	Name     string `json:"name"`
+	Value    string `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+// Feed is the history of the groups of one partition, as far as a replica knows it to be
+// committed. Every replica keeps one.
+type Feed struct {
+	groups map[string]*feedGroup
+}
+
+type feedGroup struct {
+	revision uint64
+	oldest   uint64
+	events   map[uint64]eventRecord
+}
+
+// ErrCompacted says that a part of the history that was asked for was erased.
+var ErrCompacted = errors.New("the history after that revision is no longer kept")
+
+// maxEvents and maxEventBytes bound the events in one answer.
+const (
+	maxEvents     = 1024
+	maxEventBytes = 256 << 10
+)
+
+// NewFeed makes the feed of a partition from its committed records.
+func NewFeed(records map[string]Record) *Feed {
+	f := &Feed{groups: map[string]*feedGroup{}}
+	for _, r := range records {
+		f.take(r)
+	}
+	return f
+}
+
+// Apply takes in the records of a partition that have been committed since, and names the
+// groups with new puts.
+func (f *Feed) Apply(records []Record) (groups []string) {
+	changed := map[string]bool{}
+	for _, r := range records {
+		if group := f.take(r); group != "" {
+			changed[group] = true
+		}
+	}
+	for group := range changed {
+		groups = append(groups, group)
+	}
+	return groups
+}
+
+// take takes in one record and gives the group that it is a put of, if it is one.
+func (f *Feed) take(r Record) string {
+	switch {
+	case r.Erased:
+	case strings.HasPrefix(r.Name, cellPrefix):
+		var record cellRecord
+		if cbor.Unmarshal(r.Data, &record) == nil {
+			name := GroupOf(strings.TrimPrefix(r.Name, cellPrefix))
+			g := f.group(name)
+			g.revision = max(g.revision, record.Revision)
+			return name
+		}
+	case strings.HasPrefix(r.Name, eventPrefix):
+		name, revision, err := parseEventName(r.Name)
+		var record eventRecord
+		if err == nil && cbor.Unmarshal(r.Data, &record) == nil {
+			f.group(name).events[revision] = record
+		}
+	case strings.HasPrefix(r.Name, groupPrefix):
+		var record groupRecord
+		if cbor.Unmarshal(r.Data, &record) == nil {
+			f.group(strings.TrimPrefix(r.Name, groupPrefix)).forget(record.Oldest)
+		}
+	}
+	return ""
+}
+
+func (f *Feed) group(name string) *feedGroup {
+	g := f.groups[name]
+	if g == nil {
+		g = &feedGroup{oldest: 1, events: map[uint64]eventRecord{}}
+		f.groups[name] = g
+	}
+	return g
+}
+
+// forget drops the events below a revision, whose records were erased with the step that
+// says so.
+func (g *feedGroup) forget(oldest uint64) {
+	for ; g.oldest < oldest && len(g.events) > 0; g.oldest++ {
+		delete(g.events, g.oldest)
+	}
+	g.oldest = max(g.oldest, oldest)
+}
+
+// Revision is the newest revision of a group.
+func (f *Feed) Revision(group string) uint64 {
+	if g := f.groups[group]; g != nil {
+		return g.revision
+	}
+	return 0
+}
+
+// Since gives the puts of a group above a revision, in order, and the revision up to
+// which they are complete, which is never below the one asked for.
+func (f *Feed) Since(group string, after uint64) ([]Event, uint64, error) {
+	g := f.groups[group]
+	if g == nil || after >= g.revision {
+		return nil, after, nil
+	}
+	if after+1 < g.oldest {
+		return nil, 0, ErrCompacted
+	}
+	var events []Event
+	size := 0
+	for revision := after + 1; revision <= g.revision && len(events) < maxEvents && size < maxEventBytes; revision++ {
+		e, ok := g.events[revision]
+		if !ok {
+			return nil, 0, ErrCompacted
+		}
+		events = append(events, Event{Name: e.Name, Value: e.Value, Revision: revision})
+		size += len(e.Value)
+	}
+	return events, events[len(events)-1].Revision, nil
+}
--- /dev/null
+++ b/internal/coordination/partition_test.go
@@ -0,0 +1,283 @@
+package coordination
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// testLimits are large enough for all tables but those on bounds.
+var testLimits = Limits{History: 30 * time.Second, Bytes: 1 << 20, HistoryBytes: 1 << 19}
+
+// state is a partition with the records that its changes make.
+type state struct {
+	*Partition
+	records map[string]Record
+}
+
+func load(t *testing.T, records map[string]Record, since time.Duration, limits Limits) *state {
+	t.Helper()
+	p, err := Load(records, since, limits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &state{p, records}
+}
+
+func (s *state) take(changes []Record) {
+	for _, r := range changes {
+		if delete(s.records, r.Name); !r.Erased {
+			s.records[r.Name] = r
+		}
+	}
+}
+
+func (s *state) do(at time.Duration, c Call) Answer {
+	answer, changes := s.Execute(at, c)
+	s.take(changes)
+	return answer
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func revision(n uint64) *uint64 { return &n }
+
+// step is one line of a table: a call at a time, and its answer. A takeover loads the
+// records anew, as a new owner does.
+type step struct {
+	at       float64
+	call     Call
+	want     Answer
+	takeover bool
+}
+
+func acquire(owner string, hold float64) Call {
+	return Call{Operation: Acquire, Name: "l", Owner: owner, Hold: seconds(hold)}
+}
+
+func renew(owner string, fence uint64, hold float64) Call {
+	return Call{Operation: Renew, Name: "l", Owner: owner, Fence: fence, Hold: seconds(hold)}
+}
+
+func release(owner string, fence uint64) Call {
+	return Call{Operation: Release, Name: "l", Owner: owner, Fence: fence}
+}
+
+func putCell(name, value string, expected *uint64) Call {
+	return Call{Operation: Put, Name: name, Value: value, Expected: expected}
+}
+
+func get(name string) Call { return Call{Operation: Get, Name: name} }
+
+var (
+	held = Answer{Status: Held}
+	ok   = Answer{Status: OK}
+)
+
+func fenced(fence uint64) Answer      { return Answer{Status: OK, Fence: fence} }
+func revised(r uint64) Answer         { return Answer{Status: OK, Revision: r} }
+func mismatched(r uint64) Answer      { return Answer{Status: Mismatch, Revision: r} }
+func found(v string, r uint64) Answer { return Answer{Status: OK, Value: v, Revision: r} }
+
+func TestPartition(t *testing.T) {
+	draw := Call{Operation: Draw, Name: "n"}
+	for name, steps := range map[string][]step{
+		"a lock is free once its lease has ended": {
+			{at: 1, call: acquire("a", 3), want: fenced(1)},
+			{at: 3.9, call: acquire("b", 3), want: held},
+			{at: 4, call: acquire("b", 3), want: fenced(2)},
+			{at: 4.1, call: renew("a", 1, 3), want: held},
+		},
+		"the holder gets its token again, and more time": {
+			{at: 1, call: acquire("a", 3), want: fenced(1)},
+			{at: 2, call: acquire("a", 3), want: fenced(1)},
+			{at: 4.9, call: acquire("b", 3), want: held},
+			{at: 5, call: acquire("b", 3), want: fenced(2)},
+		},
+		"a shorter hold takes no time away": {
+			{at: 1, call: acquire("a", 3), want: fenced(1)},
+			{at: 2, call: renew("a", 1, 0.5), want: fenced(1)},
+			{at: 3.9, call: acquire("b", 3), want: held},
+		},
+		"a lease that nobody took goes on late": {
+			{at: 1, call: acquire("a", 3), want: fenced(1)},
+			{at: 9, call: renew("a", 1, 3), want: fenced(1)},
+			{at: 11, call: acquire("b", 3), want: held},
+		},
+		"only the holder gives a lock back": {
+			{at: 1, call: acquire("a", 3), want: fenced(1)},
+			{at: 1, call: release("b", 1), want: ok},
+			{at: 1, call: release("a", 7), want: ok},
+			{at: 1, call: acquire("b", 3), want: held},
+			{at: 1, call: release("a", 1), want: ok},
+			{at: 1, call: release("a", 1), want: ok},
+			{at: 1, call: acquire("b", 3), want: fenced(2)},
+		},
+		"a new owner takes every lease for whole": {
+			{at: 1, call: acquire("a", 3), want: fenced(1)},
+			{at: 3, takeover: true},
+			{at: 5.9, call: acquire("b", 3), want: held},
+			{at: 5.9, call: renew("a", 1, 3), want: fenced(1)},
+			{at: 8.9, call: acquire("b", 3), want: fenced(2)},
+		},
+		"a longer renewal is whole for a new owner too": {
+			{at: 1, call: acquire("a", 1), want: fenced(1)},
+			{at: 1, call: renew("a", 1, 5), want: fenced(1)},
+			{at: 2, takeover: true},
+			{at: 6.9, call: acquire("b", 3), want: held},
+		},
+		"tokens rise over releases and takeovers": {
+			{at: 1, call: acquire("a", 3), want: fenced(1)},
+			{at: 1, call: release("a", 1), want: ok},
+			{at: 2, takeover: true},
+			{at: 3, call: acquire("a", 3), want: fenced(2)},
+		},
+		"counters rise over takeovers": {
+			{at: 1, call: draw, want: Answer{Status: OK, Number: 1}},
+			{at: 1, call: draw, want: Answer{Status: OK, Number: 2}},
+			{at: 2, takeover: true},
+			{at: 2, call: draw, want: Answer{Status: OK, Number: 3}},
+		},
+		"cells of a group share revisions": {
+			{at: 1, call: get("g.a"), want: Answer{Status: Missing}},
+			{at: 1, call: putCell("g.a", "x", nil), want: revised(1)},
+			{at: 1, call: putCell("g.b", "y", revision(0)), want: revised(2)},
+			{at: 1, call: putCell("h.a", "z", nil), want: revised(1)},
+			{at: 1, call: putCell("g.a", "w", revision(2)), want: mismatched(1)},
+			{at: 1, call: putCell("g.c", "w", revision(2)), want: mismatched(0)},
+			{at: 1, call: putCell("g.a", "w", revision(1)), want: revised(3)},
+			{at: 1, call: get("g.a"), want: found("w", 3)},
+			{at: 1, call: Call{Operation: Revision, Name: "g."}, want: revised(3)},
+		},
+		"a repeated put gets its first revision": {
+			{at: 1, call: putCell("g.a", "x", revision(0)), want: revised(1)},
+			{at: 1, call: putCell("g.a", "x", revision(0)), want: revised(1)},
+			{at: 2, call: putCell("g.a", "y", nil), want: revised(2)},
+			{at: 3, call: putCell("g.a", "x", revision(0)), want: revised(1)},
+			{at: 4, takeover: true},
+			{at: 20, call: putCell("g.a", "x", revision(0)), want: revised(1)},
+			{at: 20, call: get("g.a"), want: found("y", 2)},
+		},
+		"the value that stands is a repeat however old it is": {
+			{at: 1, call: putCell("g.a", "x", nil), want: revised(1)},
+			{at: 99, call: putCell("g.a", "x", revision(0)), want: revised(1)},
+			{at: 999, takeover: true},
+			{at: 9999, call: putCell("g.a", "x", nil), want: revised(1)},
+		},
+		"the same value of another cell is no repeat": {
+			{at: 1, call: putCell("g.a", "x", nil), want: revised(1)},
+			{at: 1, call: putCell("g.b", "x", nil), want: revised(2)},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := load(t, map[string]Record{}, 0, testLimits)
+			for i, step := range steps {
+				if step.takeover {
+					s = load(t, s.records, seconds(step.at), testLimits)
+					continue
+				}
+				if s.SweepDue(seconds(step.at)) && step.call.Operation == Put {
+					s.take(s.Sweep(seconds(step.at))) // as the owner does at intervals
+				}
+				if got := s.do(seconds(step.at), step.call); got != step.want {
+					t.Fatalf("step %d, %+v: %+v, want %+v", i, step.call, got, step.want)
+				}
+			}
+		})
+	}
+}
+
+// What has lapsed leaves nothing but the partition's own record.
+func TestSweepErasesLapsedLocksAndOldHistory(t *testing.T) {
+	s := load(t, map[string]Record{}, 0, testLimits)
+	s.do(seconds(1), acquire("a", 3))
+	s.do(seconds(1), putCell("g.a", "x", nil))
+	s.do(seconds(20), putCell("g.a", "y", nil))
+	feed := NewFeed(s.records)
+	if s.SweepDue(seconds(3.9)) {
+		t.Fatal("nothing has ended yet")
+	}
+	swept := s.Sweep(seconds(40))
+	s.take(swept)
+	feed.Apply(swept)
+	for name := range s.records {
+		if strings.HasPrefix(name, lockPrefix) || name == eventName("g.", 1) {
+			t.Errorf("%s still stands", name)
+		}
+	}
+	if _, _, err := feed.Since("g.", 0); err != ErrCompacted {
+		t.Errorf("watch from 0: %v", err)
+	}
+	events, upTo, err := feed.Since("g.", 1)
+	if err != nil || upTo != 2 || len(events) != 1 || events[0] != (Event{"g.a", "y", 2}) {
+		t.Errorf("watch from 1: %v %d %v", events, upTo, err)
+	}
+	if got := s.do(seconds(41), putCell("g.a", "z", nil)); got != revised(3) {
+		t.Errorf("the next put: %+v", got)
+	}
+	if s.bytes != weightOf(s.records) {
+		t.Errorf("accounted for %d bytes, there are %d", s.bytes, weightOf(s.records))
+	}
+}
+
+func weightOf(records map[string]Record) (n int) {
+	for _, r := range records {
+		n += weight(r)
+	}
+	return n
+}
+
+func TestBoundsOfAPartition(t *testing.T) {
+	full := Answer{Status: Full}
+	s := load(t, map[string]Record{}, 0, Limits{History: time.Second, Bytes: 4000, HistoryBytes: 1000})
+	last := OK
+	for i := 0; last == OK && i < 100; i++ {
+		last = s.do(0, putCell("g.a", strconv.Itoa(i), nil)).Status
+	}
+	if last != Full {
+		t.Fatal("the history has no bound")
+	}
+	if got := s.do(0, putCell("g.a", "0", nil)); got != revised(1) {
+		t.Errorf("a repeat is answered %+v", got)
+	}
+	s.take(s.Sweep(seconds(2)))
+	if got := s.do(seconds(2), putCell("g.a", "again", nil)); got.Status != OK {
+		t.Errorf("once the history is old: %+v", got)
+	}
+	for i := 0; i < 100; i++ {
+		last = s.do(0, Call{Operation: Acquire, Name: "l" + strconv.Itoa(i), Owner: "a", Hold: time.Second}).Status
+	}
+	if last != Full {
+		t.Error("locks have no bound")
+	}
+	if got := s.do(0, acquire("b", 1)); got != full {
+		t.Errorf("beyond the bound: %+v", got)
+	}
+}
+
+func TestAPartitionOfAnotherNumberIsRefused(t *testing.T) {
+	head := encode(headName, headRecord{Partitions: Partitions + 1})
+	if _, err := Load(map[string]Record{headName: head}, 0, testLimits); err == nil {
+		t.Error("it is loaded")
+	}
+}
+
+func TestNames(t *testing.T) {
+	for name, good := range map[string]bool{"l1": true, "trip 7": true, "hós.að": true, "": false, "a/b": false,
+		"a\x00": false, "\xff": false, strings.Repeat("x", MaxName): true, strings.Repeat("x", MaxName+1): false} {
+		if err := CheckName("name", name); (err == nil) != good {
+			t.Errorf("%q: %v", name, err)
+		}
+	}
+	for name, group := range map[string]string{"g1.2d": "g1.", "g1.a.b": "g1.", "plain": "plain", ".x": "."} {
+		if got := GroupOf(name); got != group {
+			t.Errorf("group of %q: %q", name, got)
+		}
+	}
+	for group, good := range map[string]bool{"g1.": true, "g1": false, "g1.a.": false, ".": false, "": false} {
+		if IsGroup(group) != good {
+			t.Errorf("%q is a group: %v", group, !good)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/records.go
@@ -0,0 +1,96 @@
+package coordination
+
+// This file holds the form in which a partition stands in the records of its key.
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"madderwing/internal/antientropy"
+)
+
+// Record is one entry under a key of the control state.
+type Record = antientropy.Record
+
+// Names of records. Names of locks, counters and cells contain no slash.
+const (
+	headName      = "head"
+	lockPrefix    = "lock/"
+	counterPrefix = "counter/"
+	cellPrefix    = "cell/"
+	groupPrefix   = "group/"
+	eventPrefix   = "event/"
+)
+
+// headRecord is what a partition remembers of itself.
+type headRecord struct {
+	Partitions int `cbor:"1,keyasint"`
+	// Fence is the highest fencing token that was given in this partition. Since it rises
+	// for all locks together, the record of a lock that is free can be erased.
+	Fence uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// lockRecord is a lock that is held. Hold is at least as long as any lease that was
+// confirmed to the holder.
+type lockRecord struct {
+	Owner string        `cbor:"1,keyasint"`
+	Fence uint64        `cbor:"2,keyasint"`
+	Hold  time.Duration `cbor:"3,keyasint"`
+}
+
+type counterRecord struct {
+	Value uint64 `cbor:"1,keyasint"`
+}
+
+type cellRecord struct {
+	Value    string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+}
+
+// groupRecord says which part of a group's history was erased: everything below Oldest.
+type groupRecord struct {
+	Oldest uint64 `cbor:"1,keyasint"`
+}
+
+// eventRecord is a put in the history of a group.
+type eventRecord struct {
+	Name  string `cbor:"1,keyasint"`
+	Value string `cbor:"2,keyasint"`
+}
+
+func encode(name string, value any) Record {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		panic(err) // only the plain structures of this file are encoded
+	}
+	return Record{Name: name, Gen: 1, Data: data}
+}
+
+func erase(name string) Record { return Record{Name: name, Erased: true} }
+
+// eventName is the name of the record of a put. Revisions are written with a fixed width,
+// so that records sort by revision.
+func eventName(group string, revision uint64) string {
+	return fmt.Sprintf("%s%s/%016x", eventPrefix, group, revision)
+}
+
+// parseEventName is the reverse of eventName.
+func parseEventName(name string) (group string, revision uint64, err error) {
+	text := strings.TrimPrefix(name, eventPrefix)
+	group, digits, ok := strings.Cut(text, "/")
+	if !ok {
+		return "", 0, fmt.Errorf("record %q: no revision", name)
+	}
+	revision, err = strconv.ParseUint(digits, 16, 64)
+	return group, revision, err
+}
+
+// weight is about how many bytes a record takes, in memory as on disk.
+func weight(r Record) int { return len(r.Name) + len(r.Data) + recordOverhead }
+
+// recordOverhead is what a record takes beside its name and its data.
+const recordOverhead = 64
--- /dev/null
+++ b/internal/coordination/server_test.go
@@ -0,0 +1,218 @@
+package coordination
+
+import (
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	"madderwing/internal/replication"
+)
+
+// standIn is a replica that owns everything. Its proposals run when they are let.
+type standIn struct {
+	records map[string]Record
+	epoch   replication.Epoch
+	took    time.Duration
+	fail    error
+	queued  []func()
+	holds   bool // proposals wait
+}
+
+func (r *standIn) Propose(_ time.Duration, _ string, fn func(map[string]Record) ([]Record, error), done func(error)) {
+	run := func() {
+		changes, err := fn(r.records)
+		for _, c := range changes {
+			if delete(r.records, c.Name); !c.Erased {
+				r.records[c.Name] = c
+			}
+		}
+		done(errors.Join(err, r.fail))
+	}
+	if r.holds {
+		r.queued = append(r.queued, run)
+	} else {
+		run()
+	}
+}
+
+func (r *standIn) Tenure(time.Duration, string) (replication.Tenure, bool) {
+	return replication.Tenure{Epoch: r.epoch, Since: r.took}, true
+}
+func (r *standIn) Owner(time.Duration, string) string { return "self" }
+func (r *standIn) Committed(string) (map[string]Record, replication.Position, bool) {
+	return r.records, replication.Position{}, true
+}
+func (r *standIn) Current(string) (time.Duration, bool) { return 0, true }
+
+type standInServer struct {
+	*Server
+	replica *standIn
+	now     time.Duration
+}
+
+func newStandIn() *standInServer {
+	s := &standInServer{replica: &standIn{records: map[string]Record{}, epoch: replication.Epoch{N: 1}}}
+	s.Server = NewServer(ServerConfig{Self: "self", Life: 7, Clock: func() time.Duration { return s.now }, Limits: testLimits,
+		Sweep: time.Second, Freshness: time.Second, Log: slog.New(slog.DiscardHandler)}, s.replica)
+	return s
+}
+
+// do carries a call out that has time until a deadline.
+func (s *standInServer) do(c Call, deadline ClockReading) (result Result, e *Execution) {
+	e = NewExecution(c, deadline, func(r Result) { result = r })
+	s.Execute(s.now, e)
+	return result, e
+}
+
+func TestWhatBecameOfACall(t *testing.T) {
+	inTime := ClockReading{Life: 7, Time: time.Second}
+	lost := errors.New("lost")
+	write, noWrite := acquire("a", 3), renew("b", 9, 3)
+	for name, c := range map[string]struct {
+		call     Call
+		fail     error
+		deadline ClockReading
+		want     Effect
+	}{
+		"confirmed":                       {write, nil, inTime, Answered},
+		"a change that may be committed":  {write, lost, inTime, MaybeDone},
+		"nothing changed":                 {noWrite, lost, inTime, NotDone},
+		"too late":                        {write, nil, ClockReading{Life: 7, Time: -1}, NotDone},
+		"a deadline on another life":      {write, nil, ClockReading{Life: 6, Time: time.Second}, NotDone},
+		"a deadline on a clock not known": {write, nil, ClockReading{}, NotDone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStandIn()
+			s.replica.fail = c.fail
+			if got, _ := s.do(c.call, c.deadline); got.Effect != c.want {
+				t.Errorf("%v, want %v", got.Effect, c.want)
+			}
+			if c.want == NotDone && len(s.replica.records) > 0 {
+				t.Errorf("it left %v", s.replica.records)
+			}
+		})
+	}
+}
+
+// A call that waits until its deadline, or is abandoned, never begins.
+func TestACallThatWaitedTooLongNeverBegins(t *testing.T) {
+	for name, abandon := range map[string]bool{"too late": false, "abandoned": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newStandIn()
+			s.replica.holds = true
+			_, e := s.do(acquire("a", 3), ClockReading{Life: 7, Time: time.Second})
+			if abandon {
+				if got := e.Abandon(); got != NotDone {
+					t.Errorf("abandoned: %v", got)
+				}
+			} else {
+				s.now = 2 * time.Second
+			}
+			s.replica.queued[0]()
+			if len(s.replica.records) > 0 {
+				t.Errorf("it left %v", s.replica.records)
+			}
+		})
+	}
+	s := newStandIn()
+	_, e := s.do(acquire("a", 3), ClockReading{Life: 7, Time: time.Second})
+	if got := e.Abandon(); got != MaybeDone {
+		t.Errorf("one that has begun: %v", got)
+	}
+}
+
+// A new term begins from the records, whatever the former one knew.
+func TestANewTermLoadsTheRecords(t *testing.T) {
+	s := newStandIn()
+	inTime := ClockReading{Life: 7, Time: time.Hour}
+	s.do(acquire("a", 3), inTime)
+	s.now = 2 * time.Second
+	s.replica.epoch, s.replica.took = replication.Epoch{N: 3}, s.now
+	delete(s.replica.records, lockPrefix+"l") // another owner erased it in between
+	if got, _ := s.do(acquire("b", 3), inTime); got.Answer.Status != OK {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestWatchesAreToldOnceTheCopyHasWhatWasAcknowledged(t *testing.T) {
+	s := newStandIn()
+	key := groupKey("g.")
+	p := load(t, map[string]Record{}, 0, testLimits)
+	p.do(0, putCell("g.a", "x", nil))
+	s.replica.records = p.records
+	s.Committed(key, nil)
+	var results []WatchResult
+	watch := func(after, least uint64) *Watch {
+		results = nil
+		w := &Watch{Group: "g.", After: after, Least: least, Done: func(r WatchResult) { results = append(results, r) }}
+		s.Watch(w)
+		return w
+	}
+	if watch(0, 1); len(results) != 1 || results[0].Revision != 1 || len(results[0].Events) != 1 {
+		t.Errorf("a put that is there: %+v", results)
+	}
+	w := watch(0, 2)
+	if len(results) > 0 {
+		t.Errorf("a copy that lacks revision 2 told %+v", results)
+	}
+	s.EndWatch(w)
+	if len(results) != 1 || !errors.Is(results[0].Err, ErrStale) {
+		t.Errorf("its time is over: %+v", results)
+	}
+	w = watch(1, 1)
+	_, changes := p.Execute(0, putCell("g.b", "y", nil))
+	s.Committed(key, changes)
+	s.EndWatch(w)
+	if len(results) != 1 || results[0].Revision != 2 || results[0].Events[0] != (Event{"g.b", "y", 2}) {
+		t.Errorf("a put that comes: %+v", results)
+	}
+	w = watch(2, 0)
+	s.EndWatch(w)
+	s.EndWatch(w)
+	if len(results) != 1 || results[0].Revision != 2 || results[0].Events != nil {
+		t.Errorf("nothing came: %+v", results)
+	}
+	watch(2, 0)
+	if s.EndStaleWatches(time.Minute); len(results) != 1 || !errors.Is(results[0].Err, ErrStale) || len(s.watches) > 0 {
+		t.Errorf("out of contact: %+v", results)
+	}
+}
+
+// A release that was long on its way must not give back a lock that its holder has taken
+// anew, under the same token, since.
+func TestALateReleaseIsNotCarriedOut(t *testing.T) {
+	s := newStandIn()
+	clocks := NewPeerClocks()
+	within := func(d time.Duration) ClockReading {
+		c, _ := clocks.At("self", s.now+d)
+		return c
+	}
+	if got, _ := s.do(acquire("a", 3), within(time.Second)); got.Effect != NotDone {
+		t.Fatalf("before the clock is known: %+v", got)
+	}
+	clocks.Heard("self", s.Clock(), s.now)
+	s.do(acquire("a", 3), within(time.Second))
+	sent := within(time.Second)
+	s.now += 1100 * time.Millisecond
+	s.do(acquire("a", 3), within(time.Second))
+	if got, _ := s.do(release("a", 1), sent); got.Effect != NotDone {
+		t.Errorf("the late release: %+v", got)
+	}
+	if got, _ := s.do(acquire("b", 3), within(time.Second)); got.Answer != held {
+		t.Errorf("another caller: %+v", got)
+	}
+}
+
+func TestClocksOfPeersAreNeverEstimatedAhead(t *testing.T) {
+	c := NewPeerClocks()
+	c.Heard("p", ClockReading{Life: 1, Time: 100}, 40)
+	c.Heard("p", ClockReading{Life: 1, Time: 200}, 180) // slower on its way
+	if got, _ := c.At("p", 200); got != (ClockReading{Life: 1, Time: 260}) {
+		t.Errorf("%+v", got)
+	}
+	c.Heard("p", ClockReading{Life: 2, Time: 5}, 200)
+	if got, _ := c.At("p", 210); got != (ClockReading{Life: 2, Time: 15}) {
+		t.Errorf("a new life: %+v", got)
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -13,18 +13,19 @@
 
 // The components.
 const (
-	Control     = "control"
-	Election    = "election"
-	Gateway     = "gateway"
-	Placement   = "placement"
-	Proxy       = "proxy"
-	Relay       = "relay"
-	Replication = "replication"
-	Rollout     = "rollout"
-	Settings    = "settings"
-	Storage     = "storage"
-	Transport   = "transport"
-	Upstream    = "upstream"
+	Control      = "control"
+	Coordination = "coordination"
+	Election     = "election"
+	Gateway      = "gateway"
+	Placement    = "placement"
+	Proxy        = "proxy"
+	Relay        = "relay"
+	Replication  = "replication"
+	Rollout      = "rollout"
+	Settings     = "settings"
+	Storage      = "storage"
+	Transport    = "transport"
+	Upstream     = "upstream"
 )
 
 // The formats.
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,6 +27,9 @@
 	HandBack  time.Duration // calm after which a key goes back to its first heir; 0: never
 	Alive     func(id string) bool
 	Sure      []string // keys of which members must know how old their copy is
+	// SurePrefix begins the names of further such keys, which are made as they are needed;
+	// empty: there are none.
+	SurePrefix string
 
 	Faults int                    // how many members may be lost at once with all rules kept
 	Left   func(id string) bool   // the process at an address has said that it goes; nil: never known
@@ -186,6 +190,7 @@
 	k := m.keys[name]
 	if k == nil {
 		k = &key{name: name, Set: antientropy.NewSet(), born: m.now}
+		k.wanted = m.cfg.SurePrefix != "" && strings.HasPrefix(name, m.cfg.SurePrefix)
 		m.keys[name] = k
 		m.names = append(m.names, name)
 		sort.Strings(m.names)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,6 +93,10 @@
 	EvacuateS    float64 `toml:"evacuateS"`
 	// CatchUpS is for how long a machine that is back still counts as lost; 0: not told.
 	CatchUpS float64 `toml:"catchUpS"`
+	// RetentionS is for how long watches can resume from a revision, and ReleaseS how soon
+	// a lock is free after its lease. 0: not told; see Retention.
+	RetentionS float64 `toml:"retentionS"`
+	ReleaseS   float64 `toml:"releaseS"`
 
 	// Only where versions are rolled out.
 	ExposureShare float64 `toml:"exposureShare"`
@@ -139,6 +143,17 @@
 	return 0.1
 }
 
+// retentionContacts is the retention, in contactS, where the settings name none.
+const retentionContacts = 4
+
+// Retention is for how long watches can resume from a revision that they were given.
+func (s *Settings) Retention() time.Duration {
+	if s.Bounds.RetentionS > 0 {
+		return Seconds(s.Bounds.RetentionS)
+	}
+	return Seconds(retentionContacts * s.Bounds.ContactS)
+}
+
 // Global says that clients ask a registry where to go, so that tenants, keys and
 // quotas count over all regions. Nothing that serves only this runs elsewhere.
 func (s *Settings) Global() bool { return s.Ingress == "registry" }
