--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -107,7 +107,7 @@
 	case path == "/metrics" && r.Method == http.MethodGet:
 		return n.administration.metrics(), nil
 	case path == coordinationAdminPage && r.Method == http.MethodGet:
-		return n.coordinationState().page()
+		return n.coordination.currentState().page()
 	case path == "/v1/admin/plan" && r.Method == http.MethodPost:
 		body, err := readCall(r)
 		if err != nil {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -62,9 +62,9 @@
 	evacuations    *evacuations
 	orders         *orderController
 	administration *administration
+	coordination   *coordinator
 	quotas         *quotaController    // nil where clients ask no registry
 	registry       *registryController // the same
-	coordination   *coordinator
 
 	// Owned by the pump's goroutine.
 	rosterTold string
@@ -126,7 +126,6 @@
 	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
 	n.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: set.Beat(), Forget: 40 * set.Beat()},
 		post, n.nodesChanged)
-	n.coordinate()
 	n.handle()
 	n.do(func(time.Duration) { // before anybody's word is heard
 		n.showAll()
@@ -180,7 +179,9 @@
 	n.delivery = newDeliveryController(n.environment, n.configuration, n.list, n.rollouts.controller.Led)
 	n.placement = newPlacementController(n.environment, n.configuration, n.orders.submit)
 	n.administration = &administration{environment: n.environment, configuration: n.configuration, list: n.list, delivery: n.delivery,
-		placement: n.placement, rollouts: n.rollouts, quotas: n.quotas, orders: n.orders, coordination: n.coordinationState}
+		placement: n.placement, rollouts: n.rollouts, quotas: n.quotas, orders: n.orders}
+	n.coordination = newCoordinator(n.environment)
+	n.administration.coordination = n.coordination
 	n.list.changed, n.list.polled = n.delivery.issue, n.rollouts.adopt
 	n.rollouts.loads = func() upstream.Loads { return n.delivery.loads }
 }
@@ -199,6 +200,7 @@
 	go n.reg.Run()
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() { n.pump(stop); close(stopped) }()
+	go n.coordination.watchdog(stop)
 
 	failed := make(chan error, 2)
 	control := n.server(n.set.Bind.Control, n.control(n.zones))
@@ -219,7 +221,6 @@
 			n.leave(control)
 			close(stop)
 			<-stopped
-			n.coordination.end()
 			n.reg.Stop()
 			n.post.Close()
 			return nil
--- a/internal/controlplane/coordination.go
+++ b/internal/controlplane/coordination.go
@@ -68,6 +68,7 @@
 // coordinator serves the calls of applications at a control node.
 type coordinator struct {
 	owners    ownerFinder
+	keys      func() []string // of the control state; on the loop of the replica
 	transport *transport.Mesh
 	run       func(func(now time.Duration)) // on the loop of the replica
 	inContact func(now time.Duration) bool
@@ -86,7 +87,6 @@
 
 	calls, watching atomic.Int64  // that wait here
 	closed          chan struct{} // when the node begins to leave
-	ended           chan struct{} // when it has left
 	stats           coordinationStats
 }
 
@@ -120,8 +120,8 @@
 	Clock  coordination.ClockReading `cbor:"3,keyasint"` // of the owner
 }
 
-// listen answers calls that other nodes forward.
-func (c *coordinator) listen() {
+// handle answers calls that other nodes forward.
+func (c *coordinator) handle() {
 	c.transport.HandleSlow(coordinationKind, func(_ string, body []byte) (any, error) {
 		var forwarded forwardedCall
 		if err := cbor.Unmarshal(body, &forwarded); err != nil {
@@ -211,15 +211,15 @@
 	return now-ticked > stallLimit || woke > 0 && now-woke < wakeTime
 }
 
-// watchdog notes the times at which the process runs, until the node is closed.
-func (c *coordinator) watchdog() {
+// watchdog notes the times at which the process runs, until stop.
+func (c *coordinator) watchdog(stop <-chan struct{}) {
 	ticker := time.NewTicker(stallLimit / 5)
 	defer ticker.Stop()
 	c.noteRunning(c.clock())
 	for {
 		select {
 		case <-ticker.C:
-		case <-c.ended:
+		case <-stop:
 			return
 		}
 		c.noteRunning(c.clock())
@@ -247,6 +247,3 @@
 
 // close ends the watches; further ones are refused.
 func (c *coordinator) close() { close(c.closed) }
-
-// end ends the watchdog.
-func (c *coordinator) end() { close(c.ended) }
--- a/internal/controlplane/coordination_call_test.go
+++ b/internal/controlplane/coordination_call_test.go
@@ -4,10 +4,12 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"madderwing/internal/apierror"
 	"madderwing/internal/coordination"
+	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
 )
 
@@ -123,3 +125,41 @@
 		t.Error("later")
 	}
 }
+
+// loneReplica owns everything and is always sure of it.
+type loneReplica struct{}
+
+func (loneReplica) Propose(_ time.Duration, _ string, fn func(map[string]replication.Record) ([]replication.Record, error), done func(error)) {
+	_, err := fn(nil)
+	done(err)
+}
+func (loneReplica) Tenure(time.Duration, string) (t replication.Tenure, sure bool) { return t, true }
+func (loneReplica) Owner(time.Duration, string) string                             { return "self" }
+func (loneReplica) Committed(string) (r map[string]replication.Record, p replication.Position, known bool) {
+	return r, p, true
+}
+func (loneReplica) Current(string) (time.Duration, bool) { return time.Minute, true }
+
+func TestWatchesEndWhenTheNodeLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &coordinator{run: func(fn func(time.Duration)) { fn(time.Minute) }, closed: make(chan struct{}), stats: newCoordinationStats(), retry: time.Second,
+			server: coordination.NewServer(coordination.ServerConfig{Self: "self"}, loneReplica{})}
+		answers := make(chan *httptest.ResponseRecorder, 1)
+		ask := func() {
+			w := httptest.NewRecorder()
+			c.ServeHTTP(w, httptest.NewRequest("GET", "/v1/watch/g.?after=7&waitMs=30000", nil))
+			answers <- w
+		}
+		begin := time.Now()
+		go ask()
+		time.Sleep(time.Second)
+		c.close()
+		if w := <-answers; w.Code != 200 || w.Body.String() != `{"events":[],"revision":7}` || time.Since(begin) > time.Second {
+			t.Errorf("a watch that waits: %d %s after %v", w.Code, w.Body, time.Since(begin))
+		}
+		ask()
+		if w := <-answers; w.Code != 503 || w.Header().Get("Retry-After") == "" {
+			t.Errorf("a further one: %d", w.Code)
+		}
+	})
+}
--- a/internal/controlplane/coordination_node.go
+++ b/internal/controlplane/coordination_node.go
@@ -8,35 +8,36 @@
 
 	"madderwing/internal/coordination"
 	"madderwing/internal/logging"
+	"madderwing/internal/settings"
 )
 
 // coordinationAdminPage shows operators the partitions and their locks.
 const coordinationAdminPage = "/v1/admin/coordination"
 
-// coordinate makes the coordinator of this node. It is called before the transport starts.
-func (n *Node) coordinate() {
-	clock := n.now
-	n.coordination = &coordinator{
-		owners: n.member, transport: n.post, run: n.do, clock: clock, clocks: coordination.NewPeerClocks(), inContact: n.contact.fresh,
-		pause: time.Duration(coordinationPausePart * n.set.Bounds.ContactS * float64(time.Second)), retry: n.set.Beat(),
-		server: coordination.NewServer(serverConfig(n.set, n.post.Self(), n.life, clock, logging.For(logging.Coordination)), n.member),
-		closed: make(chan struct{}), ended: make(chan struct{}), stats: newCoordinationStats(),
+// newCoordinator makes the coordinator of a node whose replica and transport are there, and
+// whose transport has not started.
+func newCoordinator(env *environment) *coordinator {
+	logger := logging.For(logging.Coordination)
+	return &coordinator{
+		owners: env.member, keys: env.member.Keys, transport: env.post, run: env.do, clock: env.now, inContact: env.contact.fresh,
+		pause: settings.Seconds(coordinationPausePart * env.set.Bounds.ContactS), retry: env.set.Beat(),
+		server: coordination.NewServer(serverConfig(env.set, env.post.Self(), env.life, env.now, logger), env.member),
+		clocks: coordination.NewPeerClocks(), closed: make(chan struct{}),
+		stats: newCoordinationStats(),
 	}
-	n.coordination.listen()
-	go n.coordination.watchdog()
 }
 
-// coordinationState describes coordination as this node sees it.
-func (n *Node) coordinationState() CoordinationState {
+// currentState describes coordination as this node sees it.
+func (c *coordinator) currentState() CoordinationState {
 	result := make(chan CoordinationState, 1)
-	n.do(func(now time.Duration) {
+	c.run(func(now time.Duration) {
 		var keys []string
-		for _, key := range n.member.Keys() {
+		for _, key := range c.keys() {
 			if strings.HasPrefix(key, coordination.KeyPrefix) {
 				keys = append(keys, key)
 			}
 		}
-		result <- n.coordination.state(now, keys)
+		result <- c.state(now, keys)
 	})
 	return <-result
 }
--- a/internal/controlplane/pump.go
+++ b/internal/controlplane/pump.go
@@ -181,5 +181,6 @@
 	}
 	n.rollouts.handle()
 	n.orders.handle()
+	n.coordination.handle()
 	n.answerRelays()
 }
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -157,10 +157,11 @@
 	}
 	state, err := Load(records, tenure.Since, s.config.Limits)
 	if err != nil {
-		s.config.Log.Error("partition cannot be used", "partition", key, "err", err)
+		s.config.Log.Error("partition cannot be used", "partition", key, "error", err)
 	} else {
 		counts := state.Counts()
-		s.config.Log.Info("partition taken over", "partition", key, "locks", counts.Locks, "counters", counts.Counters, "cells", counts.Cells)
+		s.config.Log.Info("partition taken over", "partition", key,
+			"locks", counts.Locks, "counters", counts.Counters, "cells", counts.Cells)
 	}
 	s.owned[key] = &ownedPartition{epoch: tenure.Epoch, state: state, sweepAt: now + s.config.Sweep}
 	return state
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -25,7 +25,7 @@
 // world is a simulated set of control nodes with real replicas: a network that delays and
 // cuts, disks that take time, and processes that crash and freeze.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	random  *rand.Rand
 	now     time.Duration
 	queue   eventQueue
@@ -35,6 +35,9 @@
 	lives   uint64
 	limits  Limits
 	noisy   time.Duration // messages are late until then
+
+	// latency and sync are what every message and every write take; 0: drawn.
+	latency, sync time.Duration
 }
 
 type queuedEvent struct {
@@ -73,7 +76,7 @@
 	boots   bool
 }
 
-func newWorld(t *testing.T, seed int64, size int) *world {
+func newWorld(t testing.TB, seed int64, size int) *world {
 	w := &world{t: t, random: rand.New(rand.NewSource(seed)), cuts: map[[2]string]int{},
 		limits: Limits{History: time.Hour, Bytes: 1 << 20, HistoryBytes: 1 << 19}}
 	for i := range size {
@@ -191,6 +194,9 @@
 
 // delay is the time that a message takes.
 func (w *world) delay() time.Duration {
+	if w.latency > 0 {
+		return w.latency
+	}
 	d := time.Duration(200+w.random.Intn(1500)) * time.Microsecond
 	if w.random.Intn(40) == 0 || w.now < w.noisy && w.random.Intn(4) == 0 {
 		d += time.Duration(w.random.Intn(2500)) * time.Millisecond
@@ -199,7 +205,11 @@
 }
 
 func (w *world) write(n *node, write replication.Write) {
-	n.diskAt = max(n.diskAt, w.now) + time.Duration(1+w.random.Intn(3))*time.Millisecond
+	took := w.sync
+	if took == 0 {
+		took = time.Duration(1+w.random.Intn(3)) * time.Millisecond
+	}
+	n.diskAt = max(n.diskAt, w.now) + took
 	n.pending = append(n.pending, write)
 	life := n.life
 	w.after(n.diskAt-w.now, func() {
