--- a/tools/days/days_test.go
+++ b/tools/days/days_test.go
@@ -95,3 +95,33 @@
 		}
 	}
 }
+
+// Removals take as many machines as the site's examples or the bench's default say, not fewer.
+func TestRemovalsKeepTheirShare(t *testing.T) {
+	const file = `troubles = [ { kind = "roll", share = 0.6, x = 4.0 } ]
+[[day]]
+slot = "trouble"
+plan = [ { at = 1, kind = "roll" } ]`
+	var st site
+	if err := toml.Unmarshal([]byte(file), &st); err != nil {
+		t.Fatal(err)
+	}
+	sp := parseKinds("roll: share (1) of the machines; how: remove (they leave)\n")
+	removals := 0
+	for seed := range uint64(40) {
+		d := drawDay(st, sp, profile{name: "removals", focus: "roll", lengthS: 45}, seed)
+		for _, e := range d.Plan {
+			if !e.anyOf("remove") {
+				continue
+			}
+			removals++
+			// No share at all is the bench's default, all of them; a drawn one is near the example's.
+			if share := e.number("share"); e["share"] != nil && (share < .3 || share > .95) {
+				t.Errorf("%s: %v", d.Name, e)
+			}
+		}
+	}
+	if removals < 40 {
+		t.Errorf("only %d removals were drawn", removals)
+	}
+}
--- a/tools/days/draw.go
+++ b/tools/days/draw.go
@@ -149,10 +149,6 @@
 	return pick(d, d.spec.kinds)
 }
 
-// leaveShare is about the share of machines that one entry takes away for good. By default
-// all would go, and no fleet is left to keep any rule.
-const leaveShare = .08
-
 // trouble draws an entry: an example of the site, with values and variants changed.
 func (d *drawer) trouble(k kind) trouble {
 	plan, faults := d.site.entries()
@@ -171,10 +167,6 @@
 		}
 		t["how"] = strings.Join(how, " ")
 	}
-	if t.anyOf("remove") {
-		t["share"] = leaveShare
-		delete(t, "count")
-	}
 	d.vary(t)
 	last := min(.85*d.lengthS, d.lengthS-1-max(t.number("for_s"), t.number("count")*t.number("gap_s")))
 	t["at"] = math.Round((1+d.Float64()*max(last-1, 0))*100) / 100
