Gateways take on no more long answers than their link carries before the grace ends

Cause: where most gateways of a zone are removed, the others' links (2.3 Mbit/s) fill with downloads, and the links are shared fairly: at a SIGTERM a gateway had more under way than its link carries in graceS, and went on to take more, so that several answers at once were cut in the middle at 0.95 of the grace.

Change: LinkBudget counts the bytes of answers that have begun, are expected, or are written and still on their way. A download is refused with 503 and Retry-After, before it is sent on, if the link would be occupied by long answers for over 0.4 of the grace or beyond the client's deadline; after a SIGTERM, if it could not be out by 0.8 of the grace. An answer that turns out longer than that is refused too where its request may be repeated. Sizes and delays are learnt for each service and kind. Short answers and requests that may run once are always passed on. A gateway that was told to leave now takes connections for as long as they come, up to 0.45 of the grace as before: where too few others are ready the platform goes on to send them, and they found no listener.

Ruled out: refusing all downloads after a SIGTERM (wide links have room); pacing alone (fair shares cut all answers together).

TestLeavingRefusesWhatTheLinkCannotCarry, TestConnectionsAreTakenWhileTheyCome.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,9 @@
 	if rate := opt.Pace * set.Limits.LinkMbps * 1e6 / 8; rate > 0 {
 		d.front.Pace = proxy.NewPace(rate)
 	}
+	if set.Limits.LinkMbps > 0 && set.Bounds.GraceS > 0 {
+		d.front.Link = proxy.NewLinkBudget(set.Limits.LinkMbps*1e6/8, settings.Seconds(set.Bounds.GraceS))
+	}
 	d.ready = newReadiness(d.front.Confirmed)
 	if set.Global() {
 		d.serveTenants()
@@ -136,25 +139,7 @@
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
-			d.log.Info("leaving")
-			d.ready.leaving.Store(true)
-			d.front.Drain()
-			d.reg.Leave(false)
-			// Until the platform has been told often enough to believe it, new
-			// connections go on to arrive; a few are still under way then.
-			began, grace := time.Now(), settings.Seconds(set.Bounds.GraceS)
-			believed := d.ready.believed
-			if set.Global() {
-				believed = nil // a registry's answers are used for longer
-			}
-			select {
-			case <-believed:
-				time.Sleep(beat / 4)
-			case <-time.After(grace * 45 / 100):
-			}
-			c, cancel := context.WithTimeout(context.Background(), answerTime(grace, time.Since(began)))
-			d.door.Shutdown(c)
-			cancel()
+			d.leave()
 			d.reg.Leave(true)
 			_ = ready.Close()
 			time.Sleep(beat / 5)
@@ -396,9 +381,3 @@
 		}
 	})
 }
-
-// answerTime is for how long a gateway that was told to leave some time ago goes on to
-// answer what it has read: to 0.95 of its grace, however soon it was believed.
-func answerTime(grace, since time.Duration) time.Duration {
-	return max(grace*95/100-since, grace*45/100)
-}
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -15,15 +15,14 @@
 	known, listed, current, leaving atomic.Bool
 	confirmed                       func() bool
 
-	misses   atomic.Int32
-	believed chan struct{} // closed once the platform knows that the gateway leaves
+	misses atomic.Int32 // questions answered since the gateway leaves
 }
 
 // missesBelieved is how many misses in a row the platform believes.
 const missesBelieved = 2
 
 func newReadiness(confirmed func() bool) *readiness {
-	return &readiness{confirmed: confirmed, believed: make(chan struct{})}
+	return &readiness{confirmed: confirmed}
 }
 
 // stocked says that there are items and a list to serve from.
@@ -46,8 +45,11 @@
 // asked answers one question of the platform's, and counts those that have been
 // told that the gateway leaves.
 func (r *readiness) asked() bool {
-	if r.leaving.Load() && r.misses.Add(1) == missesBelieved {
-		close(r.believed)
+	if r.leaving.Load() {
+		r.misses.Add(1)
 	}
 	return r.ok()
 }
+
+// isBelieved says whether the platform knows that the gateway leaves.
+func (r *readiness) isBelieved() bool { return r.misses.Load() >= missesBelieved }
--- a/internal/gateway/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -8,14 +8,6 @@
 )
 
 func TestReadiness(t *testing.T) {
-	believed := func(r *readiness) bool {
-		select {
-		case <-r.believed:
-			return true
-		default:
-			return false
-		}
-	}
 	confirmed := true
 	const now, contactS = 20 * time.Second, 3 * time.Second
 	answer := func(fresh bool, asked time.Duration) delivery.Issue {
@@ -47,8 +39,8 @@
 		{"third miss", func() {}, false, true},
 	} {
 		c.change()
-		if ok := r.asked(); ok != c.ok || believed(r) != c.gone {
-			t.Errorf("%d, %s: ready %v, believed gone %v", i, c.name, ok, believed(r))
+		if ok := r.asked(); ok != c.ok || r.isBelieved() != c.gone {
+			t.Errorf("%d, %s: ready %v, believed gone %v", i, c.name, ok, r.isBelieved())
 		}
 	}
 }
@@ -67,3 +59,25 @@
 		}
 	}
 }
+
+// Where too few other nodes of a zone are ready, the platform goes on to send connections to one
+// that leaves: they are taken as long as they come, until there would be no time to answer them.
+func TestConnectionsAreTakenWhileTheyCome(t *testing.T) {
+	const grace, quiet = 6 * time.Second, 200 * time.Millisecond
+	for _, c := range []struct {
+		since, calm time.Duration
+		want        bool
+	}{
+		{0, 0, true},
+		{time.Second, 0, true}, // not believed yet
+		{1200 * time.Millisecond, quiet - 1, true},  // some may still be under way
+		{1200 * time.Millisecond, quiet, false},     // none comes any more
+		{2600 * time.Millisecond, quiet / 2, true},  // they still come
+		{2700 * time.Millisecond, quiet / 2, false}, // too late for their answers
+		{2700 * time.Millisecond, 0, false},         // never believed
+	} {
+		if got := accepts(grace, c.since, c.calm, quiet); got != c.want {
+			t.Errorf("%v after the SIGTERM, calm for %v: %v", c.since, c.calm, got)
+		}
+	}
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -22,6 +22,8 @@
 type Stats struct {
 	Requests, Ordinary, Exception, Served, Refused, Failed, Late atomic.Uint64
 	Tries, Repeats, Dials, Broken, Abroad, Gone                  atomic.Uint64
+	// LinkFull counts the long answers that were refused for want of room on the link.
+	LinkFull atomic.Uint64
 }
 
 // Front serves clients.
@@ -36,6 +38,8 @@
 	arms *rollout.Arms
 	// Pace is that of large answers; nil: none.
 	Pace *Pace
+	// Link bounds the long answers that are taken on; nil: nothing does.
+	Link *LinkBudget
 	// lease is until when, on the floor's clock, keys may be relied on; nil where
 	// no word on them has to be global.
 	lease *atomic.Int64
@@ -60,7 +64,7 @@
 	f := &Front{floor: floor, arms: arms}
 	f.shard.Store(-1)
 	f.table.Store((&config.Builder{}).Build(nil))
-	f.chain = Chain(f.balance, f.limits, f.reader, f.route, f.deadline, f.quota, f.admit, f.stratify)
+	f.chain = Chain(f.balance, f.limits, f.reader, f.route, f.deadline, f.reserve, f.quota, f.admit, f.stratify)
 	return f
 }
 
@@ -77,6 +81,7 @@
 // every request that has been sent on.
 func (f *Front) Drain() {
 	f.drain.Store(true)
+	f.Link.Leave(f.now())
 	f.floor.Do(func(_ time.Duration, s *upstream.Stock) { s.Leave() })
 }
 
@@ -111,6 +116,8 @@
 	begun    []byte      // the beginning of a body that is not
 	read     atomic.Bool // the rest of that has been read and sent on
 	poor     *result     // an error of an upstream's own that another may do better than
+	// reservation is the answer's place in the budget of the link.
+	reservation *Reservation
 }
 
 // Handler deals with a request; an error is answered from the table of errors.
@@ -231,6 +238,36 @@
 	}
 }
 
+// now is the time on the floor's clock.
+func (f *Front) now() time.Duration { return time.Since(f.floor.start) }
+
+// routeDownload is the kind of routes with long answers.
+const routeDownload = "download"
+
+// reserve refuses a request whose long answer the link could not carry in time.
+func (f *Front) reserve(next Handler) Handler {
+	return func(x *Exchange) error {
+		class := AnswerClass{Service: x.service, Download: x.route.RouteKind == routeDownload}
+		r, ok := f.Link.Admit(f.now(), class, x.deadline.Sub(f.floor.start))
+		if !ok {
+			f.Stats.LinkFull.Add(1)
+			return f.elsewhere(x)
+		}
+		x.reservation = r
+		defer r.Release()
+		return next(x)
+	}
+}
+
+// elsewhere is the error for a request that this gateway's link has no room for, and another's may.
+func (f *Front) elsewhere(x *Exchange) error {
+	if !f.drain.Load() {
+		return f.later(x, apierror.Overloaded)
+	}
+	after := time.Duration((1 + rand.Float64()) / 16 * float64(x.aim)) // the others are there at once
+	return apierror.Later(apierror.Overloaded, after, "%s", x.service)
+}
+
 // quota draws the request on its tenant's quota.
 func (f *Front) quota(next Handler) Handler {
 	return func(x *Exchange) error {
@@ -490,6 +527,11 @@
 		f.finish(g, res, upstream.Served)
 		return false, apierror.New(apierror.Broken, "%s answered %d", x.service, r.StatusCode)
 	}
+	if r.StatusCode < 300 && !x.reservation.Begin(f.now(), res.size()) && repeatable {
+		f.Stats.LinkFull.Add(1)
+		f.finish(g, res, upstream.Served)
+		return false, f.elsewhere(x)
+	}
 	if res.whole {
 		how := upstream.Served
 		if r.StatusCode >= http.StatusInternalServerError {
@@ -546,7 +588,12 @@
 		h.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
 	}
 	x.w.WriteHeader(r.StatusCode)
-	err := f.Pace.write(x.w, res.start, r.ContentLength)
+	write := func(b []byte) error {
+		err := f.Pace.write(x.w, b, r.ContentLength)
+		x.reservation.Wrote(f.now(), len(b))
+		return err
+	}
+	err := write(res.start)
 	if !res.whole {
 		buf := make([]byte, 16<<10)
 		var cut error
@@ -554,7 +601,7 @@
 			var n int
 			n, cut = r.Body.Read(buf)
 			if n > 0 {
-				err = f.Pace.write(x.w, buf[:n], r.ContentLength)
+				err = write(buf[:n])
 			}
 		}
 		res.whole = cut == io.EOF
@@ -584,5 +631,6 @@
 		"refused": s.Refused.Load(), "failed": s.Failed.Load(), "late": s.Late.Load(), "tries": s.Tries.Load(),
 		"repeats": s.Repeats.Load(), "dials": s.Dials.Load(), "broken": s.Broken.Load(),
 		"abroad": s.Abroad.Load(), "gone": s.Gone.Load(),
+		"linkFull": s.LinkFull.Load(),
 	}
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -115,7 +115,7 @@
 	return (&config.Builder{}).Build(have)
 }
 
-// newRig makes a front with routes /get/ (idempotent), /put/ (mutating) and the
+// newRig makes a front with routes /get/ (idempotent), /down/ (download), /put/ (mutating) and the
 // given upstreams of one service.
 func newRig(t *testing.T, ups ...*server) *rig {
 	t.Helper()
@@ -132,6 +132,7 @@
 	 "limits":{"generation":1,"maxHeaderBytes":4096,"maxBodyBytes":1000000,"headerTimeoutS":0.2,"idleTimeoutS":15},
 	 "domains":[{"authority":"h.example","hostRoutes":[
 	 {"name":"g","pathPrefix":"/get/","routeKind":"idempotent","deadlineS":5,"targetLatencyS":4,"target":"a","maxTries":2,"generation":1},
+	 {"name":"d","pathPrefix":"/down/","routeKind":"download","deadlineS":5,"targetLatencyS":4,"target":"a","maxTries":2,"generation":1},
 	 {"name":"p","pathPrefix":"/put/","routeKind":"mutating","deadlineS":5,"targetLatencyS":4,"target":"a","maxTries":2,"generation":1},
 	 {"name":"s","pathPrefix":"/short/","routeKind":"mutating","deadlineS":0.05,"targetLatencyS":0.05,"target":"a","maxTries":2,"generation":1}]}]}}`
 	front.SetTable(tableOf(t, body))
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -66,6 +66,14 @@
 	client   error // why the request could not be sent whole, if that is known
 }
 
+// size is the length of an answer's body, -1 if that is not known yet.
+func (r result) size() int64 {
+	if r.whole {
+		return int64(len(r.start))
+	}
+	return r.response.ContentLength
+}
+
 const (
 	bodyHeld   = 256 << 10 // request bodies up to this size are held for a second upstream
 	answerHead = 256 << 10 // the head of an answer, with interim answers, may be no larger
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -21,7 +21,8 @@
 	listener net.Listener
 	most     int64
 	open     atomic.Int64
-	guests   sync.Map // *guest -> nothing: the connections that are open
+	lastCame atomic.Int64 // when the newest connection came, on the floor's clock
+	guests   sync.Map     // *guest -> nothing: the connections that are open
 
 	mu      sync.Mutex
 	current *room
@@ -129,6 +130,7 @@
 			continue
 		}
 		d.open.Add(1)
+		d.lastCame.Store(int64(d.front.now()))
 		g := &guest{Conn: c}
 		d.guests.Store(g, nil)
 		d.mu.Lock()
@@ -165,6 +167,9 @@
 	}
 }
 
+// Quiet is for how long no connection has come.
+func (d *Door) Quiet() time.Duration { return d.front.now() - time.Duration(d.lastCame.Load()) }
+
 // Open is the number of connections.
 func (d *Door) Open() int64 { return d.open.Load() }
 
