A request is not held by upstreams that take no connection: two dials, then within 0.4 of its aim

Cause: up to five upstreams were dialled for a request, a quarter of a second each (contactS/20), and each time it waited anew for its turn: 1.25 s and more of an aim of 1.2 s, while nothing had been sent and its client could have gone to another gateway.

Change: two dials are made in any case, since one silent upstream is ordinary; more, up to five, only until 0.4 of the aim. A dial takes a quarter of the aim at most, but never less than a quarter of the time in which a peer is given up; later waits for a turn are halved. Then the answer is 503 with Retry-After. The floor's connections are opened by a function that a test can replace.

Upstreams that refuse at once are still tried five times.

--- a/internal/proxy/floor.go
+++ b/internal/proxy/floor.go
@@ -21,6 +21,8 @@
 	commands chan func(now time.Duration)
 	patience time.Duration // until a silent peer is given up
 	tick     time.Duration
+	connect  func(address string, limit time.Duration) (net.Conn, error)
+	closed   chan struct{}
 }
 
 // NewFloor makes the owner of a stock.
@@ -30,20 +32,26 @@
 
 // NewFloorAt makes one whose durations count from start.
 func NewFloorAt(start time.Time, stock *upstream.Stock, patience, tick time.Duration) *Floor {
-	return &Floor{stock: stock, start: start, commands: make(chan func(time.Duration), 1024), patience: patience, tick: tick}
+	return &Floor{stock: stock, start: start, commands: make(chan func(time.Duration), 1024), patience: patience, tick: tick,
+		connect: connect, closed: make(chan struct{})}
 }
 
+// Close ends Run. What is handed to the floor later is not carried out.
+func (f *Floor) Close() { close(f.closed) }
+
 // Do hands a command to the floor.
 func (f *Floor) Do(fn func(now time.Duration, s *upstream.Stock)) {
 	f.commands <- func(now time.Duration) { fn(now, f.stock) }
 }
 
-// Run carries out commands for ever.
+// Run carries out commands until the floor is closed.
 func (f *Floor) Run() {
 	tick := time.NewTicker(f.tick)
 	defer tick.Stop()
 	for {
 		select {
+		case <-f.closed:
+			return
 		case fn := <-f.commands:
 			fn(time.Since(f.start))
 		case <-tick.C:
@@ -116,9 +124,14 @@
 // warmupMost is beyond any warm-up; no sum with it overflows.
 const warmupMost = 24 * time.Hour
 
+// connect opens a TCP connection.
+func connect(address string, limit time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: limit, KeepAlive: -1}
+	return d.Dial("tcp4", address)
+}
+
 func (f *Floor) dial(address string, limit time.Duration) (*upstream.Conn, error) {
-	d := net.Dialer{Timeout: min(limit, f.patience), KeepAlive: -1}
-	c, err := d.Dial("tcp4", address)
+	c, err := f.connect(address, min(limit, f.patience))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -365,6 +365,9 @@
 		arm := f.arms.Begin(x.service, x.stratum, x.aim, prior)
 		prior = prior || arm.Candidate()
 		patience := min(x.aim/5, time.Until(x.deadline)/2)
+		if dialled > 0 {
+			patience /= 2
+		}
 		claim := &upstream.Claim{Service: x.service, Version: arm.Version(), Priority: x.priority(), Avoid: avoid, Retry: sent > 0,
 			Regions: x.regions, Bound: x.bound, Aim: x.aim}
 		if x.route.Repeatable() && x.begun == nil && sent+1 < tries { // or else its wait is not to be cut short
@@ -417,7 +420,8 @@
 			}
 			f.finish(g, res, how)
 			last = keepWorse(last, f.later(x, apierror.NoUpstream))
-			if dialled++; dialled > 4 || res.late || time.Until(x.deadline) <= 0 {
+			dialled++
+			if res.late || time.Until(x.deadline) <= 0 || !dialAgain(dialled, time.Since(x.arrived), x.aim) {
 				return last
 			}
 			continue
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -91,7 +91,7 @@
 	}
 	if conn == nil {
 		var err error
-		if conn, err = f.floor.dial(g.Address, min(f.floor.patience/2, time.Until(x.deadline))); err != nil {
+		if conn, err = f.floor.dial(g.Address, min(dialLimit(x.aim, f.floor.patience), time.Until(x.deadline))); err != nil {
 			return result{broke: err, untried: true}
 		}
 		f.Stats.Dials.Add(1)
