Large answers are paced at 0.65 of the link by default, and at 0.95 after a SIGTERM

Cause: on links of 2.3 Mbit/s a few downloads make a line in which requests on their way to upstreams and short answers wait; the pace against that was off.

A gateway that leaves passes long answers on at 0.95 of its link, since hardly anything short comes any more. Long answers may occupy the link for half of the grace (0.4 before) before more are refused.

Tests: TestPaceMayBeRaised; the model of the link with the budget's rate as an argument.

--- a/cmd/madderwing/commands.go
+++ b/cmd/madderwing/commands.go
@@ -97,7 +97,7 @@
 	c := &cobra.Command{Use: "gateway", Short: "Carry traffic: serve clients on an edge machine", Args: cobra.NoArgs}
 	path := settingsFlag(c)
 	shards := c.Flags().Int("shards", 2, "how many shards the gateways are divided into; the same on all nodes")
-	pace := c.Flags().Float64("pace", 0, "part of the link's rate (limits.linkMbps) at which large answers are passed on; 0: as fast as they come")
+	pace := c.Flags().Float64("pace", gateway.DefaultPace, "part of the link's rate (limits.linkMbps) at which large answers are passed on; 0: as fast as they come")
 	c.RunE = func(*cobra.Command, []string) error {
 		if *pace < 0 || *pace > 1 {
 			return usage(errors.New("--pace must be between 0 and 1"))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,10 @@
 	Pace float64
 }
 
+// DefaultPace is the part of the link's rate at which large answers are passed on unless told
+// otherwise. The rest is left to what is short, so that it need not wait behind them.
+const DefaultPace = 0.65
+
 // keepFds are descriptors that are not for clients: files, upstreams, nodes.
 const keepFds = 0.4
 
@@ -94,12 +98,7 @@
 	d.floor = proxy.NewFloorAt(d.start, stock, patience, patience/6)
 	d.arms = rollout.NewArms(post.Self(), settings.Seconds(set.Rollback()*silencePart), func() time.Duration { return time.Since(d.start) })
 	d.front = proxy.NewFront(d.floor, d.arms)
-	if rate := opt.Pace * set.Limits.LinkMbps * 1e6 / 8; rate > 0 {
-		d.front.Pace = proxy.NewPace(rate)
-	}
-	if set.Limits.LinkMbps > 0 && set.Bounds.GraceS > 0 {
-		d.front.Link = proxy.NewLinkBudget(set.Limits.LinkMbps*1e6/8, settings.Seconds(set.Bounds.GraceS))
-	}
+	d.boundAnswers()
 	d.ready = newReadiness(d.front.Confirmed)
 	if set.Global() {
 		d.serveTenants()
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -11,8 +11,8 @@
 	// acceptShare is the part of graceS for which connections are taken at most after a
 	// SIGTERM: what comes in later might not be answered in time.
 	acceptShare = 0.45
-	// answerShare is the part of graceS for which what has been read is answered.
-	answerShare = 0.95
+	// finishShare is the part of graceS for which what has been read is answered.
+	finishShare = 0.95
 	// quietShare is the part of a beat without a new connection after which none is expected.
 	quietShare = 0.25
 )
@@ -24,6 +24,7 @@
 	d.log.Info("leaving")
 	d.ready.leaving.Store(true)
 	d.front.Drain()
+	d.front.Pace.SetRate(linkRate(d.set) * leavingPace)
 	d.reg.Leave(false)
 	began, grace := time.Now(), settings.Seconds(d.set.Bounds.GraceS)
 	quiet := time.Duration(float64(d.set.Beat()) * quietShare)
@@ -57,5 +58,5 @@
 // answerTime is for how long a gateway that was told to leave some time ago goes on to
 // answer what it has read, however soon it was believed.
 func answerTime(grace, since time.Duration) time.Duration {
-	return max(time.Duration(float64(grace)*answerShare)-since, time.Duration(float64(grace)*acceptShare))
+	return max(time.Duration(float64(grace)*finishShare)-since, time.Duration(float64(grace)*acceptShare))
 }
--- a/internal/proxy/linkbudget.go
+++ b/internal/proxy/linkbudget.go
@@ -12,14 +12,11 @@
 // times: a SIGTERM may come at any moment.
 
 const (
-	// linkShare is the part of the link's rate that long answers are reckoned to get; requests
-	// to upstreams, short answers and what nodes say to each other have the rest.
-	linkShare = 0.7
 	// graceShare is the part of graceS after which all long answers should be out.
 	graceShare = 0.8
 	// queueShare is the part of graceS for which long answers may occupy the link before more
 	// are refused, while the process stays.
-	queueShare = 0.4
+	queueShare = 0.5
 	// longAnswer is the size above which an answer is long. Shorter ones are passed on always.
 	longAnswer = 16 << 10
 	// unknownDownload is taken as the size of a download while none has been seen.
@@ -59,10 +56,11 @@
 	estimates map[AnswerClass]answerEstimate
 }
 
-// NewLinkBudget makes the budget of a link that carries so many bytes a second, for a process
-// that has the given time to finish once it is told to leave.
+// NewLinkBudget makes the budget of a link that carries so many bytes of long answers a second,
+// beside all that is short, for a process that has the given time to finish once it is told to
+// leave.
 func NewLinkBudget(bytesPerS float64, grace time.Duration) *LinkBudget {
-	return &LinkBudget{bytesPerS: bytesPerS * linkShare, grace: grace, estimates: map[AnswerClass]answerEstimate{}}
+	return &LinkBudget{bytesPerS: bytesPerS, grace: grace, estimates: map[AnswerClass]answerEstimate{}}
 }
 
 // Reservation is the place of one answer in the budget. A nil one stands for an answer that is
--- a/internal/proxy/linkbudget_test.go
+++ b/internal/proxy/linkbudget_test.go
@@ -42,6 +42,8 @@
 	modelMost  = 540_000
 	// modelOther is the part of the link that everything short takes.
 	modelOther = 0.25
+	// modelShare is the part of the link that long answers are reckoned to get.
+	modelShare = 0.7
 	modelLimit = 8 * time.Second // the clients' deadline
 )
 
@@ -135,7 +137,7 @@
 		perS := load * rate * (1 - modelOther) / modelMean
 		var withBudget, without linkModel
 		for seed := range uint64(100) {
-			m := playLeaving(seed, NewLinkBudget(rate, modelGrace), rate, perS)
+			m := playLeaving(seed, NewLinkBudget(modelShare*rate, modelGrace), rate, perS)
 			if m.cut > 0 {
 				t.Errorf("load %g, seed %d: %d answers were cut", load, seed, m.cut)
 			}
@@ -178,11 +180,11 @@
 		return true
 	})
 	r := newRig(t, u)
-	r.front.Link = NewLinkBudget(100<<10, 2*time.Second) // the answer takes over two seconds
+	r.front.Link = NewLinkBudget(70<<10, 2*time.Second) // the answer takes over two seconds
 	if res, body, err := r.say(t, "GET", get("/down/long")); err != nil || res.StatusCode != 200 || body != long {
 		t.Fatalf("an unused link: %v %v", res, err)
 	}
-	r.front.Link = NewLinkBudget(100<<10, 2*time.Second) // as good as new, and nothing is known
+	r.front.Link = NewLinkBudget(70<<10, 2*time.Second) // as good as new, and nothing is known
 	r.front.Drain()
 	for i, c := range []struct {
 		method, raw  string
@@ -210,7 +212,7 @@
 	}
 	// A download is taken to be long before any has been seen.
 	for _, served := range []bool{true, false} {
-		b := NewLinkBudget(100<<10, 2*time.Second)
+		b := NewLinkBudget(70<<10, 2*time.Second)
 		if !served {
 			b.Leave(0)
 		}
--- a/internal/proxy/pace.go
+++ b/internal/proxy/pace.go
@@ -25,7 +25,19 @@
 
 // NewPace makes a pace of so many bytes a second.
 func NewPace(perS float64) *Pace {
-	return &Pace{perByte: time.Duration(float64(time.Second) / perS)}
+	p := &Pace{}
+	p.SetRate(perS)
+	return p
+}
+
+// SetRate changes the pace to so many bytes a second. A nil pace has none.
+func (p *Pace) SetRate(perS float64) {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.perByte = time.Duration(float64(time.Second) / perS)
 }
 
 // take waits until n bytes more may leave.
--- a/internal/proxy/pace_test.go
+++ b/internal/proxy/pace_test.go
@@ -39,3 +39,21 @@
 		}
 	})
 }
+
+// A pace may be raised while answers are under way, as when short ones come no more.
+func TestPaceMayBeRaised(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPace(50 << 10)
+		begin := time.Now()
+		time.AfterFunc(time.Second, func() { p.SetRate(100 << 10) })
+		if err := p.write(io.Discard, make([]byte, 150<<10), 150<<10); err != nil {
+			t.Error(err)
+		}
+		// 50 kB in the first second, 100 kB in the next, but for a part.
+		if took, slack := time.Since(begin), 150*time.Millisecond; took < 2*time.Second-slack || took > 2*time.Second+slack {
+			t.Errorf("took %v", took)
+		}
+		var none *Pace
+		none.SetRate(1)
+	})
+}
