replication: one heartbeat for all keys that a process owns

Cause: each key had a sign of life of its own, a copy without changes to every other member each beat, each answered.

Change: an owner sends each member one heartbeat a beat. It names the keys' epochs, positions and commit positions by a version and a digest of the list and carries the entries that differ from the version that the member acknowledged last. The round number is one for the process, so one answer confirms all epochs; it names the keys for which it doesn't hold, and a newer epoch deposes the owner of that key alone. The echoed clock mark and the age of the owner's certainty are told once, with exceptions by key. Between beats a partial heartbeat names the keys that were committed or are to be confirmed in one drain of the driver's queue; one that only tells of commits is answered only by a member that lacks them, and is left out where the next step tells the same. Members say which protocol they speak; older ones get and give the copies of before, also within one roster. What is on disk is unchanged. Heirs are worked out once a roster, not at every tick.

TestAnOwnerThatMissedTwoRosters drops every word of the roster to an owner; the answers to heartbeats are one more way, so they are dropped too. A third of the random schedules now has every other machine on the older protocol.

Ruled out: a digest for rounds that confirm a read (every such round would walk all keys at each member); leaving out the version (late heartbeats would undo newer ones).

--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -148,10 +148,9 @@
 	}
 	// A promise is no confirmation, for which others would wait: see reply.
 	k.sure, k.took, k.heir = unsure, m.now, len(k.Records) > 0
-	k.marks = map[string]mark{}
 	k.role, k.since, k.agreed = owns, m.now, m.now
 	k.acks, k.seen = map[string]Position{}, map[string]time.Duration{}
-	k.rounds, k.sentAt, k.round = map[string]uint64{}, map[uint64]time.Duration{}, 0
+	k.rounds, k.firstRound = map[string]uint64{}, m.beats.round+1
 	k.sending, k.mended = map[string]*sending{}, map[string]mended{}
 	base := k.at
 	k.at = Position{k.mine, base.Seq + 1}
@@ -164,7 +163,8 @@
 			m.mend(k, addressOf(id), id, p.At, p.Sums)
 		}
 	}
-	m.beat(k)
+	m.confirm(k)
+	m.advance(k)
 }
 
 // stepDown follows a newer epoch.
@@ -192,12 +192,20 @@
 }
 
 // Heirs orders the addresses of the roster for a key: who takes it over first.
-func (m *Member) Heirs(name string) []string { return rendezvous.Order(name, m.Roster()) }
+func (m *Member) Heirs(name string) []string { return slices.Clone(m.heirs(m.key(name))) }
+
+// heirs is Heirs for a key, worked out once for each roster.
+func (m *Member) heirs(k *key) []string {
+	if s := m.seats(); k.heirsOf != s {
+		k.heirsOf, k.heirList = s, rendezvous.Order(k.name, m.Roster())
+	}
+	return k.heirList
+}
 
 // rank is this member's place among the live heirs that are not the owner.
 func (m *Member) rank(k *key) int {
 	n := 0
-	for _, id := range m.Heirs(k.name) {
+	for _, id := range m.heirs(k) {
 		if id == m.cfg.Self {
 			return n
 		}
@@ -216,7 +224,7 @@
 
 // place is this member's place among all heirs.
 func (m *Member) place(name string) int {
-	for i, id := range m.Heirs(name) {
+	for i, id := range m.heirs(m.key(name)) {
 		if id == m.cfg.Self {
 			return i
 		}
@@ -283,7 +291,7 @@
 // that has been at work, with a copy that is up to date, for a long calm time.
 // Keys that a failure has gathered at one member so spread out again.
 func (m *Member) handBack(k *key) {
-	heir := m.Heirs(k.name)[0]
+	heir := m.heirs(k)[0]
 	at, _ := k.ackOf(heir)
 	calm := heir != m.cfg.Self && m.cfg.HandBack > 0 && m.cfg.Alive(heir) && k.commit == k.at && len(k.waiters)+len(k.queue) == 0 &&
 		at == k.at && m.now-k.seen[m.newest[heir]] <= m.cfg.Vacant && m.now-k.since > m.cfg.HandBack &&
--- /dev/null
+++ b/internal/replication/heartbeat.go
@@ -0,0 +1,539 @@
+package replication
+
+// This file holds the owner's half of heartbeats: what an owner sends each other member
+// at each beat, and what it makes of the answers.
+//
+// One heartbeat stands for all keys that a process owns. It names their epochs and
+// positions by a version and a digest of the whole list, and carries only the entries
+// that differ from the version which that member acknowledged last. Its round number is
+// one for the process, so one answer confirms the epochs of all keys in the list. An
+// answer names the keys for which it doesn't hold: one of a newer epoch deposes the owner
+// of that key alone.
+//
+// Between beats a partial heartbeat tells of the keys that it names and of no others:
+// those that were committed a moment ago, and those for which a read waits to be
+// confirmed. One that only tells of commits is not answered, unless the member lacks
+// what was committed.
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+// protocolHeartbeat is the first protocol in which members understand heartbeats.
+// Members of an older one are sent a copy without changes for each key.
+const protocolHeartbeat = 1
+
+// roundsKept is for how many times the vacancy bound the times of rounds are kept; those
+// of the roster date the members' answers (see gone).
+const roundsKept = 8
+
+// KeyStatus is how an owner stands with one of its keys. The owner and life of the epoch
+// are those of the sender.
+type KeyStatus struct {
+	Key    string `cbor:"1,keyasint"`
+	Epoch  uint64 `cbor:"2,keyasint"`
+	Seq    uint64 `cbor:"3,keyasint,omitempty"`
+	Commit uint64 `cbor:"4,keyasint,omitempty"`
+	Sum    uint64 `cbor:"5,keyasint,omitempty"` // the digest of all records
+}
+
+// digest is an entry's part in the digest of a list.
+func (s KeyStatus) digest() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.Key))
+	sum := h.Sum64()
+	for _, v := range [...]uint64{s.Epoch, s.Seq, s.Commit, s.Sum} {
+		sum = (sum^v)*0x9e3779b97f4a7c15 + 1
+		sum ^= sum >> 29
+	}
+	return sum
+}
+
+// KeyAge is how long ago an owner was sure of one key, where that differs from the Age of
+// the heartbeat's Sure; negative: it has not been sure of it yet.
+type KeyAge struct {
+	Key string        `cbor:"1,keyasint"`
+	Age time.Duration `cbor:"2,keyasint"`
+}
+
+// Heartbeat is an owner's sign of life for all its keys, or a partial one for those named.
+type Heartbeat struct {
+	Round   uint64      `cbor:"1,keyasint,omitempty"` // 0: to be answered only if a key deviates
+	Roster  Position    `cbor:"2,keyasint"`
+	Partial bool        `cbor:"3,keyasint,omitempty"`
+	Base    uint64      `cbor:"4,keyasint,omitempty"` // the version to which Keys and Gone are the difference; 0: they are all
+	Version uint64      `cbor:"5,keyasint,omitempty"`
+	Digest  uint64      `cbor:"6,keyasint,omitempty"` // of the list at Version
+	Keys    []KeyStatus `cbor:"7,keyasint,omitempty"`
+	Gone    []string    `cbor:"8,keyasint,omitempty"` // keys that the sender owns no more
+	Sure    *Sure       `cbor:"9,keyasint,omitempty"`
+	Ages    []KeyAge    `cbor:"10,keyasint,omitempty"`
+}
+
+// HeartbeatAck answers a Heartbeat. It confirms the epochs of all keys that the heartbeat
+// stood for, unless the owner's roster is outdated or the member lacks the list.
+type HeartbeatAck struct {
+	Life     uint64        `cbor:"1,keyasint"` // of the owner's process
+	Round    uint64        `cbor:"2,keyasint,omitempty"`
+	Partial  bool          `cbor:"3,keyasint,omitempty"`
+	Lacks    bool          `cbor:"4,keyasint,omitempty"` // the member hasn't the list that the heartbeat builds on
+	Version  uint64        `cbor:"5,keyasint,omitempty"` // of the list that the member holds
+	Mark     time.Duration `cbor:"6,keyasint,omitempty"` // the member's clock
+	Deviate  []*Copied     `cbor:"7,keyasint,omitempty"` // keys that the member lags behind with, or has promised to others
+	Outdated *Holding      `cbor:"8,keyasint,omitempty"` // the newer roster, if the owner's is older
+}
+
+// peer is what an owner knows of the process at another member's address.
+type peer struct {
+	id       string
+	life     uint64
+	hears    bool          // it understands heartbeats
+	version  uint64        // of the list that it acknowledged last; 0: none
+	answered time.Duration // when it last answered a heartbeat
+}
+
+// sentRound is a round that was begun. keys are those of its partial heartbeat.
+type sentRound struct {
+	at   time.Duration
+	keys []sentKey
+}
+
+type sentKey struct {
+	*key
+	at Position
+}
+
+// listing is a key's entry in the list and the version that brought it.
+type listing struct {
+	KeyStatus
+	version uint64
+}
+
+// due says what a partial heartbeat is due for.
+type due int
+
+const (
+	dueNotice  due = iota // the key was committed
+	dueConfirm            // its epoch is to be confirmed
+)
+
+// heartbeats is the owner's half of heartbeats.
+type heartbeats struct {
+	round     uint64 // the newest that was begun
+	sent      map[uint64]sentRound
+	oldest    uint64            // the oldest in sent
+	rounds    map[string]uint64 // by member: the newest round in which it confirmed the whole list
+	confirmed uint64            // the newest round in which a quorum did
+	beatAt    time.Duration     // when the last one was sent to all
+
+	version, digest uint64
+	listed          map[string]listing
+	gone            map[string]uint64 // keys that have left the list, and the version that says so
+
+	dueAll  bool
+	dueTo   map[string]bool // members that need not wait for the next beat
+	dueKeys map[string]due
+}
+
+func newHeartbeats() heartbeats {
+	return heartbeats{sent: map[uint64]sentRound{}, oldest: 1, rounds: map[string]uint64{}, listed: map[string]listing{},
+		gone: map[string]uint64{}, dueTo: map[string]bool{}, dueKeys: map[string]due{}}
+}
+
+// meet notes which process speaks at an address, and of which protocol.
+func (m *Member) meet(from, id string, msg Message) {
+	p := m.peers[from]
+	if p == nil || p.id != id || p.life != msg.Life {
+		p = &peer{id: id, life: msg.Life, answered: m.now}
+		m.peers[from] = p
+		m.beats.dueTo[from] = true
+	}
+	p.hears = msg.Protocol >= protocolHeartbeat
+}
+
+// noteMark notes a member's clock, to be echoed with the next heartbeat. A new process
+// need not wait for the next beat.
+func (m *Member) noteMark(from, id string, at time.Duration) {
+	had, ok := m.marks[id]
+	m.marks[id] = mark{m.lives[id], at, m.now}
+	if !ok || had.life != m.lives[id] {
+		m.beats.dueTo[from] = true
+	}
+}
+
+// confirm starts a round in which a quorum has to confirm the epoch, and returns it.
+func (m *Member) confirm(k *key) (round uint64) {
+	m.beats.dueKeys[k.name] = dueConfirm
+	return m.beats.round + 1
+}
+
+// notice tells the others soon where the key stands.
+func (m *Member) notice(k *key) {
+	m.beats.dueKeys[k.name] = max(m.beats.dueKeys[k.name], dueNotice)
+}
+
+// owned lists the keys that this member owns, by name.
+func (m *Member) owned() (out []*key) {
+	for _, name := range m.names {
+		if k := m.keys[name]; k.role == owns {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// flushHeartbeats sends the heartbeats that are due. It runs when all that the driver had
+// for this member is done, so that many keys share one.
+func (m *Member) flushHeartbeats() {
+	b := &m.beats
+	if !b.dueAll && len(b.dueTo) == 0 && len(b.dueKeys) == 0 {
+		return
+	}
+	all, to, names := b.dueAll, b.dueTo, b.dueKeys
+	b.dueAll, b.dueTo, b.dueKeys = false, map[string]bool{}, map[string]due{}
+	owned := m.owned()
+	if len(owned) == 0 {
+		return
+	}
+	var keys []*key
+	confirm := all || len(to) > 0
+	if !all {
+		for _, name := range slices.Sorted(maps.Keys(names)) {
+			if k := m.keys[name]; k.role == owns {
+				keys = append(keys, k)
+				confirm = confirm || names[name] == dueConfirm
+			}
+		}
+	}
+	round := uint64(0)
+	if confirm {
+		round = m.beginRound(keys)
+	}
+	if all {
+		b.beatAt = m.now
+	}
+	if all || len(to) > 0 {
+		m.relist(owned)
+	}
+	whole := m.wholeHeartbeats(round, owned)
+	partial := m.partialHeartbeat(round, keys)
+	for _, a := range m.others() {
+		switch {
+		case all || to[a]:
+			m.sendWhole(a, owned, whole)
+		case len(keys) > 0:
+			m.sendPartial(a, keys, partial)
+		}
+	}
+}
+
+// beginRound begins a round and forgets those that are of no use any more.
+func (m *Member) beginRound(keys []*key) uint64 {
+	b := &m.beats
+	b.round++
+	s := sentRound{at: m.now}
+	for _, k := range keys {
+		s.keys = append(s.keys, sentKey{k, k.at})
+	}
+	b.sent[b.round] = s
+	for ; b.oldest < b.round && m.now-b.sent[b.oldest].at > roundsKept*m.cfg.Vacant; b.oldest++ {
+		delete(b.sent, b.oldest)
+	}
+	return b.round
+}
+
+// status is how this member stands with a key that it owns.
+func (m *Member) status(k *key) KeyStatus {
+	s := KeyStatus{Key: k.name, Epoch: k.mine.N, Seq: k.at.Seq, Sum: k.Sums.Fold()}
+	if k.commit.Epoch == k.mine {
+		s.Commit = k.commit.Seq
+	}
+	return s
+}
+
+// relist brings the list to where the keys stand now.
+func (m *Member) relist(owned []*key) {
+	b := &m.beats
+	next := b.version + 1
+	for _, k := range owned {
+		had, ok := b.listed[k.name]
+		s := m.status(k)
+		if ok && had.KeyStatus == s {
+			continue
+		}
+		if ok {
+			b.digest ^= had.digest()
+		}
+		b.digest ^= s.digest()
+		b.listed[k.name], b.version = listing{s, next}, next
+		delete(b.gone, k.name)
+	}
+	if len(b.listed) > len(owned) {
+		for name, l := range b.listed {
+			if m.keys[name].role != owns {
+				b.digest ^= l.digest()
+				b.version, b.gone[name] = next, next
+				delete(b.listed, name)
+			}
+		}
+	}
+	m.forgetGone()
+}
+
+// forgetGone forgets keys of which every member knows that they have left the list.
+func (m *Member) forgetGone() {
+	known := m.beats.version
+	for _, p := range m.peers {
+		if p.version > 0 {
+			known = min(known, p.version)
+		}
+	}
+	maps.DeleteFunc(m.beats.gone, func(_ string, version uint64) bool { return version <= known })
+}
+
+// wholeHeartbeats returns a function that gives the heartbeat for a member that holds the
+// list at a base; members with the same base share it.
+func (m *Member) wholeHeartbeats(round uint64, owned []*key) func(base uint64) *Heartbeat {
+	made := map[uint64]*Heartbeat{}
+	return func(base uint64) *Heartbeat {
+		if h := made[base]; h != nil {
+			return h
+		}
+		b := &m.beats
+		h := &Heartbeat{Round: round, Roster: m.keys[RosterKey].at, Base: base, Version: b.version, Digest: b.digest}
+		for _, k := range owned {
+			if l := b.listed[k.name]; l.version > base {
+				h.Keys = append(h.Keys, l.KeyStatus)
+			}
+		}
+		if base > 0 {
+			for name, version := range b.gone {
+				if version > base {
+					h.Gone = append(h.Gone, name)
+				}
+			}
+			slices.Sort(h.Gone)
+		}
+		m.tellAges(h, owned)
+		made[base] = h
+		return h
+	}
+}
+
+func (m *Member) partialHeartbeat(round uint64, keys []*key) *Heartbeat {
+	h := &Heartbeat{Round: round, Roster: m.keys[RosterKey].at, Partial: true}
+	for _, k := range keys {
+		h.Keys = append(h.Keys, m.status(k))
+	}
+	m.tellAges(h, keys)
+	return h
+}
+
+// tellAges puts into a heartbeat how long ago this member was sure of the keys: one age
+// for most, and those of the keys that are not as sure.
+func (m *Member) tellAges(h *Heartbeat, keys []*key) {
+	sure := unsure
+	for _, k := range keys {
+		if k.sure != unsure && (sure == unsure || k.sure < sure) {
+			sure = k.sure
+		}
+	}
+	if s, ok := m.beats.sent[m.beats.confirmed]; ok && !h.Partial {
+		sure = max(sure, s.at)
+	}
+	if sure == unsure {
+		return
+	}
+	h.Sure = &Sure{Age: m.now - sure}
+	for _, k := range keys {
+		switch {
+		case k.sure == unsure:
+			h.Ages = append(h.Ages, KeyAge{k.name, -1})
+		case k.sure < sure:
+			h.Ages = append(h.Ages, KeyAge{k.name, m.now - k.sure})
+		}
+	}
+}
+
+// echoing is a heartbeat with the mark that a member has set; without one its ages mean
+// nothing to the member.
+func (m *Member) echoing(h *Heartbeat, to string) *Heartbeat {
+	if h.Sure == nil {
+		return h
+	}
+	own := *h
+	if w, ok := m.marks[m.newest[to]]; ok {
+		own.Sure = &Sure{w.life, w.at, m.now - w.came, h.Sure.Age}
+	} else {
+		own.Sure, own.Ages = nil, nil
+	}
+	return &own
+}
+
+// sendWhole sends a member its heartbeat, or what stands for that: to a member of an older
+// version a copy for each key, and to one that doesn't answer a copy of one key, which
+// any version answers.
+func (m *Member) sendWhole(to string, owned []*key, whole func(base uint64) *Heartbeat) {
+	p := m.peers[to]
+	switch {
+	case p == nil:
+		m.sendCopies(to, owned[:1])
+		return
+	case !p.hears:
+		m.sendCopies(to, owned)
+		return
+	case m.now-p.answered > m.cfg.Vacant:
+		m.sendCopies(to, owned[:1])
+	}
+	m.send(to, Message{Heartbeat: m.echoing(whole(p.version), to)})
+}
+
+func (m *Member) sendPartial(to string, keys []*key, h *Heartbeat) {
+	switch p := m.peers[to]; {
+	case p == nil:
+	case !p.hears:
+		m.sendCopies(to, keys)
+	default:
+		m.send(to, Message{Heartbeat: m.echoing(h, to)})
+	}
+}
+
+// sendCopies sends a member copies without changes, as older versions know them.
+func (m *Member) sendCopies(to string, keys []*key) {
+	for _, k := range keys {
+		m.send(to, Message{Copy: m.sureCopy(k, m.newest[to], m.copy(k, k.at))})
+	}
+}
+
+func (m *Member) onHeartbeatAck(from, id string, a *HeartbeatAck) {
+	if a.Life != m.cfg.Life {
+		return // it answers a former life of this member
+	}
+	p := m.peers[from]
+	p.answered = m.now
+	if a.Lacks {
+		p.version = 0
+		return
+	}
+	if a.Outdated != nil {
+		m.adopt(a.Outdated)
+		m.deviate(from, id, a)
+		m.beats.dueAll = m.beats.dueAll || m.mayOwn() // under the roster that it follows
+		return
+	}
+	if a.Mark > 0 {
+		m.noteMark(from, id, a.Mark)
+	}
+	deviating := m.deviate(from, id, a)
+	s, ok := m.beats.sent[a.Round]
+	switch {
+	case !ok:
+	case a.Partial:
+		for _, sent := range s.keys {
+			if !deviating[sent.name] {
+				m.confirmedBy(sent.key, id, a.Round, sent.at)
+				m.advance(sent.key)
+			}
+		}
+	default:
+		p.version = max(p.version, a.Version)
+		m.wholeConfirmed(id, a, s.at, deviating)
+	}
+}
+
+// deviate takes the answers about single keys, and names those keys.
+func (m *Member) deviate(from, id string, a *HeartbeatAck) map[string]bool {
+	keys := map[string]bool{}
+	for _, d := range a.Deviate {
+		keys[d.Key] = true
+		c := *d
+		c.Round = a.Round
+		m.onCopied(from, id, &c)
+	}
+	return keys
+}
+
+// confirmedBy notes that a member has confirmed the epoch of a key in a round, and holds
+// it as it stood at a position.
+func (m *Member) confirmedBy(k *key, id string, round uint64, at Position) {
+	if k.role != owns || round < k.firstRound {
+		return
+	}
+	k.seen[id] = m.now
+	k.rounds[id] = max(k.rounds[id], round)
+	if s, ok := m.beats.sent[round]; ok && k.name == RosterKey {
+		// A word that was long on its way proves nothing of a member that is gone.
+		m.proven[id] = max(m.proven[id], s.at)
+	}
+	if at.Epoch == k.mine && k.acks[id].Less(at) {
+		k.acks[id] = at
+	}
+}
+
+// wholeConfirmed takes a member's answer for the whole list. What a quorum confirms is
+// worked out once for all keys; a key for which more is to be done is looked at alone.
+func (m *Member) wholeConfirmed(id string, a *HeartbeatAck, began time.Duration, deviating map[string]bool) {
+	b := &m.beats
+	b.rounds[id] = max(b.rounds[id], a.Round)
+	for _, r := range b.rounds {
+		if _, ok := b.sent[r]; ok && r > b.confirmed && m.quorum(false, func(id string) bool { return id == m.self || b.rounds[id] >= r }) {
+			b.confirmed = r
+		}
+	}
+	sure, dated := b.sent[b.confirmed]
+	mixed := m.mixedProtocols()
+	for _, k := range m.owned() {
+		if k.role != owns || k.firstRound > a.Round || deviating[k.name] {
+			continue
+		}
+		at := Position{}
+		if l := b.listed[k.name]; l.version <= a.Version {
+			at = Position{Epoch{l.Epoch, m.cfg.Self, m.cfg.Life}, l.Seq}
+		}
+		m.confirmedBy(k, id, a.Round, at)
+		if dated && k.firstRound <= b.confirmed {
+			m.sureAt(k, sure.at)
+		}
+		if mixed || len(k.waiters) > 0 || k.commit != k.at {
+			m.advance(k)
+		}
+	}
+}
+
+// mixedProtocols says that the word of some seat comes by keys, not for the whole list.
+func (m *Member) mixedProtocols() bool {
+	for _, seat := range m.seats().all() {
+		if p := m.peers[addressOf(seat)]; p != nil && !p.hears {
+			return true
+		}
+	}
+	return false
+}
+
+// sureAt notes that a quorum has confirmed the epoch in a round that began at a time.
+func (m *Member) sureAt(k *key, at time.Duration) {
+	first := k.sure == unsure
+	k.agreed, k.sure = max(k.agreed, at), max(k.sure, at)
+	k.spoke = m.now
+	if first {
+		m.notice(k) // the others learn how old their copies are
+	}
+}
+
+// confirmedRound is the newest round in which a quorum has confirmed the epoch of a key,
+// and when it began. 0: none.
+func (m *Member) confirmedRound(k *key) (round uint64, began time.Duration) {
+	if m.quorum(false, func(id string) bool { return id == m.self }) {
+		return m.beats.round + 1, m.now
+	}
+	for _, r := range k.rounds {
+		s, ok := m.beats.sent[r]
+		if ok && r > round && r >= k.firstRound && m.quorum(false, func(id string) bool { return id == m.self || k.rounds[id] >= r }) {
+			round, began = r, s.at
+		}
+	}
+	return round, began
+}
--- /dev/null
+++ b/internal/replication/heartbeat_test.go
@@ -0,0 +1,388 @@
+package replication
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// traffic counts what members send.
+type traffic struct {
+	messages, bytes                 int
+	whole, partial, notices, acks   int
+	copies, copied, answersToNotice int
+}
+
+func (c *traffic) count(t *testing.T, msg Message) {
+	b, err := cbor.Marshal(msg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.messages++
+	c.bytes += len(b)
+	switch {
+	case msg.Copy != nil:
+		c.copies++
+	case msg.Copied != nil:
+		c.copied++
+	case msg.Heartbeat != nil && !msg.Heartbeat.Partial:
+		c.whole++
+	case msg.Heartbeat != nil && msg.Heartbeat.Round == 0:
+		c.notices++
+	case msg.Heartbeat != nil:
+		c.partial++
+	case msg.HeartbeatAck != nil:
+		c.acks++
+		if msg.HeartbeatAck.Round == 0 {
+			c.answersToNotice++
+		}
+	}
+	if msg.Heartbeat != nil || msg.HeartbeatAck != nil {
+		var read Message
+		if err := cbor.Unmarshal(b, &read); err != nil || !reflect.DeepEqual(read, msg) {
+			t.Fatalf("%+v is read as %+v: %v", msg, read, err)
+		}
+	}
+}
+
+// calmWorld is a world of members with many keys, all owned, that loses nothing.
+func calmWorld(t *testing.T, members, keys int) *world {
+	t.Helper()
+	w := emptyWorld(1, 1)
+	w.fatal, w.calm, w.prompt, w.large = t.Fatalf, true, true, true
+	for i := range keys - 1 {
+		w.keys = append(w.keys, fmt.Sprintf("rollout/%04d", i))
+	}
+	w.found(members, 0)
+	for w.away() > 0 {
+		if w.now > time.Minute {
+			t.Fatalf("%d keys are not with their first heirs", w.away())
+		}
+		w.run(w.now + testBeat)
+	}
+	w.run(w.now + 2*testBeat)
+	return w
+}
+
+// away counts the keys that their first heirs don't own.
+func (w *world) away() (n int) {
+	for _, key := range append([]string{RosterKey}, w.keys...) {
+		if h := w.holder(key); h == nil || h.m.Heirs(key)[0] != h.id || len(h.m.Roster()) < len(w.ids) {
+			n++
+		}
+	}
+	return n
+}
+
+// What owners say in calm depends on how many members there are, not on how many keys.
+func TestHeartbeatsCostTheSameForAnyNumberOfKeys(t *testing.T) {
+	const beats = 10
+	least := 0
+	for _, keys := range []int{10, 100, 590} {
+		w := calmWorld(t, 5, keys)
+		var c traffic
+		w.drop = func(_ string, e Envelope) bool { c.count(t, e.Msg); return false }
+		w.run(w.now + beats*testBeat)
+		pairs := 5 * 4
+		t.Logf("%d keys: %d messages and %d bytes in %d beats, %+v", keys, c.messages, c.bytes, beats, c)
+		if c.whole > pairs*(beats+1) || c.messages > 2*c.whole {
+			t.Errorf("%d keys: %+v, with %d ways and %d beats", keys, c, pairs, beats)
+		}
+		if least == 0 {
+			least = c.bytes
+		}
+		if c.bytes > least*3/2 {
+			t.Errorf("%d keys take %d bytes, 10 take %d", keys, c.bytes, least)
+		}
+	}
+}
+
+// Keys that are committed at one time share one notice, and no member answers one.
+func TestACommitNoticeIsSharedAndNotAnswered(t *testing.T) {
+	w := calmWorld(t, 4, 100)
+	owner := w.holder(testKey)
+	var mine []string
+	for _, k := range owner.m.owned() {
+		if k.name != RosterKey {
+			mine = append(mine, k.name)
+		}
+	}
+	if len(mine) < 10 {
+		t.Fatalf("%s owns only %v", owner.id, mine)
+	}
+	var c traffic
+	w.drop = func(from string, e Envelope) bool {
+		if from == owner.id || e.To == owner.id {
+			c.count(t, e.Msg)
+		}
+		return false
+	}
+	w.run(owner.born + owner.m.beats.beatAt + testBeat + 150*time.Millisecond) // between two beats
+	c = traffic{}
+	answered := 0
+	w.on(owner.id, owner.life, func() {
+		for _, key := range mine {
+			owner.m.Propose(w.clock(owner), key, func(map[string]Record) ([]Record, error) {
+				return []Record{{Name: "x", Gen: 1}}, nil
+			}, func(err error) {
+				if err == nil {
+					answered++
+				}
+			})
+		}
+	})
+	w.run(owner.born + owner.m.beats.beatAt + testBeat - 10*time.Millisecond)
+	t.Logf("%d keys: %+v", len(mine), c)
+	if c.notices > 3*len(mine) || c.acks > 0 {
+		t.Errorf("%d keys: %+v", len(mine), c)
+	}
+	owner.m.Take()
+	for _, key := range mine {
+		owner.m.notice(owner.m.keys[key])
+	}
+	if sent := owner.m.Take().Send; len(sent) != 3 || len(sent[0].Msg.Heartbeat.Keys) != len(mine) {
+		t.Errorf("%d keys committed at once: %+v", len(mine), sent)
+	}
+	if answered != len(mine) || c.answersToNotice != 0 {
+		t.Errorf("%d of %d answered, %d notices were", answered, len(mine), c.answersToNotice)
+	}
+	for _, id := range w.ids {
+		for _, key := range mine {
+			if records, _, ok := w.nodes[id].m.Committed(key); !ok || records["x"].Gen != 1 {
+				t.Errorf("%s shows %+v of %s", id, records, key)
+			}
+		}
+	}
+}
+
+// A member that has missed a step says so when it hears that the step was committed.
+func TestAMissedStepIsMendedBeforeTheNextBeat(t *testing.T) {
+	w := calmWorld(t, 4, 2)
+	owner := w.holder(testKey)
+	var deaf *node
+	for _, id := range w.ids {
+		if id != owner.id {
+			deaf = w.nodes[id]
+		}
+	}
+	w.run(owner.born + owner.m.beats.beatAt + testBeat + 10*time.Millisecond) // just after a beat
+	lost := 0
+	w.drop = func(_ string, e Envelope) bool {
+		if e.To == deaf.id && e.Msg.Copy != nil && lost == 0 {
+			lost++
+			return true
+		}
+		return e.Msg.Heartbeat != nil && !e.Msg.Heartbeat.Partial
+	}
+	if err := w.put(owner, "x", 1); err != nil {
+		t.Fatal(err)
+	}
+	w.run(w.now + testBeat/4)
+	if records, _, _ := deaf.m.Committed(testKey); lost != 1 || records["x"].Gen != 1 {
+		t.Fatalf("it shows %+v, with %d steps lost", records, lost)
+	}
+}
+
+// The answers to an owner's own heartbeats depose it, of the key alone that a member has
+// promised to another.
+func TestAnAnswerDeposesTheOwnerOfOneKeyAlone(t *testing.T) {
+	w := calmWorld(t, 4, 30)
+	owner := w.holder(testKey)
+	var other string
+	for _, k := range owner.m.owned() {
+		if k.name != testKey && k.name != RosterKey {
+			other = k.name
+		}
+	}
+	heir := w.nodes[owner.m.Heirs(testKey)[1]]
+	if heir == owner {
+		heir = w.nodes[owner.m.Heirs(testKey)[0]]
+	}
+	was, stands := owner.m.keys[testKey].mine, owner.m.keys[other].mine
+	w.drop = func(_ string, e Envelope) bool { // the owner hears nothing of its successor's election
+		return e.To == owner.id && (e.Msg.Ask != nil || e.Msg.Copy != nil || e.Msg.Heartbeat != nil)
+	}
+	w.on(heir.id, heir.life, func() { heir.m.Handle(w.clock(heir), owner.id, Message{Yield: &Yield{testKey}}) })
+	w.run(w.now + testBeat + 100*time.Millisecond)
+	if k := heir.m.keys[testKey]; k.role != owns || !was.Less(k.mine) {
+		t.Fatalf("%s did not take the key over", heir.id)
+	}
+	if k := owner.m.keys[testKey]; k.role == owns {
+		t.Errorf("the old owner holds on to %v", k.mine)
+	}
+	if k := owner.m.keys[other]; k.role != owns || k.mine != stands {
+		t.Errorf("it lost %s as well", other)
+	}
+}
+
+// seizedBy makes a member the owner of a key by the promises of all others; its
+// heartbeats since reach nobody.
+func (w *world) seizedBy(n *node, key string) *key {
+	w.drop = func(from string, e Envelope) bool {
+		return (from == n.id || e.To == n.id) && e.Msg.Ask == nil && e.Msg.Promise == nil
+	}
+	w.on(n.id, n.life, func() { n.m.Handle(w.clock(n), n.id, Message{Yield: &Yield{key}, Identity: n.m.identity}) })
+	for end := w.now + testBeat; n.m.keys[key].role != owns && w.now < end; {
+		w.run(w.now + time.Millisecond)
+	}
+	return n.m.keys[key]
+}
+
+// Answers to rounds that began before a key was won confirm nothing of it.
+func TestARoundBeforeTheElectionConfirmsNothing(t *testing.T) {
+	w := calmWorld(t, 4, 30)
+	n := w.nodes[w.ids[1]]
+	if n == w.holder(testKey) {
+		n = w.nodes[w.ids[2]]
+	}
+	k := w.seizedBy(n, testKey)
+	if k.role != owns || k.firstRound < 2 {
+		t.Fatalf("%s does not own the key: %+v", n.id, k)
+	}
+	for _, id := range w.ids {
+		if o := w.nodes[id]; o != n {
+			n.m.Handle(w.clock(n), id, Message{Identity: o.m.identity, Life: 1, Protocol: protocolHeartbeat,
+				HeartbeatAck: &HeartbeatAck{Life: n.m.cfg.Life, Round: k.firstRound - 1, Version: n.m.beats.version}})
+		}
+	}
+	if k.sure != unsure {
+		t.Errorf("it is sure of a key as of %v, won at %v", k.sure, k.took)
+	}
+	for _, id := range w.ids {
+		if o := w.nodes[id]; o != n {
+			n.m.Handle(w.clock(n), id, Message{Identity: o.m.identity, Life: 1, Protocol: protocolHeartbeat,
+				HeartbeatAck: &HeartbeatAck{Life: n.m.cfg.Life + 1, Round: n.m.beats.round, Version: n.m.beats.version}})
+		}
+	}
+	if k.sure != unsure {
+		t.Error("answers to another process made it sure")
+	}
+}
+
+// A member that promises a key to another, after a heartbeat came and before its answer
+// could go, doesn't confirm the key.
+func TestAPromiseBeforeTheAnswerIsToldInIt(t *testing.T) {
+	w := calmWorld(t, 4, 3)
+	owner := w.holder(testKey)
+	var n *node
+	for _, id := range w.ids {
+		if id != owner.id {
+			n = w.nodes[id]
+		}
+	}
+	k := n.m.keys[testKey]
+	m, now := n.m, w.clock(n)
+	m.Take()
+	m.write(nil, nil) // the disk is at work
+	heartbeat := &Heartbeat{Round: 7, Roster: m.keys[RosterKey].at, Partial: true,
+		Keys: []KeyStatus{{Key: testKey, Epoch: k.promised.N, Seq: k.at.Seq, Commit: k.commit.Seq, Sum: k.Sums.Fold()}}}
+	m.Handle(now, owner.id, Message{Identity: owner.m.identity, Life: owner.m.cfg.Life, Protocol: protocolHeartbeat, Heartbeat: heartbeat})
+	newer := Epoch{k.promised.N + 1, n.id, 99}
+	m.Handle(now, owner.id, Message{Identity: owner.m.identity, Life: owner.m.cfg.Life, Protocol: protocolHeartbeat,
+		Ask: &Ask{Key: testKey, Epoch: newer, Roster: m.keys[RosterKey].at, At: k.at}})
+	if k.promised != newer {
+		t.Fatalf("it promised %v", k.promised)
+	}
+	m.Durable(now, m.nextWrite)
+	found := false
+	for _, e := range m.Take().Send {
+		if a := e.Msg.HeartbeatAck; a != nil && a.Round == 7 {
+			found = slices.ContainsFunc(a.Deviate, func(d *Copied) bool { return d.Key == testKey && d.Promised == newer })
+		}
+	}
+	if !found {
+		t.Error("the answer confirms an epoch that the member has left")
+	}
+}
+
+// A list that isn't the owner's any more is found by its digest and sent anew; one of
+// an older version is left alone.
+func TestAListIsTakenOnlyWhereItFits(t *testing.T) {
+	whole := []KeyStatus{{Key: "a", Epoch: 1, Seq: 2, Commit: 2}, {Key: "b", Epoch: 1, Seq: 1}}
+	digest := whole[0].digest() ^ whole[1].digest()
+	changed := KeyStatus{Key: "b", Epoch: 1, Seq: 5, Commit: 5}
+	after := whole[0].digest() ^ changed.digest()
+	for _, c := range []struct {
+		name  string
+		h     Heartbeat
+		life  uint64
+		state listState
+	}{
+		{"nothing is there to build on", Heartbeat{Base: 2, Version: 2, Digest: digest}, 1, listLacks},
+		{"the whole", Heartbeat{Version: 2, Digest: digest, Keys: whole}, 1, listTaken},
+		{"no change", Heartbeat{Base: 2, Version: 2, Digest: digest}, 1, listTaken},
+		{"steps are missing", Heartbeat{Base: 3, Version: 4, Digest: after, Keys: []KeyStatus{changed}}, 1, listLacks},
+		{"another process", Heartbeat{Base: 2, Version: 3, Digest: after, Keys: []KeyStatus{changed}}, 2, listLacks},
+		{"a change", Heartbeat{Base: 2, Version: 3, Digest: after, Keys: []KeyStatus{changed}}, 1, listTaken},
+		{"late", Heartbeat{Base: 2, Version: 2, Digest: digest}, 1, listStale},
+		{"a key goes", Heartbeat{Base: 3, Version: 4, Digest: changed.digest(), Gone: []string{"a"}}, 1, listTaken},
+		{"another digest", Heartbeat{Base: 4, Version: 4, Digest: 1}, 1, listLacks},
+		{"and so it is forgotten", Heartbeat{Base: 4, Version: 4, Digest: changed.digest()}, 1, listLacks},
+	} {
+		if c.name == "nothing is there to build on" {
+			listMember = &Member{lists: map[string]*ownerList{}}
+		}
+		if _, state := listMember.takeList("o", c.life, &c.h); state != c.state {
+			t.Errorf("%s: %v, want %v", c.name, state, c.state)
+		}
+	}
+}
+
+// listMember is the member of TestAListIsTakenOnlyWhereItFits.
+var listMember *Member
+
+// Members of a version without heartbeats work with those that have them: every key is
+// owned, changed and dated, whichever version its owner runs.
+func TestMembersWithoutHeartbeats(t *testing.T) {
+	w := emptyWorld(3, 1)
+	w.fatal, w.calm, w.prompt, w.older = t.Fatalf, true, true, 2
+	for i := range 8 {
+		w.keys = append(w.keys, fmt.Sprintf("rollout/%04d", i))
+	}
+	w.found(4, 0)
+	w.run(10 * time.Second)
+	old, new := 0, 0
+	for _, key := range w.keys {
+		n := w.holder(key)
+		if n == nil {
+			t.Fatalf("%s has no owner", key)
+		}
+		if n.older {
+			old++
+		} else {
+			new++
+		}
+		answered := false
+		w.ask(n.id, key, "x", 1, "one", func(_ uint64, err error) { answered = err == nil })
+		w.run(w.now + testBeat/5)
+		if !answered {
+			t.Errorf("a change of %s at %s was not answered", key, n.id)
+		}
+	}
+	if old == 0 || new == 0 {
+		t.Fatalf("%d keys are owned by members without heartbeats, %d by others", old, new)
+	}
+	for end := w.now + 4*testBeat; w.now < end; w.run(w.now + 50*time.Millisecond) {
+		for _, id := range w.ids {
+			n := w.nodes[id]
+			if at, ok := n.m.Current(testKey); !ok || w.clock(n)-at > 3*testBeat {
+				t.Fatalf("%s (older %v) takes its copy for current at %v (%v), at %v", id, n.older, at, ok, w.clock(n))
+			}
+		}
+	}
+	var c traffic
+	w.drop = func(from string, e Envelope) bool {
+		if !w.nodes[from].older && !w.nodes[e.To].older {
+			c.count(t, e.Msg)
+		}
+		return false
+	}
+	w.run(w.now + 4*testBeat)
+	if c.whole == 0 || c.copies > 0 {
+		t.Errorf("between members that know heartbeats: %+v", c)
+	}
+}
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -82,11 +82,8 @@
 	promises map[string]*Promise
 	acks     map[string]Position // durable copies in my epoch
 	seen     map[string]time.Duration
-	rounds   map[string]uint64
-	round    uint64
-	sentAt   map[uint64]time.Duration
-	agreed   time.Duration // when a quorum last answered in my epoch
-	beatAt   time.Duration
+	rounds   map[string]uint64 // the newest round in which each confirmed my epoch
+	agreed   time.Duration     // when a quorum last answered in my epoch
 	waiters  []waiter
 	queue    []proposal
 	notUntil time.Duration
@@ -95,16 +92,18 @@
 	mended   map[string]mended   // what was last sent to members that lag
 	taking   *taking             // the snapshot that this member is taking in
 
-	wanted  bool            // members must know how old their copy is
-	marks   map[string]mark // what members want echoed
-	sure    time.Duration   // at that time no other could have committed anything
-	current time.Duration   // the same, as a member that follows knows it; 0: not
-	took    time.Duration   // when this member became owner
-	spoke   time.Duration   // when this member last confirmed an epoch, as a follower or as owner
-	free    time.Duration   // until when at the latest another owner was sure of itself
-	frees   map[string]time.Duration
-	heir    bool          // there were records when it did
-	born    time.Duration // when this member first heard of the key
+	wanted     bool          // members must know how old their copy is
+	sure       time.Duration // at that time no other could have committed anything
+	current    time.Duration // the same, as a member that follows knows it; 0: not
+	took       time.Duration // when this member became owner
+	firstRound uint64        // the first round that was begun since
+	spoke      time.Duration // when this member last confirmed an epoch, as a follower or as owner
+	free       time.Duration // until when at the latest another owner was sure of itself
+	frees      map[string]time.Duration
+	heirsOf    *seats // the roster that heirList is for
+	heirList   []string
+	heir       bool          // there were records when it did
+	born       time.Duration // when this member first heard of the key
 }
 
 // Member is one node's part in keeping the control state.
@@ -140,6 +139,11 @@
 	hailed    map[string]map[string]bool
 	survey    *survey
 	round     uint64 // of surveys
+
+	beats heartbeats
+	peers map[string]*peer      // by address
+	marks map[string]mark       // by identity: what members want echoed
+	lists map[string]*ownerList // by address: what owners' heartbeats told
 }
 
 // NewMember makes a member from what its disk held.
@@ -147,7 +151,8 @@
 	m := &Member{cfg: cfg, keys: map[string]*key{}, after: map[uint64][]func(){}, firstOpen: 1,
 		foundIDs: map[string]string{}, foundAcks: map[string]bool{}, relays: map[string]string{},
 		lives: map[string]uint64{}, proven: map[string]time.Duration{}, newest: map[string]string{},
-		learners: map[string]time.Duration{}, leavers: map[string]time.Duration{}, hailed: map[string]map[string]bool{}}
+		learners: map[string]time.Duration{}, leavers: map[string]time.Duration{}, hailed: map[string]map[string]bool{},
+		beats: newHeartbeats(), peers: map[string]*peer{}, marks: map[string]mark{}, lists: map[string]*ownerList{}}
 	for _, name := range append([]string{RosterKey}, cfg.Keys...) {
 		m.key(name)
 	}
@@ -200,13 +205,14 @@
 
 // Take returns what is to be done since the last call.
 func (m *Member) Take() Effects {
+	m.flushHeartbeats()
 	fx := m.fx
 	m.fx = Effects{}
 	return fx
 }
 
 func (m *Member) send(to string, msg Message) {
-	msg.Life, msg.Identity = m.cfg.Life, m.identity
+	msg.Life, msg.Identity, msg.Protocol = m.cfg.Life, m.identity, protocolHeartbeat
 	m.fx.Send = append(m.fx.Send, Envelope{to, msg})
 }
 
@@ -226,6 +232,7 @@
 	m.now = now
 	id := idOf(from, msg.Identity)
 	m.lives[id], m.newest[from] = msg.Life, id
+	m.meet(from, id, msg)
 	switch {
 	case msg.Found != nil:
 		m.onFound(from, msg.Found)
@@ -239,6 +246,10 @@
 		m.onCopy(from, msg.Copy)
 	case msg.Copied != nil:
 		m.onCopied(from, id, msg.Copied)
+	case msg.Heartbeat != nil:
+		m.onHeartbeat(from, msg.Life, msg.Heartbeat)
+	case msg.HeartbeatAck != nil:
+		m.onHeartbeatAck(from, id, msg.HeartbeatAck)
 	case msg.Chunk != nil:
 		m.onChunk(from, msg.Chunk)
 	case msg.Chunked != nil:
@@ -286,6 +297,8 @@
 		}
 	}
 	stuck := m.firstOpen <= m.nextWrite && now-m.openSince > m.cfg.Vacant/2
+	beats := now-m.beats.beatAt >= m.cfg.Beat
+	m.forgetLists()
 	for _, name := range m.names {
 		k := m.keys[name]
 		m.expire(k)
@@ -298,8 +311,8 @@
 				}
 				m.release(k, ErrNoQuorum)
 				k.notUntil = now + m.cfg.Vacant
-			} else if now-k.beatAt >= m.cfg.Beat {
-				m.beat(k)
+			} else if beats {
+				m.beats.dueAll = true
 				m.handBack(k)
 			}
 		case asks:
@@ -310,6 +323,9 @@
 				m.canvass(k) // a question or an answer may have been lost
 			}
 		case follows:
+			if k.heardAny && now-k.heard <= m.cfg.Vacant {
+				continue
+			}
 			wait := m.cfg.Vacant + time.Duration(m.rank(k))*m.cfg.Vacant/2
 			since := k.heard
 			if !k.heardAny {
--- a/internal/replication/message.go
+++ b/internal/replication/message.go
@@ -53,8 +53,8 @@
 	return p.Seq < o.Seq
 }
 
-// Message is what members say to each other; one of the fields is set beside Life
-// and Identity. Numbers 5 and 6 were used by whole copies, which snapshots replace.
+// Message is what members say to each other; one of the fields is set beside Life,
+// Identity and Protocol. Numbers 5 and 6 were used by whole copies, which snapshots replace.
 type Message struct {
 	Ask      *Ask      `cbor:"1,keyasint,omitempty"`
 	Promise  *Promise  `cbor:"2,keyasint,omitempty"`
@@ -72,6 +72,10 @@
 	Chunked  *Chunked  `cbor:"16,keyasint,omitempty"`
 	Survey   *Survey   `cbor:"17,keyasint,omitempty"`
 	Surveyed *Surveyed `cbor:"18,keyasint,omitempty"`
+
+	Heartbeat    *Heartbeat    `cbor:"19,keyasint,omitempty"`
+	HeartbeatAck *HeartbeatAck `cbor:"20,keyasint,omitempty"`
+	Protocol     uint64        `cbor:"21,keyasint,omitempty"` // the newest that the sender understands
 }
 
 // Ask requests the promise to follow no older epoch. A trial asks only whether the
--- a/internal/replication/reform.go
+++ b/internal/replication/reform.go
@@ -40,11 +40,7 @@
 	if known && m.now-at <= m.cfg.Vacant {
 		return
 	}
-	for _, name := range m.names {
-		if k := m.keys[name]; k.role == owns {
-			m.send(from, Message{Copy: m.copy(k, k.at)})
-		}
-	}
+	m.beats.dueTo[from] = true
 }
 
 // seatsMost is how many seats there are at most; further control nodes are learners that
--- a/internal/replication/scenario_test.go
+++ b/internal/replication/scenario_test.go
@@ -89,6 +89,7 @@
 		p.drop = func(_ string, e Envelope) bool {
 			m := e.Msg
 			return deaf && e.To == o.id && (m.Copy != nil && m.Copy.Key == RosterKey || m.Copied != nil && m.Copied.Outdated != nil ||
+				m.HeartbeatAck != nil && m.HeartbeatAck.Outdated != nil ||
 				m.Promise != nil && m.Promise.Outdated != nil || m.Surveyed != nil && m.Surveyed.Outdated != nil || m.Chunk != nil && m.Chunk.Key == RosterKey)
 		}
 		away := others[:2]
--- a/internal/replication/schedule_test.go
+++ b/internal/replication/schedule_test.go
@@ -67,6 +67,7 @@
 type schedule struct {
 	seed                   int64
 	members, faults, zones int
+	older                  int // see world
 	troubles               []trouble
 	closing                *trouble
 }
@@ -74,6 +75,9 @@
 func (s schedule) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "schedule{seed: %d, members: %d, faults: %d, zones: %d", s.seed, s.members, s.faults, s.zones)
+	if s.older > 0 {
+		fmt.Fprintf(&b, ", older: %d", s.older)
+	}
 	put := func(t trouble) string {
 		out := "{" + fmt.Sprintf("kind: %s, aim: %s, who: %d, count: %d", kindNames[t.kind], aimNames[t.aim], t.who, t.count)
 		for _, d := range []struct {
@@ -113,6 +117,9 @@
 	case 5:
 		s.members, s.faults = 8, 2
 	}
+	if seed%3 == 0 {
+		s.older = 2
+	}
 	one := func(k kind) trouble {
 		t := trouble{kind: k, who: r.Intn(100), count: 1 + r.Intn(s.faults), hold: ms(300, 3500)}
 		if r.Intn(2) == 0 {
@@ -613,6 +620,7 @@
 	w = emptyWorld(s.seed, s.faults)
 	w.fatal = func(format string, args ...any) { panic(modelFailure(fmt.Sprintf(format, args...))) }
 	w.extra = true
+	w.older = s.older
 	w.keys = []string{testKey, "evacuation/a", "evacuation/b"}
 	p = &play{world: w, s: s, fresh: s.members}
 	w.found(s.members, s.zones)
--- a/internal/replication/steps.go
+++ b/internal/replication/steps.go
@@ -34,7 +34,7 @@
 	if k.commit.Epoch == k.mine {
 		commit = k.commit.Seq
 	}
-	c := &Copy{Key: k.name, Epoch: k.mine, Base: base, Seq: k.at.Seq, Commit: commit, Round: k.round, Roster: m.keys[RosterKey].at}
+	c := &Copy{Key: k.name, Epoch: k.mine, Base: base, Seq: k.at.Seq, Commit: commit, Round: m.beats.round, Roster: m.keys[RosterKey].at}
 	c.tells(k.Sums, m.olderVersions())
 	return c
 }
@@ -95,8 +95,7 @@
 		w.seq = k.at.Seq
 	} else {
 		// Nothing is to be copied, but what stands must still be ours to tell.
-		m.confirm(k)
-		w.round = k.round
+		w.round = m.confirm(k)
 	}
 	for _, p := range asking {
 		k.waiters = append(k.waiters, waiter{w.seq, w.round, p.until, p.done})
@@ -115,32 +114,15 @@
 	for _, to := range m.others() {
 		m.send(to, Message{Copy: c})
 	}
-}
-
-// confirm starts a round in which a quorum has to confirm the epoch.
-func (m *Member) confirm(k *key) {
-	k.round++
-	k.sentAt[k.round] = m.now
-	m.beat(k)
-}
-
-func (m *Member) beat(k *key) {
-	k.beatAt = m.now
-	if k.round == 0 || k.sentAt[k.round] != m.now {
-		k.round++
-		k.sentAt[k.round] = m.now
+	if why, ok := m.beats.dueKeys[k.name]; ok && why == dueNotice {
+		delete(m.beats.dueKeys, k.name) // the step tells of the commit before it
 	}
-	c := m.copy(k, k.at)
-	for _, to := range m.others() {
-		m.send(to, Message{Copy: m.sureCopy(k, m.newest[to], c)})
-	}
-	m.advance(k)
 }
 
 // sureCopy is a copy that tells a member how sure the owner is of itself, if that
 // has set a mark.
 func (m *Member) sureCopy(k *key, to string, c *Copy) *Copy {
-	w, ok := k.marks[to]
+	w, ok := m.marks[to]
 	if !ok || k.sure == unsure {
 		return c
 	}
@@ -257,21 +239,17 @@
 	}
 	if c.Promised != k.mine {
 		if c.Outdated != nil && m.mayOwn() {
-			m.beat(k) // under the roster that it follows
+			m.confirm(k) // under the roster that it follows
 		}
 		return
 	}
 	k.seen[id] = m.now
-	if at, ok := k.sentAt[c.Round]; ok && k.name == RosterKey {
+	if s, ok := m.beats.sent[c.Round]; ok && k.name == RosterKey {
 		// A word that was long on its way proves nothing of a member that is gone.
-		m.proven[id] = max(m.proven[id], at)
+		m.proven[id] = max(m.proven[id], s.at)
 	}
 	if c.Mark > 0 {
-		had, ok := k.marks[id]
-		k.marks[id] = mark{m.lives[id], c.Mark, m.now}
-		if !ok || had.life != m.lives[id] {
-			m.send(from, Message{Copy: m.sureCopy(k, id, m.copy(k, k.at))}) // it need not wait for the next beat
-		}
+		m.noteMark(from, id, c.Mark)
 	}
 	k.rounds[id] = max(k.rounds[id], c.Round)
 	if c.OK {
@@ -319,27 +297,14 @@
 			}
 			if m.quorum(k.name != RosterKey, func(id string) bool { return !k.acks[id].Less(p) && k.acks[id].Epoch == k.mine && fresh(id) }) {
 				m.commit(k, p)
-				m.beat(k)
-				return
+				m.notice(k)
+				break
 			}
 		}
 	}
-	// The newest round that a quorum has answered.
-	confirmed := uint64(0)
-	for r := range k.sentAt {
-		if r > confirmed && m.quorum(false, func(id string) bool { return id == m.self || k.rounds[id] >= r }) {
-			confirmed = r
-		}
-	}
-	if at, ok := k.sentAt[confirmed]; ok {
-		k.agreed, k.sure = max(k.agreed, at), max(k.sure, at)
-		k.spoke = m.now
-		for r := range k.sentAt {
-			// Those of the roster also date the members' answers: see gone.
-			if r < confirmed && (k.name != RosterKey || m.now-k.sentAt[r] > 8*m.cfg.Vacant) {
-				delete(k.sentAt, r)
-			}
-		}
+	confirmed, began := m.confirmedRound(k)
+	if confirmed > 0 {
+		m.sureAt(k, began)
 	}
 	var done []waiter
 	kept := k.waiters[:0]
--- a/internal/replication/world_test.go
+++ b/internal/replication/world_test.go
@@ -18,22 +18,24 @@
 // repeats and cuts, disks that take time, and processes that crash, freeze, lose
 // their disks or are replaced.
 type world struct {
-	fatal func(format string, args ...any)
-	rng   *rand.Rand
-	now   time.Duration
-	seq   int
-	queue events
-	nodes map[string]*node
-	ids   []string // the machines that are there, and those that are to come back
-	cut   map[[2]string]int
-	lives uint64
-	keys  []string
-	seeds []string
-	extra bool          // messages are also repeated, seconds later at times
-	noisy time.Duration // messages are lost and late until then
-	calm  bool          // none is lost
+	fatal  func(format string, args ...any)
+	rng    *rand.Rand
+	now    time.Duration
+	seq    int
+	queue  events
+	nodes  map[string]*node
+	ids    []string // the machines that are there, and those that are to come back
+	cut    map[[2]string]int
+	lives  uint64
+	keys   []string
+	seeds  []string
+	extra  bool          // messages are also repeated, seconds later at times
+	noisy  time.Duration // messages are lost and late until then
+	calm   bool          // none is lost
+	prompt bool          // none is late
 
 	faults int
+	older  int // every so manieth machine runs a version without heartbeats; 0: none
 	zones  map[string]string
 
 	floors  map[string]uint64            // key/name -> the highest version that anybody was told of
@@ -98,6 +100,7 @@
 	lastPos map[string]Position
 	owning  map[string]Epoch
 	boot    bool
+	older   bool // it runs a version without heartbeats
 	left    bool // it has said that it goes
 	refuse  int
 	failed  bool          // its disk has refused a write and takes only the whole state
@@ -176,7 +179,7 @@
 	if zones > 0 {
 		w.zones[id] = fmt.Sprintf("zone-%d", i%zones)
 	}
-	w.nodes[id] = &node{id: id, disk: map[string][]byte{}, boot: boot}
+	w.nodes[id] = &node{id: id, disk: map[string][]byte{}, boot: boot, older: w.older > 0 && i%w.older == 0}
 	return id
 }
 
@@ -367,7 +370,7 @@
 		return
 	}
 	d := time.Duration(200+w.rng.Intn(1500)) * time.Microsecond
-	if w.rng.Intn(40) == 0 {
+	if w.rng.Intn(40) == 0 && !w.prompt {
 		d += time.Duration(w.rng.Intn(600)) * time.Millisecond
 	}
 	if noisy && w.rng.Intn(4) == 0 {
@@ -383,6 +386,12 @@
 		w.linkAt[link] = max(w.linkAt[link], w.now) + time.Duration(float64(len(b))/w.rate*float64(time.Second))
 		d += w.linkAt[link] - w.now
 	}
+	if sender, to := w.nodes[from], w.nodes[e.To]; sender != nil && to != nil && (sender.older || to.older) {
+		// One of them knows neither heartbeats nor the field that offers them.
+		if e.Msg.Protocol = 0; to.older && (e.Msg.Heartbeat != nil || e.Msg.HeartbeatAck != nil) {
+			e.Msg.Heartbeat, e.Msg.HeartbeatAck = nil, nil
+		}
+	}
 	arrive := func() {
 		if to := w.nodes[e.To]; to != nil && w.cut[[2]string{from, e.To}] == 0 && to.up {
 			w.on(e.To, to.life, func() { to.m.Handle(w.clock(to), from, e.Msg) })
