--- a/internal/hollow/main.go
+++ b/internal/hollow/main.go
@@ -32,7 +32,7 @@
 type plan struct {
 	gateways, controlNodes, zones, upstreams, services, routes int
 	changes, keys                                              int
-	span                                                       time.Duration
+	span, settle                                               time.Duration
 	rollout                                                    bool
 }
 
@@ -49,6 +49,7 @@
 	flag.IntVar(&p.keys, "keys", 0, "services that have had an order, and so a key of their own")
 	flag.BoolVar(&p.rollout, "rollout", false, "order a rollout before the measurement")
 	flag.DurationVar(&p.span, "for", 20*time.Second, "time measured, after the nodes have settled")
+	flag.DurationVar(&p.settle, "settle", 0, "time to wait after keys were made, before the measurement")
 	role := flag.String("role", "", "for its own use")
 	data := flag.String("data", "", "for its own use")
 	from := flag.Int("from", 0, "for its own use")
@@ -268,6 +269,44 @@
 	return len(list)
 }
 
+// keyCallers is how many keys are made at once: each takes an election.
+const keyCallers = 16
+
+// makeKeys orders a rollout of many services, of which each gets a key, and waits until
+// what that set off has ended.
+func (p *plan) makeKeys() error {
+	if p.keys == 0 {
+		return nil
+	}
+	begin := time.Now()
+	services := make(chan int)
+	failed := make(chan error, keyCallers)
+	for range keyCallers {
+		go func() {
+			var err error
+			for i := range services {
+				body := fmt.Sprintf(`{"target":"s%03d","targetVersion":"v1","withinS":60}`, i)
+				if _, e := call(http.MethodPost, "/v1/rollouts", []byte(body)); e != nil {
+					err = e
+				}
+			}
+			failed <- err
+		}()
+	}
+	for i := range p.keys {
+		services <- i
+	}
+	close(services)
+	for range keyCallers {
+		if err := <-failed; err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%d keys made in %.1f s\n", p.keys, time.Since(begin).Seconds())
+	time.Sleep(p.settle)
+	return nil
+}
+
 func (p *plan) run() error {
 	data, err := os.MkdirTemp("", "hollow")
 	if err != nil {
@@ -328,11 +367,8 @@
 		_ = json.Unmarshal(text, &c)
 		return c
 	}
-	for i := range p.keys {
-		body := fmt.Sprintf(`{"target":"s%03d","targetVersion":"v1","withinS":60}`, i)
-		if _, err := call(http.MethodPost, "/v1/rollouts", []byte(body)); err != nil {
-			return err
-		}
+	if err := p.makeKeys(); err != nil {
+		return err
 	}
 	if p.rollout {
 		close(second)
--- a/internal/replication/heartbeat_test.go
+++ b/internal/replication/heartbeat_test.go
@@ -386,3 +386,78 @@
 		t.Errorf("between members that know heartbeats: %+v", c)
 	}
 }
+
+// A heartbeat takes no key for surer than its owner is of that key.
+func TestAgesAreThoseOfEachKey(t *testing.T) {
+	w := calmWorld(t, 4, 30)
+	m := w.holder(testKey).m
+	keys := m.owned()[:4]
+	m.beats.sent[m.beats.confirmed] = sentRound{at: m.now - 300*time.Millisecond}
+	for _, c := range [][]time.Duration{
+		{100, 200, 250, 300}, // all in the round that a quorum has confirmed for the list, or later
+		{100, 200, 250, 400}, // one was not in it
+		{100, 200, 250, -1},  // one has been won since
+		{50, -1, 50, -1},     // reads have confirmed the others since
+		{-1, -1, -1, -1},
+	} {
+		for i, age := range c {
+			if keys[i].sure = m.now - age*time.Millisecond; age < 0 {
+				keys[i].sure = unsure
+			}
+		}
+		for _, partial := range []bool{false, true} {
+			h := &Heartbeat{Partial: partial}
+			m.tellAges(h, keys)
+			for _, k := range keys {
+				i := slices.IndexFunc(h.Ages, func(a KeyAge) bool { return a.Key == k.name })
+				told := time.Duration(-1)
+				if i >= 0 {
+					told = h.Ages[i].Age
+				} else if h.Sure != nil {
+					told = h.Sure.Age
+				}
+				if k.sure == unsure && told >= 0 && h.Sure != nil || k.sure != unsure && (told < m.now-k.sure || told > m.now-k.sure+300*time.Millisecond) {
+					t.Errorf("%v partial %v: %s, sure %v ago, is told as %v", c, partial, k.name, m.now-k.sure, told)
+				}
+			}
+		}
+	}
+}
+
+// An answer counts for where the keys stood when the heartbeat was sent, not for a step since.
+func TestAnAnswerCountsForWhatWasSent(t *testing.T) {
+	for _, partial := range []bool{false, true} {
+		w := calmWorld(t, 4, 3)
+		n := w.holder(testKey)
+		m, k := n.m, n.m.keys[testKey]
+		w.drop = func(from string, e Envelope) bool { return from == n.id || e.To == n.id }
+		w.run(w.now + 20*time.Millisecond)
+		if partial {
+			m.confirm(k)
+		} else {
+			m.beats.dueAll = true
+		}
+		w.on(n.id, n.life, func() {})
+		round, version, stood := m.beats.round, m.beats.version, k.at
+		answered := false
+		w.ask(n.id, testKey, "x", 1, "one", func(uint64, error) { answered = true })
+		w.run(w.now + 20*time.Millisecond)
+		m.beats.dueAll = true
+		w.on(n.id, n.life, func() {})
+		if l := m.beats.listed[testKey]; !stood.Less(k.at) || l.Seq != k.at.Seq || l.version <= version {
+			t.Fatalf("the step is not listed: %+v, at %v", l, k.at)
+		}
+		for _, id := range w.ids {
+			if o := w.nodes[id]; o != n {
+				m.Handle(w.clock(n), id, Message{Identity: o.m.identity, Life: o.m.cfg.Life, Protocol: protocolHeartbeat,
+					HeartbeatAck: &HeartbeatAck{Life: m.cfg.Life, Round: round, Partial: partial, Version: version}})
+				if k.rounds[o.m.self] != round || k.acks[o.m.self] != stood {
+					t.Errorf("partial %v: %s counts for round %d and %v, it answered %d and %v", partial, id, k.rounds[o.m.self], k.acks[o.m.self], round, stood)
+				}
+			}
+		}
+		if answered {
+			t.Errorf("partial %v: a change that nobody else holds was acknowledged", partial)
+		}
+	}
+}
