replication: no probe of members that stay silent, a lagging member's promise is tested

A member that stays silent asks for votes or a seat by itself within the vacancy bound and so says which protocol it speaks; the copy that was sent to it each beat did nothing more. The test of a promise between a heartbeat and its answer now also has a member that lags.

--- a/internal/replication/heartbeat.go
+++ b/internal/replication/heartbeat.go
@@ -88,11 +88,10 @@
 
 // peer is what an owner knows of the process at another member's address.
 type peer struct {
-	id       string
-	life     uint64
-	hears    bool          // it understands heartbeats
-	version  uint64        // of the list that it acknowledged last; 0: none
-	answered time.Duration // when it last answered a heartbeat
+	id      string
+	life    uint64
+	hears   bool   // it understands heartbeats
+	version uint64 // of the list that it acknowledged last; 0: none
 }
 
 // sentRound is a round that was begun. keys are those of its partial heartbeat.
@@ -147,7 +146,7 @@
 func (m *Member) meet(from, id string, msg Message) {
 	p := m.peers[from]
 	if p == nil || p.id != id || p.life != msg.Life {
-		p = &peer{id: id, life: msg.Life, answered: m.now}
+		p = &peer{id: id, life: msg.Life}
 		m.peers[from] = p
 		m.beats.dueTo[from] = true
 	}
@@ -374,21 +373,18 @@
 }
 
 // sendWhole sends a member its heartbeat, or what stands for that: to a member of an older
-// version a copy for each key, and to one that doesn't answer a copy of one key, which
+// version a copy for each key, and to one that hasn't been heard yet a copy of one key, which
 // any version answers.
 func (m *Member) sendWhole(to string, owned []*key, whole func(base uint64) *Heartbeat) {
 	p := m.peers[to]
 	switch {
 	case p == nil:
 		m.sendCopies(to, owned[:1])
-		return
 	case !p.hears:
 		m.sendCopies(to, owned)
-		return
-	case m.now-p.answered > m.cfg.Vacant:
-		m.sendCopies(to, owned[:1])
+	default:
+		m.send(to, Message{Heartbeat: m.echoing(whole(p.version), to)})
 	}
-	m.send(to, Message{Heartbeat: m.echoing(whole(p.version), to)})
 }
 
 func (m *Member) sendPartial(to string, keys []*key, h *Heartbeat) {
@@ -413,7 +409,6 @@
 		return // it answers a former life of this member
 	}
 	p := m.peers[from]
-	p.answered = m.now
 	if a.Lacks {
 		p.version = 0
 		return
--- a/internal/replication/heartbeat_test.go
+++ b/internal/replication/heartbeat_test.go
@@ -266,6 +266,12 @@
 // A member that promises a key to another, after a heartbeat came and before its answer
 // could go, doesn't confirm the key.
 func TestAPromiseBeforeTheAnswerIsToldInIt(t *testing.T) {
+	for _, lags := range []uint64{0, 1} {
+		promisesBeforeItAnswers(t, lags)
+	}
+}
+
+func promisesBeforeItAnswers(t *testing.T, lags uint64) {
 	w := calmWorld(t, 4, 3)
 	owner := w.holder(testKey)
 	var n *node
@@ -278,8 +284,9 @@
 	m, now := n.m, w.clock(n)
 	m.Take()
 	m.write(nil, nil) // the disk is at work
+	heartbeatEpoch := k.promised
 	heartbeat := &Heartbeat{Round: 7, Roster: m.keys[RosterKey].at, Partial: true,
-		Keys: []KeyStatus{{Key: testKey, Epoch: k.promised.N, Seq: k.at.Seq, Commit: k.commit.Seq, Sum: k.Sums.Fold()}}}
+		Keys: []KeyStatus{{Key: testKey, Epoch: k.promised.N, Seq: k.at.Seq + lags, Commit: k.commit.Seq, Sum: k.Sums.Fold()}}}
 	m.Handle(now, owner.id, Message{Identity: owner.m.identity, Life: owner.m.cfg.Life, Protocol: protocolHeartbeat, Heartbeat: heartbeat})
 	newer := Epoch{k.promised.N + 1, n.id, 99}
 	m.Handle(now, owner.id, Message{Identity: owner.m.identity, Life: owner.m.cfg.Life, Protocol: protocolHeartbeat,
@@ -288,14 +295,17 @@
 		t.Fatalf("it promised %v", k.promised)
 	}
 	m.Durable(now, m.nextWrite)
-	found := false
+	told, confirmed := false, false
 	for _, e := range m.Take().Send {
 		if a := e.Msg.HeartbeatAck; a != nil && a.Round == 7 {
-			found = slices.ContainsFunc(a.Deviate, func(d *Copied) bool { return d.Key == testKey && d.Promised == newer })
+			for _, d := range a.Deviate {
+				told = told || d.Key == testKey && d.Promised == newer
+				confirmed = confirmed || d.Key == testKey && d.Promised == heartbeatEpoch
+			}
 		}
 	}
-	if !found {
-		t.Error("the answer confirms an epoch that the member has left")
+	if !told || confirmed {
+		t.Errorf("%d steps behind: told of the promise %v, confirmed the epoch before %v", lags, told, confirmed)
 	}
 }
 
