--- a/internal/replication/heartbeat.go
+++ b/internal/replication/heartbeat.go
@@ -59,7 +59,7 @@
 	Age time.Duration `cbor:"2,keyasint"`
 }
 
-// Heartbeat is an owner's sign of life for all its keys, or a partial one for those named.
+// Heartbeat is an owner's word for all its keys once a beat, or a partial one for those named.
 type Heartbeat struct {
 	Round   uint64      `cbor:"1,keyasint,omitempty"` // 0: to be answered only if a key deviates
 	Roster  Position    `cbor:"2,keyasint"`
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -21,7 +21,7 @@
 	Bootstrap bool
 	Empty     bool // the disk held nothing, or nothing that could be read
 	Keys      []string
-	Beat      time.Duration // between signs of life of an owner
+	Beat      time.Duration // between heartbeats of an owner
 	Vacant    time.Duration // silence after which a key is taken over
 	Patience  time.Duration // how long a proposal may wait
 	HandBack  time.Duration // calm after which a key goes back to its first heir; 0: never
--- a/internal/replication/message.go
+++ b/internal/replication/message.go
@@ -105,7 +105,7 @@
 }
 
 // Copy brings a member from one position to the next. Without Changes and
-// Ranges it is the owner's sign of life. A mending copy replaces whole ranges.
+// Mend it is what members of protocol 0 know for a heartbeat. A mending copy replaces whole ranges.
 type Copy struct {
 	Key     string   `cbor:"1,keyasint"`
 	Epoch   Epoch    `cbor:"2,keyasint"`
