--- a/internal/replication/heartbeat_test.go
+++ b/internal/replication/heartbeat_test.go
@@ -316,7 +316,8 @@
 	digest := whole[0].digest() ^ whole[1].digest()
 	changed := KeyStatus{Key: "b", Epoch: 1, Seq: 5, Commit: 5}
 	after := whole[0].digest() ^ changed.digest()
-	for _, c := range []struct {
+	m := &Member{lists: map[string]*ownerList{}}
+	for _, c := range []struct { // one after the other, at one member
 		name  string
 		h     Heartbeat
 		life  uint64
@@ -333,18 +334,12 @@
 		{"another digest", Heartbeat{Base: 4, Version: 4, Digest: 1}, 1, listLacks},
 		{"and so it is forgotten", Heartbeat{Base: 4, Version: 4, Digest: changed.digest()}, 1, listLacks},
 	} {
-		if c.name == "nothing is there to build on" {
-			listMember = &Member{lists: map[string]*ownerList{}}
-		}
-		if _, state := listMember.takeList("o", c.life, &c.h); state != c.state {
+		if _, state := m.takeList("o", c.life, &c.h); state != c.state {
 			t.Errorf("%s: %v, want %v", c.name, state, c.state)
 		}
 	}
 }
 
-// listMember is the member of TestAListIsTakenOnlyWhereItFits.
-var listMember *Member
-
 // Members of a version without heartbeats work with those that have them: every key is
 // owned, changed and dated, whichever version its owner runs.
 func TestMembersWithoutHeartbeats(t *testing.T) {
@@ -355,16 +350,16 @@
 	}
 	w.found(4, 0)
 	w.run(10 * time.Second)
-	old, new := 0, 0
+	byOlder, byNewer := 0, 0
 	for _, key := range w.keys {
 		n := w.holder(key)
 		if n == nil {
 			t.Fatalf("%s has no owner", key)
 		}
 		if n.older {
-			old++
+			byOlder++
 		} else {
-			new++
+			byNewer++
 		}
 		answered := false
 		w.ask(n.id, key, "x", 1, "one", func(_ uint64, err error) { answered = err == nil })
@@ -373,8 +368,8 @@
 			t.Errorf("a change of %s at %s was not answered", key, n.id)
 		}
 	}
-	if old == 0 || new == 0 {
-		t.Fatalf("%d keys are owned by members without heartbeats, %d by others", old, new)
+	if byOlder == 0 || byNewer == 0 {
+		t.Fatalf("%d keys are owned by members without heartbeats, %d by others", byOlder, byNewer)
 	}
 	for end := w.now + 4*testBeat; w.now < end; w.run(w.now + 50*time.Millisecond) {
 		for _, id := range w.ids {
