madderwing lock, election, counter, kv and watch: commands over package client

Cause: scripts and operators had only curl for the coordination interface.

An abandoned acquire is now found in the call itself: the attempt under way goes on, and what it brings is given back, also when it was a later question of Acquire.

Not measured.

--- a/client/call.go
+++ b/client/call.go
@@ -41,8 +41,9 @@
 	timeout time.Duration
 	// repeatWindow is for how long the call may be sent again once it may have been done.
 	repeatWindow time.Duration
-	// detached lets an attempt that is under way run to its end after the context has ended.
-	detached bool
+	// abandoned, if it is there, is told of an answer that came after the context had ended.
+	// Without it an attempt that is under way is broken off.
+	abandoned func(*answer)
 	// accept reads the body of a 2xx. With an error the answer counts as none.
 	accept func(body []byte) error
 }
@@ -84,9 +85,8 @@
 		}
 		sentAt := time.Now()
 		index := c.preferred.Load()
-		reply, failure := c.attempt(ctx, c.endpoints[index], &request, body)
+		reply, failure := c.attemptUntilDone(ctx, c.endpoints[index], &request, body)
 		if failure == nil {
-			reply.sentAt = sentAt
 			return reply, nil
 		}
 		c.moveOn(index)
@@ -112,8 +112,37 @@
 	c.preferred.CompareAndSwap(index, (index+1)%int64(len(c.endpoints)))
 }
 
+// attemptUntilDone is an attempt that goes on without its caller if the call says who is to
+// be told of its answer.
+func (c *Client) attemptUntilDone(ctx context.Context, endpoint *url.URL, request *call, body []byte) (*answer, *attemptError) {
+	if request.abandoned == nil {
+		return c.attempt(ctx, endpoint, request, body)
+	}
+	type outcome struct {
+		reply   *answer
+		failure *attemptError
+	}
+	outcomes := make(chan outcome, 1)
+	go func() {
+		reply, failure := c.attempt(context.WithoutCancel(ctx), endpoint, request, body)
+		outcomes <- outcome{reply, failure}
+	}()
+	select {
+	case o := <-outcomes:
+		return o.reply, o.failure
+	case <-ctx.Done():
+	}
+	go func() {
+		if o := <-outcomes; o.failure == nil {
+			request.abandoned(o.reply)
+		}
+	}()
+	return nil, &attemptError{unclear: true, err: ctx.Err()}
+}
+
 // attempt sends a call to one node and follows its redirections.
 func (c *Client) attempt(ctx context.Context, endpoint *url.URL, request *call, body []byte) (*answer, *attemptError) {
+	sentAt := time.Now()
 	target := *endpoint
 	target.RawPath = request.path
 	target.Path, _ = url.PathUnescape(request.path)
@@ -124,7 +153,7 @@
 			return nil, failure
 		}
 		if response.StatusCode != http.StatusTemporaryRedirect {
-			return judge(response, text, request)
+			return judge(response, text, request, sentAt)
 		}
 		location, err := response.Location()
 		if err != nil || redirects == maxRedirects {
@@ -136,11 +165,7 @@
 
 // exchange sends a request and reads the whole answer.
 func (c *Client) exchange(ctx context.Context, target string, request *call, body []byte) (*http.Response, []byte, *attemptError) {
-	parent := ctx
-	if request.detached {
-		parent = context.WithoutCancel(ctx)
-	}
-	attemptContext, cancel := context.WithTimeout(parent, request.timeout)
+	attemptContext, cancel := context.WithTimeout(ctx, request.timeout)
 	defer cancel()
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(attemptContext, &httptrace.ClientTrace{
@@ -155,7 +180,7 @@
 	switch {
 	case err == nil:
 		return response, text, nil
-	case attemptContext.Err() != nil && parent.Err() == nil:
+	case attemptContext.Err() != nil && ctx.Err() == nil:
 		err = fmt.Errorf("%s: no answer within %v", outgoing.URL.Host, request.timeout)
 	}
 	return nil, nil, &attemptError{unclear: connected.Load(), err: err}
@@ -175,7 +200,7 @@
 }
 
 // judge tells answers that decide a call from those after which another node is asked.
-func judge(response *http.Response, text []byte, request *call) (*answer, *attemptError) {
+func judge(response *http.Response, text []byte, request *call, sentAt time.Time) (*answer, *attemptError) {
 	status := response.StatusCode
 	said := fmt.Errorf("%s answered %d: %s", response.Request.URL.Host, status, strings.TrimSpace(string(text)))
 	switch {
@@ -184,7 +209,7 @@
 	case status == http.StatusRequestTimeout, status >= 500, status < 200, status >= 300 && status < 400:
 		return nil, &attemptError{unclear: true, err: said}
 	}
-	reply := &answer{status: status, body: text}
+	reply := &answer{status: status, body: text, sentAt: sentAt}
 	if reply.succeeded() && request.accept != nil {
 		if err := request.accept(text); err != nil {
 			return nil, &attemptError{unclear: true, err: fmt.Errorf("%s: answer not understood: %w", response.Request.URL.Host, err)}
--- a/client/grant.go
+++ b/client/grant.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/url"
 	"time"
@@ -53,71 +55,83 @@
 // If the call is given up without a clear answer, the lock may stand at the owner's name for
 // the hold time. For an owner that was made up it is given back if the answer still comes.
 func (c *Client) RequestGrant(ctx context.Context, name, owner string, hold time.Duration) (Grant, error) {
-	wanted := Grant{Name: name, Owner: owner, Hold: hold}
+	return c.requestInTime(ctx, c.wanted(name, owner, hold))
+}
+
+// wantedGrant is a grant that is asked for.
+type wantedGrant struct {
+	Grant
+	ownerIsMadeUp bool
+}
+
+func (c *Client) wanted(name, owner string, hold time.Duration) wantedGrant {
 	if owner == "" {
-		wanted.Owner = c.newOwner()
+		return wantedGrant{Grant{Name: name, Owner: c.newOwner(), Hold: hold}, true}
 	}
-	outcome := make(chan grantOutcome, 1)
-	go func() {
-		grant, err := c.requestGrant(ctx, wanted)
-		outcome <- grantOutcome{grant, err}
-	}()
-	select {
-	case o := <-outcome:
-		return o.grant, o.err
-	case <-ctx.Done():
+	return wantedGrant{Grant{Name: name, Owner: owner, Hold: hold}, false}
+}
+
+// requestInTime asks until an answer comes in time. One that comes after the grant's end is
+// worth nothing, and the same owner asks again.
+func (c *Client) requestInTime(ctx context.Context, wanted wantedGrant) (Grant, error) {
+	if wanted.Hold <= 0 {
+		return Grant{}, fmt.Errorf("lock %s: the hold time must be above 0", wanted.Name)
 	}
-	// A name that the caller chose may be in use again at once: it isn't given back.
-	if owner == "" {
-		go c.returnAbandoned(outcome)
+	for {
+		grant, err := c.requestGrant(ctx, wanted)
+		if err != nil || !grant.expired() {
+			return grant, err
+		}
 	}
-	return Grant{}, &CallError{Call: http.MethodPost + " " + lockPath(name), Unclear: true, Ended: ctx.Err()}
 }
 
-type grantOutcome struct {
-	grant Grant
-	err   error
+// requestGrant asks until there is an answer. One that comes after the caller has gone is
+// given back if the owner's name was made up: one that the caller chose may be in use again.
+func (c *Client) requestGrant(ctx context.Context, wanted wantedGrant) (Grant, error) {
+	request := call{
+		method:       http.MethodPost,
+		path:         lockPath(wanted.Name),
+		body:         acquireRequest{Owner: wanted.Owner, HoldS: wanted.Hold.Seconds()},
+		timeout:      answerTimeout,
+		repeatWindow: noLimit,
+		accept:       decodeInto(new(acquireAnswer)),
+	}
+	if wanted.ownerIsMadeUp {
+		request.abandoned = func(reply *answer) { c.returnAbandoned(wanted.Grant, reply) }
+	}
+	reply, err := c.do(ctx, request)
+	if err != nil {
+		return Grant{}, err
+	}
+	return grantOf(wanted.Grant, reply)
 }
 
-// requestGrant asks until there is an answer in time. One that comes after the grant's end
-// is worth nothing, and the same owner asks again.
-func (c *Client) requestGrant(ctx context.Context, wanted Grant) (Grant, error) {
-	for {
-		var given acquireAnswer
-		reply, err := c.do(ctx, call{
-			method:       http.MethodPost,
-			path:         lockPath(wanted.Name),
-			body:         acquireRequest{Owner: wanted.Owner, HoldS: wanted.Hold.Seconds()},
-			timeout:      answerTimeout,
-			repeatWindow: noLimit,
-			detached:     true,
-			accept:       decodeInto(&given),
-		})
-		switch {
-		case err != nil:
-			return Grant{}, err
-		case reply.status == http.StatusConflict:
-			return Grant{}, ErrHeld
-		case !reply.succeeded():
-			return Grant{}, refusal(reply)
-		}
-		wanted.Token = given.Fence
-		wanted.Until = reply.sentAt.Add(wanted.Hold)
-		if !wanted.expired() {
-			return wanted, nil
-		}
+// grantOf reads the answer to an acquire.
+func grantOf(wanted Grant, reply *answer) (Grant, error) {
+	switch {
+	case reply.status == http.StatusConflict:
+		return Grant{}, ErrHeld
+	case !reply.succeeded():
+		return Grant{}, refusal(reply)
+	}
+	var given acquireAnswer
+	if err := json.Unmarshal(reply.body, &given); err != nil {
+		return Grant{}, err
 	}
+	wanted.Token = given.Fence
+	wanted.Until = reply.sentAt.Add(wanted.Hold)
+	return wanted, nil
 }
 
-// returnAbandoned gives back what came after the caller had gone.
-func (c *Client) returnAbandoned(outcome <-chan grantOutcome) {
-	o := <-outcome
-	if o.err != nil {
+// returnAbandoned gives back what was granted after the caller had gone.
+func (c *Client) returnAbandoned(wanted Grant, reply *answer) {
+	grant, err := grantOf(wanted, reply)
+	if err != nil {
 		return
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), o.grant.Until)
+	ctx, cancel := context.WithDeadline(context.Background(), grant.Until)
 	defer cancel()
-	_ = c.ReturnGrant(ctx, o.grant) // else it ends by itself
+	_ = c.ReturnGrant(ctx, grant) // else it ends by itself
 }
 
 // RenewGrant asks for the whole hold time once more. ErrLeaseLost says that the system
--- a/client/lease.go
+++ b/client/lease.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 )
@@ -37,23 +36,14 @@
 //
 // The context bounds only the call, not the lease.
 func (c *Client) TryAcquire(ctx context.Context, name, owner string, hold time.Duration) (*Lease, error) {
-	if hold <= 0 {
-		return nil, fmt.Errorf("lock %s: the hold time must be above 0", name)
-	}
-	grant, err := c.RequestGrant(ctx, name, owner, hold)
-	if err != nil {
-		return nil, err
-	}
-	return c.newLease(ctx, grant), nil
+	return c.tryAcquire(ctx, c.wanted(name, owner, hold))
 }
 
 // Acquire takes a lock, and waits for it while another owner holds it. See TryAcquire.
 func (c *Client) Acquire(ctx context.Context, name, owner string, hold time.Duration) (*Lease, error) {
-	if owner == "" {
-		owner = c.newOwner()
-	}
+	wanted := c.wanted(name, owner, hold)
 	for {
-		lease, err := c.TryAcquire(ctx, name, owner, hold)
+		lease, err := c.tryAcquire(ctx, wanted)
 		if !errors.Is(err, ErrHeld) {
 			return lease, err
 		}
@@ -63,6 +53,14 @@
 	}
 }
 
+func (c *Client) tryAcquire(ctx context.Context, wanted wantedGrant) (*Lease, error) {
+	grant, err := c.requestInTime(ctx, wanted)
+	if err != nil {
+		return nil, err
+	}
+	return c.newLease(ctx, grant), nil
+}
+
 func (c *Client) newLease(ctx context.Context, grant Grant) *Lease {
 	l := &Lease{client: c, grant: grant, renewed: make(chan struct{})}
 	l.ctx, l.end = context.WithCancelCause(context.WithoutCancel(ctx))
--- a/client/lease_test.go
+++ b/client/lease_test.go
@@ -136,7 +136,7 @@
 	for owner, want := range map[string]int{"": 0, "mine": 1} {
 		simulate(t, func(t *testing.T, s *standIn) {
 			s.failing(fault{delay: 800 * time.Millisecond})
-			_, err := newTestClient(t, s).TryAcquire(within(t, 100*time.Millisecond), "l", owner, testHold)
+			_, err := newTestClient(t, s).Acquire(within(t, 100*time.Millisecond), "l", owner, testHold)
 			if !errors.Is(err, ErrUnclear) || time.Since(s.begun) != 100*time.Millisecond {
 				t.Error(err, time.Since(s.begun))
 			}
--- a/cmd/madderwing/commands.go
+++ b/cmd/madderwing/commands.go
@@ -74,6 +74,7 @@
 	r.PersistentFlags().StringVar(&logLevel, "log-level", "info", "least level that is logged: debug, info, warn or error")
 	r.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	r.AddCommand(gatewayCommand(), controlCommand(), formerly("desk", gatewayCommand()), formerly("archive", controlCommand()), checkCommand(), statusCommand(), resolveCommand(), configCommand(), evacuateCommand(), rolloutCommand(), retireCommand(),
+		lockCommand(), electionCommand(), counterCommand(), kvCommand(), watchCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), "madderwing "+version)
 		}})
