--- a/internal/controlplane/rollout_test.go
+++ b/internal/controlplane/rollout_test.go
@@ -136,6 +136,15 @@
 			if bad && o.ran[2].Load() > o.ran[1].Load()/5 {
 				t.Errorf("the bad version got %d, the other %d", o.ran[2].Load(), o.ran[1].Load())
 			}
+			ended := 409 // nothing is left to reverse
+			if bad {
+				ended = 200 // it is reversed
+			}
+			for path, want := range map[string]int{"a": ended, "a?targetVersion=v2": ended, "a?targetVersion=v9": 409, "nobody": 404} {
+				if got, text := s.call(t, "DELETE", s.control+"/v1/rollouts/"+path, ""); got != want {
+					t.Errorf("DELETE %s: %d %s, want %d", path, got, text, want)
+				}
+			}
 			if shown := s.until(t, 200, "GET", s.control+"/v1/admin/rollouts/a", ""); !strings.Contains(shown, `"stage": "`+want+`"`) {
 				t.Errorf("shown: %s", shown)
 			}
