Forget the oldest removals: names that come and go no longer fill the configuration

Cause: the record of a dropped item was kept for ever, so that an old change can't bring its name back. Names that come and go filled MaxBytes with such records; from then on every call that adds anything was 413.

Change: removals are numbered in their order. Beyond half of MaxBytes, or what the items that stand leave, the oldest records are erased; the newest 768 KiB never are. A horizon record counts this and holds the highest forgotten generation by kind of item. Gateways keep a horizon for each range: they take ranges whole from a sender with a higher one, by name from one with the same, and nothing of the configuration from one that lags. Control nodes show just what is committed when the horizon rises. A change of an unknown item at or below that generation is 409 and says which one to exceed; a removal is 200. One dropped tenant stays if it is the last, as requests need a key from then on. A reader's versions of items that are gone are forgotten too, also where no list is made.

Tests were seen to fail with each guard taken out: the bound, the late rule, the order, the outlier, the last tenant, the pruned reader, whole ranges, refusal of lagging senders, evacuations beside, the turn of ranges for earlier gateways, the showing of what is committed.

--- a/internal/antientropy/antientropy.go
+++ b/internal/antientropy/antientropy.go
@@ -12,7 +12,8 @@
 const Ranges = 16
 
 // Record is one entry of a set. Gen is the version that its author gave it,
-// Rev counts what the system itself has written into it since.
+// Rev counts what the system itself has written into it since; in a dropped record of the
+// configuration it is the place in the order of removals.
 type Record struct {
 	Name    string `cbor:"1,keyasint"`
 	Gen     uint64 `cbor:"2,keyasint,omitempty"`
@@ -31,6 +32,14 @@
 // Sums holds one digest a range.
 type Sums [Ranges]uint64
 
+// AllRanges lists all ranges.
+func AllRanges() (all []int) {
+	for i := range Ranges {
+		all = append(all, i)
+	}
+	return all
+}
+
 // RangeOf is the range in which a name falls.
 func RangeOf(name string) int {
 	h := fnv.New32a()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"regexp"
 	"slices"
 	"sort"
@@ -386,6 +387,7 @@
 func (c *Change) Apply(have map[string]Record, reader *Reader) ([]Record, error) {
 	var changes []Record
 	at := map[string]int{} // where this call's own changes are
+	generations := forgotten(have)
 	for _, r := range append(append([]Record(nil), c.upserts...), c.removals...) {
 		old, ok := have[r.Name]
 		if i, again := at[r.Name]; again {
@@ -397,6 +399,13 @@
 			}
 			continue // also a removal that is named twice
 		}
+		if !ok {
+			if late, err := tooLate(generations, r); err != nil {
+				return nil, err
+			} else if late {
+				continue
+			}
+		}
 		if ok {
 			r = succeeds(old, r)
 		}
@@ -417,9 +426,12 @@
 	if len(changes) == 0 {
 		return nil, nil
 	}
+	numberRemovals(have, changes)
+	changes = append(changes, forget(have, changes)...)
 	if err := check(have, changes, reader); err != nil {
 		return nil, err
 	}
+	reader.prune(have)
 	return changes, nil
 }
 
@@ -439,7 +451,7 @@
 	}
 	taken := map[string]bool{}
 	for _, r := range changes {
-		taken[r.Name] = true
+		taken[r.Name] = !r.Erased
 	}
 	steps := []Step{}
 	for _, r := range append(append([]Record(nil), c.upserts...), c.removals...) {
@@ -484,7 +496,7 @@
 	type place struct{ host, prefix string }
 	places := map[place]string{}
 	holders := map[string]string{} // key -> tenant
-	size := 0
+	bytes := 0
 	var first error
 	fault := func(format string, args ...any) {
 		if err := invalid(format, args...); first == nil || err.Error() < first.Error() {
@@ -492,7 +504,7 @@
 		}
 	}
 	look := func(rec Record) {
-		size += len(rec.Data) + len(rec.Name) + recordBytes
+		bytes += size(rec)
 		if !rec.Dropped && strings.HasPrefix(rec.Name, tenantPrefix) {
 			t, err := reader.Tenant(rec)
 			if err != nil {
@@ -531,10 +543,12 @@
 		}
 	}
 	for _, rec := range changes {
-		look(rec)
+		if !rec.Erased {
+			look(rec)
+		}
 	}
-	if first == nil && size > MaxBytes {
-		return apierror.New(apierror.BodyTooLarge, "the configuration would hold %d bytes, more than %d", size, MaxBytes)
+	if first == nil && bytes > MaxBytes {
+		return apierror.New(apierror.BodyTooLarge, "the configuration would hold %d bytes, more than %d", bytes, MaxBytes)
 	}
 	return first
 }
@@ -554,6 +568,7 @@
 type Reader struct {
 	routes  map[string]read
 	tenants map[string]readTenant
+	pruneAt int // versions held at which prune looks again
 }
 
 type readTenant struct {
@@ -600,6 +615,25 @@
 	return r, nil
 }
 
+// prune forgets versions of items that don't stand, each time that as many have been read
+// again as there were.
+func (x *Reader) prune(have map[string]Record) {
+	if len(x.routes)+len(x.tenants) < x.pruneAt {
+		return
+	}
+	gone := func(name string) bool {
+		r, ok := have[name]
+		return !ok || r.Dropped
+	}
+	maps.DeleteFunc(x.routes, func(name string, _ read) bool { return gone(name) })
+	maps.DeleteFunc(x.tenants, func(name string, _ readTenant) bool { return gone(name) })
+	x.pruneAt = 2*(len(x.routes)+len(x.tenants)) + pruneFrom
+}
+
+// pruneFrom is how many versions of items a Reader holds before it looks for those that
+// don't stand.
+const pruneFrom = 1 << 10
+
 // List lists the routes that stand, by name, and forgets the others.
 func (x *Reader) List(have map[string]Record) (out []*Route) {
 	for n, rec := range have {
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -94,6 +95,11 @@
 			}
 		}
 	}
+	b.reader.prune(have)
+	maps.DeleteFunc(b.services, func(name string, _ builtService) bool {
+		_, ok := have[name]
+		return !ok
+	})
 	for _, routes := range t.hosts {
 		sort.Slice(routes, func(i, j int) bool {
 			a, b := routes[i].PathPrefix, routes[j].PathPrefix
--- a/internal/controlplane/configuration.go
+++ b/internal/controlplane/configuration.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -28,6 +29,12 @@
 	return taken
 }
 
+// replace makes the configuration's own records that are shown just those that are committed,
+// without what has been forgotten, and says whether that changed anything.
+func (c *configuration) replace(committed map[string]config.Record) (changed bool) {
+	return config.Replace(c.shown, antientropy.AllRanges(), slices.Collect(maps.Values(committed)))
+}
+
 // routes are the routes that are shown, with their placement.
 func (c *configuration) routes() []*config.Route { return c.reader.List(c.shown.Records) }
 
--- a/internal/controlplane/delivery.go
+++ b/internal/controlplane/delivery.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"madderwing/internal/antientropy"
 	"madderwing/internal/config"
 	"madderwing/internal/delivery"
 	"madderwing/internal/membership"
@@ -24,7 +23,7 @@
 	list          *listController
 	led           func() bool // whether the rollouts under way have controllers at work
 
-	packs    delivery.Packs // of the configuration
+	sender   delivery.Sender // of the configuration
 	watchers delivery.Watchers
 	told     map[string]toldAt // by other control nodes
 	tellAt   time.Duration     // when the others are to be told next
@@ -124,19 +123,10 @@
 	out := delivery.Issue{Fresh: fresh, Led: fresh && c.led()}
 	whole := has.Sums != nil
 	if has.Sums != nil {
-		if diff := antientropy.Diff(*has.Sums, shown.Sums); len(diff) > 0 {
-			// A large difference goes a few ranges at a time; the watcher says
-			// again what it has.
-			sums := *has.Sums
-			i := 0
-			for size := 0; i < len(diff) && size < issueMax; i++ {
-				size += c.packs.Range(shown, diff[i], has.Packs, &out)
-				sums[diff[i]] = shown.Sums[diff[i]]
-			}
-			out.More = i < len(diff)
-			has.Sums = &sums
-			whole = sums == shown.Sums
-		}
+		// A large difference goes a few ranges at a time; the watcher says
+		// again what it has.
+		has = c.sender.Bring(shown, has, issueMax, &out)
+		whole = *has.Sums == shown.Sums
 	}
 	if l := c.list.stand.Since(now, has.Listing); l != nil {
 		out.Listing = l
--- /dev/null
+++ b/internal/controlplane/forget_test.go
@@ -0,0 +1,69 @@
+package controlplane
+
+import (
+	"log/slog"
+	"maps"
+	"testing"
+
+	"madderwing/internal/antientropy"
+	"madderwing/internal/config"
+	"madderwing/internal/replication"
+)
+
+// What the owner has forgotten is no longer shown to gateways, whether a control node hears of
+// each change, or only of where it all led; what is not the configuration's stays.
+func TestForgottenItemsAreNotShown(t *testing.T) {
+	const id = "10.0.0.1:1"
+	kept := replication.Record{Name: config.EvacuationPrefix + "z", Gen: 3}
+	changes := [][]replication.Record{
+		{{Name: "route/a", Gen: 1}, {Name: "route/b", Gen: 1}, {Name: "binding/a", Gen: 4}},
+		{{Name: "route/a", Gen: 2, Rev: 1, Dropped: true}, {Name: "binding/a", Gen: 5, Rev: 2, Dropped: true}},
+		{{Name: "route/a", Dropped: true, Erased: true}, {Name: "binding/a", Dropped: true, Erased: true}, {Name: "horizon", Gen: 1}, {Name: "route/c", Gen: 3}},
+		{{Name: "route/a", Gen: 4}, {Name: "binding/a", Gen: 1}},
+	}
+	for _, every := range []bool{true, false} {
+		member, err := replication.NewMember(replication.Config{Self: id, Life: 1, Seeds: []string{id}, Bootstrap: true, Empty: true,
+			Keys: []string{config.Key}, Beat: 1, Vacant: 10, Patience: 100, Alive: func(string) bool { return true }}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := &Node{environment: &environment{member: member}, configuration: newConfiguration(), evacuations: newEvacuations(1)}
+		a.rollouts = newRolloutController(a.environment, a.configuration, nil, nil)
+		a.log.replication = slog.New(slog.NewTextHandler(t.Output(), nil))
+		shown := a.configuration.shown
+		shown.Put(kept)
+		settle := func(show bool) {
+			for fx := member.Take(); len(fx.Writes)+len(fx.Committed) > 0; fx = member.Take() {
+				for _, w := range fx.Writes {
+					member.Durable(5, w.ID)
+				}
+				for _, key := range fx.Committed {
+					switch {
+					case every:
+						a.show(key, fx.Changed[key])
+					case show:
+						a.show(key, nil)
+					}
+				}
+			}
+		}
+		member.Tick(1)
+		settle(true)
+		for i, c := range changes {
+			done := false
+			for !done { // the first asking makes the owner
+				member.Propose(5, config.Key, func(map[string]replication.Record) ([]replication.Record, error) { return c, nil },
+					func(err error) { done = err == nil })
+				settle(every || i == len(changes)-1)
+			}
+			if every || i == len(changes)-1 {
+				want, _, _ := member.Committed(config.Key)
+				want = maps.Clone(want)
+				want[kept.Name] = kept
+				if shown.Sums != antientropy.Digest(want) || len(shown.Records) != len(want) {
+					t.Errorf("every change %v, after %d: shown are %v, not %v", every, i, shown.Records, want)
+				}
+			}
+		}
+	}
+}
--- a/internal/controlplane/pump.go
+++ b/internal/controlplane/pump.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"madderwing/internal/config"
 	"madderwing/internal/coordination"
 	"madderwing/internal/election"
 	"madderwing/internal/replication"
@@ -147,12 +148,22 @@
 			records = append(records, r)
 		}
 	}
+	if key == config.Key && config.RaisesHorizon(n.configuration.shown.Records, records) {
+		return n.showWhole()
+	}
 	taken := n.configuration.merge(records)
 	n.rollouts.saw(taken)
 	n.evacuations.committed(n.now(), taken)
 	return len(taken) > 0
 }
 
+// showWhole shows all that is committed of the configuration, and nothing else of it. Where
+// that can't be told now, the member gives all of it with its next commit.
+func (n *Node) showWhole() bool {
+	committed, _, ok := n.member.Committed(config.Key)
+	return ok && n.configuration.replace(committed)
+}
+
 // configurationChanged has the controllers take over what concerns them.
 func (n *Node) configurationChanged() {
 	if n.registry == nil {
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -46,6 +46,8 @@
 	Second bool `cbor:"6,keyasint,omitempty"`
 	// Packs says that the sender reads packs.
 	Packs bool `cbor:"7,keyasint,omitempty"`
+	// Horizons go with Sums. Gateways of a version before them send none.
+	Horizons *Horizons `cbor:"8,keyasint,omitempty"`
 }
 
 // Told is what control nodes tell each other of those who watch them: loads by zone,
@@ -73,6 +75,11 @@
 	// watcher gets by asking again.
 	Packs [][]byte `cbor:"7,keyasint,omitempty"`
 	More  bool     `cbor:"8,keyasint,omitempty"`
+	// Horizon is that of the records, which then are, of the configuration's own, all that
+	// the control node holds in Ranges. Ranges are named from the first horizon on; control
+	// nodes of a version before them send neither.
+	Horizon *uint64 `cbor:"9,keyasint,omitempty"`
+	Ranges  []int   `cbor:"10,keyasint,omitempty"`
 }
 
 // Sure says that what the gateway has from now on was the newest, at the latest, Age
@@ -83,7 +90,9 @@
 }
 
 // Empty says whether an issue brings nothing.
-func (i *Issue) Empty() bool { return len(i.Records)+len(i.Packs) == 0 && i.Listing == nil }
+func (i *Issue) Empty() bool {
+	return len(i.Records)+len(i.Packs)+len(i.Ranges) == 0 && i.Listing == nil
+}
 
 // Watchers is the list of those who watch a control node.
 type Watchers struct {
@@ -126,8 +135,9 @@
 	x := w.all[from]
 	has = tells
 	if x != nil && x.any && now-x.sent < within {
-		if tells.Sums != nil && x.told.Sums != nil && *tells.Sums == *x.told.Sums && x.watch.Sums != nil {
-			has.Sums, guessed = x.watch.Sums, *x.watch.Sums != *tells.Sums
+		if tells.Sums != nil && x.told.Sums != nil && *tells.Sums == *x.told.Sums && tells.sameHorizons(x.told) && x.watch.Sums != nil {
+			has.Sums, has.Horizons = x.watch.Sums, x.watch.Horizons
+			guessed = *x.watch.Sums != *tells.Sums || !tells.sameHorizons(x.watch)
 		}
 		if tells.Listing == x.told.Listing && tells.Listing != x.watch.Listing {
 			has.Listing, guessed = x.watch.Listing, true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"madderwing/internal/antientropy"
 	"madderwing/internal/config"
 	"madderwing/internal/delivery"
 	"madderwing/internal/logging"
@@ -54,7 +53,7 @@
 	// Owned by the reader's goroutine.
 	commands chan func(now time.Duration)
 	start    time.Time
-	items    *antientropy.Set
+	items    *delivery.Copy
 	builder  config.Builder
 	stand    upstream.Stand
 	sources  delivery.Sources
@@ -80,7 +79,7 @@
 func Run(ctx context.Context, set *settings.Settings, opt Options, reload <-chan *settings.Settings) error {
 	beat := set.Beat()
 	d := &Gateway{set: set, opt: opt, log: logging.For(logging.Gateway), commands: make(chan func(time.Duration), 256), start: time.Now(),
-		items: antientropy.NewSet(), shard: -1, epoch: newEpoch()}
+		items: delivery.NewCopy(), shard: -1, epoch: newEpoch()}
 	patience := settings.Seconds(set.Bounds.ContactS / 10)
 	post, err := transport.New(set.GatewayAddress(set.IP), beat, logging.For(logging.Transport))
 	if err != nil {
@@ -194,7 +193,6 @@
 	defer tick.Stop()
 	hurried, opened := true, false
 	watch := func(now time.Duration, only string) {
-		sums := d.items.Sums
 		sources := d.sources.Choose(now, d.reg.List().Live(membership.Control))
 		if d.set.Global() {
 			d.draws.mu.Lock()
@@ -209,7 +207,8 @@
 			if only != "" && a != only {
 				continue
 			}
-			w := delivery.Watch{Sums: &sums, Listing: d.stand.Version, Second: i > 0, Packs: true}
+			w := delivery.Watch{Listing: d.stand.Version, Second: i > 0, Packs: true}
+			d.items.Tell(&w)
 			if d.set.Global() || !d.ready.current.Load() {
 				w.Asked = d.epoch + max(now, 1)
 			}
@@ -264,14 +263,9 @@
 	if i.Led {
 		d.arms.Heard()
 	}
-	merged := d.items.Merge(i.Records)
-	for _, b := range i.Packs {
-		records, err := delivery.Unpack(b)
-		if err != nil {
-			d.log.Warn("items not unpacked", "from", from, "error", err)
-			continue
-		}
-		merged = d.items.Merge(records) || merged
+	merged, err := d.items.Take(i)
+	if err != nil {
+		d.log.Warn("items not unpacked", "from", from, "error", err)
 	}
 	if merged && i.More {
 		d.rest = from // a table is built once all of it has come, or with the next beat
--- a/internal/replication/storage.go
+++ b/internal/replication/storage.go
@@ -96,12 +96,7 @@
 	return entries, m.nextWrite
 }
 
-var allRanges = func() (all []int) {
-	for i := 0; i < antientropy.Ranges; i++ {
-		all = append(all, i)
-	}
-	return all
-}()
+var allRanges = antientropy.AllRanges()
 
 func marshal(v any) []byte {
 	b, err := cbor.Marshal(v)
