--- a/internal/config/forget.go
+++ b/internal/config/forget.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -137,57 +138,76 @@
 // size is about what a record takes in a message.
 func size(r Record) int { return len(r.Data) + len(r.Name) + recordBytes }
 
+// usage is what the records that would result from a change take, in bytes.
+type usage struct {
+	standing, dropped int
+	tenants           int // how many records of tenants there are, dropped or not
+}
+
+func (u *usage) add(r Record) {
+	if kindOf(r.Name) == tenantPrefix {
+		u.tenants++
+	}
+	if r.Dropped {
+		u.dropped += size(r)
+	} else {
+		u.standing += size(r)
+	}
+}
+
 // forget lists the further changes by which the oldest dropped records make room, if those
 // that would result from changes take more than they may: each of them erased, and the
 // horizon. What the changes themselves drop stays.
 func forget(have map[string]Record, changes []Record) []Record {
-	standing, dropped, tenants := 0, 0, 0
-	var candidates []Record
-	count := func(r Record) {
-		if strings.HasPrefix(r.Name, tenantPrefix) {
-			tenants++
-		}
-		if r.Dropped {
-			dropped += size(r)
-		} else {
-			standing += size(r)
-		}
-	}
+	var used usage
 	changed := make(map[string]bool, len(changes))
 	for _, r := range changes {
 		if !changed[r.Name] { // a removal may be named twice
-			count(r)
+			used.add(r)
 		}
 		changed[r.Name] = true
 	}
 	for name, r := range have {
 		if !changed[name] {
-			count(r)
+			used.add(r)
 		}
 	}
-	room := min(droppedMost, MaxBytes-standing)
-	if dropped <= max(room, droppedLeast) {
+	room := min(droppedMost, MaxBytes-used.standing)
+	if used.dropped <= max(room, droppedLeast) {
 		return nil
 	}
 	target := max(int(float64(room)*droppedKeptPart), droppedLeast)
+	generations := maps.Clone(forgotten(have))
+	if generations == nil {
+		generations = map[string]uint64{}
+	}
+	erased := erase(removalsInOrder(have, changed), used, target, generations)
+	if len(erased) == 0 {
+		return nil
+	}
+	return append(erased, Record{Name: horizonName, Gen: Horizon(have) + 1, Data: encode(horizonData{generations})})
+}
+
+// removalsInOrder lists the dropped records that a call does not change, the oldest first.
+func removalsInOrder(have map[string]Record, changed map[string]bool) (removals []Record) {
 	for name, r := range have {
 		if r.Dropped && !changed[name] {
-			candidates = append(candidates, r)
+			removals = append(removals, r)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b Record) int {
+	slices.SortFunc(removals, func(a, b Record) int {
 		return cmp.Or(cmp.Compare(a.Rev, b.Rev), cmp.Compare(a.Gen, b.Gen), cmp.Compare(a.Name, b.Name))
 	})
+	return removals
+}
 
-	usual := usualGenerations(candidates[len(candidates)/2:])
-	generations := map[string]uint64{}
-	for kind, generation := range forgotten(have) {
-		generations[kind] = generation
-	}
-	spared := int(float64(len(candidates)) * sparedPart)
-	var out []Record
-	for _, r := range candidates {
-		if dropped <= target {
+// erase lists the changes that erase the oldest removals until dropped records take no more
+// than target, and raises the generations that are forgotten by kind.
+func erase(removals []Record, used usage, target int, generations map[string]uint64) (erased []Record) {
+	usual := usualGenerations(removals[len(removals)/2:])
+	spared := int(float64(len(removals)) * sparedPart)
+	for _, r := range removals {
+		if used.dropped <= target {
 			break
 		}
 		kind := kindOf(r.Name)
@@ -196,21 +216,18 @@
 			continue
 		}
 		if kind == tenantPrefix {
-			if tenants == 1 {
+			if used.tenants == 1 {
 				continue // that there were tenants is to stay known: requests need a key
 			}
-			tenants--
+			used.tenants--
 		}
 		if kind != "" {
 			generations[kind] = max(generations[kind], r.Gen)
 		}
-		dropped -= size(r)
-		out = append(out, Record{Name: r.Name, Dropped: true, Erased: true})
-	}
-	if len(out) == 0 {
-		return nil
+		used.dropped -= size(r)
+		erased = append(erased, Record{Name: r.Name, Dropped: true, Erased: true})
 	}
-	return append(out, Record{Name: horizonName, Gen: Horizon(have) + 1, Data: encode(horizonData{generations})})
+	return erased
 }
 
 // usualGenerations are, by kind, generations that few of the removals given are above. A few
