replication: each message between members is a type with a handler

Cause: Message was a struct of sixteen optional pointers, and one switch knew them all.

Tests look at bodies by type.

Ruled out: another form on the wire (mixed versions would need both).

Measured: no figures; the form on the wire is held by TestMessagesOnTheWire and by bytes as the version before wrote them (TestMessagesOfOtherVersions).

--- a/internal/controlplane/relay.go
+++ b/internal/controlplane/relay.go
@@ -61,7 +61,7 @@
 	transport.On(post, replicationKind, func(from string, msgs []replication.Message) {
 		for _, m := range msgs {
 			if answer := f.answer(from, m); answer != nil {
-				post.Send(from, replicationKind, []replication.Message{{Founded: answer}})
+				post.Send(from, replicationKind, []replication.Message{{Body: answer}})
 			}
 		}
 	})
--- a/internal/controlplane/relay_founding.go
+++ b/internal/controlplane/relay_founding.go
@@ -18,7 +18,8 @@
 
 // answer is what to say to a member; nil: nothing.
 func (f *founding) answer(from string, m replication.Message) *replication.Founded {
-	if m.Found == nil || len(m.Found.Records) > 0 {
+	found, ok := m.Body.(*replication.Found)
+	if !ok || len(found.Records) > 0 {
 		return nil
 	}
 	f.mu.Lock()
--- a/internal/replication/catchup.go
+++ b/internal/replication/catchup.go
@@ -118,10 +118,10 @@
 				c.Seq, c.Changes = k.commit.Seq, changes
 				// The digests are those of the position after; they are compared there.
 				c.tells(k.sumsBefore(), m.olderVersions())
-				m.send(to, Message{Copy: c})
+				m.send(to, Message{Body: c})
 				c = m.copy(k, k.commit)
 				c.Changes = rest
-				m.send(to, Message{Copy: c})
+				m.send(to, Message{Body: c})
 				sent(weight(changes) + weight(rest))
 				return
 			}
@@ -129,7 +129,7 @@
 		if changes, ok := k.log.between(base, k.at); ok && weight(changes) <= chunkBytes {
 			c := m.copy(k, base)
 			c.Changes = changes
-			m.send(to, Message{Copy: c})
+			m.send(to, Message{Body: c})
 			sent(weight(changes))
 			return
 		}
@@ -139,7 +139,7 @@
 	if weight(records) <= chunkBytes {
 		c := m.copy(k, base)
 		c.Mend, c.Changes = ranges, records
-		m.send(to, Message{Copy: c})
+		m.send(to, Message{Body: c})
 		sent(weight(records))
 		return
 	}
@@ -172,7 +172,7 @@
 
 func (m *Member) sendChunk(k *key, to string, s *sending) {
 	s.moved = m.now
-	m.send(to, Message{Chunk: &Chunk{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: s.at, Sums: s.sums,
+	m.send(to, Message{Body: &Chunk{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: s.at, Sums: s.sums,
 		Index: s.next, Count: len(s.chunks), Ranges: s.ranges, Records: s.chunks[s.next]}})
 }
 
@@ -186,7 +186,7 @@
 func (m *Member) onChunk(from string, c *Chunk) {
 	k := m.key(c.Key)
 	if reply := m.refuses(k, c.Epoch, c.Roster); reply != nil {
-		m.send(from, Message{Copied: reply})
+		m.send(from, Message{Body: reply})
 		return
 	}
 	m.follow(k, c.Epoch)
@@ -199,7 +199,7 @@
 		t.records = append(t.records, c.Records...)
 	}
 	if t.next < c.Count {
-		m.send(from, Message{Chunked: &Chunked{c.Key, c.Epoch, c.At, t.next}})
+		m.send(from, Message{Body: &Chunked{c.Key, c.Epoch, c.At, t.next}})
 		return
 	}
 	k.taking = nil
--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -50,7 +50,7 @@
 		if k.promises[m.newest[to]] != nil {
 			continue
 		}
-		m.send(to, Message{Ask: &Ask{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: k.at, Trial: k.trial}})
+		m.send(to, Message{Body: &Ask{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: k.at, Trial: k.trial}})
 	}
 	m.promised(k)
 }
@@ -87,7 +87,7 @@
 		if p.OK && !a.Trial && k.wanted {
 			p.Quiet = m.now - k.spoke
 		}
-		m.send(from, Message{Promise: p})
+		m.send(from, Message{Body: p})
 	})
 	if behind && !older && !m.served(k) {
 		// The asker lacks what this member holds, so this one is the better heir.
@@ -242,7 +242,14 @@
 			out.Owned = append(out.Owned, name)
 		}
 	}
-	m.send(from, Message{Hailed: out})
+	m.send(from, Message{Body: out})
+}
+
+func (m *Member) onHailed(from string, h *Hailed) {
+	m.hailed[from] = map[string]bool{}
+	for _, name := range h.Owned {
+		m.hailed[from][name] = true
+	}
 }
 
 // ownerless says that a majority has answered a hail and knows no owner, and
@@ -283,7 +290,7 @@
 		}
 	}
 	if heir != "" {
-		m.send(heir, Message{Yield: &Yield{k.name}})
+		m.send(heir, Message{Body: &Yield{k.name}})
 	}
 }
 
@@ -303,7 +310,7 @@
 	if m.now-k.calmFrom >= m.cfg.HandBack {
 		m.release(k, ErrNotOwner)
 		k.notUntil = m.now + m.cfg.Vacant
-		m.send(heir, Message{Yield: &Yield{k.name}})
+		m.send(heir, Message{Body: &Yield{k.name}})
 	}
 }
 
--- a/internal/replication/founding.go
+++ b/internal/replication/founding.go
@@ -37,7 +37,7 @@
 	m.foundIDs[m.cfg.Self] = m.self
 	for _, seed := range m.cfg.Seeds {
 		if _, relay := m.relays[seed]; seed != m.cfg.Self && m.foundIDs[seed] == "" && (!relay || seed == m.cfg.Seeds[0]) {
-			m.send(seed, Message{Found: &Found{}})
+			m.send(seed, Message{Body: &Found{}})
 		}
 	}
 	m.found(k)
@@ -67,7 +67,7 @@
 	m.settled(func() { m.foundAcks[m.cfg.Self] = true; m.foundDone() })
 	for _, to := range m.Roster() {
 		if to != m.cfg.Self && !m.foundAcks[to] {
-			m.send(to, Message{Found: &Found{k.at, k.Pick(allRanges)}})
+			m.send(to, Message{Body: &Found{k.at, k.Pick(allRanges)}})
 		}
 	}
 }
@@ -77,7 +77,7 @@
 	switch {
 	case len(f.Records) == 0:
 		if m.founding() && len(k.Records) == 0 {
-			m.settled(func() { m.send(from, Message{Founded: &Founded{}}) })
+			m.settled(func() { m.send(from, Message{Body: &Founded{}}) })
 		}
 		return
 	case len(k.Records) == 0:
@@ -91,7 +91,7 @@
 	case k.at.Less(f.At):
 		return
 	}
-	m.settled(func() { m.send(from, Message{Founded: &Founded{At: f.At}}) })
+	m.settled(func() { m.send(from, Message{Body: &Founded{At: f.At}}) })
 }
 
 func (m *Member) onFounded(from, id string, f *Founded) {
--- a/internal/replication/heartbeat.go
+++ b/internal/replication/heartbeat.go
@@ -383,7 +383,7 @@
 	case !p.hears:
 		m.sendCopies(to, owned)
 	default:
-		m.send(to, Message{Heartbeat: m.echoing(whole(p.version), to)})
+		m.send(to, Message{Body: m.echoing(whole(p.version), to)})
 	}
 }
 
@@ -393,14 +393,14 @@
 	case !p.hears:
 		m.sendCopies(to, keys)
 	default:
-		m.send(to, Message{Heartbeat: m.echoing(h, to)})
+		m.send(to, Message{Body: m.echoing(h, to)})
 	}
 }
 
 // sendCopies sends a member copies without changes, as older versions know them.
 func (m *Member) sendCopies(to string, keys []*key) {
 	for _, k := range keys {
-		m.send(to, Message{Copy: m.sureCopy(k, m.newest[to], m.copy(k, k.at))})
+		m.send(to, Message{Body: m.sureCopy(k, m.newest[to], m.copy(k, k.at))})
 	}
 }
 
--- a/internal/replication/heartbeat_follow.go
+++ b/internal/replication/heartbeat_follow.go
@@ -99,7 +99,7 @@
 			return
 		case listLacks:
 			ack.Lacks = true
-			m.send(from, Message{HeartbeatAck: ack})
+			m.send(from, Message{Body: ack})
 			return
 		}
 		statuses, ack.Version = l.keys, l.version
@@ -173,5 +173,5 @@
 		}
 	}
 	ack.Mark = max(m.now, 1)
-	m.send(from, Message{HeartbeatAck: ack})
+	m.send(from, Message{Body: ack})
 }
--- a/internal/replication/heartbeat_test.go
+++ b/internal/replication/heartbeat_test.go
@@ -25,23 +25,23 @@
 	c.messages++
 	c.bytes += len(b)
 	switch {
-	case msg.Copy != nil:
+	case as[*Copy](msg) != nil:
 		c.copies++
-	case msg.Copied != nil:
+	case as[*Copied](msg) != nil:
 		c.copied++
-	case msg.Heartbeat != nil && !msg.Heartbeat.Partial:
+	case as[*Heartbeat](msg) != nil && !as[*Heartbeat](msg).Partial:
 		c.whole++
-	case msg.Heartbeat != nil && msg.Heartbeat.Round == 0:
+	case as[*Heartbeat](msg) != nil && as[*Heartbeat](msg).Round == 0:
 		c.notices++
-	case msg.Heartbeat != nil:
+	case as[*Heartbeat](msg) != nil:
 		c.partial++
-	case msg.HeartbeatAck != nil:
+	case as[*HeartbeatAck](msg) != nil:
 		c.acks++
-		if msg.HeartbeatAck.Round == 0 {
+		if as[*HeartbeatAck](msg).Round == 0 {
 			c.answersToNotice++
 		}
 	}
-	if msg.Heartbeat != nil || msg.HeartbeatAck != nil {
+	if as[*Heartbeat](msg) != nil || as[*HeartbeatAck](msg) != nil {
 		var read Message
 		if err := cbor.Unmarshal(b, &read); err != nil || !reflect.DeepEqual(read, msg) {
 			t.Fatalf("%+v is read as %+v: %v", msg, read, err)
@@ -144,7 +144,7 @@
 	for _, key := range mine {
 		owner.m.notice(owner.m.keys[key])
 	}
-	if sent := owner.m.Take().Send; len(sent) != 3 || len(sent[0].Msg.Heartbeat.Keys) != len(mine) {
+	if sent := owner.m.Take().Send; len(sent) != 3 || len(as[*Heartbeat](sent[0].Msg).Keys) != len(mine) {
 		t.Errorf("%d keys committed at once: %+v", len(mine), sent)
 	}
 	if answered != len(mine) || c.answersToNotice != 0 {
@@ -172,11 +172,11 @@
 	w.run(owner.born + owner.m.beats.beatAt + testBeat + 10*time.Millisecond) // just after a beat
 	lost := 0
 	w.drop = func(_ string, e Envelope) bool {
-		if e.To == deaf.id && e.Msg.Copy != nil && lost == 0 {
+		if e.To == deaf.id && as[*Copy](e.Msg) != nil && lost == 0 {
 			lost++
 			return true
 		}
-		return e.Msg.Heartbeat != nil && !e.Msg.Heartbeat.Partial
+		return as[*Heartbeat](e.Msg) != nil && !as[*Heartbeat](e.Msg).Partial
 	}
 	if err := w.put(owner, "x", 1); err != nil {
 		t.Fatal(err)
@@ -204,9 +204,9 @@
 	}
 	was, stands := owner.m.keys[testKey].mine, owner.m.keys[other].mine
 	w.drop = func(_ string, e Envelope) bool { // the owner hears nothing of its successor's election
-		return e.To == owner.id && (e.Msg.Ask != nil || e.Msg.Copy != nil || e.Msg.Heartbeat != nil)
+		return e.To == owner.id && (as[*Ask](e.Msg) != nil || as[*Copy](e.Msg) != nil || as[*Heartbeat](e.Msg) != nil)
 	}
-	w.on(heir.id, heir.life, func() { heir.m.Handle(w.clock(heir), owner.id, Message{Yield: &Yield{testKey}}) })
+	w.on(heir.id, heir.life, func() { heir.m.Handle(w.clock(heir), owner.id, Message{Body: &Yield{testKey}}) })
 	w.run(w.now + testBeat + 100*time.Millisecond)
 	if k := heir.m.keys[testKey]; k.role != owns || !was.Less(k.mine) {
 		t.Fatalf("%s did not take the key over", heir.id)
@@ -223,9 +223,9 @@
 // heartbeats since reach nobody.
 func (w *world) seizedBy(n *node, key string) *key {
 	w.drop = func(from string, e Envelope) bool {
-		return (from == n.id || e.To == n.id) && e.Msg.Ask == nil && e.Msg.Promise == nil
+		return (from == n.id || e.To == n.id) && as[*Ask](e.Msg) == nil && as[*Promise](e.Msg) == nil
 	}
-	w.on(n.id, n.life, func() { n.m.Handle(w.clock(n), n.id, Message{Yield: &Yield{key}, Identity: n.m.identity}) })
+	w.on(n.id, n.life, func() { n.m.Handle(w.clock(n), n.id, Message{Body: &Yield{key}, Identity: n.m.identity}) })
 	for end := w.now + testBeat; n.m.keys[key].role != owns && w.now < end; {
 		w.run(w.now + time.Millisecond)
 	}
@@ -246,7 +246,7 @@
 	for _, id := range w.ids {
 		if o := w.nodes[id]; o != n {
 			n.m.Handle(w.clock(n), id, Message{Identity: o.m.identity, Life: 1, Protocol: protocolHeartbeat,
-				HeartbeatAck: &HeartbeatAck{Life: n.m.cfg.Life, Round: k.firstRound - 1, Version: n.m.beats.version}})
+				Body: &HeartbeatAck{Life: n.m.cfg.Life, Round: k.firstRound - 1, Version: n.m.beats.version}})
 		}
 	}
 	if k.sure != unsure {
@@ -255,7 +255,7 @@
 	for _, id := range w.ids {
 		if o := w.nodes[id]; o != n {
 			n.m.Handle(w.clock(n), id, Message{Identity: o.m.identity, Life: 1, Protocol: protocolHeartbeat,
-				HeartbeatAck: &HeartbeatAck{Life: n.m.cfg.Life + 1, Round: n.m.beats.round, Version: n.m.beats.version}})
+				Body: &HeartbeatAck{Life: n.m.cfg.Life + 1, Round: n.m.beats.round, Version: n.m.beats.version}})
 		}
 	}
 	if k.sure != unsure {
@@ -287,17 +287,17 @@
 	heartbeatEpoch := k.promised
 	heartbeat := &Heartbeat{Round: 7, Roster: m.keys[RosterKey].at, Partial: true,
 		Keys: []KeyStatus{{Key: testKey, Epoch: k.promised.N, Seq: k.at.Seq + lags, Commit: k.commit.Seq, Sum: k.Sums.Fold()}}}
-	m.Handle(now, owner.id, Message{Identity: owner.m.identity, Life: owner.m.cfg.Life, Protocol: protocolHeartbeat, Heartbeat: heartbeat})
+	m.Handle(now, owner.id, Message{Identity: owner.m.identity, Life: owner.m.cfg.Life, Protocol: protocolHeartbeat, Body: heartbeat})
 	newer := Epoch{k.promised.N + 1, n.id, 99}
 	m.Handle(now, owner.id, Message{Identity: owner.m.identity, Life: owner.m.cfg.Life, Protocol: protocolHeartbeat,
-		Ask: &Ask{Key: testKey, Epoch: newer, Roster: m.keys[RosterKey].at, At: k.at}})
+		Body: &Ask{Key: testKey, Epoch: newer, Roster: m.keys[RosterKey].at, At: k.at}})
 	if k.promised != newer {
 		t.Fatalf("it promised %v", k.promised)
 	}
 	m.Durable(now, m.nextWrite)
 	told, confirmed := false, false
 	for _, e := range m.Take().Send {
-		if a := e.Msg.HeartbeatAck; a != nil && a.Round == 7 {
+		if a := as[*HeartbeatAck](e.Msg); a != nil && a.Round == 7 {
 			for _, d := range a.Deviate {
 				told = told || d.Key == testKey && d.Promised == newer
 				confirmed = confirmed || d.Key == testKey && d.Promised == heartbeatEpoch
@@ -455,7 +455,7 @@
 		for _, id := range w.ids {
 			if o := w.nodes[id]; o != n {
 				m.Handle(w.clock(n), id, Message{Identity: o.m.identity, Life: o.m.cfg.Life, Protocol: protocolHeartbeat,
-					HeartbeatAck: &HeartbeatAck{Life: m.cfg.Life, Round: round, Partial: partial, Version: version}})
+					Body: &HeartbeatAck{Life: m.cfg.Life, Round: round, Partial: partial, Version: version}})
 				if k.rounds[o.m.self] != round || k.acks[o.m.self] != stood {
 					t.Errorf("partial %v: %s counts for round %d and %v, it answered %d and %v", partial, id, k.rounds[o.m.self], k.acks[o.m.self], round, stood)
 				}
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -233,42 +233,8 @@
 	id := idOf(from, msg.Identity)
 	m.lives[id], m.newest[from] = msg.Life, id
 	m.meet(from, id, msg)
-	switch {
-	case msg.Found != nil:
-		m.onFound(from, msg.Found)
-	case msg.Founded != nil:
-		m.onFounded(from, id, msg.Founded)
-	case msg.Ask != nil:
-		m.onAsk(from, msg.Ask)
-	case msg.Promise != nil:
-		m.onPromise(from, id, msg.Promise)
-	case msg.Copy != nil:
-		m.onCopy(from, msg.Copy)
-	case msg.Copied != nil:
-		m.onCopied(from, id, msg.Copied)
-	case msg.Heartbeat != nil:
-		m.onHeartbeat(from, msg.Life, msg.Heartbeat)
-	case msg.HeartbeatAck != nil:
-		m.onHeartbeatAck(from, id, msg.HeartbeatAck)
-	case msg.Chunk != nil:
-		m.onChunk(from, msg.Chunk)
-	case msg.Chunked != nil:
-		m.onChunked(from, id, msg.Chunked)
-	case msg.Survey != nil:
-		m.onSurvey(from, id, msg.Survey)
-	case msg.Surveyed != nil:
-		m.onSurveyed(id, msg.Surveyed)
-	case msg.Hail != nil:
-		m.onHail(from)
-	case msg.Hailed != nil:
-		m.hailed[from] = map[string]bool{}
-		for _, name := range msg.Hailed.Owned {
-			m.hailed[from][name] = true
-		}
-	case msg.Yield != nil:
-		m.takeOver(m.key(msg.Yield.Key), true)
-	case msg.Enroll != nil:
-		m.onEnroll(from, id)
+	if msg.Body != nil {
+		msg.Body.handle(m, sender{from, id, msg.Life})
 	}
 }
 
@@ -293,7 +259,7 @@
 	}
 	if now-m.beganAt < 2*m.cfg.Beat {
 		for _, to := range m.others() {
-			m.send(to, Message{Hail: &Hail{}})
+			m.send(to, Message{Body: &Hail{}})
 		}
 	}
 	stuck := m.firstOpen <= m.nextWrite && now-m.openSince > m.cfg.Vacant/2
--- a/internal/replication/message.go
+++ b/internal/replication/message.go
@@ -53,31 +53,6 @@
 	return p.Seq < o.Seq
 }
 
-// Message is what members say to each other; one of the fields is set beside Life,
-// Identity and Protocol. Numbers 5 and 6 were used by whole copies, which snapshots replace.
-type Message struct {
-	Ask      *Ask      `cbor:"1,keyasint,omitempty"`
-	Promise  *Promise  `cbor:"2,keyasint,omitempty"`
-	Copy     *Copy     `cbor:"3,keyasint,omitempty"`
-	Copied   *Copied   `cbor:"4,keyasint,omitempty"`
-	Found    *Found    `cbor:"7,keyasint,omitempty"`
-	Founded  *Founded  `cbor:"8,keyasint,omitempty"`
-	Yield    *Yield    `cbor:"9,keyasint,omitempty"`
-	Enroll   *Enroll   `cbor:"10,keyasint,omitempty"`
-	Life     uint64    `cbor:"11,keyasint,omitempty"`
-	Hail     *Hail     `cbor:"12,keyasint,omitempty"`
-	Hailed   *Hailed   `cbor:"13,keyasint,omitempty"`
-	Identity uint64    `cbor:"14,keyasint,omitempty"` // of the sender's disk
-	Chunk    *Chunk    `cbor:"15,keyasint,omitempty"`
-	Chunked  *Chunked  `cbor:"16,keyasint,omitempty"`
-	Survey   *Survey   `cbor:"17,keyasint,omitempty"`
-	Surveyed *Surveyed `cbor:"18,keyasint,omitempty"`
-
-	Heartbeat    *Heartbeat    `cbor:"19,keyasint,omitempty"`
-	HeartbeatAck *HeartbeatAck `cbor:"20,keyasint,omitempty"`
-	Protocol     uint64        `cbor:"21,keyasint,omitempty"` // the newest that the sender understands
-}
-
 // Ask requests the promise to follow no older epoch. A trial asks only whether the
 // promise would be given, and changes nothing.
 type Ask struct {
--- a/internal/replication/reform.go
+++ b/internal/replication/reform.go
@@ -26,7 +26,7 @@
 		}
 	}
 	for _, a := range to {
-		m.send(a, Message{Enroll: &Enroll{}})
+		m.send(a, Message{Body: &Enroll{}})
 	}
 }
 
@@ -129,7 +129,7 @@
 func (m *Member) sendSurvey(to []string) {
 	m.round++
 	for _, a := range to {
-		m.send(a, Message{Survey: &Survey{m.round, m.leaving, m.keys[RosterKey].at}})
+		m.send(a, Message{Body: &Survey{m.round, m.leaving, m.keys[RosterKey].at}})
 	}
 	m.stand(func(s *Surveyed) { m.onSurveyed(m.self, s) })
 }
@@ -154,7 +154,7 @@
 		if k := m.keys[RosterKey]; q.Leaving && q.Roster.Less(k.at) && k.commit == k.at {
 			s.Outdated = m.rosterHolding()
 		}
-		m.send(from, Message{Surveyed: s})
+		m.send(from, Message{Body: s})
 	})
 }
 
--- a/internal/replication/steps.go
+++ b/internal/replication/steps.go
@@ -112,7 +112,7 @@
 	c := m.copy(k, base)
 	c.Changes = changes
 	for _, to := range m.others() {
-		m.send(to, Message{Copy: c})
+		m.send(to, Message{Body: c})
 	}
 	if why, ok := m.beats.dueKeys[k.name]; ok && why == dueNotice {
 		delete(m.beats.dueKeys, k.name) // the step tells of the commit before it
@@ -164,7 +164,7 @@
 	k := m.key(c.Key)
 	if reply := m.refuses(k, c.Epoch, c.Roster); reply != nil {
 		reply.Round = c.Round
-		m.send(from, Message{Copied: reply})
+		m.send(from, Message{Body: reply})
 		return
 	}
 	m.follow(k, c.Epoch)
@@ -220,7 +220,7 @@
 		if !r.OK {
 			r.Sums = &sums
 		}
-		m.send(to, Message{Copied: r})
+		m.send(to, Message{Body: r})
 	})
 }
 
--- /dev/null
+++ b/internal/replication/wire_test.go
@@ -0,0 +1,54 @@
+package replication
+
+import (
+	"encoding/hex"
+	"reflect"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Each kind of message has its number on the wire, which older versions know it by.
+func TestMessagesOnTheWire(t *testing.T) {
+	for body, number := range map[Body]uint64{
+		&Ask{Key: "k"}: 1, &Promise{Key: "k"}: 2, &Copy{Key: "k"}: 3, &Copied{Key: "k"}: 4, &Found{}: 7, &Founded{}: 8,
+		&Yield{Key: "k"}: 9, &Enroll{}: 10, &Hail{}: 12, &Hailed{Owned: []string{"k"}}: 13, &Chunk{Key: "k", Count: 1}: 15,
+		&Chunked{Key: "k"}: 16, &Survey{Round: 1}: 17, &Surveyed{Round: 1}: 18, &Heartbeat{Round: 1}: 19, &HeartbeatAck{Life: 1}: 20,
+	} {
+		sent := Message{Life: 5, Identity: 6, Protocol: 1, Body: body}
+		b, err := cbor.Marshal(sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var fields map[uint64]cbor.RawMessage
+		if err := cbor.Unmarshal(b, &fields); err != nil || len(fields) != 4 || fields[number] == nil || fields[11] == nil || fields[14] == nil || fields[21] == nil {
+			t.Errorf("%T is %x: %v", body, b, err)
+		}
+		var read Message
+		if err := cbor.Unmarshal(b, &read); err != nil || !reflect.DeepEqual(read, sent) {
+			t.Errorf("%T is read as %+v: %v", body, read, err)
+		}
+	}
+}
+
+// The bytes that the version before typed messages wrote, and a kind that only a later
+// one knows.
+func TestMessagesOfOtherVersions(t *testing.T) {
+	for text, want := range map[string]Message{
+		"a309a101616b0b050e06":     {Life: 5, Identity: 6, Body: &Yield{Key: "k"}},
+		"a40aa00b050e061501":       {Life: 5, Identity: 6, Protocol: 1, Body: &Enroll{}},
+		"a40b050e061502181ea10101": {Life: 5, Identity: 6, Protocol: 2},
+	} {
+		b, err := hex.DecodeString(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var read Message
+		if err := cbor.Unmarshal(b, &read); err != nil || !reflect.DeepEqual(read, want) {
+			t.Errorf("%s is read as %+v: %v", text, read, err)
+		}
+		if again, err := cbor.Marshal(read); want.Body != nil && (err != nil || hex.EncodeToString(again) != text) {
+			t.Errorf("%s is written as %x: %v", text, again, err)
+		}
+	}
+}
--- a/internal/replication/world_test.go
+++ b/internal/replication/world_test.go
@@ -388,8 +388,8 @@
 	}
 	if sender, to := w.nodes[from], w.nodes[e.To]; sender != nil && to != nil && (sender.older || to.older) {
 		// One of them knows neither heartbeats nor the field that offers them.
-		if e.Msg.Protocol = 0; to.older && (e.Msg.Heartbeat != nil || e.Msg.HeartbeatAck != nil) {
-			e.Msg.Heartbeat, e.Msg.HeartbeatAck = nil, nil
+		if e.Msg.Protocol = 0; to.older && (as[*Heartbeat](e.Msg) != nil || as[*HeartbeatAck](e.Msg) != nil) {
+			e.Msg.Body = nil
 		}
 	}
 	arrive := func() {
@@ -594,3 +594,9 @@
 func sortRecords(s []Record) {
 	sort.Slice(s, func(i, j int) bool { return s[i].Name < s[j].Name })
 }
+
+// as is the body of a message, if it is of that type; else nil.
+func as[B Body](m Message) B {
+	b, _ := m.Body.(B)
+	return b
+}
