replication: messages take the field's names

Cause: the messages had names of the earlier house style.

Change: Copy is Append, Copied AppendAck, Ask VoteRequest, Promise Vote, its Trial PreVote, Hail Probe, Hailed ProbeAck, Enroll Join, Yield Transfer, Survey StateQuery, Surveyed StateReport, Chunk SnapshotChunk, Chunked SnapshotAck, and their handlers with them. The numbers on the wire and what is on disk stay. Member, Tenure, the roles and the roster's words are still to be renamed.

--- a/internal/replication/catchup.go
+++ b/internal/replication/catchup.go
@@ -98,7 +98,7 @@
 	} else if s != nil {
 		if m.now-s.moved > s.wait {
 			s.wait *= 2
-			m.sendChunk(k, to, s)
+			m.sendSnapshotChunk(k, to, s)
 		}
 		return
 	}
@@ -152,7 +152,7 @@
 		}
 	}
 	k.sending[id] = s
-	m.sendChunk(k, to, s)
+	m.sendSnapshotChunk(k, to, s)
 }
 
 // sumsBefore are the digests of the key as it stood when it was last committed.
@@ -170,9 +170,9 @@
 	return sums
 }
 
-func (m *Member) sendChunk(k *key, to string, s *sending) {
+func (m *Member) sendSnapshotChunk(k *key, to string, s *sending) {
 	s.moved = m.now
-	m.send(to, Message{Body: &Chunk{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: s.at, Sums: s.sums,
+	m.send(to, Message{Body: &SnapshotChunk{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: s.at, Sums: s.sums,
 		Index: s.next, Count: len(s.chunks), Ranges: s.ranges, Records: s.chunks[s.next]}})
 }
 
@@ -183,7 +183,7 @@
 	records []Record
 }
 
-func (m *Member) onChunk(from string, c *Chunk) {
+func (m *Member) onSnapshotChunk(from string, c *SnapshotChunk) {
 	k := m.key(c.Key)
 	if reply := m.refuses(k, c.Epoch, c.Roster); reply != nil {
 		m.send(from, Message{Body: reply})
@@ -199,7 +199,7 @@
 		t.records = append(t.records, c.Records...)
 	}
 	if t.next < c.Count {
-		m.send(from, Message{Body: &Chunked{c.Key, c.Epoch, c.At, t.next}})
+		m.send(from, Message{Body: &SnapshotAck{c.Key, c.Epoch, c.At, t.next}})
 		return
 	}
 	k.taking = nil
@@ -212,7 +212,7 @@
 	for _, r := range t.records {
 		sums[antientropy.RangeOf(r.Name)] ^= r.Sum()
 	}
-	reply := &Copied{Key: c.Key, Epoch: c.Epoch}
+	reply := &AppendAck{Key: c.Key, Epoch: c.Epoch}
 	if sums == c.Sums && !c.At.Less(k.at) {
 		entries := m.replace(k, c.Ranges, t.records)
 		k.at = c.At
@@ -224,7 +224,7 @@
 	m.reply(k, from, reply)
 }
 
-func (m *Member) onChunked(from, id string, c *Chunked) {
+func (m *Member) onSnapshotAck(from, id string, c *SnapshotAck) {
 	k := m.key(c.Key)
 	s := k.sending[id]
 	if k.role != owns || c.Epoch != k.mine || s == nil || s.at != c.At {
@@ -233,7 +233,7 @@
 	k.seen[id] = m.now
 	if c.Next > s.next && c.Next < len(s.chunks) {
 		s.next = c.Next
-		m.sendChunk(k, from, s)
+		m.sendSnapshotChunk(k, from, s)
 	} else if c.Next < s.next {
 		delete(k.sending, id) // it has begun a new life
 	}
--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -11,17 +11,17 @@
 )
 
 // takeOver tries to become the owner of a key. Unless a former owner hands it over,
-// a trial comes first: a member that others do not need as owner, because it is cut
+// a pre-vote comes first: a member that others do not need as owner, because it is cut
 // off one way or has only just come back, then raises no epoch.
 func (m *Member) takeOver(k *key, handed bool) {
-	if !m.mayOwn() || m.leaving || k.role == owns || k.role == asks && !(k.trial && handed) || m.now < k.notUntil && !handed {
+	if !m.mayOwn() || m.leaving || k.role == owns || k.role == asks && !(k.preVote && handed) || m.now < k.notUntil && !handed {
 		return
 	}
-	k.role, k.since, k.trial = asks, m.now, !handed
+	k.role, k.since, k.preVote = asks, m.now, !handed
 	k.mine = Epoch{max(k.promised.N, k.at.Epoch.N, k.floor) + 1, m.cfg.Self, m.cfg.Life}
-	k.promises, k.frees = map[string]*Promise{}, map[string]time.Duration{}
-	if k.trial {
-		k.promises[m.self] = &Promise{At: k.at}
+	k.promises, k.frees = map[string]*Vote{}, map[string]time.Duration{}
+	if k.preVote {
+		k.promises[m.self] = &Vote{At: k.at}
 		m.canvass(k)
 		return
 	}
@@ -30,15 +30,15 @@
 
 // campaign asks for promises in earnest.
 func (m *Member) campaign(k *key) {
-	k.trial, k.since = false, m.now
+	k.preVote, k.since = false, m.now
 	k.promised = k.mine
 	mine := k.mine
-	k.promises = map[string]*Promise{}
+	k.promises = map[string]*Vote{}
 	m.write([]ledgerEntry{k.meta()}, func() {
 		if k.role != asks || k.mine != mine {
 			return
 		}
-		k.promises[m.self] = &Promise{At: k.at}
+		k.promises[m.self] = &Vote{At: k.at}
 		m.canvass(k)
 	})
 }
@@ -50,7 +50,7 @@
 		if k.promises[m.newest[to]] != nil {
 			continue
 		}
-		m.send(to, Message{Body: &Ask{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: k.at, Trial: k.trial}})
+		m.send(to, Message{Body: &VoteRequest{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: k.at, PreVote: k.preVote}})
 	}
 	m.promised(k)
 }
@@ -61,21 +61,21 @@
 	return k.role == owns && m.now-k.agreed <= near || k.role != owns && k.owned && m.now-k.copied <= near
 }
 
-func (m *Member) onAsk(from string, a *Ask) {
+func (m *Member) onVoteRequest(from string, a *VoteRequest) {
 	k := m.key(a.Key)
 	k.floor = max(k.floor, a.Epoch.N)
 	older := m.olderRoster(a.Roster)
 	behind := a.At.Less(k.at)
 	ok := !a.Epoch.Less(k.promised) && !older && !behind
-	if a.Trial && ok && m.served(k) && k.promised.Owner != from {
+	if a.PreVote && ok && m.served(k) && k.promised.Owner != from {
 		ok = false
 	}
-	if ok && !a.Trial && k.promised != a.Epoch {
+	if ok && !a.PreVote && k.promised != a.Epoch {
 		m.stepDown(k, a.Epoch)
 		k.heard, k.heardAny, k.owned = m.now, true, false
 		m.write([]ledgerEntry{k.meta()}, nil)
 	}
-	p := &Promise{Key: a.Key, Epoch: a.Epoch, OK: ok, Promised: k.promised, At: k.at, Trial: a.Trial, Sums: k.Sums}
+	p := &Vote{Key: a.Key, Epoch: a.Epoch, OK: ok, Promised: k.promised, At: k.at, PreVote: a.PreVote, Sums: k.Sums}
 	if older {
 		p.Outdated = m.rosterHolding()
 	}
@@ -83,8 +83,8 @@
 		p.At = a.At // this member is no heir that the asker should make way for
 	}
 	m.settled(func() {
-		p.OK = p.OK && (a.Trial || k.promised == a.Epoch)
-		if p.OK && !a.Trial && k.wanted {
+		p.OK = p.OK && (a.PreVote || k.promised == a.Epoch)
+		if p.OK && !a.PreVote && k.wanted {
 			p.Quiet = m.now - k.spoke
 		}
 		m.send(from, Message{Body: p})
@@ -95,26 +95,26 @@
 	}
 }
 
-func (m *Member) onPromise(from, id string, p *Promise) {
+func (m *Member) onVote(from, id string, p *Vote) {
 	k := m.key(p.Key)
 	had := m.keys[RosterKey].at
 	if p.Outdated != nil {
 		m.adopt(p.Outdated)
 	}
-	if k.role != asks || k.mine != p.Epoch || k.trial != p.Trial {
+	if k.role != asks || k.mine != p.Epoch || k.preVote != p.PreVote {
 		return
 	}
 	if !p.OK || k.at.Less(p.At) {
 		k.floor = max(k.floor, p.Promised.N)
 		switch {
-		case !p.Trial && k.mine.Less(p.Promised):
+		case !p.PreVote && k.mine.Less(p.Promised):
 			m.stepDown(k, p.Promised)
 			m.write([]ledgerEntry{k.meta()}, nil)
 		case p.Outdated != nil:
 			if had != m.keys[RosterKey].at {
 				m.canvass(k) // under the roster that it has now
 			}
-		case p.Trial && k.at.Less(p.At):
+		case p.PreVote && k.at.Less(p.At):
 			// In earnest a majority decides, whatever the others hold.
 			m.release(k, ErrNoQuorum)
 			k.notUntil = m.now + m.cfg.Beat
@@ -136,7 +136,7 @@
 		m.release(k, ErrNotOwner) // its seat has gone meanwhile
 		return
 	}
-	if k.trial {
+	if k.preVote {
 		m.campaign(k)
 		return
 	}
@@ -177,7 +177,7 @@
 
 func (m *Member) release(k *key, err error) {
 	if k.role != follows {
-		k.role, k.trial = follows, false
+		k.role, k.preVote = follows, false
 		k.promises, k.acks, k.sending = nil, nil, nil
 		k.heard, k.heardAny, k.owned = m.now, true, false
 	}
@@ -232,11 +232,11 @@
 	return 0
 }
 
-func (m *Member) onHail(from string) {
+func (m *Member) onProbe(from string) {
 	if !m.mayOwn() || m.leaving {
 		return // whoever asks would wait for this member to take keys over
 	}
-	out := &Hailed{}
+	out := &ProbeAck{}
 	for _, name := range m.names {
 		if k := m.keys[name]; k.role != follows || m.Owner(m.now, name) != "" {
 			out.Owned = append(out.Owned, name)
@@ -245,7 +245,7 @@
 	m.send(from, Message{Body: out})
 }
 
-func (m *Member) onHailed(from string, h *Hailed) {
+func (m *Member) onProbeAck(from string, h *ProbeAck) {
 	m.hailed[from] = map[string]bool{}
 	for _, name := range h.Owned {
 		m.hailed[from][name] = true
@@ -290,7 +290,7 @@
 		}
 	}
 	if heir != "" {
-		m.send(heir, Message{Body: &Yield{k.name}})
+		m.send(heir, Message{Body: &Transfer{k.name}})
 	}
 }
 
@@ -310,7 +310,7 @@
 	if m.now-k.calmFrom >= m.cfg.HandBack {
 		m.release(k, ErrNotOwner)
 		k.notUntil = m.now + m.cfg.Vacant
-		m.send(heir, Message{Body: &Yield{k.name}})
+		m.send(heir, Message{Body: &Transfer{k.name}})
 	}
 }
 
--- a/internal/replication/heartbeat.go
+++ b/internal/replication/heartbeat.go
@@ -82,7 +82,7 @@
 	Lacks    bool          `cbor:"4,keyasint,omitempty"` // the member hasn't the list that the heartbeat builds on
 	Version  uint64        `cbor:"5,keyasint,omitempty"` // of the list that the member holds
 	Mark     time.Duration `cbor:"6,keyasint,omitempty"` // the member's clock
-	Deviate  []*Copied     `cbor:"7,keyasint,omitempty"` // keys that the member lags behind with, or has promised to others
+	Deviate  []*AppendAck  `cbor:"7,keyasint,omitempty"` // keys that the member lags behind with, or has promised to others
 	Outdated *Holding      `cbor:"8,keyasint,omitempty"` // the newer roster, if the owner's is older
 }
 
@@ -379,9 +379,9 @@
 	p := m.peers[to]
 	switch {
 	case p == nil:
-		m.sendCopies(to, owned[:1])
+		m.sendAppends(to, owned[:1])
 	case !p.hears:
-		m.sendCopies(to, owned)
+		m.sendAppends(to, owned)
 	default:
 		m.send(to, Message{Body: m.echoing(whole(p.version), to)})
 	}
@@ -391,16 +391,16 @@
 	switch p := m.peers[to]; {
 	case p == nil:
 	case !p.hears:
-		m.sendCopies(to, keys)
+		m.sendAppends(to, keys)
 	default:
 		m.send(to, Message{Body: m.echoing(h, to)})
 	}
 }
 
-// sendCopies sends a member copies without changes, as older versions know them.
-func (m *Member) sendCopies(to string, keys []*key) {
+// sendAppends sends a member copies without changes, as older versions know them.
+func (m *Member) sendAppends(to string, keys []*key) {
 	for _, k := range keys {
-		m.send(to, Message{Body: m.sureCopy(k, m.newest[to], m.copy(k, k.at))})
+		m.send(to, Message{Body: m.sureAppend(k, m.newest[to], m.copy(k, k.at))})
 	}
 }
 
@@ -446,7 +446,7 @@
 		keys[d.Key] = true
 		c := *d
 		c.Round = a.Round
-		m.onCopied(from, id, &c)
+		m.onAppendAck(from, id, &c)
 	}
 	return keys
 }
--- a/internal/replication/heartbeat_follow.go
+++ b/internal/replication/heartbeat_follow.go
@@ -114,12 +114,12 @@
 		k, e := m.key(s.Key), Epoch{s.Epoch, from, life}
 		switch {
 		case e.Less(k.promised):
-			ack.Deviate = append(ack.Deviate, &Copied{Key: s.Key, Epoch: e, Promised: k.promised})
+			ack.Deviate = append(ack.Deviate, &AppendAck{Key: s.Key, Epoch: e, Promised: k.promised})
 		case !older:
 			heard = append(heard, heardKey{k, e})
 			if !m.hear(k, e, s) {
 				sums := k.Sums
-				ack.Deviate = append(ack.Deviate, &Copied{Key: s.Key, Epoch: e, Promised: e, At: k.at, Sums: &sums})
+				ack.Deviate = append(ack.Deviate, &AppendAck{Key: s.Key, Epoch: e, Promised: e, At: k.at, Sums: &sums})
 			}
 			m.dates(k, e, s, h.Sure, ages)
 		}
@@ -165,7 +165,7 @@
 	}
 	for _, h := range heard {
 		if h.promised != h.epoch {
-			ack.Deviate = append(ack.Deviate, &Copied{Key: h.name, Epoch: h.epoch, Promised: h.promised})
+			ack.Deviate = append(ack.Deviate, &AppendAck{Key: h.name, Epoch: h.epoch, Promised: h.promised})
 			continue
 		}
 		if h.wanted {
--- a/internal/replication/heartbeat_test.go
+++ b/internal/replication/heartbeat_test.go
@@ -25,9 +25,9 @@
 	c.messages++
 	c.bytes += len(b)
 	switch {
-	case as[*Copy](msg) != nil:
+	case as[*Append](msg) != nil:
 		c.copies++
-	case as[*Copied](msg) != nil:
+	case as[*AppendAck](msg) != nil:
 		c.copied++
 	case as[*Heartbeat](msg) != nil && !as[*Heartbeat](msg).Partial:
 		c.whole++
@@ -172,7 +172,7 @@
 	w.run(owner.born + owner.m.beats.beatAt + testBeat + 10*time.Millisecond) // just after a beat
 	lost := 0
 	w.drop = func(_ string, e Envelope) bool {
-		if e.To == deaf.id && as[*Copy](e.Msg) != nil && lost == 0 {
+		if e.To == deaf.id && as[*Append](e.Msg) != nil && lost == 0 {
 			lost++
 			return true
 		}
@@ -204,9 +204,9 @@
 	}
 	was, stands := owner.m.keys[testKey].mine, owner.m.keys[other].mine
 	w.drop = func(_ string, e Envelope) bool { // the owner hears nothing of its successor's election
-		return e.To == owner.id && (as[*Ask](e.Msg) != nil || as[*Copy](e.Msg) != nil || as[*Heartbeat](e.Msg) != nil)
+		return e.To == owner.id && (as[*VoteRequest](e.Msg) != nil || as[*Append](e.Msg) != nil || as[*Heartbeat](e.Msg) != nil)
 	}
-	w.on(heir.id, heir.life, func() { heir.m.Handle(w.clock(heir), owner.id, Message{Body: &Yield{testKey}}) })
+	w.on(heir.id, heir.life, func() { heir.m.Handle(w.clock(heir), owner.id, Message{Body: &Transfer{testKey}}) })
 	w.run(w.now + testBeat + 100*time.Millisecond)
 	if k := heir.m.keys[testKey]; k.role != owns || !was.Less(k.mine) {
 		t.Fatalf("%s did not take the key over", heir.id)
@@ -223,9 +223,9 @@
 // heartbeats since reach nobody.
 func (w *world) seizedBy(n *node, key string) *key {
 	w.drop = func(from string, e Envelope) bool {
-		return (from == n.id || e.To == n.id) && as[*Ask](e.Msg) == nil && as[*Promise](e.Msg) == nil
+		return (from == n.id || e.To == n.id) && as[*VoteRequest](e.Msg) == nil && as[*Vote](e.Msg) == nil
 	}
-	w.on(n.id, n.life, func() { n.m.Handle(w.clock(n), n.id, Message{Body: &Yield{key}, Identity: n.m.identity}) })
+	w.on(n.id, n.life, func() { n.m.Handle(w.clock(n), n.id, Message{Body: &Transfer{key}, Identity: n.m.identity}) })
 	for end := w.now + testBeat; n.m.keys[key].role != owns && w.now < end; {
 		w.run(w.now + time.Millisecond)
 	}
@@ -290,7 +290,7 @@
 	m.Handle(now, owner.id, Message{Identity: owner.m.identity, Life: owner.m.cfg.Life, Protocol: protocolHeartbeat, Body: heartbeat})
 	newer := Epoch{k.promised.N + 1, n.id, 99}
 	m.Handle(now, owner.id, Message{Identity: owner.m.identity, Life: owner.m.cfg.Life, Protocol: protocolHeartbeat,
-		Body: &Ask{Key: testKey, Epoch: newer, Roster: m.keys[RosterKey].at, At: k.at}})
+		Body: &VoteRequest{Key: testKey, Epoch: newer, Roster: m.keys[RosterKey].at, At: k.at}})
 	if k.promised != newer {
 		t.Fatalf("it promised %v", k.promised)
 	}
--- a/internal/replication/leaving.go
+++ b/internal/replication/leaving.go
@@ -7,7 +7,7 @@
 // tickLeaving asks the others where they stand, while this member leaves.
 func (m *Member) tickLeaving() {
 	if m.survey == nil {
-		m.survey = &survey{at: m.keys[RosterKey].at, replies: map[string]*Surveyed{}}
+		m.survey = &survey{at: m.keys[RosterKey].at, replies: map[string]*StateReport{}}
 	}
 	m.sendSurvey(m.seatedOthers())
 }
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -74,12 +74,12 @@
 	log  stepLog // the newest steps, for members that have missed some
 
 	role     role
-	trial    bool // asks, but only whether it would be promised
+	preVote  bool // asks, but only whether it would be promised
 	mine     Epoch
 	floor    uint64 // epochs up to this number have been asked for by others
 	since    time.Duration
 	askedAt  time.Duration // when those who had not answered were last asked
-	promises map[string]*Promise
+	promises map[string]*Vote
 	acks     map[string]Position // durable copies in my epoch
 	seen     map[string]time.Duration
 	rounds   map[string]uint64 // the newest round in which each confirmed my epoch
@@ -259,7 +259,7 @@
 	}
 	if now-m.beganAt < 2*m.cfg.Beat {
 		for _, to := range m.others() {
-			m.send(to, Message{Body: &Hail{}})
+			m.send(to, Message{Body: &Probe{}})
 		}
 	}
 	stuck := m.firstOpen <= m.nextWrite && now-m.openSince > m.cfg.Vacant/2
@@ -282,7 +282,7 @@
 				m.handBack(k)
 			}
 		case asks:
-			if k.trial && now-k.since > m.cfg.Beat || now-k.since > m.cfg.Vacant {
+			if k.preVote && now-k.since > m.cfg.Beat || now-k.since > m.cfg.Vacant {
 				m.release(k, ErrNoQuorum)
 				k.notUntil = now + m.cfg.Beat*time.Duration(1+m.rank(k))/2
 			} else if k.promises[m.self] != nil && now-k.askedAt >= m.cfg.Beat/4 {
--- a/internal/replication/member_test.go
+++ b/internal/replication/member_test.go
@@ -111,9 +111,9 @@
 		t.Fatalf("it is still %s, or votes", former)
 	}
 	for _, m := range []Message{
-		{Body: &Ask{Key: testKey, Epoch: Epoch{99, w.ids[0], 1}, Roster: Position{Epoch: Epoch{N: 99}}, At: Position{Epoch: Epoch{N: 99}}}},
-		{Body: &Copy{Key: testKey, Epoch: Epoch{99, w.ids[0], 1}, Base: Position{Epoch{99, w.ids[0], 1}, 5}, Seq: 6, Roster: Position{Epoch: Epoch{N: 99}}}},
-		{Body: &Survey{Round: 1}},
+		{Body: &VoteRequest{Key: testKey, Epoch: Epoch{99, w.ids[0], 1}, Roster: Position{Epoch: Epoch{N: 99}}, At: Position{Epoch: Epoch{N: 99}}}},
+		{Body: &Append{Key: testKey, Epoch: Epoch{99, w.ids[0], 1}, Base: Position{Epoch{99, w.ids[0], 1}, 5}, Seq: 6, Roster: Position{Epoch: Epoch{N: 99}}}},
+		{Body: &StateQuery{Round: 1}},
 	} {
 		n.m.Take()
 		n.m.Handle(w.clock(n), w.ids[0], m)
--- a/internal/replication/message.go
+++ b/internal/replication/message.go
@@ -53,19 +53,19 @@
 	return p.Seq < o.Seq
 }
 
-// Ask requests the promise to follow no older epoch. A trial asks only whether the
+// VoteRequest requests the promise to follow no older epoch. A pre-vote asks only whether the
 // promise would be given, and changes nothing.
-type Ask struct {
-	Key    string   `cbor:"1,keyasint"`
-	Epoch  Epoch    `cbor:"2,keyasint"`
-	Roster Position `cbor:"3,keyasint"`
-	At     Position `cbor:"4,keyasint"` // the asker's copy
-	Trial  bool     `cbor:"5,keyasint,omitempty"`
+type VoteRequest struct {
+	Key     string   `cbor:"1,keyasint"`
+	Epoch   Epoch    `cbor:"2,keyasint"`
+	Roster  Position `cbor:"3,keyasint"`
+	At      Position `cbor:"4,keyasint"` // the asker's copy
+	PreVote bool     `cbor:"5,keyasint,omitempty"`
 }
 
-// Promise answers Ask. It is given only to an asker whose copy is as new as the
+// Vote answers VoteRequest. It is given only to an asker whose copy is as new as the
 // member's own, so whoever has a majority of them holds all that was committed.
-type Promise struct {
+type Vote struct {
 	Key      string   `cbor:"1,keyasint"`
 	Epoch    Epoch    `cbor:"2,keyasint"`
 	OK       bool     `cbor:"3,keyasint,omitempty"`
@@ -74,14 +74,14 @@
 	Outdated *Holding `cbor:"9,keyasint,omitempty"` // the newer roster, if the asker's is older
 	// Quiet is for how long the member has confirmed no other epoch, if it must be
 	// known how old copies are.
-	Quiet time.Duration    `cbor:"8,keyasint,omitempty"`
-	Trial bool             `cbor:"10,keyasint,omitempty"`
-	Sums  antientropy.Sums `cbor:"11,keyasint"` // of the member's copy
+	Quiet   time.Duration    `cbor:"8,keyasint,omitempty"`
+	PreVote bool             `cbor:"10,keyasint,omitempty"`
+	Sums    antientropy.Sums `cbor:"11,keyasint"` // of the member's copy
 }
 
-// Copy brings a member from one position to the next. Without Changes and
+// Append brings a member from one position to the next. Without Changes and
 // Mend it is what members of protocol 0 know for a heartbeat. A mending copy replaces whole ranges.
-type Copy struct {
+type Append struct {
 	Key     string   `cbor:"1,keyasint"`
 	Epoch   Epoch    `cbor:"2,keyasint"`
 	Base    Position `cbor:"3,keyasint"`
@@ -99,7 +99,7 @@
 }
 
 // tells puts the digest of what the member then holds into a copy.
-func (c *Copy) tells(s antientropy.Sums, older bool) {
+func (c *Append) tells(s antientropy.Sums, older bool) {
 	c.Sum, c.Sums = s.Fold(), nil
 	if older {
 		c.Sums = &s
@@ -107,7 +107,7 @@
 }
 
 // fits says whether digests are those that a copy tells.
-func (c *Copy) fits(s antientropy.Sums) bool {
+func (c *Append) fits(s antientropy.Sums) bool {
 	if c.Sum == 0 && c.Sums != nil {
 		return *c.Sums == s
 	}
@@ -125,8 +125,8 @@
 	Age  time.Duration `cbor:"4,keyasint"`
 }
 
-// Copied answers Copy. If the member lags, Sums tell what it holds.
-type Copied struct {
+// AppendAck answers Append. If the member lags, Sums tell what it holds.
+type AppendAck struct {
 	Key      string            `cbor:"1,keyasint"`
 	Epoch    Epoch             `cbor:"2,keyasint"`
 	OK       bool              `cbor:"3,keyasint,omitempty"`
@@ -138,9 +138,9 @@
 	Outdated *Holding          `cbor:"9,keyasint,omitempty"` // the newer roster, if the owner's is older
 }
 
-// Chunk is a part of a snapshot: the records of some ranges as they stood at a
+// SnapshotChunk is a part of a snapshot: the records of some ranges as they stood at a
 // position. Once the member has all chunks of it, what it holds has the digests Sums.
-type Chunk struct {
+type SnapshotChunk struct {
 	Key     string           `cbor:"1,keyasint"`
 	Epoch   Epoch            `cbor:"2,keyasint"`
 	Roster  Position         `cbor:"3,keyasint"`
@@ -152,24 +152,24 @@
 	Records []Record         `cbor:"9,keyasint,omitempty"`
 }
 
-// Chunked asks for the next chunk of a snapshot.
-type Chunked struct {
+// SnapshotAck asks for the next chunk of a snapshot.
+type SnapshotAck struct {
 	Key   string   `cbor:"1,keyasint"`
 	Epoch Epoch    `cbor:"2,keyasint"`
 	At    Position `cbor:"3,keyasint"`
 	Next  int      `cbor:"4,keyasint,omitempty"`
 }
 
-// Survey asks a member where its copies stand on its disk.
-type Survey struct {
+// StateQuery asks a member where its copies stand on its disk.
+type StateQuery struct {
 	Round   uint64   `cbor:"1,keyasint"`
 	Leaving bool     `cbor:"2,keyasint,omitempty"` // the sender is about to go
 	Roster  Position `cbor:"3,keyasint"`           // that the sender has taken
 }
 
-// Surveyed answers Survey: the roster that the member has taken, below which it
+// StateReport answers StateQuery: the roster that the member has taken, below which it
 // accepts nothing any more, and where each key stood then.
-type Surveyed struct {
+type StateReport struct {
 	Round  uint64   `cbor:"1,keyasint"`
 	Roster Position `cbor:"2,keyasint"`
 	Keys   []Stand  `cbor:"3,keyasint,omitempty"`
@@ -207,23 +207,23 @@
 	Appointed string `cbor:"3,keyasint,omitempty"`
 }
 
-// Yield tells a member to take a key over at once.
-type Yield struct {
+// Transfer tells a member to take a key over at once.
+type Transfer struct {
 	Key string `cbor:"1,keyasint"`
 }
 
-// Hail asks, after a start, which keys have an owner.
-type Hail struct{}
+// Probe asks, after a start, which keys have an owner.
+type Probe struct{}
 
-// Hailed names the keys that the sender knows to have one. It is no promise;
+// ProbeAck names the keys that the sender knows to have one. It is no promise;
 // it only spares the wait for an owner that is not there.
-type Hailed struct {
+type ProbeAck struct {
 	Owned []string `cbor:"1,keyasint,omitempty"`
 }
 
-// Enroll says that the sender has no seat: owners copy to it as a learner, and the
+// Join says that the sender has no seat: owners copy to it as a learner, and the
 // owner of the roster gives it a seat once it holds all that is committed.
-type Enroll struct{}
+type Join struct{}
 
 // Envelope is a message to one member.
 type Envelope struct {
--- a/internal/replication/reform.go
+++ b/internal/replication/reform.go
@@ -26,11 +26,11 @@
 		}
 	}
 	for _, a := range to {
-		m.send(a, Message{Body: &Enroll{}})
+		m.send(a, Message{Body: &Join{}})
 	}
 }
 
-func (m *Member) onEnroll(from, id string) {
+func (m *Member) onJoin(from, id string) {
 	if slices.Contains(m.seats().after, id) {
 		// It has not heard of its seat yet; the next copy of the roster tells it.
 		return
@@ -102,7 +102,7 @@
 type survey struct {
 	at      Position         // of the roster
 	bar     map[string]Stand // what was held and promised by key; nil: not known yet
-	replies map[string]*Surveyed
+	replies map[string]*StateReport
 }
 
 // reform goes on with a change of the roster, or begins one that is due. It runs at
@@ -121,7 +121,7 @@
 		return
 	}
 	if m.survey == nil || m.survey.at != k.at {
-		m.survey = &survey{at: k.at, replies: map[string]*Surveyed{}}
+		m.survey = &survey{at: k.at, replies: map[string]*StateReport{}}
 	}
 	m.sendSurvey(m.others())
 }
@@ -129,14 +129,14 @@
 func (m *Member) sendSurvey(to []string) {
 	m.round++
 	for _, a := range to {
-		m.send(a, Message{Body: &Survey{m.round, m.leaving, m.keys[RosterKey].at}})
+		m.send(a, Message{Body: &StateQuery{m.round, m.leaving, m.keys[RosterKey].at}})
 	}
-	m.stand(func(s *Surveyed) { m.onSurveyed(m.self, s) })
+	m.stand(func(s *StateReport) { m.onStateReport(m.self, s) })
 }
 
 // stand tells where this member's copies stand, once they stand so on disk.
-func (m *Member) stand(then func(*Surveyed)) {
-	s := &Surveyed{Round: m.round, Roster: m.keys[RosterKey].at}
+func (m *Member) stand(then func(*StateReport)) {
+	s := &StateReport{Round: m.round, Roster: m.keys[RosterKey].at}
 	for _, name := range m.names {
 		if k := m.keys[name]; k.promised != (Epoch{}) || k.at.Seq > 0 {
 			s.Keys = append(s.Keys, Stand{name, k.promised, k.at})
@@ -145,11 +145,11 @@
 	m.settled(func() { then(s) })
 }
 
-func (m *Member) onSurvey(from, id string, q *Survey) {
+func (m *Member) onStateQuery(from, id string, q *StateQuery) {
 	if q.Leaving {
 		m.leavers[id] = m.now
 	}
-	m.stand(func(s *Surveyed) {
+	m.stand(func(s *StateReport) {
 		s.Round = q.Round
 		if k := m.keys[RosterKey]; q.Leaving && q.Roster.Less(k.at) && k.commit == k.at {
 			s.Outdated = m.rosterHolding()
@@ -158,7 +158,7 @@
 	})
 }
 
-func (m *Member) onSurveyed(id string, s *Surveyed) {
+func (m *Member) onStateReport(id string, s *StateReport) {
 	if s.Outdated != nil && m.leaving {
 		m.adopt(s.Outdated)
 	}
--- a/internal/replication/scenario_test.go
+++ b/internal/replication/scenario_test.go
@@ -88,9 +88,9 @@
 		deaf := true
 		p.drop = func(_ string, e Envelope) bool {
 			m := e.Msg
-			return deaf && e.To == o.id && (as[*Copy](m) != nil && as[*Copy](m).Key == RosterKey || as[*Copied](m) != nil && as[*Copied](m).Outdated != nil ||
+			return deaf && e.To == o.id && (as[*Append](m) != nil && as[*Append](m).Key == RosterKey || as[*AppendAck](m) != nil && as[*AppendAck](m).Outdated != nil ||
 				as[*HeartbeatAck](m) != nil && as[*HeartbeatAck](m).Outdated != nil ||
-				as[*Promise](m) != nil && as[*Promise](m).Outdated != nil || as[*Surveyed](m) != nil && as[*Surveyed](m).Outdated != nil || as[*Chunk](m) != nil && as[*Chunk](m).Key == RosterKey)
+				as[*Vote](m) != nil && as[*Vote](m).Outdated != nil || as[*StateReport](m) != nil && as[*StateReport](m).Outdated != nil || as[*SnapshotChunk](m) != nil && as[*SnapshotChunk](m).Key == RosterKey)
 		}
 		away := others[:2]
 		for _, n := range away {
@@ -214,7 +214,7 @@
 	p.world.drop = func(from string, e Envelope) bool {
 		c.joint = c.joint || c.k.m.seats().joint
 		// Both newcomers are known to hold all before anything is changed.
-		early := p.now < enrol && as[*Enroll](e.Msg) != nil || p.now < enrol+3*testBeat && as[*Surveyed](e.Msg) != nil && (from == c.o.id || from == c.b.id)
+		early := p.now < enrol && as[*Join](e.Msg) != nil || p.now < enrol+3*testBeat && as[*StateReport](e.Msg) != nil && (from == c.o.id || from == c.b.id)
 		return early || c.drop != nil && c.drop(from, e)
 	}
 	c.fresh = []*node{p.successor(), p.successor()}
@@ -286,7 +286,7 @@
 			case c.now < since+time.Second && apart(lacking, from, e.To):
 				return true // the joint roster is late
 			}
-			return slices.ContainsFunc(lacking, func(n *node) bool { return n.id == e.To }) && (as[*Copy](m) != nil && as[*Copy](m).Key == testKey || as[*Chunk](m) != nil)
+			return slices.ContainsFunc(lacking, func(n *node) bool { return n.id == e.To }) && (as[*Append](m) != nil && as[*Append](m).Key == testKey || as[*SnapshotChunk](m) != nil)
 		}
 		c.until("the roster is a joint one", 10*time.Second, func() string {
 			if c.joint {
@@ -340,7 +340,7 @@
 		})
 		keeper := p.holder(RosterKey)
 		keeper.m.leavers[o.m.self] = p.clock(keeper) // as if it had said that it goes
-		p.drop = func(from string, e Envelope) bool { return as[*Enroll](e.Msg) != nil }
+		p.drop = func(from string, e Envelope) bool { return as[*Join](e.Msg) != nil }
 		begin := p.now
 		p.until("its seat is taken and the key has another owner", 2*time.Second, func() string {
 			if n := p.holder(testKey); n == nil || n == o || slices.Contains(keeper.m.seats().all(), o.m.self) && !keeper.m.seats().joint {
@@ -378,11 +378,11 @@
 					next[seat] = going
 				}
 			}
-			m.Handle(p.clock(n), keeper.id, Message{Identity: keeper.m.identity, Body: &Copy{Key: RosterKey, Epoch: r.promised,
+			m.Handle(p.clock(n), keeper.id, Message{Identity: keeper.m.identity, Body: &Append{Key: RosterKey, Epoch: r.promised,
 				Base: r.at, Seq: r.at.Seq + 1, Roster: Position{r.promised, r.at.Seq + 1}, Changes: rosterChange(r.Records, next)}})
 		}
 		for _, id := range p.ids {
-			m.Handle(p.clock(n), id, Message{Identity: p.nodes[id].m.identity, Body: &Promise{Key: testKey, Epoch: k.mine, OK: true, Promised: k.mine, At: k.at}})
+			m.Handle(p.clock(n), id, Message{Identity: p.nodes[id].m.identity, Body: &Vote{Key: testKey, Epoch: k.mine, OK: true, Promised: k.mine, At: k.at}})
 		}
 		if (k.role == owns) == loses {
 			t.Errorf("loses its seat: %v, owns the key: %v", loses, k.role == owns)
@@ -471,7 +471,7 @@
 			}
 		}
 		p.drop = func(from string, e Envelope) bool {
-			return from == o.id && (e.To == others[2].id || e.To == others[3].id) && as[*Copy](e.Msg) != nil && as[*Copy](e.Msg).Key == testKey
+			return from == o.id && (e.To == others[2].id || e.To == others[3].id) && as[*Append](e.Msg) != nil && as[*Append](e.Msg).Key == testKey
 		}
 		if err := p.put(o, "x", 2); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
@@ -619,7 +619,7 @@
 			n := p.settle(t)
 			p.run(p.now + time.Second)
 			p.drop = func(from string, e Envelope) bool {
-				return as[*Copy](e.Msg) != nil && as[*Copy](e.Msg).Key == testKey || as[*Chunk](e.Msg) != nil || as[*Copied](e.Msg) != nil && as[*Copied](e.Msg).Key == testKey
+				return as[*Append](e.Msg) != nil && as[*Append](e.Msg).Key == testKey || as[*SnapshotChunk](e.Msg) != nil || as[*AppendAck](e.Msg) != nil && as[*AppendAck](e.Msg).Key == testKey
 			}
 			_ = p.put(n, "x", 2) // only the leaving member may hold it
 			p.on(n.id, n.life, func() { n.m.Leave(p.clock(n)) })
@@ -677,7 +677,7 @@
 		p.mustPut(t, "x", 1)
 		o := p.settle(t)
 		p.drop = func(from string, e Envelope) bool {
-			return (as[*Copy](e.Msg) != nil || as[*Heartbeat](e.Msg) != nil) && p.rng.Intn(10) == 0
+			return (as[*Append](e.Msg) != nil || as[*Heartbeat](e.Msg) != nil) && p.rng.Intn(10) == 0
 		}
 		p.strike(trouble{kind: storm, hold: 20 * time.Second})
 		p.run(p.now + time.Second)
@@ -794,13 +794,13 @@
 		at := Position{k.promised, k.at.Seq + 5}
 		n.m.Take()
 		for i, records := range c.records {
-			n.m.Handle(p.clock(n), o.id, Message{Identity: o.m.identity, Body: &Chunk{Key: testKey, Epoch: k.promised,
+			n.m.Handle(p.clock(n), o.id, Message{Identity: o.m.identity, Body: &SnapshotChunk{Key: testKey, Epoch: k.promised,
 				Roster: n.m.keys[RosterKey].at, At: at, Sums: set.Sums, Index: c.index[i], Count: 2, Ranges: allRanges, Records: records}})
 		}
 		n.m.Durable(p.clock(n), n.m.nextWrite)
 		took := false
 		for _, e := range n.m.Take().Send {
-			took = took || as[*Copied](e.Msg) != nil && as[*Copied](e.Msg).OK && as[*Copied](e.Msg).At == at
+			took = took || as[*AppendAck](e.Msg) != nil && as[*AppendAck](e.Msg).OK && as[*AppendAck](e.Msg).At == at
 		}
 		if took != c.ok || (k.at == at) != c.ok || !c.ok && k.at != before {
 			t.Errorf("%s: answered as held: %v, at %v", c.name, took, k.at)
--- a/internal/replication/steps.go
+++ b/internal/replication/steps.go
@@ -29,12 +29,12 @@
 	done  func(error)
 }
 
-func (m *Member) copy(k *key, base Position) *Copy {
+func (m *Member) copy(k *key, base Position) *Append {
 	commit := uint64(0)
 	if k.commit.Epoch == k.mine {
 		commit = k.commit.Seq
 	}
-	c := &Copy{Key: k.name, Epoch: k.mine, Base: base, Seq: k.at.Seq, Commit: commit, Round: m.beats.round, Roster: m.keys[RosterKey].at}
+	c := &Append{Key: k.name, Epoch: k.mine, Base: base, Seq: k.at.Seq, Commit: commit, Round: m.beats.round, Roster: m.keys[RosterKey].at}
 	c.tells(k.Sums, m.olderVersions())
 	return c
 }
@@ -119,9 +119,9 @@
 	}
 }
 
-// sureCopy is a copy that tells a member how sure the owner is of itself, if that
+// sureAppend is a copy that tells a member how sure the owner is of itself, if that
 // has set a mark.
-func (m *Member) sureCopy(k *key, to string, c *Copy) *Copy {
+func (m *Member) sureAppend(k *key, to string, c *Append) *Append {
 	w, ok := m.marks[to]
 	if !ok || k.sure == unsure {
 		return c
@@ -133,12 +133,12 @@
 
 // refuses says why a member takes nothing from an owner: the epoch is older than one
 // that it has promised, or the roster older than one that it has taken.
-func (m *Member) refuses(k *key, e Epoch, roster Position) *Copied {
+func (m *Member) refuses(k *key, e Epoch, roster Position) *AppendAck {
 	older := m.olderRoster(roster)
 	if !older && !e.Less(k.promised) {
 		return nil
 	}
-	reply := &Copied{Key: k.name, Epoch: e}
+	reply := &AppendAck{Key: k.name, Epoch: e}
 	if e.Less(k.promised) {
 		reply.Promised = k.promised
 	}
@@ -153,14 +153,14 @@
 	if k.promised != e {
 		m.stepDown(k, e)
 		m.write([]ledgerEntry{k.meta()}, nil)
-	} else if k.role == asks && k.trial {
+	} else if k.role == asks && k.preVote {
 		m.release(k, ErrNoQuorum) // the owner is there after all
 	}
 	k.heard, k.heardAny = m.now, true
 	k.copied, k.owned = m.now, true
 }
 
-func (m *Member) onCopy(from string, c *Copy) {
+func (m *Member) onAppend(from string, c *Append) {
 	k := m.key(c.Key)
 	if reply := m.refuses(k, c.Epoch, c.Roster); reply != nil {
 		reply.Round = c.Round
@@ -187,7 +187,7 @@
 	case k.at == to && c.Mend != nil && !c.fits(k.Sums):
 		m.write(append(m.replace(k, c.Mend, c.Changes), k.meta()), nil)
 	}
-	reply := &Copied{Key: c.Key, Epoch: c.Epoch, Round: c.Round}
+	reply := &AppendAck{Key: c.Key, Epoch: c.Epoch, Round: c.Round}
 	reply.OK = !k.at.Less(to) && !(k.at == to && !c.fits(k.Sums))
 	if reply.OK {
 		m.committed(k, commit)
@@ -209,7 +209,7 @@
 }
 
 // reply answers an owner once all that this member holds of the key is durable.
-func (m *Member) reply(k *key, to string, r *Copied) {
+func (m *Member) reply(k *key, to string, r *AppendAck) {
 	at, sums := k.at, k.Sums
 	m.settled(func() {
 		r.At, r.Promised = at, k.promised
@@ -224,7 +224,7 @@
 	})
 }
 
-func (m *Member) onCopied(from, id string, c *Copied) {
+func (m *Member) onAppendAck(from, id string, c *AppendAck) {
 	k := m.key(c.Key)
 	if c.Outdated != nil {
 		m.adopt(c.Outdated)
--- a/internal/replication/wire.go
+++ b/internal/replication/wire.go
@@ -25,79 +25,79 @@
 	life    uint64
 }
 
-func (b *Ask) handle(m *Member, from sender)          { m.onAsk(from.address, b) }
-func (b *Promise) handle(m *Member, from sender)      { m.onPromise(from.address, from.id, b) }
-func (b *Copy) handle(m *Member, from sender)         { m.onCopy(from.address, b) }
-func (b *Copied) handle(m *Member, from sender)       { m.onCopied(from.address, from.id, b) }
-func (b *Found) handle(m *Member, from sender)        { m.onFound(from.address, b) }
-func (b *Founded) handle(m *Member, from sender)      { m.onFounded(from.address, from.id, b) }
-func (b *Yield) handle(m *Member, _ sender)           { m.takeOver(m.key(b.Key), true) }
-func (*Enroll) handle(m *Member, from sender)         { m.onEnroll(from.address, from.id) }
-func (*Hail) handle(m *Member, from sender)           { m.onHail(from.address) }
-func (b *Hailed) handle(m *Member, from sender)       { m.onHailed(from.address, b) }
-func (b *Chunk) handle(m *Member, from sender)        { m.onChunk(from.address, b) }
-func (b *Chunked) handle(m *Member, from sender)      { m.onChunked(from.address, from.id, b) }
-func (b *Survey) handle(m *Member, from sender)       { m.onSurvey(from.address, from.id, b) }
-func (b *Surveyed) handle(m *Member, from sender)     { m.onSurveyed(from.id, b) }
-func (b *Heartbeat) handle(m *Member, from sender)    { m.onHeartbeat(from.address, from.life, b) }
-func (b *HeartbeatAck) handle(m *Member, from sender) { m.onHeartbeatAck(from.address, from.id, b) }
+func (b *VoteRequest) handle(m *Member, from sender)   { m.onVoteRequest(from.address, b) }
+func (b *Vote) handle(m *Member, from sender)          { m.onVote(from.address, from.id, b) }
+func (b *Append) handle(m *Member, from sender)        { m.onAppend(from.address, b) }
+func (b *AppendAck) handle(m *Member, from sender)     { m.onAppendAck(from.address, from.id, b) }
+func (b *Found) handle(m *Member, from sender)         { m.onFound(from.address, b) }
+func (b *Founded) handle(m *Member, from sender)       { m.onFounded(from.address, from.id, b) }
+func (b *Transfer) handle(m *Member, _ sender)         { m.takeOver(m.key(b.Key), true) }
+func (*Join) handle(m *Member, from sender)            { m.onJoin(from.address, from.id) }
+func (*Probe) handle(m *Member, from sender)           { m.onProbe(from.address) }
+func (b *ProbeAck) handle(m *Member, from sender)      { m.onProbeAck(from.address, b) }
+func (b *SnapshotChunk) handle(m *Member, from sender) { m.onSnapshotChunk(from.address, b) }
+func (b *SnapshotAck) handle(m *Member, from sender)   { m.onSnapshotAck(from.address, from.id, b) }
+func (b *StateQuery) handle(m *Member, from sender)    { m.onStateQuery(from.address, from.id, b) }
+func (b *StateReport) handle(m *Member, from sender)   { m.onStateReport(from.id, b) }
+func (b *Heartbeat) handle(m *Member, from sender)     { m.onHeartbeat(from.address, from.life, b) }
+func (b *HeartbeatAck) handle(m *Member, from sender)  { m.onHeartbeatAck(from.address, from.id, b) }
 
 // wireMessage is a Message on the wire; one of the pointers is set. Numbers 5 and 6 were
 // used by whole copies, which snapshots replace.
 type wireMessage struct {
-	Ask          *Ask          `cbor:"1,keyasint,omitempty"`
-	Promise      *Promise      `cbor:"2,keyasint,omitempty"`
-	Copy         *Copy         `cbor:"3,keyasint,omitempty"`
-	Copied       *Copied       `cbor:"4,keyasint,omitempty"`
-	Found        *Found        `cbor:"7,keyasint,omitempty"`
-	Founded      *Founded      `cbor:"8,keyasint,omitempty"`
-	Yield        *Yield        `cbor:"9,keyasint,omitempty"`
-	Enroll       *Enroll       `cbor:"10,keyasint,omitempty"`
-	Life         uint64        `cbor:"11,keyasint,omitempty"`
-	Hail         *Hail         `cbor:"12,keyasint,omitempty"`
-	Hailed       *Hailed       `cbor:"13,keyasint,omitempty"`
-	Identity     uint64        `cbor:"14,keyasint,omitempty"`
-	Chunk        *Chunk        `cbor:"15,keyasint,omitempty"`
-	Chunked      *Chunked      `cbor:"16,keyasint,omitempty"`
-	Survey       *Survey       `cbor:"17,keyasint,omitempty"`
-	Surveyed     *Surveyed     `cbor:"18,keyasint,omitempty"`
-	Heartbeat    *Heartbeat    `cbor:"19,keyasint,omitempty"`
-	HeartbeatAck *HeartbeatAck `cbor:"20,keyasint,omitempty"`
-	Protocol     uint64        `cbor:"21,keyasint,omitempty"`
+	VoteRequest   *VoteRequest   `cbor:"1,keyasint,omitempty"`
+	Vote          *Vote          `cbor:"2,keyasint,omitempty"`
+	Append        *Append        `cbor:"3,keyasint,omitempty"`
+	AppendAck     *AppendAck     `cbor:"4,keyasint,omitempty"`
+	Found         *Found         `cbor:"7,keyasint,omitempty"`
+	Founded       *Founded       `cbor:"8,keyasint,omitempty"`
+	Transfer      *Transfer      `cbor:"9,keyasint,omitempty"`
+	Join          *Join          `cbor:"10,keyasint,omitempty"`
+	Life          uint64         `cbor:"11,keyasint,omitempty"`
+	Probe         *Probe         `cbor:"12,keyasint,omitempty"`
+	ProbeAck      *ProbeAck      `cbor:"13,keyasint,omitempty"`
+	Identity      uint64         `cbor:"14,keyasint,omitempty"`
+	SnapshotChunk *SnapshotChunk `cbor:"15,keyasint,omitempty"`
+	SnapshotAck   *SnapshotAck   `cbor:"16,keyasint,omitempty"`
+	StateQuery    *StateQuery    `cbor:"17,keyasint,omitempty"`
+	StateReport   *StateReport   `cbor:"18,keyasint,omitempty"`
+	Heartbeat     *Heartbeat     `cbor:"19,keyasint,omitempty"`
+	HeartbeatAck  *HeartbeatAck  `cbor:"20,keyasint,omitempty"`
+	Protocol      uint64         `cbor:"21,keyasint,omitempty"`
 }
 
 // MarshalCBOR writes a message in its form on the wire.
 func (m Message) MarshalCBOR() ([]byte, error) {
 	w := wireMessage{Life: m.Life, Identity: m.Identity, Protocol: m.Protocol}
 	switch b := m.Body.(type) {
-	case *Ask:
-		w.Ask = b
-	case *Promise:
-		w.Promise = b
-	case *Copy:
-		w.Copy = b
-	case *Copied:
-		w.Copied = b
+	case *VoteRequest:
+		w.VoteRequest = b
+	case *Vote:
+		w.Vote = b
+	case *Append:
+		w.Append = b
+	case *AppendAck:
+		w.AppendAck = b
 	case *Found:
 		w.Found = b
 	case *Founded:
 		w.Founded = b
-	case *Yield:
-		w.Yield = b
-	case *Enroll:
-		w.Enroll = b
-	case *Hail:
-		w.Hail = b
-	case *Hailed:
-		w.Hailed = b
-	case *Chunk:
-		w.Chunk = b
-	case *Chunked:
-		w.Chunked = b
-	case *Survey:
-		w.Survey = b
-	case *Surveyed:
-		w.Surveyed = b
+	case *Transfer:
+		w.Transfer = b
+	case *Join:
+		w.Join = b
+	case *Probe:
+		w.Probe = b
+	case *ProbeAck:
+		w.ProbeAck = b
+	case *SnapshotChunk:
+		w.SnapshotChunk = b
+	case *SnapshotAck:
+		w.SnapshotAck = b
+	case *StateQuery:
+		w.StateQuery = b
+	case *StateReport:
+		w.StateReport = b
 	case *Heartbeat:
 		w.Heartbeat = b
 	case *HeartbeatAck:
@@ -114,34 +114,34 @@
 	}
 	*m = Message{Life: w.Life, Identity: w.Identity, Protocol: w.Protocol}
 	switch {
-	case w.Ask != nil:
-		m.Body = w.Ask
-	case w.Promise != nil:
-		m.Body = w.Promise
-	case w.Copy != nil:
-		m.Body = w.Copy
-	case w.Copied != nil:
-		m.Body = w.Copied
+	case w.VoteRequest != nil:
+		m.Body = w.VoteRequest
+	case w.Vote != nil:
+		m.Body = w.Vote
+	case w.Append != nil:
+		m.Body = w.Append
+	case w.AppendAck != nil:
+		m.Body = w.AppendAck
 	case w.Found != nil:
 		m.Body = w.Found
 	case w.Founded != nil:
 		m.Body = w.Founded
-	case w.Yield != nil:
-		m.Body = w.Yield
-	case w.Enroll != nil:
-		m.Body = w.Enroll
-	case w.Hail != nil:
-		m.Body = w.Hail
-	case w.Hailed != nil:
-		m.Body = w.Hailed
-	case w.Chunk != nil:
-		m.Body = w.Chunk
-	case w.Chunked != nil:
-		m.Body = w.Chunked
-	case w.Survey != nil:
-		m.Body = w.Survey
-	case w.Surveyed != nil:
-		m.Body = w.Surveyed
+	case w.Transfer != nil:
+		m.Body = w.Transfer
+	case w.Join != nil:
+		m.Body = w.Join
+	case w.Probe != nil:
+		m.Body = w.Probe
+	case w.ProbeAck != nil:
+		m.Body = w.ProbeAck
+	case w.SnapshotChunk != nil:
+		m.Body = w.SnapshotChunk
+	case w.SnapshotAck != nil:
+		m.Body = w.SnapshotAck
+	case w.StateQuery != nil:
+		m.Body = w.StateQuery
+	case w.StateReport != nil:
+		m.Body = w.StateReport
 	case w.Heartbeat != nil:
 		m.Body = w.Heartbeat
 	case w.HeartbeatAck != nil:
--- a/internal/replication/wire_test.go
+++ b/internal/replication/wire_test.go
@@ -11,9 +11,9 @@
 // Each kind of message has its number on the wire, which older versions know it by.
 func TestMessagesOnTheWire(t *testing.T) {
 	for body, number := range map[Body]uint64{
-		&Ask{Key: "k"}: 1, &Promise{Key: "k"}: 2, &Copy{Key: "k"}: 3, &Copied{Key: "k"}: 4, &Found{}: 7, &Founded{}: 8,
-		&Yield{Key: "k"}: 9, &Enroll{}: 10, &Hail{}: 12, &Hailed{Owned: []string{"k"}}: 13, &Chunk{Key: "k", Count: 1}: 15,
-		&Chunked{Key: "k"}: 16, &Survey{Round: 1}: 17, &Surveyed{Round: 1}: 18, &Heartbeat{Round: 1}: 19, &HeartbeatAck{Life: 1}: 20,
+		&VoteRequest{Key: "k"}: 1, &Vote{Key: "k"}: 2, &Append{Key: "k"}: 3, &AppendAck{Key: "k"}: 4, &Found{}: 7, &Founded{}: 8,
+		&Transfer{Key: "k"}: 9, &Join{}: 10, &Probe{}: 12, &ProbeAck{Owned: []string{"k"}}: 13, &SnapshotChunk{Key: "k", Count: 1}: 15,
+		&SnapshotAck{Key: "k"}: 16, &StateQuery{Round: 1}: 17, &StateReport{Round: 1}: 18, &Heartbeat{Round: 1}: 19, &HeartbeatAck{Life: 1}: 20,
 	} {
 		sent := Message{Life: 5, Identity: 6, Protocol: 1, Body: body}
 		b, err := cbor.Marshal(sent)
@@ -35,8 +35,8 @@
 // one knows.
 func TestMessagesOfOtherVersions(t *testing.T) {
 	for text, want := range map[string]Message{
-		"a309a101616b0b050e06":     {Life: 5, Identity: 6, Body: &Yield{Key: "k"}},
-		"a40aa00b050e061501":       {Life: 5, Identity: 6, Protocol: 1, Body: &Enroll{}},
+		"a309a101616b0b050e06":     {Life: 5, Identity: 6, Body: &Transfer{Key: "k"}},
+		"a40aa00b050e061501":       {Life: 5, Identity: 6, Protocol: 1, Body: &Join{}},
 		"a40b050e061502181ea10101": {Life: 5, Identity: 6, Protocol: 2},
 	} {
 		b, err := hex.DecodeString(text)
