--- a/internal/controlplane/coordination_http.go
+++ b/internal/controlplane/coordination_http.go
@@ -63,15 +63,14 @@
 
 // serveCall carries a call out, writes its answer and gives the status of that.
 func (c *coordinator) serveCall(w http.ResponseWriter, call coordination.Call) int {
+	defer c.calls.Add(-1)
 	if c.calls.Add(1) > maxWaitingCalls {
-		c.calls.Add(-1)
 		return writeFault(w, apierror.Later(apierror.TooMany, c.retry, "%d calls wait here", maxWaitingCalls))
 	}
-	result := coordination.Result{Effect: coordination.NotDone}
-	if !c.stalled() {
-		result = c.submit(call)
+	if c.stalled() {
+		return writeFault(w, apierror.Later(apierror.NoQuorum, c.retry, "this process stood still"))
 	}
-	c.calls.Add(-1)
+	result := c.submit(call)
 	switch result.Effect {
 	case coordination.Answered:
 		return c.writeAnswer(w, call, result.Answer)
