quota: reports are numbered from a random start in each life of a branch

Cause: a branch (a control node's part of the quotas) numbered its reports from 1 in each life, and a loan names the report that it answers by that number only. A loan for a former life that came late could be taken for the answer to the report of the same number of the life after.

Change: NewPurse takes the number to go on from; the control node draws it at random. The model of quotas no longer drops loans for a former life by itself; the purse has to.

Ruled out: the life in the loan. A lender of an earlier release would not fill it in.

--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -36,7 +37,7 @@
 	c.lender = quota.NewLender(quota.LenderConfig{Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack,
 		Window: settings.Seconds(b.QuotaWindowS), Life: settings.Seconds(b.ContactS * 0.7), Sure: settings.Seconds(b.ContactS * vacantPart),
 		Branches: c.branches})
-	c.purse = &quota.Purse{Life: env.life, Patience: settings.Seconds(b.ContactS / 20)}
+	c.purse = quota.NewPurse(env.life, rand.Uint64(), settings.Seconds(b.ContactS/20))
 	return c
 }
 
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -68,7 +68,7 @@
 	idle            int
 }
 
-// Purse is a branch's part of the quotas.
+// Purse is a branch's part of the quotas. NewPurse makes one.
 type Purse struct {
 	Life     uint64
 	Patience time.Duration // how long a request waits for the lender
@@ -82,6 +82,14 @@
 	limits   map[string]Quota
 }
 
+// NewPurse makes the purse of one life of a branch. The numbers of its reports go on
+// from lastSeq, which is to be drawn at random for each life: a loan names its report by
+// number only, so one for a former life would else be taken for this one's.
+func NewPurse(life, lastSeq uint64, patience time.Duration) *Purse {
+	const room = 1 << 32 // for the reports of one life
+	return &Purse{Life: life, Patience: patience, seq: min(lastSeq, math.MaxUint64-room)}
+}
+
 // SetLimits takes the limits of all tenants; a rate of 0 is none.
 func (p *Purse) SetLimits(limits map[string]Quota) {
 	p.limits = limits
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -64,7 +65,7 @@
 }
 
 func (w *world) start(x *node) {
-	x.purse = &Purse{Life: w.rng.Uint64() | 1, Patience: 300 * ms}
+	x.purse = NewPurse(w.rng.Uint64()|1, w.rng.Uint64(), 300*ms)
 	x.purse.SetLimits(quotas)
 	x.lender.End()
 	x.sure, x.lentBy, x.whole = 0, -1, true
@@ -86,17 +87,14 @@
 	if x.lentBy < 0 || x.purse.Awaits(w.now) {
 		return
 	}
-	r, life := x.purse.Report(w.now, x.whole), x.purse.Life
+	r := x.purse.Report(w.now, x.whole)
 	x.whole = false
 	w.send(x.lentBy, func(l *node) {
 		if l.sure == 0 || w.now-l.sure > 2400*ms {
 			return
 		}
 		if loan, ok := l.lender.Report(w.now, l.sure, x.id, r, quotas); ok {
-			w.send(i, func(x *node) {
-				if x.purse.Life != life {
-					return
-				}
+			w.send(i, func(x *node) { // which may have a new life by then
 				x.purse.Lent(w.now, loan)
 				if x.whole || x.purse.Waiting() {
 					w.report(i)
@@ -236,7 +234,7 @@
 func TestOneGatewayOfManyIsServedAtOnce(t *testing.T) {
 	l := NewLender(config("a", "b"))
 	l.Begin(0, Term{N: 1, Owner: "a", Life: 1}, 0, false)
-	p := &Purse{Life: 1, Patience: 300 * ms}
+	p := NewPurse(1, 0, 300*ms)
 	p.SetLimits(quotas)
 	var got []Grant
 	if !p.Take(10*ms, "small", func(g Grant) { got = append(got, g) }) {
@@ -277,7 +275,7 @@
 func TestAnswersThatDoNotCount(t *testing.T) {
 	l := NewLender(config("a", "b", "c"))
 	l.Begin(0, Term{N: 2, Owner: "a", Life: 1}, 0, false)
-	p := &Purse{Life: 1, Patience: 300 * ms}
+	p := NewPurse(1, 0, 300*ms)
 	p.SetLimits(quotas)
 	first, _ := l.Report(ms, ms, "a", p.Report(0, true), quotas)
 	second, _ := l.Report(2*ms, 2*ms, "a", p.Report(ms, true), quotas)
@@ -316,7 +314,7 @@
 // one's loans for ever.
 func TestABranchFollowsTheLaterOfTwoOwnersWithOneNumber(t *testing.T) {
 	early, late := Term{N: 1, Owner: "a", Life: 9}, Term{N: 1, Owner: "b", Life: 3}
-	p := &Purse{Life: 1, Patience: 300 * ms}
+	p := NewPurse(1, 0, 300*ms)
 	p.SetLimits(quotas)
 	for i, term := range []Term{early, late, early} {
 		now := time.Duration(i) * time.Second
@@ -329,7 +327,7 @@
 }
 
 func TestCallsThatABranchHeeds(t *testing.T) {
-	p := &Purse{Life: 1, Patience: 300 * ms}
+	p := NewPurse(1, 0, 300*ms)
 	r := p.Report(0, true)
 	p.Lent(ms, Loan{Term: Term{N: 2, Owner: "b", Life: 1}, Seq: r.Seq, Life: time.Second})
 	for _, c := range []struct {
@@ -348,6 +346,26 @@
 	}
 }
 
+// A loan that comes late answers the report of that number of a former life, not this one's.
+func TestALoanForAFormerLifeIsNotTaken(t *testing.T) {
+	l := NewLender(config("a", "b"))
+	l.Begin(0, Term{N: 1, Owner: "a", Life: 1}, 0, false)
+	former, present := NewPurse(1, 77, 300*ms), NewPurse(2, 5, 300*ms)
+	loan, ok := l.Report(ms, ms, "b", former.Report(0, true), quotas)
+	if !ok {
+		t.Fatal("no answer")
+	}
+	present.Report(2*ms, true)
+	if present.Lent(3*ms, loan); !present.Awaits(3 * ms) {
+		t.Error("the loan for the former life is taken")
+	}
+	highest := NewPurse(3, math.MaxUint64, 300*ms)
+	first, second := highest.Report(0, true), highest.Report(ms, true)
+	if second.Seq <= first.Seq {
+		t.Errorf("report %d follows %d", second.Seq, first.Seq)
+	}
+}
+
 // A lender that was unsure of itself for a while still knows what is lent.
 func TestALenderThatWasUnsureKeepsItsBooks(t *testing.T) {
 	l := NewLender(config("a", "b"))
