config: a binding that is sent again and stands is acknowledged

Cause: Bind refused each binding whose route was no longer at the revision that the scheduler saw, also the one that had taken it to the next revision itself. A scheduler whose order was passed on twice took its own binding for a refusal.

Ruled out: a number in each binding. Revision and shard tell it already, and an equal binding of another scheduler asks for the same.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -153,8 +153,16 @@
 	if _, err := Bind(have, RouteBinding{"r", 0}, 0); apierror.KindOf(err) != apierror.Conflict {
 		t.Fatalf("a second binding of one revision: %v", err)
 	}
-	if err := apply(t, have, patch("", route("r", "/q/", "a", 20), "")); err != nil {
-		t.Fatal(err)
+	for i := range 2 { // once more, and also after the operator's next change
+		if again, err := Bind(have, RouteBinding{"r", 1}, 0); err != nil || len(again) != 0 {
+			t.Fatalf("the binding that stands, sent again: %v, %v", again, err)
+		}
+		if err := apply(t, have, patch("", route("r", "/q/", "a", 19+i), "")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := Bind(have, RouteBinding{"r", 1}, 1); err != nil {
+		t.Fatalf("a new binding of the next revision: %v", err)
 	}
 	if s := (&Reader{}).List(have)[0].Status; s != (Status{PhaseScheduled, 1}) {
 		t.Fatalf("a change of the route moved it: %+v", s)
@@ -165,6 +173,9 @@
 	if !have["binding/r"].Dropped {
 		t.Fatal("binding outlives its route")
 	}
+	if _, err := Bind(have, RouteBinding{"r", 1}, 0); apierror.KindOf(err) != apierror.Conflict {
+		t.Fatalf("a binding of a route that is gone, sent again: %v", err)
+	}
 	if err := apply(t, have, patch("", route("r", "/q/", "a", 22), "")); err != nil {
 		t.Fatal(err)
 	}
