rollout: an order or a reversal that is sent again meets only its own rollout

Cause: orders for rollouts and their reversals had no identity at the owner of the key. Sent again after a lost answer, a reversal could reverse the service's next rollout, and an order could begin a rollout that had been carried out and followed by another; while another was under way, an order that had been taken was refused with 409.

Change: the record of a rollout names the newest eight calls that were carried out, so each owner knows one that is passed on again (the control node that takes a call gives it its number, as for evacuations). An order like one that was first seen here within ackS is acknowledged and changes nothing. A reversal is for a version: the one in ?targetVersion=, or that which a majority confirms as the control node takes the call. One without a version within ackS of the reversal of the rollout before gets 503, since it can't be told what it is for. The command names the version always. Begin and Abort have a file of their own, rollout/calls.go.

Ruled out: a number from the operator (the interface has none); taking a reversal without a version for one sent again (acknowledged, and nothing is reversed) or for a new one (a rollout that nobody meant is reversed). Kinds of errors that a node does not know are answered with 500; they ended the connection before.

--- a/cmd/madderwing/rollout.go
+++ b/cmd/madderwing/rollout.go
@@ -63,14 +63,21 @@
 		return printRollout(cmd.OutOrStdout(), r)
 	}
 
-	abort := &cobra.Command{Use: "abort SERVICE", Short: "Reverse a service's rollout", Args: cobra.ExactArgs(1)}
+	abort := &cobra.Command{Use: "abort SERVICE [VERSION]", Short: "Reverse a service's rollout, that to a version or the newest", Args: cobra.RangeArgs(1, 2)}
 	abortClient := clientFlags(abort)
 	abort.RunE = func(cmd *cobra.Command, args []string) error {
 		cl, err := abortClient()
 		if err != nil {
 			return err
 		}
-		if _, err := cl.call(http.MethodDelete, "/v1/rollouts/"+url.PathEscape(args[0]), nil); err != nil {
+		// The version is named, so that a call that is sent again after a lost answer
+		// can't reverse the next rollout.
+		version, err := cl.candidate(args)
+		if err != nil {
+			return err
+		}
+		path := "/v1/rollouts/" + url.PathEscape(args[0]) + "?targetVersion=" + url.QueryEscape(version)
+		if _, err := cl.call(http.MethodDelete, path, nil); err != nil {
 			return err
 		}
 		fmt.Fprintln(cmd.OutOrStdout(), args[0]+" reverted")
@@ -104,6 +111,20 @@
 	return c
 }
 
+// candidate is the version that the arguments name after the service, or else that of the
+// service's newest rollout.
+func (c *client) candidate(args []string) (string, error) {
+	if len(args) > 1 {
+		return args[1], nil
+	}
+	text, err := c.call(http.MethodGet, "/v1/rollouts/"+url.PathEscape(args[0]), nil)
+	if err != nil {
+		return "", err
+	}
+	var newest struct{ TargetVersion string }
+	return newest.TargetVersion, json.Unmarshal(text, &newest)
+}
+
 // rollouts asks for all rollouts.
 func (c *client) rollouts() (all []controlplane.RolloutState, err error) {
 	text, err := c.call(http.MethodGet, "/v1/admin/rollouts", nil)
--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -51,6 +51,7 @@
 	TooMany              // a bound on calls, watches or records is reached
 	NoCell               // a cell that holds no value
 	HistoryGone          // a watch from a revision whose history is no longer kept
+	MaybeRepeated        // an order that may be one sent again that was carried out
 )
 
 // Answer is what a kind is answered with. NotRun says that the answer promises
@@ -97,6 +98,7 @@
 	TooMany:         {http.StatusTooManyRequests, true, "too many"},
 	NoCell:          {http.StatusNotFound, true, "no such cell"},
 	HistoryGone:     {http.StatusGone, true, "history no longer kept"},
+	MaybeRepeated:   {http.StatusServiceUnavailable, false, "perhaps an order sent again"},
 }
 
 // Error is an error of a kind, with what is to be told about it.
@@ -153,7 +155,10 @@
 	if !errors.As(err, &e) {
 		e = &Error{Kind: Internal, Detail: err.Error()}
 	}
-	a := table[e.Kind]
+	a, known := table[e.Kind]
+	if !known { // of a node of a later release
+		a = table[Internal]
+	}
 	h := w.Header()
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -44,6 +44,8 @@
 	// there, for an order that begins a rollout.
 	Service string           `cbor:"15,keyasint,omitempty"`
 	Stood   rollout.Standing `cbor:"16,keyasint,omitzero"`
+	// Reversal says which rollout Abort is for.
+	Reversal rollout.Reversal `cbor:"17,keyasint,omitzero"`
 }
 
 // verdict is the owner's answer.
@@ -163,7 +165,8 @@
 }
 
 func retryAfter(kind apierror.Kind, set *settings.Settings) time.Duration {
-	if kind == apierror.NoQuorum || kind == apierror.NotYet {
+	switch kind {
+	case apierror.NoQuorum, apierror.NotYet, apierror.MaybeRepeated:
 		return set.Beat()
 	}
 	return 0
--- a/internal/controlplane/restart_test.go
+++ b/internal/controlplane/restart_test.go
@@ -36,7 +36,7 @@
 	first.Tick(1)
 	settle(first)
 	order := func(have map[string]replication.Record) ([]replication.Record, error) {
-		return rollout.Begin(have, rollout.Ask{Service: "s", Version: "v2", WithinS: 9}, "v1")
+		return rollout.Begin(have, rollout.Ask{Service: "s", Version: "v2", WithinS: 9}, "v1", rollout.Call{})
 	}
 	for done := false; !done; settle(first) { // the first asking makes the key
 		first.Propose(5, rollout.Key("s"), order, func(err error) { done = done || err == nil })
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -9,6 +9,7 @@
 	"madderwing/internal/membership"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
+	"madderwing/internal/settings"
 	"madderwing/internal/transport"
 	"madderwing/internal/upstream"
 )
@@ -162,6 +163,12 @@
 	return c.list.versions()[o.Rollout.Service].version
 }
 
+// call is an operator's call for a service as the owner of the rollout's key takes it.
+func (c *rolloutController) call(service string, id uint64) rollout.Call {
+	now, ackS := c.now(), settings.Seconds(c.set.Bounds.AckS)
+	return rollout.Call{ID: id, Recent: func(id uint64) bool { return c.controller.Recent(now, service, id, ackS) }}
+}
+
 // adopt has the versions that stand without an order kept with the items: the first
 // that a service has, and another where the platform no longer lists any upstream of
 // the one that stands and no order is under way.
--- a/internal/controlplane/rollout_http.go
+++ b/internal/controlplane/rollout_http.go
@@ -52,12 +52,31 @@
 		}
 		return body, err
 	case http.MethodDelete:
-		_, err := c.submit(order{Key: rollout.Key(service), Abort: true})
-		return []byte("{}\n"), err
+		return []byte("{}\n"), c.reverse(service, r.URL.Query().Get("targetVersion"))
 	}
 	return nil, wrong
 }
 
+// reverse has a service's rollout reversed: that to a version, or, where the operator
+// names none, the one that a majority confirms now. So an order that is passed on for a
+// while can't meet a later one.
+func (c *rolloutController) reverse(service, version string) error {
+	reversal := rollout.Reversal{Version: version, Named: version != ""}
+	if !reversal.Named {
+		text, err := c.submit(order{Key: rollout.Key(service), Read: true})
+		if err != nil {
+			return err
+		}
+		var stands rolloutText
+		if text == nil || json.Unmarshal(text, &stands) != nil {
+			return apierror.New(apierror.NoRollout, "%s", service)
+		}
+		reversal.Version = stands.TargetVersion
+	}
+	_, err := c.submit(order{Key: rollout.Key(service), Abort: true, Reversal: reversal})
+	return err
+}
+
 // hasService says whether a service stands; a control node that does not know it asks the
 // owner of the configuration before it says no.
 func (c *rolloutController) hasService(name string) error {
@@ -112,6 +131,12 @@
 	if !ok {
 		return nil
 	}
-	b, _ := json.Marshal(map[string]string{"state": p.State(), "targetVersion": p.Candidate})
+	b, _ := json.Marshal(rolloutText{State: p.State(), TargetVersion: p.Candidate})
 	return b
 }
+
+// rolloutText is a rollout as the operator's interface shows it.
+type rolloutText struct {
+	State         string `json:"state"`
+	TargetVersion string `json:"targetVersion"`
+}
--- a/internal/controlplane/rollout_test.go
+++ b/internal/controlplane/rollout_test.go
@@ -72,6 +72,17 @@
 	t.Cleanup(func() { close(done); all.Wait() })
 }
 
+// ask calls control, again for as long as that has no owner for a key.
+func (s *system) ask(t *testing.T, method, path, body string) (got int, text string) {
+	for range 200 {
+		if got, text = s.call(t, method, s.control+path, body); got != http.StatusServiceUnavailable {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return got, text
+}
+
 func TestARolloutOverTheWire(t *testing.T) {
 	for _, bad := range []bool{false, true} {
 		t.Run(fmt.Sprintf("bad %v", bad), func(t *testing.T) {
@@ -99,11 +110,7 @@
 				{200, "POST", "/v1/rollouts", order},
 				{409, "POST", "/v1/rollouts", strings.Replace(order, "v2", "v3", 1)},
 			} {
-				got, text := s.call(t, c.method, s.control+c.path, c.body)
-				for i := 0; i < 200 && got == 503; i++ { // the key has no owner yet
-					time.Sleep(50 * time.Millisecond)
-					got, text = s.call(t, c.method, s.control+c.path, c.body)
-				}
+				got, text := s.ask(t, c.method, c.path, c.body)
 				if got != c.want {
 					t.Errorf("%s %s %s: %d %s, want %d", c.method, c.path, c.body, got, text, c.want)
 				}
@@ -136,6 +143,15 @@
 			if bad && o.ran[2].Load() > o.ran[1].Load()/5 {
 				t.Errorf("the bad version got %d, the other %d", o.ran[2].Load(), o.ran[1].Load())
 			}
+			ended := 409 // nothing is left to reverse
+			if bad {
+				ended = 200 // it is reversed
+			}
+			for path, want := range map[string]int{"a": ended, "a?targetVersion=v2": ended, "a?targetVersion=v9": 409, "nobody": 404} {
+				if got, text := s.ask(t, "DELETE", "/v1/rollouts/"+path, ""); got != want {
+					t.Errorf("DELETE %s: %d %s, want %d", path, got, text, want)
+				}
+			}
 			if shown := s.until(t, 200, "GET", s.control+"/v1/admin/rollouts/a", ""); !strings.Contains(shown, `"stage": "`+want+`"`) {
 				t.Errorf("shown: %s", shown)
 			}
--- a/internal/controlplane/tasks.go
+++ b/internal/controlplane/tasks.go
@@ -44,7 +44,7 @@
 	case o.Rollout != nil:
 		return beginTask{rollouts: c.rollouts, order: o}, nil
 	case o.Abort:
-		return abortTask{rollouts: c.rollouts, service: service}, nil
+		return abortTask{rollouts: c.rollouts, service: service, order: o}, nil
 	case o.Adopt != nil:
 		return adoptTask{order: o}, nil
 	case o.Service != "":
@@ -186,7 +186,8 @@
 }
 
 func (t beginTask) change(_ time.Duration, have records) ([]replication.Record, error) {
-	return rollout.Begin(have, *t.order.Rollout, t.rollouts.serves(have[t.order.Key], t.order))
+	call := t.rollouts.call(t.order.Rollout.Service, t.order.ID)
+	return rollout.Begin(have, *t.order.Rollout, t.rollouts.serves(have[t.order.Key], t.order), call)
 }
 
 // abortTask has a rollout reversed.
@@ -194,10 +195,12 @@
 	noBody
 	rollouts *rolloutController
 	service  string
+	order    order
 }
 
 func (t abortTask) change(_ time.Duration, have records) ([]replication.Record, error) {
-	return rollout.Abort(have, t.service, t.rollouts.controller.Age(t.rollouts.now(), t.service))
+	age := t.rollouts.controller.Age(t.rollouts.now(), t.service)
+	return rollout.Abort(have, t.service, t.order.Reversal, age, t.rollouts.call(t.service, t.order.ID))
 }
 
 // adoptTask keeps the versions that stand without an order.
--- /dev/null
+++ b/internal/rollout/calls.go
@@ -0,0 +1,139 @@
+package rollout
+
+import (
+	"time"
+
+	"madderwing/internal/apierror"
+	"madderwing/internal/settings"
+)
+
+// This file holds what operators ask for, orders and reversals, and how a call that comes
+// again is told from a new one.
+
+// callsKept is how many of the newest calls a plan names: as many as may be under way at
+// once.
+const callsKept = 8
+
+// TakenCall is a call of an operator's that was carried out.
+type TakenCall struct {
+	ID       uint64        `cbor:"1,keyasint"`
+	Version  string        `cbor:"2,keyasint"`
+	Within   time.Duration `cbor:"3,keyasint,omitempty"`
+	Reversal bool          `cbor:"4,keyasint,omitempty"`
+}
+
+// Call is a call of an operator's that is about to be carried out. The zero value is one
+// that never comes again.
+type Call struct {
+	// ID is drawn by the control node that takes the call, and stays the same however
+	// often that passes it on.
+	ID uint64
+	// Recent says whether a call that was taken may still be sent again by its operator,
+	// who gets another ID then.
+	Recent func(id uint64) bool
+}
+
+// Reversal is an order to reverse a rollout.
+type Reversal struct {
+	// Version is the candidate of the rollout that is meant. Empty, as control nodes of
+	// earlier releases leave it: of whichever is under way.
+	Version string `cbor:"1,keyasint,omitempty"`
+	// Named says that the operator named it; else it is the one that was under way when
+	// a control node took the call.
+	Named bool `cbor:"2,keyasint,omitempty"`
+}
+
+// taken says whether a plan names a call.
+func (p *Plan) taken(id uint64) bool {
+	for _, t := range p.Taken {
+		if t.ID == id && id != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// recently says whether a plan names a recent call of which like holds.
+func (p *Plan) recently(call Call, like func(TakenCall) bool) bool {
+	for _, t := range p.Taken {
+		if like(t) && call.Recent != nil && call.Recent(t.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// with is the list of newest calls with one more.
+func (p *Plan) with(t TakenCall) []TakenCall {
+	all := append(append([]TakenCall(nil), p.Taken...), t)
+	return all[max(0, len(all)-callsKept):]
+}
+
+// Begin works out what an order changes. The same order again changes nothing, also
+// when it has been carried out or reversed: a version that was reversed needs a new
+// name to be brought in again. Neither does a call that was taken before, nor an order
+// that its operator may still send again, whatever was ordered since. standing is the
+// version that serves where no plan says so.
+func Begin(have map[string]Record, a Ask, standing string, call Call) ([]Record, error) {
+	old, known := have[Key(a.Service)]
+	p := &Plan{Service: a.Service, Prior: standing, Candidate: a.Version, Order: 1,
+		Within: settings.Seconds(a.WithinS)}
+	was := &Plan{}
+	if known {
+		var ok bool
+		if was, ok = Read(old); !ok {
+			return nil, apierror.New(apierror.Internal, "the record of %s cannot be read", a.Service)
+		}
+		again := was.recently(call, func(t TakenCall) bool {
+			return !t.Reversal && t.Version == a.Version && t.Within == p.Within
+		})
+		switch {
+		case was.Candidate == a.Version && (was.Final() || was.Within == p.Within), was.taken(call.ID), again:
+			return nil, nil
+		case !was.Final():
+			return nil, apierror.New(apierror.UnderWay, "%s is on its way to %s", a.Service, was.Candidate)
+		}
+		p.Order = was.Order + 1
+	}
+	if call.ID != 0 {
+		p.Taken = was.with(TakenCall{ID: call.ID, Version: a.Version, Within: p.Within})
+	}
+	if p.Prior == p.Candidate {
+		p.Stage, p.Weight = Complete, 1
+	}
+	return []Record{p.record(old.Gen + 1)}, nil
+}
+
+// Abort works out the reversal that an operator orders. It reverses only the rollout of the
+// version that it is for. Where the operator named none, and the rollout before this one was
+// reversed so lately that the order may be that one sent again, it is left open.
+func Abort(have map[string]Record, service string, r Reversal, age time.Duration, call Call) ([]Record, error) {
+	old, known := have[Key(service)]
+	was, ok := Read(old)
+	if !known || !ok {
+		return nil, apierror.New(apierror.NoRollout, "%s", service)
+	}
+	reversed := func(t TakenCall) bool { return t.Reversal && t.Version != was.Candidate }
+	switch {
+	case was.taken(call.ID):
+		return nil, nil
+	case r.Version != "" && r.Version != was.Candidate:
+		for _, t := range was.Taken {
+			if t.Reversal && t.Version == r.Version {
+				return nil, nil
+			}
+		}
+		return nil, apierror.New(apierror.UnderWay, "the newest rollout of %s is to %s, not to %s", service, was.Candidate, r.Version)
+	case was.Stage == Reverted:
+		return nil, nil
+	case was.Final():
+		return nil, apierror.New(apierror.UnderWay, "the rollout of %s is complete", service)
+	case !r.Named && was.recently(call, reversed):
+		return nil, apierror.New(apierror.MaybeRepeated, "the rollout of %s before this one was reversed a moment ago; name the version that is meant", service)
+	}
+	next := was.reverse("ordered by the operator", age)
+	if call.ID != 0 {
+		next.Taken = was.with(TakenCall{ID: call.ID, Version: was.Candidate, Reversal: true})
+	}
+	return []Record{next.record(old.Gen + 1)}, nil
+}
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -18,6 +18,7 @@
 	at    time.Duration // and when that was
 	aged  time.Duration // the order's age then
 	order uint64
+	calls map[uint64]time.Duration // calls that the record names, and when each was first seen
 
 	nodes   map[string]heard[Report]   // gateways that tell this control node
 	others  map[string]heard[Gathered] // what other control nodes have gathered
@@ -54,6 +55,7 @@
 	if p.Gen <= x.gen {
 		return
 	}
+	x.sawCalls(now, p)
 	age := p.Age
 	switch {
 	case p.Order != x.order:
@@ -71,6 +73,25 @@
 	x.order = p.Order
 }
 
+// sawCalls notes when each call that a plan names was first seen here.
+func (x *watched) sawCalls(now time.Duration, p *Plan) {
+	calls := map[uint64]time.Duration{}
+	for _, t := range p.Taken {
+		calls[t.ID] = now
+		if at, ok := x.calls[t.ID]; ok {
+			calls[t.ID] = at
+		}
+	}
+	x.calls = calls
+}
+
+// Recent says whether a call that a service's plan names was first seen here less than a
+// time ago. One that was not seen yet was carried out here a moment ago.
+func (c *Controller) Recent(now time.Duration, service string, id uint64, within time.Duration) bool {
+	at, ok := c.of(service).calls[id]
+	return !ok || now-at <= within
+}
+
 func (x *watched) age(now time.Duration) time.Duration { return x.aged + now - x.at }
 
 // Age is the age of a service's newest order.
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -66,6 +66,9 @@
 	// saw this, so a takeover never makes an order younger than it was.
 	Age    time.Duration `cbor:"8,keyasint,omitempty"`
 	Reason string        `cbor:"9,keyasint,omitempty"` // of a reversal
+	// Taken names the newest calls for the service that were carried out, also those for
+	// earlier rollouts.
+	Taken []TakenCall `cbor:"10,keyasint,omitempty"`
 	// Gen is the generation of the record; it is not part of its data.
 	Gen uint64 `cbor:"-"`
 }
@@ -130,32 +133,6 @@
 	return a, nil
 }
 
-// Begin works out what an order changes. The same order again changes nothing, also
-// when it has been carried out or reversed: a version that was reversed needs a new
-// name to be brought in again. standing is the version that serves where no plan
-// says so.
-func Begin(have map[string]Record, a Ask, standing string) ([]Record, error) {
-	old, known := have[Key(a.Service)]
-	p := &Plan{Service: a.Service, Prior: standing, Candidate: a.Version, Order: 1,
-		Within: settings.Seconds(a.WithinS)}
-	if known {
-		was, ok := Read(old)
-		switch {
-		case !ok:
-			return nil, apierror.New(apierror.Internal, "the record of %s cannot be read", a.Service)
-		case was.Candidate == a.Version && (was.Final() || was.Within == p.Within):
-			return nil, nil
-		case !was.Final():
-			return nil, apierror.New(apierror.UnderWay, "%s is on its way to %s", a.Service, was.Candidate)
-		}
-		p.Order = was.Order + 1
-	}
-	if p.Prior == p.Candidate {
-		p.Stage, p.Weight = Complete, 1
-	}
-	return []Record{p.record(old.Gen + 1)}, nil
-}
-
 // Advance works out the record of the next stage, if the record is still the one
 // that next was worked out from.
 func Advance(have map[string]Record, saw uint64, next *Plan) ([]Record, error) {
@@ -167,22 +144,6 @@
 	return []Record{next.record(old.Gen + 1)}, nil
 }
 
-// Abort works out the reversal that an operator orders.
-func Abort(have map[string]Record, service string, age time.Duration) ([]Record, error) {
-	old, known := have[Key(service)]
-	was, ok := Read(old)
-	switch {
-	case !known || !ok:
-		return nil, apierror.New(apierror.NoRollout, "%s", service)
-	case was.Stage == Reverted:
-		return nil, nil
-	case was.Final():
-		return nil, apierror.New(apierror.UnderWay, "the rollout of %s is complete", service)
-	}
-	next := was.reverse("ordered by the operator", age)
-	return []Record{next.record(old.Gen + 1)}, nil
-}
-
 func (p *Plan) reverse(reason string, age time.Duration) *Plan {
 	next := *p
 	next.Stage, next.Weight, next.Reason, next.Age = Reverted, 0, reason, max(age, p.Age)
--- a/internal/rollout/score_test.go
+++ b/internal/rollout/score_test.go
@@ -139,7 +139,7 @@
 		if c.before != nil {
 			c.before()
 		}
-		changes, err := Begin(have, c.ask, Services(have)["s"].Serves())
+		changes, err := Begin(have, c.ask, Services(have)["s"].Serves(), Call{})
 		if kind(err) != c.kind || (len(changes) > 0) != c.changes {
 			t.Errorf("%d: %v, %d changes", i, err, len(changes))
 		}
@@ -149,14 +149,14 @@
 		t.Errorf("the last order moves from %q as order %d", p.Prior, p.Order)
 	}
 	// An order for the version that stands is carried out already.
-	changes, _ := Begin(map[string]Record{}, Ask{"s", "v1", 3}, "v1")
+	changes, _ := Begin(map[string]Record{}, Ask{"s", "v1", 3}, "v1", Call{})
 	if p, _ := Read(changes[0]); p.Stage != Complete {
 		t.Errorf("moving to what stands is %v", p.Stage)
 	}
 }
 
 func TestAStepThatComesTooLateIsRefused(t *testing.T) {
-	first, _ := Begin(map[string]Record{}, Ask{"s", "v2", 12}, "v1")
+	first, _ := Begin(map[string]Record{}, Ask{"s", "v2", 12}, "v1", Call{})
 	have := map[string]Record{first[0].Name: first[0]}
 	p, _ := Read(first[0])
 	canary := *p
@@ -169,7 +169,7 @@
 	if _, err := Advance(have, p.Gen, &canary); apierror.KindOf(err) != apierror.Conflict {
 		t.Errorf("a step taken twice: %v", err)
 	}
-	gone, err := Abort(have, "s", time.Second)
+	gone, err := Abort(have, "s", Reversal{}, time.Second, Call{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -180,7 +180,7 @@
 	if _, err := Advance(have, gone[0].Gen, &canary); apierror.KindOf(err) != apierror.Conflict {
 		t.Errorf("a step after a reversal: %v", err)
 	}
-	if again, err := Abort(have, "s", 2*time.Second); err != nil || again != nil {
+	if again, err := Abort(have, "s", Reversal{}, 2*time.Second, Call{}); err != nil || again != nil {
 		t.Errorf("a second reversal: %v", err)
 	}
 }
@@ -216,7 +216,7 @@
 	if again := Adopt(have, map[string]Standing{"s": {Version: "v9"}}, map[string]uint64{}); again != nil {
 		t.Error("a standing version was replaced by one who had not seen it")
 	}
-	first, _ := Begin(have, Ask{"s", "v2", 12}, "v1")
+	first, _ := Begin(have, Ask{"s", "v2", 12}, "v1", Call{})
 	have[first[0].Name] = first[0]
 	if s := Services(have)["s"]; s.Serves() != "v1" || s.Active() == nil {
 		t.Errorf("under way: stands %q", s.Serves())
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -121,7 +121,7 @@
 }
 
 func (w *world) order(version string) {
-	changes, err := Begin(w.rec, Ask{"s", version, within.Seconds()}, "v1")
+	changes, err := Begin(w.rec, Ask{"s", version, within.Seconds()}, "v1", Call{})
 	if err != nil {
 		w.t.Fatal(err)
 	}
