replication: what may be lost is told by the identity of the disk

Cause: Standing took a seat for held if its address seemed alive. A machine that was back with an empty disk counted for the seat of its former disk, so status and madderwing_control_losses_borne were one too high until the new disk had a seat.

Change: a seat counts if the identity that spoke last at its address is the seat's, and no other there has lately asked for a seat.

Ruled out: the proofs of the roster's owner (Member.proven), which only the owner has.

Measured: TestALostDiskCountsAsLostUntilTheNewOneHasASeat fails without it (2 instead of 1), passes now; tests of the package pass.

--- a/internal/replication/standing.go
+++ b/internal/replication/standing.go
@@ -33,7 +33,7 @@
 	bears := func(seats []string) int {
 		live := 0
 		for _, seat := range seats {
-			if m.holder(seat) == m.self || m.cfg.Alive(addressOf(seat)) {
+			if m.seatHeld(seat) {
 				live++
 			}
 		}
@@ -61,6 +61,24 @@
 	return out
 }
 
+// seatHeld says whether the disk that a seat belongs to seems to be at work. A machine that
+// is there with another disk counts for nothing until that disk has a seat of its own.
+func (m *Member) seatHeld(seat string) bool {
+	id, address := m.holder(seat), addressOf(seat)
+	switch {
+	case id == m.self:
+		return true
+	case address == m.cfg.Self || !m.cfg.Alive(address):
+		return false
+	}
+	if last, heard := m.newest[address]; heard && last != id {
+		return false
+	}
+	return !slices.ContainsFunc(m.learning(), func(other string) bool {
+		return other != id && addressOf(other) == address
+	})
+}
+
 // String is the roster in one line.
 func (s Standing) String() string {
 	var seats []string
