quota: a lender that follows another moves shares once all branches are heard

Until openFrom (36.2 s) it let each branch keep what its first loans gave, so shares stayed where the first requests after the outage had come; elsewhere each draw asked the lender (76 ms there and back between provinces) and many were given up at a quarter of their aim.

Change: a branch keeps its share only as long as some branch is silent, when the ceiling of what may be out is too low to judge by. What branches said and were offered is accounted for as before, so what is out stays within the quota.

Ruled out: an earlier openFrom once all are heard.

Measured: TestANewLenderMovesSharesOnceAllAreHeard fails without it (0 instead of 150 a second), passes now; the model of quotas passes.

--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -302,8 +302,9 @@
 	factor := min(generous, lentRate*top.Rate/demand)
 	rate := max(0, min(s.Demand*factor, lentRate*top.Rate-a.rate, part*whole.Rate))
 	cap := max(0, min(rate*breath, lentCap*top.Cap-a.cap, part*whole.Cap))
-	if now < l.openFrom {
-		// What the branch has it may keep in any case.
+	if l.unheard(now) > 0 {
+		// What may be out at most is too little as long as some are silent: what the
+		// branch has it may keep in any case.
 		rate, cap = max(rate, s.Rate), max(cap, s.Cap)
 	}
 	if cap < 1 {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -366,6 +366,43 @@
 	}
 }
 
+// A lender that follows another moves shares to where requests come as soon as all branches
+// have said what they have. It used to leave them where its first loans had put them until
+// nothing of the lender before could be in use.
+func TestANewLenderMovesSharesOnceAllAreHeard(t *testing.T) {
+	l := NewLender(config("a", "b", "c"))
+	l.Begin(0, Term{N: 2, Owner: "a", Life: 1}, 0, true)
+	seq := map[string]uint64{}
+	have := map[string]Share{}
+	report := func(now time.Duration, id string, demand float64) {
+		seq[id]++
+		s := have[id]
+		s.Tenant, s.Demand, s.Tokens = "large", demand, 0
+		loan, ok := l.Report(now, now, id, Report{Life: 1, Seq: seq[id], Whole: true, Shares: []Share{s}}, quotas)
+		if !ok || len(loan.Shares) != 1 {
+			t.Fatalf("at %v %s gets no answer: %+v", now, id, loan)
+		}
+		have[id] = loan.Shares[0]
+	}
+	large := quotas["large"].Rate
+	now := ms
+	for range 3 {
+		for _, id := range []string{"a", "b", "c"} {
+			report(now, id, map[string]float64{"a": large / 20, "b": large / 2, "c": large / 2}[id])
+		}
+		now += ms
+	}
+	// The requests come at a now.
+	for ; now < l.openFrom/2; now += l.openFrom / 20 {
+		for _, id := range []string{"a", "b", "c"} {
+			report(now, id, map[string]float64{"a": large / 2, "b": large / 20, "c": large / 20}[id])
+		}
+	}
+	if got := have["a"].Rate; got < large/2 {
+		t.Errorf("at %v the branch that half of the quota is asked of has %v of %v; the others %v and %v", now, got, large, have["b"].Rate, have["c"].Rate)
+	}
+}
+
 // A lender that was unsure of itself for a while still knows what is lent.
 func TestALenderThatWasUnsureKeepsItsBooks(t *testing.T) {
 	l := NewLender(config("a", "b"))
