replication: rivals in the random schedules, and histories that have to be linearizable

Cause: two contents under one generation had not been tested over a takeover and over a loss of disks, nor a read that leaves out a change which comes while its round is under way.

Change: every other schedule (even seeds) has operators that send two contents under one generation to two nodes all the time, as each trouble strikes, within two seconds of that, and after an acknowledgement that a loss of disks follows; and reads as control nodes make them, with a change beside. All schedules end with a check of the history of calls: each record by itself is linearizable (porcupine), and reads of several records fit into one order. A schedule with rivals fails if fewer than 40 contents were refused or 40 reads answered.

Ruled out: porcupine over whole keys, and over all calls of a record. Its search took over 20 s for some sound histories of some 1,500 and 700 calls (3 of 200 schedules in the second form): dozens of refusals that wait out a cut may come in any order. Of the calls that saw one content three decide, and only these are given to it.

--- a/internal/replication/schedule_test.go
+++ b/internal/replication/schedule_test.go
@@ -67,7 +67,8 @@
 type schedule struct {
 	seed                   int64
 	members, faults, zones int
-	older                  int // see world
+	older                  int  // see world
+	rivals                 bool // operators race each other: see rivals_test.go
 	troubles               []trouble
 	closing                *trouble
 }
@@ -78,6 +79,9 @@
 	if s.older > 0 {
 		fmt.Fprintf(&b, ", older: %d", s.older)
 	}
+	if s.rivals {
+		b.WriteString(", rivals: true")
+	}
 	put := func(t trouble) string {
 		out := "{" + fmt.Sprintf("kind: %s, aim: %s, who: %d, count: %d", kindNames[t.kind], aimNames[t.aim], t.who, t.count)
 		for _, d := range []struct {
@@ -120,6 +124,7 @@
 	if seed%3 == 0 {
 		s.older = 2
 	}
+	s.rivals = seed%2 == 0
 	one := func(k kind) trouble {
 		t := trouble{kind: k, who: r.Intn(100), count: 1 + r.Intn(s.faults), hold: ms(300, 3500)}
 		if r.Intn(2) == 0 {
@@ -293,6 +298,13 @@
 // strike brings a trouble about.
 func (p *play) strike(t trouble) {
 	t.count = min(t.count, p.free())
+	if p.s.rivals {
+		p.race()
+		p.at(time.Duration(p.rng.Intn(2000))*time.Millisecond, p.race) // while another takes over
+		if t.kind == wipePower {
+			p.onAck = append(p.onAck, p.raceLastAck)
+		}
+	}
 	all := func(fn func(n *node)) {
 		for _, id := range slices.Clone(p.ids) {
 			fn(p.nodes[id])
@@ -630,6 +642,9 @@
 	p.operator("three", "evacuation/a")
 	p.operator("four", "evacuation/b")
 	p.at(5*time.Second, func() { p.operator("five", "rollout/c") })
+	if s.rivals {
+		p.rivals()
+	}
 	p.advance()
 	for p.next < len(s.troubles) || p.free() < p.faults || len(p.onAck) > 0 || p.open > 0 || w.now < 10*time.Second {
 		if w.now > 20*time.Minute {
@@ -671,6 +686,14 @@
 		w.fatal("at %v only %d of %d changes answered after the troubles", w.now, w.answer-before, asked)
 	}
 	p.until("all hold everything", 3*time.Second, p.seated)
+	if why := w.calls.check(); why != "" {
+		w.fatal("%s", why)
+	}
+	if s.rivals {
+		if why := p.rivalry(); why != "" {
+			w.fatal("%s", why)
+		}
+	}
 	if w.claims < 500 {
 		w.fatal("only %d claims of a current copy were checked", w.claims)
 	}
@@ -753,6 +776,9 @@
 // close strikes right after an acknowledgement, at the earliest moment that the budget
 // allows. The disks that are lost come back, empty, only after a while.
 func (p *play) close(t trouble) {
+	if p.s.rivals && t.kind == wipe {
+		p.onAck = append(p.onAck, p.raceLastAck)
+	}
 	switch t.kind {
 	case wipe:
 		p.onAck = append(p.onAck, func() {
--- a/internal/replication/world_test.go
+++ b/internal/replication/world_test.go
@@ -59,6 +59,7 @@
 	bytesTo map[string]int
 	drop    func(from string, e Envelope) bool
 	onAck   []func()
+	calls   history
 }
 
 type ack struct {
@@ -487,6 +488,7 @@
 	n := w.nodes[id]
 	floor := w.floors[key+"/"+name]
 	var stands Record
+	answered := w.calls.change(key, name, version, data)
 	w.on(id, n.life, func() {
 		n.m.Propose(w.clock(n), key, func(have map[string]Record) ([]Record, error) {
 			stands = have[name]
@@ -500,6 +502,7 @@
 			stands = Record{Name: name, Gen: version, Data: []byte(data)}
 			return []Record{stands}, nil
 		}, func(err error) {
+			answered(stands, err)
 			if err == nil || err == errConflict {
 				w.observed(id, key, name, floor, stands)
 			}
@@ -530,6 +533,7 @@
 			floors[name] = f
 		}
 	}
+	read := w.calls.reads(key)
 	w.on(id, n.life, func() {
 		n.m.Read(w.clock(n), key, func(err error) {
 			if err == nil {
@@ -538,6 +542,7 @@
 				if !ok {
 					w.fatal("at %v %s read %s with nothing committed to show", w.now, id, key)
 				}
+				read(got)
 				for _, name := range names {
 					w.observed(id, key, name, floors[name], got[name])
 				}
