storage: owners keep the state small enough to be rewritten

Cause: a rewrite goes to a second file, so a state above half of the disk can't be rewritten: every write is refused then, for good. Nothing kept the state below: the catalogue may take 24 MB on disk (names alone) and coordination 0.3 of it, 43 MB of 64 together.

Change: diskRoom follows what the store holds. The owner of the catalogue refuses changes that would take it above 3/8 of the disk with 413, owners of coordination partitions with 429; what makes the state no larger is taken. Above 3/8 there would be less than 1/8 of the disk for changes between two rewrites. The shares of each stay as they are.

Orders for rollouts and evacuations aren't counted.

--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -96,6 +96,7 @@
 	if err != nil {
 		return err
 	}
+	n.room.update(store)
 	go n.keep(store)
 	return n.run(ctx, reload)
 }
--- a/internal/controlplane/coordination.go
+++ b/internal/controlplane/coordination.go
@@ -51,8 +51,8 @@
 // given a revision late, and puts that come again, find it for longer than retentionS.
 const historyRetentions = 1.5
 
-// Shares of the disk that all partitions together may fill, and of that for history. The
-// storage needs the other half for rewrites.
+// Shares of the disk that all partitions together may fill, and of that for history.
+// diskRoom bounds what they and the catalogue fill together.
 const (
 	coordinationDiskShare = 0.3
 	historyShare          = 0.4
--- a/internal/controlplane/coordination_node.go
+++ b/internal/controlplane/coordination_node.go
@@ -18,10 +18,12 @@
 // whose transport has not started.
 func newCoordinator(env *environment) *coordinator {
 	logger := logging.For(logging.Coordination)
+	config := serverConfig(env.set, env.post.Self(), env.life, env.now, logger)
+	config.Limits.HasRoom = env.room.has
 	return &coordinator{
 		owners: env.member, keys: env.member.Keys, transport: env.post, run: env.do, clock: env.now, inContact: env.contact.fresh,
 		pause: settings.Seconds(coordinationPausePart * env.set.Bounds.ContactS), retry: env.set.Beat(),
-		server: coordination.NewServer(serverConfig(env.set, env.post.Self(), env.life, env.now, logger), env.member),
+		server: coordination.NewServer(config, env.member),
 		clocks: coordination.NewPeerClocks(), closed: make(chan struct{}),
 		stats: newCoordinationStats(),
 	}
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -140,6 +140,7 @@
 			continue
 		}
 		done := w.write(jobs)
+		n.room.update(open)
 		if done.err != nil {
 			n.log.storage.Warn("write refused", "error", done.err)
 		}
--- a/internal/controlplane/environment.go
+++ b/internal/controlplane/environment.go
@@ -26,6 +26,7 @@
 	contact  *contact
 	commands chan func(now time.Duration)
 	log      loggers
+	room     diskRoom
 
 	// Owned by the pump's goroutine.
 	member   *replication.Member
--- a/internal/controlplane/tasks.go
+++ b/internal/controlplane/tasks.go
@@ -109,8 +109,14 @@
 func (t *patchTask) change(_ time.Duration, have records) ([]replication.Record, error) {
 	reader := &t.orders.configuration.reader
 	changes, err := t.asked.Apply(have, reader)
-	t.revokes = err == nil && t.orders.quotas != nil && config.Revokes(have, changes, reader)
-	return changes, err
+	if err == nil {
+		err = t.orders.room.admit(have, changes)
+	}
+	if err != nil {
+		return nil, err
+	}
+	t.revokes = t.orders.quotas != nil && config.Revokes(have, changes, reader)
+	return changes, nil
 }
 
 func (t *patchTask) finish(_, now time.Duration, answer func(verdict)) {
--- a/internal/coordination/partition.go
+++ b/internal/coordination/partition.go
@@ -14,6 +14,8 @@
 	History time.Duration
 	// Bytes bounds all records of the partition, HistoryBytes the history among them.
 	Bytes, HistoryBytes int
+	// HasRoom says whether the disk has room for so many bytes more, where it is set.
+	HasRoom func(bytes int) bool
 }
 
 // Partition is the state of a partition at its owner: the records in decoded form, and
@@ -197,7 +199,11 @@
 	}
 }
 
-// full says whether a new record would exceed the bound of the partition.
+// full says whether a new record would exceed the bound of the partition or the disk.
 func (p *Partition) full(r Record) bool {
-	return p.bytes-p.weights[r.Name]+weight(r) > p.limits.Bytes
+	growth := weight(r) - p.weights[r.Name]
+	if p.bytes+growth > p.limits.Bytes {
+		return true
+	}
+	return p.limits.HasRoom != nil && !p.limits.HasRoom(growth)
 }
--- a/internal/coordination/partition_test.go
+++ b/internal/coordination/partition_test.go
@@ -256,6 +256,29 @@
 	}
 }
 
+// Where the disk has no room, what adds a record is refused, and what changes or frees
+// one is not.
+func TestADiskWithoutRoom(t *testing.T) {
+	room := 1 << 20
+	limits := testLimits
+	limits.HasRoom = func(bytes int) bool { return bytes <= room }
+	s := load(t, map[string]Record{}, 0, limits)
+	if got := s.do(0, acquire("a", 1)); got.Status != OK {
+		t.Fatalf("with room: %+v", got)
+	}
+	room = 0
+	if got := s.do(0, acquire("a", 1)); got.Status != OK {
+		t.Errorf("the holder comes again: %+v", got)
+	}
+	other := acquire("b", 1)
+	other.Name = "other"
+	for _, call := range []Call{other, putCell("g.a", "x", nil)} {
+		if got := s.do(0, call); got.Status != Full {
+			t.Errorf("%+v without room: %+v", call, got)
+		}
+	}
+}
+
 func TestAPartitionOfAnotherNumberIsRefused(t *testing.T) {
 	head := encode(headName, headRecord{Partitions: Partitions + 1})
 	if _, err := Load(map[string]Record{headName: head}, 0, testLimits); err == nil {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -47,6 +47,9 @@
 	compactLeast = 1.0 / 64
 	// No batch makes the file and its rewrite fill more than this part of the disk.
 	writeFill = 15.0 / 16
+	// RewritableFill is the part of the disk up to which a state leaves room for
+	// itself twice and for changes in between. Whoever adds to the state keeps to it.
+	RewritableFill = 3.0 / 8
 	// So much of the disk is kept of a damaged file, around the damage.
 	keptPart = 1.0 / 1024
 
@@ -202,6 +205,12 @@
 	return out
 }
 
+// Live is how many bytes a rewrite of the state would have.
+func (s *Store) Live() int64 { return s.live }
+
+// Disk is how many bytes the disk has.
+func (s *Store) Disk() int64 { return s.room }
+
 // Full says whether the file has grown enough to be worth a Rewrite.
 func (s *Store) Full() bool {
 	return s.size > part(s.room, compactLeast) &&
