--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -263,7 +263,7 @@
 		}
 	}
 	stuck := m.firstOpen <= m.nextWrite && now-m.openSince > m.cfg.Vacant/2
-	beats := now-m.beats.beatAt >= m.cfg.Beat
+	beats, alone := now-m.beats.beatAt >= m.cfg.Beat, m.decidesAlone()
 	m.forgetLists()
 	for _, name := range m.names {
 		k := m.keys[name]
@@ -279,7 +279,7 @@
 				k.notUntil = now + m.cfg.Vacant
 			} else if beats {
 				m.beats.dueAll = true
-				if m.decidesAlone() {
+				if alone {
 					m.advance(k) // no answer will come that confirms the epoch
 				}
 				m.handBack(k)
