--- a/internal/controlplane/contact.go
+++ b/internal/controlplane/contact.go
@@ -14,7 +14,7 @@
 const contactPart = 0.5
 
 // contact is how lately a majority stood behind the items that this control node shows. It
-// rests on what a member can say of its copies (replication.Member.Current), which is
+// rests on what a member can say of its copies (replication.Replica.Current), which is
 // dated by this control node's own clock and takes a round trip through an owner that a
 // majority follows. So it does not hold where only one way is open, where others have
 // merely asked to become owners, or for messages that waited while this process was
--- a/internal/controlplane/contact_test.go
+++ b/internal/controlplane/contact_test.go
@@ -36,7 +36,7 @@
 
 type islander struct {
 	life   uint64
-	m      *replication.Member
+	m      *replication.Replica
 	c      *contact
 	disk   map[string][]byte
 	frozen bool
@@ -67,7 +67,7 @@
 	x := w.nodes[id]
 	x.life++
 	keys := []string{config.Key, config.EvacuationPrefix + "z"}
-	m, err := replication.NewMember(replication.Config{Self: id, Life: x.life, Seeds: w.ids, Bootstrap: first, Empty: len(x.disk) == 0,
+	m, err := replication.NewReplica(replication.Config{Self: id, Life: x.life, Seeds: w.ids, Bootstrap: first, Empty: len(x.disk) == 0,
 		Keys: keys, Sure: keys, Faults: 2, Identity: w.rng.Uint64() | 1, Beat: testBeat, Vacant: time.Duration(vacantPart * float64(testContactS)), Patience: time.Second,
 		Alive: func(string) bool { return true }}, x.disk)
 	if err != nil {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -73,7 +73,7 @@
 	zones  []string // that operators may name
 }
 
-// listen makes the mesh; tests put a cut into it.
+// listen makes the endpoint; tests put a cut into it.
 var listen = transport.New
 
 // Run serves until ctx ends, then leaves in order. Where the settings name no dataDir
@@ -155,10 +155,10 @@
 }
 
 // newReplica makes this control node's replica of the control state.
-func newReplica(env *environment, keys []string, disk map[string][]byte) (*replication.Member, error) {
+func newReplica(env *environment, keys []string, disk map[string][]byte) (*replication.Replica, error) {
 	set := env.set
 	node := func(id string) (membership.Node, bool) { return env.reg.List().Get(id) }
-	return replication.NewMember(replication.Config{Sure: keys, SurePrefix: coordination.KeyPrefix,
+	return replication.NewReplica(replication.Config{Sure: keys, SurePrefix: coordination.KeyPrefix,
 		Self: env.post.Self(), Life: env.life, Seeds: set.SeedControlNodes(),
 		Bootstrap: set.Bootstrap, Empty: len(disk) == 0, Keys: keys,
 		Beat: set.Beat(), Vacant: vacant(set), Patience: settings.Seconds(set.Bounds.AckS * 0.17), HandBack: env.opt.HandBack,
--- a/internal/controlplane/coordination.go
+++ b/internal/controlplane/coordination.go
@@ -69,7 +69,7 @@
 type coordinator struct {
 	owners    ownerFinder
 	keys      func() []string // of the control state; on the loop of the replica
-	transport *transport.Mesh
+	transport *transport.Endpoint
 	run       func(func(now time.Duration)) // on the loop of the replica
 	inContact func(now time.Duration) bool
 	pause     time.Duration // before a call is tried again
--- a/internal/controlplane/environment.go
+++ b/internal/controlplane/environment.go
@@ -19,7 +19,7 @@
 type environment struct {
 	set      *settings.Settings
 	opt      Options
-	post     *transport.Mesh
+	post     *transport.Endpoint
 	reg      *membership.Service
 	start    time.Time
 	life     uint64 // tells this life of the process from others
@@ -29,7 +29,7 @@
 	room     diskRoom
 
 	// Owned by the pump's goroutine.
-	member   *replication.Member
+	member   *replication.Replica
 	election *election.Elector
 }
 
--- a/internal/controlplane/export_test.go
+++ b/internal/controlplane/export_test.go
@@ -23,7 +23,7 @@
 func (lost) Error() string { return "cut" }
 
 func init() {
-	listen = func(address string, patience time.Duration, logger *slog.Logger) (*transport.Mesh, error) {
+	listen = func(address string, patience time.Duration, logger *slog.Logger) (*transport.Endpoint, error) {
 		m, err := transport.New(address, patience, logger)
 		if err != nil {
 			return nil, err
--- a/internal/controlplane/forget_test.go
+++ b/internal/controlplane/forget_test.go
@@ -22,7 +22,7 @@
 		{{Name: "route/a", Gen: 4}, {Name: "binding/a", Gen: 1}},
 	}
 	for _, every := range []bool{true, false} {
-		member, err := replication.NewMember(replication.Config{Self: id, Life: 1, Seeds: []string{id}, Bootstrap: true, Empty: true,
+		member, err := replication.NewReplica(replication.Config{Self: id, Life: 1, Seeds: []string{id}, Bootstrap: true, Empty: true,
 			Keys: []string{config.Key}, Beat: 1, Vacant: 10, Patience: 100, Alive: func(string) bool { return true }}, nil)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/controlplane/list.go
+++ b/internal/controlplane/list.go
@@ -23,7 +23,7 @@
 	errors  atomic.Uint64
 
 	// Owned by the pump's goroutine.
-	stand   upstream.Stand
+	stand   upstream.ListSnapshot
 	pollAt  time.Duration           // when the platform is to be asked next
 	watchAt time.Duration           // when the holder is to be asked next
 	changed func(now time.Duration) // another list stands
--- a/internal/controlplane/orders_test.go
+++ b/internal/controlplane/orders_test.go
@@ -65,7 +65,7 @@
 
 // Only a change that names tenants waits for the leases of keys that were taken away.
 func TestAChangeThatRevokesIsHeld(t *testing.T) {
-	member, err := replication.NewMember(replication.Config{Self: "a", Identity: 1}, nil)
+	member, err := replication.NewReplica(replication.Config{Self: "a", Identity: 1}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,7 +92,7 @@
 		}
 		orders := &orderController{environment: env}
 		if c.quotas {
-			orders.quotas = &quotaController{environment: env, purse: &quota.Purse{}}
+			orders.quotas = &quotaController{environment: env, purse: &quota.LocalQuota{}}
 			if c.ago > 0 {
 				orders.quotas.revokedAt = at - c.ago
 			}
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -19,12 +19,12 @@
 	*environment
 	configuration *configuration
 
-	lender   *quota.Lender
-	purse    *quota.Purse
+	lender   *quota.Allocator
+	purse    *quota.LocalQuota
 	quotas   map[string]quota.Quota // of the tenants, as configured
-	reportAt time.Duration          // when the next report to the lender is due
+	reportAt time.Duration          // when the next report to the allocator is due
 	recallAt time.Duration          // when silent branches may be called again
-	lentBy   string                 // the lender that was last reported to
+	lentBy   string                 // the allocator that was last reported to
 	// reportWhole says that the next report names all shares.
 	reportWhole bool
 	seated      map[string]time.Duration // when a branch was last seen to have a seat
@@ -34,14 +34,14 @@
 func newQuotaController(env *environment, shown *configuration) *quotaController {
 	c := &quotaController{environment: env, configuration: shown, seated: map[string]time.Duration{}}
 	b := env.set.Bounds
-	c.lender = quota.NewLender(quota.LenderConfig{Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack,
+	c.lender = quota.NewAllocator(quota.AllocatorConfig{Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack,
 		Window: settings.Seconds(b.QuotaWindowS), Life: settings.Seconds(b.ContactS * 0.7), Sure: settings.Seconds(b.ContactS * vacantPart),
 		Branches: c.branches})
-	c.purse = quota.NewPurse(env.life, rand.Uint64(), settings.Seconds(b.ContactS/20))
+	c.purse = quota.NewLocalQuota(env.life, rand.Uint64(), settings.Seconds(b.ContactS/20))
 	return c
 }
 
-// handle takes the messages of lenders, branches and gateways.
+// handle takes the messages of allocators, branches and gateways.
 func (c *quotaController) handle() {
 	transport.On(c.post, delivery.ReportKind, func(from string, r quota.Report) {
 		c.offer(func(now time.Duration) { c.lendTo(now, from, r) })
@@ -49,10 +49,10 @@
 	transport.On(c.post, delivery.RecallKind, func(from string, r quota.Recall) {
 		c.offer(func(now time.Duration) { c.recalled(now, from, r) })
 	})
-	transport.On(c.post, delivery.LoanKind, func(_ string, l quota.Loan) {
+	transport.On(c.post, delivery.AllocationKind, func(_ string, l quota.Allocation) {
 		c.offer(func(now time.Duration) { c.lent(now, l) })
 	})
-	transport.On(c.post, delivery.DrawKind, func(from string, d quota.Draw) {
+	transport.On(c.post, delivery.AcquireKind, func(from string, d quota.AcquireRequest) {
 		c.offer(func(now time.Duration) { c.drawFor(now, from, d) })
 	})
 }
@@ -127,11 +127,11 @@
 	case from == c.post.Self():
 		c.lent(now, loan)
 	default:
-		c.post.Send(from, delivery.LoanKind, loan)
+		c.post.Send(from, delivery.AllocationKind, loan)
 	}
 }
 
-// recalled takes a lender's call for a report.
+// recalled takes an allocator's call for a report.
 func (c *quotaController) recalled(now time.Duration, from string, r quota.Recall) {
 	if c.purse.Heeds(c.post.Self(), from, r.Term) {
 		c.lender.End()
@@ -139,15 +139,15 @@
 	}
 }
 
-// reportTo makes the next report one of all shares to a lender, due at once.
+// reportTo makes the next report one of all shares to an allocator, due at once.
 func (c *quotaController) reportTo(now time.Duration, lender string) {
 	c.lentBy, c.reportWhole, c.reportAt = lender, true, now
 }
 
-// branch reports to the lender at every beat, and at once to a new one.
+// branch reports to the allocator at every beat, and at once to a new one.
 func (c *quotaController) branch(now time.Duration) {
 	c.purse.Expire(now)
-	// A control node that has lost its memory knows no owner; the lender calls it.
+	// A control node that has lost its memory knows no owner; the allocator calls it.
 	if owner := c.member.Owner(now, config.Key); owner != "" && owner != c.lentBy {
 		c.reportTo(now, owner)
 	}
@@ -157,7 +157,7 @@
 	}
 }
 
-// report reports to the lender, unless its last answer is still awaited.
+// report reports to the allocator, unless its last answer is still awaited.
 func (c *quotaController) report(now time.Duration) {
 	if c.lentBy == "" || c.purse.Awaits(now) {
 		return
@@ -171,8 +171,8 @@
 	}
 }
 
-// lent takes the lender's answer.
-func (c *quotaController) lent(now time.Duration, l quota.Loan) {
+// lent takes the allocator's answer.
+func (c *quotaController) lent(now time.Duration, l quota.Allocation) {
 	c.purse.Lent(now, l)
 	if c.reportWhole || c.purse.Waiting() {
 		c.report(now)
@@ -180,14 +180,14 @@
 }
 
 // drawFor draws on a tenant's quota for a gateway.
-func (c *quotaController) drawFor(now time.Duration, from string, d quota.Draw) {
+func (c *quotaController) drawFor(now time.Duration, from string, d quota.AcquireRequest) {
 	// Lent shares lapse by themselves; that a tenant has no limit may be no longer so.
 	if c.purse.Unlimited(d.Tenant) && !c.lately(now) {
-		c.post.Send(from, delivery.DrawnKind, quota.Drawn{Seq: d.Seq, Away: true})
+		c.post.Send(from, delivery.AcquireReplyKind, quota.AcquireReply{Seq: d.Seq, Away: true})
 		return
 	}
 	ask := c.purse.Take(now, d.Tenant, func(g quota.Grant) {
-		c.post.Send(from, delivery.DrawnKind, quota.Drawn{Seq: d.Seq, OK: g == quota.Granted, Away: g == quota.Unknown})
+		c.post.Send(from, delivery.AcquireReplyKind, quota.AcquireReply{Seq: d.Seq, OK: g == quota.Granted, Away: g == quota.Unknown})
 	})
 	if ask {
 		c.report(now)
--- a/internal/controlplane/quotas_test.go
+++ b/internal/controlplane/quotas_test.go
@@ -14,7 +14,7 @@
 	const contactS = 3
 	a := &quotaController{seated: map[string]time.Duration{},
 		environment: &environment{set: &settings.Settings{Bounds: settings.Bounds{ContactS: contactS}}, start: time.Now()}}
-	member, err := replication.NewMember(replication.Config{Self: "a", Identity: 1}, nil)
+	member, err := replication.NewReplica(replication.Config{Self: "a", Identity: 1}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlplane/relay_picker.go
+++ b/internal/controlplane/relay_picker.go
@@ -47,7 +47,7 @@
 }
 
 // newPicker makes the picker of a relay, which asks over the transport.
-func newPicker(set *settings.Settings, post *transport.Mesh) *picker {
+func newPicker(set *settings.Settings, post *transport.Endpoint) *picker {
 	return &picker{self: post.Self(), zone: set.Zone, seeds: set.SeedControlNodes(),
 		patience: min(settings.Seconds(set.Bounds.ContactS*relayPatience), relayMost/4),
 		limit:    min(settings.Seconds(set.Bounds.ContactS*relayLimit), relayMost),
--- a/internal/controlplane/restart_test.go
+++ b/internal/controlplane/restart_test.go
@@ -18,12 +18,12 @@
 	const id = "10.0.0.1:1"
 	config := replication.Config{Self: id, Life: 1, Seeds: []string{id}, Bootstrap: true, Empty: true, Keys: []string{config.Key},
 		Beat: 1, Vacant: 10, Patience: 100, Alive: func(string) bool { return true }}
-	first, err := replication.NewMember(config, nil)
+	first, err := replication.NewReplica(config, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	disk := map[string][]byte{}
-	settle := func(m *replication.Member) {
+	settle := func(m *replication.Replica) {
 		for fx := m.Take(); len(fx.Writes) > 0; fx = m.Take() {
 			for _, w := range fx.Writes {
 				for _, e := range w.Entries {
@@ -44,7 +44,7 @@
 	}
 
 	config.Bootstrap, config.Empty, config.Life = false, false, 2
-	again, err := replication.NewMember(config, disk)
+	again, err := replication.NewReplica(config, disk)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlplane/rollout_calls_test.go
+++ b/internal/controlplane/rollout_calls_test.go
@@ -16,7 +16,7 @@
 // after the service's next rollout has begun: with the number of the first time if a node
 // passes them on, with another one if their operator sends them again.
 func TestOrdersForRolloutsThatComeAgain(t *testing.T) {
-	member, err := replication.NewMember(replication.Config{Self: "a", Identity: 1}, nil)
+	member, err := replication.NewReplica(replication.Config{Self: "a", Identity: 1}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlplane/views.go
+++ b/internal/controlplane/views.go
@@ -72,11 +72,11 @@
 	Generation uint64   `json:"generation"`
 }
 
-// Quotas tells who lends tenants' quotas and, at the lender, what is lent.
+// Quotas tells who lends tenants' quotas and, at the allocator, what is lent.
 type Quotas struct {
-	Lender string            `json:"lender"`
-	Silent []string          `json:"silent,omitempty"` // branches that the lender has not heard
-	Loans  []quota.LoanState `json:"loans,omitempty"`
+	Lender string                  `json:"lender"`
+	Silent []string                `json:"silent,omitempty"` // branches that the allocator has not heard
+	Loans  []quota.AllocationState `json:"allocations,omitempty"`
 }
 
 // Overview is all that the administration API shows.
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -67,7 +67,7 @@
 	life    uint64
 	born    time.Duration
 	frozen  time.Duration // until then
-	replica *replication.Member
+	replica *replication.Replica
 	server  *Server
 	clocks  *PeerClocks
 	disk    map[string][]byte
@@ -122,7 +122,7 @@
 			return out
 		}}
 	n.boots = false
-	replica, err := replication.NewMember(config, n.disk)
+	replica, err := replication.NewReplica(config, n.disk)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -24,11 +24,11 @@
 	WatchKind = "watch"
 	IssueKind = "issue"
 
-	DrawKind   = "draw"   // a gateway to a branch that lends quotas
-	DrawnKind  = "drawn"  // and its answer
-	ReportKind = "report" // a branch to the lender
-	LoanKind   = "loan"   // and its answer
-	RecallKind = "recall" // a new lender to the branches
+	AcquireKind      = "draw"   // a gateway to a branch that lends quotas
+	AcquireReplyKind = "drawn"  // and its answer
+	ReportKind       = "report" // a branch to the allocator
+	AllocationKind   = "loan"   // and its answer
+	RecallKind       = "recall" // a new lender to the branches
 )
 
 // Watch is what a node says that it has.
@@ -60,7 +60,7 @@
 // Issue is what a control node sends.
 type Issue struct {
 	Records []antientropy.Record `cbor:"1,keyasint,omitempty"`
-	Listing *upstream.Listing    `cbor:"2,keyasint,omitempty"`
+	Listing *upstream.List       `cbor:"2,keyasint,omitempty"`
 	// Fresh says that a majority has lately stood behind all that the control node shows.
 	Fresh bool `cbor:"3,keyasint,omitempty"`
 	// Loads are those of all zones, as far as the control node knows.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,5 +1,5 @@
 // Package gateway is the data plane: it puts together the feed of items and
-// upstreams, the stock of upstreams, and the front that serves clients.
+// upstreams, the balancer of upstreams, and the front that serves clients.
 package gateway
 
 import (
@@ -42,7 +42,7 @@
 type Gateway struct {
 	set   *settings.Settings
 	opt   Options
-	post  *transport.Mesh
+	post  *transport.Endpoint
 	reg   *membership.Service
 	floor *proxy.Floor
 	front *proxy.Front
@@ -55,7 +55,7 @@
 	start    time.Time
 	items    *delivery.Copy
 	builder  config.Builder
-	stand    upstream.Stand
+	stand    upstream.ListSnapshot
 	sources  delivery.Sources
 	shard    int
 	load     map[string]float64
@@ -91,7 +91,7 @@
 	if set.Global() {
 		region = set.RegionOf
 	}
-	stock := upstream.NewStock(upstream.Config{Self: post.Self(), Zone: set.Zone, Region: region,
+	stock := upstream.NewBalancer(upstream.Config{Self: post.Self(), Zone: set.Zone, Region: region,
 		RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, Window: settings.Seconds(set.Bounds.RetryWindowS),
 		Eject: patience, EjectMax: 8 * patience, Lag: lag, Calm: beat})
 	d.floor = proxy.NewFloorAt(d.start, stock, patience, patience/6)
@@ -114,7 +114,7 @@
 		d.commands <- func(now time.Duration) { d.take(now, from, i) }
 	})
 	if set.Global() {
-		transport.On(post, delivery.DrawnKind, d.drawn)
+		transport.On(post, delivery.AcquireReplyKind, d.drawn)
 	}
 	post.Start()
 	go d.floor.Run()
@@ -182,7 +182,7 @@
 			gateways = append(gateways, n)
 		}
 	}
-	d.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetGateways(now, gateways, labels) })
+	d.floor.Do(func(now time.Duration, s *upstream.Balancer) { s.SetGateways(now, gateways, labels) })
 }
 
 // read owns the items: it tells the control nodes what it has and takes what they
@@ -217,7 +217,7 @@
 			}
 			d.post.Send(a, delivery.WatchKind, w)
 		}
-		d.floor.Do(func(_ time.Duration, s *upstream.Stock) {
+		d.floor.Do(func(_ time.Duration, s *upstream.Balancer) {
 			load := s.Loads()
 			select {
 			case d.commands <- func(time.Duration) { d.load = load }:
@@ -278,12 +278,12 @@
 	}
 	d.ready.heard(now, d.dated(now, i), settings.Seconds(d.set.Bounds.ContactS))
 	if len(i.Loads) > 0 && d.sources.First() == from {
-		d.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetLoads(now, i.Loads) })
+		d.floor.Do(func(now time.Duration, s *upstream.Balancer) { s.SetLoads(now, i.Loads) })
 	}
 	if i.Listing != nil && d.stand.Take(now, *i.Listing) {
 		list := d.stand.All(now)
 		d.log.Info("list taken", "term", d.stand.Version.Term, "seq", d.stand.Version.Seq, "upstreams", len(list))
-		d.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetList(now, list) })
+		d.floor.Do(func(now time.Duration, s *upstream.Balancer) { s.SetList(now, list) })
 		d.ready.listed.Store(true)
 	}
 }
@@ -308,7 +308,7 @@
 		}
 		versions[name] = w
 	}
-	d.floor.Do(func(now time.Duration, s *upstream.Stock) {
+	d.floor.Do(func(now time.Duration, s *upstream.Balancer) {
 		s.SetServices(now, infos, bound)
 		s.SetVersions(now, versions)
 		s.SetEvacuated(now, evacuated)
@@ -356,7 +356,7 @@
 		case "/v1/counters":
 			w.Header().Set("Content-Type", "application/json")
 			ch := make(chan []upstream.State, 1)
-			d.floor.Do(func(now time.Duration, s *upstream.Stock) { ch <- s.States(now) })
+			d.floor.Do(func(now time.Duration, s *upstream.Balancer) { ch <- s.States(now) })
 			shown := map[string]any{"node": d.set.Node, "counters": d.front.Counters(),
 				"connections": d.door.Open(), "upstreams": <-ch}
 			if d.set.Global() {
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -22,7 +22,7 @@
 // drawing is a draw that waits for its answer, and the control node that it was sent to.
 type drawing struct {
 	to  string
-	got chan quota.Drawn
+	got chan quota.AcquireReply
 }
 
 // newDraws makes the draws of one life, numbered from a random start: a control node answers
@@ -55,14 +55,14 @@
 		if to == "" {
 			continue
 		}
-		got := make(chan quota.Drawn, 1)
+		got := make(chan quota.AcquireReply, 1)
 		w.mu.Lock()
 		w.next++
 		seq := w.next
 		w.waiting[seq] = drawing{to, got}
 		w.mu.Unlock()
-		d.post.Send(to, delivery.DrawKind, quota.Draw{Seq: seq, Tenant: tenant})
-		var a quota.Drawn
+		d.post.Send(to, delivery.AcquireKind, quota.AcquireRequest{Seq: seq, Tenant: tenant})
+		var a quota.AcquireReply
 		late := false
 		select {
 		case a = <-got:
@@ -89,7 +89,7 @@
 }
 
 // drawn takes the answer of the branch that was asked. One that comes too late is lost.
-func (d *Gateway) drawn(from string, a quota.Drawn) {
+func (d *Gateway) drawn(from string, a quota.AcquireReply) {
 	d.draws.mu.Lock()
 	defer d.draws.mu.Unlock()
 	if w, ok := d.draws.waiting[a.Seq]; ok && w.to == from {
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -14,7 +14,7 @@
 	"madderwing/internal/transport"
 )
 
-func newMesh(t *testing.T) *transport.Mesh {
+func newMesh(t *testing.T) *transport.Endpoint {
 	t.Helper()
 	m, err := transport.New("127.0.0.1:0", 5*time.Second, slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -32,18 +32,18 @@
 		branch := newMesh(t)
 		d := &Gateway{post: newMesh(t), draws: newDraws()}
 		d.draws.at = [2]string{branch.Self()}
-		branch.Handle(delivery.DrawKind, func(from string, body []byte) (any, error) {
-			var q quota.Draw
+		branch.Handle(delivery.AcquireKind, func(from string, body []byte) (any, error) {
+			var q quota.AcquireRequest
 			if err := cbor.Unmarshal(body, &q); err != nil {
 				t.Error(err)
 			}
 			for _, seq := range asked { // late, to a life before
-				d.drawn(branch.Self(), quota.Drawn{Seq: seq, OK: true})
+				d.drawn(branch.Self(), quota.AcquireReply{Seq: seq, OK: true})
 			}
 			asked = append(asked, q.Seq)
-			d.drawn("another:1", quota.Drawn{Seq: q.Seq, OK: true})
-			d.drawn(branch.Self(), quota.Drawn{Seq: q.Seq})
-			d.drawn(branch.Self(), quota.Drawn{Seq: q.Seq, OK: true}) // twice
+			d.drawn("another:1", quota.AcquireReply{Seq: q.Seq, OK: true})
+			d.drawn(branch.Self(), quota.AcquireReply{Seq: q.Seq})
+			d.drawn(branch.Self(), quota.AcquireReply{Seq: q.Seq, OK: true}) // twice
 			return nil, nil
 		})
 		d.post.Start()
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -14,14 +14,14 @@
 
 // net carries messages between rolls at once, unless one is down or cut off.
 type net struct {
-	rolls map[string]*Roll
+	rolls map[string]*Table
 	down  map[string]bool
 	now   time.Duration
 	bytes int // sent
 }
 
 func newNet(n int) *net {
-	w := &net{rolls: map[string]*Roll{}, down: map[string]bool{}}
+	w := &net{rolls: map[string]*Table{}, down: map[string]bool{}}
 	for i := 0; i < n; i++ {
 		w.start(i)
 	}
@@ -31,7 +31,7 @@
 func addr(i int) string { return fmt.Sprintf("10.0.0.%d:7660", i) }
 
 func (w *net) start(i int) {
-	w.rolls[addr(i)] = NewRoll(Config{Self: Node{Address: addr(i), Name: fmt.Sprintf("edge-%02d", i), Zone: fmt.Sprintf("z%d", i%4)},
+	w.rolls[addr(i)] = NewTable(Config{Self: Node{Address: addr(i), Name: fmt.Sprintf("edge-%02d", i), Zone: fmt.Sprintf("z%d", i%4)},
 		Seeds: []string{addr(0), addr(1), addr(2)}, Beat: beat, Forget: 100 * beat})
 	w.down[addr(i)] = false
 }
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -57,8 +57,8 @@
 
 // Service drives a Roll over a Mesh. One goroutine owns the roll.
 type Service struct {
-	roll     *Roll
-	post     *transport.Mesh
+	roll     *Table
+	post     *transport.Endpoint
 	commands chan func(now time.Duration)
 	list     atomic.Pointer[List]
 	start    time.Time
@@ -67,8 +67,8 @@
 }
 
 // NewService makes the service; onChange runs on the service's goroutine.
-func NewService(cfg Config, post *transport.Mesh, onChange func(*List)) *Service {
-	s := &Service{roll: NewRoll(cfg), post: post, commands: make(chan func(time.Duration), 256),
+func NewService(cfg Config, post *transport.Endpoint, onChange func(*List)) *Service {
+	s := &Service{roll: NewTable(cfg), post: post, commands: make(chan func(time.Duration), 256),
 		start: time.Now(), onChange: onChange, done: make(chan struct{})}
 	s.publish()
 	transport.On(post, kind, func(from string, m Message) {
@@ -93,7 +93,7 @@
 
 // Introduce answers the nodes that join through a process that is in no register
 // itself: known gives the nodes that such a one is told of. It may block.
-func Introduce(post *transport.Mesh, known func(joins Node) []Node) {
+func Introduce(post *transport.Endpoint, known func(joins Node) []Node) {
 	transport.On(post, kind, func(from string, m Message) {
 		if m.From == nil || !m.Ping || m.From.Address != from {
 			return
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -10,7 +10,7 @@
 
 // A node whose one seed is in no register is told of a control node there, and so joins.
 func TestJoiningThroughAStranger(t *testing.T) {
-	mesh := func() *transport.Mesh {
+	mesh := func() *transport.Endpoint {
 		m, err := transport.New("127.0.0.1:0", 5*time.Second, slog.New(slog.DiscardHandler))
 		if err != nil {
 			t.Fatal(err)
@@ -18,7 +18,7 @@
 		t.Cleanup(m.Close)
 		return m
 	}
-	node := func(plane Plane, seeds ...string) (*Service, *transport.Mesh) {
+	node := func(plane Plane, seeds ...string) (*Service, *transport.Endpoint) {
 		m := mesh()
 		s := NewService(Config{Self: Node{Address: m.Self(), Plane: plane}, Seeds: seeds, Beat: 50 * time.Millisecond, Forget: time.Minute}, m, nil)
 		m.Start()
--- a/internal/membership/roll.go
+++ b/internal/membership/table.go
@@ -112,8 +112,8 @@
 	misses  int
 }
 
-// Roll is one node's list of nodes.
-type Roll struct {
+// Table is one node's list of nodes.
+type Table struct {
 	cfg     Config
 	self    *item
 	items   map[string]*item
@@ -128,10 +128,10 @@
 	odd     map[string]int // peers whose list differs, and for how many beats
 }
 
-// NewRoll makes the list of a node that knows only itself.
-func NewRoll(cfg Config) *Roll {
+// NewTable makes the list of a node that knows only itself.
+func NewTable(cfg Config) *Table {
 	cfg.Self.Incarnation = max(cfg.Self.Incarnation, 1)
-	r := &Roll{cfg: cfg, items: map[string]*item{}, watched: map[string]*watch{}, odd: map[string]int{}}
+	r := &Table{cfg: cfg, items: map[string]*item{}, watched: map[string]*watch{}, odd: map[string]int{}}
 	r.self = &item{node: cfg.Self, tell: newsTimes}
 	r.items[cfg.Self.Address] = r.self
 	r.changed = true
@@ -139,14 +139,14 @@
 }
 
 // Take returns what is to be sent, and whether the list has changed.
-func (r *Roll) Take() ([]Envelope, bool) {
+func (r *Table) Take() ([]Envelope, bool) {
 	out, changed := r.out, r.changed
 	r.out, r.changed = nil, false
 	return out, changed
 }
 
 // Nodes lists all known nodes by address.
-func (r *Roll) Nodes() []Node {
+func (r *Table) Nodes() []Node {
 	out := make([]Node, 0, len(r.items))
 	for _, it := range r.items {
 		out = append(out, it.node)
@@ -156,10 +156,10 @@
 }
 
 // Joined says whether any other node has been heard of.
-func (r *Roll) Joined() bool { return r.joined }
+func (r *Table) Joined() bool { return r.joined }
 
 // digest is that of the whole list.
-func (r *Roll) digest() (sum uint64) {
+func (r *Table) digest() (sum uint64) {
 	for i, s := range r.digests() {
 		sum ^= bits.RotateLeft64(s, i)
 	}
@@ -168,7 +168,7 @@
 
 // digests are those of the ranges. Nodes that are gone are left out: who has never
 // heard of one, or has forgotten it, has nothing to learn.
-func (r *Roll) digests() []uint64 {
+func (r *Table) digests() []uint64 {
 	if !r.sumOK {
 		r.sums, r.sumOK = [ranges]uint64{}, true
 		for a, it := range r.items {
@@ -184,7 +184,7 @@
 func rangeOf(address string) int { return int(rendezvous.Weight("range", address) % ranges) }
 
 // differing lists the nodes of the ranges that differ from a peer's.
-func (r *Roll) differing(theirs []uint64) (out []Node) {
+func (r *Table) differing(theirs []uint64) (out []Node) {
 	mine := r.digests()
 	for _, n := range r.Nodes() {
 		if i := rangeOf(n.Address); i >= len(theirs) || mine[i] != theirs[i] {
@@ -195,13 +195,13 @@
 }
 
 // compare tells a peer the digests, so that both send each other what differs.
-func (r *Roll) compare(with string) {
+func (r *Table) compare(with string) {
 	r.out = append(r.out, Envelope{To: with, Msg: Message{Ping: true, Nodes: []Node{r.self.node}, Sums: slices.Clone(r.digests())}})
 }
 
-func (r *Roll) touch() { r.sumOK, r.changed = false, true }
+func (r *Table) touch() { r.sumOK, r.changed = false, true }
 
-func (r *Roll) news() (out []Node) {
+func (r *Table) news() (out []Node) {
 	var list []*item
 	for _, it := range r.items {
 		if it.tell > 0 {
@@ -225,7 +225,7 @@
 }
 
 // Tick lets time pass.
-func (r *Roll) Tick(now time.Duration) {
+func (r *Table) Tick(now time.Duration) {
 	if now < r.next {
 		return
 	}
@@ -279,7 +279,7 @@
 // WatchSet names the nodes that this one watches: those of highest weight
 // among the ones that are not known to be gone, and any suspect among the
 // last set, so that it may clear itself.
-func (r *Roll) WatchSet() []string {
+func (r *Table) WatchSet() []string {
 	var live []string
 	for a, it := range r.items {
 		if it != r.self && it.node.State <= Suspect {
@@ -290,7 +290,7 @@
 }
 
 // Handle takes a message.
-func (r *Roll) Handle(now time.Duration, from string, m Message) {
+func (r *Table) Handle(now time.Duration, from string, m Message) {
 	if m.From != nil {
 		r.joined = true
 		old, known := r.items[from]
@@ -358,7 +358,7 @@
 }
 
 // learn takes over news of a node if they supersede what is known.
-func (r *Roll) learn(now time.Duration, n Node) {
+func (r *Table) learn(now time.Duration, n Node) {
 	if n.Address == r.cfg.Self.Address {
 		me := &r.self.node
 		if n.Incarnation > me.Incarnation || n.Incarnation == me.Incarnation && (n.State > me.State || n.Front != me.Front) {
@@ -388,7 +388,7 @@
 }
 
 // Open tells that this node serves clients at a port.
-func (r *Roll) Open(now time.Duration, port uint16) {
+func (r *Table) Open(now time.Duration, port uint16) {
 	me := &r.self.node
 	if me.Front == port {
 		return
@@ -400,7 +400,7 @@
 }
 
 // Leave tells the watch set that this node goes, or that it is draining.
-func (r *Roll) Leave(now time.Duration, gone bool) {
+func (r *Table) Leave(now time.Duration, gone bool) {
 	me := &r.self.node
 	me.Incarnation++
 	me.Draining = true
--- a/internal/proxy/callers_test.go
+++ b/internal/proxy/callers_test.go
@@ -657,7 +657,7 @@
 			break
 		}
 	}
-	r.floor.Do(func(time.Duration, *upstream.Stock) { runtime.Goexit() }) // the floor's own goroutine
+	r.floor.Do(func(time.Duration, *upstream.Balancer) { runtime.Goexit() }) // the floor's own goroutine
 }
 
 // What clients and upstreams may do to each other, drawn: no request that may run once
--- a/internal/proxy/dialing_test.go
+++ b/internal/proxy/dialing_test.go
@@ -29,7 +29,7 @@
 	} {
 		t.Run(fmt.Sprint(c.aim, c.fast), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				floor := NewFloor(upstream.NewStock(upstream.Config{Self: "d", Zone: "z", RetryRatio: 1, RetrySlack: 60, Window: 10 * time.Second,
+				floor := NewFloor(upstream.NewBalancer(upstream.Config{Self: "d", Zone: "z", RetryRatio: 1, RetrySlack: 60, Window: 10 * time.Second,
 					Eject: patience, EjectMax: 4 * patience}), patience, patience/6)
 				dials := 0
 				floor.connect = func(_ string, limit time.Duration) (net.Conn, error) {
@@ -47,7 +47,7 @@
 	 "domains":[{"authority":"h.example","hostRoutes":[{"name":"g","pathPrefix":"/get/","routeKind":"idempotent",
 	 "deadlineS":%g,"targetLatencyS":%g,"target":"a","maxTries":2,"generation":1}]}]}}`, 4*c.aim.Seconds(), c.aim.Seconds())))
 				go floor.Run()
-				floor.Do(func(now time.Duration, s *upstream.Stock) {
+				floor.Do(func(now time.Duration, s *upstream.Balancer) {
 					s.SetServices(now, map[string]upstream.ServiceInfo{"a": {MaxConns: 50}}, nil)
 					var list []upstream.Instance
 					for i := range 10 {
--- a/internal/proxy/floor.go
+++ b/internal/proxy/floor.go
@@ -13,10 +13,10 @@
 	"madderwing/internal/upstream"
 )
 
-// Floor owns the stock of upstreams: all that is done to it goes through its
+// Floor owns the balancer of upstreams: all that is done to it goes through its
 // queue of commands.
 type Floor struct {
-	stock    *upstream.Stock
+	stock    *upstream.Balancer
 	start    time.Time // what durations here count from
 	commands chan func(now time.Duration)
 	patience time.Duration // until a silent peer is given up
@@ -25,13 +25,13 @@
 	closed   chan struct{}
 }
 
-// NewFloor makes the owner of a stock.
-func NewFloor(stock *upstream.Stock, patience, tick time.Duration) *Floor {
+// NewFloor makes the owner of a balancer.
+func NewFloor(stock *upstream.Balancer, patience, tick time.Duration) *Floor {
 	return NewFloorAt(time.Now(), stock, patience, tick)
 }
 
 // NewFloorAt makes one whose durations count from start.
-func NewFloorAt(start time.Time, stock *upstream.Stock, patience, tick time.Duration) *Floor {
+func NewFloorAt(start time.Time, stock *upstream.Balancer, patience, tick time.Duration) *Floor {
 	return &Floor{stock: stock, start: start, commands: make(chan func(time.Duration), 1024), patience: patience, tick: tick,
 		connect: connect, closed: make(chan struct{})}
 }
@@ -40,7 +40,7 @@
 func (f *Floor) Close() { close(f.closed) }
 
 // Do hands a command to the floor.
-func (f *Floor) Do(fn func(now time.Duration, s *upstream.Stock)) {
+func (f *Floor) Do(fn func(now time.Duration, s *upstream.Balancer)) {
 	f.commands <- func(now time.Duration) { fn(now, f.stock) }
 }
 
@@ -80,7 +80,7 @@
 // try opens a connection to an upstream that had failed.
 func (f *Floor) try(u *upstream.Upstream, address string) {
 	conn, _ := f.dial(address, f.patience)
-	f.Do(func(now time.Duration, s *upstream.Stock) {
+	f.Do(func(now time.Duration, s *upstream.Balancer) {
 		if conn != nil {
 			conn.Expires = now + 10*f.patience
 		}
@@ -104,7 +104,7 @@
 		}
 		conn.Close()
 	}
-	f.Do(func(now time.Duration, s *upstream.Stock) { s.Probed(now, p.Upstream, left, ok) })
+	f.Do(func(now time.Duration, s *upstream.Balancer) { s.Probed(now, p.Upstream, left, ok) })
 }
 
 // warmupLeft is how much longer an upstream says that it stays cold: nothing, if it does
@@ -144,10 +144,10 @@
 
 // claim asks for an upstream and waits for it, but no longer than patience, nor
 // when the client has gone.
-func (f *Floor) claim(c *upstream.Claim, patience time.Duration, gone <-chan struct{}) upstream.Grant {
-	got := make(chan upstream.Grant, 1)
-	c.Give = func(g upstream.Grant) { got <- g }
-	f.Do(func(now time.Duration, s *upstream.Stock) { s.Claim(now, c) })
+func (f *Floor) claim(c *upstream.AcquireRequest, patience time.Duration, gone <-chan struct{}) upstream.SlotLease {
+	got := make(chan upstream.SlotLease, 1)
+	c.Give = func(g upstream.SlotLease) { got <- g }
+	f.Do(func(now time.Duration, s *upstream.Balancer) { s.Acquire(now, c) })
 	timer := time.NewTimer(max(0, patience))
 	defer timer.Stop()
 	select {
@@ -156,23 +156,23 @@
 	case <-timer.C:
 	case <-gone:
 	}
-	f.Do(func(_ time.Duration, s *upstream.Stock) { s.Withdraw(c) })
+	f.Do(func(_ time.Duration, s *upstream.Balancer) { s.Withdraw(c) })
 	return <-got
 }
 
 // untouched returns an upstream that was not sent anything.
-func (f *Floor) untouched(g upstream.Grant) {
-	f.Do(func(now time.Duration, s *upstream.Stock) { s.Release(now, g, g.Conn, upstream.Unused) })
+func (f *Floor) untouched(g upstream.SlotLease) {
+	f.Do(func(now time.Duration, s *upstream.Balancer) { s.Release(now, g, g.Conn, upstream.Unused) })
 }
 
 // release returns an upstream; ask waits for word on whether it stands out by bad
 // answers.
-func (f *Floor) release(g upstream.Grant, conn *upstream.Conn, idle time.Duration, how upstream.Outcome, told upstream.Told, ask bool) (odd bool) {
+func (f *Floor) release(g upstream.SlotLease, conn *upstream.Conn, idle time.Duration, how upstream.Outcome, told upstream.Told, ask bool) (odd bool) {
 	var said chan bool
 	if ask {
 		said = make(chan bool, 1)
 	}
-	f.Do(func(now time.Duration, s *upstream.Stock) {
+	f.Do(func(now time.Duration, s *upstream.Balancer) {
 		if conn != nil {
 			conn.Expires = now + idle
 		}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -82,7 +82,7 @@
 func (f *Front) Drain() {
 	f.drain.Store(true)
 	f.Link.Leave(f.now())
-	f.floor.Do(func(_ time.Duration, s *upstream.Stock) { s.Leave() })
+	f.floor.Do(func(_ time.Duration, s *upstream.Balancer) { s.Leave() })
 }
 
 // lastOne has a connection closed after the answer that is about to be given, if this
@@ -257,7 +257,7 @@
 // has no time left.
 func (f *Front) admit(next Handler) Handler {
 	return func(x *Exchange) error {
-		f.floor.Do(func(_ time.Duration, s *upstream.Stock) { s.Request(x.service) })
+		f.floor.Do(func(_ time.Duration, s *upstream.Balancer) { s.Request(x.service) })
 		if x.hasBody {
 			held := make([]byte, 0, max(0, min(x.r.ContentLength, bodyHeld))+512)
 			buf, err := readUpTo(held, x.body, bodyHeld)
@@ -322,7 +322,7 @@
 func (f *Front) balance(x *Exchange) error {
 	err := f.try(x)
 	if err != nil && x.poor != nil {
-		f.pass(x, upstream.Grant{}, *x.poor)
+		f.pass(x, upstream.SlotLease{}, *x.poor)
 		return nil
 	}
 	return err
@@ -341,10 +341,10 @@
 		if dialled > 0 {
 			patience /= 2
 		}
-		claim := &upstream.Claim{Service: x.service, Version: arm.Version(), Priority: x.priority(), Avoid: avoid, Retry: sent > 0,
+		claim := &upstream.AcquireRequest{Service: x.service, Version: arm.Version(), Priority: x.priority(), Avoid: avoid, Retry: sent > 0,
 			Regions: x.regions, Bound: x.bound, Aim: x.aim}
 		if x.route.Repeatable() && x.begun == nil && sent+1 < tries { // or else its wait is not to be cut short
-			claim.Hold = &upstream.Hold{}
+			claim.Hold = &upstream.WaitHandle{}
 		}
 		g := f.floor.claim(claim, patience, x.r.Context().Done())
 		if g.Refused != upstream.Granted {
@@ -463,7 +463,7 @@
 // judge passes an answer on, or says what became of the request and whether
 // another upstream may be asked. An error of a candidate's own is no last word: the
 // prior version may do better.
-func (f *Front) judge(x *Exchange, g upstream.Grant, res result, arm *rollout.Sample) (again bool, err error) {
+func (f *Front) judge(x *Exchange, g upstream.SlotLease, res result, arm *rollout.Sample) (again bool, err error) {
 	defer arm.End(rollout.Unscored) // only now has all of the answer left the upstream
 	repeatable := x.route.Repeatable()
 	if res.broke != nil {
@@ -548,7 +548,7 @@
 
 // pass hands an answer to the client. An answer that is cut short ends the
 // client's connection, so that it does not look complete.
-func (f *Front) pass(x *Exchange, g upstream.Grant, res result) {
+func (f *Front) pass(x *Exchange, g upstream.SlotLease, res result) {
 	r := res.response
 	h := x.w.Header()
 	named := connectionNamed(r.Header)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -125,7 +125,7 @@
 
 func newRigOf(t *testing.T, cfg upstream.Config, tick time.Duration, ups ...*server) *rig {
 	t.Helper()
-	stock := upstream.NewStock(cfg)
+	stock := upstream.NewBalancer(cfg)
 	floor := NewFloor(stock, 5*time.Second, tick)
 	front := NewFront(floor, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }))
 	body := `{"upsert":{"services":[{"name":"a","generation":1,"maxConns":50}],
@@ -137,7 +137,7 @@
 	 {"name":"s","pathPrefix":"/short/","routeKind":"mutating","deadlineS":0.05,"targetLatencyS":0.05,"target":"a","maxTries":2,"generation":1}]}]}}`
 	front.SetTable(tableOf(t, body))
 	go floor.Run()
-	floor.Do(func(now time.Duration, s *upstream.Stock) {
+	floor.Do(func(now time.Duration, s *upstream.Balancer) {
 		s.SetServices(now, map[string]upstream.ServiceInfo{"a": {MaxConns: 50}}, nil)
 	})
 	r := &rig{front: front, floor: floor}
@@ -158,7 +158,7 @@
 	for _, u := range ups {
 		list = append(list, upstream.Instance{ID: u.id, Service: "a", Address: u.l.Addr().String(), Zone: "z", Capacity: 4})
 	}
-	r.floor.Do(func(now time.Duration, s *upstream.Stock) { s.SetList(now, list) })
+	r.floor.Do(func(now time.Duration, s *upstream.Balancer) { s.SetList(now, list) })
 }
 
 // say sends bytes on a new connection and reads the answer to a request of the
@@ -259,7 +259,7 @@
 	if res, _, err := r.say(t, "GET", get("/put/1")); err != nil || res.StatusCode != 200 {
 		t.Fatal(err, res)
 	}
-	r.floor.Do(func(now time.Duration, s *upstream.Stock) {
+	r.floor.Do(func(now time.Duration, s *upstream.Balancer) {
 		s.SetList(now, []upstream.Instance{
 			{ID: "u", Service: "a", Address: u.l.Addr().String(), Zone: "z", Capacity: 4},
 			{ID: "v", Service: "a", Address: other.l.Addr().String(), Zone: "far", Capacity: 4}})
@@ -659,8 +659,8 @@
 // A node that knows no list yet, or no items, sends clients back no sooner than it will.
 func TestANodeThatStartsSendsClientsBackLater(t *testing.T) {
 	r := newRig(t)
-	listed := upstream.NewStock(upstream.Config{Self: "d", Zone: "z"})
-	bare := NewFloor(upstream.NewStock(upstream.Config{Self: "d", Zone: "z"}), 5*time.Second, time.Hour)
+	listed := upstream.NewBalancer(upstream.Config{Self: "d", Zone: "z"})
+	bare := NewFloor(upstream.NewBalancer(upstream.Config{Self: "d", Zone: "z"}), 5*time.Second, time.Hour)
 	none := NewFloor(listed, 5*time.Second, time.Hour)
 	listed.SetList(0, nil)
 	go bare.Run()
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -83,7 +83,7 @@
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // send writes the request to an upstream and reads its answer.
-func (f *Front) send(x *Exchange, g upstream.Grant) (res result) {
+func (f *Front) send(x *Exchange, g upstream.SlotLease) (res result) {
 	conn := g.Conn
 	if conn != nil && (x.attempt == "" || g.Upstream.Nameless.Load() || !quiet(conn)) {
 		conn.Close()
@@ -166,7 +166,7 @@
 		return res
 	}
 	if !res.whole {
-		f.floor.Do(func(now time.Duration, s *upstream.Stock) { s.Answering(now, g) })
+		f.floor.Do(func(now time.Duration, s *upstream.Balancer) { s.Answering(now, g) })
 	}
 	select {
 	case err := <-sent:
@@ -180,7 +180,7 @@
 }
 
 // finish gives the connection back, or closes it if it cannot serve again.
-func (f *Front) finish(g upstream.Grant, res result, how upstream.Outcome) (odd bool) {
+func (f *Front) finish(g upstream.SlotLease, res result, how upstream.Outcome) (odd bool) {
 	conn := res.conn
 	keep := conn != nil && res.broke == nil && res.response != nil && !res.response.Close && res.whole
 	var idle time.Duration
--- a/internal/quota/lender.go
+++ b/internal/quota/allocator.go
@@ -5,20 +5,20 @@
 	"time"
 )
 
-// LenderConfig holds the figures that a lender works by.
-type LenderConfig struct {
+// AllocatorConfig holds the figures that an allocator works by.
+type AllocatorConfig struct {
 	Overshoot float64       // quotaOvershoot
 	Slack     float64       // quotaSlack
 	Window    time.Duration // quotaWindowS
-	Life      time.Duration // of a share, counted from when the lender's word was sure
-	Sure      time.Duration // how old that may be when a lender gives anything
+	Life      time.Duration // of a share, counted from when the allocator's word was sure
+	Sure      time.Duration // how old that may be when an allocator gives anything
 	// Branches names all that may borrow.
 	Branches func() []string
 }
 
 const (
 	use      = 0.25 // of overshoot and slack, at any time
-	useFirst = 0.4  // of them, once, by a lender that follows another
+	useFirst = 0.4  // of them, once, by an allocator that follows another
 	// The rest is for requests on their way.
 
 	steady    = 0.4 // requests a second from which on a branch gets a share
@@ -54,12 +54,12 @@
 	at                time.Duration
 }
 
-// Lender hands out shares of all tenants' quotas to the branches. It does so only
+// Allocator hands out shares of all tenants' quotas to the branches. It does so only
 // while it owns the catalogue. One that follows another learns from the branches
 // what they have and goes on from there; for each that is silent it keeps back the
 // most that it can have, until that has lapsed.
-type Lender struct {
-	cfg       LenderConfig
+type Allocator struct {
+	cfg       AllocatorConfig
 	term      Term
 	lending   bool
 	heard     map[string]bool // branches that have told this lender what they have
@@ -72,12 +72,12 @@
 	Refused   uint64
 }
 
-// NewLender makes a lender that does not lend.
-func NewLender(cfg LenderConfig) *Lender { return &Lender{cfg: cfg} }
+// NewAllocator makes an allocator that does not lend.
+func NewAllocator(cfg AllocatorConfig) *Allocator { return &Allocator{cfg: cfg} }
 
 // Begin begins a tenure. heir says that there may have been another lender, and
 // free that its word was sure until then at the latest.
-func (l *Lender) Begin(now time.Duration, term Term, free time.Duration, heir bool) {
+func (l *Allocator) Begin(now time.Duration, term Term, free time.Duration, heir bool) {
 	if l.term == term && l.borrowers != nil {
 		l.lending = true // it was unsure for a while; nobody else can have lent since
 		return
@@ -90,11 +90,11 @@
 }
 
 // End ends the tenure.
-func (l *Lender) End() { l.lending = false }
+func (l *Allocator) End() { l.lending = false }
 
 // Silent names the branches that have not told this lender what they have, while
 // that matters.
-func (l *Lender) Silent() (out []string) {
+func (l *Allocator) Silent() (out []string) {
 	if !l.lending || l.openFrom == l.began {
 		return nil
 	}
@@ -107,16 +107,16 @@
 }
 
 // Lending says whether this lender lends, and under which term.
-func (l *Lender) Lending() (Term, bool) { return l.term, l.lending }
+func (l *Allocator) Lending() (Term, bool) { return l.term, l.lending }
 
-func (l *Lender) whole(q Quota) Share {
+func (l *Allocator) whole(q Quota) Share {
 	return Share{Rate: q.Rate * (1 + use*l.cfg.Overshoot), Cap: q.Burst*(1+use*l.cfg.Overshoot) + use*l.cfg.Slack}
 }
 
 // free says that no other lender can be giving anything: all branches, each of
-// which may have been the lender, follow this one, or what made another sure of
+// which may have been the allocator, follow this one, or what made another sure of
 // itself is too old.
-func (l *Lender) free(now time.Duration) bool {
+func (l *Allocator) free(now time.Duration) bool {
 	if now >= l.askFrom {
 		return true
 	}
@@ -130,7 +130,7 @@
 
 // unheard is the part of every quota that branches may have which have not yet
 // told this lender what they have.
-func (l *Lender) unheard(now time.Duration) float64 {
+func (l *Allocator) unheard(now time.Duration) float64 {
 	if now >= l.openFrom {
 		return 0
 	}
@@ -144,13 +144,13 @@
 }
 
 // ceiling is what may be out at most, beside what silent branches may have.
-func (l *Lender) ceiling(now time.Duration, a *account) Share {
+func (l *Allocator) ceiling(now time.Duration, a *account) Share {
 	w := l.whole(a.quota)
 	part := 1 - l.unheard(now)
 	return Share{Rate: w.Rate * part, Cap: w.Cap * part}
 }
 
-func (l *Lender) account(now time.Duration, tenant string, q Quota) *account {
+func (l *Allocator) account(now time.Duration, tenant string, q Quota) *account {
 	a := l.accounts[tenant]
 	if a == nil {
 		a = &account{quota: q, at: now}
@@ -166,7 +166,7 @@
 }
 
 // refill fills the bucket from which those are served who ask at once.
-func (l *Lender) refill(now time.Duration, a *account) {
+func (l *Allocator) refill(now time.Duration, a *account) {
 	top := l.ceiling(now, a)
 	if now > a.at {
 		if l.free(now) {
@@ -192,7 +192,7 @@
 }
 
 // forget ends what a gateway has.
-func (l *Lender) forget(now time.Duration, id string) {
+func (l *Allocator) forget(now time.Duration, id string) {
 	for t, h := range l.borrowers[id].shares {
 		if a := l.accounts[t]; a != nil {
 			l.refill(now, a)
@@ -203,7 +203,7 @@
 }
 
 // Tick lets shares lapse.
-func (l *Lender) Tick(now time.Duration) {
+func (l *Allocator) Tick(now time.Duration) {
 	for id, b := range l.borrowers {
 		if now >= b.until {
 			l.forget(now, id)
@@ -213,11 +213,11 @@
 
 // Report takes a gateway's report and answers it. sure is when it was last certain
 // that there was no other lender. quotas gives the tenants' limits.
-func (l *Lender) Report(now, sure time.Duration, from string, r Report, quotas map[string]Quota) (Loan, bool) {
+func (l *Allocator) Report(now, sure time.Duration, from string, r Report, quotas map[string]Quota) (Allocation, bool) {
 	l.Tick(now)
 	life := l.cfg.Life - (now - sure)
 	if !l.lending || life <= 0 {
-		return Loan{}, false
+		return Allocation{}, false
 	}
 	b := l.borrowers[from]
 	if b != nil && b.life != r.Life {
@@ -225,11 +225,11 @@
 		b = nil
 	}
 	if b != nil && r.Seq <= b.seq {
-		return Loan{}, false
+		return Allocation{}, false
 	}
 	if b == nil {
 		if !r.Whole {
-			return Loan{}, false
+			return Allocation{}, false
 		}
 		b = &borrower{life: r.Life, shares: map[string]*held{}}
 		l.borrowers[from] = b
@@ -237,7 +237,7 @@
 	}
 	b.seq, b.until = r.Seq, now+l.cfg.Life
 	named := map[string]bool{}
-	out := Loan{Term: l.term, Seq: r.Seq, Life: life}
+	out := Allocation{Term: l.term, Seq: r.Seq, Life: life}
 	for _, s := range r.Shares {
 		q := quotas[s.Tenant]
 		if q.Rate <= 0 || named[s.Tenant] {
@@ -290,7 +290,7 @@
 }
 
 // offer works out a gateway's share, given what the others have.
-func (l *Lender) offer(now time.Duration, a *account, s Share) Share {
+func (l *Allocator) offer(now time.Duration, a *account, s Share) Share {
 	top := l.ceiling(now, a)
 	demand := a.demand + s.Demand + a.asked
 	if s.Demand < steady || top.Rate <= 0 {
@@ -313,8 +313,8 @@
 	return Share{Rate: math.Floor(rate*100) / 100, Cap: math.Floor(cap*100) / 100}
 }
 
-// LoanState is what is lent of one tenant's quota, as status shows it.
-type LoanState struct {
+// AllocationState is what is lent of one tenant's quota, as status shows it.
+type AllocationState struct {
 	Tenant   string  `json:"tenant"`
 	Rate     float64 `json:"ratePerS"`
 	Burst    float64 `json:"burst"`
@@ -324,8 +324,8 @@
 }
 
 // States shows what is lent of a tenant's quota.
-func (l *Lender) State(tenant string, q Quota) LoanState {
-	s := LoanState{Tenant: tenant, Rate: q.Rate, Burst: q.Burst}
+func (l *Allocator) State(tenant string, q Quota) AllocationState {
+	s := AllocationState{Tenant: tenant, Rate: q.Rate, Burst: q.Burst}
 	if a := l.accounts[tenant]; a != nil && l.lending {
 		s.Lent, s.Demand = math.Round(a.rate*100)/100, math.Round(a.demand*100)/100
 		for _, b := range l.borrowers {
--- a/internal/quota/purse.go
+++ b/internal/quota/local_quota.go
@@ -17,7 +17,7 @@
 )
 
 // Term names one lender: the epoch under which it owns the catalogue. It is that
-// very type, since branches must order lenders as the owners order themselves.
+// very type, since branches must order allocators as the owners order themselves.
 type Term = replication.Epoch
 
 // Share is what a branch has or gets of one tenant's quota.
@@ -26,10 +26,10 @@
 	Rate   float64 `cbor:"2,keyasint,omitempty"` // requests a second
 	Cap    float64 `cbor:"3,keyasint,omitempty"` // requests at once
 	Demand float64 `cbor:"4,keyasint,omitempty"` // in a report: requests a second that came
-	Tokens int     `cbor:"5,keyasint,omitempty"` // in a report: wanted now; in a loan: given now
+	Tokens int     `cbor:"5,keyasint,omitempty"` // in a report: wanted now; in an allocation: given now
 }
 
-// Report is what a branch tells the lender.
+// Report is what a branch tells the allocator.
 type Report struct {
 	Life   uint64  `cbor:"1,keyasint"` // of the branch's process
 	Seq    uint64  `cbor:"2,keyasint"`
@@ -37,8 +37,8 @@
 	Shares []Share `cbor:"4,keyasint,omitempty"`
 }
 
-// Loan answers a report.
-type Loan struct {
+// Allocation answers a report.
+type Allocation struct {
 	Term   Term          `cbor:"1,keyasint"`
 	Seq    uint64        `cbor:"2,keyasint"`
 	Life   time.Duration `cbor:"3,keyasint"` // counted from when the report was made
@@ -53,7 +53,7 @@
 
 // The grants.
 const (
-	Unknown Grant = iota // the limit is not known here, or the lender is silent: another may tell
+	Unknown Grant = iota // the limit is not known here, or the allocator is silent: another may tell
 	Granted
 	Over // the quota is used up
 )
@@ -68,10 +68,10 @@
 	idle            int
 }
 
-// Purse is a branch's part of the quotas. NewPurse makes one.
-type Purse struct {
+// LocalQuota is a branch's part of the quotas. NewPurse makes one.
+type LocalQuota struct {
 	Life     uint64
-	Patience time.Duration // how long a request waits for the lender
+	Patience time.Duration // how long a request waits for the allocator
 	term     Term
 	until    time.Duration // when the shares lapse
 	seq      uint64
@@ -82,16 +82,16 @@
 	limits   map[string]Quota
 }
 
-// NewPurse makes the purse of one life of a branch. The numbers of its reports go on
-// from lastSeq, which is to be drawn at random for each life: a loan names its report by
+// NewLocalQuota makes the local quota of one life of a branch. The numbers of its reports go on
+// from lastSeq, which is to be drawn at random for each life: an allocation names its report by
 // number only, so one for a former life would else be taken for this one's.
-func NewPurse(life, lastSeq uint64, patience time.Duration) *Purse {
+func NewLocalQuota(life, lastSeq uint64, patience time.Duration) *LocalQuota {
 	const room = 1 << 32 // for the reports of one life
-	return &Purse{Life: life, Patience: patience, seq: min(lastSeq, math.MaxUint64-room)}
+	return &LocalQuota{Life: life, Patience: patience, seq: min(lastSeq, math.MaxUint64-room)}
 }
 
 // SetLimits takes the limits of all tenants; a rate of 0 is none.
-func (p *Purse) SetLimits(limits map[string]Quota) {
+func (p *LocalQuota) SetLimits(limits map[string]Quota) {
 	p.limits = limits
 	for name, b := range p.buckets {
 		if q, ok := limits[name]; !ok || q.Rate == 0 {
@@ -109,7 +109,7 @@
 	return Unknown
 }
 
-func (p *Purse) bucket(name string) *bucket {
+func (p *LocalQuota) bucket(name string) *bucket {
 	b := p.buckets[name]
 	if b == nil {
 		if p.buckets == nil {
@@ -138,7 +138,7 @@
 	b.waiting = nil
 }
 
-func (p *Purse) lapse(now time.Duration) {
+func (p *LocalQuota) lapse(now time.Duration) {
 	if p.until > 0 && now >= p.until {
 		p.until = 0
 		for _, b := range p.buckets {
@@ -148,20 +148,20 @@
 }
 
 // Unlimited says whether a tenant is known here to have no limit.
-func (p *Purse) Unlimited(tenant string) bool {
+func (p *LocalQuota) Unlimited(tenant string) bool {
 	q, ok := p.limits[tenant]
 	return ok && q.Rate == 0
 }
 
-// Heeds says whether a branch at self answers a lender's call with all that it has.
-// A lender's call to itself is none: taking it for another's would end its tenure,
+// Heeds says whether a branch at self answers an allocator's call with all that it has.
+// An allocator's call to itself is none: taking it for another's would end its tenure,
 // and with it all that it knows of what is lent.
-func (p *Purse) Heeds(self, from string, t Term) bool { return from != self && !t.Less(p.term) }
+func (p *LocalQuota) Heeds(self, from string, t Term) bool { return from != self && !t.Less(p.term) }
 
 // Take takes one request's worth of a tenant's quota. give is called with the
-// outcome, at once or when the lender has answered; ask says that the lender is
+// outcome, at once or when the allocator has answered; ask says that the allocator is
 // to be asked now.
-func (p *Purse) Take(now time.Duration, tenant string, give func(Grant)) (ask bool) {
+func (p *LocalQuota) Take(now time.Duration, tenant string, give func(Grant)) (ask bool) {
 	if q, ok := p.limits[tenant]; !ok || q.Rate == 0 {
 		give(known(ok)) // of a tenant that is not known here the limit is not either
 		return false
@@ -179,9 +179,9 @@
 	return !p.Awaits(now)
 }
 
-// Expire ends the wait of whoever has waited too long for the lender. That is no word on
+// Expire ends the wait of whoever has waited too long for the allocator. That is no word on
 // the quota.
-func (p *Purse) Expire(now time.Duration) {
+func (p *LocalQuota) Expire(now time.Duration) {
 	if now-p.asked <= p.Patience {
 		return
 	}
@@ -197,7 +197,7 @@
 
 // Report says what the branch has and needs. whole makes it name everything;
 // otherwise it names those whom requests wait for.
-func (p *Purse) Report(now time.Duration, whole bool) Report {
+func (p *LocalQuota) Report(now time.Duration, whole bool) Report {
 	p.lapse(now)
 	p.seq++
 	p.asked, p.waits = now, true
@@ -241,9 +241,9 @@
 	return r
 }
 
-// Take over what the lender has answered; only the answer to the last report
-// counts, and none of a lender that has been replaced.
-func (p *Purse) Lent(now time.Duration, l Loan) {
+// Take over what the allocator has answered; only the answer to the last report
+// counts, and none of an allocator that has been replaced.
+func (p *LocalQuota) Lent(now time.Duration, l Allocation) {
 	if l.Seq != p.seq || !p.waits || l.Term.Less(p.term) {
 		return
 	}
@@ -278,11 +278,11 @@
 	}
 }
 
-// Awaits says whether the lender's answer is still awaited.
-func (p *Purse) Awaits(now time.Duration) bool { return p.waits && now-p.asked <= p.Patience }
+// Awaits says whether the allocator's answer is still awaited.
+func (p *LocalQuota) Awaits(now time.Duration) bool { return p.waits && now-p.asked <= p.Patience }
 
 // Waiting says whether any request waits for a report to be made.
-func (p *Purse) Waiting() bool {
+func (p *LocalQuota) Waiting() bool {
 	for _, b := range p.buckets {
 		if len(b.waiting) > 0 {
 			return true
@@ -291,14 +291,14 @@
 	return false
 }
 
-// Draw asks a branch for one request's worth of a tenant's quota; Drawn answers.
-type Draw struct {
+// AcquireRequest asks a branch for one request's worth of a tenant's quota; Drawn answers.
+type AcquireRequest struct {
 	Seq    uint64 `cbor:"1,keyasint"`
 	Tenant string `cbor:"2,keyasint"`
 }
 
-// Drawn answers Draw. Away: the branch cannot tell; another may.
-type Drawn struct {
+// AcquireReply answers Draw. Away: the branch cannot tell; another may.
+type AcquireReply struct {
 	Seq  uint64 `cbor:"1,keyasint"`
 	OK   bool   `cbor:"2,keyasint,omitempty"`
 	Away bool   `cbor:"3,keyasint,omitempty"`
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -14,13 +14,13 @@
 
 var quotas = map[string]Quota{"small": {12, 12}, "large": {300, 300}, "open": {0, 0}}
 
-func config(branches ...string) LenderConfig {
-	return LenderConfig{Overshoot: 0.1, Slack: 20, Window: 5 * time.Second, Life: 4200 * ms, Sure: 2400 * ms,
+func config(branches ...string) AllocatorConfig {
+	return AllocatorConfig{Overshoot: 0.1, Slack: 20, Window: 5 * time.Second, Life: 4200 * ms, Sure: 2400 * ms,
 		Branches: func() []string { return branches }}
 }
 
-// world plays branches, lenders and a network that loses, delays and reorders,
-// with branches that freeze and restart and lenders that are replaced or cut off
+// world plays branches, allocators and a network that loses, delays and reorders,
+// with branches that freeze and restart and allocators that are replaced or cut off
 // while they still believe that they lend.
 type world struct {
 	rng    *rand.Rand
@@ -35,10 +35,10 @@
 
 type node struct {
 	id     string
-	purse  *Purse
-	lender *Lender
+	purse  *LocalQuota
+	lender *Allocator
 	lentBy int
-	sure   time.Duration // as a lender; 0: it is none
+	sure   time.Duration // as an allocator; 0: it is none
 	frozen time.Duration
 	whole  bool
 	at     time.Duration
@@ -57,7 +57,7 @@
 		ids = append(ids, fmt.Sprint("a", i))
 	}
 	for _, id := range ids {
-		x := &node{id: id, lender: NewLender(config(ids...)), lentBy: -1}
+		x := &node{id: id, lender: NewAllocator(config(ids...)), lentBy: -1}
 		w.start(x)
 		w.nodes = append(w.nodes, x)
 	}
@@ -65,7 +65,7 @@
 }
 
 func (w *world) start(x *node) {
-	x.purse = NewPurse(w.rng.Uint64()|1, w.rng.Uint64(), 300*ms)
+	x.purse = NewLocalQuota(w.rng.Uint64()|1, w.rng.Uint64(), 300*ms)
 	x.purse.SetLimits(quotas)
 	x.lender.End()
 	x.sure, x.lentBy, x.whole = 0, -1, true
@@ -104,7 +104,7 @@
 	})
 }
 
-// elect makes a node the lender; others go on believing in themselves for as long
+// elect makes a node the allocator; others go on believing in themselves for as long
 // as they were sure.
 func (w *world) elect(i int, n uint64) {
 	free := time.Duration(0)
@@ -155,7 +155,7 @@
 			if w.now >= x.at {
 				x.at, x.whole = w.now+time.Second, true
 				w.report(i)
-				for j := range w.nodes { // whoever has missed the call hears of the lender in the end
+				for j := range w.nodes { // whoever has missed the call hears of the allocator in the end
 					if l := leader; w.nodes[j].lentBy != l && w.nodes[l].sure > 0 {
 						t := Term{N: term, Owner: "a", Life: 1}
 						w.send(j, func(y *node) {
@@ -232,13 +232,13 @@
 }
 
 func TestOneGatewayOfManyIsServedAtOnce(t *testing.T) {
-	l := NewLender(config("a", "b"))
+	l := NewAllocator(config("a", "b"))
 	l.Begin(0, Term{N: 1, Owner: "a", Life: 1}, 0, false)
-	p := NewPurse(1, 0, 300*ms)
+	p := NewLocalQuota(1, 0, 300*ms)
 	p.SetLimits(quotas)
 	var got []Grant
 	if !p.Take(10*ms, "small", func(g Grant) { got = append(got, g) }) {
-		t.Fatal("the lender is not asked")
+		t.Fatal("the allocator is not asked")
 	}
 	loan, ok := l.Report(20*ms, 20*ms, "a", p.Report(10*ms, true), quotas)
 	if !ok {
@@ -251,7 +251,7 @@
 	if p.Take(31*ms, "ghost", func(g Grant) { got = append(got, g) }) || len(got) != 2 || got[1] != Unknown {
 		t.Errorf("a tenant whose limit is not known: %v", got)
 	}
-	// The lender falls silent: what is lent serves until it is used up, and then nobody
+	// The allocator falls silent: what is lent serves until it is used up, and then nobody
 	// here can say whether the tenant is over its quota.
 	drain := func(now time.Duration) {
 		for len(got) < 100 && !p.Waiting() {
@@ -266,16 +266,16 @@
 	// It answers that the quota is used up.
 	drain(500 * ms)
 	r := p.Report(510*ms, false)
-	p.Lent(520*ms, Loan{Term: Term{N: 1, Owner: "a", Life: 1}, Seq: r.Seq, Life: time.Second, Shares: []Share{{Tenant: "small"}}})
+	p.Lent(520*ms, Allocation{Term: Term{N: 1, Owner: "a", Life: 1}, Seq: r.Seq, Life: time.Second, Shares: []Share{{Tenant: "small"}}})
 	if got[len(got)-1] != Over {
 		t.Errorf("used up: %v", got)
 	}
 }
 
 func TestAnswersThatDoNotCount(t *testing.T) {
-	l := NewLender(config("a", "b", "c"))
+	l := NewAllocator(config("a", "b", "c"))
 	l.Begin(0, Term{N: 2, Owner: "a", Life: 1}, 0, false)
-	p := NewPurse(1, 0, 300*ms)
+	p := NewLocalQuota(1, 0, 300*ms)
 	p.SetLimits(quotas)
 	first, _ := l.Report(ms, ms, "a", p.Report(0, true), quotas)
 	second, _ := l.Report(2*ms, 2*ms, "a", p.Report(ms, true), quotas)
@@ -294,7 +294,7 @@
 		t.Error("a branch that has not said what it has is answered")
 	}
 	if _, ok := l.Report(10*time.Second, ms, "c", Report{Life: 7, Seq: 1, Whole: true}, quotas); ok {
-		t.Error("a lender that is not sure of itself answers")
+		t.Error("an allocator that is not sure of itself answers")
 	}
 }
 
@@ -311,15 +311,15 @@
 
 // Two owners may have the same number. If branches ordered them otherwise than the
 // owners do, a branch that had heard of the earlier one would refuse the later
-// one's loans for ever.
+// one's allocations for ever.
 func TestABranchFollowsTheLaterOfTwoOwnersWithOneNumber(t *testing.T) {
 	early, late := Term{N: 1, Owner: "a", Life: 9}, Term{N: 1, Owner: "b", Life: 3}
-	p := NewPurse(1, 0, 300*ms)
+	p := NewLocalQuota(1, 0, 300*ms)
 	p.SetLimits(quotas)
 	for i, term := range []Term{early, late, early} {
 		now := time.Duration(i) * time.Second
 		r := p.Report(now, true)
-		p.Lent(now+ms, Loan{Term: term, Seq: r.Seq, Life: time.Second})
+		p.Lent(now+ms, Allocation{Term: term, Seq: r.Seq, Life: time.Second})
 		if taken := !p.Awaits(now + ms); taken != (i < 2) {
 			t.Errorf("loan %d of %v: taken is %v", i, term, taken)
 		}
@@ -327,9 +327,9 @@
 }
 
 func TestCallsThatABranchHeeds(t *testing.T) {
-	p := NewPurse(1, 0, 300*ms)
+	p := NewLocalQuota(1, 0, 300*ms)
 	r := p.Report(0, true)
-	p.Lent(ms, Loan{Term: Term{N: 2, Owner: "b", Life: 1}, Seq: r.Seq, Life: time.Second})
+	p.Lent(ms, Allocation{Term: Term{N: 2, Owner: "b", Life: 1}, Seq: r.Seq, Life: time.Second})
 	for _, c := range []struct {
 		from string
 		term Term
@@ -348,29 +348,29 @@
 
 // A loan that comes late answers the report of that number of a former life, not this one's.
 func TestALoanForAFormerLifeIsNotTaken(t *testing.T) {
-	l := NewLender(config("a", "b"))
+	l := NewAllocator(config("a", "b"))
 	l.Begin(0, Term{N: 1, Owner: "a", Life: 1}, 0, false)
-	former, present := NewPurse(1, 77, 300*ms), NewPurse(2, 5, 300*ms)
+	former, present := NewLocalQuota(1, 77, 300*ms), NewLocalQuota(2, 5, 300*ms)
 	loan, ok := l.Report(ms, ms, "b", former.Report(0, true), quotas)
 	if !ok {
 		t.Fatal("no answer")
 	}
 	present.Report(2*ms, true)
 	if present.Lent(3*ms, loan); !present.Awaits(3 * ms) {
-		t.Error("the loan for the former life is taken")
+		t.Error("the allocation for the former life is taken")
 	}
-	highest := NewPurse(3, math.MaxUint64, 300*ms)
+	highest := NewLocalQuota(3, math.MaxUint64, 300*ms)
 	first, second := highest.Report(0, true), highest.Report(ms, true)
 	if second.Seq <= first.Seq {
 		t.Errorf("report %d follows %d", second.Seq, first.Seq)
 	}
 }
 
-// A lender that follows another moves shares to where requests come as soon as all branches
-// have said what they have. It used to leave them where its first loans had put them until
-// nothing of the lender before could be in use.
+// An allocator that follows another moves shares to where requests come as soon as all branches
+// have said what they have. It used to leave them where its first allocations had put them until
+// nothing of the allocator before could be in use.
 func TestANewLenderMovesSharesOnceAllAreHeard(t *testing.T) {
-	l := NewLender(config("a", "b", "c"))
+	l := NewAllocator(config("a", "b", "c"))
 	l.Begin(0, Term{N: 2, Owner: "a", Life: 1}, 0, true)
 	seq := map[string]uint64{}
 	have := map[string]Share{}
@@ -403,9 +403,9 @@
 	}
 }
 
-// A lender that was unsure of itself for a while still knows what is lent.
+// An allocator that was unsure of itself for a while still knows what is lent.
 func TestALenderThatWasUnsureKeepsItsBooks(t *testing.T) {
-	l := NewLender(config("a", "b"))
+	l := NewAllocator(config("a", "b"))
 	term := Term{N: 1, Owner: "a", Life: 1}
 	l.Begin(0, term, 0, false)
 	report := Report{Life: 1, Seq: 1, Whole: true, Shares: []Share{{Tenant: "large", Demand: 100}}}
--- a/internal/replication/catchup.go
+++ b/internal/replication/catchup.go
@@ -92,7 +92,7 @@
 }
 
 // mend brings a member that lags towards the owner's position.
-func (m *Member) mend(k *key, to, id string, base Position, theirs antientropy.Sums) {
+func (m *Replica) mend(k *key, to, id string, base Position, theirs antientropy.Sums) {
 	if s := k.sending[id]; s != nil && !base.Less(s.at) {
 		delete(k.sending, id) // it has the whole of it
 	} else if s != nil {
@@ -170,7 +170,7 @@
 	return sums
 }
 
-func (m *Member) sendSnapshotChunk(k *key, to string, s *sending) {
+func (m *Replica) sendSnapshotChunk(k *key, to string, s *sending) {
 	s.moved = m.now
 	m.send(to, Message{Body: &SnapshotChunk{Key: k.name, Epoch: k.mine, Roster: m.keys[RosterKey].at, At: s.at, Sums: s.sums,
 		Index: s.next, Count: len(s.chunks), Ranges: s.ranges, Records: s.chunks[s.next]}})
@@ -183,7 +183,7 @@
 	records []Record
 }
 
-func (m *Member) onSnapshotChunk(from string, c *SnapshotChunk) {
+func (m *Replica) onSnapshotChunk(from string, c *SnapshotChunk) {
 	k := m.key(c.Key)
 	if reply := m.refuses(k, c.Epoch, c.Roster); reply != nil {
 		m.send(from, Message{Body: reply})
@@ -224,7 +224,7 @@
 	m.reply(k, from, reply)
 }
 
-func (m *Member) onSnapshotAck(from, id string, c *SnapshotAck) {
+func (m *Replica) onSnapshotAck(from, id string, c *SnapshotAck) {
 	k := m.key(c.Key)
 	s := k.sending[id]
 	if k.role != owns || c.Epoch != k.mine || s == nil || s.at != c.At {
--- a/internal/replication/elections.go
+++ b/internal/replication/elections.go
@@ -13,7 +13,7 @@
 // takeOver tries to become the owner of a key. Unless a former owner hands it over,
 // a pre-vote comes first: a member that others do not need as owner, because it is cut
 // off one way or has only just come back, then raises no epoch.
-func (m *Member) takeOver(k *key, handed bool) {
+func (m *Replica) takeOver(k *key, handed bool) {
 	if !m.mayOwn() || m.leaving || k.role == owns || k.role == asks && !(k.preVote && handed) || m.now < k.notUntil && !handed {
 		return
 	}
@@ -29,7 +29,7 @@
 }
 
 // campaign asks for promises in earnest.
-func (m *Member) campaign(k *key) {
+func (m *Replica) campaign(k *key) {
 	k.preVote, k.since = false, m.now
 	k.promised = k.mine
 	mine := k.mine
@@ -44,7 +44,7 @@
 }
 
 // canvass asks all whose promise is not there yet; see Tick for how often.
-func (m *Member) canvass(k *key) {
+func (m *Replica) canvass(k *key) {
 	k.askedAt = m.now
 	for _, to := range m.seatedOthers() {
 		if k.promises[m.newest[to]] != nil {
@@ -56,12 +56,12 @@
 }
 
 // served says that a key has an owner, as far as this member can tell.
-func (m *Member) served(k *key) bool {
+func (m *Replica) served(k *key) bool {
 	near := m.cfg.Vacant * 3 / 4
 	return k.role == owns && m.now-k.agreed <= near || k.role != owns && k.owned && m.now-k.copied <= near
 }
 
-func (m *Member) onVoteRequest(from string, a *VoteRequest) {
+func (m *Replica) onVoteRequest(from string, a *VoteRequest) {
 	k := m.key(a.Key)
 	k.floor = max(k.floor, a.Epoch.N)
 	older := m.olderRoster(a.Roster)
@@ -95,7 +95,7 @@
 	}
 }
 
-func (m *Member) onVote(from, id string, p *Vote) {
+func (m *Replica) onVote(from, id string, p *Vote) {
 	k := m.key(p.Key)
 	had := m.keys[RosterKey].at
 	if p.Outdated != nil {
@@ -128,7 +128,7 @@
 
 // promised makes this member the owner once a majority has promised. Each of them
 // held nothing newer than this member does.
-func (m *Member) promised(k *key) {
+func (m *Replica) promised(k *key) {
 	if !m.quorum(false, func(id string) bool { return k.promises[id] != nil }) {
 		return
 	}
@@ -168,14 +168,14 @@
 }
 
 // stepDown follows a newer epoch.
-func (m *Member) stepDown(k *key, e Epoch) {
+func (m *Replica) stepDown(k *key, e Epoch) {
 	if k.promised.Less(e) {
 		k.promised = e
 	}
 	m.release(k, ErrNoQuorum)
 }
 
-func (m *Member) release(k *key, err error) {
+func (m *Replica) release(k *key, err error) {
 	if k.role != follows {
 		k.role, k.preVote = follows, false
 		k.promises, k.acks, k.sending = nil, nil, nil
@@ -192,10 +192,10 @@
 }
 
 // Heirs orders the addresses of the roster for a key: who takes it over first.
-func (m *Member) Heirs(name string) []string { return slices.Clone(m.heirs(m.key(name))) }
+func (m *Replica) Heirs(name string) []string { return slices.Clone(m.heirs(m.key(name))) }
 
 // heirs is Heirs for a key, worked out once for each roster.
-func (m *Member) heirs(k *key) []string {
+func (m *Replica) heirs(k *key) []string {
 	if s := m.seats(); k.heirsOf != s {
 		k.heirsOf, k.heirList = s, rendezvous.Order(k.name, m.Roster())
 	}
@@ -203,7 +203,7 @@
 }
 
 // rank is this member's place among the live heirs that are not the owner.
-func (m *Member) rank(k *key) int {
+func (m *Replica) rank(k *key) int {
 	n := 0
 	for _, id := range m.heirs(k) {
 		if id == m.cfg.Self {
@@ -217,13 +217,13 @@
 }
 
 // wiped says that the machine at a seat's address has come back with another disk.
-func (m *Member) wiped(address string) bool {
+func (m *Replica) wiped(address string) bool {
 	id, known := m.newest[address]
 	return known && id != address && !slices.Contains(m.seats().all(), id) && !slices.Contains(m.seats().all(), address)
 }
 
 // place is this member's place among all heirs.
-func (m *Member) place(name string) int {
+func (m *Replica) place(name string) int {
 	for i, id := range m.heirs(m.key(name)) {
 		if id == m.cfg.Self {
 			return i
@@ -232,7 +232,7 @@
 	return 0
 }
 
-func (m *Member) onProbe(from string) {
+func (m *Replica) onProbe(from string) {
 	if !m.mayOwn() || m.leaving {
 		return // whoever asks would wait for this member to take keys over
 	}
@@ -245,7 +245,7 @@
 	m.send(from, Message{Body: out})
 }
 
-func (m *Member) onProbeAck(from string, h *ProbeAck) {
+func (m *Replica) onProbeAck(from string, h *ProbeAck) {
 	m.hailed[from] = map[string]bool{}
 	for _, name := range h.Owned {
 		m.hailed[from][name] = true
@@ -254,7 +254,7 @@
 
 // ownerless says that a majority has answered a hail and knows no owner, and
 // that no heir before this member was among those who answered.
-func (m *Member) ownerless(name string) bool {
+func (m *Replica) ownerless(name string) bool {
 	for _, owned := range m.hailed {
 		if owned[name] {
 			return false
@@ -275,7 +275,7 @@
 }
 
 // yield names a successor for a key: an heir whose copy is up to date, if there is one.
-func (m *Member) yield(k *key) {
+func (m *Replica) yield(k *key) {
 	var heir string
 	for _, id := range m.Heirs(k.name) {
 		if id == m.cfg.Self || !m.cfg.Alive(id) {
@@ -297,7 +297,7 @@
 // handBack gives a key back to the heir that comes before this member, once
 // that has been at work, with a copy that is up to date, for a long calm time.
 // Keys that a failure has gathered at one member so spread out again.
-func (m *Member) handBack(k *key) {
+func (m *Replica) handBack(k *key) {
 	heir := m.heirs(k)[0]
 	at, _ := k.ackOf(heir)
 	calm := heir != m.cfg.Self && m.cfg.HandBack > 0 && m.cfg.Alive(heir) && k.commit == k.at && len(k.waiters)+len(k.queue) == 0 &&
@@ -326,7 +326,7 @@
 
 // Leave hands over all keys; the member takes none from then on. MayGo says when its
 // copies are needed no more.
-func (m *Member) Leave(now time.Duration) {
+func (m *Replica) Leave(now time.Duration) {
 	m.now = now
 	m.leaving = true
 	m.survey = nil
--- a/internal/replication/founding.go
+++ b/internal/replication/founding.go
@@ -5,14 +5,14 @@
 import "slices"
 
 // founding says that this member may take part in founding a system.
-func (m *Member) founding() bool {
+func (m *Replica) founding() bool {
 	return !m.founded && len(m.cfg.Seeds) > 0 && (m.cfg.Bootstrap && m.cfg.Empty || len(m.keys[RosterKey].Records) > 0)
 }
 
 // founders names the seeds that found, this member among them; empty if another one
 // proposes, or if it isn't known yet. The lowest seed with a disk proposes. If no seed
 // has one, the lowest appoints the first member that asks it.
-func (m *Member) founders() (out []string) {
+func (m *Replica) founders() (out []string) {
 	for _, seed := range m.cfg.Seeds {
 		if _, relay := m.relays[seed]; relay {
 			continue
@@ -28,7 +28,7 @@
 	return out
 }
 
-func (m *Member) tickFounding() {
+func (m *Replica) tickFounding() {
 	if !m.founding() || m.now < m.foundAt {
 		return
 	}
@@ -44,7 +44,7 @@
 }
 
 // found proposes the founding roster, once all who found are known to be there.
-func (m *Member) found(k *key) {
+func (m *Replica) found(k *key) {
 	by := m.founders()
 	if len(by) == 0 || len(k.Records) > 0 && (k.at.Epoch.N != 1 || k.at.Seq != 1 || k.at.Epoch.Owner != m.cfg.Self) {
 		return
@@ -72,7 +72,7 @@
 	}
 }
 
-func (m *Member) onFound(from string, f *Found) {
+func (m *Replica) onFound(from string, f *Found) {
 	k := m.keys[RosterKey]
 	switch {
 	case len(f.Records) == 0:
@@ -94,7 +94,7 @@
 	m.settled(func() { m.send(from, Message{Body: &Founded{At: f.At}}) })
 }
 
-func (m *Member) onFounded(from, id string, f *Founded) {
+func (m *Replica) onFounded(from, id string, f *Founded) {
 	switch {
 	case !m.founding():
 	case f.Relay:
@@ -111,7 +111,7 @@
 	}
 }
 
-func (m *Member) foundDone() {
+func (m *Replica) foundDone() {
 	if m.founded {
 		return
 	}
--- a/internal/replication/heartbeat.go
+++ b/internal/replication/heartbeat.go
@@ -143,7 +143,7 @@
 }
 
 // meet notes which process speaks at an address, and of which protocol.
-func (m *Member) meet(from, id string, msg Message) {
+func (m *Replica) meet(from, id string, msg Message) {
 	p := m.peers[from]
 	if p == nil || p.id != id || p.life != msg.Life {
 		p = &peer{id: id, life: msg.Life}
@@ -155,7 +155,7 @@
 
 // noteMark notes a member's clock, to be echoed with the next heartbeat. A new process
 // need not wait for the next beat.
-func (m *Member) noteMark(from, id string, at time.Duration) {
+func (m *Replica) noteMark(from, id string, at time.Duration) {
 	had, ok := m.marks[id]
 	m.marks[id] = mark{m.lives[id], at, m.now}
 	if !ok || had.life != m.lives[id] {
@@ -164,18 +164,18 @@
 }
 
 // confirm starts a round in which a quorum has to confirm the epoch, and returns it.
-func (m *Member) confirm(k *key) (round uint64) {
+func (m *Replica) confirm(k *key) (round uint64) {
 	m.beats.dueKeys[k.name] = dueConfirm
 	return m.beats.round + 1
 }
 
 // notice tells the others soon where the key stands.
-func (m *Member) notice(k *key) {
+func (m *Replica) notice(k *key) {
 	m.beats.dueKeys[k.name] = max(m.beats.dueKeys[k.name], dueNotice)
 }
 
 // owned lists the keys that this member owns, by name.
-func (m *Member) owned() (out []*key) {
+func (m *Replica) owned() (out []*key) {
 	for _, name := range m.names {
 		if k := m.keys[name]; k.role == owns {
 			out = append(out, k)
@@ -186,7 +186,7 @@
 
 // flushHeartbeats sends the heartbeats that are due. It runs when all that the driver had
 // for this member is done, so that many keys share one.
-func (m *Member) flushHeartbeats() {
+func (m *Replica) flushHeartbeats() {
 	b := &m.beats
 	if !b.dueAll && len(b.dueTo) == 0 && len(b.dueKeys) == 0 {
 		return
@@ -230,7 +230,7 @@
 }
 
 // beginRound begins a round and forgets those that are of no use any more.
-func (m *Member) beginRound(keys []*key) uint64 {
+func (m *Replica) beginRound(keys []*key) uint64 {
 	b := &m.beats
 	b.round++
 	s := sentRound{at: m.now}
@@ -245,7 +245,7 @@
 }
 
 // status is how this member stands with a key that it owns.
-func (m *Member) status(k *key) KeyStatus {
+func (m *Replica) status(k *key) KeyStatus {
 	s := KeyStatus{Key: k.name, Epoch: k.mine.N, Seq: k.at.Seq, Sum: k.Sums.Fold()}
 	if k.commit.Epoch == k.mine {
 		s.Commit = k.commit.Seq
@@ -254,7 +254,7 @@
 }
 
 // relist brings the list to where the keys stand now.
-func (m *Member) relist(owned []*key) {
+func (m *Replica) relist(owned []*key) {
 	b := &m.beats
 	next := b.version + 1
 	for _, k := range owned {
@@ -283,7 +283,7 @@
 }
 
 // forgetGone forgets keys of which every member knows that they have left the list.
-func (m *Member) forgetGone() {
+func (m *Replica) forgetGone() {
 	known := m.beats.version
 	for _, p := range m.peers {
 		if p.version > 0 {
@@ -295,7 +295,7 @@
 
 // wholeHeartbeats returns a function that gives the heartbeat for a member that holds the
 // list at a base; members with the same base share it.
-func (m *Member) wholeHeartbeats(round uint64, owned []*key) func(base uint64) *Heartbeat {
+func (m *Replica) wholeHeartbeats(round uint64, owned []*key) func(base uint64) *Heartbeat {
 	made := map[uint64]*Heartbeat{}
 	return func(base uint64) *Heartbeat {
 		if h := made[base]; h != nil {
@@ -322,7 +322,7 @@
 	}
 }
 
-func (m *Member) partialHeartbeat(round uint64, keys []*key) *Heartbeat {
+func (m *Replica) partialHeartbeat(round uint64, keys []*key) *Heartbeat {
 	h := &Heartbeat{Round: round, Roster: m.keys[RosterKey].at, Partial: true}
 	for _, k := range keys {
 		h.Keys = append(h.Keys, m.status(k))
@@ -333,7 +333,7 @@
 
 // tellAges puts into a heartbeat how long ago this member was sure of the keys: one age
 // for most, and those of the keys that are not as sure.
-func (m *Member) tellAges(h *Heartbeat, keys []*key) {
+func (m *Replica) tellAges(h *Heartbeat, keys []*key) {
 	sure := unsure
 	for _, k := range keys {
 		if k.sure != unsure && (sure == unsure || k.sure < sure) {
@@ -359,7 +359,7 @@
 
 // echoing is a heartbeat with the mark that a member has set; without one its ages mean
 // nothing to the member.
-func (m *Member) echoing(h *Heartbeat, to string) *Heartbeat {
+func (m *Replica) echoing(h *Heartbeat, to string) *Heartbeat {
 	if h.Sure == nil {
 		return h
 	}
@@ -375,7 +375,7 @@
 // sendWhole sends a member its heartbeat, or what stands for that: to a member of an older
 // version a copy for each key, and to one that hasn't been heard yet a copy of one key, which
 // any version answers.
-func (m *Member) sendWhole(to string, owned []*key, whole func(base uint64) *Heartbeat) {
+func (m *Replica) sendWhole(to string, owned []*key, whole func(base uint64) *Heartbeat) {
 	p := m.peers[to]
 	switch {
 	case p == nil:
@@ -387,7 +387,7 @@
 	}
 }
 
-func (m *Member) sendPartial(to string, keys []*key, h *Heartbeat) {
+func (m *Replica) sendPartial(to string, keys []*key, h *Heartbeat) {
 	switch p := m.peers[to]; {
 	case p == nil:
 	case !p.hears:
@@ -398,13 +398,13 @@
 }
 
 // sendAppends sends a member copies without changes, as older versions know them.
-func (m *Member) sendAppends(to string, keys []*key) {
+func (m *Replica) sendAppends(to string, keys []*key) {
 	for _, k := range keys {
 		m.send(to, Message{Body: m.sureAppend(k, m.newest[to], m.copy(k, k.at))})
 	}
 }
 
-func (m *Member) onHeartbeatAck(from, id string, a *HeartbeatAck) {
+func (m *Replica) onHeartbeatAck(from, id string, a *HeartbeatAck) {
 	if a.Life != m.cfg.Life {
 		return // it answers a former life of this member
 	}
@@ -440,7 +440,7 @@
 }
 
 // deviate takes the answers about single keys, and names those keys.
-func (m *Member) deviate(from, id string, a *HeartbeatAck) map[string]bool {
+func (m *Replica) deviate(from, id string, a *HeartbeatAck) map[string]bool {
 	keys := map[string]bool{}
 	for _, d := range a.Deviate {
 		keys[d.Key] = true
@@ -453,7 +453,7 @@
 
 // confirmedBy notes that a member has confirmed the epoch of a key in a round, and holds
 // it as it stood at a position.
-func (m *Member) confirmedBy(k *key, id string, round uint64, at Position) {
+func (m *Replica) confirmedBy(k *key, id string, round uint64, at Position) {
 	if k.role != owns || round < k.firstRound {
 		return
 	}
@@ -470,7 +470,7 @@
 
 // wholeConfirmed takes a member's answer for the whole list. What a quorum confirms is
 // worked out once for all keys; a key for which more is to be done is looked at alone.
-func (m *Member) wholeConfirmed(id string, a *HeartbeatAck, began time.Duration, deviating map[string]bool) {
+func (m *Replica) wholeConfirmed(id string, a *HeartbeatAck, began time.Duration, deviating map[string]bool) {
 	b := &m.beats
 	b.rounds[id] = max(b.rounds[id], a.Round)
 	for _, r := range b.rounds {
@@ -499,7 +499,7 @@
 }
 
 // mixedProtocols says that the word of some seat comes by keys, not for the whole list.
-func (m *Member) mixedProtocols() bool {
+func (m *Replica) mixedProtocols() bool {
 	for _, seat := range m.seats().all() {
 		if p := m.peers[addressOf(seat)]; p != nil && !p.hears {
 			return true
@@ -509,7 +509,7 @@
 }
 
 // sureAt notes that a quorum has confirmed the epoch in a round that began at a time.
-func (m *Member) sureAt(k *key, at time.Duration) {
+func (m *Replica) sureAt(k *key, at time.Duration) {
 	first := k.sure == unsure
 	k.agreed, k.sure = max(k.agreed, at), max(k.sure, at)
 	k.spoke = m.now
@@ -520,7 +520,7 @@
 
 // confirmedRound is the newest round in which a quorum has confirmed the epoch of a key,
 // and when it began. 0: none.
-func (m *Member) confirmedRound(k *key) (round uint64, began time.Duration) {
+func (m *Replica) confirmedRound(k *key) (round uint64, began time.Duration) {
 	if m.decidesAlone() {
 		return m.beats.round + 1, m.now
 	}
@@ -534,6 +534,6 @@
 }
 
 // decidesAlone says that this member is a quorum by itself.
-func (m *Member) decidesAlone() bool {
+func (m *Replica) decidesAlone() bool {
 	return m.quorum(false, func(id string) bool { return id == m.self })
 }
--- a/internal/replication/heartbeat_follow.go
+++ b/internal/replication/heartbeat_follow.go
@@ -49,7 +49,7 @@
 )
 
 // takeList brings the list of an owner to a heartbeat's version.
-func (m *Member) takeList(from string, life uint64, h *Heartbeat) (*ownerList, listState) {
+func (m *Replica) takeList(from string, life uint64, h *Heartbeat) (*ownerList, listState) {
 	l := m.lists[from]
 	switch {
 	case l != nil && l.life == life && h.Version < l.version:
@@ -75,7 +75,7 @@
 }
 
 // forgetLists forgets the lists of owners that have not been heard for long.
-func (m *Member) forgetLists() {
+func (m *Replica) forgetLists() {
 	for from, l := range m.lists {
 		if m.now-l.heard > 20*m.cfg.Vacant {
 			delete(m.lists, from)
@@ -89,7 +89,7 @@
 	epoch Epoch
 }
 
-func (m *Member) onHeartbeat(from string, life uint64, h *Heartbeat) {
+func (m *Replica) onHeartbeat(from string, life uint64, h *Heartbeat) {
 	ack := &HeartbeatAck{Life: life, Round: h.Round, Partial: h.Partial}
 	statuses := h.Keys
 	if !h.Partial {
@@ -135,7 +135,7 @@
 
 // hear takes an owner's word on one key and says whether this member holds what the owner
 // does.
-func (m *Member) hear(k *key, e Epoch, s KeyStatus) bool {
+func (m *Replica) hear(k *key, e Epoch, s KeyStatus) bool {
 	m.follow(k, e)
 	to := Position{e, s.Seq}
 	m.committed(k, Position{e, s.Commit})
@@ -144,7 +144,7 @@
 
 // dates takes in how old the copy of a key is. The owner had told nobody of anything beyond
 // Commit when it was as sure as it says.
-func (m *Member) dates(k *key, e Epoch, s KeyStatus, sure *Sure, ages map[string]time.Duration) {
+func (m *Replica) dates(k *key, e Epoch, s KeyStatus, sure *Sure, ages map[string]time.Duration) {
 	if sure == nil || sure.Life != m.cfg.Life || s.Commit == 0 || k.commit.Epoch != e || k.commit.Seq < s.Commit {
 		return
 	}
@@ -159,7 +159,7 @@
 
 // answerHeartbeat answers once all that this member holds is durable. What it has
 // promised meanwhile to others it confirms no more.
-func (m *Member) answerHeartbeat(from string, ack *HeartbeatAck, heard []heardKey) {
+func (m *Replica) answerHeartbeat(from string, ack *HeartbeatAck, heard []heardKey) {
 	for _, d := range ack.Deviate {
 		d.Promised = m.key(d.Key).promised
 	}
--- a/internal/replication/heartbeat_test.go
+++ b/internal/replication/heartbeat_test.go
@@ -316,7 +316,7 @@
 	digest := whole[0].digest() ^ whole[1].digest()
 	changed := KeyStatus{Key: "b", Epoch: 1, Seq: 5, Commit: 5}
 	after := whole[0].digest() ^ changed.digest()
-	m := &Member{lists: map[string]*ownerList{}}
+	m := &Replica{lists: map[string]*ownerList{}}
 	for _, c := range []struct { // one after the other, at one member
 		name  string
 		h     Heartbeat
--- a/internal/replication/leaving.go
+++ b/internal/replication/leaving.go
@@ -5,7 +5,7 @@
 import "time"
 
 // tickLeaving asks the others where they stand, while this member leaves.
-func (m *Member) tickLeaving() {
+func (m *Replica) tickLeaving() {
 	if m.survey == nil {
 		m.survey = &survey{at: m.keys[RosterKey].at, replies: map[string]*StateReport{}}
 	}
@@ -15,7 +15,7 @@
 // MayGo says whether a member that leaves is needed no more: it has no seat, or one
 // that may be dead, and each key has another owner, and all that this member holds of
 // it is held by a majority without it.
-func (m *Member) MayGo(now time.Duration) bool {
+func (m *Replica) MayGo(now time.Duration) bool {
 	m.now = now
 	if !m.leaving || !m.inRoster() {
 		return true
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -62,7 +62,7 @@
 	return v.State
 }
 
-func (m *Member) seats() *seats {
+func (m *Replica) seats() *seats {
 	if m.cached != nil {
 		return m.cached
 	}
@@ -108,7 +108,7 @@
 
 // holder is the identity whose word counts for a seat. A seat that a version without
 // identities gave belongs to whoever speaks at its address, until it is renewed.
-func (m *Member) holder(seat string) string {
+func (m *Replica) holder(seat string) string {
 	if strings.IndexByte(seat, '/') >= 0 {
 		return seat
 	}
@@ -122,7 +122,7 @@
 }
 
 // olderVersions says that some seat's holder speaks as versions without identities do.
-func (m *Member) olderVersions() bool {
+func (m *Replica) olderVersions() bool {
 	for _, seat := range m.seats().all() {
 		if a := addressOf(seat); m.newest[a] == a {
 			return true
@@ -132,7 +132,7 @@
 }
 
 // Roster lists the addresses of the members that this one knows of.
-func (m *Member) Roster() []string {
+func (m *Replica) Roster() []string {
 	var out []string
 	for _, id := range m.seats().all() {
 		if a := addressOf(id); !slices.Contains(out, a) {
@@ -143,7 +143,7 @@
 }
 
 // seatedOthers lists the addresses of the other seats.
-func (m *Member) seatedOthers() []string {
+func (m *Replica) seatedOthers() []string {
 	var out []string
 	for _, a := range m.Roster() {
 		if a != m.cfg.Self {
@@ -154,7 +154,7 @@
 }
 
 // others lists the addresses to which steps are copied: the other seats and learners.
-func (m *Member) others() []string {
+func (m *Replica) others() []string {
 	out := m.seatedOthers()
 	for _, id := range m.learning() {
 		if a := addressOf(id); !slices.Contains(out, a) {
@@ -165,14 +165,14 @@
 }
 
 // Everyone lists the addresses of the seats and of the learners.
-func (m *Member) Everyone() []string {
+func (m *Replica) Everyone() []string {
 	out := append([]string{m.cfg.Self}, m.others()...)
 	sort.Strings(out)
 	return out
 }
 
 // learning lists the learners that have said lately that they want a seat.
-func (m *Member) learning() (out []string) {
+func (m *Replica) learning() (out []string) {
 	for id, at := range m.learners {
 		if m.now-at <= m.cfg.Vacant+m.cfg.Beat {
 			out = append(out, id)
@@ -207,13 +207,13 @@
 
 // quorum says whether enough seats, of both rosters while the roster is a joint one,
 // are held by identities for which has holds.
-func (m *Member) quorum(durable bool, has func(string) bool) bool {
+func (m *Replica) quorum(durable bool, has func(string) bool) bool {
 	s := m.seats()
 	holds := func(seat string) bool { return has(m.holder(seat)) }
 	return enough(s.after, durable, holds) && (!s.joint || enough(s.before, durable, holds))
 }
 
-func (m *Member) holds(seats []string) bool {
+func (m *Replica) holds(seats []string) bool {
 	for _, seat := range seats {
 		if m.holder(seat) == m.self {
 			return true
@@ -223,24 +223,24 @@
 }
 
 // inRoster says that this member's word counts.
-func (m *Member) inRoster() bool {
+func (m *Replica) inRoster() bool {
 	s := m.seats()
 	return m.holds(s.after) || s.joint && m.holds(s.before)
 }
 
 // mayOwn says that this member may own keys: not if its seat goes.
-func (m *Member) mayOwn() bool { return m.holds(m.seats().after) }
+func (m *Replica) mayOwn() bool { return m.holds(m.seats().after) }
 
 // olderRoster says that a peer acts under a roster older than the one taken here.
-func (m *Member) olderRoster(p Position) bool { return p.Less(m.keys[RosterKey].at) }
+func (m *Replica) olderRoster(p Position) bool { return p.Less(m.keys[RosterKey].at) }
 
-func (m *Member) rosterHolding() *Holding {
+func (m *Replica) rosterHolding() *Holding {
 	k := m.keys[RosterKey]
 	return &Holding{At: k.at, Records: k.Pick(allRanges)}
 }
 
 // adopt takes in a newer roster that a peer has refused this member for.
-func (m *Member) adopt(h *Holding) {
+func (m *Replica) adopt(h *Holding) {
 	k := m.keys[RosterKey]
 	if !k.at.Less(h.At) {
 		return
@@ -259,7 +259,7 @@
 }
 
 // resign gives up what a member without a seat owns or asks for.
-func (m *Member) resign() {
+func (m *Replica) resign() {
 	for _, name := range m.names {
 		switch k := m.keys[name]; k.role {
 		case owns:
--- a/internal/replication/message.go
+++ b/internal/replication/message.go
@@ -3,7 +3,7 @@
 // a change to others before it answers and is replaced under a rising epoch.
 // There is no log that the keys have in common and no leader for all of them.
 //
-// Member is the state machine of one node. It does no input or output and reads
+// Replica is the state machine of one node. It does no input or output and reads
 // no clock: a driver hands it messages, time and finished writes, and carries
 // out what it asks for. The tests drive many of them through a simulated world.
 package replication
--- a/internal/replication/reads.go
+++ b/internal/replication/reads.go
@@ -7,13 +7,13 @@
 
 // Read calls done with nil once it is certain that no newer copy of the key
 // than the one in memory has been acknowledged.
-func (m *Member) Read(now time.Duration, name string, done func(error)) {
+func (m *Replica) Read(now time.Duration, name string, done func(error)) {
 	m.Propose(now, name, func(map[string]Record) ([]Record, error) { return nil, nil }, done)
 }
 
 // Current says at which time, on this member's clock, its committed copy of a key
 // was certainly the newest that anybody could have been told of.
-func (m *Member) Current(name string) (time.Duration, bool) {
+func (m *Replica) Current(name string) (time.Duration, bool) {
 	k := m.key(name)
 	if k.commit.Seq == 0 || k.commit != k.at && k.undo == nil {
 		return 0, false
@@ -37,14 +37,14 @@
 }
 
 // Tenure describes the ownership of a key that this member has and is sure of.
-func (m *Member) Tenure(now time.Duration, name string) (t Tenure, ok bool) {
+func (m *Replica) Tenure(now time.Duration, name string) (t Tenure, ok bool) {
 	k := m.key(name)
 	return Tenure{k.mine, k.took, k.sure, k.heir, k.free}, k.role == owns && k.sure != unsure && now-k.sure <= m.cfg.Vacant
 }
 
 // Committed gives the records of a key as they stood at the newest position that this
 // member knows to be committed. While a further step is under way that is a copy.
-func (m *Member) Committed(name string) (map[string]Record, Position, bool) {
+func (m *Replica) Committed(name string) (map[string]Record, Position, bool) {
 	k := m.key(name)
 	switch {
 	case k.commit.Seq == 0:
--- a/internal/replication/reform.go
+++ b/internal/replication/reform.go
@@ -10,7 +10,7 @@
 )
 
 // enrol asks to be copied to, and for a seat.
-func (m *Member) enrol() {
+func (m *Replica) enrol() {
 	if m.now < m.enrolAt || m.leaving {
 		return
 	}
@@ -30,7 +30,7 @@
 	}
 }
 
-func (m *Member) onJoin(from, id string) {
+func (m *Replica) onJoin(from, id string) {
 	if slices.Contains(m.seats().after, id) {
 		// It has not heard of its seat yet; the next copy of the roster tells it.
 		return
@@ -50,14 +50,14 @@
 // floor is the number of seats below which silence alone takes none away: twice the
 // losses that are to be borne and one, and no fewer than an acknowledgement needs
 // beside the lost ones.
-func (m *Member) floor() int { return max(2*m.cfg.Faults+1, m.cfg.Faults+3) }
+func (m *Replica) floor() int { return max(2*m.cfg.Faults+1, m.cfg.Faults+3) }
 
 // needless says that a member which goes has to lose its seat first. With dead seats,
 // the more if several members go at once, the others may not bear what they have to.
-func (m *Member) needless(n int) bool { return n > m.floor() }
+func (m *Replica) needless(n int) bool { return n > m.floor() }
 
 // gone says how surely the holder of a seat is gone.
-func (m *Member) gone(seat string) (gone, long bool) {
+func (m *Replica) gone(seat string) (gone, long bool) {
 	id, address := m.holder(seat), addressOf(seat)
 	if id == m.self {
 		return false, false
@@ -80,7 +80,7 @@
 }
 
 // suspect says that the holder of a seat may be found gone soon.
-func (m *Member) suspect(seat string) bool {
+func (m *Replica) suspect(seat string) bool {
 	id := m.holder(seat)
 	gone, _ := m.gone(seat)
 	return !gone && id != m.self && !m.cfg.Alive(addressOf(seat)) && m.now-m.proven[id] > m.cfg.Beat*3/2
@@ -88,7 +88,7 @@
 
 // whole says that all seats have answered of late and that nothing is to be changed. The
 // owner of the roster gives it to no other before, who would have to wait anew.
-func (m *Member) whole() bool {
+func (m *Replica) whole() bool {
 	s := m.seats()
 	for _, seat := range s.after {
 		if id := m.holder(seat); id != m.self && m.now-m.proven[id] > m.cfg.Vacant {
@@ -107,7 +107,7 @@
 
 // reform goes on with a change of the roster, or begins one that is due. It runs at
 // the owner of the roster.
-func (m *Member) reform() {
+func (m *Replica) reform() {
 	k := m.keys[RosterKey]
 	if m.leaving {
 		return // the survey is that of MayGo
@@ -126,7 +126,7 @@
 	m.sendSurvey(m.others())
 }
 
-func (m *Member) sendSurvey(to []string) {
+func (m *Replica) sendSurvey(to []string) {
 	m.round++
 	for _, a := range to {
 		m.send(a, Message{Body: &StateQuery{m.round, m.leaving, m.keys[RosterKey].at}})
@@ -135,7 +135,7 @@
 }
 
 // stand tells where this member's copies stand, once they stand so on disk.
-func (m *Member) stand(then func(*StateReport)) {
+func (m *Replica) stand(then func(*StateReport)) {
 	s := &StateReport{Round: m.round, Roster: m.keys[RosterKey].at}
 	for _, name := range m.names {
 		if k := m.keys[name]; k.promised != (Epoch{}) || k.at.Seq > 0 {
@@ -145,7 +145,7 @@
 	m.settled(func() { then(s) })
 }
 
-func (m *Member) onStateQuery(from, id string, q *StateQuery) {
+func (m *Replica) onStateQuery(from, id string, q *StateQuery) {
 	if q.Leaving {
 		m.leavers[id] = m.now
 	}
@@ -158,7 +158,7 @@
 	})
 }
 
-func (m *Member) onStateReport(id string, s *StateReport) {
+func (m *Replica) onStateReport(id string, s *StateReport) {
 	if s.Outdated != nil && m.leaving {
 		m.adopt(s.Outdated)
 	}
@@ -176,7 +176,7 @@
 
 // raise works the bar out, once a majority of all rosters that count has told where
 // it stands after having taken the present one.
-func (v *survey) raise(m *Member) bool {
+func (v *survey) raise(m *Replica) bool {
 	if v.bar != nil {
 		return true
 	}
@@ -221,7 +221,7 @@
 }
 
 // judge changes the roster if the survey allows it.
-func (m *Member) judge() {
+func (m *Replica) judge() {
 	k, v := m.keys[RosterKey], m.survey
 	if k.role != owns || k.commit != k.at || v.at != k.at || !v.raise(m) {
 		return
@@ -279,7 +279,7 @@
 
 // candidates lists the learners that may get a seat: first those at the address of a
 // seat, then those in zones with the fewest seats.
-func (m *Member) candidates() []string {
+func (m *Replica) candidates() []string {
 	s := m.seats()
 	load := map[string]int{}
 	mine := map[string]bool{}
@@ -317,7 +317,7 @@
 }
 
 // wishes says whether there is anything that a change could mend.
-func (m *Member) wishes() bool {
+func (m *Replica) wishes() bool {
 	s := m.seats()
 	vacant := 0
 	for _, seat := range s.after {
@@ -338,7 +338,7 @@
 
 // plan works out the joint roster that is to come: learners that hold all get seats,
 // in the place of seats whose holder is gone if there are any. nil: nothing to do.
-func (m *Member) plan(above func(string) bool) map[string]seatState {
+func (m *Replica) plan(above func(string) bool) map[string]seatState {
 	s := m.seats()
 	next := map[string]seatState{}
 	size := len(s.after)
@@ -414,7 +414,7 @@
 }
 
 // Retire takes a member that is gone for good out of the roster, by its address.
-func (m *Member) Retire(now time.Duration, address string, done func(error)) {
+func (m *Replica) Retire(now time.Duration, address string, done func(error)) {
 	m.Propose(now, RosterKey, func(have map[string]Record) ([]Record, error) {
 		s := m.seats()
 		next := map[string]seatState{}
--- a/internal/replication/member.go
+++ b/internal/replication/replica.go
@@ -106,8 +106,8 @@
 	born       time.Duration // when this member first heard of the key
 }
 
-// Member is one node's part in keeping the control state.
-type Member struct {
+// Replica is one node's part in keeping the control state.
+type Replica struct {
 	cfg      Config
 	self     string // its identity: see idOf
 	identity uint64
@@ -146,9 +146,9 @@
 	lists map[string]*ownerList // by address: what owners' heartbeats told
 }
 
-// NewMember makes a member from what its disk held.
-func NewMember(cfg Config, disk map[string][]byte) (*Member, error) {
-	m := &Member{cfg: cfg, keys: map[string]*key{}, after: map[uint64][]func(){}, firstOpen: 1,
+// NewReplica makes a member from what its disk held.
+func NewReplica(cfg Config, disk map[string][]byte) (*Replica, error) {
+	m := &Replica{cfg: cfg, keys: map[string]*key{}, after: map[uint64][]func(){}, firstOpen: 1,
 		foundIDs: map[string]string{}, foundAcks: map[string]bool{}, relays: map[string]string{},
 		lives: map[string]uint64{}, proven: map[string]time.Duration{}, newest: map[string]string{},
 		learners: map[string]time.Duration{}, leavers: map[string]time.Duration{}, hailed: map[string]map[string]bool{},
@@ -191,7 +191,7 @@
 	return m, nil
 }
 
-func (m *Member) key(name string) *key {
+func (m *Replica) key(name string) *key {
 	k := m.keys[name]
 	if k == nil {
 		k = &key{name: name, Set: antientropy.NewSet(), born: m.now}
@@ -204,19 +204,19 @@
 }
 
 // Take returns what is to be done since the last call.
-func (m *Member) Take() Effects {
+func (m *Replica) Take() Effects {
 	m.flushHeartbeats()
 	fx := m.fx
 	m.fx = Effects{}
 	return fx
 }
 
-func (m *Member) send(to string, msg Message) {
+func (m *Replica) send(to string, msg Message) {
 	msg.Life, msg.Identity, msg.Protocol = m.cfg.Life, m.identity, protocolHeartbeat
 	m.fx.Send = append(m.fx.Send, Envelope{to, msg})
 }
 
-func (m *Member) note(text string) { m.fx.Notes = append(m.fx.Notes, text) }
+func (m *Replica) note(text string) { m.fx.Notes = append(m.fx.Notes, text) }
 
 // idOf names a member: its address and the identity of its disk. A machine that has
 // lost its disk is another member at the same address.
@@ -228,7 +228,7 @@
 }
 
 // Handle takes a message.
-func (m *Member) Handle(now time.Duration, from string, msg Message) {
+func (m *Replica) Handle(now time.Duration, from string, msg Message) {
 	m.now = now
 	id := idOf(from, msg.Identity)
 	m.lives[id], m.newest[from] = msg.Life, id
@@ -239,7 +239,7 @@
 }
 
 // Tick lets time pass.
-func (m *Member) Tick(now time.Duration) {
+func (m *Replica) Tick(now time.Duration) {
 	m.now = now
 	if !m.began {
 		m.began, m.beganAt = true, now
--- a/internal/replication/standing.go
+++ b/internal/replication/standing.go
@@ -26,7 +26,7 @@
 }
 
 // Standing describes the roster and what can be borne.
-func (m *Member) Standing(now time.Duration) Standing {
+func (m *Replica) Standing(now time.Duration) Standing {
 	m.now = now
 	s := m.seats()
 	out := Standing{Seats: s.all(), Joint: s.joint, Learners: []LearnerState{}, Wanted: m.cfg.Faults}
@@ -63,7 +63,7 @@
 
 // seatHeld says whether the disk that a seat belongs to seems to be at work. A machine that
 // is there with another disk counts for nothing until that disk has a seat of its own.
-func (m *Member) seatHeld(seat string) bool {
+func (m *Replica) seatHeld(seat string) bool {
 	id, address := m.holder(seat), addressOf(seat)
 	switch {
 	case id == m.self:
--- a/internal/replication/steps.go
+++ b/internal/replication/steps.go
@@ -29,7 +29,7 @@
 	done  func(error)
 }
 
-func (m *Member) copy(k *key, base Position) *Append {
+func (m *Replica) copy(k *key, base Position) *Append {
 	commit := uint64(0)
 	if k.commit.Epoch == k.mine {
 		commit = k.commit.Seq
@@ -41,7 +41,7 @@
 
 // Propose runs fn on the key's records and copies the changes that it returns.
 // done is called with nil once they, and all that fn saw, are safe.
-func (m *Member) Propose(now time.Duration, name string, fn func(map[string]Record) ([]Record, error), done func(error)) {
+func (m *Replica) Propose(now time.Duration, name string, fn func(map[string]Record) ([]Record, error), done func(error)) {
 	m.now = now
 	k := m.key(name)
 	if k.role != owns {
@@ -57,7 +57,7 @@
 
 // serve runs the proposals that wait, all in one step, once the step before
 // is committed.
-func (m *Member) serve(k *key) {
+func (m *Replica) serve(k *key) {
 	if k.role != owns || k.commit != k.at || len(k.queue) == 0 {
 		return
 	}
@@ -104,7 +104,7 @@
 }
 
 // step copies one change to the others.
-func (m *Member) step(k *key, base Position, changes []Record, entries []ledgerEntry) {
+func (m *Replica) step(k *key, base Position, changes []Record, entries []ledgerEntry) {
 	k.at.Seq++
 	at := k.at
 	k.log.add(base, at, changes)
@@ -121,7 +121,7 @@
 
 // sureAppend is a copy that tells a member how sure the owner is of itself, if that
 // has set a mark.
-func (m *Member) sureAppend(k *key, to string, c *Append) *Append {
+func (m *Replica) sureAppend(k *key, to string, c *Append) *Append {
 	w, ok := m.marks[to]
 	if !ok || k.sure == unsure {
 		return c
@@ -133,7 +133,7 @@
 
 // refuses says why a member takes nothing from an owner: the epoch is older than one
 // that it has promised, or the roster older than one that it has taken.
-func (m *Member) refuses(k *key, e Epoch, roster Position) *AppendAck {
+func (m *Replica) refuses(k *key, e Epoch, roster Position) *AppendAck {
 	older := m.olderRoster(roster)
 	if !older && !e.Less(k.promised) {
 		return nil
@@ -149,7 +149,7 @@
 }
 
 // follow notes an owner's word.
-func (m *Member) follow(k *key, e Epoch) {
+func (m *Replica) follow(k *key, e Epoch) {
 	if k.promised != e {
 		m.stepDown(k, e)
 		m.write([]ledgerEntry{k.meta()}, nil)
@@ -160,7 +160,7 @@
 	k.copied, k.owned = m.now, true
 }
 
-func (m *Member) onAppend(from string, c *Append) {
+func (m *Replica) onAppend(from string, c *Append) {
 	k := m.key(c.Key)
 	if reply := m.refuses(k, c.Epoch, c.Roster); reply != nil {
 		reply.Round = c.Round
@@ -201,7 +201,7 @@
 
 // committed takes note that a position is committed, if it is where the key stands:
 // only what is committed as a whole is shown to anybody.
-func (m *Member) committed(k *key, p Position) {
+func (m *Replica) committed(k *key, p Position) {
 	if p.Seq == 0 || p != k.at || !k.commit.Less(p) {
 		return
 	}
@@ -209,7 +209,7 @@
 }
 
 // reply answers an owner once all that this member holds of the key is durable.
-func (m *Member) reply(k *key, to string, r *AppendAck) {
+func (m *Replica) reply(k *key, to string, r *AppendAck) {
 	at, sums := k.at, k.Sums
 	m.settled(func() {
 		r.At, r.Promised = at, k.promised
@@ -224,7 +224,7 @@
 	})
 }
 
-func (m *Member) onAppendAck(from, id string, c *AppendAck) {
+func (m *Replica) onAppendAck(from, id string, c *AppendAck) {
 	k := m.key(c.Key)
 	if c.Outdated != nil {
 		m.adopt(c.Outdated)
@@ -265,7 +265,7 @@
 	m.advance(k)
 }
 
-func (m *Member) acked(k *key, id string, at Position) {
+func (m *Replica) acked(k *key, id string, at Position) {
 	if k.role != owns || at.Epoch != k.mine {
 		return
 	}
@@ -276,7 +276,7 @@
 }
 
 // advance commits what enough members hold and answers those who wait.
-func (m *Member) advance(k *key) {
+func (m *Replica) advance(k *key) {
 	if k.role != owns {
 		return
 	}
@@ -324,7 +324,7 @@
 
 // commit notes that a position is safe, also on disk, so that a start of all
 // members at once has something to show before there is an owner.
-func (m *Member) commit(k *key, p Position) {
+func (m *Replica) commit(k *key, p Position) {
 	k.commit = p
 	changed, known := m.fx.Changed[k.name]
 	if k.undo == nil || p != k.at || known && changed == nil {
@@ -353,7 +353,7 @@
 	m.write(entries, nil)
 }
 
-func (m *Member) expire(k *key) {
+func (m *Replica) expire(k *key) {
 	kept := k.waiters[:0]
 	var late []waiter
 	for _, w := range k.waiters {
--- a/internal/replication/storage.go
+++ b/internal/replication/storage.go
@@ -43,7 +43,7 @@
 }
 
 // write asks for entries to be made durable and calls then when they are.
-func (m *Member) write(entries []storage.Entry, then func()) {
+func (m *Replica) write(entries []storage.Entry, then func()) {
 	m.nextWrite++
 	if m.firstOpen == m.nextWrite {
 		m.openSince = m.now
@@ -55,7 +55,7 @@
 }
 
 // settled calls then once everything that was asked for so far is durable.
-func (m *Member) settled(then func()) {
+func (m *Replica) settled(then func()) {
 	if m.firstOpen > m.nextWrite {
 		then()
 		return
@@ -64,7 +64,7 @@
 }
 
 // Durable tells that all writes up to id are on disk.
-func (m *Member) Durable(now time.Duration, id uint64) {
+func (m *Replica) Durable(now time.Duration, id uint64) {
 	m.now = now
 	for ; m.firstOpen <= id; m.firstOpen++ {
 		thens := m.after[m.firstOpen]
@@ -78,13 +78,13 @@
 
 // Failed tells that the disk refused a write; the whole state is written again
 // until that succeeds, and nothing is answered before.
-func (m *Member) Failed(now time.Duration) {
+func (m *Replica) Failed(now time.Duration) {
 	m.now = now
 	m.fx.Rewrite = true
 }
 
 // Snapshot is the member's whole state as entries.
-func (m *Member) Snapshot() (entries []storage.Entry, upTo uint64) {
+func (m *Replica) Snapshot() (entries []storage.Entry, upTo uint64) {
 	entries = append(entries, m.nodeEntry())
 	for _, name := range m.names {
 		k := m.keys[name]
@@ -106,7 +106,7 @@
 	return b
 }
 
-func (m *Member) nodeEntry() storage.Entry {
+func (m *Replica) nodeEntry() storage.Entry {
 	return storage.Entry{Key: nodeEntry, Value: marshal(nodeValue{true, m.founded, m.identity})}
 }
 
@@ -124,7 +124,7 @@
 
 // apply takes in the changes of a step from where the key stands, notes what they
 // undo, and returns the entries for the disk.
-func (m *Member) apply(k *key, changes []Record) []storage.Entry {
+func (m *Replica) apply(k *key, changes []Record) []storage.Entry {
 	if k.undo == nil && k.commit == k.at {
 		k.undo = map[string]*Record{}
 	}
@@ -147,7 +147,7 @@
 }
 
 // replace makes the named ranges hold just the given records.
-func (m *Member) replace(k *key, ranges []int, records []Record) []storage.Entry {
+func (m *Replica) replace(k *key, ranges []int, records []Record) []storage.Entry {
 	k.undo, k.log = nil, stepLog{}
 	var out []storage.Entry
 	keep := map[string]bool{}
@@ -169,7 +169,7 @@
 }
 
 // touched forgets what was worked out from a key's records.
-func (m *Member) touched(k *key) {
+func (m *Replica) touched(k *key) {
 	if k.name == RosterKey {
 		m.cached = nil
 	}
--- a/internal/replication/views.go
+++ b/internal/replication/views.go
@@ -17,7 +17,7 @@
 }
 
 // Owner is the member believed to own a key; empty while there is none.
-func (m *Member) Owner(now time.Duration, name string) string {
+func (m *Replica) Owner(now time.Duration, name string) string {
 	k := m.key(name)
 	if k.role == owns {
 		return m.cfg.Self
@@ -30,12 +30,12 @@
 
 // Founder is the member to turn to for a key that, as far as this one knows, nobody has
 // owned yet; empty: it has, or there is nobody to turn to.
-func (m *Member) Founder(now time.Duration, name string) string {
+func (m *Replica) Founder(now time.Duration, name string) string {
 	m.now = now
 	return m.founder(m.key(name))
 }
 
-func (m *Member) founder(k *key) string {
+func (m *Replica) founder(k *key) string {
 	if k.heardAny || k.role != follows || k.promised != (Epoch{}) {
 		return ""
 	}
@@ -48,13 +48,13 @@
 }
 
 // Keys names all keys that this member has heard of.
-func (m *Member) Keys() []string { return append([]string(nil), m.names...) }
+func (m *Replica) Keys() []string { return append([]string(nil), m.names...) }
 
 // Voting says whether the member has a seat.
-func (m *Member) Voting() bool { return m.inRoster() }
+func (m *Replica) Voting() bool { return m.inRoster() }
 
 // Views shows all keys.
-func (m *Member) Views(now time.Duration) []View {
+func (m *Replica) Views(now time.Duration) []View {
 	var out []View
 	for _, name := range m.names {
 		k := m.keys[name]
--- a/internal/replication/wire.go
+++ b/internal/replication/wire.go
@@ -15,7 +15,7 @@
 
 // Body is one kind of message.
 type Body interface {
-	handle(m *Member, from sender)
+	handle(m *Replica, from sender)
 }
 
 // sender is whom a message came from.
@@ -25,22 +25,22 @@
 	life    uint64
 }
 
-func (b *VoteRequest) handle(m *Member, from sender)   { m.onVoteRequest(from.address, b) }
-func (b *Vote) handle(m *Member, from sender)          { m.onVote(from.address, from.id, b) }
-func (b *Append) handle(m *Member, from sender)        { m.onAppend(from.address, b) }
-func (b *AppendAck) handle(m *Member, from sender)     { m.onAppendAck(from.address, from.id, b) }
-func (b *Found) handle(m *Member, from sender)         { m.onFound(from.address, b) }
-func (b *Founded) handle(m *Member, from sender)       { m.onFounded(from.address, from.id, b) }
-func (b *Transfer) handle(m *Member, _ sender)         { m.takeOver(m.key(b.Key), true) }
-func (*Join) handle(m *Member, from sender)            { m.onJoin(from.address, from.id) }
-func (*Probe) handle(m *Member, from sender)           { m.onProbe(from.address) }
-func (b *ProbeAck) handle(m *Member, from sender)      { m.onProbeAck(from.address, b) }
-func (b *SnapshotChunk) handle(m *Member, from sender) { m.onSnapshotChunk(from.address, b) }
-func (b *SnapshotAck) handle(m *Member, from sender)   { m.onSnapshotAck(from.address, from.id, b) }
-func (b *StateQuery) handle(m *Member, from sender)    { m.onStateQuery(from.address, from.id, b) }
-func (b *StateReport) handle(m *Member, from sender)   { m.onStateReport(from.id, b) }
-func (b *Heartbeat) handle(m *Member, from sender)     { m.onHeartbeat(from.address, from.life, b) }
-func (b *HeartbeatAck) handle(m *Member, from sender)  { m.onHeartbeatAck(from.address, from.id, b) }
+func (b *VoteRequest) handle(m *Replica, from sender)   { m.onVoteRequest(from.address, b) }
+func (b *Vote) handle(m *Replica, from sender)          { m.onVote(from.address, from.id, b) }
+func (b *Append) handle(m *Replica, from sender)        { m.onAppend(from.address, b) }
+func (b *AppendAck) handle(m *Replica, from sender)     { m.onAppendAck(from.address, from.id, b) }
+func (b *Found) handle(m *Replica, from sender)         { m.onFound(from.address, b) }
+func (b *Founded) handle(m *Replica, from sender)       { m.onFounded(from.address, from.id, b) }
+func (b *Transfer) handle(m *Replica, _ sender)         { m.takeOver(m.key(b.Key), true) }
+func (*Join) handle(m *Replica, from sender)            { m.onJoin(from.address, from.id) }
+func (*Probe) handle(m *Replica, from sender)           { m.onProbe(from.address) }
+func (b *ProbeAck) handle(m *Replica, from sender)      { m.onProbeAck(from.address, b) }
+func (b *SnapshotChunk) handle(m *Replica, from sender) { m.onSnapshotChunk(from.address, b) }
+func (b *SnapshotAck) handle(m *Replica, from sender)   { m.onSnapshotAck(from.address, from.id, b) }
+func (b *StateQuery) handle(m *Replica, from sender)    { m.onStateQuery(from.address, from.id, b) }
+func (b *StateReport) handle(m *Replica, from sender)   { m.onStateReport(from.id, b) }
+func (b *Heartbeat) handle(m *Replica, from sender)     { m.onHeartbeat(from.address, from.life, b) }
+func (b *HeartbeatAck) handle(m *Replica, from sender)  { m.onHeartbeatAck(from.address, from.id, b) }
 
 // wireMessage is a Message on the wire; one of the pointers is set. Numbers 5 and 6 were
 // used by whole copies, which snapshots replace.
--- a/internal/replication/world_test.go
+++ b/internal/replication/world_test.go
@@ -90,7 +90,7 @@
 
 type node struct {
 	id      string
-	m       *Member
+	m       *Replica
 	up      bool
 	frozen  time.Duration
 	disk    map[string][]byte // durable
@@ -213,7 +213,7 @@
 		Beat: testBeat, Vacant: testVacant, Patience: 900 * time.Millisecond, HandBack: 4 * time.Second, Sure: []string{testKey},
 		Alive: func(o string) bool { return w.alive(id, o) }}
 	n.boot = false
-	m, err := NewMember(cfg, n.disk)
+	m, err := NewReplica(cfg, n.disk)
 	if err != nil {
 		w.fatal("%v", err)
 	}
--- a/internal/transport/call.go
+++ b/internal/transport/call.go
@@ -16,7 +16,7 @@
 
 // Call asks a peer and waits for its answer, which takes the place of what answer points
 // to. ErrUnreachable: there was none, and the peer may have acted all the same.
-func (c *Mesh) Call(ctx context.Context, to, kind string, body, answer any) error {
+func (c *Endpoint) Call(ctx context.Context, to, kind string, body, answer any) error {
 	b, err := cbor.Marshal(body)
 	if err != nil {
 		return err
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sys/unix"
 )
 
-func (c *Mesh) accept() {
+func (c *Endpoint) accept() {
 	for {
 		conn, err := c.listener.Accept()
 		if err != nil {
@@ -45,7 +45,7 @@
 	}
 }
 
-func (c *Mesh) tune(conn net.Conn) {
+func (c *Endpoint) tune(conn net.Conn) {
 	if t, ok := conn.(*net.TCPConn); ok {
 		SetUserTimeout(t, c.patience)
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: max(time.Second, c.patience), Interval: time.Second, Count: 2})
@@ -64,7 +64,7 @@
 }
 
 // read takes frames from a connection until it ends or sends garbage.
-func (c *Mesh) read(conn net.Conn, back *link) {
+func (c *Endpoint) read(conn net.Conn, back *link) {
 	r := bufio.NewReaderSize(conn, 8<<10)
 	for {
 		c.used(conn)
@@ -80,13 +80,13 @@
 }
 
 // used lets a connection's idle time begin anew.
-func (c *Mesh) used(conn net.Conn) {
+func (c *Endpoint) used(conn net.Conn) {
 	if c.IdleTimeout > 0 {
 		_ = conn.SetReadDeadline(time.Now().Add(c.IdleTimeout))
 	}
 }
 
-func (c *Mesh) link(to string) *link {
+func (c *Endpoint) link(to string) *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.links[to]
@@ -104,7 +104,7 @@
 
 // link is one connection and the frames that wait for it.
 type link struct {
-	c    *Mesh
+	c    *Endpoint
 	conn net.Conn
 	out  chan []byte
 	done chan struct{}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -28,8 +28,8 @@
 // Handler takes a message. What it returns is sent back if the peer asked.
 type Handler func(from string, body []byte) (any, error)
 
-// Mesh is one node's post.
-type Mesh struct {
+// Endpoint sends and receives the messages of one node.
+type Endpoint struct {
 	self     string
 	patience time.Duration
 	log      *slog.Logger
@@ -66,7 +66,7 @@
 }
 
 // New listens on address. A peer that is silent for patience is given up.
-func New(address string, patience time.Duration, logger *slog.Logger) (*Mesh, error) {
+func New(address string, patience time.Duration, logger *slog.Logger) (*Endpoint, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
@@ -75,7 +75,7 @@
 	if err == nil {
 		var u *net.UDPConn
 		if u, err = net.ListenUDP("udp4", ua); err == nil {
-			c := &Mesh{self: l.Addr().String(), patience: patience, log: logger, listener: l, packets: u,
+			c := &Endpoint{self: l.Addr().String(), patience: patience, log: logger, listener: l, packets: u,
 				handlers: map[string]entry{}, links: map[string]*link{},
 				waiting: map[uint64]question{}, inbound: map[net.Conn]struct{}{}}
 			// Answers to a former life's calls must not look like answers to this one's.
@@ -88,13 +88,13 @@
 }
 
 // Self is this node's address.
-func (c *Mesh) Self() string { return c.self }
+func (c *Endpoint) Self() string { return c.self }
 
 // Handle names the handler of a kind of message. It runs on the reader's
 // goroutine and may not block.
-func (c *Mesh) Handle(kind string, fn Handler) { c.handle(kind, fn, false) }
+func (c *Endpoint) Handle(kind string, fn Handler) { c.handle(kind, fn, false) }
 
-func (c *Mesh) handle(kind string, fn Handler, async bool) {
+func (c *Endpoint) handle(kind string, fn Handler, async bool) {
 	if c.Intercept != nil {
 		fn = c.Intercept(kind, fn)
 	}
@@ -103,7 +103,7 @@
 
 // On names the handler of a kind of message of type T, to which there is no
 // answer. What cannot be decoded is counted and dropped.
-func On[T any](c *Mesh, kind string, fn func(from string, msg T)) {
+func On[T any](c *Endpoint, kind string, fn func(from string, msg T)) {
 	c.Handle(kind, func(from string, body []byte) (any, error) {
 		var msg T
 		if cbor.Unmarshal(body, &msg) != nil {
@@ -116,16 +116,16 @@
 }
 
 // HandleSlow names a handler that may block.
-func (c *Mesh) HandleSlow(kind string, fn Handler) { c.handle(kind, fn, true) }
+func (c *Endpoint) HandleSlow(kind string, fn Handler) { c.handle(kind, fn, true) }
 
 // Start begins to take messages; handlers are named before.
-func (c *Mesh) Start() {
+func (c *Endpoint) Start() {
 	go c.accept()
 	go c.readPackets()
 }
 
 // Close ends all connections.
-func (c *Mesh) Close() {
+func (c *Endpoint) Close() {
 	c.mu.Lock()
 	c.closed = true
 	for conn := range c.inbound {
@@ -144,7 +144,7 @@
 
 // garbage counts a frame that cannot be read. A peer that sends nothing else must
 // not fill the log.
-func (c *Mesh) garbage(from string) {
+func (c *Endpoint) garbage(from string) {
 	c.Undecoded.Add(1)
 	c.garbageMu.Lock()
 	defer c.garbageMu.Unlock()
@@ -156,7 +156,7 @@
 	}
 }
 
-func (c *Mesh) readPackets() {
+func (c *Endpoint) readPackets() {
 	buf := make([]byte, 64<<10)
 	for {
 		n, from, err := c.packets.ReadFromUDPAddrPort(buf)
@@ -175,7 +175,7 @@
 	}
 }
 
-func (c *Mesh) dispatch(f frame, back *link) {
+func (c *Endpoint) dispatch(f frame, back *link) {
 	if f.Reply {
 		c.mu.Lock()
 		q, ok := c.waiting[f.ID]
@@ -219,7 +219,7 @@
 }
 
 // Send passes a message on without waiting. It may be lost.
-func (c *Mesh) Send(to, kind string, body any) {
+func (c *Endpoint) Send(to, kind string, body any) {
 	b, err := cbor.Marshal(body)
 	if err != nil {
 		return
@@ -230,7 +230,7 @@
 }
 
 // Toss sends a message as a datagram if it fits into one.
-func (c *Mesh) Toss(to, kind string, body any) {
+func (c *Endpoint) Toss(to, kind string, body any) {
 	b, err := cbor.Marshal(body)
 	if err != nil {
 		return
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -14,7 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-func start(t *testing.T) *Mesh {
+func start(t *testing.T) *Endpoint {
 	t.Helper()
 	c, err := New("127.0.0.1:0", 5*time.Second, slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -37,7 +37,7 @@
 func TestCallsAndWhatBecomesOfThem(t *testing.T) {
 	a, b := start(t), start(t)
 	got := make(chan string, 4)
-	for _, c := range []*Mesh{a, b} {
+	for _, c := range []*Endpoint{a, b} {
 		c.Handle("note", func(from string, body []byte) (any, error) {
 			var s string
 			_ = cbor.Unmarshal(body, &s)
--- a/internal/upstream/acquire.go
+++ b/internal/upstream/acquire.go
@@ -7,48 +7,48 @@
 	"time"
 )
 
-// Hold is a request's hold on the connection that it waits on. If the upstream
+// WaitHandle is a request's hold on the connection that it waits on. If the upstream
 // falls silent for others, the wait is cut short, so that a request that may run
 // again goes elsewhere while there is time.
-type Hold struct{ conn atomic.Pointer[Conn] }
+type WaitHandle struct{ conn atomic.Pointer[Conn] }
 
 // On says which connection the request waits on.
-func (h *Hold) On(c *Conn) {
+func (h *WaitHandle) On(c *Conn) {
 	if h != nil {
 		h.conn.Store(c)
 	}
 }
 
-func (h *Hold) cut() {
+func (h *WaitHandle) cut() {
 	if c := h.conn.Load(); c != nil {
 		_ = c.SetReadDeadline(time.Now())
 	}
 }
 
-// Claim is a request's wish for an upstream.
-type Claim struct {
+// AcquireRequest is a request's wish for an upstream.
+type AcquireRequest struct {
 	Service  string
 	Version  string // a candidate; empty: the version that stands
 	Priority int
-	Avoid    []string // ids that have been tried
-	Retry    bool     // takes from the budget
-	Hold     *Hold    // nil if the request must not run again
-	Bound    bool     // it may run in Regions only
+	Avoid    []string    // ids that have been tried
+	Retry    bool        // takes from the budget
+	Hold     *WaitHandle // nil if the request must not run again
+	Bound    bool        // it may run in Regions only
 	Regions  []string
 	Aim      time.Duration
-	Give     func(Grant)
+	Give     func(SlotLease)
 
 	arrived time.Duration
 	seq     uint64
 }
 
-// Grant answers a claim.
-type Grant struct {
+// SlotLease answers a claim.
+type SlotLease struct {
 	Upstream *Upstream
 	ID       string
 	Address  string
 	Conn     *Conn
-	Hold     *Hold
+	Hold     *WaitHandle
 	Refused  Refusal
 	Abroad   bool // the upstream is in another region
 	Began    time.Duration
@@ -71,17 +71,17 @@
 // Leave says that this gateway goes. From now on every request that has been sent on
 // is waited for: to cut its wait short could end it with an error of our own while
 // its upstream is at work.
-func (s *Stock) Leave() { s.leaving = true }
+func (s *Balancer) Leave() { s.leaving = true }
 
 // cut cuts a request's wait short.
-func (s *Stock) cut(h *Hold) {
+func (s *Balancer) cut(h *WaitHandle) {
 	if !s.leaving {
 		h.cut()
 	}
 }
 
 // Request notes a request for a service: it earns its share of the budget.
-func (s *Stock) Request(name string) {
+func (s *Balancer) Request(name string) {
 	v := s.service(name)
 	v.budget.Earn(s.cfg.RetryRatio, s.ceiling(v))
 }
@@ -89,7 +89,7 @@
 // ceiling is how many tokens this gateway may save up: an even share of half the
 // slack for the gateways of the shard that has the service, a token for the rest.
 // The other half covers gateways that are not known here.
-func (s *Stock) ceiling(v *service) float64 {
+func (s *Balancer) ceiling(v *service) float64 {
 	n := len(s.gateways)
 	if shard, ok := s.bound[v.of]; ok {
 		mine, of := false, 0
@@ -108,14 +108,14 @@
 	return max(1, s.cfg.RetrySlack/2/float64(max(n, 1)))
 }
 
-// Claim asks for an upstream; the answer may come later.
-func (s *Stock) Claim(now time.Duration, c *Claim) {
+// Acquire asks for an upstream; the answer may come later.
+func (s *Balancer) Acquire(now time.Duration, c *AcquireRequest) {
 	v := s.claimed(c)
 	s.seq++
 	c.arrived, c.seq = now, s.seq
 	if c.Retry {
 		if !s.refill(now, s.service(c.Service)).Spend() { // the service's, whatever the version
-			c.Give(Grant{Refused: NoBudget})
+			c.Give(SlotLease{Refused: NoBudget})
 			return
 		}
 	}
@@ -129,13 +129,13 @@
 }
 
 // refill brings a service's budget up to date.
-func (s *Stock) refill(now time.Duration, v *service) *Budget {
+func (s *Balancer) refill(now time.Duration, v *service) *Budget {
 	v.budget.Refill(now, s.ceiling(v)/2/max(s.cfg.Window.Seconds(), 1), s.ceiling(v))
 	return &v.budget
 }
 
 // displace makes room for a claim by refusing the newest of lowest priority.
-func (s *Stock) displace(v *service, c *Claim) bool {
+func (s *Balancer) displace(v *service, c *AcquireRequest) bool {
 	worst := -1
 	for i, w := range v.waiting {
 		if w.Priority > c.Priority && (worst < 0 || w.Priority > v.waiting[worst].Priority ||
@@ -152,15 +152,15 @@
 	return true
 }
 
-func (s *Stock) refuse(v *service, c *Claim, why Refusal) {
+func (s *Balancer) refuse(v *service, c *AcquireRequest, why Refusal) {
 	if c.Retry {
 		s.service(c.Service).budget.Back()
 	}
-	c.Give(Grant{Refused: why})
+	c.Give(SlotLease{Refused: why})
 }
 
 // grant gives a claim an upstream; false: it has to wait.
-func (s *Stock) grant(now time.Duration, v *service, c *Claim) bool {
+func (s *Balancer) grant(now time.Duration, v *service, c *AcquireRequest) bool {
 	u, any := s.pick(now, v, c)
 	if u == nil {
 		if !any && !s.known {
@@ -178,11 +178,11 @@
 		s.sends(u)
 		u.pace.Pass(now, v.info.WarmupPerS/float64(u.senders))
 	}
-	g := Grant{Upstream: u, ID: u.ID, Address: u.Address, Hold: c.Hold, Cold: u.Cold(now), Abroad: !u.near, Began: now, Busy: u.Busy}
+	g := SlotLease{Upstream: u, ID: u.ID, Address: u.Address, Hold: c.Hold, Cold: u.Cold(now), Abroad: !u.near, Began: now, Busy: u.Busy}
 	u.began(now, c)
 	if c.Hold != nil {
 		if u.holds == nil {
-			u.holds = map[*Hold]struct{}{}
+			u.holds = map[*WaitHandle]struct{}{}
 		}
 		u.holds[c.Hold] = struct{}{}
 	}
@@ -200,7 +200,7 @@
 }
 
 // Withdraw takes back a claim that still waits.
-func (s *Stock) Withdraw(c *Claim) {
+func (s *Balancer) Withdraw(c *AcquireRequest) {
 	v := s.claimed(c)
 	for i, w := range v.waiting {
 		if w == c {
@@ -229,7 +229,7 @@
 // Release returns an upstream after a request, with the connection if that can
 // be used again.
 // It says whether the upstream stands out by bad answers.
-func (s *Stock) Release(now time.Duration, g Grant, conn *Conn, how Outcome) (odd bool) {
+func (s *Balancer) Release(now time.Duration, g SlotLease, conn *Conn, how Outcome) (odd bool) {
 	u := g.Upstream
 	u.Busy--
 	took := now - g.Began
@@ -283,8 +283,8 @@
 	return odd
 }
 
-func (s *Stock) serve(now time.Duration, v *service) {
-	var stuck []*Claim // what waits for the upstreams of some regions only
+func (s *Balancer) serve(now time.Duration, v *service) {
+	var stuck []*AcquireRequest // what waits for the upstreams of some regions only
 	defer func() { v.waiting = append(v.waiting, stuck...) }()
 	for len(v.waiting) > 0 {
 		best := 0
@@ -307,7 +307,7 @@
 	}
 }
 
-func (s *Stock) serveAll(now time.Duration) {
+func (s *Balancer) serveAll(now time.Duration) {
 	for _, v := range s.services {
 		s.serve(now, v)
 	}
--- a/internal/upstream/assignment.go
+++ b/internal/upstream/assignment.go
@@ -15,7 +15,7 @@
 const ColdSenders = 2
 
 // assign works out which upstreams this gateway uses first.
-func (s *Stock) assign(now time.Duration) {
+func (s *Balancer) assign(now time.Duration) {
 	s.plan++
 	s.zones, s.nearOf = map[string][]string{}, map[[2]string][]string{}
 	for _, d := range s.gateways {
@@ -56,7 +56,7 @@
 
 // sends says whether this gateway is one of the few that may send to an upstream while
 // it is cold. That is worked out when it is asked for: few upstreams are cold.
-func (s *Stock) sends(u *Upstream) bool {
+func (s *Balancer) sends(u *Upstream) bool {
 	if u.few != s.plan {
 		few := rendezvous.Pick(u.ID, s.near(u.Zone, u.Service), ColdSenders)
 		u.few, u.senders = s.plan, max(1, len(few))
@@ -68,7 +68,7 @@
 // near lists the gateways of which a few may send to cold upstreams of a service in a
 // zone: those of the zone, or all where it has none, and of these the ones of the
 // shard that has the service, if there are any.
-func (s *Stock) near(zone, service string) []string {
+func (s *Balancer) near(zone, service string) []string {
 	at := [2]string{zone, service}
 	if near, ok := s.nearOf[at]; ok {
 		return near
@@ -97,7 +97,7 @@
 // nameHomes shares the upstreams that the zone uses as its own out among its
 // gateways: each goes to the gateway of highest weight that has not yet got its even
 // share.
-func (s *Stock) nameHomes(v *service, gateways []string) {
+func (s *Balancer) nameHomes(v *service, gateways []string) {
 	var local []*Upstream
 	v.lent = s.lend(v)
 	for _, u := range v.ups {
@@ -140,7 +140,7 @@
 // nameReach names the upstreams that this gateway uses at all. With few gateways that is
 // all of them. With hundreds, each with little to send elsewhere, an upstream would
 // get a request from many at once and be full without any of them knowing.
-func (s *Stock) nameReach(v *service, near int) {
+func (s *Balancer) nameReach(v *service, near int) {
 	local := 0
 	for _, u := range v.ups {
 		if u.zone == s.cfg.Zone {
@@ -165,7 +165,7 @@
 // that uses one first may fill its slots; the others together may make it queue
 // a little. Connections are shared out evenly, with room for two gateways that are
 // not known here.
-func (s *Stock) setLimits(v *service, gateways int) {
+func (s *Balancer) setLimits(v *service, gateways int) {
 	conns := v.info.MaxConns
 	if conns == 0 {
 		conns = 64
@@ -180,7 +180,7 @@
 }
 
 // lend plans among the zones of this gateway's region only.
-func (s *Stock) lend(v *service) map[string]string {
+func (s *Balancer) lend(v *service) map[string]string {
 	zones := map[string]bool{s.cfg.Zone: true}
 	for _, d := range s.gateways {
 		if s.region(d.Zone) == s.region(s.cfg.Zone) {
--- a/internal/upstream/balancer.go
+++ b/internal/upstream/balancer.go
@@ -9,7 +9,7 @@
 	"madderwing/internal/rendezvous"
 )
 
-// Config holds the figures that a stock works by.
+// Config holds the figures that a balancer works by.
 type Config struct {
 	Self       string // this gateway's address
 	Zone       string
@@ -24,8 +24,8 @@
 	Region func(zone string) string
 }
 
-// Stock is the table of upstreams on one gateway. One goroutine owns it.
-type Stock struct {
+// Balancer is the table of upstreams on one gateway. One goroutine owns it.
+type Balancer struct {
 	cfg       Config
 	ups       map[string]*Upstream
 	services  map[string]*service
@@ -53,14 +53,14 @@
 	Closed []*Conn     // connections to be closed
 }
 
-// NewStock makes an empty stock.
-func NewStock(cfg Config) *Stock {
-	return &Stock{cfg: cfg, ups: map[string]*Upstream{}, services: map[string]*service{},
+// NewBalancer makes an empty stock.
+func NewBalancer(cfg Config) *Balancer {
+	return &Balancer{cfg: cfg, ups: map[string]*Upstream{}, services: map[string]*service{},
 		evacuated: map[string]bool{}, infos: map[string]ServiceInfo{}, bound: map[string]int{},
 		first: map[string]string{}}
 }
 
-func (s *Stock) region(zone string) string {
+func (s *Balancer) region(zone string) string {
 	if s.cfg.Region == nil {
 		return ""
 	}
@@ -68,7 +68,7 @@
 }
 
 // SetList takes the instances that stand now.
-func (s *Stock) SetList(now time.Duration, list []Instance) {
+func (s *Balancer) SetList(now time.Duration, list []Instance) {
 	seen := map[string]bool{}
 	for _, i := range list {
 		seen[i.ID] = true
@@ -103,10 +103,10 @@
 }
 
 // Known says whether a list has been taken.
-func (s *Stock) Known() bool { return s.known }
+func (s *Balancer) Known() bool { return s.known }
 
 // SetServices takes what the operator says of the services.
-func (s *Stock) SetServices(now time.Duration, infos map[string]ServiceInfo, bound map[string]int) {
+func (s *Balancer) SetServices(now time.Duration, infos map[string]ServiceInfo, bound map[string]int) {
 	if maps.Equal(infos, s.infos) && maps.Equal(bound, s.bound) {
 		return
 	}
@@ -121,7 +121,7 @@
 // SetEvacuated takes the zones that nothing may be sent to. Upstreams of a zone
 // that is taken back count as cold until the platform's word, with its lag, can
 // be trusted again.
-func (s *Stock) SetEvacuated(now time.Duration, zones map[string]bool) {
+func (s *Balancer) SetEvacuated(now time.Duration, zones map[string]bool) {
 	if maps.Equal(zones, s.evacuated) {
 		return
 	}
@@ -143,7 +143,7 @@
 }
 
 // SetGateways takes the gateways that work now, and their shards.
-func (s *Stock) SetGateways(now time.Duration, gateways []membership.Node, shards map[string]int) {
+func (s *Balancer) SetGateways(now time.Duration, gateways []membership.Node, shards map[string]int) {
 	same := func(a, b membership.Node) bool { return a.Address == b.Address && a.Zone == b.Zone }
 	if slices.EqualFunc(gateways, s.gateways, same) && maps.Equal(shards, s.shards) {
 		return
@@ -156,7 +156,7 @@
 // Tick lets time pass: trials of ejected upstreams, and claims that wait for
 // the pace of cold ones. It says when it wants to be called again; 0: when
 // something happens.
-func (s *Stock) Tick(now time.Duration) {
+func (s *Balancer) Tick(now time.Duration) {
 	s.average(now)
 	if s.unproven {
 		s.prove(now)
--- a/internal/upstream/choice.go
+++ b/internal/upstream/choice.go
@@ -15,7 +15,7 @@
 // score is how far an upstream is from being the one to send to: its load in
 // units of its slots, with a start for the upstreams that other gateways use
 // first. Infinite: not at present.
-func (s *Stock) score(now time.Duration, v *service, u *Upstream) float64 {
+func (s *Balancer) score(now time.Duration, v *service, u *Upstream) float64 {
 	if u.gone || now < u.until || now < u.rest || u.trying || u.Busy >= s.most(now, v, u) || u.trial && u.Busy > 0 {
 		return math.Inf(1)
 	}
@@ -46,7 +46,7 @@
 }
 
 // pick finds the upstream to send to.
-func (s *Stock) pick(now time.Duration, v *service, c *Claim) (best *Upstream, any bool) {
+func (s *Balancer) pick(now time.Duration, v *service, c *AcquireRequest) (best *Upstream, any bool) {
 	// Nearly always one of the few that this gateway uses first will do, and then no
 	// other can be better.
 	best, score, any := s.pickFrom(now, v, c, v.homes)
@@ -62,7 +62,7 @@
 
 // reachFails says whether half or more of the upstreams in reach cannot be sent to
 // whatever their load, as when a zone is lost.
-func (s *Stock) reachFails(now time.Duration, v *service) bool {
+func (s *Balancer) reachFails(now time.Duration, v *service) bool {
 	out := 0
 	for _, u := range v.reach {
 		if u.gone || now < u.until || u.trying || u.Cold(now) && !s.sends(u) {
@@ -73,7 +73,7 @@
 }
 
 // pickFrom finds the best of some upstreams and its score.
-func (s *Stock) pickFrom(now time.Duration, v *service, c *Claim, ups []*Upstream) (best *Upstream, bestScore float64, any bool) {
+func (s *Balancer) pickFrom(now time.Duration, v *service, c *AcquireRequest, ups []*Upstream) (best *Upstream, bestScore float64, any bool) {
 	bestScore = math.Inf(1)
 next:
 	for _, u := range ups {
--- a/internal/upstream/judge.go
+++ b/internal/upstream/judge.go
@@ -41,7 +41,7 @@
 
 type wait struct {
 	began, aim time.Duration
-	hold       *Hold
+	hold       *WaitHandle
 }
 
 // sits says whether it has waited longer than limit and a good part of its aim.
@@ -50,7 +50,7 @@
 }
 
 // began notes a request that begins.
-func (j *judged) began(now time.Duration, c *Claim) {
+func (j *judged) began(now time.Duration, c *AcquireRequest) {
 	j.since = append(j.since, wait{now, c.Aim, c.Hold})
 }
 
@@ -76,7 +76,7 @@
 }
 
 // slowness is how an upstream's time compares with what is usual: 1 is average.
-func (s *Stock) slowness(now time.Duration, v *service, u *Upstream) float64 {
+func (s *Balancer) slowness(now time.Duration, v *service, u *Upstream) float64 {
 	r := 1.0
 	if u.took > 0 && v.took > 0 {
 		r += (u.took/v.took - 1) * math.Exp(-(now-u.at).Seconds()/slowSpan)
@@ -86,7 +86,7 @@
 
 // answered takes an answer into account: how long it took, and whether it was an
 // error of the upstream's own. It says whether the upstream stands out.
-func (s *Stock) answered(now time.Duration, v *service, u *Upstream, took time.Duration, poor bool) (odd bool) {
+func (s *Balancer) answered(now time.Duration, v *service, u *Upstream, took time.Duration, poor bool) (odd bool) {
 	sample := 0.0
 	if poor {
 		sample = 1
@@ -117,7 +117,7 @@
 
 // Answering notes that an upstream answers, though the rest of the answer may take
 // as long as the way there needs.
-func (s *Stock) Answering(now time.Duration, g Grant) {
+func (s *Balancer) Answering(now time.Duration, g SlotLease) {
 	g.Upstream.ended(g.Began)
 }
 
@@ -133,7 +133,7 @@
 
 // Tell takes an upstream's word on its load. What is beyond this gateway's own
 // requests is the others'.
-func (s *Stock) Tell(now time.Duration, u *Upstream, t Told) {
+func (s *Balancer) Tell(now time.Duration, u *Upstream, t Told) {
 	if !t.Known {
 		return
 	}
@@ -141,7 +141,7 @@
 }
 
 // crowd is how many requests of other gateways an upstream probably has.
-func (s *Stock) crowd(now time.Duration, v *service, u *Upstream) float64 {
+func (s *Balancer) crowd(now time.Duration, v *service, u *Upstream) float64 {
 	if !u.tells {
 		return 0
 	}
@@ -154,7 +154,7 @@
 }
 
 // leaveAlone ejects an upstream for its answers, unless too many are out already.
-func (s *Stock) leaveAlone(now time.Duration, v *service, u *Upstream) bool {
+func (s *Balancer) leaveAlone(now time.Duration, v *service, u *Upstream) bool {
 	out, all := 0, 0
 	for _, o := range v.ups {
 		if o.zone == u.zone {
@@ -174,7 +174,7 @@
 
 // watch looks for upstreams that sit on requests. Those that may run again are
 // sent elsewhere.
-func (s *Stock) watch(now time.Duration, v *service, u *Upstream) {
+func (s *Balancer) watch(now time.Duration, v *service, u *Upstream) {
 	if len(u.since) == 0 || v.known < knownFrom || u.gone || now < u.until {
 		return
 	}
--- a/internal/upstream/judge_test.go
+++ b/internal/upstream/judge_test.go
@@ -10,10 +10,10 @@
 	"madderwing/internal/membership"
 )
 
-// answer sends one request to whichever upstream the stock picks and ends it.
-func answer(t *testing.T, s *Stock, now time.Duration, how func(id string) (Outcome, time.Duration)) string {
+// answer sends one request to whichever upstream the balancer picks and ends it.
+func answer(t *testing.T, s *Balancer, now time.Duration, how func(id string) (Outcome, time.Duration)) string {
 	t.Helper()
-	g, ok := claim(s, now, &Claim{Aim: 400 * ms})
+	g, ok := claim(s, now, &AcquireRequest{Aim: 400 * ms})
 	if !ok || g.Refused != Granted {
 		t.Fatalf("at %v: no upstream", now)
 	}
@@ -70,9 +70,9 @@
 	slow, got := "", 0
 	for i := 0; i < 100; i++ {
 		now := time.Duration(i) * 40 * ms
-		var under []Grant
+		var under []SlotLease
 		for range 4 {
-			g, ok := claim(s, now, &Claim{Aim: 400 * ms})
+			g, ok := claim(s, now, &AcquireRequest{Aim: 400 * ms})
 			if !ok {
 				t.Fatal("no upstream")
 			}
@@ -117,7 +117,7 @@
 		now := 200 * ms
 		var u *Upstream
 		for n := 0; n < c.stuck; {
-			g, ok := claim(s, now, &Claim{Aim: 400 * ms, Hold: &Hold{}})
+			g, ok := claim(s, now, &AcquireRequest{Aim: 400 * ms, Hold: &WaitHandle{}})
 			if !ok {
 				t.Fatal("no upstream")
 			}
@@ -136,7 +136,7 @@
 func TestRegionsBindAndTheOwnGoesFirst(t *testing.T) {
 	region := func(zone string) string { return zone[:1] }
 	ds := []membership.Node{{Address: "d", Name: "d", Zone: "n1"}, {Address: "e", Name: "e", Zone: "s1"}}
-	s := NewStock(cfg("d", "n1"))
+	s := NewBalancer(cfg("d", "n1"))
 	s.cfg.Region = region
 	s.SetGateways(0, ds, nil)
 	s.SetServices(0, map[string]ServiceInfo{"a": {MaxConns: 200}}, nil)
@@ -144,15 +144,15 @@
 	prove(s, 0)
 	cases := []struct {
 		name    string
-		claim   Claim
+		claim   AcquireRequest
 		zone    string
 		refused Refusal
 	}{
-		{"anywhere", Claim{}, "n1", Granted},
-		{"its own region", Claim{Bound: true, Regions: []string{"n"}}, "n1", Granted},
-		{"another region", Claim{Bound: true, Regions: []string{"s"}}, "s1", Granted},
-		{"one where nothing is", Claim{Bound: true, Regions: []string{"w"}}, "", NoneLeft},
-		{"none at all", Claim{Bound: true}, "", NoneLeft},
+		{"anywhere", AcquireRequest{}, "n1", Granted},
+		{"its own region", AcquireRequest{Bound: true, Regions: []string{"n"}}, "n1", Granted},
+		{"another region", AcquireRequest{Bound: true, Regions: []string{"s"}}, "s1", Granted},
+		{"one where nothing is", AcquireRequest{Bound: true, Regions: []string{"w"}}, "", NoneLeft},
+		{"none at all", AcquireRequest{Bound: true}, "", NoneLeft},
 	}
 	for _, c := range cases {
 		for i := 0; i < 8; i++ {
@@ -170,11 +170,11 @@
 	}
 	// A claim that waits for one region does not hold up those that need not.
 	for {
-		if _, ok := claim(s, ms, &Claim{Bound: true, Regions: []string{"s"}}); !ok {
+		if _, ok := claim(s, ms, &AcquireRequest{Bound: true, Regions: []string{"s"}}); !ok {
 			break
 		}
 	}
-	if g, ok := claim(s, ms, &Claim{}); !ok || g.Upstream.Zone != "n1" {
+	if g, ok := claim(s, ms, &AcquireRequest{}); !ok || g.Upstream.Zone != "n1" {
 		t.Errorf("held up by a claim for another region: %v", ok)
 	}
 }
@@ -201,15 +201,15 @@
 		for i := 0; i < 100; i++ {
 			answer(t, s, time.Duration(i)*ms, func(string) (Outcome, time.Duration) { return Served, 60 * ms })
 		}
-		var held []*Hold
-		theirs := map[*Hold]net.Conn{}
-		var grants []Grant
+		var held []*WaitHandle
+		theirs := map[*WaitHandle]net.Conn{}
+		var grants []SlotLease
 		for range 3 {
-			h := &Hold{}
+			h := &WaitHandle{}
 			ours, other := net.Pipe()
 			theirs[h] = other
 			h.On(&Conn{Conn: ours})
-			g, ok := claim(s, 200*ms, &Claim{Aim: 400 * ms, Hold: h})
+			g, ok := claim(s, 200*ms, &AcquireRequest{Aim: 400 * ms, Hold: h})
 			if !ok {
 				t.Fatal("no upstream")
 			}
--- a/internal/upstream/listing.go
+++ b/internal/upstream/list.go
@@ -1,5 +1,5 @@
 // Package upstream knows the upstreams: the platform's list of them as one
-// control node reads it for all, and on each gateway the stock of upstreams that
+// control node reads it for all, and on each gateway the balancer of upstreams that
 // requests are sent to, with what this gateway has learnt of each.
 package upstream
 
@@ -54,9 +54,9 @@
 	return o.Term > v.Term || o.Term == v.Term && o.Life > v.Life
 }
 
-// Listing is the platform's list at one version, whole or as a difference to
+// List is the platform's list at one version, whole or as a difference to
 // an older version.
-type Listing struct {
+type List struct {
 	Version Version    `cbor:"1,keyasint"`
 	Base    Version    `cbor:"2,keyasint"` // zero: whole
 	Set     []Instance `cbor:"3,keyasint,omitempty"`
@@ -138,12 +138,12 @@
 // warmSlack is the difference in the end of a warm-up that counts as news.
 const warmSlack = 500 * time.Millisecond
 
-// Stand is a listing as it stands at one node, which can be passed on as a
+// ListSnapshot is a listing as it stands at one node, which can be passed on as a
 // whole or as a difference.
-type Stand struct {
+type ListSnapshot struct {
 	Version Version
 	items   map[string]standing
-	past    []Listing // the last differences, oldest first
+	past    []List // the last differences, oldest first
 }
 
 type standing struct {
@@ -155,8 +155,8 @@
 
 // Update takes a fresh reading of the platform's list, and says whether it
 // differs from what stood.
-func (s *Stand) Update(now time.Duration, term, life uint64, fresh []Instance) bool {
-	diff := Listing{Base: s.Version}
+func (s *ListSnapshot) Update(now time.Duration, term, life uint64, fresh []Instance) bool {
+	diff := List{Base: s.Version}
 	seen := map[string]bool{}
 	for _, i := range fresh {
 		seen[i.ID] = true
@@ -184,7 +184,7 @@
 
 // Take takes a listing from another node. It says whether it was newer and
 // fitted.
-func (s *Stand) Take(now time.Duration, l Listing) bool {
+func (s *ListSnapshot) Take(now time.Duration, l List) bool {
 	if !s.Version.Less(l.Version) || l.Base != (Version{}) && l.Base != s.Version {
 		return false
 	}
@@ -192,7 +192,7 @@
 	return true
 }
 
-func (s *Stand) apply(now time.Duration, l Listing) {
+func (s *ListSnapshot) apply(now time.Duration, l List) {
 	if l.Base == (Version{}) || s.items == nil {
 		s.items, s.past = map[string]standing{}, nil
 	} else {
@@ -211,7 +211,7 @@
 }
 
 // Since gives what brings a holder of version have up to date, or nil.
-func (s *Stand) Since(now time.Duration, have Version) *Listing {
+func (s *ListSnapshot) Since(now time.Duration, have Version) *List {
 	if s.items == nil || !have.Less(s.Version) {
 		return nil
 	}
@@ -220,12 +220,12 @@
 			return s.since(now, s.past[i:])
 		}
 	}
-	return &Listing{Version: s.Version, Set: s.All(now)}
+	return &List{Version: s.Version, Set: s.All(now)}
 }
 
 // since puts the last differences together into one.
-func (s *Stand) since(now time.Duration, past []Listing) *Listing {
-	out := &Listing{Version: s.Version, Base: past[0].Base}
+func (s *ListSnapshot) since(now time.Duration, past []List) *List {
+	out := &List{Version: s.Version, Base: past[0].Base}
 	touched := map[string]bool{}
 	for _, l := range past {
 		for _, i := range l.Set {
@@ -246,12 +246,12 @@
 	return out
 }
 
-func (s *Stand) left(now time.Duration, id string) int64 {
+func (s *ListSnapshot) left(now time.Duration, id string) int64 {
 	return max(0, int64((s.items[id].warmAt-now)/time.Millisecond))
 }
 
 // All lists the instances that stand, by id.
-func (s *Stand) All(now time.Duration) []Instance {
+func (s *ListSnapshot) All(now time.Duration) []Instance {
 	out := make([]Instance, 0, len(s.items))
 	for id, it := range s.items {
 		i := it.Instance
@@ -263,11 +263,11 @@
 }
 
 // Each calls fn for every instance, in no order, with how long it stays cold.
-func (s *Stand) Each(now time.Duration, fn func(i Instance, left time.Duration)) {
+func (s *ListSnapshot) Each(now time.Duration, fn func(i Instance, left time.Duration)) {
 	for _, it := range s.items {
 		fn(it.Instance, it.warmAt-now)
 	}
 }
 
 // Known says whether any listing has been taken.
-func (s *Stand) Known() bool { return s.items != nil }
+func (s *ListSnapshot) Known() bool { return s.items != nil }
--- a/internal/upstream/load.go
+++ b/internal/upstream/load.go
@@ -9,7 +9,7 @@
 )
 
 // SetLoads takes the loads of all zones.
-func (s *Stock) SetLoads(now time.Duration, loads Loads) {
+func (s *Balancer) SetLoads(now time.Duration, loads Loads) {
 	s.loads = loads
 	for _, v := range s.services {
 		if !maps.Equal(s.lend(v), v.lent) {
@@ -21,7 +21,7 @@
 }
 
 // Loads are this gateway's own.
-func (s *Stock) Loads() map[string]float64 {
+func (s *Balancer) Loads() map[string]float64 {
 	out := map[string]float64{}
 	for name, v := range s.services {
 		if v.load > 0.05 {
@@ -32,7 +32,7 @@
 }
 
 // average brings the services' loads up to date.
-func (s *Stock) average(now time.Duration) {
+func (s *Balancer) average(now time.Duration) {
 	part := 1 - math.Exp(-(now-s.loadAt).Seconds()/loadSpan.Seconds())
 	s.loadAt = now
 	for _, v := range s.services {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,7 +32,7 @@
 	Nameless atomic.Bool
 
 	idle     []*Conn
-	holds    map[*Hold]struct{} // requests under way that may be sent elsewhere
+	holds    map[*WaitHandle]struct{} // requests under way that may be sent elsewhere
 	coldTill time.Duration
 	pace     Pace
 	senders  int  // how many gateways may send to it while it is cold, and whether this one
@@ -70,20 +70,20 @@
 	homes   []*Upstream // those that this gateway uses first
 	reach   []*Upstream // those that it uses at all, as long as enough of them work
 	budget  Budget
-	waiting []*Claim
+	waiting []*AcquireRequest
 	slots   int     // of the upstreams that this gateway uses first
 	bad     float64 // share of bad answers lately
 	took    float64 // seconds that its answers take
 	known   int     // answers so far
-	packed  packed
+	packed  saturation
 	load    float64
 	lent    map[string]string // upstream -> the zone that uses it as its own
 }
 
-func (s *Stock) service(name string) *service { return s.poolOf(name, "") }
+func (s *Balancer) service(name string) *service { return s.poolOf(name, "") }
 
 // poolOf is the pool of a service's candidate, or of the version that stands.
-func (s *Stock) poolOf(of, candidate string) *service {
+func (s *Balancer) poolOf(of, candidate string) *service {
 	name := of
 	if candidate != "" {
 		name += "@" + candidate
@@ -97,7 +97,7 @@
 }
 
 // drop closes the idle connections of an upstream.
-func (s *Stock) drop(u *Upstream) {
+func (s *Balancer) drop(u *Upstream) {
 	s.Closed = append(s.Closed, u.idle...)
 	u.idle = nil
 }
--- a/internal/upstream/packed.go
+++ b/internal/upstream/saturation.go
@@ -18,8 +18,8 @@
 	packedSpan = 15 * time.Second
 )
 
-// packed is how much longer a service's upstreams take when they are packed.
-type packed struct {
+// saturation is how much longer a service's upstreams take when they are packed.
+type saturation struct {
 	ratio float64
 	known int
 	at    time.Duration // of the last answer of a packed one
@@ -27,7 +27,7 @@
 
 // note takes an answer into account. Each upstream is compared with itself, since
 // the slower ones are the ones more often packed.
-func (p *packed) note(now time.Duration, u *Upstream, busy int, took time.Duration) {
+func (p *saturation) note(now time.Duration, u *Upstream, busy int, took time.Duration) {
 	if !u.home || took <= 0 {
 		return
 	}
@@ -48,7 +48,7 @@
 }
 
 // most is how many requests this gateway may have under way at an upstream.
-func (s *Stock) most(now time.Duration, v *service, u *Upstream) int {
+func (s *Balancer) most(now time.Duration, v *service, u *Upstream) int {
 	if !u.home || v.packed.known < packedFrom {
 		return u.limit
 	}
--- a/internal/upstream/packed_test.go
+++ b/internal/upstream/saturation_test.go
@@ -28,9 +28,9 @@
 		now := time.Duration(0)
 		for range 40 {
 			now += time.Second
-			var under []Grant
+			var under []SlotLease
 			for {
-				g, ok := claim(s, now, &Claim{Aim: time.Second})
+				g, ok := claim(s, now, &AcquireRequest{Aim: time.Second})
 				if !ok {
 					s.Withdraw(s.service("a").waiting[0])
 					break
--- a/internal/upstream/scale_test.go
+++ b/internal/upstream/scale_test.go
@@ -24,9 +24,9 @@
 	return gateways, shards, ups
 }
 
-func largeStock() (*Stock, []membership.Node, map[string]int, []Instance) {
+func largeStock() (*Balancer, []membership.Node, map[string]int, []Instance) {
 	d, sh, ups := fleet()
-	s := NewStock(cfg(d[0].Address, "z0"))
+	s := NewBalancer(cfg(d[0].Address, "z0"))
 	s.SetServices(0, map[string]ServiceInfo{"s0": {MaxConns: 1900}, "s1": {MaxConns: 1900}}, map[string]int{"s0": 0, "s1": 1})
 	s.SetList(0, ups)
 	s.SetGateways(0, d, sh)
@@ -69,13 +69,13 @@
 func BenchmarkClaimHomesBusy(b *testing.B) {
 	s, _, _, _ := largeStock()
 	prove(s, 0)
-	var held []Grant
+	var held []SlotLease
 	for range 40 {
-		s.Claim(0, &Claim{Service: "s0", Give: func(g Grant) { held = append(held, g) }})
+		s.Acquire(0, &AcquireRequest{Service: "s0", Give: func(g SlotLease) { held = append(held, g) }})
 	}
 	b.ResetTimer()
 	for range b.N {
-		s.Claim(time.Second, &Claim{Service: "s0", Give: func(g Grant) { s.Release(time.Second, g, nil, Unused) }})
+		s.Acquire(time.Second, &AcquireRequest{Service: "s0", Give: func(g SlotLease) { s.Release(time.Second, g, nil, Unused) }})
 	}
 }
 
@@ -85,7 +85,7 @@
 	d, sh, ups := fleet()
 	c := cfg(d[0].Address, "z0")
 	c.Calm = time.Second
-	s := NewStock(c)
+	s := NewBalancer(c)
 	s.SetServices(0, map[string]ServiceInfo{"s0": {MaxConns: 1900}, "s1": {MaxConns: 1900}}, map[string]int{"s0": 0, "s1": 0})
 	opened := 0
 	steps := []struct {
@@ -131,7 +131,7 @@
 	d, sh, _ := fleet()
 	senders := 0
 	for _, self := range d {
-		o := NewStock(cfg(self.Address, self.Zone))
+		o := NewBalancer(cfg(self.Address, self.Zone))
 		o.SetGateways(0, d, sh)
 		o.SetList(0, ups[:1])
 		if o.sends(o.ups[ups[0].ID]) {
@@ -146,10 +146,10 @@
 // A gateway that has missed some differences gets them as one, not the whole list.
 func TestMissedDifferencesComeAsOne(t *testing.T) {
 	_, _, ups := fleet()
-	var s Stand
+	var s ListSnapshot
 	s.Update(0, 1, 1, ups)
 	versions := []Version{s.Version}
-	behind := []*Stand{{}}
+	behind := []*ListSnapshot{{}}
 	behind[0].Take(0, *s.Since(0, Version{}))
 	for i := range pastMax + 2 { // each reading: one goes, one comes back, one drains
 		next := append([]Instance(nil), ups[1:]...)
@@ -157,7 +157,7 @@
 		ups = append(next, Instance{ID: fmt.Sprintf("new-%d", i), Service: "s0", Zone: "z0", Capacity: 3})
 		now := time.Duration(i+1) * time.Second
 		s.Update(now, 1, 1, ups)
-		b := &Stand{}
+		b := &ListSnapshot{}
 		b.Take(now, *s.Since(now, Version{}))
 		behind, versions = append(behind, b), append(versions, s.Version)
 	}
@@ -196,7 +196,7 @@
 			ups = append(ups, Instance{ID: fmt.Sprintf("i-%08x", i*2654435761), Service: fmt.Sprintf("s%d", i%size.services),
 				Address: fmt.Sprintf("10.128.%d.%d:80", i/200, i%200), Zone: fmt.Sprintf("z%d", i/size.services%size.zones), Capacity: 3, Version: "v1"})
 		}
-		s := NewStock(cfg(ds[0].Address, "z0"))
+		s := NewBalancer(cfg(ds[0].Address, "z0"))
 		s.SetServices(0, infos, nil)
 		s.SetGateways(0, ds, shards)
 		var before, after runtime.MemStats
@@ -225,7 +225,7 @@
 		})
 		b.Run(name+"request", func(b *testing.B) {
 			for range b.N {
-				s.Claim(time.Second, &Claim{Service: "s1", Give: func(g Grant) {
+				s.Acquire(time.Second, &AcquireRequest{Service: "s1", Give: func(g SlotLease) {
 					if g.Refused == Granted {
 						s.Release(time.Second, g, nil, Unused)
 					}
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -24,7 +24,7 @@
 }
 
 // States shows the upstreams.
-func (s *Stock) States(now time.Duration) (out []State) {
+func (s *Balancer) States(now time.Duration) (out []State) {
 	for _, u := range s.ups {
 		out = append(out, State{u.ID, u.Service, u.Address, u.Zone, u.Version, u.home, u.Cold(now), now < u.until || u.trying,
 			u.Busy, len(u.idle), u.Served, u.Failed})
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -42,9 +42,9 @@
 	return out, shards
 }
 
-// fresh makes a stock that knows everything; trials succeed at once.
-func fresh(self, zone string, instances []Instance, ds []membership.Node, shards map[string]int, bound map[string]int) *Stock {
-	s := NewStock(cfg(self, zone))
+// fresh makes a balancer that knows everything; trials succeed at once.
+func fresh(self, zone string, instances []Instance, ds []membership.Node, shards map[string]int, bound map[string]int) *Balancer {
+	s := NewBalancer(cfg(self, zone))
 	s.SetGateways(0, ds, shards)
 	s.SetServices(0, map[string]ServiceInfo{"a": {MaxConns: 200, WarmupS: 3, WarmupPerS: 8}}, bound)
 	s.SetList(0, instances)
@@ -52,7 +52,7 @@
 	return s
 }
 
-func prove(s *Stock, now time.Duration) {
+func prove(s *Balancer, now time.Duration) {
 	trials := s.Trials
 	s.Trials = nil
 	for _, u := range trials {
@@ -61,10 +61,10 @@
 }
 
 // claim asks for an upstream and returns the answer if there is one at once.
-func claim(s *Stock, now time.Duration, c *Claim) (g Grant, answered bool) {
+func claim(s *Balancer, now time.Duration, c *AcquireRequest) (g SlotLease, answered bool) {
 	c.Service = "a"
-	c.Give = func(x Grant) { g, answered = x, true }
-	s.Claim(now, c)
+	c.Give = func(x SlotLease) { g, answered = x, true }
+	s.Acquire(now, c)
 	return g, answered
 }
 
@@ -85,7 +85,7 @@
 	}
 	counts := map[string]int{}
 	for i := 0; ; i++ {
-		g, ok := claim(s, 0, &Claim{})
+		g, ok := claim(s, 0, &AcquireRequest{})
 		if !ok {
 			break
 		}
@@ -170,21 +170,21 @@
 
 func TestLeavingUpstreamsGetNothingMore(t *testing.T) {
 	ds, sh := gateways("z")
-	cases := map[string]func(s *Stock){
-		"draining":  func(s *Stock) { l := list(1, "z", 0); l[0].Draining = true; s.SetList(ms, l) },
-		"gone":      func(s *Stock) { s.SetList(ms, nil) },
-		"evacuated": func(s *Stock) { s.SetEvacuated(ms, map[string]bool{"z": true}) },
+	cases := map[string]func(s *Balancer){
+		"draining":  func(s *Balancer) { l := list(1, "z", 0); l[0].Draining = true; s.SetList(ms, l) },
+		"gone":      func(s *Balancer) { s.SetList(ms, nil) },
+		"evacuated": func(s *Balancer) { s.SetEvacuated(ms, map[string]bool{"z": true}) },
 	}
 	for name, leave := range cases {
 		t.Run(name, func(t *testing.T) {
 			s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
-			g, ok := claim(s, 0, &Claim{})
+			g, ok := claim(s, 0, &AcquireRequest{})
 			if !ok || g.Refused != Granted {
 				t.Fatal("no upstream")
 			}
 			leave(s)
 			s.Release(2*ms, g, &Conn{Expires: time.Hour}, Served)
-			if g, ok := claim(s, 3*ms, &Claim{}); !ok || g.Refused != NoneLeft {
+			if g, ok := claim(s, 3*ms, &AcquireRequest{}); !ok || g.Refused != NoneLeft {
 				t.Fatalf("got %+v", g)
 			}
 		})
@@ -194,7 +194,7 @@
 func TestANewLifeAtTheSameAddressIsAnotherUpstream(t *testing.T) {
 	ds, sh := gateways("z")
 	s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
-	g, _ := claim(s, 0, &Claim{})
+	g, _ := claim(s, 0, &AcquireRequest{})
 	s.Release(ms, g, &Conn{Expires: time.Hour}, Served)
 	next := list(1, "z", 0)
 	next[0].ID = "other-life"
@@ -203,7 +203,7 @@
 		t.Error("connections to the former life are kept")
 	}
 	prove(s, 2*ms)
-	if g, _ := claim(s, 3*ms, &Claim{}); g.ID != "other-life" || g.Upstream.Served != 0 {
+	if g, _ := claim(s, 3*ms, &AcquireRequest{}); g.ID != "other-life" || g.Upstream.Served != 0 {
 		t.Fatalf("got %+v", g)
 	}
 }
@@ -211,10 +211,10 @@
 func TestFailuresKeepRequestsAwayUntilATrialSucceeds(t *testing.T) {
 	ds, sh := gateways("z")
 	s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
-	g, _ := claim(s, 0, &Claim{})
+	g, _ := claim(s, 0, &AcquireRequest{})
 	s.Release(0, g, nil, Failing)
-	var later Grant
-	s.Claim(ms, &Claim{Service: "a", Give: func(g Grant) { later = g }})
+	var later SlotLease
+	s.Acquire(ms, &AcquireRequest{Service: "a", Give: func(g SlotLease) { later = g }})
 	if later.Upstream != nil {
 		t.Fatal("a request went to a failing upstream")
 	}
@@ -259,7 +259,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var stocks []*Stock
+			var stocks []*Balancer
 			for i, d := range ds {
 				s := fresh(d.Address, d.Zone, list(1, "z", 20000), views(i), sh, map[string]int{"a": 0})
 				stocks = append(stocks, s)
@@ -268,14 +268,14 @@
 			for now := time.Duration(0); now < 15*time.Second; now += 5 * ms {
 				s := stocks[rng.Intn(len(stocks))]
 				s.Tick(now)
-				c := &Claim{Service: "a"}
-				c.Give = func(g Grant) {
+				c := &AcquireRequest{Service: "a"}
+				c.Give = func(g SlotLease) {
 					if g.Refused == Granted {
 						sent = append(sent, now)
 						s.Release(now, g, nil, Served)
 					}
 				}
-				s.Claim(now, c)
+				s.Acquire(now, c)
 			}
 			most := 0
 			for i := range sent {
@@ -369,11 +369,11 @@
 func TestRetryBudgetHoldsOverAllGateways(t *testing.T) {
 	ds, sh := gateways("z", "y")
 	rng := rand.New(rand.NewSource(3))
-	newStock := func(i int) *Stock {
+	newStock := func(i int) *Balancer {
 		view := append(append([]membership.Node{}, ds[:i/2]...), ds[i/2+1:]...)
 		return fresh(ds[i].Address, ds[i].Zone, list(40, "z", 0), view, sh, map[string]int{"a": 0})
 	}
-	var stocks []*Stock
+	var stocks []*Balancer
 	for i := range ds {
 		stocks = append(stocks, newStock(i))
 	}
@@ -396,7 +396,7 @@
 			marks = append(marks, mark{now, false})
 		}
 		for k := 0; failing && k < 3; k++ { // every request wants to be repeated three times
-			g, ok := claim(s, now, &Claim{Retry: true})
+			g, ok := claim(s, now, &AcquireRequest{Retry: true})
 			if ok && g.Refused == Granted {
 				marks = append(marks, mark{now, true})
 				s.Release(now, g, nil, Served)
@@ -422,19 +422,19 @@
 	ds, sh := gateways("z")
 	s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
 	for {
-		if _, ok := claim(s, 0, &Claim{}); !ok {
+		if _, ok := claim(s, 0, &AcquireRequest{}); !ok {
 			break
 		}
 	}
 	var refused []int
 	wait := func(priority int) {
-		c := &Claim{Service: "a", Priority: priority}
-		c.Give = func(g Grant) {
+		c := &AcquireRequest{Service: "a", Priority: priority}
+		c.Give = func(g SlotLease) {
 			if g.Refused == Crowded {
 				refused = append(refused, priority)
 			}
 		}
-		s.Claim(0, c)
+		s.Acquire(0, c)
 	}
 	for i := 0; i < 12; i++ {
 		wait(2)
@@ -450,7 +450,7 @@
 }
 
 func TestStandPassesOnDifferencesAndWholes(t *testing.T) {
-	var a, b, late Stand
+	var a, b, late ListSnapshot
 	steps := [][]Instance{list(3, "z", 0), list(4, "z", 0), list(4, "z", 9000), list(2, "z", 0), nil}
 	for i, step := range steps {
 		now := time.Duration(i) * time.Second
@@ -532,8 +532,8 @@
 func TestSilenceLetsGoOfThoseWhoMayRunAgain(t *testing.T) {
 	ds, sh := gateways("z")
 	s := fresh("z-gateway-0", "z", list(1, "z", 0), ds[:1], sh, nil)
-	wait := func(h *Hold) (Grant, *deadlines) {
-		g, ok := claim(s, 0, &Claim{Hold: h})
+	wait := func(h *WaitHandle) (SlotLease, *deadlines) {
+		g, ok := claim(s, 0, &AcquireRequest{Hold: h})
 		if !ok || g.Refused != Granted {
 			t.Fatal("no upstream")
 		}
@@ -541,15 +541,15 @@
 		g.Hold.On(&Conn{Conn: d})
 		return g, d
 	}
-	_, repeatable := wait(&Hold{})
+	_, repeatable := wait(&WaitHandle{})
 	_, once := wait(nil)
-	done, _ := wait(&Hold{})
+	done, _ := wait(&WaitHandle{})
 	s.Release(ms, done, nil, Failing)
 	if repeatable.set {
 		t.Error("let go though the upstream only broke off")
 	}
 	s.Tried(2*ms, done.Upstream, &Conn{Expires: time.Hour})
-	s.Release(3*ms, Grant{Upstream: done.Upstream}, nil, Silent)
+	s.Release(3*ms, SlotLease{Upstream: done.Upstream}, nil, Silent)
 	if !repeatable.set || once.set {
 		t.Errorf("let go: %v; one that must not run again: %v", repeatable.set, once.set)
 	}
--- a/internal/upstream/versions.go
+++ b/internal/upstream/versions.go
@@ -16,7 +16,7 @@
 
 // SetVersions takes the versions of the services, by service. Of a service that is not
 // named, the version that most upstreams have when the first are listed stands.
-func (s *Stock) SetVersions(now time.Duration, versions map[string]Versions) {
+func (s *Balancer) SetVersions(now time.Duration, versions map[string]Versions) {
 	if maps.Equal(versions, s.versions) {
 		return
 	}
@@ -27,7 +27,7 @@
 
 // poolFor is the pool that an upstream belongs to: nil for one whose version nobody has
 // given a weight.
-func (s *Stock) poolFor(u *Upstream) *service {
+func (s *Balancer) poolFor(u *Upstream) *service {
 	v, named := s.versions[u.Service]
 	if !named || v.Stands == "" && v.Candidate == "" || !v.Ordered && s.listed[u.Service][v.Stands] == 0 {
 		v.Stands = s.first[u.Service]
@@ -43,7 +43,7 @@
 
 // pools brings the pools in line with the versions: what waits for a candidate that is
 // one no longer waits for the version that stands.
-func (s *Stock) pools() {
+func (s *Balancer) pools() {
 	s.firstVersions()
 	for name, v := range s.services {
 		if name == v.of || v.name == v.of+"@"+s.versions[v.of].Candidate {
@@ -61,7 +61,7 @@
 // firstVersions settles, for services of which nobody has said what stands, which
 // version does: the most frequent one when the first upstreams are listed, for as long
 // as there are any of it.
-func (s *Stock) firstVersions() {
+func (s *Balancer) firstVersions() {
 	s.listed = map[string]map[string]int{}
 	for _, u := range s.ups {
 		if u.gone {
@@ -91,7 +91,7 @@
 }
 
 // claimed is the pool that a claim is for.
-func (s *Stock) claimed(c *Claim) *service {
+func (s *Balancer) claimed(c *AcquireRequest) *service {
 	if c.Version != "" && s.versions[c.Service].Candidate != c.Version {
 		c.Version = ""
 	}
--- a/internal/upstream/versions_test.go
+++ b/internal/upstream/versions_test.go
@@ -15,11 +15,11 @@
 }
 
 // reached says which versions answer claims for a version, over many claims.
-func reached(s *Stock, now time.Duration, version string) (of map[string]int) {
+func reached(s *Balancer, now time.Duration, version string) (of map[string]int) {
 	of = map[string]int{}
-	var got []Grant
+	var got []SlotLease
 	for range 60 {
-		c := &Claim{Version: version}
+		c := &AcquireRequest{Version: version}
 		g, answered := claim(s, now, c)
 		switch {
 		case !answered:
@@ -42,35 +42,35 @@
 	moving := map[string]Versions{"a": {Stands: "v1", Candidate: "v2", Ordered: true}}
 	for _, c := range []struct {
 		name  string
-		steps func(s *Stock)
+		steps func(s *Balancer)
 		claim string
 		only  string // the version that answers; empty: none does
 	}{
-		{"first start", func(s *Stock) { s.SetList(0, v1) }, "", "v1"},
-		{"another is listed, nobody has said a word", func(s *Stock) { s.SetList(0, v1); s.SetList(0, append(both, v3...)) }, "", "v1"},
-		{"all are replaced, nobody has said a word", func(s *Stock) { s.SetList(0, v1); s.SetList(0, v2) }, "", "v2"},
-		{"a restart with both listed", func(s *Stock) { s.SetVersions(0, stands); s.SetList(0, append(both, v3...)) }, "", "v1"},
-		{"list, then versions", func(s *Stock) { s.SetList(0, append(both, v3...)); s.SetVersions(0, stands) }, "", "v1"},
-		{"a candidate, without weight", func(s *Stock) { s.SetVersions(0, moving); s.SetList(0, both) }, "", "v1"},
-		{"a candidate, with weight", func(s *Stock) { s.SetVersions(0, moving); s.SetList(0, both) }, "v2", "v2"},
-		{"order before list", func(s *Stock) { s.SetList(0, v1); s.SetVersions(0, moving) }, "v2", ""},
-		{"a third, beside the candidate", func(s *Stock) { s.SetVersions(0, moving); s.SetList(0, append(both, v3...)) }, "", "v1"},
-		{"what stood is gone without an order", func(s *Stock) { s.SetVersions(0, stands); s.SetList(0, v2) }, "", "v2"},
-		{"what an order says stands is gone", func(s *Stock) {
+		{"first start", func(s *Balancer) { s.SetList(0, v1) }, "", "v1"},
+		{"another is listed, nobody has said a word", func(s *Balancer) { s.SetList(0, v1); s.SetList(0, append(both, v3...)) }, "", "v1"},
+		{"all are replaced, nobody has said a word", func(s *Balancer) { s.SetList(0, v1); s.SetList(0, v2) }, "", "v2"},
+		{"a restart with both listed", func(s *Balancer) { s.SetVersions(0, stands); s.SetList(0, append(both, v3...)) }, "", "v1"},
+		{"list, then versions", func(s *Balancer) { s.SetList(0, append(both, v3...)); s.SetVersions(0, stands) }, "", "v1"},
+		{"a candidate, without weight", func(s *Balancer) { s.SetVersions(0, moving); s.SetList(0, both) }, "", "v1"},
+		{"a candidate, with weight", func(s *Balancer) { s.SetVersions(0, moving); s.SetList(0, both) }, "v2", "v2"},
+		{"order before list", func(s *Balancer) { s.SetList(0, v1); s.SetVersions(0, moving) }, "v2", ""},
+		{"a third, beside the candidate", func(s *Balancer) { s.SetVersions(0, moving); s.SetList(0, append(both, v3...)) }, "", "v1"},
+		{"what stood is gone without an order", func(s *Balancer) { s.SetVersions(0, stands); s.SetList(0, v2) }, "", "v2"},
+		{"what an order says stands is gone", func(s *Balancer) {
 			s.SetVersions(0, map[string]Versions{"a": {Stands: "v1", Ordered: true}})
 			s.SetList(0, v2)
 		}, "", ""},
-		{"reversed", func(s *Stock) { s.SetVersions(0, moving); s.SetList(0, both); s.SetVersions(0, stands) }, "v2", "v1"},
-		{"complete", func(s *Stock) {
+		{"reversed", func(s *Balancer) { s.SetVersions(0, moving); s.SetList(0, both); s.SetVersions(0, stands) }, "v2", "v1"},
+		{"complete", func(s *Balancer) {
 			s.SetVersions(0, moving)
 			s.SetList(0, both)
 			s.SetVersions(0, map[string]Versions{"a": {Stands: "v2", Ordered: true}})
 		}, "", "v2"},
-		{"order when nothing was known to stand", func(s *Stock) {
+		{"order when nothing was known to stand", func(s *Balancer) {
 			s.SetVersions(0, map[string]Versions{"a": {Candidate: "v2"}})
 			s.SetList(0, both)
 		}, "", "v1"},
-		{"no versions at all", func(s *Stock) { s.SetList(0, versioned("", 4)) }, "", ""},
+		{"no versions at all", func(s *Balancer) { s.SetList(0, versioned("", 4)) }, "", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ds, sh := gateways("z")
@@ -105,9 +105,9 @@
 	s.SetVersions(0, map[string]Versions{"a": {Stands: "v1", Candidate: "v2", Ordered: true}})
 	s.SetList(0, append(versioned("v1", 3), versioned("v2", 1)...))
 	prove(s, 0)
-	var held []Grant
+	var held []SlotLease
 	for { // fill the candidate
-		c := &Claim{Version: "v2"}
+		c := &AcquireRequest{Version: "v2"}
 		g, answered := claim(s, 0, c)
 		if !answered {
 			s.Withdraw(c)
@@ -115,10 +115,10 @@
 		}
 		held = append(held, g)
 	}
-	waits := &Claim{Version: "v2"}
-	var got *Grant
-	waits.Service, waits.Give = "a", func(g Grant) { got = &g }
-	s.Claim(0, waits)
+	waits := &AcquireRequest{Version: "v2"}
+	var got *SlotLease
+	waits.Service, waits.Give = "a", func(g SlotLease) { got = &g }
+	s.Acquire(0, waits)
 	if got != nil {
 		t.Fatal("a full candidate takes more")
 	}
@@ -152,7 +152,7 @@
 		if i%2 == 0 {
 			version = "v2"
 		}
-		if g, ok := claim(s, 0, &Claim{Version: version, Retry: true}); ok && g.Refused == Granted {
+		if g, ok := claim(s, 0, &AcquireRequest{Version: version, Retry: true}); ok && g.Refused == Granted {
 			granted++
 		}
 	}
--- a/internal/upstream/warmup.go
+++ b/internal/upstream/warmup.go
@@ -15,14 +15,14 @@
 
 // doubt treats an upstream whose warmth is not known as cold, until the
 // platform's word on it must have arrived or the upstream itself has been asked.
-func (s *Stock) doubt(now time.Duration, u *Upstream) {
+func (s *Balancer) doubt(now time.Duration, u *Upstream) {
 	info := s.infos[u.Service]
 	u.coldTill = max(u.coldTill, now+time.Duration(info.WarmupS*float64(time.Second))+s.cfg.Lag)
 	s.ask(u)
 }
 
 // ask asks an upstream how long it stays cold, if that is this gateway's to do.
-func (s *Stock) ask(u *Upstream) {
+func (s *Balancer) ask(u *Upstream) {
 	path := s.infos[u.Service].HealthPath
 	u.outdated = u.asking
 	if (u.home || s.sends(u)) && !u.asking && s.poolFor(u) != nil && path != "" {
@@ -34,7 +34,7 @@
 // Probed takes the answer to a probe: how much longer the upstream stays cold.
 // Without one (ok is false) it goes on counting as cold. One to a question asked before
 // its warmth came into doubt again tells nothing, and it is asked anew.
-func (s *Stock) Probed(now time.Duration, u *Upstream, left time.Duration, ok bool) {
+func (s *Balancer) Probed(now time.Duration, u *Upstream, left time.Duration, ok bool) {
 	u.asking = false
 	if u.outdated {
 		u.outdated = false
@@ -54,7 +54,7 @@
 // the shard, to those that have newly appeared, so that no request has to find
 // out whether they are there yet. While gateways come and go, who uses what first
 // changes too often: it waits for a calm.
-func (s *Stock) prove(now time.Duration) {
+func (s *Balancer) prove(now time.Duration) {
 	s.unproven = now < s.calmAt || len(s.gateways) == 0
 	if s.unproven {
 		return
@@ -74,13 +74,13 @@
 
 // holds says whether this gateway is of the shard that has a service's routes, or
 // no shard has them yet.
-func (s *Stock) holds(service string) bool {
+func (s *Balancer) holds(service string) bool {
 	shard, bound := s.bound[service]
 	return !bound || s.shards[s.cfg.Self] == shard
 }
 
 // eject keeps requests from an upstream for a while that grows.
-func (s *Stock) eject(now time.Duration, u *Upstream) {
+func (s *Balancer) eject(now time.Duration, u *Upstream) {
 	if now < u.until || u.trying {
 		return
 	}
@@ -91,7 +91,7 @@
 }
 
 // Tried tells how a trial connection went.
-func (s *Stock) Tried(now time.Duration, u *Upstream, conn *Conn) {
+func (s *Balancer) Tried(now time.Duration, u *Upstream, conn *Conn) {
 	u.trying = false
 	if conn == nil {
 		u.until = 0
