docs: what ends when lock run is killed

Cause: in a trial on local nodes, `lock run` was killed with SIGKILL three times. The command, a shell, was killed with it each time, but a `sleep` that it had started went on (one was left after the first). The page and the comment said less than that.

Ruled out for now: a control group or a process that outlives the runner to end the rest.

--- a/cmd/madderwing/runner.go
+++ b/cmd/madderwing/runner.go
@@ -99,7 +99,8 @@
 // lease ends. The command has a process group of its own, so that what it has started ends
 // with it.
 func (r *runner) supervise(process *exec.Cmd, lease context.Context, signals <-chan os.Signal) error {
-	// If this process is killed the command must not go on without a lease.
+	// If this process is killed the command must not go on without a lease. That does not
+	// reach what the command has started.
 	process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	started, ended := make(chan error, 1), make(chan error, 1)
 	go func() {
