Revert "A relay redirects applications' calls without asking for each"

A trace of 6 s: from the redirection to the arrival at the control node 90 in 100 take under 30 ms, 5 in 100 over 190 ms. What waits is the line behind downloads on the relay's link, and the question that was saved stood in the same line at the same time.

--- a/internal/controlplane/relay.go
+++ b/internal/controlplane/relay.go
@@ -26,14 +26,12 @@
 // in no list, and redirects the operators' calls to a control node at work. It does nothing
 // between calls.
 type relay struct {
-	pick func(key string) string
-	// pickRecent is pick for the calls of applications: see recentPicks.
-	pickRecent func(key string) string
-	known      func() []membership.Node
-	port       string        // of control, on all machines
-	drain      time.Duration // for which the rest of a call's body is read
-	later      time.Duration // after which a caller may come again
-	log        *slog.Logger
+	pick  func(key string) string
+	known func() []membership.Node
+	port  string        // of control, on all machines
+	drain time.Duration // for which the rest of a call's body is read
+	later time.Duration // after which a caller may come again
+	log   *slog.Logger
 
 	calls, redirected, refused atomic.Uint64
 	away                       atomic.Bool // the last call found no control node
@@ -67,7 +65,7 @@
 	})
 	post.Start()
 
-	r := &relay{pick: p.pick, pickRecent: newRecentPicks(p.pick, beat).to, known: p.known, port: port, drain: settings.Seconds(set.Bounds.ContactS), later: beat, log: logging.For(logging.Relay)}
+	r := &relay{pick: p.pick, known: p.known, port: port, drain: settings.Seconds(set.Bounds.ContactS), later: beat, log: logging.For(logging.Relay)}
 	serve := func(address string, h http.Handler) *http.Server {
 		return &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
 			IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS), ErrorLog: slog.NewLogLogger(r.log.Handler(), slog.LevelWarn)}
@@ -107,11 +105,7 @@
 		return
 	}
 	r.calls.Add(1)
-	pick := r.pick
-	if isCoordination(req.URL.Path) {
-		pick = r.pickRecent
-	}
-	to := pick(keyOf(req.Method, req.URL.Path))
+	to := r.pick(keyOf(req.Method, req.URL.Path))
 	if away := to == ""; r.away.Swap(away) != away {
 		if away {
 			r.log.Warn("no control node in reach")
