Answers that are expected count in the budget of the link, not only those that have begun

While a gateway stays, LinkBudget bounded only answers that had begun, and an answer begins when its head has come in, in order behind the bytes of the answers before it. The longer that line was, the more was admitted: in a trace a gateway expected 2.7 MB of downloads, nine seconds of its link, 1.3 s before its SIGTERM, of which the budget counted 0.19 MB.

Change: expected answers count as those that have begun do; all together may occupy the link for half of a grace. With none begun, a download larger than all that is expected is admitted whatever its size.

--- a/internal/proxy/linkbudget.go
+++ b/internal/proxy/linkbudget.go
@@ -14,8 +14,8 @@
 const (
 	// graceShare is the part of graceS after which all long answers should be out.
 	graceShare = 0.8
-	// queueShare is the part of graceS for which long answers may occupy the link before more
-	// are refused, while the process stays.
+	// queueShare is the part of graceS for which long answers, those still expected among them, may
+	// occupy the link before more are refused, while the process stays.
 	queueShare = 0.5
 	// longAnswer is the size above which an answer is long. Shorter ones are passed on always.
 	longAnswer = 16 << 10
@@ -115,10 +115,12 @@
 		return now+b.carry(b.outstanding(now)+b.waiting+size) <= by && now+delay+b.carry(size) <= by
 	}
 	queue := b.outstanding(now)
-	if queue == 0 {
-		return true // whatever its size: it will have the link to itself
+	if queue == 0 && b.waiting < size {
+		return true // whatever its size: it will have most of the link to itself
 	}
-	return b.carry(queue+size) <= min(time.Duration(float64(b.grace)*queueShare), deadline-now)
+	// What is expected counts too: answers that wait on their way in begin only once the link has
+	// carried them, and would all have been admitted by then.
+	return b.carry(queue+b.waiting+size) <= min(time.Duration(float64(b.grace)*queueShare), deadline-now)
 }
 
 // carry is the time in which the link carries so many bytes.
--- a/internal/proxy/linkbudget_test.go
+++ b/internal/proxy/linkbudget_test.go
@@ -20,6 +20,9 @@
 	buffer int     // bytes of an answer that may be written ahead of the link
 	now    time.Duration
 
+	sharesInbound bool          // answers come in from upstreams over a link of the same rate, in order
+	inboundFree   time.Duration // when all that upstreams have sent will have come in
+
 	active                             []*modelAnswer
 	refused, finished, cut, turnedAway int
 	admittedLeaving                    int
@@ -28,7 +31,8 @@
 // modelAnswer is an answer on its way: first its upstream works, then it is sent.
 type modelAnswer struct {
 	reservation *Reservation
-	begins      time.Duration
+	begins      time.Duration // when its upstream has worked, and then when its head comes in
+	inbound     bool
 	begun       bool
 	size        int
 	unwritten   int
@@ -72,6 +76,11 @@
 	var sending []*modelAnswer
 	kept := m.active[:0]
 	for _, a := range m.active {
+		if m.sharesInbound && !a.inbound && m.now >= a.begins {
+			a.inbound = true
+			a.begins = max(m.now, m.inboundFree)
+			m.inboundFree = a.begins + time.Duration(float64(a.size)/m.rate*float64(time.Second))
+		}
 		if !a.begun && m.now >= a.begins {
 			a.begun = true
 			if !a.reservation.Begin(m.now, int64(a.size)) {
@@ -166,6 +175,47 @@
 	}
 }
 
+// Many requests that come at once, before any of their answers begins, don't fill the link from
+// the upstreams: what is short would wait behind it until the grace of a process that leaves ends.
+func TestExpectedAnswersAreBounded(t *testing.T) {
+	const (
+		rate      = 287_500.
+		burstPerS = 25
+		burst     = 2 * time.Second
+		calmPerS  = 1
+		// A request may come in at acceptedFor of the grace, and has to be answered by 0.95 of it.
+		bearable = modelGrace / 2
+		// pacedShare is the part of the link that paced long answers are reckoned to get.
+		pacedShare = 0.585
+	)
+	finished := 0
+	for seed := range uint64(100) {
+		m := &linkModel{Rand: rand.New(rand.NewPCG(seed, 2)), budget: NewLinkBudget(pacedShare*rate, modelGrace),
+			rate: rate, buffer: 4096, sharesInbound: true}
+		burstAt := time.Duration(8+m.Float64()*4) * time.Second
+		var longest time.Duration
+		for m.now < burstAt+2*burst {
+			perS := float64(calmPerS)
+			if m.now >= burstAt && m.now < burstAt+burst {
+				perS = burstPerS
+			}
+			if m.Float64() < perS*modelStep.Seconds() {
+				m.request()
+			}
+			m.step()
+			longest = max(longest, m.inboundFree-m.now)
+		}
+		if longest > bearable {
+			t.Errorf("seed %d: what comes in waits for %v", seed, longest)
+		}
+		finished += m.finished
+	}
+	if least := 100 * 10; finished < least {
+		t.Errorf("%d answers finished, fewer than %d", finished, least)
+	}
+	t.Logf("%d finished", finished)
+}
+
 // A gateway that leaves refuses a long answer that could not be out in time, with a refusal that
 // sends the client elsewhere at once. It asks no upstream once it knows how long such answers
 // are. What must not run again is passed on all the same, and so is what is short.
