--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,5 +1,5 @@
 // Package gateway is the data plane: it puts together the feed of items and
-// upstreams, the balancer of upstreams, and the front that serves clients.
+// upstreams, the balancer of upstreams, and the handler that serves clients.
 package gateway
 
 import (
@@ -40,15 +40,15 @@
 
 // Gateway is one data-plane process.
 type Gateway struct {
-	set   *settings.Settings
-	opt   Options
-	post  *transport.Endpoint
-	reg   *membership.Service
-	floor *proxy.Floor
-	front *proxy.Front
-	arms  *rollout.Arms
-	door  *proxy.Door
-	log   *slog.Logger
+	set        *settings.Settings
+	opt        Options
+	post       *transport.Endpoint
+	reg        *membership.Service
+	dispatcher *proxy.Dispatcher
+	handler    *proxy.Handler
+	arms       *rollout.Arms
+	listener   *proxy.Listener
+	log        *slog.Logger
 
 	// Owned by the reader's goroutine.
 	commands chan func(now time.Duration)
@@ -91,18 +91,18 @@
 	if set.Global() {
 		region = set.RegionOf
 	}
-	stock := upstream.NewBalancer(upstream.Config{Self: post.Self(), Zone: set.Zone, Region: region,
+	balancer := upstream.NewBalancer(upstream.Config{Self: post.Self(), Zone: set.Zone, Region: region,
 		RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, Window: settings.Seconds(set.Bounds.RetryWindowS),
 		Eject: patience, EjectMax: 8 * patience, Lag: lag, Calm: beat})
-	d.floor = proxy.NewFloorAt(d.start, stock, patience, patience/6)
+	d.dispatcher = proxy.NewDispatcherAt(d.start, balancer, patience, patience/6)
 	d.arms = rollout.NewArms(post.Self(), settings.Seconds(set.Rollback()*silencePart), func() time.Duration { return time.Since(d.start) })
-	d.front = proxy.NewFront(d.floor, d.arms)
+	d.handler = proxy.NewHandler(d.dispatcher, d.arms)
 	d.boundAnswers()
-	d.ready = newReadiness(d.front.Confirmed)
+	d.ready = newReadiness(d.handler.Confirmed)
 	if set.Global() {
 		d.serveTenants()
 	}
-	d.door, err = proxy.NewDoor(set.Bind.Front, int(float64(set.Limits.MaxFds)*(1-keepFds)), d.front, logging.For(logging.Proxy))
+	d.listener, err = proxy.NewListener(set.Bind.Front, int(float64(set.Limits.MaxFds)*(1-keepFds)), d.handler, logging.For(logging.Proxy))
 	if err != nil {
 		return err
 	}
@@ -117,7 +117,7 @@
 		transport.On(post, delivery.AcquireReplyKind, d.drawn)
 	}
 	post.Start()
-	go d.floor.Run()
+	go d.dispatcher.Run()
 	go d.reg.Run()
 	stop := make(chan struct{})
 	go d.read(beat, stop)
@@ -126,7 +126,7 @@
 	ready := &http.Server{Addr: set.Bind.Readiness, Handler: d.pages(), ReadHeaderTimeout: settings.Seconds(set.Bounds.ContactS),
 		IdleTimeout: settings.Seconds(4 * set.Bounds.ContactS)}
 	go func() { failed <- ready.ListenAndServe() }()
-	go func() { failed <- d.door.Serve() }()
+	go func() { failed <- d.listener.Serve() }()
 	d.log.Info("gateway is up", "node", set.Node, "zone", set.Zone)
 
 	for {
@@ -174,7 +174,7 @@
 	labels := l.Shards(d.opt.Shards)
 	if n, ok := labels[d.post.Self()]; ok && n != d.shard {
 		d.shard = n
-		d.front.SetShard(n)
+		d.handler.SetShard(n)
 	}
 	var gateways []membership.Node
 	for _, n := range l.Live(membership.Data) {
@@ -182,7 +182,7 @@
 			gateways = append(gateways, n)
 		}
 	}
-	d.floor.Do(func(now time.Duration, s *upstream.Balancer) { s.SetGateways(now, gateways, labels) })
+	d.dispatcher.Do(func(now time.Duration, s *upstream.Balancer) { s.SetGateways(now, gateways, labels) })
 }
 
 // read owns the items: it tells the control nodes what it has and takes what they
@@ -217,7 +217,7 @@
 			}
 			d.post.Send(a, delivery.WatchKind, w)
 		}
-		d.floor.Do(func(_ time.Duration, s *upstream.Balancer) {
+		d.dispatcher.Do(func(_ time.Duration, s *upstream.Balancer) {
 			load := s.Loads()
 			select {
 			case d.commands <- func(time.Duration) { d.load = load }:
@@ -278,12 +278,12 @@
 	}
 	d.ready.heard(now, d.dated(now, i), settings.Seconds(d.set.Bounds.ContactS))
 	if len(i.Loads) > 0 && d.sources.First() == from {
-		d.floor.Do(func(now time.Duration, s *upstream.Balancer) { s.SetLoads(now, i.Loads) })
+		d.dispatcher.Do(func(now time.Duration, s *upstream.Balancer) { s.SetLoads(now, i.Loads) })
 	}
 	if i.Listing != nil && d.stand.Take(now, *i.Listing) {
 		list := d.stand.All(now)
 		d.log.Info("list taken", "term", d.stand.Version.Term, "seq", d.stand.Version.Seq, "upstreams", len(list))
-		d.floor.Do(func(now time.Duration, s *upstream.Balancer) { s.SetList(now, list) })
+		d.dispatcher.Do(func(now time.Duration, s *upstream.Balancer) { s.SetList(now, list) })
 		d.ready.listed.Store(true)
 	}
 }
@@ -308,15 +308,15 @@
 		}
 		versions[name] = w
 	}
-	d.floor.Do(func(now time.Duration, s *upstream.Balancer) {
+	d.dispatcher.Do(func(now time.Duration, s *upstream.Balancer) {
 		s.SetServices(now, infos, bound)
 		s.SetVersions(now, versions)
 		s.SetEvacuated(now, evacuated)
 	})
 	d.arms.Set(t.Versions)
 	d.score()
-	d.front.SetTable(t)
-	d.door.SetLimits(t.Limits)
+	d.handler.SetTable(t)
+	d.listener.SetLimits(t.Limits)
 	d.ready.known.Store(t.Known)
 }
 
@@ -356,9 +356,9 @@
 		case "/v1/counters":
 			w.Header().Set("Content-Type", "application/json")
 			ch := make(chan []upstream.State, 1)
-			d.floor.Do(func(now time.Duration, s *upstream.Balancer) { ch <- s.States(now) })
-			shown := map[string]any{"node": d.set.Node, "counters": d.front.Counters(),
-				"connections": d.door.Open(), "upstreams": <-ch}
+			d.dispatcher.Do(func(now time.Duration, s *upstream.Balancer) { ch <- s.States(now) })
+			shown := map[string]any{"node": d.set.Node, "counters": d.handler.Counters(),
+				"connections": d.listener.Open(), "upstreams": <-ch}
 			if d.set.Global() {
 				shown["keysLeaseS"] = (time.Duration(d.lease.Load()) - time.Since(d.start)).Seconds()
 			}
@@ -366,8 +366,8 @@
 			_, _ = w.Write(append(b, '\n'))
 		case "/metrics":
 			var b bytes.Buffer
-			metrics.Write(&b, "gateway", d.front.Counters())
-			metrics.Gauge(&b, "gateway", "connections", uint64(d.door.Open()))
+			metrics.Write(&b, "gateway", d.handler.Counters())
+			metrics.Gauge(&b, "gateway", "connections", uint64(d.listener.Open()))
 			_, _ = w.Write(b.Bytes())
 		default:
 			w.WriteHeader(http.StatusNotFound)
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -23,8 +23,8 @@
 func (d *Gateway) leave() {
 	d.log.Info("leaving")
 	d.ready.leaving.Store(true)
-	d.front.Drain()
-	d.front.Pace.SetRate(linkRate(d.set) * leavingPace)
+	d.handler.Drain()
+	d.handler.Pace.SetRate(linkRate(d.set) * leavingPace)
 	d.reg.Leave(false)
 	began, grace := time.Now(), settings.Seconds(d.set.Bounds.GraceS)
 	quiet := time.Duration(float64(d.set.Beat()) * quietShare)
@@ -37,7 +37,7 @@
 		}
 		var calm time.Duration // for how long the platform has believed it and nothing has come
 		if !believedAt.IsZero() {
-			calm = min(time.Since(believedAt), d.door.Quiet())
+			calm = min(time.Since(believedAt), d.listener.Quiet())
 		}
 		if !accepts(grace, time.Since(began), calm, quiet) {
 			break
@@ -46,7 +46,7 @@
 	}
 	c, cancel := context.WithTimeout(context.Background(), answerTime(grace, time.Since(began)))
 	defer cancel()
-	d.door.Shutdown(c)
+	d.listener.Shutdown(c)
 }
 
 // accepts says whether a gateway that was told to leave some time ago still takes connections:
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -34,9 +34,9 @@
 		return
 	}
 	if d.opt.Pace > 0 {
-		d.front.Pace = proxy.NewPace(rate * d.opt.Pace)
+		d.handler.Pace = proxy.NewPace(rate * d.opt.Pace)
 	}
 	if d.set.Bounds.GraceS > 0 {
-		d.front.Link = proxy.NewLinkBudget(rate*answerShare(d.opt.Pace), settings.Seconds(d.set.Bounds.GraceS))
+		d.handler.Link = proxy.NewLinkBudget(rate*answerShare(d.opt.Pace), settings.Seconds(d.set.Bounds.GraceS))
 	}
 }
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -35,7 +35,7 @@
 // quotas on every machine, in touch or not.
 func (d *Gateway) serveTenants() {
 	d.draws = newDraws()
-	d.front.Tenants(&d.lease, d.draw)
+	d.handler.Tenants(&d.lease, d.draw)
 }
 
 // draw draws on a tenant's quota at the nearer control node, or at the other one if the
--- a/internal/proxy/callers_test.go
+++ b/internal/proxy/callers_test.go
@@ -80,8 +80,8 @@
 		dials  uint64
 	}{{200, 1}, {502, 1}, {503, 2}, {503, 3}, {503, 4}, {503, 5}, {200, 5}} {
 		res, _, err := r.say(t, "POST", post("/put/x", "b"))
-		if err != nil || res.StatusCode != want.status || r.front.Stats.Dials.Load() != want.dials {
-			t.Errorf("%d: %v %v, %d dials", i+1, err, res.StatusCode, r.front.Stats.Dials.Load())
+		if err != nil || res.StatusCode != want.status || r.handler.Stats.Dials.Load() != want.dials {
+			t.Errorf("%d: %v %v, %d dials", i+1, err, res.StatusCode, r.handler.Stats.Dials.Load())
 		}
 	}
 }
@@ -135,7 +135,7 @@
 // A body may still be read while its request is answered: to read it, also beyond its
 // limit, must leave the answer's headers alone.
 func TestReadingABodyDoesNotTouchTheAnswer(t *testing.T) {
-	f := newRig(t).front
+	f := newRig(t).handler
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		read := f.limits(func(x *Exchange) error {
 			_, err := io.Copy(io.Discard, x.body)
@@ -618,7 +618,7 @@
 	var all sync.WaitGroup
 	for i := range sceneClients {
 		all.Go(func() {
-			p := s.client(r.door.listener.Addr().String(), i, wrong)
+			p := s.client(r.listener.listener.Addr().String(), i, wrong)
 			mu.Lock()
 			defer mu.Unlock()
 			promised = append(promised, p...)
@@ -649,7 +649,7 @@
 func (s *scene) end(t *testing.T, r *rig) {
 	over, cancel := context.WithCancel(context.Background())
 	cancel()
-	r.door.Shutdown(over)
+	r.listener.Shutdown(over)
 	r.list() // what rests is closed
 	for until := time.Now().Add(20 * time.Second); s.open.Load() > 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(until) {
@@ -657,7 +657,7 @@
 			break
 		}
 	}
-	r.floor.Do(func(time.Duration, *upstream.Balancer) { runtime.Goexit() }) // the floor's own goroutine
+	r.dispatcher.Do(func(time.Duration, *upstream.Balancer) { runtime.Goexit() }) // the dispatcher's own goroutine
 }
 
 // What clients and upstreams may do to each other, drawn: no request that may run once
--- a/internal/proxy/dialing_test.go
+++ b/internal/proxy/dialing_test.go
@@ -29,10 +29,10 @@
 	} {
 		t.Run(fmt.Sprint(c.aim, c.fast), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				floor := NewFloor(upstream.NewBalancer(upstream.Config{Self: "d", Zone: "z", RetryRatio: 1, RetrySlack: 60, Window: 10 * time.Second,
+				dispatcher := NewDispatcher(upstream.NewBalancer(upstream.Config{Self: "d", Zone: "z", RetryRatio: 1, RetrySlack: 60, Window: 10 * time.Second,
 					Eject: patience, EjectMax: 4 * patience}), patience, patience/6)
 				dials := 0
-				floor.connect = func(_ string, limit time.Duration) (net.Conn, error) {
+				dispatcher.connect = func(_ string, limit time.Duration) (net.Conn, error) {
 					if limit < patience { // or else it is a trial, for no request
 						dials++
 					}
@@ -41,13 +41,13 @@
 					}
 					return nil, os.ErrDeadlineExceeded
 				}
-				front := NewFront(floor, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }))
-				front.SetTable(tableOf(t, fmt.Sprintf(`{"upsert":{"services":[{"name":"a","generation":1,"maxConns":50}],
+				handler := NewHandler(dispatcher, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }))
+				handler.SetTable(tableOf(t, fmt.Sprintf(`{"upsert":{"services":[{"name":"a","generation":1,"maxConns":50}],
 	 "limits":{"generation":1,"maxHeaderBytes":4096,"maxBodyBytes":1000000,"headerTimeoutS":1,"idleTimeoutS":15},
 	 "domains":[{"authority":"h.example","hostRoutes":[{"name":"g","pathPrefix":"/get/","routeKind":"idempotent",
 	 "deadlineS":%g,"targetLatencyS":%g,"target":"a","maxTries":2,"generation":1}]}]}}`, 4*c.aim.Seconds(), c.aim.Seconds())))
-				go floor.Run()
-				floor.Do(func(now time.Duration, s *upstream.Balancer) {
+				go dispatcher.Run()
+				dispatcher.Do(func(now time.Duration, s *upstream.Balancer) {
 					s.SetServices(now, map[string]upstream.ServiceInfo{"a": {MaxConns: 50}}, nil)
 					var list []upstream.Instance
 					for i := range 10 {
@@ -57,7 +57,7 @@
 				})
 				began := time.Now()
 				w := httptest.NewRecorder()
-				front.ServeHTTP(w, httptest.NewRequest("GET", "http://h.example/get/x", nil))
+				handler.ServeHTTP(w, httptest.NewRequest("GET", "http://h.example/get/x", nil))
 				held := time.Since(began)
 				if w.Code != 503 || w.Header().Get("Retry-After") == "" {
 					t.Errorf("answered %d, %v", w.Code, w.Header())
@@ -68,7 +68,7 @@
 				if dials != c.dials {
 					t.Errorf("%d dials, want %d", dials, c.dials)
 				}
-				floor.Close()
+				dispatcher.Close()
 				time.Sleep(patience) // until trials that were begun have ended
 			})
 		})
--- a/internal/proxy/floor.go
+++ b/internal/proxy/dispatcher.go
@@ -1,4 +1,4 @@
-// Package proxy carries the traffic: the front server, the chain of
+// Package proxy carries the traffic: the HTTP server, the chain of
 // filters that a request passes, and the connections to upstreams.
 package proxy
 
@@ -13,10 +13,10 @@
 	"madderwing/internal/upstream"
 )
 
-// Floor owns the balancer of upstreams: all that is done to it goes through its
+// Dispatcher owns the balancer of upstreams: all that is done to it goes through its
 // queue of commands.
-type Floor struct {
-	stock    *upstream.Balancer
+type Dispatcher struct {
+	balancer *upstream.Balancer
 	start    time.Time // what durations here count from
 	commands chan func(now time.Duration)
 	patience time.Duration // until a silent peer is given up
@@ -25,27 +25,27 @@
 	closed   chan struct{}
 }
 
-// NewFloor makes the owner of a balancer.
-func NewFloor(stock *upstream.Balancer, patience, tick time.Duration) *Floor {
-	return NewFloorAt(time.Now(), stock, patience, tick)
+// NewDispatcher makes the owner of a balancer.
+func NewDispatcher(balancer *upstream.Balancer, patience, tick time.Duration) *Dispatcher {
+	return NewDispatcherAt(time.Now(), balancer, patience, tick)
 }
 
-// NewFloorAt makes one whose durations count from start.
-func NewFloorAt(start time.Time, stock *upstream.Balancer, patience, tick time.Duration) *Floor {
-	return &Floor{stock: stock, start: start, commands: make(chan func(time.Duration), 1024), patience: patience, tick: tick,
+// NewDispatcherAt makes one whose durations count from start.
+func NewDispatcherAt(start time.Time, balancer *upstream.Balancer, patience, tick time.Duration) *Dispatcher {
+	return &Dispatcher{balancer: balancer, start: start, commands: make(chan func(time.Duration), 1024), patience: patience, tick: tick,
 		connect: connect, closed: make(chan struct{})}
 }
 
-// Close ends Run. What is handed to the floor later is not carried out.
-func (f *Floor) Close() { close(f.closed) }
+// Close ends Run. What is handed to the dispatcher later is not carried out.
+func (f *Dispatcher) Close() { close(f.closed) }
 
-// Do hands a command to the floor.
-func (f *Floor) Do(fn func(now time.Duration, s *upstream.Balancer)) {
-	f.commands <- func(now time.Duration) { fn(now, f.stock) }
+// Do hands a command to the dispatcher.
+func (f *Dispatcher) Do(fn func(now time.Duration, s *upstream.Balancer)) {
+	f.commands <- func(now time.Duration) { fn(now, f.balancer) }
 }
 
-// Run carries out commands until the floor is closed.
-func (f *Floor) Run() {
+// Run carries out commands until the dispatcher is closed.
+func (f *Dispatcher) Run() {
 	tick := time.NewTicker(f.tick)
 	defer tick.Stop()
 	for {
@@ -55,19 +55,19 @@
 		case fn := <-f.commands:
 			fn(time.Since(f.start))
 		case <-tick.C:
-			f.stock.Tick(time.Since(f.start))
+			f.balancer.Tick(time.Since(f.start))
 		}
-		for _, u := range f.stock.Trials {
+		for _, u := range f.balancer.Trials {
 			go f.try(u, u.Address)
 		}
-		f.stock.Trials = nil
-		for _, p := range f.stock.Probes {
+		f.balancer.Trials = nil
+		for _, p := range f.balancer.Probes {
 			go f.probe(p)
 		}
-		f.stock.Probes = nil
-		if len(f.stock.Closed) > 0 {
-			closed := f.stock.Closed
-			f.stock.Closed = nil
+		f.balancer.Probes = nil
+		if len(f.balancer.Closed) > 0 {
+			closed := f.balancer.Closed
+			f.balancer.Closed = nil
 			go func() {
 				for _, c := range closed {
 					c.Close()
@@ -78,7 +78,7 @@
 }
 
 // try opens a connection to an upstream that had failed.
-func (f *Floor) try(u *upstream.Upstream, address string) {
+func (f *Dispatcher) try(u *upstream.Upstream, address string) {
 	conn, _ := f.dial(address, f.patience)
 	f.Do(func(now time.Duration, s *upstream.Balancer) {
 		if conn != nil {
@@ -90,7 +90,7 @@
 
 // probe asks an upstream how much longer it stays cold. An answer of another
 // life, or none, says nothing.
-func (f *Floor) probe(p upstream.Probe) {
+func (f *Dispatcher) probe(p upstream.Probe) {
 	var left time.Duration
 	ok := false
 	if conn, err := f.dial(p.Address, f.patience); err == nil {
@@ -130,7 +130,7 @@
 	return d.Dial("tcp4", address)
 }
 
-func (f *Floor) dial(address string, limit time.Duration) (*upstream.Conn, error) {
+func (f *Dispatcher) dial(address string, limit time.Duration) (*upstream.Conn, error) {
 	c, err := f.connect(address, min(limit, f.patience))
 	if err != nil {
 		return nil, err
@@ -144,7 +144,7 @@
 
 // claim asks for an upstream and waits for it, but no longer than patience, nor
 // when the client has gone.
-func (f *Floor) claim(c *upstream.AcquireRequest, patience time.Duration, gone <-chan struct{}) upstream.SlotLease {
+func (f *Dispatcher) claim(c *upstream.AcquireRequest, patience time.Duration, gone <-chan struct{}) upstream.SlotLease {
 	got := make(chan upstream.SlotLease, 1)
 	c.Give = func(g upstream.SlotLease) { got <- g }
 	f.Do(func(now time.Duration, s *upstream.Balancer) { s.Acquire(now, c) })
@@ -161,13 +161,13 @@
 }
 
 // untouched returns an upstream that was not sent anything.
-func (f *Floor) untouched(g upstream.SlotLease) {
+func (f *Dispatcher) untouched(g upstream.SlotLease) {
 	f.Do(func(now time.Duration, s *upstream.Balancer) { s.Release(now, g, g.Conn, upstream.Unused) })
 }
 
 // release returns an upstream; ask waits for word on whether it stands out by bad
 // answers.
-func (f *Floor) release(g upstream.SlotLease, conn *upstream.Conn, idle time.Duration, how upstream.Outcome, told upstream.Told, ask bool) (odd bool) {
+func (f *Dispatcher) release(g upstream.SlotLease, conn *upstream.Conn, idle time.Duration, how upstream.Outcome, told upstream.Told, ask bool) (odd bool) {
 	var said chan bool
 	if ask {
 		said = make(chan bool, 1)
--- a/internal/proxy/front.go
+++ b/internal/proxy/handler.go
@@ -18,7 +18,7 @@
 	"madderwing/internal/upstream"
 )
 
-// Stats are a front's counters.
+// Stats are a handler's counters.
 type Stats struct {
 	Requests, Ordinary, Exception, Served, Refused, Failed, Late atomic.Uint64
 	Tries, Repeats, Dials, Broken, Abroad, Gone                  atomic.Uint64
@@ -26,42 +26,42 @@
 	LinkFull atomic.Uint64
 }
 
-// Front serves clients.
-type Front struct {
-	floor *Floor
-	table atomic.Pointer[config.Table]
-	shard atomic.Int64
-	drain atomic.Bool
-	chain Handler
-	Stats Stats
+// Handler serves clients.
+type Handler struct {
+	dispatcher *Dispatcher
+	table      atomic.Pointer[config.Table]
+	shard      atomic.Int64
+	drain      atomic.Bool
+	chain      HandlerFunc
+	Stats      Stats
 	// arms splits the requests of services whose version changes.
 	arms *rollout.Arms
 	// Pace is that of large answers; nil: none.
 	Pace *Pace
 	// Link bounds the long answers that are taken on; nil: nothing does.
 	Link *LinkBudget
-	// lease is until when, on the floor's clock, keys may be relied on; nil where
+	// lease is until when, on the dispatcher's clock, keys may be relied on; nil where
 	// no word on them has to be global.
 	lease *atomic.Int64
 	// draw draws on a tenant's quota, in the time given; nil where there are none.
 	draw func(tenant string, limit time.Duration) apierror.Kind
 }
 
-// Tenants makes the front rely on keys only until the time, in nanoseconds on the
-// floor's clock, that lease holds, and draw requests on their tenants' quotas.
+// Tenants makes the handler rely on keys only until the time, in nanoseconds on the
+// dispatcher's clock, that lease holds, and draw requests on their tenants' quotas.
 // What draw returns is the error to answer with, apierror.Internal for none.
-func (f *Front) Tenants(lease *atomic.Int64, draw func(tenant string, limit time.Duration) apierror.Kind) {
+func (f *Handler) Tenants(lease *atomic.Int64, draw func(tenant string, limit time.Duration) apierror.Kind) {
 	f.lease, f.draw = lease, draw
 }
 
 // Confirmed says whether keys may be relied on now.
-func (f *Front) Confirmed() bool {
-	return f.lease == nil || int64(time.Since(f.floor.start)) < f.lease.Load()
+func (f *Handler) Confirmed() bool {
+	return f.lease == nil || int64(time.Since(f.dispatcher.start)) < f.lease.Load()
 }
 
-// NewFront makes a front over a floor.
-func NewFront(floor *Floor, arms *rollout.Arms) *Front {
-	f := &Front{floor: floor, arms: arms}
+// NewHandler makes a handler over a dispatcher.
+func NewHandler(dispatcher *Dispatcher, arms *rollout.Arms) *Handler {
+	f := &Handler{dispatcher: dispatcher, arms: arms}
 	f.shard.Store(-1)
 	f.table.Store((&config.Builder{}).Build(nil))
 	f.chain = Chain(f.balance, f.limits, f.reader, f.route, f.deadline, f.reserve, f.quota, f.admit, f.stratify)
@@ -69,26 +69,26 @@
 }
 
 // SetTable puts another table in force.
-func (f *Front) SetTable(t *config.Table) { f.table.Store(t) }
+func (f *Handler) SetTable(t *config.Table) { f.table.Store(t) }
 
 // Table is the table in force.
-func (f *Front) Table() *config.Table { return f.table.Load() }
+func (f *Handler) Table() *config.Table { return f.table.Load() }
 
 // SetShard says which shard this gateway belongs to.
-func (f *Front) SetShard(n int) { f.shard.Store(int64(n)) }
+func (f *Handler) SetShard(n int) { f.shard.Store(int64(n)) }
 
-// Drain makes the front close connections after their next answer, and wait for
+// Drain makes the handler close connections after their next answer, and wait for
 // every request that has been sent on.
-func (f *Front) Drain() {
+func (f *Handler) Drain() {
 	f.drain.Store(true)
 	f.Link.Leave(f.now())
-	f.floor.Do(func(_ time.Duration, s *upstream.Balancer) { s.Leave() })
+	f.dispatcher.Do(func(_ time.Duration, s *upstream.Balancer) { s.Leave() })
 }
 
 // lastOne has a connection closed after the answer that is about to be given, if this
 // gateway leaves or has not read all of the request: net/http would read the rest first, and
 // hold the answer back for as long as the client waits for it.
-func (f *Front) lastOne(x *Exchange) {
+func (f *Handler) lastOne(x *Exchange) {
 	if f.drain.Load() || x.begun != nil && !x.read.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
@@ -120,21 +120,21 @@
 	reservation *Reservation
 }
 
-// Handler deals with a request; an error is answered from the table of errors.
-type Handler func(x *Exchange) error
+// HandlerFunc deals with a request; an error is answered from the table of errors.
+type HandlerFunc func(x *Exchange) error
 
 // Filter is a step before a handler.
-type Filter func(next Handler) Handler
+type Filter func(next HandlerFunc) HandlerFunc
 
 // Chain puts filters before a handler, the first one outermost.
-func Chain(h Handler, filters ...Filter) Handler {
+func Chain(h HandlerFunc, filters ...Filter) HandlerFunc {
 	for i := len(filters) - 1; i >= 0; i-- {
 		h = filters[i](h)
 	}
 	return h
 }
 
-func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.Stats.Requests.Add(1)
 	x := &Exchange{w: w, r: r, arrived: time.Now(), table: f.table.Load(), attempt: r.Header.Get(hAttempt)}
 	if err := f.chain(x); err != nil {
@@ -161,10 +161,10 @@
 
 // soon is the time within which a node that starts knows items and upstreams. Clients that
 // came back sooner would only spend their tries.
-func (f *Front) soon() time.Duration { return 2 * f.floor.patience }
+func (f *Handler) soon() time.Duration { return 2 * f.dispatcher.patience }
 
 // limits holds the body to what the operator allows.
-func (f *Front) limits(next Handler) Handler {
+func (f *Handler) limits(next HandlerFunc) HandlerFunc {
 	return func(x *Exchange) error {
 		most := x.table.Limits.MaxBodyBytes
 		x.chunked = x.r.ContentLength < 0
@@ -181,7 +181,7 @@
 
 // reader finds out who asks. Where there are tenants every request needs a key,
 // but on public routes; it is answered for only while the keys are confirmed.
-func (f *Front) reader(next Handler) Handler {
+func (f *Handler) reader(next HandlerFunc) HandlerFunc {
 	return func(x *Exchange) error {
 		if !x.table.Known {
 			return apierror.Later(apierror.NoConfiguration, f.soon(), "this node knows no items yet")
@@ -190,7 +190,7 @@
 		x.route = x.table.Lookup(x.r.Host, path)
 		if x.table.Tenants || f.lease != nil {
 			if !f.Confirmed() {
-				return apierror.Later(apierror.KeysUnconfirmed, f.floor.patience, "out of touch")
+				return apierror.Later(apierror.KeysUnconfirmed, f.dispatcher.patience, "out of touch")
 			}
 			x.tenant = x.table.Readers[quota.Key(x.r.Header)]
 			if x.tenant == nil && x.table.Tenants && (x.route == nil || !x.route.Public) {
@@ -202,7 +202,7 @@
 }
 
 // route acts on the request's route.
-func (f *Front) route(next Handler) Handler {
+func (f *Handler) route(next HandlerFunc) HandlerFunc {
 	return func(x *Exchange) error {
 		if x.route == nil {
 			return apierror.New(apierror.UnknownRoute, "%s%s", x.r.Host, x.r.URL.Path)
@@ -223,7 +223,7 @@
 }
 
 // deadline works out how long the request may take.
-func (f *Front) deadline(next Handler) Handler {
+func (f *Handler) deadline(next HandlerFunc) HandlerFunc {
 	return func(x *Exchange) error {
 		limit := time.Duration(x.route.DeadlineS * float64(time.Second))
 		if ms, err := strconv.ParseFloat(x.r.Header.Get(hDeadline), 64); err == nil && ms >= 0 {
@@ -238,11 +238,11 @@
 	}
 }
 
-// now is the time on the floor's clock.
-func (f *Front) now() time.Duration { return time.Since(f.floor.start) }
+// now is the time on the dispatcher's clock.
+func (f *Handler) now() time.Duration { return time.Since(f.dispatcher.start) }
 
 // quota draws the request on its tenant's quota.
-func (f *Front) quota(next Handler) Handler {
+func (f *Handler) quota(next HandlerFunc) HandlerFunc {
 	return func(x *Exchange) error {
 		if x.tenant != nil && x.tenant.RatePerS > 0 && f.draw != nil {
 			if kind := f.draw(x.tenant.Name, x.aim/4); kind != apierror.Internal {
@@ -255,9 +255,9 @@
 
 // admit takes in the body, as far as it may be needed twice, and refuses what
 // has no time left.
-func (f *Front) admit(next Handler) Handler {
+func (f *Handler) admit(next HandlerFunc) HandlerFunc {
 	return func(x *Exchange) error {
-		f.floor.Do(func(_ time.Duration, s *upstream.Balancer) { s.Request(x.service) })
+		f.dispatcher.Do(func(_ time.Duration, s *upstream.Balancer) { s.Request(x.service) })
 		if x.hasBody {
 			held := make([]byte, 0, max(0, min(x.r.ContentLength, bodyHeld))+512)
 			buf, err := readUpTo(held, x.body, bodyHeld)
@@ -283,7 +283,7 @@
 // stratify names the request's stratum: within each, the arms of a rollout get their
 // shares. Where there are tenants that is their tier, or else the route; requests of
 // different kinds are never of one stratum.
-func (f *Front) stratify(next Handler) Handler {
+func (f *Handler) stratify(next HandlerFunc) HandlerFunc {
 	return func(x *Exchange) error {
 		x.stratum = x.route.Name + " " + x.route.RouteKind
 		if x.tenant != nil {
@@ -311,7 +311,7 @@
 
 // later is an error that tells when to come back: in a part of the aim, spread
 // so that those who were turned away together do not return together.
-func (f *Front) later(x *Exchange, kind apierror.Kind) error {
+func (f *Handler) later(x *Exchange, kind apierror.Kind) error {
 	after := x.aim/8 + time.Duration(rand.Float64()*float64(x.aim/4))
 	return apierror.Later(kind, after, "%s", x.service)
 }
@@ -319,7 +319,7 @@
 // balance sends the request to an upstream, and to others where that is
 // allowed and of use. If all that came of it is an upstream's own error, that is
 // the answer.
-func (f *Front) balance(x *Exchange) error {
+func (f *Handler) balance(x *Exchange) error {
 	err := f.try(x)
 	if err != nil && x.poor != nil {
 		f.pass(x, upstream.SlotLease{}, *x.poor)
@@ -328,7 +328,7 @@
 	return err
 }
 
-func (f *Front) try(x *Exchange) error {
+func (f *Handler) try(x *Exchange) error {
 	tries := max(1, x.route.MaxTries)
 	sent, dialled := 0, 0
 	var avoid []string
@@ -346,7 +346,7 @@
 		if x.route.Repeatable() && x.begun == nil && sent+1 < tries { // or else its wait is not to be cut short
 			claim.Hold = &upstream.WaitHandle{}
 		}
-		g := f.floor.claim(claim, patience, x.r.Context().Done())
+		g := f.dispatcher.claim(claim, patience, x.r.Context().Done())
 		if g.Refused != upstream.Granted {
 			arm.End(rollout.Unscored)
 			if arm.Candidate() && x.r.Context().Err() == nil && time.Until(x.deadline) > 0 && g.Refused != upstream.NoBudget && !f.arms.Whole(x.service) {
@@ -367,7 +367,7 @@
 			return f.later(x, apierror.Overloaded)
 		}
 		if why := f.mayNotGo(x); why != apierror.Internal {
-			f.floor.untouched(g)
+			f.dispatcher.untouched(g)
 			arm.End(rollout.Unscored)
 			if last != nil {
 				return last
@@ -442,7 +442,7 @@
 // mayNotGo says why a request that has got an upstream is not to be sent on all the
 // same, apierror.Internal if it is: its key can no longer be relied on, or its client
 // has gone.
-func (f *Front) mayNotGo(x *Exchange) apierror.Kind {
+func (f *Handler) mayNotGo(x *Exchange) apierror.Kind {
 	switch {
 	case !f.Confirmed():
 		return apierror.KeysUnconfirmed
@@ -463,7 +463,7 @@
 // judge passes an answer on, or says what became of the request and whether
 // another upstream may be asked. An error of a candidate's own is no last word: the
 // prior version may do better.
-func (f *Front) judge(x *Exchange, g upstream.SlotLease, res result, arm *rollout.Sample) (again bool, err error) {
+func (f *Handler) judge(x *Exchange, g upstream.SlotLease, res result, arm *rollout.Sample) (again bool, err error) {
 	defer arm.End(rollout.Unscored) // only now has all of the answer left the upstream
 	repeatable := x.route.Repeatable()
 	if res.broke != nil {
@@ -548,7 +548,7 @@
 
 // pass hands an answer to the client. An answer that is cut short ends the
 // client's connection, so that it does not look complete.
-func (f *Front) pass(x *Exchange, g upstream.SlotLease, res result) {
+func (f *Handler) pass(x *Exchange, g upstream.SlotLease, res result) {
 	r := res.response
 	h := x.w.Header()
 	named := connectionNamed(r.Header)
@@ -600,8 +600,8 @@
 	f.Stats.Served.Add(1)
 }
 
-// Counters are the front's counters by name.
-func (f *Front) Counters() map[string]uint64 {
+// Counters are the handler's counters by name.
+func (f *Handler) Counters() map[string]uint64 {
 	s := &f.Stats
 	return map[string]uint64{
 		"requests": s.Requests.Load(), "ordinary": s.Ordinary.Load(), "exception": s.Exception.Load(), "served": s.Served.Load(),
--- a/internal/proxy/linkbudget_test.go
+++ b/internal/proxy/linkbudget_test.go
@@ -230,12 +230,12 @@
 		return true
 	})
 	r := newRig(t, u)
-	r.front.Link = NewLinkBudget(70<<10, 2*time.Second) // the answer takes over two seconds
+	r.handler.Link = NewLinkBudget(70<<10, 2*time.Second) // the answer takes over two seconds
 	if res, body, err := r.say(t, "GET", get("/down/long")); err != nil || res.StatusCode != 200 || body != long {
 		t.Fatalf("an unused link: %v %v", res, err)
 	}
-	r.front.Link = NewLinkBudget(70<<10, 2*time.Second) // as good as new, and nothing is known
-	r.front.Drain()
+	r.handler.Link = NewLinkBudget(70<<10, 2*time.Second) // as good as new, and nothing is known
+	r.handler.Drain()
 	for i, c := range []struct {
 		method, raw  string
 		status, runs int
--- a/internal/proxy/server.go
+++ b/internal/proxy/listener.go
@@ -13,26 +13,26 @@
 	"madderwing/internal/config"
 )
 
-// Door accepts clients' connections and hands each to a server that works by
+// Listener accepts clients' connections and hands each to a server that works by
 // the limits in force when it came.
-type Door struct {
-	front    *Front
-	log      *slog.Logger
-	listener net.Listener
-	most     int64
-	open     atomic.Int64
-	lastCame atomic.Int64 // when the newest connection came, on the floor's clock
-	guests   sync.Map     // *guest -> nothing: the connections that are open
+type Listener struct {
+	handler     *Handler
+	log         *slog.Logger
+	listener    net.Listener
+	most        int64
+	open        atomic.Int64
+	lastCame    atomic.Int64 // when the newest connection came, on the dispatcher's clock
+	connections sync.Map     // *clientConn -> nothing: the connections that are open
 
 	mu      sync.Mutex
-	current *room
-	rooms   []*room
+	current *httpServer
+	rooms   []*httpServer
 	closing bool
 	limits  config.Limits
 }
 
-// room is a server with its limits.
-type room struct {
+// httpServer is a server with its limits.
+type httpServer struct {
 	server *http.Server
 	conns  chan net.Conn
 	done   chan struct{}
@@ -40,7 +40,7 @@
 	addr   net.Addr
 }
 
-func (r *room) Accept() (net.Conn, error) {
+func (r *httpServer) Accept() (net.Conn, error) {
 	select {
 	case c := <-r.conns:
 		return c, nil
@@ -55,26 +55,26 @@
 	}
 }
 
-func (r *room) Close() error {
+func (r *httpServer) Close() error {
 	r.once.Do(func() { close(r.done) })
 	return nil
 }
 
-func (r *room) Addr() net.Addr { return r.addr }
+func (r *httpServer) Addr() net.Addr { return r.addr }
 
-// NewDoor listens on address for up to most connections.
-func NewDoor(address string, most int, front *Front, logger *slog.Logger) (*Door, error) {
+// NewListener listens on address for up to most connections.
+func NewListener(address string, most int, handler *Handler, logger *slog.Logger) (*Listener, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	d := &Door{front: front, log: logger, listener: l, most: int64(most)}
-	d.SetLimits(front.Table().Limits)
+	d := &Listener{handler: handler, log: logger, listener: l, most: int64(most)}
+	d.SetLimits(handler.Table().Limits)
 	return d, nil
 }
 
 // SetLimits makes new connections subject to other limits.
-func (d *Door) SetLimits(l config.Limits) {
+func (d *Listener) SetLimits(l config.Limits) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closing || d.current != nil && l == d.limits {
@@ -85,9 +85,9 @@
 		// It takes no more; the connections that it has go on.
 		_ = d.current.Close()
 	}
-	r := &room{conns: make(chan net.Conn, 64), done: make(chan struct{}), addr: d.listener.Addr()}
+	r := &httpServer{conns: make(chan net.Conn, 64), done: make(chan struct{}), addr: d.listener.Addr()}
 	r.server = &http.Server{
-		Handler:           d.front,
+		Handler:           d.handler,
 		ReadHeaderTimeout: time.Duration(l.HeaderTimeoutS * float64(time.Second)),
 		IdleTimeout:       time.Duration(l.IdleTimeoutS * float64(time.Second)),
 		MaxHeaderBytes:    l.MaxHeaderBytes,
@@ -99,8 +99,8 @@
 	go func() { _ = r.server.Serve(r) }()
 }
 
-func (d *Door) state(c net.Conn, s http.ConnState) {
-	if t, ok := c.(*guest); ok {
+func (d *Listener) state(c net.Conn, s http.ConnState) {
+	if t, ok := c.(*clientConn); ok {
 		switch s {
 		case http.StateIdle, http.StateNew:
 			t.rest(s == http.StateIdle)
@@ -108,20 +108,20 @@
 			t.headRead.Store(true)
 		case http.StateClosed, http.StateHijacked:
 			d.open.Add(-1)
-			d.guests.Delete(t)
+			d.connections.Delete(t)
 		}
 	}
 }
 
-// Serve accepts connections until the door is closed.
-func (d *Door) Serve() error {
+// Serve accepts connections until the listener is closed.
+func (d *Listener) Serve() error {
 	for {
 		c, err := d.listener.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			time.Sleep(d.front.floor.patience / 10)
+			time.Sleep(d.handler.dispatcher.patience / 10)
 			continue
 		}
 		if d.open.Load() >= d.most {
@@ -130,9 +130,9 @@
 			continue
 		}
 		d.open.Add(1)
-		d.lastCame.Store(int64(d.front.now()))
-		g := &guest{Conn: c}
-		d.guests.Store(g, nil)
+		d.lastCame.Store(int64(d.handler.now()))
+		g := &clientConn{Conn: c}
+		d.connections.Store(g, nil)
 		d.mu.Lock()
 		d.current.conns <- g
 		d.mu.Unlock()
@@ -142,19 +142,19 @@
 // Shutdown takes no more connections, ends those that lie idle, and waits for the
 // requests under way. net/http's own Shutdown is not used: it may close a connection
 // whose next request has just been read.
-func (d *Door) Shutdown(ctx context.Context) {
+func (d *Listener) Shutdown(ctx context.Context) {
 	d.mu.Lock()
 	d.closing = true
 	rooms := d.rooms
 	d.mu.Unlock()
 	d.listener.Close()
 	began := time.Now()
-	tick := time.NewTicker(d.front.floor.patience / 20)
+	tick := time.NewTicker(d.handler.dispatcher.patience / 20)
 	defer tick.Stop()
 	for d.open.Load() > 0 && ctx.Err() == nil {
-		d.guests.Range(func(g, _ any) bool {
+		d.connections.Range(func(g, _ any) bool {
 			// One that has sent nothing yet is given the time that it needs to.
-			g.(*guest).retire(time.Since(began) > 2*d.front.floor.patience)
+			g.(*clientConn).retire(time.Since(began) > 2*d.handler.dispatcher.patience)
 			return true
 		})
 		select {
@@ -168,14 +168,14 @@
 }
 
 // Quiet is for how long no connection has come.
-func (d *Door) Quiet() time.Duration { return d.front.now() - time.Duration(d.lastCame.Load()) }
+func (d *Listener) Quiet() time.Duration { return d.handler.now() - time.Duration(d.lastCame.Load()) }
 
 // Open is the number of connections.
-func (d *Door) Open() int64 { return d.open.Load() }
+func (d *Listener) Open() int64 { return d.open.Load() }
 
-// guest is a client's connection. It answers a header that does not arrive in
+// clientConn is a client's connection. It answers a header that does not arrive in
 // time, which net/http closes without a word.
-type guest struct {
+type clientConn struct {
 	net.Conn
 	read     atomic.Int64 // bytes of the request that comes next or is under way
 	headRead atomic.Bool
@@ -188,7 +188,7 @@
 
 const tooSlow = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-func (g *guest) Read(b []byte) (int, error) {
+func (g *clientConn) Read(b []byte) (int, error) {
 	n, err := g.Conn.Read(b)
 	if n > 0 {
 		g.mu.Lock()
@@ -204,7 +204,7 @@
 }
 
 // rest notes that the connection waits for a request: its first, or another.
-func (g *guest) rest(old bool) {
+func (g *clientConn) rest(old bool) {
 	g.read.Store(0)
 	g.headRead.Store(false)
 	g.mu.Lock()
@@ -214,7 +214,7 @@
 
 // retire ends a connection that waits for a request of which nothing has been read.
 // What has been read is answered.
-func (g *guest) retire(also bool) {
+func (g *clientConn) retire(also bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.resting && !g.retired && (g.old || also) {
@@ -224,7 +224,7 @@
 }
 
 // SetReadDeadline sets no other deadline on a connection that nothing is to be read from.
-func (g *guest) SetReadDeadline(t time.Time) error {
+func (g *clientConn) SetReadDeadline(t time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.retired && g.resting {
@@ -234,7 +234,7 @@
 }
 
 // SetDeadline: see SetReadDeadline.
-func (g *guest) SetDeadline(t time.Time) error {
+func (g *clientConn) SetDeadline(t time.Time) error {
 	if err := g.SetReadDeadline(t); err != nil {
 		return err
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -92,9 +92,9 @@
 }
 
 type rig struct {
-	front *Front
-	floor *Floor
-	door  *Door
+	handler    *Handler
+	dispatcher *Dispatcher
+	listener   *Listener
 }
 
 // tableOf builds the table of one call's items.
@@ -115,7 +115,7 @@
 	return (&config.Builder{}).Build(have)
 }
 
-// newRig makes a front with routes /get/ (idempotent), /down/ (download), /put/ (mutating) and the
+// newRig makes a handler with routes /get/ (idempotent), /down/ (download), /put/ (mutating) and the
 // given upstreams of one service.
 func newRig(t *testing.T, ups ...*server) *rig {
 	t.Helper()
@@ -125,9 +125,9 @@
 
 func newRigOf(t *testing.T, cfg upstream.Config, tick time.Duration, ups ...*server) *rig {
 	t.Helper()
-	stock := upstream.NewBalancer(cfg)
-	floor := NewFloor(stock, 5*time.Second, tick)
-	front := NewFront(floor, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }))
+	balancer := upstream.NewBalancer(cfg)
+	dispatcher := NewDispatcher(balancer, 5*time.Second, tick)
+	handler := NewHandler(dispatcher, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }))
 	body := `{"upsert":{"services":[{"name":"a","generation":1,"maxConns":50}],
 	 "limits":{"generation":1,"maxHeaderBytes":4096,"maxBodyBytes":1000000,"headerTimeoutS":0.2,"idleTimeoutS":15},
 	 "domains":[{"authority":"h.example","hostRoutes":[
@@ -135,20 +135,20 @@
 	 {"name":"d","pathPrefix":"/down/","routeKind":"download","deadlineS":5,"targetLatencyS":4,"target":"a","maxTries":2,"generation":1},
 	 {"name":"p","pathPrefix":"/put/","routeKind":"mutating","deadlineS":5,"targetLatencyS":4,"target":"a","maxTries":2,"generation":1},
 	 {"name":"s","pathPrefix":"/short/","routeKind":"mutating","deadlineS":0.05,"targetLatencyS":0.05,"target":"a","maxTries":2,"generation":1}]}]}}`
-	front.SetTable(tableOf(t, body))
-	go floor.Run()
-	floor.Do(func(now time.Duration, s *upstream.Balancer) {
+	handler.SetTable(tableOf(t, body))
+	go dispatcher.Run()
+	dispatcher.Do(func(now time.Duration, s *upstream.Balancer) {
 		s.SetServices(now, map[string]upstream.ServiceInfo{"a": {MaxConns: 50}}, nil)
 	})
-	r := &rig{front: front, floor: floor}
+	r := &rig{handler: handler, dispatcher: dispatcher}
 	r.list(ups...)
-	door, err := NewDoor("127.0.0.1:0", 100, front, slog.New(slog.DiscardHandler))
+	listener, err := NewListener("127.0.0.1:0", 100, handler, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = door.Serve() }()
-	t.Cleanup(func() { door.listener.Close() })
-	r.door = door
+	go func() { _ = listener.Serve() }()
+	t.Cleanup(func() { listener.listener.Close() })
+	r.listener = listener
 	return r
 }
 
@@ -158,14 +158,14 @@
 	for _, u := range ups {
 		list = append(list, upstream.Instance{ID: u.id, Service: "a", Address: u.l.Addr().String(), Zone: "z", Capacity: 4})
 	}
-	r.floor.Do(func(now time.Duration, s *upstream.Balancer) { s.SetList(now, list) })
+	r.dispatcher.Do(func(now time.Duration, s *upstream.Balancer) { s.SetList(now, list) })
 }
 
 // say sends bytes on a new connection and reads the answer to a request of the
 // given method.
 func (r *rig) say(t *testing.T, method, raw string) (*http.Response, string, error) {
 	t.Helper()
-	c, err := net.Dial("tcp4", r.door.listener.Addr().String())
+	c, err := net.Dial("tcp4", r.listener.listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -259,7 +259,7 @@
 	if res, _, err := r.say(t, "GET", get("/put/1")); err != nil || res.StatusCode != 200 {
 		t.Fatal(err, res)
 	}
-	r.floor.Do(func(now time.Duration, s *upstream.Balancer) {
+	r.dispatcher.Do(func(now time.Duration, s *upstream.Balancer) {
 		s.SetList(now, []upstream.Instance{
 			{ID: "u", Service: "a", Address: u.l.Addr().String(), Zone: "z", Capacity: 4},
 			{ID: "v", Service: "a", Address: other.l.Addr().String(), Zone: "far", Capacity: 4}})
@@ -445,7 +445,7 @@
 	})
 	t.Run("no items yet: 503, not 404", func(t *testing.T) {
 		r := newRig(t, u)
-		r.front.SetTable((&config.Builder{}).Build(nil))
+		r.handler.SetTable((&config.Builder{}).Build(nil))
 		res, _, err := r.say(t, "GET", get("/get/x"))
 		if err != nil || res.StatusCode != http.StatusServiceUnavailable {
 			t.Fatalf("%v %v", err, res)
@@ -471,7 +471,7 @@
 		"length and chunks": {"POST /put/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: one\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c2, err := net.Dial("tcp4", r.door.listener.Addr().String())
+			c2, err := net.Dial("tcp4", r.listener.listener.Addr().String())
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -507,16 +507,16 @@
 	for len(u.requests()) < 4 {
 		time.Sleep(time.Millisecond)
 	}
-	c, err := net.Dial("tcp4", r.door.listener.Addr().String())
+	c, err := net.Dial("tcp4", r.listener.listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	_, _ = io.WriteString(c, post("/put/gone", "b"))
-	for r.front.Stats.Requests.Load() < 5 {
+	for r.handler.Stats.Requests.Load() < 5 {
 		time.Sleep(time.Millisecond)
 	}
 	c.Close()
-	for r.front.Stats.Gone.Load() == 0 {
+	for r.handler.Stats.Gone.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	close(release)
@@ -552,7 +552,7 @@
 	for len(u.requests()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	idle, err := net.Dial("tcp4", r.door.listener.Addr().String())
+	idle, err := net.Dial("tcp4", r.listener.listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -563,9 +563,9 @@
 	} else {
 		_, _ = io.Copy(io.Discard, res.Body)
 	}
-	r.front.Drain()
+	r.handler.Drain()
 	down := make(chan struct{})
-	go func() { r.door.Shutdown(context.Background()); close(down) }()
+	go func() { r.listener.Shutdown(context.Background()); close(down) }()
 	if n, err := br.Read(make([]byte, 1)); n != 0 || err != io.EOF {
 		t.Errorf("the idle connection: %d bytes, %v", n, err)
 	}
@@ -588,7 +588,7 @@
 func TestLeavingAnswersWhatItHasRead(t *testing.T) {
 	for n := range 300 {
 		near, far := net.Pipe()
-		g := &guest{Conn: near}
+		g := &clientConn{Conn: near}
 		g.rest(true)
 		read := make(chan int, 1)
 		go func() {
@@ -635,7 +635,7 @@
 		{"new, and nothing comes", false, false, true, true},
 	} {
 		near, far := net.Pipe()
-		g := &guest{Conn: near}
+		g := &clientConn{Conn: near}
 		g.rest(c.old)
 		if c.begun {
 			go func() { _, _ = io.WriteString(far, "1") }()
@@ -660,22 +660,22 @@
 func TestANodeThatStartsSendsClientsBackLater(t *testing.T) {
 	r := newRig(t)
 	listed := upstream.NewBalancer(upstream.Config{Self: "d", Zone: "z"})
-	bare := NewFloor(upstream.NewBalancer(upstream.Config{Self: "d", Zone: "z"}), 5*time.Second, time.Hour)
-	none := NewFloor(listed, 5*time.Second, time.Hour)
+	bare := NewDispatcher(upstream.NewBalancer(upstream.Config{Self: "d", Zone: "z"}), 5*time.Second, time.Hour)
+	none := NewDispatcher(listed, 5*time.Second, time.Hour)
 	listed.SetList(0, nil)
 	go bare.Run()
 	go none.Run()
 	for _, c := range []struct {
-		name  string
-		floor *Floor
-		table *config.Table
-		later bool
+		name       string
+		dispatcher *Dispatcher
+		table      *config.Table
+		later      bool
 	}{
-		{"no list", bare, r.front.Table(), true},
+		{"no list", bare, r.handler.Table(), true},
 		{"no items", none, (&config.Builder{}).Build(nil), true},
-		{"a list without upstreams", none, r.front.Table(), false},
+		{"a list without upstreams", none, r.handler.Table(), false},
 	} {
-		f := NewFront(c.floor, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }))
+		f := NewHandler(c.dispatcher, rollout.NewArms("n", time.Hour, func() time.Duration { return 0 }))
 		f.SetTable(c.table)
 		req := httptest.NewRequest("GET", "/get/x", nil)
 		req.Host = "h.example"
--- a/internal/proxy/reserve.go
+++ b/internal/proxy/reserve.go
@@ -11,10 +11,10 @@
 const routeDownload = "download"
 
 // reserve refuses a request whose long answer the link could not carry in time.
-func (f *Front) reserve(next Handler) Handler {
+func (f *Handler) reserve(next HandlerFunc) HandlerFunc {
 	return func(x *Exchange) error {
 		class := AnswerClass{Service: x.service, Download: x.route.RouteKind == routeDownload}
-		r, ok := f.Link.Admit(f.now(), class, x.deadline.Sub(f.floor.start))
+		r, ok := f.Link.Admit(f.now(), class, x.deadline.Sub(f.dispatcher.start))
 		if !ok {
 			f.Stats.LinkFull.Add(1)
 			return f.elsewhere(x)
@@ -26,7 +26,7 @@
 }
 
 // elsewhere is the error for a request that this gateway's link has no room for, and another's may.
-func (f *Front) elsewhere(x *Exchange) error {
+func (f *Handler) elsewhere(x *Exchange) error {
 	if !f.drain.Load() {
 		return f.later(x, apierror.Overloaded)
 	}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -83,7 +83,7 @@
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // send writes the request to an upstream and reads its answer.
-func (f *Front) send(x *Exchange, g upstream.SlotLease) (res result) {
+func (f *Handler) send(x *Exchange, g upstream.SlotLease) (res result) {
 	conn := g.Conn
 	if conn != nil && (x.attempt == "" || g.Upstream.Nameless.Load() || !quiet(conn)) {
 		conn.Close()
@@ -91,7 +91,7 @@
 	}
 	if conn == nil {
 		var err error
-		if conn, err = f.floor.dial(g.Address, min(dialLimit(x.aim, f.floor.patience), time.Until(x.deadline))); err != nil {
+		if conn, err = f.dispatcher.dial(g.Address, min(dialLimit(x.aim, f.dispatcher.patience), time.Until(x.deadline))); err != nil {
 			return result{broke: err, untried: true}
 		}
 		f.Stats.Dials.Add(1)
@@ -166,7 +166,7 @@
 		return res
 	}
 	if !res.whole {
-		f.floor.Do(func(now time.Duration, s *upstream.Balancer) { s.Answering(now, g) })
+		f.dispatcher.Do(func(now time.Duration, s *upstream.Balancer) { s.Answering(now, g) })
 	}
 	select {
 	case err := <-sent:
@@ -180,7 +180,7 @@
 }
 
 // finish gives the connection back, or closes it if it cannot serve again.
-func (f *Front) finish(g upstream.SlotLease, res result, how upstream.Outcome) (odd bool) {
+func (f *Handler) finish(g upstream.SlotLease, res result, how upstream.Outcome) (odd bool) {
 	conn := res.conn
 	keep := conn != nil && res.broke == nil && res.response != nil && !res.response.Close && res.whole
 	var idle time.Duration
@@ -200,7 +200,7 @@
 	if res.response != nil {
 		told = toldLoad(res.response.Header.Get(hLoad))
 	}
-	return f.floor.release(g, conn, idle, how, told, how == upstream.Poor)
+	return f.dispatcher.release(g, conn, idle, how, told, how == upstream.Poor)
 }
 
 // toldLoad reads what an upstream says of its own load: requests running, requests
@@ -223,15 +223,15 @@
 
 // idleTime is how long an answer's connection may lie idle: some less than
 // its Keep-Alive says, since the upstream may close it from then on.
-func (f *Front) idleTime(h http.Header) time.Duration {
+func (f *Handler) idleTime(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		if v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
 			if n, err := strconv.Atoi(v); err == nil {
-				return time.Duration(n)*time.Second - f.floor.patience
+				return time.Duration(n)*time.Second - f.dispatcher.patience
 			}
 		}
 	}
-	return 10 * f.floor.patience
+	return 10 * f.dispatcher.patience
 }
 
 func isTimeout(err error) bool {
--- a/internal/proxy/tenants_test.go
+++ b/internal/proxy/tenants_test.go
@@ -21,7 +21,7 @@
 	 {"name":"g","pathPrefix":"/get/","routeKind":"idempotent","deadlineS":5,"targetLatencyS":4,"target":"a","maxTries":2,"generation":1},
 	 {"name":"o","pathPrefix":"/open/","public":true,"routeKind":"idempotent","deadlineS":5,"targetLatencyS":4,"target":"a","maxTries":2,"generation":1},
 	 {"name":"f","pathPrefix":"/far/","residency":["far"],"routeKind":"idempotent","deadlineS":5,"targetLatencyS":4,"target":"a","maxTries":2,"generation":1}]}]}}`
-	r.front.SetTable(tableOf(t, body))
+	r.handler.SetTable(tableOf(t, body))
 }
 
 func TestKeysAndTenants(t *testing.T) {
@@ -34,7 +34,7 @@
 	var lease atomic.Int64
 	drawn := apierror.Internal
 	asked := ""
-	r.front.Tenants(&lease, func(tenant string, _ time.Duration) apierror.Kind { asked = tenant; return drawn })
+	r.handler.Tenants(&lease, func(tenant string, _ time.Duration) apierror.Kind { asked = tenant; return drawn })
 	for _, c := range []struct {
 		name, path, headers string
 		leased              bool
@@ -57,7 +57,7 @@
 	} {
 		lease.Store(0)
 		if c.leased {
-			lease.Store(int64(time.Since(r.floor.start) + time.Hour))
+			lease.Store(int64(time.Since(r.dispatcher.start) + time.Hour))
 		}
 		drawn, asked = c.draw, ""
 		before := len(up.requests())
