After a SIGTERM no request is given up at which an upstream is at work

Cause: a repeatable request whose answer turned out not to fit the link was answered 503 when its head came, also after a SIGTERM.

Change: once the process was told to leave, what has been sent on is passed on, whatever its size; before, it is refused as it was.

Ruled out: a 502 in its place (the same rule).

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -504,7 +504,8 @@
 		f.finish(g, res, upstream.Served)
 		return false, apierror.New(apierror.Broken, "%s answered %d", x.service, r.StatusCode)
 	}
-	if r.StatusCode < 300 && !x.reservation.Begin(f.now(), res.size()) && repeatable {
+	fits := r.StatusCode >= 300 || x.reservation.Begin(f.now(), res.size())
+	if !fits && repeatable && !f.drain.Load() {
 		f.Stats.LinkFull.Add(1)
 		f.finish(g, res, upstream.Served)
 		return false, f.elsewhere(x)
--- a/internal/proxy/linkbudget.go
+++ b/internal/proxy/linkbudget.go
@@ -139,8 +139,9 @@
 }
 
 // Begin takes the size of the answer as its upstream tells it; negative: it does not. It says
-// whether the answer can be out before the process may have to end. One that is not may still be
-// passed on, if its request must not be answered otherwise.
+// whether the answer can be out before the process may have to end. One that is not is still
+// passed on if its request must not be answered otherwise: it may run once only, or the process was
+// told to leave, after which no request is given up that an upstream is at work on.
 func (r *Reservation) Begin(now time.Duration, size int64) (fits bool) {
 	if r == nil {
 		return true
