--- a/internal/replication/heartbeat_test.go
+++ b/internal/replication/heartbeat_test.go
@@ -163,12 +163,7 @@
 func TestAMissedStepIsMendedBeforeTheNextBeat(t *testing.T) {
 	w := calmWorld(t, 4, 2)
 	owner := w.holder(testKey)
-	var deaf *node
-	for _, id := range w.ids {
-		if id != owner.id {
-			deaf = w.nodes[id]
-		}
-	}
+	deaf := w.lastOther(owner)
 	w.run(owner.born + owner.m.beats.beatAt + testBeat + 10*time.Millisecond) // just after a beat
 	lost := 0
 	w.drop = func(_ string, e Envelope) bool {
@@ -274,12 +269,7 @@
 func promisesBeforeItAnswers(t *testing.T, lags uint64) {
 	w := calmWorld(t, 4, 3)
 	owner := w.holder(testKey)
-	var n *node
-	for _, id := range w.ids {
-		if id != owner.id {
-			n = w.nodes[id]
-		}
-	}
+	n := w.lastOther(owner)
 	k := n.m.keys[testKey]
 	m, now := n.m, w.clock(n)
 	m.Take()
--- a/internal/replication/replica_test.go
+++ b/internal/replication/replica_test.go
@@ -9,60 +9,6 @@
 	"madderwing/internal/antientropy"
 )
 
-// settle runs a world until the test key has an owner, and returns it.
-func (w *world) settle(t *testing.T) *node {
-	t.Helper()
-	for end := w.now + 20*time.Second; w.now < end; {
-		w.run(w.now + 100*time.Millisecond)
-		for _, id := range w.ids {
-			if n := w.nodes[id]; n.up && n.frozen <= w.now && n.m.keys[testKey].role == owns && n.m.keys[testKey].commit == n.m.keys[testKey].at {
-				return n
-			}
-		}
-	}
-	t.Fatal("the key has no owner")
-	return nil
-}
-
-// put proposes a value at a node and runs until it is answered.
-func (w *world) put(n *node, name string, v uint64) (err error) {
-	answered := false
-	w.on(n.id, n.life, func() {
-		n.m.Propose(w.now, testKey, func(map[string]Record) ([]Record, error) {
-			return []Record{{Name: name, Gen: v}}, nil
-		}, func(e error) { err, answered = e, true })
-	})
-	for end := w.now + 3*time.Second; !answered && w.now < end; {
-		w.run(w.now + time.Millisecond)
-	}
-	if !answered {
-		return ErrNoQuorum
-	}
-	return err
-}
-
-func (w *world) mustPut(t *testing.T, name string, v uint64) *node {
-	t.Helper()
-	for i := 0; i < 20; i++ {
-		n := w.settle(t)
-		if w.put(n, name, v) == nil {
-			return n
-		}
-	}
-	t.Fatalf("%s=%d was never acknowledged", name, v)
-	return nil
-}
-
-func (w *world) holders(name string, v uint64) (ids []string) {
-	for _, id := range w.ids {
-		var r storedRecord
-		if b := w.nodes[id].disk[recPrefix+testKey+"/"+name]; b != nil && unmarshal(b, &r) && r.Record.Gen >= v {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 func TestAnAnswerMeansThreeDisks(t *testing.T) {
 	w := newWorld(t, 5, 4)
 	for v := uint64(1); v <= 40; v++ {
@@ -267,11 +213,7 @@
 		for i := 0; i < 10; i++ {
 			var owner *node
 			for w.run(w.now + 200*time.Millisecond); owner == nil && w.now < time.Minute; w.run(w.now + 100*time.Millisecond) {
-				for _, o := range w.ids {
-					if n := w.nodes[o]; n.up && n.m.keys[RosterKey].role == owns {
-						owner = n
-					}
-				}
+				owner = w.holder(RosterKey)
 			}
 			if owner == nil {
 				t.Fatal("the roster has no owner")
--- a/internal/replication/rivals_test.go
+++ b/internal/replication/rivals_test.go
@@ -19,9 +19,9 @@
 const rivalryLeast = 40
 
 // rivalry says whether the rivals met; empty: they did.
-func (p *play) rivalry() string {
+func (w *world) rivalry() string {
 	refusals, reads := 0, 0
-	for _, op := range p.calls.calls[testKey] {
+	for _, op := range w.calls.calls[testKey] {
 		c := op.Input.(*call)
 		switch {
 		case op.Return == open:
@@ -45,93 +45,93 @@
 }
 
 // rivals lets two operators race each other all the time, and a third one read.
-func (p *play) rivals() {
+func (w *world) rivals() {
 	var again func()
 	again = func() {
-		if p.stop {
+		if w.operatorsStopped {
 			return
 		}
-		p.race()
-		p.readBesideChange()
-		p.at(time.Duration(100+p.rng.Intn(700))*time.Millisecond, again)
+		w.race()
+		w.readBesideChange()
+		w.at(time.Duration(100+w.rng.Intn(700))*time.Millisecond, again)
 	}
 	again()
 }
 
 // race sends two contents under one generation, to two nodes: the next generation, or the
 // one that stands.
-func (p *play) race() {
-	name := []string{"x", "y", "z"}[p.rng.Intn(3)]
-	version := max(1, p.floors[testKey+"/"+name]+uint64(p.rng.Intn(2)))
+func (w *world) race() {
+	name := []string{"x", "y", "z"}[w.rng.Intn(3)]
+	version := max(1, w.floors[testKey+"/"+name]+uint64(w.rng.Intn(2)))
 	for range 2 {
-		p.sent++
-		r := rival{name, version, fmt.Sprint("rival", p.sent)}
-		p.at(time.Duration(p.rng.Intn(40))*time.Millisecond, func() { p.insist(r, rivalTries) })
+		w.sent++
+		r := rival{name, version, fmt.Sprint("rival", w.sent)}
+		w.at(time.Duration(w.rng.Intn(40))*time.Millisecond, func() { w.insist(r, rivalTries) })
 	}
 }
 
 // raceLastAck sends what was acknowledged last once more, and another content under its
 // generation, over the next seconds.
-func (p *play) raceLastAck() {
-	if len(p.ackedAt) == 0 {
+func (w *world) raceLastAck() {
+	if len(w.ackedAt) == 0 {
 		return
 	}
-	last := p.ackedAt[len(p.ackedAt)-1]
-	p.sent++
-	same := rival{last.name, last.value, p.content[fmt.Sprintf("%s/%s/%d", testKey, last.name, last.value)]}
-	other := rival{last.name, last.value, fmt.Sprint("rival", p.sent)}
+	last := w.ackedAt[len(w.ackedAt)-1]
+	w.sent++
+	same := rival{last.name, last.value, w.content[fmt.Sprintf("%s/%s/%d", testKey, last.name, last.value)]}
+	other := rival{last.name, last.value, fmt.Sprint("rival", w.sent)}
 	for _, r := range []rival{other, same} {
-		p.at(time.Duration(p.rng.Intn(3000))*time.Millisecond, func() { p.insist(r, rivalTries) })
+		w.at(time.Duration(w.rng.Intn(3000))*time.Millisecond, func() { w.insist(r, rivalTries) })
 	}
 }
 
 // insist sends a content, to any node, until there is a clear answer or it has been tried
 // often enough.
-func (p *play) insist(r rival, tries int) {
-	if p.stop || tries == 0 {
+func (w *world) insist(r rival, tries int) {
+	if w.operatorsStopped || tries == 0 {
 		return
 	}
 	clear := false
-	if to := p.ownerByAnyNode(); to != "" {
-		lost := p.rng.Intn(5) == 0
-		p.ask(to, testKey, r.name, r.version, r.data, func(_ uint64, err error) {
+	if to := w.ownerByAnyNode(); to != "" {
+		lost := w.rng.Intn(5) == 0
+		w.ask(to, testKey, r.name, r.version, r.data, func(_ uint64, err error) {
 			clear = clear || !lost && (err == nil || err == errConflict)
 		})
 	}
-	p.at(rivalPause+time.Duration(p.rng.Intn(300))*time.Millisecond, func() {
+	w.at(rivalPause+time.Duration(w.rng.Intn(300))*time.Millisecond, func() {
 		if !clear {
-			p.insist(r, tries-1)
+			w.insist(r, tries-1)
 		}
 	})
 }
 
 // readBesideChange reads all records as control nodes do for operators, has a change come
 // while the round that confirms the read is under way, and reads once more.
-func (p *play) readBesideChange() {
-	to := p.ownerByAnyNode()
+func (w *world) readBesideChange() {
+	to := w.ownerByAnyNode()
 	if to == "" {
 		return
 	}
-	p.readAll(to)
-	p.at(time.Duration(p.rng.Intn(3000))*time.Microsecond, func() {
-		name := []string{"x", "y", "z"}[p.rng.Intn(3)]
-		p.sent++
-		p.ask(to, testKey, name, p.floors[testKey+"/"+name]+1, fmt.Sprint("beside", p.sent), func(uint64, error) {})
-		p.at(time.Duration(p.rng.Intn(3000))*time.Microsecond, func() { p.readAll(to) })
+	w.readAll(to)
+	w.at(time.Duration(w.rng.Intn(3000))*time.Microsecond, func() {
+		name := []string{"x", "y", "z"}[w.rng.Intn(3)]
+		w.sent++
+		w.ask(to, testKey, name, w.floors[testKey+"/"+name]+1, fmt.Sprint("beside", w.sent), func(uint64, error) {})
+		w.at(time.Duration(w.rng.Intn(3000))*time.Microsecond, func() { w.readAll(to) })
 	})
 }
 
 // readAll reads a key's records as they stand when the owner takes the question; the answer
 // counts once a majority has confirmed the owner after that.
-func (p *play) readAll(id string) {
-	n := p.nodes[id]
+func (w *world) readAll(id string) {
+	n := w.nodes[id]
 	if n == nil {
 		return
 	}
-	read := p.calls.reads(testKey)
+	read := w.calls.reads(testKey)
 	var got map[string]Record
-	p.on(id, n.life, func() {
-		n.m.Propose(p.clock(n), testKey, func(have map[string]Record) ([]Record, error) {
+	w.on(id, n.life, func() {
+		n.m.Propose(w.clock(n), testKey, func(have map[string]Record) ([]Record, error) {
 			got = map[string]Record{}
 			for _, name := range names {
 				got[name] = have[name]
@@ -139,7 +139,7 @@
 			return nil, nil
 		}, func(err error) {
 			if err == nil {
-				p.reads++
+				w.reads++
 				read(got)
 			}
 		})
@@ -147,13 +147,13 @@
 }
 
 // ownerByAnyNode is who owns the test key as a random node believes; empty: it knows nobody.
-func (p *play) ownerByAnyNode() string {
-	n := p.nodes[p.ids[p.rng.Intn(len(p.ids))]]
-	if !n.up || n.frozen > p.now {
+func (w *world) ownerByAnyNode() string {
+	n := w.nodes[w.ids[w.rng.Intn(len(w.ids))]]
+	if !n.up || n.frozen > w.now {
 		return ""
 	}
-	to := n.m.Owner(p.clock(n), testKey)
-	if p.nodes[to] == nil {
+	to := n.m.Owner(w.clock(n), testKey)
+	if w.nodes[to] == nil {
 		return ""
 	}
 	return to
--- a/internal/replication/scenario_test.go
+++ b/internal/replication/scenario_test.go
@@ -10,25 +10,6 @@
 	"madderwing/internal/antientropy"
 )
 
-// newPlay is a world whose members have their seats, without operators.
-func newPlay(t *testing.T, seed int64, members, faults, zones int) *play {
-	t.Helper()
-	w := newWorldOf(t, seed, members, faults, zones)
-	p := &play{world: w, s: schedule{seed: seed, members: members, faults: faults, zones: zones}, fresh: members}
-	p.until("all members have their seats", 8*time.Second, p.seated)
-	return p
-}
-
-// holder is the node that owns a key; nil: none does.
-func (w *world) holder(key string) *node {
-	for _, id := range w.ids {
-		if n := w.nodes[id]; n.up && n.frozen <= w.now && n.m.keys[key] != nil && n.m.keys[key].role == owns {
-			return n
-		}
-	}
-	return nil
-}
-
 // TestClosingFaultAfterReplacements replaces three machines one after the other, with a
 // planned replacement that crosses them, each as soon as the budget allows. Then as many
 // disks as it allows are lost right after an acknowledgement, and all others lose power.
@@ -41,14 +22,14 @@
 		{8, 2, 4, any_}, {8, 2, 4, owner}, {8, 2, 4, newcomer},
 		{6, 2, 3, keeper}, {4, 1, 3, any_}, {4, 1, 4, owner}, {4, 1, 4, newcomer},
 	} {
-		t.Run(fmt.Sprintf("%d of %d in %d zones, %s", c.faults, c.members, c.zones, aimNames[c.aim]), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d of %d in %d zones, %s", c.faults, c.members, c.zones, targetNames[c.aim]), func(t *testing.T) {
 			t.Parallel()
 			for seed := int64(1); seed <= 8; seed++ {
 				s := schedule{seed: seed, members: c.members, faults: c.faults, zones: c.zones}
 				for i, k := range []kind{replace, replace, planned, replace} {
-					s.troubles = append(s.troubles, trouble{kind: k, aim: aim((int(seed) + i) % int(aims)), who: int(seed) + i, count: 1, more: time.Duration(seed) * 300 * time.Millisecond})
+					s.failures = append(s.failures, failure{kind: k, aim: aim((int(seed) + i) % int(failureTargets)), who: int(seed) + i, count: 1, more: time.Duration(seed) * 300 * time.Millisecond})
 				}
-				s.closing = &trouble{kind: wipePower, aim: c.aim, who: int(seed), count: c.faults, hold: time.Second, more: 12 * time.Second}
+				s.closing = &failure{kind: wipePower, aim: c.aim, who: int(seed), count: c.faults, hold: time.Second, more: 12 * time.Second}
 				if broken, _ := perform(s); broken != "" {
 					t.Fatalf("%s\n%v", broken, s)
 				}
@@ -62,31 +43,14 @@
 // the roster that it knows.
 func TestAnOwnerThatMissedTwoRostersCantAcknowledge(t *testing.T) {
 	for seed := int64(1); seed <= 10; seed++ {
-		p := newPlay(t, seed, 5, 2, 5)
-		p.calm = true
-		o := p.mustPut(t, "x", 1)
-		p.until("another member owns the roster", 30*time.Second, func() string {
-			if k := p.holder(RosterKey); k != nil && k != o && o.m.keys[testKey].role == owns {
-				return ""
-			}
-			if k := p.holder(RosterKey); k == o {
-				p.on(o.id, o.life, func() {
-					o.m.yield(o.m.keys[RosterKey])
-					o.m.release(o.m.keys[RosterKey], ErrNotOwner)
-					o.m.keys[RosterKey].notUntil = p.now + time.Minute
-				})
-			}
-			return "it is the same"
-		})
-		var others []*node
-		for _, id := range p.ids {
-			if n := p.nodes[id]; n != o && n.m.keys[RosterKey].role != owns {
-				others = append(others, n)
-			}
-		}
+		w := newWorldWithVoters(t, seed, 5, 2, 5)
+		w.calm = true
+		w.mustPut(t, "x", 1)
+		o, keeper := w.separateOwners()
+		others := w.others(o, keeper)
 		// No word of the roster reaches the owner.
 		deaf := true
-		p.drop = func(_ string, e Envelope) bool {
+		w.drop = func(_ string, e Envelope) bool {
 			m := e.Msg
 			return deaf && e.To == o.id && (as[*Append](m) != nil && as[*Append](m).Key == RosterKey || as[*AppendAck](m) != nil && as[*AppendAck](m).Outdated != nil ||
 				as[*HeartbeatAck](m) != nil && as[*HeartbeatAck](m).Outdated != nil ||
@@ -94,28 +58,28 @@
 		}
 		away := others[:2]
 		for _, n := range away {
-			n.frozen, n.badSince = p.now+time.Hour, p.now
-			p.remove(n, time.Second)
-			n.troubles++ // so that the count of remove ends at none
-			p.run(p.now + 9*time.Second)
+			w.freeze(n, time.Hour)
+			w.remove(n, time.Second)
+			n.failures++ // so that the count of remove ends at none
+			w.run(w.now + 9*time.Second)
 		}
-		newer := p.truthAt[RosterKey]
+		newer := w.truthAt[RosterKey]
 		if got := o.m.keys[RosterKey].at; !got.Less(newer) || len(o.m.seats().after) != 5 || !slices.Contains(o.m.seats().after, away[0].m.self) {
 			t.Fatalf("seed %d: the owner has heard of the roster %v", seed, *o.m.seats())
 		}
 		// It meets those two and nobody else.
-		p.sever([]*node{o, away[0], away[1]}, true, true, 1)
+		w.sever([]*node{o, away[0], away[1]}, true, true, 1)
 		for _, n := range away {
-			n.frozen, n.badSince = p.now, 0
+			w.wake(n)
 		}
-		p.ids = append(p.ids, away[0].id, away[1].id)
-		for end := p.now + 6*time.Second; p.now < end; {
+		w.ids = append(w.ids, away[0].id, away[1].id)
+		for end := w.now + 6*time.Second; w.now < end; {
 			for _, n := range append(away, o) {
-				if err := p.put(n, "x", 100); err == nil {
+				if err := w.put(n, "x", 100); err == nil {
 					t.Fatalf("seed %d: %s acknowledged with members that were taken away", seed, n.id)
 				}
 			}
-			p.run(p.now + 50*time.Millisecond)
+			w.run(w.now + 50*time.Millisecond)
 		}
 		for _, n := range append(away, o) {
 			if n.m.keys[testKey].role == owns || n.m.keys[RosterKey].role == owns {
@@ -129,27 +93,27 @@
 // taken one after the other while they stood still: a majority of the first roster.
 func TestRemovedMembersThatWakeTogetherDecideNothing(t *testing.T) {
 	for seed := int64(1); seed <= 10; seed++ {
-		p := newPlay(t, seed, 5, 2, 5)
-		p.mustPut(t, "x", 1)
-		p.run(p.now + 2*time.Second)
+		w := newWorldWithVoters(t, seed, 5, 2, 5)
+		w.mustPut(t, "x", 1)
+		w.run(w.now + 2*time.Second)
 		var away []*node
 		for i := 0; i < 3; i++ {
-			n := p.nodes[p.ids[(int(seed)+i)%(5-i)]]
-			n.frozen, n.badSince = p.now+time.Hour, p.now
-			p.remove(n, time.Second)
-			n.troubles++
+			n := w.nodes[w.ids[(int(seed)+i)%(5-i)]]
+			w.freeze(n, time.Hour)
+			w.remove(n, time.Second)
+			n.failures++
 			away = append(away, n)
-			p.run(p.now + 6*time.Second)
-			p.until("its seat is taken", 3*time.Second, p.seated)
+			w.run(w.now + 6*time.Second)
+			w.until("its seat is taken", 3*time.Second, w.seated)
 		}
-		p.sever(away, true, true, 1)
+		w.sever(away, true, true, 1)
 		for _, n := range away {
-			n.frozen, n.badSince = p.now, 0
+			w.wake(n)
 		}
-		begin := p.now
-		for p.now < begin+10*time.Second {
+		begin := w.now
+		for w.now < begin+10*time.Second {
 			for _, n := range away {
-				if err := p.put(n, "x", 50); err == nil {
+				if err := w.put(n, "x", 50); err == nil {
 					t.Fatalf("seed %d: %s acknowledged", seed, n.id)
 				}
 				for _, key := range []string{testKey, RosterKey} {
@@ -158,73 +122,59 @@
 					}
 				}
 			}
-			p.run(p.now + 100*time.Millisecond)
+			w.run(w.now + 100*time.Millisecond)
 		}
-		p.mustPut(t, "x", 60)
-		p.sever(away, true, true, -1)
+		w.mustPut(t, "x", 60)
+		w.sever(away, true, true, -1)
 		for _, n := range away {
-			p.ids = append(p.ids, n.id)
+			w.ids = append(w.ids, n.id)
 		}
-		p.run(p.now + 10*time.Second)
-		p.mustPut(t, "x", 61)
+		w.run(w.now + 10*time.Second)
+		w.mustPut(t, "x", 61)
 	}
 }
 
 // change is a change of the roster in the making: x and y, which stand still, are to be
 // replaced by two newcomers at once. o owns the test key and keeps the roster.
 type change struct {
-	*play
+	*world
 	o, b, k, x, y *node
 	fresh         []*node
-	joint         bool // the keeper has the joint roster
-	drop          func(from string, e Envelope) bool
+	joint         bool                               // the keeper has the joint roster
+	loses         func(from string, e Envelope) bool // what is lost beside that
 }
 
 func newChange(t *testing.T, seed int64) *change {
 	t.Helper()
-	p := newPlay(t, seed, 5, 2, 5)
-	p.calm = true
-	p.mustPut(t, "x", 1)
-	c := &change{play: p}
-	p.until("the roster has another owner than the test key", 40*time.Second, func() string {
-		if c.o, c.k = p.holder(testKey), p.holder(RosterKey); c.o != nil && c.k != nil && c.o != c.k {
-			return ""
-		}
-		if c.k != nil {
-			p.on(c.k.id, c.k.life, func() {
-				k := c.k.m.keys[RosterKey]
-				c.k.m.yield(k)
-				c.k.m.release(k, ErrNotOwner)
-				k.notUntil = p.clock(c.k) + time.Minute
-			})
-		}
-		return "it is the same"
-	})
-	var others []*node
-	for _, id := range p.ids {
-		if n := p.nodes[id]; n != c.o && n != c.k {
-			others = append(others, n)
-		}
-	}
+	w := newWorldWithVoters(t, seed, 5, 2, 5)
+	w.calm = true
+	w.mustPut(t, "x", 1)
+	c := &change{world: w}
+	c.o, c.k = w.separateOwners()
+	others := w.others(c.o, c.k)
 	c.b, c.x, c.y = others[0], others[1], others[2]
 	for _, n := range others[1:] {
-		n.frozen, n.badSince = p.now+time.Hour, p.now
+		w.freeze(n, time.Hour)
 	}
-	enrol := p.now + 4*time.Second
-	p.world.drop = func(from string, e Envelope) bool {
+	enrol := w.now + 4*time.Second
+	w.drop = func(from string, e Envelope) bool {
 		c.joint = c.joint || c.k.m.seats().joint
 		// Both newcomers are known to hold all before anything is changed.
-		early := p.now < enrol && as[*Join](e.Msg) != nil || p.now < enrol+3*testBeat && as[*StateReport](e.Msg) != nil && (from == c.o.id || from == c.b.id)
-		return early || c.drop != nil && c.drop(from, e)
+		early := w.now < enrol && as[*Join](e.Msg) != nil || w.now < enrol+3*testBeat && as[*StateReport](e.Msg) != nil && (from == c.o.id || from == c.b.id)
+		return early || c.loses != nil && c.loses(from, e)
 	}
-	c.fresh = []*node{p.successor(), p.successor()}
+	c.fresh = []*node{w.successor(), w.successor()}
 	return c
 }
 
-// apart says that a message goes from one side to the other.
-func apart(a []*node, from, to string) bool {
-	in := func(id string) bool { return slices.ContainsFunc(a, func(n *node) bool { return n.id == id }) }
-	return in(from) != in(to)
+// untilJoint runs until the keeper has the joint roster.
+func (c *change) untilJoint() {
+	c.until("the roster is a joint one", 10*time.Second, func() string {
+		if c.joint {
+			return ""
+		}
+		return fmt.Sprint(*c.k.m.seats())
+	})
 }
 
 // TestAJointRosterNeedsBothMajorities cuts the keeper of the roster and two newcomers,
@@ -233,20 +183,15 @@
 	for seed := int64(1); seed <= 10; seed++ {
 		c := newChange(t, seed)
 		before := []*node{c.o, c.b, c.x, c.y}
-		c.drop = func(from string, e Envelope) bool {
+		c.loses = func(from string, e Envelope) bool {
 			if c.joint && c.x.frozen > c.now {
 				for _, n := range []*node{c.x, c.y} {
-					n.frozen, n.badSince = c.now, 0
+					c.wake(n)
 				}
 			}
 			return c.joint && apart(before, from, e.To)
 		}
-		c.until("the roster is a joint one", 10*time.Second, func() string {
-			if c.joint {
-				return ""
-			}
-			return fmt.Sprint(*c.k.m.seats())
-		})
+		c.untilJoint()
 		if s := c.k.m.seats(); len(s.after) != 5 || slices.Contains(s.after, c.x.m.self) || slices.Contains(s.after, c.y.m.self) {
 			t.Fatalf("seed %d: another change than was meant: %v", seed, *s)
 		}
@@ -271,14 +216,14 @@
 		c := newChange(t, seed)
 		var since time.Duration
 		lacking := append([]*node{c.k}, c.fresh...)
-		c.drop = func(from string, e Envelope) bool {
+		c.loses = func(from string, e Envelope) bool {
 			m := e.Msg
 			switch {
 			case !c.joint:
 				return false
 			case since == 0:
 				since = c.now
-				c.x.frozen, c.x.badSince = c.now, 0
+				c.wake(c.x)
 			}
 			switch {
 			case apart([]*node{c.o, c.b, c.x}, from, e.To) && (from == c.x.id || e.To == c.x.id):
@@ -288,24 +233,19 @@
 			}
 			return slices.ContainsFunc(lacking, func(n *node) bool { return n.id == e.To }) && (as[*Append](m) != nil && as[*Append](m).Key == testKey || as[*SnapshotChunk](m) != nil)
 		}
-		c.until("the roster is a joint one", 10*time.Second, func() string {
-			if c.joint {
-				return ""
-			}
-			return fmt.Sprint(*c.k.m.seats())
-		})
+		c.untilJoint()
 		if err := c.put(c.o, "x", 2); err != nil {
 			t.Fatalf("seed %d: a majority of the roster before: %v", seed, err)
 		}
 		c.run(c.now + 5*time.Second)
 		if s := c.k.m.seats(); !s.joint && !slices.Contains(s.after, c.x.m.self) {
-			t.Errorf("seed %d: the joint roster ended with x=2 at %v", seed, c.world.holders("x", 2))
+			t.Errorf("seed %d: the joint roster ended with x=2 at %v", seed, c.holders("x", 2))
 		}
-		c.drop = func(from string, e Envelope) bool { return apart(lacking, from, e.To) }
+		c.loses = func(from string, e Envelope) bool { return apart(lacking, from, e.To) }
 		// Whoever becomes owner now lacks a change that was acknowledged.
 		c.run(c.now + 8*time.Second)
-		c.drop = nil
-		c.y.frozen, c.y.badSince = c.now, 0
+		c.loses = nil
+		c.wake(c.y)
 		c.run(c.now + 5*time.Second)
 		if n := c.settle(t); n.m.keys[testKey].Records["x"].Gen != 2 {
 			t.Fatalf("seed %d: lost", seed)
@@ -317,38 +257,22 @@
 // of the roster, without which nobody copies to it any more.
 func TestAMemberWithoutASeatOwnsNothing(t *testing.T) {
 	for seed := int64(1); seed <= 10; seed++ {
-		p := newPlay(t, seed, 6, 2, 5)
-		p.calm = true
-		p.mustPut(t, "x", 1)
-		p.run(p.now + time.Second)
-		o := p.settle(t)
-		p.until("the roster is another's", 40*time.Second, func() string {
-			k := p.holder(RosterKey)
-			o = p.holder(testKey)
-			if k != nil && o != nil && k != o {
-				return ""
-			}
-			if k != nil {
-				p.on(k.id, k.life, func() {
-					rk := k.m.keys[RosterKey]
-					k.m.yield(rk)
-					k.m.release(rk, ErrNotOwner)
-					rk.notUntil = p.clock(k) + time.Minute
-				})
-			}
-			return "it is not"
-		})
-		keeper := p.holder(RosterKey)
-		keeper.m.leavers[o.m.self] = p.clock(keeper) // as if it had said that it goes
-		p.drop = func(from string, e Envelope) bool { return as[*Join](e.Msg) != nil }
-		begin := p.now
-		p.until("its seat is taken and the key has another owner", 2*time.Second, func() string {
-			if n := p.holder(testKey); n == nil || n == o || slices.Contains(keeper.m.seats().all(), o.m.self) && !keeper.m.seats().joint {
+		w := newWorldWithVoters(t, seed, 6, 2, 5)
+		w.calm = true
+		w.mustPut(t, "x", 1)
+		w.run(w.now + time.Second)
+		w.settle(t)
+		o, keeper := w.separateOwners()
+		keeper.m.leavers[o.m.self] = w.clock(keeper) // as if it had said that it goes
+		w.drop = func(from string, e Envelope) bool { return as[*Join](e.Msg) != nil }
+		begin := w.now
+		w.until("its seat is taken and the key has another owner", 2*time.Second, func() string {
+			if n := w.holder(testKey); n == nil || n == o || slices.Contains(keeper.m.seats().all(), o.m.self) && !keeper.m.seats().joint {
 				return fmt.Sprint(*keeper.m.seats())
 			}
 			return ""
 		})
-		if took := p.now - begin; took > testVacant {
+		if took := w.now - begin; took > testVacant {
 			t.Fatalf("seed %d: another owner after %v", seed, took)
 		}
 	}
@@ -358,19 +282,14 @@
 // question and the answers.
 func TestPromisesToAMemberWithoutASeatMakeNoOwner(t *testing.T) {
 	for _, loses := range []bool{false, true} {
-		p := newPlay(t, 5, 5, 2, 5)
-		p.mustPut(t, "x", 1)
-		p.run(p.now + 2*time.Second)
-		o, keeper := p.settle(t), p.holder(RosterKey)
-		var n *node
-		for _, id := range p.ids {
-			if id != o.id && id != keeper.id {
-				n = p.nodes[id]
-			}
-		}
+		w := newWorldWithVoters(t, 5, 5, 2, 5)
+		w.mustPut(t, "x", 1)
+		w.run(w.now + 2*time.Second)
+		o, keeper := w.settle(t), w.holder(RosterKey)
+		n := w.lastOther(o, keeper)
 		m, k, r := n.m, n.m.keys[testKey], n.m.keys[RosterKey]
 		m.takeOver(k, true)
-		m.Durable(p.clock(n), m.nextWrite)
+		m.Durable(w.clock(n), m.nextWrite)
 		if loses {
 			next := map[string]seatState{}
 			for _, seat := range m.seats().after {
@@ -378,11 +297,11 @@
 					next[seat] = going
 				}
 			}
-			m.Handle(p.clock(n), keeper.id, Message{Identity: keeper.m.identity, Body: &Append{Key: RosterKey, Epoch: r.promised,
+			m.Handle(w.clock(n), keeper.id, Message{Identity: keeper.m.identity, Body: &Append{Key: RosterKey, Epoch: r.promised,
 				Base: r.at, Seq: r.at.Seq + 1, Roster: Position{r.promised, r.at.Seq + 1}, Changes: rosterChange(r.Records, next)}})
 		}
-		for _, id := range p.ids {
-			m.Handle(p.clock(n), id, Message{Identity: p.nodes[id].m.identity, Body: &Vote{Key: testKey, Epoch: k.mine, OK: true, Promised: k.mine, At: k.at}})
+		for _, id := range w.ids {
+			m.Handle(w.clock(n), id, Message{Identity: w.nodes[id].m.identity, Body: &Vote{Key: testKey, Epoch: k.mine, OK: true, Promised: k.mine, At: k.at}})
 		}
 		if (k.role == owns) == loses {
 			t.Errorf("loses its seat: %v, owns the key: %v", loses, k.role == owns)
@@ -394,35 +313,30 @@
 // after it has gone, as a network may that holds messages back.
 func TestLateWordsProveNothingOfAMemberThatIsGone(t *testing.T) {
 	for seed := int64(1); seed <= 5; seed++ {
-		p := newPlay(t, seed, 6, 2, 5)
-		p.calm = true
-		p.mustPut(t, "x", 1)
-		p.run(p.now + 3*time.Second)
-		p.settle(t)
-		keeper := p.holder(RosterKey)
-		var n *node
-		for _, id := range p.ids {
-			if id != keeper.id {
-				n = p.nodes[id]
-			}
-		}
+		w := newWorldWithVoters(t, seed, 6, 2, 5)
+		w.calm = true
+		w.mustPut(t, "x", 1)
+		w.run(w.now + 3*time.Second)
+		w.settle(t)
+		keeper := w.holder(RosterKey)
+		n := w.lastOther(keeper)
 		var last []Envelope
-		p.drop = func(from string, e Envelope) bool {
+		w.drop = func(from string, e Envelope) bool {
 			if from == n.id && e.To == keeper.id {
 				last = append(last, e)
 			}
 			return false
 		}
-		p.run(p.now + time.Second)
-		p.begin(n)
-		p.crash(n.id, true)
+		w.run(w.now + time.Second)
+		w.begin(n)
+		w.crash(n.id, true)
 		for i := 0; i < 100; i++ {
 			e := last[i%len(last)]
-			p.at(time.Duration(i)*50*time.Millisecond, func() {
-				p.on(keeper.id, keeper.life, func() { keeper.m.Handle(p.clock(keeper), n.id, e.Msg) })
+			w.at(time.Duration(i)*50*time.Millisecond, func() {
+				w.on(keeper.id, keeper.life, func() { keeper.m.Handle(w.clock(keeper), n.id, e.Msg) })
 			})
 		}
-		p.until("its seat is taken", 2*testVacant+2*testBeat, func() string {
+		w.until("its seat is taken", 2*testVacant+2*testBeat, func() string {
 			if s := keeper.m.seats(); !s.joint && !slices.Contains(s.after, n.m.self) {
 				return ""
 			}
@@ -435,23 +349,23 @@
 // another has taken its place.
 func TestAFrozenOwnerTellsNothingOld(t *testing.T) {
 	for seed := int64(1); seed <= 20; seed++ {
-		p := newPlay(t, seed, 4, 1, 4)
-		p.mustPut(t, "x", 1)
-		old := p.settle(t)
-		p.strike(trouble{kind: cutOff, who: slices.IndexFunc(p.sound(), func(n *node) bool { return n == old }), count: 1, hold: 30 * time.Second})
-		old.frozen = p.now + 10*time.Second
-		p.run(p.now + 5*time.Second)
-		if n := p.mustPut(t, "x", 2); n == old {
+		w := newWorldWithVoters(t, seed, 4, 1, 4)
+		w.mustPut(t, "x", 1)
+		old := w.settle(t)
+		w.inject(failure{kind: cutOff, who: slices.IndexFunc(w.sound(), func(n *node) bool { return n == old }), count: 1, hold: 30 * time.Second})
+		old.frozen = w.now + 10*time.Second
+		w.run(w.now + 5*time.Second)
+		if n := w.mustPut(t, "x", 2); n == old {
 			t.Fatalf("seed %d: the frozen owner answered", seed)
 		}
-		p.floors[testKey+"/x"] = 2
-		p.run(old.frozen - time.Millisecond)
-		p.world.read(old.id, testKey, func(err error) {
+		w.floors[testKey+"/x"] = 2
+		w.run(old.frozen - time.Millisecond)
+		w.read(old.id, testKey, func(err error) {
 			if err == nil {
 				t.Fatalf("seed %d: it was answered", seed)
 			}
 		})
-		p.run(p.now + 2*time.Second)
+		w.run(w.now + 2*time.Second)
 	}
 }
 
@@ -459,41 +373,36 @@
 // of them are lost, everything loses power, and the third comes back last.
 func TestAWipedVoterForgetsNothingThatCounts(t *testing.T) {
 	for seed := int64(1); seed <= 10; seed++ {
-		p := newPlay(t, seed, 5, 2, 5)
-		p.calm = true
-		p.mustPut(t, "x", 1)
-		p.run(p.now + time.Second)
-		o := p.settle(t)
-		var others []*node
-		for _, id := range p.ids {
-			if id != o.id {
-				others = append(others, p.nodes[id])
-			}
-		}
-		p.drop = func(from string, e Envelope) bool {
+		w := newWorldWithVoters(t, seed, 5, 2, 5)
+		w.calm = true
+		w.mustPut(t, "x", 1)
+		w.run(w.now + time.Second)
+		o := w.settle(t)
+		others := w.others(o)
+		w.drop = func(from string, e Envelope) bool {
 			return from == o.id && (e.To == others[2].id || e.To == others[3].id) && as[*Append](e.Msg) != nil && as[*Append](e.Msg).Key == testKey
 		}
-		if err := p.put(o, "x", 2); err != nil {
+		if err := w.put(o, "x", 2); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
-		if got := p.holders("x", 2); len(got) != 3 {
+		if got := w.holders("x", 2); len(got) != 3 {
 			t.Fatalf("seed %d: copies at %v", seed, got)
 		}
-		p.drop = nil
+		w.drop = nil
 		for i, n := range append(others, o) {
-			p.crash(n.id, i < 2)
+			w.crash(n.id, i < 2)
 		}
 		for _, n := range others {
-			p.start(n.id)
+			w.start(n.id)
 		}
-		for end := p.now + 4*time.Second; p.now < end; p.run(p.now + 50*time.Millisecond) {
-			if n := p.holder(testKey); n != nil {
+		for end := w.now + 4*time.Second; w.now < end; w.run(w.now + 50*time.Millisecond) {
+			if n := w.holder(testKey); n != nil {
 				t.Fatalf("seed %d: %s owns the key, with two disks that are new", seed, n.id)
 			}
 		}
-		p.start(o.id)
-		p.until("all hold everything", 12*time.Second, p.seated)
-		if n := p.settle(t); n.m.keys[testKey].Records["x"].Gen != 2 {
+		w.start(o.id)
+		w.until("all hold everything", 12*time.Second, w.seated)
+		if n := w.settle(t); n.m.keys[testKey].Records["x"].Gen != 2 {
 			t.Fatalf("seed %d: lost", seed)
 		}
 	}
@@ -503,43 +412,43 @@
 // member loses its disk meanwhile and gets its seat anew.
 func TestAFrozenOwnerWhileAMemberIsReseated(t *testing.T) {
 	for seed := int64(1); seed <= 20; seed++ {
-		p := newPlay(t, seed, 5, 2, 5)
-		p.extra = true
-		p.mustPut(t, "x", 1)
-		p.run(p.now + time.Second)
-		o := p.settle(t)
+		w := newWorldWithVoters(t, seed, 5, 2, 5)
+		w.extra = true
+		w.mustPut(t, "x", 1)
+		w.run(w.now + time.Second)
+		o := w.settle(t)
 		told := false
-		p.on(o.id, o.life, func() {
-			o.m.Propose(p.clock(o), testKey, func(map[string]Record) ([]Record, error) {
+		w.on(o.id, o.life, func() {
+			o.m.Propose(w.clock(o), testKey, func(map[string]Record) ([]Record, error) {
 				return []Record{{Name: "x", Gen: 2, Data: []byte("old")}}, nil
 			}, func(err error) { told = err == nil })
 		})
-		o.frozen, o.badSince = p.now+12*time.Second, p.now
-		p.run(p.now + time.Duration(seed)*100*time.Millisecond)
+		w.freeze(o, 12*time.Second)
+		w.run(w.now + time.Duration(seed)*100*time.Millisecond)
 		var a *node
-		for _, id := range p.ids {
-			if n := p.nodes[id]; n != o && n.m.keys[RosterKey].role != owns {
+		for _, id := range w.ids {
+			if n := w.nodes[id]; n != o && n.m.keys[RosterKey].role != owns {
 				a = n
 				break
 			}
 		}
-		p.crash(a.id, true)
-		p.run(p.now + 500*time.Millisecond)
-		p.start(a.id)
-		p.run(p.now + 6*time.Second)
+		w.crash(a.id, true)
+		w.run(w.now + 500*time.Millisecond)
+		w.start(a.id)
+		w.run(w.now + 6*time.Second)
 		if !a.m.Voting() {
 			t.Fatalf("seed %d: the member that lost its disk has no seat", seed)
 		}
-		n := p.mustPut(t, "x", 3)
+		n := w.mustPut(t, "x", 3)
 		if n == o {
 			t.Fatalf("seed %d: the frozen owner answered", seed)
 		}
-		p.run(p.now + 15*time.Second)
-		if told && p.content[testKey+"/x/2"] != "old" {
+		w.run(w.now + 15*time.Second)
+		if told && w.content[testKey+"/x/2"] != "old" {
 			t.Fatalf("seed %d: told of what was never committed", seed)
 		}
-		p.until("all hold everything", 10*time.Second, p.seated)
-		if got := p.settle(t).m.keys[testKey].Records["x"].Gen; got != 3 {
+		w.until("all hold everything", 10*time.Second, w.seated)
+		if got := w.settle(t).m.keys[testKey].Records["x"].Gen; got != 3 {
 			t.Fatalf("seed %d: x=%d", seed, got)
 		}
 	}
@@ -550,14 +459,14 @@
 	for _, stormy := range []bool{false, true} {
 		for _, members := range []int{4, 5, 8} {
 			for seed := int64(1); seed <= 8; seed++ {
-				p := newPlay(t, seed, members, 1+members/5, 4)
-				p.mustPut(t, "x", 1)
+				w := newWorldWithVoters(t, seed, members, 1+members/5, 4)
+				w.mustPut(t, "x", 1)
 				if stormy {
-					p.strike(trouble{kind: storm, hold: 20 * time.Second})
+					w.inject(failure{kind: storm, hold: 20 * time.Second})
 				}
-				p.run(p.now + 3*time.Second)
-				n := p.successor()
-				p.until(fmt.Sprintf("the newcomer of %d (seed %d, storm %v) has its seat", members, seed, stormy), 3*time.Second, func() string {
+				w.run(w.now + 3*time.Second)
+				n := w.successor()
+				w.until(fmt.Sprintf("the newcomer of %d (seed %d, storm %v) has its seat", members, seed, stormy), 3*time.Second, func() string {
 					if n.m.mayOwn() && !n.m.seats().joint && n.m.keys[RosterKey].commit == n.m.keys[RosterKey].at {
 						return ""
 					}
@@ -573,33 +482,33 @@
 	for _, k := range []kind{mute, deaf} {
 		for who := 0; who < 4; who++ {
 			t.Run(fmt.Sprint(kindNames[k], who), func(t *testing.T) {
-				p := newPlay(t, int64(who+1), 4, 1, 4)
-				p.calm = true
-				p.mustPut(t, "x", 1)
-				p.run(p.now + 3*time.Second)
-				p.settle(t)
-				keys := append([]string{RosterKey}, p.keys...)
+				w := newWorldWithVoters(t, int64(who+1), 4, 1, 4)
+				w.calm = true
+				w.mustPut(t, "x", 1)
+				w.run(w.now + 3*time.Second)
+				w.settle(t)
+				keys := append([]string{RosterKey}, w.keys...)
 				before := map[string]Epoch{}
 				for _, key := range keys {
-					before[key] = p.holder(key).m.keys[key].mine
+					before[key] = w.holder(key).m.keys[key].mine
 				}
-				cut := p.nodes[p.ids[who]]
-				p.strike(trouble{kind: k, who: who, count: 1, hold: 20 * time.Second})
+				cut := w.nodes[w.ids[who]]
+				w.inject(failure{kind: k, who: who, count: 1, hold: 20 * time.Second})
 				without := map[string]time.Duration{}
-				for begin := p.now; p.now < begin+22*time.Second; p.run(p.now + 50*time.Millisecond) {
+				for begin := w.now; w.now < begin+22*time.Second; w.run(w.now + 50*time.Millisecond) {
 					for _, key := range keys {
 						served := false
-						for _, id := range p.ids {
-							n := p.nodes[id]
+						for _, id := range w.ids {
+							n := w.nodes[id]
 							kk := n.m.keys[key]
-							served = served || kk.role == owns && p.clock(n)-kk.agreed <= testVacant && kk.commit.Epoch == kk.mine
+							served = served || kk.role == owns && w.clock(n)-kk.agreed <= testVacant && kk.commit.Epoch == kk.mine
 						}
 						if !served {
 							if without[key] += 50 * time.Millisecond; without[key] > 2*testVacant {
 								t.Fatalf("%s had no owner for %v", key, without[key])
 							}
 						}
-						if o := p.holder(key); before[key].Owner != cut.id && o != nil && o.m.keys[key].mine != before[key] && p.now < begin+20*time.Second {
+						if o := w.holder(key); before[key].Owner != cut.id && o != nil && o.m.keys[key].mine != before[key] && w.now < begin+20*time.Second {
 							t.Fatalf("%v of %s was deposed by %v", before[key], key, o.m.keys[key].mine)
 						}
 					}
@@ -613,33 +522,33 @@
 func TestALeavingMemberWaitsForTheOthers(t *testing.T) {
 	for _, c := range []struct{ members, faults int }{{4, 1}, {5, 2}, {8, 2}} {
 		for seed := int64(1); seed <= 5; seed++ {
-			p := newPlay(t, seed, c.members, c.faults, 4)
-			p.calm = true
-			p.mustPut(t, "x", 1)
-			n := p.settle(t)
-			p.run(p.now + time.Second)
-			p.drop = func(from string, e Envelope) bool {
+			w := newWorldWithVoters(t, seed, c.members, c.faults, 4)
+			w.calm = true
+			w.mustPut(t, "x", 1)
+			n := w.settle(t)
+			w.run(w.now + time.Second)
+			w.drop = func(from string, e Envelope) bool {
 				return as[*Append](e.Msg) != nil && as[*Append](e.Msg).Key == testKey || as[*SnapshotChunk](e.Msg) != nil || as[*AppendAck](e.Msg) != nil && as[*AppendAck](e.Msg).Key == testKey
 			}
-			_ = p.put(n, "x", 2) // only the leaving member may hold it
-			p.on(n.id, n.life, func() { n.m.Leave(p.clock(n)) })
-			for end := p.now + 3*time.Second; p.now < end; p.run(p.now + 50*time.Millisecond) {
-				if n.m.MayGo(p.clock(n)) && n.m.inRoster() {
-					t.Fatalf("%d members, seed %d: it may go with x=2 at %v", c.members, seed, p.holders("x", 2))
+			_ = w.put(n, "x", 2) // only the leaving member may hold it
+			w.on(n.id, n.life, func() { n.m.Leave(w.clock(n)) })
+			for end := w.now + 3*time.Second; w.now < end; w.run(w.now + 50*time.Millisecond) {
+				if n.m.MayGo(w.clock(n)) && n.m.inRoster() {
+					t.Fatalf("%d members, seed %d: it may go with x=2 at %v", c.members, seed, w.holders("x", 2))
 				}
 			}
-			p.drop = nil
-			begin := p.now
-			p.until("the member may go", 5*time.Second, func() string {
-				if n.m.MayGo(p.clock(n)) {
+			w.drop = nil
+			begin := w.now
+			w.until("the member may go", 5*time.Second, func() string {
+				if n.m.MayGo(w.clock(n)) {
 					return ""
 				}
 				return fmt.Sprint(*n.m.seats())
 			})
-			if took := p.now - begin; took > 4*time.Second {
+			if took := w.now - begin; took > 4*time.Second {
 				t.Fatalf("%d members, seed %d: it waits for %v", c.members, seed, took)
 			}
-			if s := p.holder(RosterKey); s != nil && len(s.m.seats().after) > s.m.floor() && slices.Contains(s.m.seats().after, n.m.self) {
+			if s := w.holder(RosterKey); s != nil && len(s.m.seats().after) > s.m.floor() && slices.Contains(s.m.seats().after, n.m.self) {
 				t.Fatalf("%d members, seed %d: it may go with a seat that isn't needed", c.members, seed)
 			}
 		}
@@ -651,20 +560,20 @@
 func TestAMemberThatLeavesInCalmMayGoSoon(t *testing.T) {
 	for _, c := range []struct{ members, faults int }{{4, 1}, {5, 1}, {5, 2}, {6, 2}, {8, 2}} {
 		for seed := int64(1); seed <= 8; seed++ {
-			p := newPlay(t, seed, c.members, c.faults, 4)
-			p.calm = true
-			p.mustPut(t, "x", 1)
-			p.run(p.now + time.Second)
-			n := p.nodes[p.ids[int(seed)%c.members]]
-			p.on(n.id, n.life, func() { n.m.Leave(p.clock(n)) })
-			begin := p.now
-			p.until("the member may go", 2*time.Second, func() string {
-				if n.m.MayGo(p.clock(n)) {
+			w := newWorldWithVoters(t, seed, c.members, c.faults, 4)
+			w.calm = true
+			w.mustPut(t, "x", 1)
+			w.run(w.now + time.Second)
+			n := w.nodes[w.ids[int(seed)%c.members]]
+			w.on(n.id, n.life, func() { n.m.Leave(w.clock(n)) })
+			begin := w.now
+			w.until("the member may go", 2*time.Second, func() string {
+				if n.m.MayGo(w.clock(n)) {
 					return ""
 				}
 				return fmt.Sprint(c, seed, *n.m.seats())
 			})
-			t.Logf("%+v seed %d: after %v", c, seed, p.now-begin)
+			t.Logf("%+v seed %d: after %v", c, seed, w.now-begin)
 		}
 	}
 }
@@ -673,30 +582,30 @@
 // unbroken stream of changes: a follower still shows what was committed a short while ago.
 func TestAFollowerShowsWhatIsCommittedUnderAStream(t *testing.T) {
 	for seed := int64(1); seed <= 5; seed++ {
-		p := newPlay(t, seed, 4, 1, 4)
-		p.mustPut(t, "x", 1)
-		o := p.settle(t)
-		p.drop = func(from string, e Envelope) bool {
-			return (as[*Append](e.Msg) != nil || as[*Heartbeat](e.Msg) != nil) && p.rng.Intn(10) == 0
-		}
-		p.strike(trouble{kind: storm, hold: 20 * time.Second})
-		p.run(p.now + time.Second)
+		w := newWorldWithVoters(t, seed, 4, 1, 4)
+		w.mustPut(t, "x", 1)
+		o := w.settle(t)
+		w.drop = func(from string, e Envelope) bool {
+			return (as[*Append](e.Msg) != nil || as[*Heartbeat](e.Msg) != nil) && w.rng.Intn(10) == 0
+		}
+		w.inject(failure{kind: storm, hold: 20 * time.Second})
+		w.run(w.now + time.Second)
 		type at struct {
 			when time.Duration
 			pos  Position
 		}
 		var history []at
 		behind := map[string]time.Duration{}
-		for end := p.now + 18*time.Second; p.now < end; p.run(p.now + 10*time.Millisecond) {
-			history = append(history, at{p.now, p.truthAt[testKey]})
-			for _, id := range p.ids {
-				_, pos, ok := p.nodes[id].m.Committed(testKey)
+		for end := w.now + 18*time.Second; w.now < end; w.run(w.now + 10*time.Millisecond) {
+			history = append(history, at{w.now, w.truthAt[testKey]})
+			for _, id := range w.ids {
+				_, pos, ok := w.nodes[id].m.Committed(testKey)
 				if !ok {
-					pos = p.nodes[id].lastPos[testKey] // what it showed last
+					pos = w.nodes[id].lastPos[testKey] // what it showed last
 				}
 				i := slices.IndexFunc(history, func(h at) bool { return pos.Less(h.pos) })
 				if i >= 0 {
-					behind[id] = max(behind[id], p.now-history[i].when)
+					behind[id] = max(behind[id], w.now-history[i].when)
 				}
 			}
 		}
@@ -705,7 +614,7 @@
 				t.Errorf("seed %d: %s (owner %s) was %v behind", seed, id, o.id, lag)
 			}
 		}
-		t.Logf("seed %d: %v after %d changes", seed, behind, p.answer)
+		t.Logf("seed %d: %v after %d changes", seed, behind, w.answer)
 	}
 }
 
@@ -749,8 +658,7 @@
 				w.at(time.Duration(w.rng.Intn(300))*time.Millisecond, func() { w.start(id) })
 			}
 			w.run(400 * time.Millisecond)
-			p := &play{world: w}
-			p.until(fmt.Sprintf("relays %v, seed %d: all have their seats", relays, seed), 8*time.Second, p.seated)
+			w.until(fmt.Sprintf("relays %v, seed %d: all have their seats", relays, seed), 8*time.Second, w.seated)
 			w.mustPut(t, "x", 1)
 			w.run(w.now + 2*time.Second)
 			if got := w.holders("x", 1); len(got) != len(w.ids) {
@@ -775,16 +683,11 @@
 		{"one missing", [][]Record{whole[:2], nil}, []int{0, 1}, false},
 		{"another one", [][]Record{whole[:2], {{Name: "z", Gen: 1}}}, []int{0, 1}, false},
 	} {
-		p := newPlay(t, 3, 4, 1, 4)
-		p.mustPut(t, "x", 1)
-		p.run(p.now + 2*time.Second)
-		o := p.settle(t)
-		var n *node
-		for _, id := range p.ids {
-			if id != o.id {
-				n = p.nodes[id]
-			}
-		}
+		w := newWorldWithVoters(t, 3, 4, 1, 4)
+		w.mustPut(t, "x", 1)
+		w.run(w.now + 2*time.Second)
+		o := w.settle(t)
+		n := w.lastOther(o)
 		k := n.m.keys[testKey]
 		before := k.at
 		set := antientropy.NewSet()
@@ -794,10 +697,10 @@
 		at := Position{k.promised, k.at.Seq + 5}
 		n.m.Take()
 		for i, records := range c.records {
-			n.m.Handle(p.clock(n), o.id, Message{Identity: o.m.identity, Body: &SnapshotChunk{Key: testKey, Epoch: k.promised,
+			n.m.Handle(w.clock(n), o.id, Message{Identity: o.m.identity, Body: &SnapshotChunk{Key: testKey, Epoch: k.promised,
 				Roster: n.m.keys[RosterKey].at, At: at, Sums: set.Sums, Index: c.index[i], Count: 2, Ranges: allRanges, Records: records}})
 		}
-		n.m.Durable(p.clock(n), n.m.nextWrite)
+		n.m.Durable(w.clock(n), n.m.nextWrite)
 		took := false
 		for _, e := range n.m.Take().Send {
 			took = took || as[*AppendAck](e.Msg) != nil && as[*AppendAck](e.Msg).OK && as[*AppendAck](e.Msg).At == at
@@ -816,55 +719,55 @@
 	for _, k := range []kind{restart, cutOff, freeze, wipe, replace} {
 		t.Run(kindNames[k], func(t *testing.T) {
 			t.Parallel()
-			p := newPlay(t, int64(k)+1, 4, 1, 4)
-			p.calm, p.large = true, true
+			w := newWorldWithVoters(t, int64(k)+1, 4, 1, 4)
+			w.calm, w.large = true, true
 			change := func(name string, v uint64, data string) {
-				if o := p.holder(testKey); o != nil {
-					p.ask(o.id, testKey, name, v, data, func(uint64, error) {})
+				if o := w.holder(testKey); o != nil {
+					w.ask(o.id, testKey, name, v, data, func(uint64, error) {})
 				}
 			}
 			filler := strings.Repeat("f", size)
 			for i := 0; i < records; i++ {
 				change(fmt.Sprint("item", i), 1, filler)
 				if i%10 == 9 {
-					p.run(p.now + 100*time.Millisecond)
+					w.run(w.now + 100*time.Millisecond)
 				}
 			}
-			p.run(p.now + 3*time.Second)
-			if n := len(p.truthOf(testKey)); n < records {
+			w.run(w.now + 3*time.Second)
+			if n := len(w.truthOf(testKey)); n < records {
 				t.Fatalf("%d records", n)
 			}
-			p.rate = float64(chunkBytes) / (1.2 * testBeat.Seconds())
+			w.rate = float64(chunkBytes) / (1.2 * testBeat.Seconds())
 			whole := float64(records * size)
-			copying := time.Duration(whole / p.rate * float64(time.Second))
-			begin, answered := p.now, p.answer
+			copying := time.Duration(whole / w.rate * float64(time.Second))
+			begin, answered := w.now, w.answer
 			for i := 0; i < 3000; i++ {
-				p.at(time.Duration(i)*20*time.Millisecond, func() {
+				w.at(time.Duration(i)*20*time.Millisecond, func() {
 					change(fmt.Sprint("small", i%100), uint64(1+i), fmt.Sprint("change ", i))
 				})
 			}
-			p.run(p.now + 5*time.Second)
+			w.run(w.now + 5*time.Second)
 			var n *node
-			for _, id := range p.ids {
-				if o := p.nodes[id]; o.m.keys[testKey].role != owns && o.m.keys[RosterKey].role != owns {
+			for _, id := range w.ids {
+				if o := w.nodes[id]; o.m.keys[testKey].role != owns && o.m.keys[RosterKey].role != owns {
 					n = o
 				}
 			}
-			who := slices.IndexFunc(p.sound(), func(o *node) bool { return o == n })
-			p.strike(trouble{kind: k, who: who, count: 1, hold: 15 * time.Second, more: 5 * time.Second})
+			who := slices.IndexFunc(w.sound(), func(o *node) bool { return o == n })
+			w.inject(failure{kind: k, who: who, count: 1, hold: 15 * time.Second, more: 5 * time.Second})
 			if k == replace {
-				p.run(p.now + 5100*time.Millisecond)
-				n = p.nodes[p.ids[len(p.ids)-1]]
+				w.run(w.now + 5100*time.Millisecond)
+				n = w.nodes[w.ids[len(w.ids)-1]]
 			} else {
-				p.run(p.now + 15100*time.Millisecond)
+				w.run(w.now + 15100*time.Millisecond)
 			}
-			back, got := p.now, p.bytesTo[n.id]
+			back, got := w.now, w.bytesTo[n.id]
 			limit := testCatchUp
 			if k == wipe || k == replace {
 				limit = copying*3/2 + 2*testVacant
 			}
-			p.until("the member holds everything", limit, func() string {
-				o := p.holder(testKey)
+			w.until("the member holds everything", limit, func() string {
+				o := w.holder(testKey)
 				if o == nil {
 					return "the key has no owner"
 				}
@@ -875,31 +778,22 @@
 				}
 				return ""
 			})
-			bytes := float64(p.bytesTo[n.id] - got)
-			t.Logf("caught up after %v with %.2f of the whole in bytes", p.now-back, bytes/whole)
+			bytes := float64(w.bytesTo[n.id] - got)
+			t.Logf("caught up after %v with %.2f of the whole in bytes", w.now-back, bytes/whole)
 			if bytes > 1.25*whole {
 				t.Fatalf("%.2f times the whole were sent", bytes/whole)
 			}
-			p.run(begin + 62*time.Second)
-			if p.answer-answered < 2900 {
-				t.Fatalf("%d of 3000 changes were answered", p.answer-answered)
+			w.run(begin + 62*time.Second)
+			if w.answer-answered < 2900 {
+				t.Fatalf("%d of 3000 changes were answered", w.answer-answered)
 			}
-			p.rate = 0
-			p.run(p.now + 3*time.Second)
-			want := p.truthOf(testKey)
-			for _, id := range p.ids {
-				have, _, _ := p.nodes[id].m.Committed(testKey)
-				p.world.holds(id, testKey, have, want)
+			w.rate = 0
+			w.run(w.now + 3*time.Second)
+			want := w.truthOf(testKey)
+			for _, id := range w.ids {
+				have, _, _ := w.nodes[id].m.Committed(testKey)
+				w.holds(id, testKey, have, want)
 			}
 		})
 	}
 }
-
-// truthOf is what the owner of a key shows of it.
-func (w *world) truthOf(key string) map[string]Record {
-	if o := w.holder(key); o != nil {
-		have, _, _ := o.m.Committed(key)
-		return have
-	}
-	return nil
-}
