replicationtest: the event queue and disk that two worlds of replicas had each

Cause: the worlds of internal/replication and internal/coordination had an event queue and a simulated disk each, alike but for names. Change: both use replicationtest.Queue and replicationtest.Disk. The package is test support that only tests import, and knows no replica, so that tests inside replication can use it. Left: networks and processes of the two worlds differ (failing disks, older versions, links with a rate on one side; calls and servers on the other). The world of internal/rollout has no replica and no disk and stays. No check is touched.

--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"container/heap"
 	"fmt"
 	"log/slog"
 	"math/rand"
@@ -9,7 +8,7 @@
 	"time"
 
 	"madderwing/internal/replication"
-	"madderwing/internal/storage"
+	"madderwing/internal/replication/replicationtest"
 )
 
 // Times of the tests, as the settings' bounds have them.
@@ -25,41 +24,20 @@
 // world is a simulated set of control nodes with real replicas: a network that delays and
 // cuts, disks that take time, and processes that crash and freeze.
 type world struct {
-	t       testing.TB
-	random  *rand.Rand
-	now     time.Duration
-	queue   eventQueue
-	entered int // events that were put into the queue
-	nodes   []*node
-	cuts    map[[2]string]int
-	lives   uint64
-	limits  Limits
-	noisy   time.Duration // messages are late until then
+	t      testing.TB
+	random *rand.Rand
+	now    time.Duration
+	queue  replicationtest.Queue
+	nodes  []*node
+	cuts   map[[2]string]int
+	lives  uint64
+	limits Limits
+	noisy  time.Duration // messages are late until then
 
 	// latency and sync are what every message and every write take; 0: drawn.
 	latency, sync time.Duration
 }
 
-type queuedEvent struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type eventQueue []queuedEvent
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(queuedEvent)) }
-func (q *eventQueue) Pop() any {
-	e := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return e
-}
-
 // node is a control node. Each process counts time from its own start.
 type node struct {
 	address string
@@ -70,7 +48,7 @@
 	replica *replication.Replica
 	server  *Server
 	clocks  *PeerClocks
-	disk    map[string][]byte
+	disk    replicationtest.Disk
 	pending []replication.Write // not durable yet
 	diskAt  time.Duration
 	boots   bool
@@ -80,7 +58,7 @@
 	w := &world{t: t, random: rand.New(rand.NewSource(seed)), cuts: map[[2]string]int{},
 		limits: Limits{History: time.Hour, Bytes: 1 << 20, HistoryBytes: 1 << 19}}
 	for i := range size {
-		w.nodes = append(w.nodes, &node{address: fmt.Sprintf("10.0.0.%d:7661", i+1), disk: map[string][]byte{}, boots: true})
+		w.nodes = append(w.nodes, &node{address: fmt.Sprintf("10.0.0.%d:7661", i+1), disk: replicationtest.Disk{}, boots: true})
 	}
 	for _, n := range w.nodes {
 		w.start(n)
@@ -89,17 +67,11 @@
 }
 
 func (w *world) after(d time.Duration, run func()) {
-	w.entered++
-	heap.Push(&w.queue, queuedEvent{w.now + d, w.entered, run})
+	w.queue.Add(w.now+d, run)
 }
 
 func (w *world) run(until time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= until {
-		e := heap.Pop(&w.queue).(queuedEvent)
-		w.now = e.at
-		e.run()
-	}
-	w.now = until
+	w.queue.Run(&w.now, until)
 }
 
 func (w *world) clock(n *node) time.Duration { return w.now - n.born }
@@ -217,21 +189,11 @@
 			return
 		}
 		n.pending = n.pending[1:]
-		store(n.disk, write.Entries)
+		n.disk.Apply(write.Entries)
 		w.on(n, life, func() { n.replica.Durable(w.clock(n), write.ID) })
 	})
 }
 
-func store(disk map[string][]byte, entries []storage.Entry) {
-	for _, e := range entries {
-		if e.Value == nil {
-			delete(disk, e.Key)
-		} else {
-			disk[e.Key] = e.Value
-		}
-	}
-}
-
 // crash ends a process. A part of the writes under way is on the disk all the same.
 func (w *world) crash(n *node) {
 	if !n.up {
@@ -239,7 +201,7 @@
 	}
 	n.up, n.frozen = false, min(n.frozen, w.now)
 	for _, write := range n.pending[:w.random.Intn(len(n.pending)+1)] {
-		store(n.disk, write.Entries)
+		n.disk.Apply(write.Entries)
 	}
 }
 
--- a/internal/replication/world_checks_test.go
+++ b/internal/replication/world_checks_test.go
@@ -1,6 +1,6 @@
 package replication
 
-// // This file holds the rules that are checked while a world runs.
+// This file holds the rules that are checked while a world runs.
 
 import (
 	"bytes"
--- a/internal/replication/world_disk_test.go
+++ b/internal/replication/world_disk_test.go
@@ -1,12 +1,13 @@
 package replication
 
-// // This file holds the simulated disks.
+// This file holds the simulated disks.
 
 import (
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"madderwing/internal/replication/replicationtest"
 	"madderwing/internal/storage"
 )
 
@@ -17,15 +18,9 @@
 
 func (n *node) take(p *pendingWrite) {
 	if p.whole {
-		n.disk = map[string][]byte{}
-	}
-	for _, e := range p.entries {
-		if e.Value == nil {
-			delete(n.disk, e.Key)
-		} else {
-			n.disk[e.Key] = e.Value
-		}
+		n.disk = replicationtest.Disk{}
 	}
+	n.disk.Apply(p.entries)
 }
 
 func (w *world) write(n *node, life int, p *pendingWrite, id uint64) {
--- a/internal/replication/world_failures_test.go
+++ b/internal/replication/world_failures_test.go
@@ -1,6 +1,6 @@
 package replication
 
-// // This file holds what fails in a world, and how much may at once.
+// This file holds what fails in a world, and how much may at once.
 
 import (
 	"fmt"
--- a/internal/replication/world_network_test.go
+++ b/internal/replication/world_network_test.go
@@ -1,6 +1,6 @@
 package replication
 
-// // This file holds the simulated network.
+// This file holds the simulated network.
 
 import (
 	"maps"
--- a/internal/replication/world_nodes_test.go
+++ b/internal/replication/world_nodes_test.go
@@ -1,12 +1,14 @@
 package replication
 
-// // This file holds the simulated processes: how they start, run, crash, leave and are replaced.
+// This file holds the simulated processes: how they start, run, crash, leave and are replaced.
 
 import (
 	"fmt"
 	"slices"
 	"testing"
 	"time"
+
+	"madderwing/internal/replication/replicationtest"
 )
 
 type node struct {
@@ -14,7 +16,7 @@
 	m       *Replica
 	up      bool
 	frozen  time.Duration
-	disk    map[string][]byte // durable
+	disk    replicationtest.Disk // durable
 	pending []*pendingWrite
 	life    int
 	stall   time.Duration
@@ -42,7 +44,7 @@
 	if zones > 0 {
 		w.zones[id] = fmt.Sprintf("zone-%d", i%zones)
 	}
-	w.nodes[id] = &node{id: id, disk: map[string][]byte{}, boot: boot, older: w.older > 0 && i%w.older == 0}
+	w.nodes[id] = &node{id: id, disk: replicationtest.Disk{}, boot: boot, older: w.older > 0 && i%w.older == 0}
 	return id
 }
 
@@ -127,7 +129,7 @@
 	n := w.nodes[id]
 	if !n.up {
 		if wipe {
-			n.disk = map[string][]byte{}
+			n.disk = replicationtest.Disk{}
 		}
 		return
 	}
@@ -138,7 +140,7 @@
 		n.badSince = w.now
 	}
 	if wipe {
-		n.disk = map[string][]byte{}
+		n.disk = replicationtest.Disk{}
 		return
 	}
 	if !n.failed && n.refuse == 0 {
--- a/internal/replication/world_operators_test.go
+++ b/internal/replication/world_operators_test.go
@@ -1,6 +1,6 @@
 package replication
 
-// // This file holds those who change and read records.
+// This file holds those who change and read records.
 
 import (
 	"fmt"
--- a/internal/replication/world_test.go
+++ b/internal/replication/world_test.go
@@ -1,10 +1,11 @@
 package replication
 
 import (
-	"container/heap"
 	"math/rand"
 	"testing"
 	"time"
+
+	"madderwing/internal/replication/replicationtest"
 )
 
 // world is a simulated set of members: a network that delays, reorders, drops,
@@ -14,8 +15,7 @@
 	fatal  func(format string, args ...any)
 	rng    *rand.Rand
 	now    time.Duration
-	seq    int
-	queue  events
+	queue  replicationtest.Queue
 	nodes  map[string]*node
 	ids    []string // the machines that are there, and those that are to come back
 	cut    map[[2]string]int
@@ -110,20 +110,11 @@
 }
 
 func (w *world) at(d time.Duration, fn func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now + d, w.seq, fn})
+	w.queue.Add(w.now+d, fn)
 }
 
 func (w *world) run(until time.Duration) {
-	for len(w.queue) > 0 {
-		if w.queue[0].at > until {
-			break
-		}
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.fn()
-	}
-	w.now = until
+	w.queue.Run(&w.now, until)
 }
 
 // until runs until a state is reached that why finds nothing amiss with.
@@ -139,27 +130,3 @@
 		w.fatal("at %v, after %v, it doesn't hold that %s: %s", w.now, limit, what, last)
 	}
 }
-
-type event struct {
-	at  time.Duration
-	seq int
-	fn  func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-func (q *events) Push(x any) { *q = append(*q, x.(event)) }
-
-func (q *events) Pop() any {
-	e := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return e
-}
