--- a/cmd/madderwing/election.go
+++ b/cmd/madderwing/election.go
@@ -26,21 +26,13 @@
 	hostname, _ := os.Hostname()
 	candidate := c.Flags().String("candidate", fmt.Sprintf("%s-%d", hostname, os.Getpid()), "the name that observers see")
 	hold := c.Flags().Duration("hold", defaultHold, "how long a leader that dies keeps the next one waiting")
-	wait := waitFlag(c)
-	runner := addRunnerFlags(c)
-	c.RunE = func(cmd *cobra.Command, args []string) error {
-		client, err := flags.client()
+	runWhileHeld(c, flags, func(ctx context.Context, client *coordination.Client, name string) (holding, error) {
+		leadership, err := client.Election(name, *hold).Campaign(ctx, *candidate)
 		if err != nil {
-			return err
+			return holding{}, err
 		}
-		return runner.run(cmd, flags, args[1:], *wait, func(ctx context.Context) (holding, error) {
-			leadership, err := client.Election(args[0], *hold).Campaign(ctx, *candidate)
-			if err != nil {
-				return holding{}, err
-			}
-			return holding{name: args[0], lease: leadership.Context(), token: leadership.Token(), release: leadership.Resign}, nil
-		})
-	}
+		return holding{name: name, lease: leadership.Context(), token: leadership.Token(), release: leadership.Resign}, nil
+	})
 	return c
 }
 
--- a/cmd/madderwing/lock.go
+++ b/cmd/madderwing/lock.go
@@ -110,21 +110,13 @@
 	flags := addCoordinationFlags(c)
 	owner := c.Flags().String("owner", "", "name of the holder (default: one that is made up)")
 	hold := c.Flags().Duration("hold", defaultHold, "how long the lock stays taken if this machine dies")
-	wait := waitFlag(c)
-	runner := addRunnerFlags(c)
-	c.RunE = func(cmd *cobra.Command, args []string) error {
-		client, err := flags.client()
+	runWhileHeld(c, flags, func(ctx context.Context, client *coordination.Client, name string) (holding, error) {
+		lease, err := client.Acquire(ctx, name, *owner, *hold)
 		if err != nil {
-			return err
+			return holding{}, err
 		}
-		return runner.run(cmd, flags, args[1:], *wait, func(ctx context.Context) (holding, error) {
-			lease, err := client.Acquire(ctx, args[0], *owner, *hold)
-			if err != nil {
-				return holding{}, err
-			}
-			return holding{name: args[0], lease: lease.Context(), token: lease.Token(), release: lease.Release}, nil
-		})
-	}
+		return holding{name: name, lease: lease.Context(), token: lease.Token(), release: lease.Release}, nil
+	})
 	return c
 }
 
--- a/cmd/madderwing/runner.go
+++ b/cmd/madderwing/runner.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	coordination "madderwing/client"
 )
 
 // The environment of a command that runs while a lock is held.
@@ -43,6 +45,22 @@
 	return r
 }
 
+// runWhileHeld makes a command of "NAME -- COMMAND [ARG...]" that runs COMMAND for as long as it
+// holds what acquire takes under NAME.
+func runWhileHeld(c *cobra.Command, flags *coordinationFlags, acquire func(ctx context.Context, client *coordination.Client, name string) (holding, error)) {
+	wait := waitFlag(c)
+	runner := addRunnerFlags(c)
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		return runner.run(cmd, flags, args[1:], *wait, func(ctx context.Context) (holding, error) {
+			return acquire(ctx, client, args[0])
+		})
+	}
+}
+
 // run waits for what is to be held, runs the command, gives back what was held, and ends as
 // the command did.
 func (r *runner) run(cmd *cobra.Command, flags *coordinationFlags, command []string, wait time.Duration, acquire func(context.Context) (holding, error)) error {
--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -339,10 +339,7 @@
 }
 
 func TestModel(t *testing.T) {
-	seeds := int64(20)
-	if testing.Short() {
-		seeds = 4
-	}
+	const seeds = 20
 	for seed := int64(1); seed <= seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/replication/heartbeat.go
+++ b/internal/replication/heartbeat.go
@@ -435,7 +435,7 @@
 		}
 	default:
 		p.version = max(p.version, a.Version)
-		m.wholeConfirmed(id, a, s.at, deviating)
+		m.wholeConfirmed(id, a, deviating)
 	}
 }
 
@@ -470,7 +470,7 @@
 
 // wholeConfirmed takes a member's answer for the whole list. What a quorum confirms is
 // worked out once for all keys; a key for which more is to be done is looked at alone.
-func (m *Replica) wholeConfirmed(id string, a *HeartbeatAck, began time.Duration, deviating map[string]bool) {
+func (m *Replica) wholeConfirmed(id string, a *HeartbeatAck, deviating map[string]bool) {
 	b := &m.beats
 	b.rounds[id] = max(b.rounds[id], a.Round)
 	for _, r := range b.rounds {
