Work ends with its client: GONE

Cause: once an upstream had been claimed, nothing in the proxy looked at the client again: not the dial, the wait for the answer, a second try, the quota, the paced answer. net/http ends a request's context when it sees the connection close, and nothing heeded it; it does not see that while a body is still to be read, nor once a further request has come.

Such an end tells nothing of the upstream; a further try that was not sent gives its token back. Counted by stage.

Ruled out: a watch of our own for every connection (a goroutine or a poll a request, where net/http has one already); to wait some tenths of a second for the answer before the connection is closed (keeps connections, holds slots for nobody).

Scenes have leavers.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -52,6 +52,7 @@
 	NoCell               // a cell that holds no value
 	HistoryGone          // a watch from a revision whose history is no longer kept
 	MaybeRepeated        // an order that may be one sent again that was carried out
+	ClientLeft           // the client left while an upstream was at work on the request, which was ended
 )
 
 // Answer is what a kind is answered with. NotRun says that the answer promises
@@ -99,6 +100,7 @@
 	NoCell:          {http.StatusNotFound, true, "no such cell"},
 	HistoryGone:     {http.StatusGone, true, "history no longer kept"},
 	MaybeRepeated:   {http.StatusServiceUnavailable, false, "perhaps an order sent again"},
+	ClientLeft:      {http.StatusBadGateway, false, "client left"},
 }
 
 // Error is an error of a kind, with what is to be told about it.
--- a/internal/proxy/callers_test.go
+++ b/internal/proxy/callers_test.go
@@ -429,8 +429,10 @@
 	expect   bool // it expects 100 Continue, though it does not wait for that
 	hold     int  // bytes that it sends only once it has an answer or its patience ends
 	patience time.Duration
-	half     bool // the client ends its side once all is sent
-	fresh    bool // over a new connection
+	half     bool          // the client ends its side once all is sent
+	fresh    bool          // over a new connection
+	leave    string        // how the client leaves without waiting for its answer; empty: it stays
+	stay     time.Duration // how long after it has sent all
 }
 
 func (s *scene) ask(client, n int) ask {
@@ -448,6 +450,9 @@
 			q.patience = 10 * time.Second
 		}
 	}
+	if r.IntN(8) == 0 {
+		q.leave, q.stay = []string{"close", "reset", "half"}[r.IntN(3)], time.Duration(r.IntN(3000))*time.Microsecond
+	}
 	return q
 }
 
@@ -500,6 +505,17 @@
 		}
 		got := make(chan struct{})
 		var late atomic.Bool
+		if q.leave != "" {
+			_, _ = c.Write(q.text())
+			time.Sleep(q.stay)
+			hangUp(c, q.leave)
+			if q.leave == "half" {
+				_, _ = io.Copy(io.Discard, c)
+			}
+			c.Close()
+			c = nil
+			continue
+		}
 		go func(c net.Conn) {
 			text := q.text()
 			_, _ = c.Write(text[:len(text)-q.hold])
@@ -650,6 +666,12 @@
 	over, cancel := context.WithCancel(context.Background())
 	cancel()
 	r.listener.Shutdown(over)
+	for until := time.Now().Add(20 * time.Second); r.busySlots() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Errorf("CALLERS_SEED=%d: %d slots of upstreams are never free again", s.seed, r.busySlots())
+			break
+		}
+	}
 	r.list() // what rests is closed
 	for until := time.Now().Add(20 * time.Second); s.open.Load() > 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(until) {
--- a/internal/proxy/dialing_test.go
+++ b/internal/proxy/dialing_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http/httptest"
@@ -32,7 +33,7 @@
 				dispatcher := NewDispatcher(upstream.NewBalancer(upstream.Config{Self: "d", Zone: "z", RetryRatio: 1, RetrySlack: 60, Window: 10 * time.Second,
 					Eject: patience, EjectMax: 4 * patience}), patience, patience/6)
 				dials := 0
-				dispatcher.connect = func(_ string, limit time.Duration) (net.Conn, error) {
+				dispatcher.connect = func(_ context.Context, _ string, limit time.Duration) (net.Conn, error) {
 					if limit < patience { // or else it is a trial, for no request
 						dials++
 					}
--- a/internal/proxy/dispatcher.go
+++ b/internal/proxy/dispatcher.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,7 +22,7 @@
 	commands chan func(now time.Duration)
 	patience time.Duration // until a silent peer is given up
 	tick     time.Duration
-	connect  func(address string, limit time.Duration) (net.Conn, error)
+	connect  func(ctx context.Context, address string, limit time.Duration) (net.Conn, error)
 	closed   chan struct{}
 }
 
@@ -79,7 +80,7 @@
 
 // try opens a connection to an upstream that had failed.
 func (f *Dispatcher) try(u *upstream.Upstream, address string) {
-	conn, _ := f.dial(address, f.patience)
+	conn, _ := f.dial(context.Background(), address, f.patience)
 	f.Do(func(now time.Duration, s *upstream.Balancer) {
 		if conn != nil {
 			conn.Expires = now + 10*f.patience
@@ -93,7 +94,7 @@
 func (f *Dispatcher) probe(p upstream.Probe) {
 	var left time.Duration
 	ok := false
-	if conn, err := f.dial(p.Address, f.patience); err == nil {
+	if conn, err := f.dial(context.Background(), p.Address, f.patience); err == nil {
 		_ = conn.SetDeadline(time.Now().Add(2 * f.patience))
 		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", p.Path, p.Address); err == nil {
 			if res, err := conn.Reader.(*answers).head(http.MethodGet); err == nil {
@@ -124,14 +125,14 @@
 // warmupMost is beyond any warm-up; no sum with it overflows.
 const warmupMost = 24 * time.Hour
 
-// connect opens a TCP connection.
-func connect(address string, limit time.Duration) (net.Conn, error) {
+// connect opens a TCP connection, unless ctx ends before it is open.
+func connect(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
 	d := net.Dialer{Timeout: limit, KeepAlive: -1}
-	return d.Dial("tcp4", address)
+	return d.DialContext(ctx, "tcp4", address)
 }
 
-func (f *Dispatcher) dial(address string, limit time.Duration) (*upstream.Conn, error) {
-	c, err := f.connect(address, min(limit, f.patience))
+func (f *Dispatcher) dial(ctx context.Context, address string, limit time.Duration) (*upstream.Conn, error) {
+	c, err := f.connect(ctx, address, min(limit, f.patience))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -33,6 +33,7 @@
 	begun    []byte      // the beginning of a body that is not
 	read     atomic.Bool // the rest of that has been read and sent on
 	poor     *result     // an error of an upstream's own that another may do better than
+	stage    stage       // how far it has come
 	// reservation is the answer's place in the budget of the link.
 	reservation *Reservation
 }
@@ -51,6 +52,14 @@
 	return h
 }
 
+// watchClose has the client's connection asked about while net/http does not look whether the
+// client closes it.
+func (x *Exchange) watchClose() {
+	if c := connOf(x.r); c != nil {
+		c.watchClose()
+	}
+}
+
 // priority is the tenant's, where it has one, or the route's.
 func (x *Exchange) priority() int {
 	if x.tenant != nil && x.tenant.Priority != nil {
--- a/internal/proxy/filters.go
+++ b/internal/proxy/filters.go
@@ -3,8 +3,10 @@
 // This file holds the filters of the chain that come before the balancer.
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -82,6 +84,9 @@
 				if large := apierror.TooLarge(err); large != nil {
 					return large
 				}
+				if brokenOff(err) {
+					return f.leftUnsent(x)
+				}
 				return apierror.New(apierror.BadRequest, "body not read: %v", err)
 			default:
 				x.begun = buf
@@ -107,6 +112,12 @@
 	}
 }
 
+// brokenOff says whether a body could not be read because its client ended the connection.
+func brokenOff(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
+}
+
 // readUpTo reads into buf until it holds most bytes (no error) or the reader
 // ends (io.EOF).
 func readUpTo(buf []byte, r io.Reader, most int) ([]byte, error) {
@@ -122,16 +133,3 @@
 	}
 	return buf, nil
 }
-
-// mayNotGo says why a request that has got an upstream is not to be sent on all the
-// same, apierror.Internal if it is: its key can no longer be relied on, or its client
-// has gone.
-func (f *Handler) mayNotGo(x *Exchange) apierror.Kind {
-	switch {
-	case !f.Confirmed():
-		return apierror.KeysUnconfirmed
-	case x.r.Context().Err() != nil:
-		return apierror.ClientGone
-	}
-	return apierror.Internal
-}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -15,9 +15,10 @@
 // Stats are a handler's counters.
 type Stats struct {
 	Requests, Ordinary, Exception, Served, Refused, Failed, Late atomic.Uint64
-	Tries, Repeats, Dials, Broken, Abroad, Gone                  atomic.Uint64
+	Tries, Repeats, Dials, Broken, Abroad                        atomic.Uint64
 	// LinkFull counts the long answers that were refused for want of room on the link.
 	LinkFull atomic.Uint64
+	left     leftStats
 }
 
 // Handler serves clients.
@@ -78,11 +79,15 @@
 
 func (f *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.Stats.Requests.Add(1)
+	if c := connOf(r); c != nil {
+		c.begin()
+		defer c.end()
+	}
 	x := &Exchange{w: w, r: r, arrived: time.Now(), table: f.table.Load(), attempt: r.Header.Get(hAttempt)}
 	if err := f.chain(x); err != nil {
 		switch a := apierror.AnswerFor(apierror.KindOf(err)); {
-		case apierror.KindOf(err) == apierror.ClientGone:
-			f.Stats.Gone.Add(1)
+		case x.clientLeft() || apierror.KindOf(err) == apierror.ClientGone:
+			f.noteLeft(x)
 		case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests:
 			f.Stats.Refused.Add(1)
 		case a.Status == http.StatusGatewayTimeout:
@@ -118,11 +123,12 @@
 // Counters are the handler's counters by name.
 func (f *Handler) Counters() map[string]uint64 {
 	s := &f.Stats
-	return map[string]uint64{
+	counters := map[string]uint64{
 		"requests": s.Requests.Load(), "ordinary": s.Ordinary.Load(), "exception": s.Exception.Load(), "served": s.Served.Load(),
 		"refused": s.Refused.Load(), "failed": s.Failed.Load(), "late": s.Late.Load(), "tries": s.Tries.Load(),
 		"repeats": s.Repeats.Load(), "dials": s.Dials.Load(), "broken": s.Broken.Load(),
-		"abroad": s.Abroad.Load(), "gone": s.Gone.Load(),
-		"linkFull": s.LinkFull.Load(),
+		"abroad": s.Abroad.Load(), "linkFull": s.LinkFull.Load(),
 	}
+	s.left.addTo(counters)
+	return counters
 }
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -29,6 +29,8 @@
 	rooms   []*httpServer
 	closing bool
 	limits  config.Limits
+	// closes sees clients close connections where net/http does not look.
+	closes *closeWatch
 }
 
 // httpServer is a server with its limits.
@@ -68,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Listener{handler: handler, log: logger, listener: l, most: int64(most)}
+	d := &Listener{handler: handler, log: logger, listener: l, most: int64(most), closes: newCloseWatch(handler.dispatcher.tick)}
 	d.SetLimits(handler.Table().Limits)
 	return d, nil
 }
@@ -93,6 +95,7 @@
 		MaxHeaderBytes:    l.MaxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(d.log.Handler(), slog.LevelDebug), // of clients that misbehave
 		ConnState:         d.state,
+		ConnContext:       connContext,
 	}
 	d.current = r
 	d.rooms = append(d.rooms, r)
@@ -109,6 +112,8 @@
 		case http.StateClosed, http.StateHijacked:
 			d.open.Add(-1)
 			d.connections.Delete(t)
+			d.closes.remove(t)
+			t.cancel()
 		}
 	}
 }
@@ -131,7 +136,7 @@
 		}
 		d.open.Add(1)
 		d.lastCame.Store(int64(d.handler.now()))
-		g := &clientConn{Conn: c}
+		g := &clientConn{Conn: c, closes: d.closes, cancel: func() {}}
 		d.connections.Store(g, nil)
 		d.mu.Lock()
 		d.current.conns <- g
@@ -179,6 +184,10 @@
 	net.Conn
 	read     atomic.Int64 // bytes of the request that comes next or is under way
 	headRead atomic.Bool
+	serving  atomic.Bool // a handler is at work on a request
+	watched  atomic.Bool // closes asks whether the client has closed it
+	closes   *closeWatch
+	cancel   context.CancelFunc // ends the context of its requests
 
 	mu      sync.Mutex
 	old     bool // it has had an answer
@@ -196,6 +205,11 @@
 		g.mu.Unlock()
 		g.read.Add(int64(n))
 	}
+	if n == 1 && len(b) == 1 && g.serving.Load() {
+		// net/http asks for a single byte only to see whether the client is still there. It has
+		// come, of a further request, and net/http does not look again during this one.
+		g.watchClose()
+	}
 	if err != nil && isTimeout(err) && !g.headRead.Load() && g.read.Load() > 0 {
 		_ = g.Conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
 		_, _ = g.Conn.Write([]byte(tooSlow))
@@ -203,6 +217,24 @@
 	return n, err
 }
 
+// begin notes that a handler is at work on a request.
+func (g *clientConn) begin() { g.serving.Store(true) }
+
+// end notes that it has ended.
+func (g *clientConn) end() {
+	g.serving.Store(false)
+	if g.watched.CompareAndSwap(true, false) {
+		g.closes.remove(g)
+	}
+}
+
+// watchClose has the connection asked about until the request under way has ended.
+func (g *clientConn) watchClose() {
+	if g.watched.CompareAndSwap(false, true) {
+		g.closes.add(g)
+	}
+}
+
 // rest notes that the connection waits for a request: its first, or another.
 func (g *clientConn) rest(old bool) {
 	g.read.Store(0)
--- a/internal/proxy/pace.go
+++ b/internal/proxy/pace.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"sync"
 	"time"
@@ -40,28 +41,44 @@
 	p.perByte = time.Duration(float64(time.Second) / perS)
 }
 
-// take waits until n bytes more may leave.
-func (p *Pace) take(n int) {
+// take waits until n bytes more may leave, or ctx ends: then they are not to leave any more.
+func (p *Pace) take(ctx context.Context, n int) error {
 	p.mu.Lock()
 	now := time.Now()
 	if p.free.Before(now) {
 		p.free = now
 	}
 	wait := p.free.Sub(now)
-	p.free = p.free.Add(time.Duration(n) * p.perByte)
+	cost := time.Duration(n) * p.perByte
+	p.free = p.free.Add(cost)
 	p.mu.Unlock()
-	time.Sleep(wait)
+	if wait <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	p.free = p.free.Add(-cost) // for those that come
+	p.mu.Unlock()
+	return ctx.Err()
 }
 
-// write passes bytes of an answer of the given size on; a nil pace does so at once.
-func (p *Pace) write(w io.Writer, b []byte, size int64) error {
+// write passes bytes of an answer of the given size on, until ctx ends; a nil pace does so at once.
+func (p *Pace) write(ctx context.Context, w io.Writer, b []byte, size int64) error {
 	if p == nil || size >= 0 && size <= paceFrom {
 		_, err := w.Write(b)
 		return err
 	}
 	for len(b) > 0 {
 		part := b[:min(len(b), pacePart)]
-		p.take(len(part))
+		if err := p.take(ctx, len(part)); err != nil {
+			return err
+		}
 		if _, err := w.Write(part); err != nil {
 			return err
 		}
--- a/internal/proxy/pace_test.go
+++ b/internal/proxy/pace_test.go
@@ -17,7 +17,7 @@
 		var all sync.WaitGroup
 		for i, size := range []int{200 << 10, 100 << 10} {
 			all.Go(func() {
-				if err := p.write(io.Discard, make([]byte, size), int64(size)); err != nil {
+				if err := p.write(t.Context(), io.Discard, make([]byte, size), int64(size)); err != nil {
 					t.Error(err)
 				}
 				took[i] = time.Since(begin)
@@ -25,7 +25,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 		small := time.Now()
-		if err := p.write(io.Discard, make([]byte, 4<<10), 4<<10); err != nil || time.Since(small) > 0 {
+		if err := p.write(t.Context(), io.Discard, make([]byte, 4<<10), 4<<10); err != nil || time.Since(small) > 0 {
 			t.Errorf("a small answer waited %v, %v", time.Since(small), err)
 		}
 		all.Wait()
@@ -46,7 +46,7 @@
 		p := NewPace(50 << 10)
 		begin := time.Now()
 		time.AfterFunc(time.Second, func() { p.SetRate(100 << 10) })
-		if err := p.write(io.Discard, make([]byte, 150<<10), 150<<10); err != nil {
+		if err := p.write(t.Context(), io.Discard, make([]byte, 150<<10), 150<<10); err != nil {
 			t.Error(err)
 		}
 		// 50 kB in the first second, 100 kB in the next, but for a part.
--- a/internal/proxy/pass.go
+++ b/internal/proxy/pass.go
@@ -10,10 +10,30 @@
 	"madderwing/internal/upstream"
 )
 
+// passPart is how much of an answer is read from its upstream at a time.
+const passPart = 16 << 10
+
 // pass hands an answer to the client. An answer that is cut short ends the
 // client's connection, so that it does not look complete.
 func (f *Handler) pass(x *Exchange, g upstream.SlotLease, res result) {
-	r := res.response
+	x.stage = stageAnswer
+	f.copyHeader(x, res.response)
+	x.w.WriteHeader(res.response.StatusCode)
+	err := f.write(x, res, res.start)
+	if !res.whole {
+		err = f.passRest(x, g, res, err)
+	}
+	if x.clientLeft() {
+		f.noteLeft(x)
+	}
+	if err != nil && !res.whole {
+		panic(http.ErrAbortHandler)
+	}
+	f.Stats.Served.Add(1)
+}
+
+// copyHeader gives the client's answer the headers of the upstream's.
+func (f *Handler) copyHeader(x *Exchange, r *http.Response) {
 	h := x.w.Header()
 	named := connectionNamed(r.Header)
 	for name, values := range r.Header {
@@ -28,38 +48,51 @@
 	if r.ContentLength >= 0 && r.StatusCode != http.StatusNoContent {
 		h.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
 	}
-	x.w.WriteHeader(r.StatusCode)
-	write := func(b []byte) error {
-		err := f.Pace.write(x.w, b, r.ContentLength)
-		x.reservation.Wrote(f.now(), len(b))
-		return err
-	}
-	err := write(res.start)
-	if !res.whole {
-		buf := make([]byte, 16<<10)
-		var cut error
-		for err == nil && cut == nil {
-			var n int
-			n, cut = r.Body.Read(buf)
-			if n > 0 {
-				err = write(buf[:n])
-			}
+}
+
+// write hands a part of an answer's body to the client, at the pace of large answers.
+func (f *Handler) write(x *Exchange, res result, part []byte) error {
+	err := f.Pace.write(x.answerContext(), x.w, part, res.response.ContentLength)
+	x.reservation.Wrote(f.now(), len(part))
+	return err
+}
+
+// passRest hands on what has not been read of an answer's body, after a first part whose writing
+// gave err. The error returned says why the client has not got all of it.
+func (f *Handler) passRest(x *Exchange, g upstream.SlotLease, res result, err error) error {
+	var cut error
+	buf := make([]byte, passPart)
+	for err == nil && cut == nil {
+		var n int
+		n, cut = res.response.Body.Read(buf)
+		if n > 0 {
+			err = f.write(x, res, buf[:n])
 		}
-		res.whole = cut == io.EOF
-		if !res.whole {
-			res.broke = cut
-			if res.broke == nil {
-				res.broke = err
-			}
-			how := upstream.Served
-			if cut != nil && !isTimeout(cut) {
-				how = upstream.Failing
-			}
-			f.finish(g, res, how)
-			f.Stats.Broken.Add(1)
-			panic(http.ErrAbortHandler)
+	}
+	if err != nil && cut == nil && !x.endsWithClient() {
+		_, cut = io.CopyBuffer(io.Discard, res.response.Body, buf) // it runs to its end without its client
+		if cut == nil {
+			cut = io.EOF
 		}
+	}
+	res.whole = cut == io.EOF
+	switch {
+	case res.whole:
 		f.finish(g, res, upstream.Served)
+		return err
+	case x.endsWithClient() && x.clientLeft():
+		res.broke = http.ErrAbortHandler
+		f.finish(g, res, upstream.Abandoned)
+		return res.broke
 	}
-	f.Stats.Served.Add(1)
+	f.Stats.Broken.Add(1)
+	if res.broke = cut; cut == nil {
+		res.broke = err
+	}
+	how := upstream.Served
+	if cut != nil && !isTimeout(cut) {
+		how = upstream.Failing
+	}
+	f.finish(g, res, how)
+	return res.broke
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -91,6 +91,9 @@
 	return append([]string(nil), u.seen...)
 }
 
+// rigConnections is how many connections a rig accepts at a time.
+const rigConnections = 4000
+
 type rig struct {
 	handler    *Handler
 	dispatcher *Dispatcher
@@ -142,7 +145,7 @@
 	})
 	r := &rig{handler: handler, dispatcher: dispatcher}
 	r.list(ups...)
-	listener, err := NewListener("127.0.0.1:0", 100, handler, slog.New(slog.DiscardHandler))
+	listener, err := NewListener("127.0.0.1:0", rigConnections, handler, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -516,7 +519,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	c.Close()
-	for r.handler.Stats.Gone.Load() == 0 {
+	for r.handler.Counters()["gone"] == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	close(release)
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -63,7 +63,11 @@
 	broke    error // no answer, or a broken one
 	untried  bool  // the upstream certainly has not got the request
 	late     bool  // the deadline passed
+	left     bool  // the client left, and the sending was ended for that
 	client   error // why the request could not be sent whole, if that is known
+	// unwatch ends the closing of the connection when the client leaves, and says whether the
+	// connection was left alone; nil: nothing closes it.
+	unwatch func() bool
 }
 
 // size is the length of an answer's body, -1 if that is not known yet.
@@ -90,18 +94,26 @@
 		conn = nil
 	}
 	if conn == nil {
+		x.stage = stageDial
 		var err error
-		if conn, err = f.dispatcher.dial(g.Address, min(dialLimit(x.aim, f.dispatcher.patience), time.Until(x.deadline))); err != nil {
-			return result{broke: err, untried: true}
+		limit := min(dialLimit(x.aim, f.dispatcher.patience), time.Until(x.deadline))
+		if conn, err = f.dispatcher.dial(x.r.Context(), g.Address, limit); err != nil {
+			return result{broke: err, untried: true, left: x.clientLeft()}
 		}
 		f.Stats.Dials.Add(1)
 	}
+	if x.clientLeft() {
+		return result{conn: conn, untried: true, left: true}
+	}
 	left := time.Until(x.deadline)
 	if left < time.Millisecond {
 		return result{conn: conn, broke: os.ErrDeadlineExceeded, untried: true, late: true}
 	}
+	x.stage = stageSent
 	_ = conn.SetDeadline(x.deadline)
 	g.Hold.On(conn)
+	res.unwatch = x.closeWhenClientLeaves(conn)
+	defer func() { res.left = res.broke != nil && x.endsWithClient() && x.clientLeft() }()
 
 	head := buffers.Get().(*bytes.Buffer)
 	head.Reset()
@@ -129,6 +141,7 @@
 		sent <- err
 	default:
 		first := bytes.Clone(head.Bytes())
+		x.watchClose() // until all of the body is read, net/http does not see the client leave
 		go func() {
 			err := x.stream(conn, first)
 			x.read.Store(err == nil)
@@ -182,12 +195,19 @@
 // finish gives the connection back, or closes it if it cannot serve again.
 func (f *Handler) finish(g upstream.SlotLease, res result, how upstream.Outcome) (odd bool) {
 	conn := res.conn
-	keep := conn != nil && res.broke == nil && res.response != nil && !res.response.Close && res.whole
+	alone := res.unwatch == nil || res.unwatch()
+	keep := conn != nil && alone && res.broke == nil && res.response != nil && !res.response.Close && res.whole
 	var idle time.Duration
-	if keep {
+	switch {
+	case keep:
 		a := conn.Reader.(*answers)
 		keep, a.used = a.Buffered() == 0, true
 		idle = f.idleTime(res.response.Header)
+	case conn != nil && res.untried && res.left: // nothing was sent on it
+		keep, idle = true, 10*f.dispatcher.patience
+		if conn == g.Conn {
+			idle = conn.Expires - f.now()
+		}
 	}
 	if !keep && conn != nil {
 		conn.Close()
--- a/internal/proxy/tries.go
+++ b/internal/proxy/tries.go
@@ -43,18 +43,19 @@
 		if x.route.Repeatable() && x.begun == nil && sent+1 < tries { // or else its wait is not to be cut short
 			claim.Hold = &upstream.WaitHandle{}
 		}
+		x.stage = stageQueue
 		g := f.dispatcher.claim(claim, patience, x.r.Context().Done())
 		if g.Refused != upstream.Granted {
 			arm.End(rollout.Unscored)
-			if arm.Candidate() && x.r.Context().Err() == nil && time.Until(x.deadline) > 0 && g.Refused != upstream.NoBudget && !f.arms.Whole(x.service) {
+			if arm.Candidate() && !x.clientLeft() && time.Until(x.deadline) > 0 && g.Refused != upstream.NoBudget && !f.arms.Whole(x.service) {
 				continue // it has no room; the prior version is still there
 			}
+			if x.clientLeft() {
+				return keepWorse(last, f.leftUnsent(x))
+			}
 			if last != nil {
 				return last
 			}
-			if x.r.Context().Err() != nil {
-				return apierror.New(apierror.ClientGone, "%s", x.service)
-			}
 			if g.Refused == upstream.Unlisted {
 				return apierror.Later(apierror.NoConfiguration, f.soon(), "this node knows no upstreams yet")
 			}
@@ -63,13 +64,13 @@
 			}
 			return f.later(x, apierror.Overloaded)
 		}
-		if why := f.mayNotGo(x); why != apierror.Internal {
+		if !f.Confirmed() { // its key may have been taken away while it waited
 			f.dispatcher.untouched(g)
 			arm.End(rollout.Unscored)
 			if last != nil {
 				return last
 			}
-			return f.later(x, why)
+			return f.later(x, apierror.KeysUnconfirmed)
 		}
 		arm.Sent(g.Cold)
 		res := f.send(x, g)
@@ -85,10 +86,16 @@
 		if res.untried {
 			arm.End(rollout.Unscored)
 			how := upstream.Failing
-			if res.late {
+			switch {
+			case res.left:
+				how = upstream.Unused
+			case res.late:
 				how = upstream.Served // no fault of the upstream's
 			}
 			f.finish(g, res, how)
+			if res.left {
+				return keepWorse(last, f.leftUnsent(x))
+			}
 			last = keepWorse(last, f.later(x, apierror.NoUpstream))
 			dialled++
 			if res.late || time.Until(x.deadline) <= 0 || !dialAgain(dialled, time.Since(x.arrived), x.aim) {
@@ -120,7 +127,7 @@
 // scored is how a sending counts for the version that it went to.
 func scored(res result) rollout.Outcome {
 	switch r := res.response; {
-	case res.untried, res.client != nil, res.broke == errNameless:
+	case res.untried, res.left, res.client != nil, res.broke == errNameless:
 		return rollout.Unscored
 	case res.late:
 		return rollout.TooLate
@@ -142,6 +149,10 @@
 func (f *Handler) judge(x *Exchange, g upstream.SlotLease, res result, arm *rollout.Sample) (again bool, err error) {
 	defer arm.End(rollout.Unscored) // only now has all of the answer left the upstream
 	repeatable := x.route.Repeatable()
+	if res.left {
+		f.finish(g, res, upstream.Abandoned)
+		return false, leftSent(x)
+	}
 	if res.broke != nil {
 		f.Stats.Broken.Add(1)
 		if res.late {
--- a/internal/upstream/acquire.go
+++ b/internal/upstream/acquire.go
@@ -53,7 +53,8 @@
 	Abroad   bool // the upstream is in another region
 	Began    time.Duration
 	Cold     bool
-	Busy     int // how many requests of this gateway the upstream had then, with this one
+	Retry    bool // it took from the budget
+	Busy     int  // how many requests of this gateway the upstream had then, with this one
 }
 
 // Refusal says why a claim was not granted.
@@ -178,7 +179,7 @@
 		s.sends(u)
 		u.pace.Pass(now, v.info.WarmupPerS/float64(u.senders))
 	}
-	g := SlotLease{Upstream: u, ID: u.ID, Address: u.Address, Hold: c.Hold, Cold: u.Cold(now), Abroad: !u.near, Began: now, Busy: u.Busy}
+	g := SlotLease{Upstream: u, ID: u.ID, Address: u.Address, Hold: c.Hold, Cold: u.Cold(now), Retry: c.Retry, Abroad: !u.near, Began: now, Busy: u.Busy}
 	u.began(now, c)
 	if c.Hold != nil {
 		if u.holds == nil {
@@ -216,14 +217,15 @@
 
 // The outcomes.
 const (
-	Served  Outcome = iota // it answered
-	Full                   // it turned the request away
-	Failing                // it broke off or could not be reached
-	Other                  // another upstream has the address
-	Silent                 // it no longer so much as acknowledges what it is sent
-	Poor                   // it answered with an error of its own
-	Unused                 // it was not sent anything
-	Reset                  // it reset the connection, as some do when they are full
+	Served    Outcome = iota // it answered
+	Full                     // it turned the request away
+	Failing                  // it broke off or could not be reached
+	Other                    // another upstream has the address
+	Silent                   // it no longer so much as acknowledges what it is sent
+	Poor                     // it answered with an error of its own
+	Unused                   // it was not sent anything
+	Reset                    // it reset the connection, as some do when they are full
+	Abandoned                // its work was ended as nobody waits for it; that tells nothing of it
 )
 
 // Release returns an upstream after a request, with the connection if that can
@@ -249,6 +251,10 @@
 		if u.bad < badUsual {
 			u.failures = 0
 		}
+	case Unused:
+		if g.Retry {
+			s.service(u.Service).budget.Back()
+		}
 	case Full:
 		u.Served++
 	case Reset:
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -561,3 +561,24 @@
 }
 
 func (d *deadlines) SetReadDeadline(time.Time) error { d.set = true; return nil }
+
+// A further try that was never sent takes nothing from the budget.
+func TestAFurtherTryThatWasNotSentGoesBack(t *testing.T) {
+	ds, sh := gateways("z")
+	s := fresh("z-gateway-0", "z", list(3, "z", 0), ds, sh, nil)
+	s.Request("a")
+	budget := &s.service("a").budget
+	budget.tokens = 1
+	for _, c := range []struct {
+		how  Outcome
+		want Refusal
+	}{{Unused, Granted}, {Unused, Granted}, {Served, Granted}, {Served, NoBudget}} {
+		g, answered := claim(s, 0, &AcquireRequest{Retry: true})
+		if !answered || g.Refused != c.want {
+			t.Fatalf("%v, not %v", g.Refused, c.want)
+		}
+		if g.Refused == Granted {
+			s.Release(0, g, nil, c.how)
+		}
+	}
+}
