Calls, orders, draws on quotas and relays' questions end with their callers too

The cause of GONE elsewhere: work went on for callers that had left. At control nodes no attempt of a call or an order begins once its caller has gone, also when a process has stood still and reads it late; an order that came into force then could undo a later one. Relays stop asking, and no longer take the node that they asked for a failed one. A draw on a quota ends with its client, and the token of a request that was sent to no upstream goes back to the life of the branch that gave it.

Ruled out: to give a token back whose answer comes too late (a second answer would mint one); to end what has begun (it may run once).

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/url"
 	"sync/atomic"
@@ -90,14 +91,14 @@
 
 // retire takes a control node that is gone for good out of the roster, by name or
 // address.
-func (c *administration) retire(node string) error {
+func (c *administration) retire(caller context.Context, node string) error {
 	address := node
 	for _, n := range c.reg.List().Nodes {
 		if n.Plane == membership.Control && n.Name == node {
 			address = n.Address
 		}
 	}
-	if _, err := c.orders.submit(order{Key: replication.RosterKey, Retire: address}); err != nil {
+	if _, err := c.orders.submit(caller, order{Key: replication.RosterKey, Retire: address}); err != nil {
 		return err
 	}
 	c.log.control.Info("control node retired", "retired", node)
--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -67,7 +67,7 @@
 	case path == "/v1/config":
 		switch r.Method {
 		case http.MethodGet:
-			return n.orders.submit(order{Key: config.Key, Read: true})
+			return n.orders.submit(r.Context(), order{Key: config.Key, Read: true})
 		case http.MethodPatch:
 			body, err := readCall(r)
 			if err != nil {
@@ -77,7 +77,7 @@
 				n.log.control.Warn("configuration refused", "error", err)
 				return nil, err
 			}
-			if _, err := n.orders.submit(order{Key: config.Key, Patch: body}); err != nil {
+			if _, err := n.orders.submit(r.Context(), order{Key: config.Key, Patch: body}); err != nil {
 				n.log.control.Warn("configuration not taken", "error", err)
 				return nil, err
 			}
@@ -92,12 +92,12 @@
 		}
 		if !zones[zone] {
 			// A no rests on a majority's word as a yes does.
-			if _, err := n.orders.submit(order{Key: config.Key}); err != nil {
+			if _, err := n.orders.submit(r.Context(), order{Key: config.Key}); err != nil {
 				return nil, err
 			}
 			return nil, apierror.New(apierror.UnknownZone, "%q", zone)
 		}
-		if _, err := n.orders.submit(order{Key: config.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
+		if _, err := n.orders.submit(r.Context(), order{Key: config.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
 			return nil, err
 		}
 		n.log.control.Info("evacuation changed", "zone", zone, "evacuated", on)
@@ -116,11 +116,11 @@
 		if len(body) == 0 {
 			return nil, apierror.New(apierror.BadRequest, "a plan needs a body")
 		}
-		return n.orders.submit(order{Key: config.Key, Plan: body})
+		return n.orders.submit(r.Context(), order{Key: config.Key, Plan: body})
 	case strings.HasPrefix(path, "/v1/admin/rollouts/") && r.Method == http.MethodGet:
-		return n.rollouts.stateAtController(strings.TrimPrefix(path, "/v1/admin/rollouts/"))
+		return n.rollouts.stateAtController(r.Context(), strings.TrimPrefix(path, "/v1/admin/rollouts/"))
 	case strings.HasPrefix(path, "/v1/admin/members/") && r.Method == http.MethodDelete:
-		return ok, n.administration.retire(strings.TrimPrefix(path, "/v1/admin/members/"))
+		return ok, n.administration.retire(r.Context(), strings.TrimPrefix(path, "/v1/admin/members/"))
 	case path == "/v1/admin/resolve" && n.registry != nil && r.Method == http.MethodGet:
 		q := r.URL.Query()
 		return n.registry.directory.Ask(q.Get("name"), q.Get("region"), q.Get("zone"))
--- a/internal/controlplane/coordination.go
+++ b/internal/controlplane/coordination.go
@@ -130,50 +130,63 @@
 		}
 		result := coordination.Result{Effect: coordination.NotDone}
 		if forwarded.Call.Operation.Known() {
-			result = c.execute(forwarded.Call, forwarded.Deadline)
+			result = c.execute(context.Background(), forwarded.Call, forwarded.Deadline)
 		}
 		return forwardedAnswer{Effect: result.Effect, Answer: result.Answer, Clock: c.server.Clock()}, nil
 	})
 }
 
 // submit brings a call to the owner of its partition, wherever that is, and gives its
-// result. A call that may have been carried out is not sent again, unless it only reads.
-func (c *coordinator) submit(call coordination.Call) coordination.Result {
+// result. A call that may have been carried out is not sent again, unless it only reads. Once
+// the caller has left, which caller says, nothing is begun or waited for any more; what has been
+// begun takes effect.
+func (c *coordinator) submit(caller context.Context, call coordination.Call) coordination.Result {
 	begin := c.clock()
 	key := call.Key()
 	for pause := c.pause; ; pause *= 2 {
-		result := c.attempt(key, call, begin)
+		result := c.attempt(caller, key, call, begin)
 		final := result.Effect == coordination.Answered || result.Effect == coordination.MaybeDone && !call.Operation.Reads()
-		if final || c.clock()+pause > begin+coordinationLimit {
+		if final || c.clock()+pause > begin+coordinationLimit || !pauseFor(caller, pause) {
 			return result
 		}
-		time.Sleep(pause)
+	}
+}
+
+// pauseFor waits, unless the caller leaves.
+func pauseFor(caller context.Context, pause time.Duration) (stays bool) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return caller.Err() == nil
+	case <-caller.Done():
+		return false
 	}
 }
 
 // attempt tries a call once that came at the time begin.
-func (c *coordinator) attempt(key string, call coordination.Call, begin time.Duration) coordination.Result {
+func (c *coordinator) attempt(caller context.Context, key string, call coordination.Call, begin time.Duration) coordination.Result {
 	found := make(chan string, 1)
 	c.run(func(now time.Duration) {
 		found <- cmp.Or(c.owners.Owner(now, key), c.owners.Founder(now, key))
 	})
-	deadline := begin + beginLimit
-	switch owner := <-found; owner {
-	case "":
+	owner := <-found
+	if owner == "" || caller.Err() != nil {
 		return coordination.Result{Effect: coordination.NotDone}
-	case c.transport.Self():
-		return c.execute(call, coordination.ClockReading{Life: c.server.Clock().Life, Time: deadline})
-	default:
-		return c.forward(owner, call, deadline)
 	}
+	deadline := begin + beginLimit
+	if owner == c.transport.Self() {
+		return c.execute(caller, call, coordination.ClockReading{Life: c.server.Clock().Life, Time: deadline})
+	}
+	return c.forward(caller, owner, call, deadline)
 }
 
 // forward sends a call to its owner, to be begun before a deadline on the clock here.
-func (c *coordinator) forward(owner string, call coordination.Call, deadline time.Duration) coordination.Result {
+func (c *coordinator) forward(caller context.Context, owner string, call coordination.Call, deadline time.Duration) coordination.Result {
 	c.clocksMutex.Lock()
 	theirs, _ := c.clocks.At(owner, deadline)
 	c.clocksMutex.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), deadline+2*executionLimit-c.clock())
+	ctx, cancel := context.WithTimeout(caller, deadline+2*executionLimit-c.clock())
 	defer cancel()
 	var answer forwardedAnswer
 	err := c.transport.Call(ctx, owner, coordinationKind, forwardedCall{Call: call, Deadline: theirs}, &answer)
@@ -184,13 +197,14 @@
 	c.clocks.Heard(owner, answer.Clock, c.clock())
 	c.clocksMutex.Unlock()
 	if answer.Clock.Life != theirs.Life && c.clock() < deadline {
-		return c.forward(owner, call, deadline) // it was refused for a clock that is known now
+		return c.forward(caller, owner, call, deadline) // it was refused for a clock that is known now
 	}
 	return coordination.Result{Effect: answer.Effect, Answer: answer.Answer}
 }
 
-// execute carries a call out at this node, if it is the owner of the partition.
-func (c *coordinator) execute(call coordination.Call, deadline coordination.ClockReading) coordination.Result {
+// execute carries a call out at this node, if it is the owner of the partition and the caller is
+// still there when it begins.
+func (c *coordinator) execute(caller context.Context, call coordination.Call, deadline coordination.ClockReading) coordination.Result {
 	results := make(chan coordination.Result, 1)
 	execution := coordination.NewExecution(call, deadline, func(r coordination.Result) { results <- r })
 	c.run(func(now time.Duration) { c.server.Execute(now, execution) })
@@ -200,8 +214,9 @@
 	case result := <-results:
 		return result
 	case <-timer.C:
-		return coordination.Result{Effect: execution.Abandon()}
+	case <-caller.Done():
 	}
+	return coordination.Result{Effect: execution.Abandon()}
 }
 
 // stalled says that the process stood still a moment ago, or stands still but for the caller.
--- a/internal/controlplane/coordination_call_test.go
+++ b/internal/controlplane/coordination_call_test.go
@@ -1,6 +1,8 @@
 package controlplane
 
 import (
+	"context"
+	"log/slog"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -140,6 +142,58 @@
 }
 func (loneReplica) Current(string) (time.Duration, bool) { return time.Minute, true }
 
+// noOwner knows no owner of any partition.
+type noOwner struct{}
+
+func (noOwner) Owner(time.Duration, string) string   { return "" }
+func (noOwner) Founder(time.Duration, string) string { return "" }
+
+// A call is not tried again once its caller has left.
+func TestCallsEndWithTheirCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		attempts := 0
+		c := &coordinator{owners: noOwner{}, pause: time.Millisecond, clock: func() time.Duration { return time.Since(begin) },
+			run: func(fn func(time.Duration)) { attempts++; fn(time.Since(begin)) }}
+		caller, leave := context.WithTimeout(t.Context(), coordinationLimit/4)
+		defer leave()
+		result := c.submit(caller, coordination.Call{Operation: coordination.Draw, Name: "n"})
+		if took := time.Since(begin); result.Effect != coordination.NotDone || took != coordinationLimit/4 {
+			t.Errorf("%v after %v", result.Effect, took)
+		}
+		attempts = 0
+		c.submit(caller, coordination.Call{Operation: coordination.Draw, Name: "n"})
+		if attempts != 1 {
+			t.Errorf("%d attempts for one that has left", attempts)
+		}
+	})
+}
+
+// A call that has not begun when its caller leaves never does.
+func TestACallDoesNotBeginWithoutItsCaller(t *testing.T) {
+	var queue []func(time.Duration)
+	c := &coordinator{clock: func() time.Duration { return time.Minute }, run: func(fn func(time.Duration)) { queue = append(queue, fn) },
+		server: coordination.NewServer(coordination.ServerConfig{Self: "self", Life: 1, Clock: func() time.Duration { return time.Minute },
+			Log: slog.New(slog.DiscardHandler), Limits: coordination.Limits{Bytes: 1 << 20, HistoryBytes: 1 << 20, History: time.Minute}}, loneReplica{})}
+	draw := coordination.Call{Operation: coordination.Draw, Name: "n"}
+	deadline := coordination.ClockReading{Life: 1, Time: 2 * time.Minute}
+	caller, leave := context.WithCancel(t.Context())
+	leave()
+	if got := c.execute(caller, draw, deadline); got.Effect != coordination.NotDone {
+		t.Errorf("%+v", got)
+	}
+	results := make(chan coordination.Result, 1)
+	c.run(func(now time.Duration) {
+		c.server.Execute(now, coordination.NewExecution(draw, deadline, func(r coordination.Result) { results <- r }))
+	})
+	for _, fn := range queue {
+		fn(time.Minute)
+	}
+	if got := <-results; got.Effect != coordination.Answered || got.Answer.Number != 1 {
+		t.Errorf("the next caller gets %+v", got)
+	}
+}
+
 func TestWatchesEndWhenTheNodeLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &coordinator{run: func(fn func(time.Duration)) { fn(time.Minute) }, closed: make(chan struct{}), stats: newCoordinationStats(), retry: time.Second,
--- a/internal/controlplane/coordination_http.go
+++ b/internal/controlplane/coordination_http.go
@@ -57,12 +57,12 @@
 		apierror.Write(w, err)
 		return
 	}
-	status := c.serveCall(w, call)
+	status := c.serveCall(w, r, call)
 	c.stats.count(call.Operation.String(), status, time.Since(begin))
 }
 
 // serveCall carries a call out, writes its answer and gives the status of that.
-func (c *coordinator) serveCall(w http.ResponseWriter, call coordination.Call) int {
+func (c *coordinator) serveCall(w http.ResponseWriter, r *http.Request, call coordination.Call) int {
 	defer c.calls.Add(-1)
 	if c.calls.Add(1) > maxWaitingCalls {
 		return writeFault(w, apierror.Later(apierror.TooMany, c.retry, "%d calls wait here", maxWaitingCalls))
@@ -70,7 +70,7 @@
 	if c.stalled() {
 		return writeFault(w, apierror.Later(apierror.NoQuorum, c.retry, "this process stood still"))
 	}
-	result := c.submit(call)
+	result := c.submit(r.Context(), call)
 	switch result.Effect {
 	case coordination.Answered:
 		return c.writeAnswer(w, call, result.Answer)
--- a/internal/controlplane/coordination_watch.go
+++ b/internal/controlplane/coordination_watch.go
@@ -19,7 +19,7 @@
 	w := &coordination.Watch{Group: group, After: after, Done: func(r coordination.WatchResult) { results <- r }}
 	if after == 0 || !c.fresh(group) {
 		// The owner's word, since the copy here may lack what was acknowledged.
-		result := c.submit(coordination.Call{Operation: coordination.Revision, Name: group})
+		result := c.submit(ctx, coordination.Call{Operation: coordination.Revision, Name: group})
 		if result.Effect != coordination.Answered {
 			return coordination.WatchResult{}, apierror.Later(apierror.NoQuorum, c.retry, "no owner of the group answers")
 		}
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -79,8 +79,10 @@
 }
 
 // submit brings an order to the owner of its key, wherever that is now, and
-// waits a little where there is none.
-func (c *orderController) submit(o order) ([]byte, error) {
+// waits a little where there is none. Once the caller has left, which caller says, it is not sent
+// again: an order that came into force then could undo one that its operator gave since. An
+// attempt that has been begun goes on.
+func (c *orderController) submit(caller context.Context, o order) ([]byte, error) {
 	begin := time.Now()
 	limit := begin.Add(settings.Seconds(c.set.Bounds.AckS * 0.17))
 	o.ID = rand.Uint64() | 1
@@ -94,24 +96,25 @@
 		to := <-owner
 		o.Age = time.Since(begin)
 		switch {
+		case caller.Err() != nil:
+			return nil, apierror.New(apierror.ClientGone, "order on %s", o.Key)
+		case to == "":
+			v = verdict{true, apierror.NoQuorum, "no owner for " + o.Key, nil}
 		case to == c.post.Self():
 			v = c.own(o)
-		case to != "":
+		default:
 			ctx, cancel := context.WithDeadline(context.Background(), limit)
 			if err := c.post.Call(ctx, to, orderKind, o, &v); err != nil {
 				v = fault(err)
 			}
 			cancel()
-		default:
-			v = verdict{true, apierror.NoQuorum, "no owner for " + o.Key, nil}
 		}
 		if !v.Fault {
 			return v.Body, nil
 		}
-		if v.Kind != apierror.NoQuorum || time.Now().Add(pause).After(limit) {
+		if v.Kind != apierror.NoQuorum || time.Now().Add(pause).After(limit) || !pauseFor(caller, pause) {
 			return nil, apierror.Later(v.Kind, retryAfter(v.Kind, c.set), "%s", v.Detail)
 		}
-		time.Sleep(pause)
 		pause *= 2
 	}
 }
--- a/internal/controlplane/orders_test.go
+++ b/internal/controlplane/orders_test.go
@@ -1,13 +1,16 @@
 package controlplane
 
 import (
+	"context"
 	"encoding/hex"
 	"reflect"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"madderwing/internal/apierror"
 	"madderwing/internal/config"
 	"madderwing/internal/placement"
 	"madderwing/internal/quota"
@@ -63,6 +66,36 @@
 	}
 }
 
+// An order is not sent again once its caller has left, nor begun for one that has.
+func TestOrdersEndWithTheirCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		member, err := replication.NewReplica(replication.Config{Self: "a", Identity: 1}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		env := &environment{set: &settings.Settings{Bounds: settings.Bounds{ContactS: 3, AckS: 10}}, member: member, start: time.Now(), commands: make(chan func(time.Duration))}
+		asked := 0
+		go func() {
+			for fn := range env.commands {
+				asked++
+				fn(env.now())
+			}
+		}()
+		defer close(env.commands)
+		orders := &orderController{environment: env}
+		caller, leave := context.WithTimeout(t.Context(), time.Second)
+		defer leave()
+		begin := time.Now()
+		_, err = orders.submit(caller, order{Key: "k"})
+		if took := time.Since(begin); err == nil || took != time.Second || asked < 2 {
+			t.Errorf("%v after %v and %d looks for an owner", err, took, asked)
+		}
+		if _, err = orders.submit(caller, order{Key: "k"}); apierror.KindOf(err) != apierror.ClientGone {
+			t.Errorf("for a caller that has left: %v", err)
+		}
+	})
+}
+
 // Only a change that names tenants waits for the leases of keys that were taken away.
 func TestAChangeThatRevokesIsHeld(t *testing.T) {
 	member, err := replication.NewReplica(replication.Config{Self: "a", Identity: 1}, nil)
--- a/internal/controlplane/placement.go
+++ b/internal/controlplane/placement.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"context"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -15,13 +16,13 @@
 type placementController struct {
 	*environment
 	configuration *configuration
-	submit        func(order) ([]byte, error)
+	submit        func(caller context.Context, o order) ([]byte, error)
 
 	scheduler placement.Scheduler
 	pending   bool // routes, shards or the duty have changed since the last look
 }
 
-func newPlacementController(env *environment, shown *configuration, submit func(order) ([]byte, error)) *placementController {
+func newPlacementController(env *environment, shown *configuration, submit func(caller context.Context, o order) ([]byte, error)) *placementController {
 	c := &placementController{environment: env, configuration: shown, submit: submit}
 	c.scheduler = placement.Scheduler{Strategy: &placement.RoundRobin{}, Relist: env.opt.Relist, Pause: 2 * env.set.Beat(), Create: c.bind}
 	return c
@@ -70,7 +71,7 @@
 // bind creates bindings at the owner of the configuration.
 func (c *placementController) bind(orders []placement.Order, done func([]error)) {
 	go func() {
-		answer, err := c.submit(order{Key: config.Key, Bind: orders})
+		answer, err := c.submit(context.Background(), order{Key: config.Key, Bind: orders})
 		var refused []bool
 		if err == nil {
 			err = cbor.Unmarshal(answer, &refused)
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -55,6 +55,9 @@
 	transport.On(c.post, delivery.AcquireKind, func(from string, d quota.AcquireRequest) {
 		c.offer(func(now time.Duration) { c.drawFor(now, from, d) })
 	})
+	transport.On(c.post, delivery.ReturnKind, func(_ string, r quota.Return) {
+		c.offer(func(now time.Duration) { c.purse.GiveBack(now, r.Life, r.Tenant) })
+	})
 }
 
 // tick is due at every tick of the pump.
@@ -187,7 +190,7 @@
 		return
 	}
 	ask := c.purse.Take(now, d.Tenant, func(g quota.Grant) {
-		c.post.Send(from, delivery.AcquireReplyKind, quota.AcquireReply{Seq: d.Seq, OK: g == quota.Granted, Away: g == quota.Unknown})
+		c.post.Send(from, delivery.AcquireReplyKind, quota.AcquireReply{Seq: d.Seq, OK: g == quota.Granted, Away: g == quota.Unknown, Life: c.purse.Life})
 	})
 	if ask {
 		c.report(now)
--- a/internal/controlplane/relay.go
+++ b/internal/controlplane/relay.go
@@ -26,7 +26,7 @@
 // in no list, and redirects the operators' calls to a control node at work. It does nothing
 // between calls.
 type relay struct {
-	pick  func(key string) string
+	pick  func(caller context.Context, key string) string
 	known func() []membership.Node
 	port  string        // of control, on all machines
 	drain time.Duration // for which the rest of a call's body is read
@@ -105,7 +105,11 @@
 		return
 	}
 	r.calls.Add(1)
-	to := r.pick(keyOf(req.Method, req.URL.Path))
+	to := r.pick(req.Context(), keyOf(req.Method, req.URL.Path))
+	if req.Context().Err() != nil {
+		apierror.Write(w, apierror.New(apierror.ClientGone, "%s", req.URL.Path))
+		return
+	}
 	if away := to == ""; r.away.Swap(away) != away {
 		if away {
 			r.log.Warn("no control node in reach")
--- a/internal/controlplane/relay_picker.go
+++ b/internal/controlplane/relay_picker.go
@@ -60,9 +60,9 @@
 }
 
 // pick names a working control node, the owner of the key where that is known and answers;
-// empty: none answered in time.
-func (p *picker) pick(key string) string {
-	ctx, cancel := context.WithTimeout(context.Background(), p.limit)
+// empty: none answered in time, or the caller has left.
+func (p *picker) pick(caller context.Context, key string) string {
+	ctx, cancel := context.WithTimeout(caller, p.limit)
 	defer cancel()
 	asked := map[string]bool{p.self: true}
 	first, owner := p.first(ctx, key, asked)
@@ -73,6 +73,7 @@
 	defer cancel()
 	a, err := p.question(ctx, owner, key)
 	switch {
+	case caller.Err() != nil: // that is no fault of the owner's
 	case err != nil:
 		p.fails(owner)
 	case a.Works && !a.Relay:
@@ -241,7 +242,7 @@
 	}
 	p.mu.Unlock()
 	if !fresh {
-		p.pick(config.Key)
+		p.pick(context.Background(), config.Key)
 	}
 	return slices.DeleteFunc(p.known(), func(k membership.Node) bool { return k.Address == n.Address })
 }
--- a/internal/controlplane/relay_test.go
+++ b/internal/controlplane/relay_test.go
@@ -91,7 +91,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := &fleet{nodes: c.nodes}
 				begin := time.Now()
-				got := f.picker(c.seeds...).pick("k")
+				got := f.picker(c.seeds...).pick(t.Context(), "k")
 				synctest.Wait()
 				if c.name == "a slow one and another" {
 					c.want = f.asked[0] // whichever was asked first answers first
@@ -105,6 +105,22 @@
 }
 
 // What one call has learnt serves the next.
+// A relay asks nobody for a caller that has left, and holds that against no control node.
+func TestPickingForACallerThatLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{nodes: map[string]fleetNode{"a": {owner: "b", knows: []string{"b"}}, "b": {silent: true}}}
+		p := f.picker("a")
+		caller, leave := context.WithTimeout(t.Context(), testPatience/2)
+		defer leave()
+		begin := time.Now()
+		p.pick(caller, "k")
+		synctest.Wait()
+		if took := time.Since(begin); took != testPatience/2 || len(p.failed) != 0 {
+			t.Errorf("it took %v; failed %v", took, p.failed)
+		}
+	})
+}
+
 func TestPickingAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{nodes: map[string]fleetNode{"a": {owner: "b", knows: []string{"a", "b", "c"}}, "b": {owner: "b", knows: []string{"a", "b", "c"}},
@@ -113,7 +129,7 @@
 		step := func(what, want string, asked ...string) {
 			t.Helper()
 			f.asked = nil
-			got := p.pick("k")
+			got := p.pick(t.Context(), "k")
 			synctest.Wait() // those who were slow are done
 			if got != want || !slices.Equal(f.asked, asked) {
 				t.Errorf("%s: picked %q by asking %v, want %q by %v", what, got, f.asked, want, asked)
@@ -219,7 +235,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			key := ""
 			r := &relay{port: "8080", later: time.Second / 2, log: slog.New(slog.DiscardHandler),
-				pick: func(k string) string { key = k; return c.pick }, known: func() []membership.Node { return nil }}
+				pick: func(_ context.Context, k string) string { key = k; return c.pick }, known: func() []membership.Node { return nil }}
 			w := httptest.NewRecorder()
 			body := strings.NewReader(strings.Repeat("x", 1<<20))
 			req := httptest.NewRequest(c.method, c.target, body)
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"context"
 	"strings"
 	"time"
 
@@ -20,7 +21,7 @@
 	*environment
 	configuration *configuration
 	list          *listController
-	submit        func(order) ([]byte, error)
+	submit        func(caller context.Context, o order) ([]byte, error)
 	loads         func() upstream.Loads // of all gateways
 
 	controller *rollout.Controller        // rollouts, as this control node sees them
@@ -29,7 +30,7 @@
 	waitsAt    time.Duration              // when a rollout that waits may be logged again
 }
 
-func newRolloutController(env *environment, shown *configuration, list *listController, submit func(order) ([]byte, error)) *rolloutController {
+func newRolloutController(env *environment, shown *configuration, list *listController, submit func(caller context.Context, o order) ([]byte, error)) *rolloutController {
 	return &rolloutController{environment: env, configuration: shown, list: list, submit: submit, controller: rollout.NewController()}
 }
 
@@ -194,7 +195,7 @@
 	}
 	c.adopting = true
 	go func() {
-		_, err := c.submit(o)
+		_, err := c.submit(context.Background(), o)
 		c.do(func(time.Duration) {
 			c.adopting = false
 			if err != nil {
--- a/internal/controlplane/rollout_http.go
+++ b/internal/controlplane/rollout_http.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -30,29 +31,29 @@
 			c.log.control.Warn("rollout refused", "error", err)
 			return nil, err
 		}
-		stood, err := c.service(ask.Service)
+		stood, err := c.service(r.Context(), ask.Service)
 		if err != nil {
 			return nil, err
 		}
-		if _, err := c.submit(order{Key: rollout.Key(ask.Service), Rollout: &ask, Stood: stood}); err != nil {
+		if _, err := c.submit(r.Context(), order{Key: rollout.Key(ask.Service), Rollout: &ask, Stood: stood}); err != nil {
 			c.log.control.Warn("rollout not taken", "service", ask.Service, "version", ask.Version, "error", err)
 			return nil, err
 		}
 		c.log.control.Info("rollout taken", "service", ask.Service, "version", ask.Version)
 		return []byte("{}\n"), nil
 	}
-	if err := c.hasService(service); err != nil {
+	if err := c.hasService(r.Context(), service); err != nil {
 		return nil, err
 	}
 	switch r.Method {
 	case http.MethodGet:
-		body, err := c.submit(order{Key: rollout.Key(service), Read: true})
+		body, err := c.submit(r.Context(), order{Key: rollout.Key(service), Read: true})
 		if err == nil && body == nil {
 			err = apierror.New(apierror.NoRollout, "%s", service)
 		}
 		return body, err
 	case http.MethodDelete:
-		return []byte("{}\n"), c.reverse(service, r.URL.Query().Get("targetVersion"))
+		return []byte("{}\n"), c.reverse(r.Context(), service, r.URL.Query().Get("targetVersion"))
 	}
 	return nil, wrong
 }
@@ -60,10 +61,10 @@
 // reverse has a service's rollout reversed: that to a version, or, where the operator
 // names none, the one that a majority confirms now. So an order that is passed on for a
 // while can't meet a later one.
-func (c *rolloutController) reverse(service, version string) error {
+func (c *rolloutController) reverse(caller context.Context, service, version string) error {
 	reversal := rollout.Reversal{Version: version, Named: version != ""}
 	if !reversal.Named {
-		text, err := c.submit(order{Key: rollout.Key(service), Read: true})
+		text, err := c.submit(caller, order{Key: rollout.Key(service), Read: true})
 		if err != nil {
 			return err
 		}
@@ -73,26 +74,26 @@
 		}
 		reversal.Version = stands.TargetVersion
 	}
-	_, err := c.submit(order{Key: rollout.Key(service), Abort: true, Reversal: reversal})
+	_, err := c.submit(caller, order{Key: rollout.Key(service), Abort: true, Reversal: reversal})
 	return err
 }
 
 // hasService says whether a service stands; a control node that does not know it asks the
 // owner of the configuration before it says no.
-func (c *rolloutController) hasService(name string) error {
+func (c *rolloutController) hasService(caller context.Context, name string) error {
 	has := make(chan bool, 1)
 	c.do(func(time.Duration) { has <- c.configuration.hasService(name) })
 	if <-has {
 		return nil
 	}
-	_, err := c.service(name)
+	_, err := c.service(caller, name)
 	return err
 }
 
 // service asks the owner of the configuration for a service, and for its version that
 // stands there.
-func (c *rolloutController) service(name string) (rollout.Standing, error) {
-	body, err := c.submit(order{Key: config.Key, Service: name})
+func (c *rolloutController) service(caller context.Context, name string) (rollout.Standing, error) {
+	body, err := c.submit(caller, order{Key: config.Key, Service: name})
 	if err != nil {
 		return rollout.Standing{}, err
 	}
--- a/internal/controlplane/rollout_state.go
+++ b/internal/controlplane/rollout_state.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"context"
 	"encoding/json"
 	"sort"
 	"time"
@@ -69,11 +70,11 @@
 }
 
 // rolloutAtController shows a rollout as its controller knows it.
-func (c *rolloutController) stateAtController(service string) ([]byte, error) {
-	if err := c.hasService(service); err != nil {
+func (c *rolloutController) stateAtController(caller context.Context, service string) ([]byte, error) {
+	if err := c.hasService(caller, service); err != nil {
 		return nil, err
 	}
-	body, err := c.submit(order{Key: rollout.Key(service), Show: true})
+	body, err := c.submit(caller, order{Key: rollout.Key(service), Show: true})
 	if err == nil && body == nil {
 		err = apierror.New(apierror.NoRollout, "%s", service)
 	}
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -26,6 +26,7 @@
 
 	AcquireKind      = "draw"   // a gateway to a branch that lends quotas
 	AcquireReplyKind = "drawn"  // and its answer
+	ReturnKind       = "return" // a gateway to a branch: a token that was not used
 	ReportKind       = "report" // a branch to the allocator
 	AllocationKind   = "loan"   // and its answer
 	RecallKind       = "recall" // a new lender to the branches
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -39,8 +40,9 @@
 }
 
 // draw draws on a tenant's quota at the nearer control node, or at the other one if the
-// nearer cannot tell or has lately been silent.
-func (d *Gateway) draw(tenant string, limit time.Duration) apierror.Kind {
+// nearer cannot tell or has lately been silent. It ends with ctx. The kind says why there is no
+// token; with apierror.Internal there is one, and giveBack returns it if it is not used.
+func (d *Gateway) draw(ctx context.Context, tenant string, limit time.Duration) (giveBack func(), refused apierror.Kind) {
 	w := &d.draws
 	w.mu.Lock()
 	order := w.at
@@ -63,17 +65,22 @@
 		w.mu.Unlock()
 		d.post.Send(to, delivery.AcquireKind, quota.AcquireRequest{Seq: seq, Tenant: tenant})
 		var a quota.AcquireReply
-		late := false
+		late, left := false, false
 		select {
 		case a = <-got:
 		case <-timer.C:
 			late = true
+		case <-ctx.Done():
+			left = true
 		}
 		switch {
 		case a.OK:
-			return apierror.Internal
+			return func() { d.giveBack(to, tenant, a.Life) }, apierror.Internal
+		case left:
+			d.abandon(to, tenant, seq, got)
+			return nil, apierror.ClientGone
 		case !late && !a.Away:
-			return apierror.OverQuota
+			return nil, apierror.OverQuota
 		}
 		w.mu.Lock()
 		delete(w.waiting, seq)
@@ -85,7 +92,30 @@
 			break
 		}
 	}
-	return apierror.QuotaUnknown
+	return nil, apierror.QuotaUnknown
+}
+
+// giveBack returns a token that was not used to the control node that it came from. Life is 0
+// where that is of a release that takes none back.
+func (d *Gateway) giveBack(to, tenant string, life uint64) {
+	if life != 0 {
+		d.post.Send(to, delivery.ReturnKind, quota.Return{Tenant: tenant, Life: life})
+	}
+}
+
+// abandon ends the wait for a draw whose client has left. A token that came at the same moment goes
+// back; one that comes later is lost.
+func (d *Gateway) abandon(to, tenant string, seq uint64, got <-chan quota.AcquireReply) {
+	d.draws.mu.Lock()
+	delete(d.draws.waiting, seq)
+	d.draws.mu.Unlock()
+	select {
+	case a := <-got:
+		if a.OK {
+			d.giveBack(to, tenant, a.Life)
+		}
+	default:
+	}
 }
 
 // drawn takes the answer of the branch that was asked. One that comes too late is lost.
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
@@ -49,13 +50,54 @@
 		d.post.Start()
 		branch.Start()
 		for range 3 {
-			if kind := d.draw("t", 10*time.Second); kind != apierror.OverQuota {
+			if _, kind := d.draw(t.Context(), "t", 10*time.Second); kind != apierror.OverQuota {
 				t.Errorf("life %d: %v, not refused", life, apierror.AnswerFor(kind))
 			}
 		}
 	}
 }
 
+// A token that nobody uses goes back to the control node that gave it, with the life that gave it.
+// A draw whose client leaves is not waited for.
+func TestTokensGoBackToTheirBranch(t *testing.T) {
+	branch := newMesh(t)
+	returns := make(chan quota.Return, 1)
+	branch.Handle(delivery.ReturnKind, func(_ string, body []byte) (any, error) {
+		var r quota.Return
+		err := cbor.Unmarshal(body, &r)
+		returns <- r
+		return nil, err
+	})
+	d := &Gateway{post: newMesh(t), draws: newDraws()}
+	d.draws.at = [2]string{branch.Self()}
+	gone, leave := context.WithCancel(t.Context())
+	answers := true
+	branch.Handle(delivery.AcquireKind, func(_ string, body []byte) (any, error) {
+		var q quota.AcquireRequest
+		err := cbor.Unmarshal(body, &q)
+		if answers {
+			d.drawn(branch.Self(), quota.AcquireReply{Seq: q.Seq, OK: true, Life: 7})
+		} else {
+			leave()
+		}
+		return nil, err
+	})
+	d.post.Start()
+	branch.Start()
+	giveBack, kind := d.draw(t.Context(), "t", 10*time.Second)
+	if kind != apierror.Internal {
+		t.Fatal(apierror.AnswerFor(kind))
+	}
+	giveBack()
+	if r := <-returns; r != (quota.Return{Tenant: "t", Life: 7}) {
+		t.Errorf("%+v", r)
+	}
+	answers = false
+	if _, kind := d.draw(gone, "t", time.Hour); kind != apierror.ClientGone || len(d.draws.waiting) != 0 {
+		t.Errorf("%v, %d draws are waited for", apierror.AnswerFor(kind), len(d.draws.waiting))
+	}
+}
+
 // A lease on keys comes only of a question of this life that has been asked.
 func TestALeaseComesOfThisLifesQuestions(t *testing.T) {
 	set := &settings.Settings{Bounds: settings.Bounds{RevokeS: 10}}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -34,6 +34,7 @@
 	read     atomic.Bool // the rest of that has been read and sent on
 	poor     *result     // an error of an upstream's own that another may do better than
 	stage    stage       // how far it has come
+	sent     bool        // an upstream may have got it
 	// reservation is the answer's place in the budget of the link.
 	reservation *Reservation
 }
--- a/internal/proxy/filters.go
+++ b/internal/proxy/filters.go
@@ -75,6 +75,7 @@
 	return func(x *Exchange) error {
 		f.dispatcher.Do(func(_ time.Duration, s *upstream.Balancer) { s.Request(x.service) })
 		if x.hasBody {
+			x.stage = stageBody
 			held := make([]byte, 0, max(0, min(x.r.ContentLength, bodyHeld))+512)
 			buf, err := readUpTo(held, x.body, bodyHeld)
 			switch {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -38,8 +38,8 @@
 	// lease is until when, on the dispatcher's clock, keys may be relied on; nil where
 	// no word on them has to be global.
 	lease *atomic.Int64
-	// draw draws on a tenant's quota, in the time given; nil where there are none.
-	draw func(tenant string, limit time.Duration) apierror.Kind
+	// draw draws on a tenant's quota; nil where there are none.
+	draw DrawQuota
 }
 
 // NewHandler makes a handler over a dispatcher.
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -109,7 +109,7 @@
 	if left < time.Millisecond {
 		return result{conn: conn, broke: os.ErrDeadlineExceeded, untried: true, late: true}
 	}
-	x.stage = stageSent
+	x.stage, x.sent = stageSent, true
 	_ = conn.SetDeadline(x.deadline)
 	g.Hold.On(conn)
 	res.unwatch = x.closeWhenClientLeaves(conn)
--- a/internal/proxy/tenants.go
+++ b/internal/proxy/tenants.go
@@ -3,6 +3,7 @@
 // This file holds the filters for tenants' keys and quotas.
 
 import (
+	"context"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -11,10 +12,13 @@
 	"madderwing/internal/quota"
 )
 
+// DrawQuota draws one request on its tenant's quota, in the time given or until ctx ends. refused
+// is the error to answer with, apierror.Internal for none; giveBack returns what was drawn.
+type DrawQuota func(ctx context.Context, tenant string, limit time.Duration) (giveBack func(), refused apierror.Kind)
+
 // Tenants makes the handler rely on keys only until the time, in nanoseconds on the
 // dispatcher's clock, that lease holds, and draw requests on their tenants' quotas.
-// What draw returns is the error to answer with, apierror.Internal for none.
-func (f *Handler) Tenants(lease *atomic.Int64, draw func(tenant string, limit time.Duration) apierror.Kind) {
+func (f *Handler) Tenants(lease *atomic.Int64, draw DrawQuota) {
 	f.lease, f.draw = lease, draw
 }
 
@@ -45,14 +49,23 @@
 	}
 }
 
-// quota draws the request on its tenant's quota.
+// quota draws the request on its tenant's quota. What was drawn goes back if the request is not
+// sent to any upstream.
 func (f *Handler) quota(next HandlerFunc) HandlerFunc {
 	return func(x *Exchange) error {
-		if x.tenant != nil && x.tenant.RatePerS > 0 && f.draw != nil {
-			if kind := f.draw(x.tenant.Name, x.aim/4); kind != apierror.Internal {
-				return f.later(x, kind)
-			}
+		if x.tenant == nil || x.tenant.RatePerS <= 0 || f.draw == nil {
+			return next(x)
 		}
+		x.stage = stageQuota
+		giveBack, refused := f.draw(x.r.Context(), x.tenant.Name, x.aim/4)
+		if refused != apierror.Internal {
+			return f.later(x, refused)
+		}
+		defer func() {
+			if !x.sent {
+				giveBack()
+			}
+		}()
 		return next(x)
 	}
 }
--- a/internal/proxy/tenants_test.go
+++ b/internal/proxy/tenants_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -33,8 +34,11 @@
 	withTenants(t, r)
 	var lease atomic.Int64
 	drawn := apierror.Internal
-	asked := ""
-	r.handler.Tenants(&lease, func(tenant string, _ time.Duration) apierror.Kind { asked = tenant; return drawn })
+	asked, returned := "", 0
+	r.handler.Tenants(&lease, func(_ context.Context, tenant string, _ time.Duration) (func(), apierror.Kind) {
+		asked = tenant
+		return func() { returned++ }, drawn
+	})
 	for _, c := range []struct {
 		name, path, headers string
 		leased              bool
@@ -59,7 +63,7 @@
 		if c.leased {
 			lease.Store(int64(time.Since(r.dispatcher.start) + time.Hour))
 		}
-		drawn, asked = c.draw, ""
+		drawn, asked, returned = c.draw, "", 0
 		before := len(up.requests())
 		res, _, err := r.say(t, "GET", "GET "+c.path+"x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\nDeadline-Left: 1000\r\n"+c.headers+"Connection: close\r\n\r\n")
 		if err != nil || res.StatusCode != c.status {
@@ -73,6 +77,9 @@
 			t.Errorf("%s: a quota is asked for where there is none", c.name)
 		}
 		sent := up.requests()[before:]
+		if returned != 0 {
+			t.Errorf("%s: %d tokens go back", c.name, returned)
+		}
 		if (len(sent) > 0) != (c.status == 200) {
 			t.Errorf("%s: %d requests arrived", c.name, len(sent))
 		}
@@ -87,6 +94,54 @@
 	}
 }
 
+// A token goes back if its request is not sent to any upstream, for whatever reason, and only then.
+func TestTokensOfRequestsThatAreNotSentGoBack(t *testing.T) {
+	u := newUpstream(t, "u", steady)
+	breaks := newUpstream(t, "b", func(net.Conn, *http.Request, int) bool { return false })
+	for name, c := range map[string]struct {
+		ups      []*server
+		status   int
+		returned int64
+	}{
+		"served":      {[]*server{u}, 200, 0},
+		"broken off":  {[]*server{breaks}, 502, 0},
+		"no upstream": {nil, 503, 1},
+	} {
+		r := newRig(t, c.ups...)
+		withTenants(t, r)
+		var lease, returned atomic.Int64
+		lease.Store(int64(time.Hour))
+		r.handler.Tenants(&lease, func(context.Context, string, time.Duration) (func(), apierror.Kind) {
+			return func() { returned.Add(1) }, apierror.Internal
+		})
+		res, _, err := r.say(t, "GET", "GET /get/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: one\r\nDeadline-Left: 1000\r\nAuthorization: Bearer k1\r\n\r\n")
+		if err != nil || res.StatusCode != c.status || returned.Load() != c.returned {
+			t.Errorf("%s: %v %v, %d tokens go back", name, err, res, returned.Load())
+		}
+	}
+}
+
+// The wait for a quota ends when the client leaves.
+func TestLeavingWhileTheQuotaIsDrawn(t *testing.T) {
+	u := newUpstream(t, "u", steady)
+	r := newRig(t, u)
+	withTenants(t, r)
+	var lease atomic.Int64
+	lease.Store(int64(time.Hour))
+	r.handler.Tenants(&lease, func(ctx context.Context, _ string, _ time.Duration) (func(), apierror.Kind) {
+		<-ctx.Done()
+		return nil, apierror.ClientGone
+	})
+	client := dialRig(t, r)
+	send(t, client, "GET /get/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: one\r\nAuthorization: Bearer k1\r\n\r\n")
+	until(t, "the request", func() bool { return r.handler.Stats.Requests.Load() == 1 })
+	client.Close()
+	until(t, "it counted", func() bool { return r.handler.Counters()["goneQuota"] == 1 })
+	if n := len(u.requests()); n != 0 {
+		t.Errorf("%d requests sent on", n)
+	}
+}
+
 func TestWithoutTenantsNothingIsAsked(t *testing.T) {
 	up := newUpstream(t, "u", func(c net.Conn, r *http.Request, _ int) bool {
 		_, _ = c.Write([]byte(ok(r, "x")))
--- a/internal/quota/local_quota.go
+++ b/internal/quota/local_quota.go
@@ -179,6 +179,19 @@
 	return !p.Awaits(now)
 }
 
+// GiveBack takes a token back whose request was not sent to any upstream. Tokens of a former life
+// of this process are not this one's. It may come at any time, since the request could have been
+// sent at any time: bucket and cap bound what is used at once, as they do for requests on their way.
+func (p *LocalQuota) GiveBack(now time.Duration, life uint64, tenant string) {
+	b := p.buckets[tenant]
+	if b == nil || life != p.Life {
+		return
+	}
+	p.lapse(now)
+	b.refill(now)
+	b.fill = min(b.cap, b.fill+1)
+}
+
 // Expire ends the wait of whoever has waited too long for the allocator. That is no word on
 // the quota.
 func (p *LocalQuota) Expire(now time.Duration) {
@@ -302,6 +315,14 @@
 	Seq  uint64 `cbor:"1,keyasint"`
 	OK   bool   `cbor:"2,keyasint,omitempty"`
 	Away bool   `cbor:"3,keyasint,omitempty"`
+	// Life is that of the branch, for the token to be given back to; 0: it takes none back.
+	Life uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Return gives a token back that was got with an AcquireReply of the same Life and was not used.
+type Return struct {
+	Tenant string `cbor:"1,keyasint"`
+	Life   uint64 `cbor:"2,keyasint"`
 }
 
 // Recall is a new lender's word to the branches to report to it at once.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -31,6 +31,8 @@
 	asked  map[string]int
 	refuse int
 	calm   bool // no message is lost
+	// unused is the share of the tokens that are given back.
+	unused float64
 }
 
 type node struct {
@@ -170,10 +172,14 @@
 				if w.rng.Float64() < rates[t]*0.005/float64(len(w.nodes)) {
 					w.asked[t]++
 					if x.purse.Take(w.now, t, func(g Grant) {
-						if g == Granted {
-							w.ran[t] = append(w.ran[t], w.now)
-						} else {
+						switch {
+						case g != Granted:
 							w.refuse++
+						case w.unused > 0 && w.rng.Float64() < w.unused:
+							life := x.purse.Life
+							w.send(i, func(x *node) { x.purse.GiveBack(w.now, life, t) })
+						default:
+							w.ran[t] = append(w.ran[t], w.now)
 						}
 					}) {
 						w.report(i)
@@ -209,8 +215,11 @@
 func bound(q Quota) int { return int((q.Rate*5+q.Burst)*1.1 + 20) }
 
 func TestQuotasHoldWhateverFails(t *testing.T) {
-	for seed := uint64(1); seed <= 40; seed++ {
+	for seed := uint64(1); seed <= 60; seed++ {
 		w := newWorld(seed, 3+int(seed%5))
+		if seed > 40 {
+			w.unused = float64(seed-40) / 25
+		}
 		w.run(40*time.Second, map[string]float64{"small": 80, "large": 900}, true)
 		for _, tenant := range []string{"small", "large"} {
 			if n := w.most(tenant); n > bound(quotas[tenant]) {
@@ -231,6 +240,45 @@
 	}
 }
 
+// Requests that are not sent on use nothing up: those of the tenant that stay are served, though all
+// together are beyond its quota.
+func TestTokensThatAreNotUsedServeOthers(t *testing.T) {
+	refusedOf := func(unused float64) (part float64) {
+		asked, refused := 0, 0
+		for seed := uint64(1); seed <= 5; seed++ {
+			w := newWorld(seed, 3)
+			w.unused = unused
+			w.run(30*time.Second, map[string]float64{"large": 390}, false)
+			asked, refused = asked+w.asked["large"], refused+w.refuse
+		}
+		return float64(refused) / float64(asked)
+	}
+	all, half := refusedOf(0), refusedOf(.5)
+	if all < .15 || half > all/3 {
+		t.Errorf("refused: %.3f, and %.3f if half of the tokens are not used", all, half)
+	}
+}
+
+// A token goes back to the life of the branch that gave it, and not beyond the cap.
+func TestTokensGoBackToTheLifeThatGaveThem(t *testing.T) {
+	p := NewLocalQuota(7, 0, 300*ms)
+	p.SetLimits(quotas)
+	b := p.bucket("small")
+	b.cap, p.until = 2, time.Hour
+	for _, c := range []struct {
+		life   uint64
+		tenant string
+		want   float64
+	}{{6, "small", 0}, {0, "small", 0}, {7, "ghost", 0}, {7, "small", 1}, {7, "small", 2}, {7, "small", 2}} {
+		if p.GiveBack(ms, c.life, c.tenant); b.fill != c.want {
+			t.Errorf("%+v: %g", c, b.fill)
+		}
+	}
+	if p.GiveBack(2*time.Hour, 7, "small"); b.fill != 0 {
+		t.Errorf("a share that has lapsed: %g", b.fill)
+	}
+}
+
 func TestOneGatewayOfManyIsServedAtOnce(t *testing.T) {
 	l := NewAllocator(config("a", "b"))
 	l.Begin(0, Term{N: 1, Owner: "a", Life: 1}, 0, false)
