A client that does not read holds an upstream no longer than its deadline lasts

Cause: the write of a long answer to a client had no deadline, so that a client which stops reading, without closing, held the goroutine, the slot and the place on the link for as long as it liked. Change: answers that are passed on in parts are written until a tick after the request's deadline. The test was seen to fail without it (15 s and no end).

--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -455,6 +455,25 @@
 	}
 }
 
+// A client that stays and does not read holds an upstream no longer than its deadline lasts.
+func TestAClientThatDoesNotRead(t *testing.T) {
+	for _, path := range []string{"/down/x", "/put/x"} {
+		u := newUpstream(t, "u", func(c net.Conn, r *http.Request, _ int) bool {
+			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: one\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n", 1<<40)
+			for part := make([]byte, 64<<10); err == nil; _, err = c.Write(part) {
+			}
+			return false
+		})
+		r := newLeaveRig(t, u)
+		client := dialRig(t, r.rig)
+		defer client.Close()
+		send(t, client, strings.Replace(request("GET", path, "one", ""), "300000", "300", 1))
+		until(t, "the request", func() bool { return len(u.requests()) == 1 })
+		until(t, "its slot free", func() bool { return r.busySlots() == 0 })
+		until(t, "its connection closed", func() bool { return r.listener.Open() == 0 })
+	}
+}
+
 // A part that was not passed on takes none of the pace.
 func TestThePaceOfThoseWhoLeaveIsGivenBack(t *testing.T) {
 	p := NewPace(1 << 10)
--- a/internal/proxy/pass.go
+++ b/internal/proxy/pass.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"madderwing/internal/upstream"
 )
@@ -18,6 +19,9 @@
 func (f *Handler) pass(x *Exchange, g upstream.SlotLease, res result) {
 	x.stage = stageAnswer
 	f.copyHeader(x, res.response)
+	if !res.whole {
+		defer f.boundWrites(x)()
+	}
 	x.w.WriteHeader(res.response.StatusCode)
 	err := f.write(x, res, res.start)
 	if !res.whole {
@@ -32,6 +36,14 @@
 	f.Stats.Served.Add(1)
 }
 
+// boundWrites ends the writing of an answer a tick after its deadline: a client that does not read would
+// hold slot and link for as long as it likes. The function returned takes the bound back.
+func (f *Handler) boundWrites(x *Exchange) (unbind func()) {
+	control := http.NewResponseController(x.w)
+	_ = control.SetWriteDeadline(x.deadline.Add(f.dispatcher.tick))
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
 // copyHeader gives the client's answer the headers of the upstream's.
 func (f *Handler) copyHeader(x *Exchange, r *http.Response) {
 	h := x.w.Header()
