Requests end at their deadline: bodies that trickle, a pace that is full; no 404 before all is known

A body of up to 256 kB was waited for without an end: the deadline was looked at only once it had come. Now its reading ends at the deadline with 503 and Retry-After, and the connection closes. A long answer that waits for the pace, or for a client that does not read, ends a tick after the deadline; the connection ends too, since the answer must not look complete (a chunked one would have).

A gateway that starts gets many items in parts, and put them in force with the next beat: it answered 404 or 401 for what was still on its way. Until its items have been complete and confirmed once it answers 503.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -277,6 +277,9 @@
 		d.confirm(now, i)
 	}
 	d.ready.heard(now, d.dated(now, i), settings.Seconds(d.set.Bounds.ContactS))
+	if d.ready.current.Load() {
+		d.handler.SetComplete()
+	}
 	if len(i.Loads) > 0 && d.sources.First() == from {
 		d.dispatcher.Do(func(now time.Duration, s *upstream.Balancer) { s.SetLoads(now, i.Loads) })
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -29,6 +29,7 @@
 	body     io.Reader // what the limits let through
 	hasBody  bool
 	chunked  bool
+	cut      bool        // its body was not read to the end in time
 	held     []byte      // the whole body, if it is small
 	begun    []byte      // the beginning of a body that is not
 	read     atomic.Bool // the rest of that has been read and sent on
--- a/internal/proxy/filters.go
+++ b/internal/proxy/filters.go
@@ -35,9 +35,6 @@
 // route acts on the request's route.
 func (f *Handler) route(next HandlerFunc) HandlerFunc {
 	return func(x *Exchange) error {
-		if x.route == nil {
-			return apierror.New(apierror.UnknownRoute, "%s%s", x.r.Host, x.r.URL.Path)
-		}
 		var homes []string
 		if x.tenant != nil {
 			homes = x.tenant.Residency
@@ -75,22 +72,8 @@
 	return func(x *Exchange) error {
 		f.dispatcher.Do(func(_ time.Duration, s *upstream.Balancer) { s.Request(x.service) })
 		if x.hasBody {
-			x.stage = stageBody
-			held := make([]byte, 0, max(0, min(x.r.ContentLength, bodyHeld))+512)
-			buf, err := readUpTo(held, x.body, bodyHeld)
-			switch {
-			case err == io.EOF:
-				x.held = buf
-			case err != nil:
-				if large := apierror.TooLarge(err); large != nil {
-					return large
-				}
-				if brokenOff(err) {
-					return f.leftUnsent(x)
-				}
-				return apierror.New(apierror.BadRequest, "body not read: %v", err)
-			default:
-				x.begun = buf
+			if err := f.readBody(x); err != nil {
+				return err
 			}
 		}
 		if time.Until(x.deadline) <= 0 {
@@ -100,6 +83,34 @@
 	}
 }
 
+// readBody reads the body, or as much of it as is held, until the deadline.
+func (f *Handler) readBody(x *Exchange) error {
+	x.stage = stageBody
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(x.deadline)
+	held := make([]byte, 0, max(0, min(x.r.ContentLength, bodyHeld))+512)
+	buf, err := readUpTo(held, x.body, bodyHeld)
+	_ = control.SetReadDeadline(time.Time{})
+	switch {
+	case err == io.EOF:
+		x.held = buf
+		return nil
+	case err == nil:
+		x.begun = buf
+		return nil
+	}
+	x.cut = true
+	switch large := apierror.TooLarge(err); {
+	case large != nil:
+		return large
+	case isTimeout(err):
+		return f.later(x, apierror.Expired)
+	case brokenOff(err):
+		return f.leftUnsent(x)
+	}
+	return apierror.New(apierror.BadRequest, "body not read: %v", err)
+}
+
 // stratify names the request's stratum: within each, the arms of a rollout get their
 // shares. Where there are tenants that is their tier, or else the route; requests of
 // different kinds are never of one stratum.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -27,6 +27,7 @@
 	table      atomic.Pointer[config.Table]
 	shard      atomic.Int64
 	drain      atomic.Bool
+	complete   atomic.Bool // see SetComplete
 	chain      HandlerFunc
 	Stats      Stats
 	// arms splits the requests of services whose version changes.
@@ -60,6 +61,10 @@
 // SetShard says which shard this gateway belongs to.
 func (f *Handler) SetShard(n int) { f.shard.Store(int64(n)) }
 
+// SetComplete says that the table has been complete once. Before that, what it lacks may be on its
+// way: a route or a key that is not in it is no reason to refuse a request for good.
+func (f *Handler) SetComplete() { f.complete.Store(true) }
+
 // Drain makes the handler close connections after their next answer, and wait for
 // every request that has been sent on.
 func (f *Handler) Drain() {
@@ -72,7 +77,7 @@
 // gateway leaves or has not read all of the request: net/http would read the rest first, and
 // hold the answer back for as long as the client waits for it.
 func (f *Handler) lastOne(x *Exchange) {
-	if f.drain.Load() || x.begun != nil && !x.read.Load() {
+	if f.drain.Load() || x.cut || x.begun != nil && !x.read.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/proxy/pass.go
+++ b/internal/proxy/pass.go
@@ -3,6 +3,7 @@
 // This file hands an answer to the client.
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -19,29 +20,38 @@
 func (f *Handler) pass(x *Exchange, g upstream.SlotLease, res result) {
 	x.stage = stageAnswer
 	f.copyHeader(x, res.response)
-	if !res.whole {
-		defer f.boundWrites(x)()
-	}
+	ctx, unbind := f.boundWrites(x, res)
+	defer unbind()
 	x.w.WriteHeader(res.response.StatusCode)
-	err := f.write(x, res, res.start)
+	err := f.write(ctx, x, res, res.start)
 	if !res.whole {
-		err = f.passRest(x, g, res, err)
+		err = f.passRest(ctx, x, g, res, err)
 	}
 	if x.clientLeft() {
 		f.noteLeft(x)
 	}
-	if err != nil && !res.whole {
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	f.Stats.Served.Add(1)
 }
 
-// boundWrites ends the writing of an answer a tick after its deadline: a client that does not read would
-// hold slot and link for as long as it likes. The function returned takes the bound back.
-func (f *Handler) boundWrites(x *Exchange) (unbind func()) {
+// boundWrites gives the context that the writing of an answer listens to, and ends the writing of a
+// long one a tick after its deadline: else a full pace would hold it for longer than its client waits,
+// and a client that does not read, slot and link for as long as it likes. unbind takes that back.
+func (f *Handler) boundWrites(x *Exchange, res result) (ctx context.Context, unbind func()) {
+	ctx = x.answerContext()
+	if res.whole && len(res.start) <= paceFrom {
+		return ctx, func() {}
+	}
 	control := http.NewResponseController(x.w)
-	_ = control.SetWriteDeadline(x.deadline.Add(f.dispatcher.tick))
-	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+	end := x.deadline.Add(f.dispatcher.tick)
+	_ = control.SetWriteDeadline(end)
+	ctx, cancel := context.WithDeadline(ctx, end)
+	return ctx, func() {
+		cancel()
+		_ = control.SetWriteDeadline(time.Time{})
+	}
 }
 
 // copyHeader gives the client's answer the headers of the upstream's.
@@ -63,22 +73,22 @@
 }
 
 // write hands a part of an answer's body to the client, at the pace of large answers.
-func (f *Handler) write(x *Exchange, res result, part []byte) error {
-	err := f.Pace.write(x.answerContext(), x.w, part, res.response.ContentLength)
+func (f *Handler) write(ctx context.Context, x *Exchange, res result, part []byte) error {
+	err := f.Pace.write(ctx, x.w, part, res.response.ContentLength)
 	x.reservation.Wrote(f.now(), len(part))
 	return err
 }
 
 // passRest hands on what has not been read of an answer's body, after a first part whose writing
 // gave err. The error returned says why the client has not got all of it.
-func (f *Handler) passRest(x *Exchange, g upstream.SlotLease, res result, err error) error {
+func (f *Handler) passRest(ctx context.Context, x *Exchange, g upstream.SlotLease, res result, err error) error {
 	var cut error
 	buf := make([]byte, passPart)
 	for err == nil && cut == nil {
 		var n int
 		n, cut = res.response.Body.Read(buf)
 		if n > 0 {
-			err = f.write(x, res, buf[:n])
+			err = f.write(ctx, x, res, buf[:n])
 		}
 	}
 	if err != nil && cut == nil && !x.endsWithClient() {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -139,6 +139,7 @@
 	 {"name":"p","pathPrefix":"/put/","routeKind":"mutating","deadlineS":5,"targetLatencyS":4,"target":"a","maxTries":2,"generation":1},
 	 {"name":"s","pathPrefix":"/short/","routeKind":"mutating","deadlineS":0.05,"targetLatencyS":0.05,"target":"a","maxTries":2,"generation":1}]}]}}`
 	handler.SetTable(tableOf(t, body))
+	handler.SetComplete()
 	go dispatcher.Run()
 	dispatcher.Do(func(now time.Duration, s *upstream.Balancer) {
 		s.SetServices(now, map[string]upstream.ServiceInfo{"a": {MaxConns: 50}}, nil)
--- a/internal/proxy/tenants.go
+++ b/internal/proxy/tenants.go
@@ -12,6 +12,14 @@
 	"madderwing/internal/quota"
 )
 
+// unknown refuses a request for what the table lacks, for good once the table has been complete.
+func (f *Handler) unknown(forGood error) error {
+	if f.complete.Load() {
+		return forGood
+	}
+	return apierror.Later(apierror.NoConfiguration, f.soon(), "this node does not know all items yet")
+}
+
 // DrawQuota draws one request on its tenant's quota, in the time given or until ctx ends. refused
 // is the error to answer with, apierror.Internal for none; giveBack returns what was drawn.
 type DrawQuota func(ctx context.Context, tenant string, limit time.Duration) (giveBack func(), refused apierror.Kind)
@@ -42,9 +50,12 @@
 			}
 			x.tenant = x.table.Readers[quota.Key(x.r.Header)]
 			if x.tenant == nil && x.table.Tenants && (x.route == nil || !x.route.Public) {
-				return apierror.New(apierror.UnknownKey, "a tenant's key is needed")
+				return f.unknown(apierror.New(apierror.UnknownKey, "a tenant's key is needed"))
 			}
 		}
+		if x.route == nil {
+			return f.unknown(apierror.New(apierror.UnknownRoute, "%s%s", x.r.Host, x.r.URL.Path))
+		}
 		return next(x)
 	}
 }
