Keys are leased wherever their revocation is bounded, with or without a registry

A gateway that was cut off went on with every key that it knew.

Change: the settings answer three questions in place of one: HasRegistry, BoundsRevocation, HasQuotas. The holding of answers stands apart from the quotas.

Ruled out: the hold, the lease and their sum, which are right on steady time.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -22,7 +22,7 @@
 	delivery      *deliveryController
 	placement     *placementController
 	rollouts      *rolloutController
-	quotas        *quotaController // nil where clients ask no registry
+	quotas        *quotaController // nil where tenants have no quotas
 	orders        *orderController
 	coordination  *coordinator
 
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -63,7 +63,7 @@
 	orders         *orderController
 	administration *administration
 	coordination   *coordinator
-	quotas         *quotaController    // nil where clients ask no registry
+	quotas         *quotaController    // nil where tenants have no quotas
 	registry       *registryController // the same
 
 	// Owned by the pump's goroutine.
@@ -117,8 +117,10 @@
 		commands: make(chan func(time.Duration), commandQueue), log: newLoggers()}
 	n := &Node{environment: env, configuration: newConfiguration(), writes: newJobs(), zones: zones,
 		evacuations: newEvacuations(settings.Seconds(set.Bounds.AckS))}
-	if set.Global() {
+	if set.HasRegistry() {
 		n.registry = newRegistryController(env)
+	}
+	if set.HasQuotas() {
 		n.quotas = newQuotaController(env, n.configuration)
 	}
 	if n.member, err = newReplica(env, keys, disk); err != nil {
@@ -177,7 +179,10 @@
 // wire makes the controllers and gives each what it needs of others.
 func (n *Node) wire() {
 	n.list = newListController(n.environment)
-	n.orders = &orderController{environment: n.environment, configuration: n.configuration, evacuations: n.evacuations, quotas: n.quotas}
+	n.orders = &orderController{environment: n.environment, configuration: n.configuration, evacuations: n.evacuations}
+	if n.set.BoundsRevocation() {
+		n.orders.revocations = &revocations{environment: n.environment}
+	}
 	n.rollouts = newRolloutController(n.environment, n.configuration, n.list, n.orders.submit)
 	n.orders.rollouts = n.rollouts
 	n.delivery = newDeliveryController(n.environment, n.configuration, n.list, n.rollouts.controller.Led)
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -63,7 +63,7 @@
 	configuration *configuration
 	evacuations   *evacuations
 	rollouts      *rolloutController
-	quotas        *quotaController // nil where clients ask no registry
+	revocations   *revocations // nil where nothing bounds the use of keys that were taken away
 }
 
 // handle takes the orders that other control nodes pass on.
--- a/internal/controlplane/orders_test.go
+++ b/internal/controlplane/orders_test.go
@@ -13,7 +13,6 @@
 	"madderwing/internal/apierror"
 	"madderwing/internal/config"
 	"madderwing/internal/placement"
-	"madderwing/internal/quota"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
 	"madderwing/internal/settings"
@@ -108,13 +107,13 @@
 		text    string
 		revokes bool
 		ago     time.Duration // since the last key was taken; 0: none was
-		quotas  bool
+		bounded bool          // the use of keys that were taken away
 		held    bool
 	}{
 		"a key is taken":         {`{"remove":{"tenants":[{"name":"t","generation":2}]}}`, true, 0, true, true},
 		"a tenant is added":      {`{"upsert":{"tenants":[{"name":"u","generation":1,"apiKeys":["k-0123456789abcdef"]}]}}`, false, 0, true, false},
 		"no tenant is named":     {`{"upsert":{"services":[{"name":"a","generation":1,"maxConns":1}]}}`, false, time.Second, true, false},
-		"there are no tenants":   {`{"remove":{"tenants":[{"name":"t","generation":2}]}}`, true, 0, false, false},
+		"nothing bounds it":      {`{"remove":{"tenants":[{"name":"t","generation":2}]}}`, true, 0, false, false},
 		"a key went before":      {`{"remove":{"tenants":[{"name":"t","generation":2}]}}`, false, time.Second, true, true},
 		"a key went long before": {`{"remove":{"tenants":[{"name":"t","generation":2}]}}`, false, 3 * time.Second, true, false},
 	} {
@@ -124,10 +123,10 @@
 			continue
 		}
 		orders := &orderController{environment: env}
-		if c.quotas {
-			orders.quotas = &quotaController{environment: env, purse: &quota.LocalQuota{}}
+		if c.bounded {
+			orders.revocations = &revocations{environment: env}
 			if c.ago > 0 {
-				orders.quotas.revokedAt = at - c.ago
+				orders.revocations.note(at - c.ago)
 			}
 		}
 		var answers []verdict
--- a/internal/controlplane/pump.go
+++ b/internal/controlplane/pump.go
@@ -166,11 +166,12 @@
 
 // configurationChanged has the controllers take over what concerns them.
 func (n *Node) configurationChanged() {
-	if n.registry == nil {
-		return
+	if n.quotas != nil {
+		n.quotas.setConfiguration()
+	}
+	if n.registry != nil {
+		n.registry.setConfiguration(n.configuration.shown.Records)
 	}
-	n.quotas.setConfiguration()
-	n.registry.setConfiguration(n.configuration.shown.Records)
 }
 
 // handle takes the messages of other control nodes and of gateways.
--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -12,9 +12,8 @@
 	"madderwing/internal/transport"
 )
 
-// quotaController lends tenants' quotas while this control node owns the configuration, draws on what
-// was lent to it for gateways, and holds the answer to a call that takes a key away until no
-// gateway can rely on that key. It exists only where clients ask a registry.
+// quotaController lends tenants' quotas while this control node owns the configuration, and draws on
+// what was lent to it for gateways. It exists only where tenants have quotas.
 type quotaController struct {
 	*environment
 	configuration *configuration
@@ -28,7 +27,6 @@
 	// reportWhole says that the next report names all shares.
 	reportWhole bool
 	seated      map[string]time.Duration // when a branch was last seen to have a seat
-	revokedAt   time.Duration            // when a key was last taken from a tenant here
 }
 
 func newQuotaController(env *environment, shown *configuration) *quotaController {
@@ -197,25 +195,6 @@
 	}
 }
 
-// held says how much longer the answer to a call that names tenants is to wait:
-// until the leases have lapsed under which a gateway that has not heard of it may go
-// on using a key. An owner that follows another does not know when that one last
-// took a key away.
-func (c *quotaController) held(now time.Duration) time.Duration {
-	hold := c.set.HoldRevocation()
-	if hold == 0 {
-		return 0
-	}
-	left := time.Duration(0)
-	if t, _ := c.member.Tenure(now, config.Key); t.Heir {
-		left = t.Since + hold - now
-	}
-	if c.revokedAt > 0 {
-		left = max(left, c.revokedAt+hold-now)
-	}
-	return max(left, 0)
-}
-
 // states shows the tenants, without their keys, and who lends their quotas.
 func (c *quotaController) states() (tenants []TenantState, quotas *Quotas) {
 	for _, t := range config.Tenants(c.configuration.shown.Records, &c.configuration.reader) {
--- a/internal/controlplane/tasks.go
+++ b/internal/controlplane/tasks.go
@@ -115,21 +115,21 @@
 	if err != nil {
 		return nil, err
 	}
-	t.revokes = t.orders.quotas != nil && config.Revokes(have, changes, reader)
+	t.revokes = t.orders.revocations != nil && config.Revokes(have, changes, reader)
 	return changes, nil
 }
 
 func (t *patchTask) finish(_, now time.Duration, answer func(verdict)) {
-	quotas := t.orders.quotas
-	if quotas == nil {
+	revocations := t.orders.revocations
+	if revocations == nil {
 		answer(verdict{})
 		return
 	}
 	if t.revokes {
-		quotas.revokedAt = now
+		revocations.note(now)
 	}
 	if t.asked.NamesTenants() {
-		if left := quotas.held(t.orders.now()); left > 0 {
+		if left := revocations.held(t.orders.now()); left > 0 {
 			t.orders.answerLater(left, answer)
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,8 +65,7 @@
 	first    atomic.Value // the control node that is watched first
 	scoring  atomic.Bool
 
-	// Where clients ask a registry; see settings.Settings.Global.
-	lease atomic.Int64  // until when keys may be relied on
+	lease atomic.Int64  // until when keys may be relied on, where that is bounded
 	epoch time.Duration // added to this life's clock where that is told to others
 	draws draws
 
@@ -88,7 +87,7 @@
 	d.post = post
 	lag := settings.Seconds(set.CloudAPI.MaxLagS + set.Bounds.DrainS*0.4)
 	var region func(string) string
-	if set.Global() {
+	if set.HasRegistry() {
 		region = set.RegionOf
 	}
 	balancer := upstream.NewBalancer(upstream.Config{Self: post.Self(), Zone: set.Zone, Region: region,
@@ -99,9 +98,7 @@
 	d.handler = proxy.NewHandler(d.dispatcher, d.arms)
 	d.boundAnswers()
 	d.ready = newReadiness(d.handler.Confirmed)
-	if set.Global() {
-		d.serveTenants()
-	}
+	d.serveTenants()
 	d.listener, err = proxy.NewListener(set.Bind.Front, int(float64(set.Limits.MaxFds)*(1-keepFds)), d.handler, logging.For(logging.Proxy))
 	if err != nil {
 		return err
@@ -113,7 +110,7 @@
 	transport.On(post, delivery.IssueKind, func(from string, i delivery.Issue) {
 		d.commands <- func(now time.Duration) { d.take(now, from, i) }
 	})
-	if set.Global() {
+	if set.HasQuotas() {
 		transport.On(post, delivery.AcquireReplyKind, d.drawn)
 	}
 	post.Start()
@@ -194,7 +191,7 @@
 	hurried, opened := true, false
 	watch := func(now time.Duration, only string) {
 		sources := d.sources.Choose(now, d.reg.List().Live(membership.Control))
-		if d.set.Global() {
+		if d.set.HasQuotas() {
 			d.draws.mu.Lock()
 			d.draws.at = [2]string{}
 			copy(d.draws.at[:], sources)
@@ -209,7 +206,7 @@
 			}
 			w := delivery.Watch{Listing: d.stand.Version, Second: i > 0, Packs: true}
 			d.items.Tell(&w)
-			if d.set.Global() || !d.ready.current.Load() {
+			if d.set.BoundsRevocation() || !d.ready.current.Load() {
 				w.Asked = d.epoch + max(now, 1)
 			}
 			if i == 0 {
@@ -246,7 +243,7 @@
 			}
 			if !opened && d.ready.ok() {
 				opened = true
-				if d.set.Global() {
+				if d.set.HasRegistry() {
 					d.reg.Open(d.set.FrontPort())
 				}
 				tick.Reset(beat)
@@ -273,7 +270,7 @@
 		d.apply()
 	}
 	d.behind = merged && i.More
-	if d.set.Global() {
+	if d.set.BoundsRevocation() {
 		d.confirm(now, i)
 	}
 	d.ready.heard(now, d.dated(now, i), settings.Seconds(d.set.Bounds.ContactS))
@@ -362,7 +359,7 @@
 			d.dispatcher.Do(func(now time.Duration, s *upstream.Balancer) { ch <- s.States(now) })
 			shown := map[string]any{"node": d.set.Node, "counters": d.handler.Counters(),
 				"connections": d.listener.Open(), "upstreams": <-ch}
-			if d.set.Global() {
+			if d.set.BoundsRevocation() {
 				shown["keysLeaseS"] = (time.Duration(d.lease.Load()) - time.Since(d.start)).Seconds()
 			}
 			b, _ := json.MarshalIndent(shown, "", "  ")
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -32,7 +32,7 @@
 	defer poll.Stop()
 	var believedAt time.Time
 	for {
-		if believedAt.IsZero() && d.ready.isBelieved() && !d.set.Global() { // a registry's answers are used for longer
+		if believedAt.IsZero() && d.ready.isBelieved() && !d.set.HasRegistry() { // a registry's answers are used for longer
 			believedAt = time.Now()
 		}
 		var calm time.Duration // for how long the platform has believed it and nothing has come
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -35,8 +35,13 @@
 // serveTenants makes the gateway hold to what must be true of tenants' keys and
 // quotas on every machine, in touch or not.
 func (d *Gateway) serveTenants() {
-	d.draws = newDraws()
-	d.handler.Tenants(&d.lease, d.draw)
+	if d.set.BoundsRevocation() {
+		d.handler.LeaseKeys(&d.lease)
+	}
+	if d.set.HasQuotas() {
+		d.draws = newDraws()
+		d.handler.DrawOn(d.draw)
+	}
 }
 
 // draw draws on a tenant's quota at the nearer control node, or at the other one if the
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -4,15 +4,18 @@
 	"context"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"madderwing/internal/apierror"
 	"madderwing/internal/delivery"
+	"madderwing/internal/proxy"
 	"madderwing/internal/quota"
 	"madderwing/internal/settings"
 	"madderwing/internal/transport"
+	"madderwing/internal/upstream"
 )
 
 func newMesh(t *testing.T) *transport.Endpoint {
@@ -57,6 +60,35 @@
 	}
 }
 
+// Where the use of keys that were taken away is bounded, a gateway uses keys only as long as that has
+// been confirmed to it, whether or not there is a registry: one that is cut off, so that it does not
+// hear of a removal, stops before revokeS after the answer to the removal, which is held for that long.
+func TestAGatewayThatIsCutOffStopsUsingKeys(t *testing.T) {
+	for _, ingress := range []string{"vip", "registry"} {
+		synctest.Test(t, func(t *testing.T) {
+			set := &settings.Settings{Ingress: ingress, Bounds: settings.Bounds{ContactS: 5, AckS: 6, RevokeS: 5, RevocationGlobal: true}}
+			dispatcher := proxy.NewDispatcher(upstream.NewBalancer(upstream.Config{}), time.Second, time.Second)
+			d := &Gateway{set: set, start: time.Now(), epoch: newEpoch(), handler: proxy.NewHandler(dispatcher, nil)}
+			d.serveTenants()
+			if d.handler.Confirmed() {
+				t.Errorf("%s: keys are relied on that nobody has confirmed", ingress)
+			}
+			time.Sleep(time.Second)
+			confirmed := time.Since(d.start)
+			d.confirm(confirmed, delivery.Issue{Sure: &delivery.Sure{Asked: d.epoch + confirmed}})
+			if !d.handler.Confirmed() {
+				t.Errorf("%s: keys are not relied on", ingress)
+			}
+			// A key that is taken away right after that; the answer to it is held.
+			acknowledged := set.HoldRevocation()
+			time.Sleep(acknowledged + settings.Seconds(set.Bounds.RevokeS))
+			if d.handler.Confirmed() {
+				t.Errorf("%s: keys are relied on for longer than they may be", ingress)
+			}
+		})
+	}
+}
+
 // A token that nobody uses goes back to the control node that gave it, with the life that gave it.
 // A draw whose client leaves is not waited for.
 func TestTokensGoBackToTheirBranch(t *testing.T) {
--- a/internal/proxy/tenants.go
+++ b/internal/proxy/tenants.go
@@ -24,11 +24,12 @@
 // is the error to answer with, apierror.Internal for none; giveBack returns what was drawn.
 type DrawQuota func(ctx context.Context, tenant string, limit time.Duration) (giveBack func(), refused apierror.Kind)
 
-// Tenants makes the handler rely on keys only until the time, in nanoseconds on the
-// dispatcher's clock, that lease holds, and draw requests on their tenants' quotas.
-func (f *Handler) Tenants(lease *atomic.Int64, draw DrawQuota) {
-	f.lease, f.draw = lease, draw
-}
+// LeaseKeys makes the handler rely on keys only until the time, in nanoseconds on the
+// dispatcher's clock, that lease holds.
+func (f *Handler) LeaseKeys(lease *atomic.Int64) { f.lease = lease }
+
+// DrawOn makes the handler draw requests on their tenants' quotas.
+func (f *Handler) DrawOn(draw DrawQuota) { f.draw = draw }
 
 // Confirmed says whether keys may be relied on now.
 func (f *Handler) Confirmed() bool {
--- a/internal/proxy/tenants_test.go
+++ b/internal/proxy/tenants_test.go
@@ -35,7 +35,8 @@
 	var lease atomic.Int64
 	drawn := apierror.Internal
 	asked, returned := "", 0
-	r.handler.Tenants(&lease, func(_ context.Context, tenant string, _ time.Duration) (func(), apierror.Kind) {
+	r.handler.LeaseKeys(&lease)
+	r.handler.DrawOn(func(_ context.Context, tenant string, _ time.Duration) (func(), apierror.Kind) {
 		asked = tenant
 		return func() { returned++ }, drawn
 	})
@@ -111,7 +112,8 @@
 		withTenants(t, r)
 		var lease, returned atomic.Int64
 		lease.Store(int64(time.Hour))
-		r.handler.Tenants(&lease, func(context.Context, string, time.Duration) (func(), apierror.Kind) {
+		r.handler.LeaseKeys(&lease)
+		r.handler.DrawOn(func(context.Context, string, time.Duration) (func(), apierror.Kind) {
 			return func() { returned.Add(1) }, apierror.Internal
 		})
 		res, _, err := r.say(t, "GET", "GET /get/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: one\r\nDeadline-Left: 1000\r\nAuthorization: Bearer k1\r\n\r\n")
@@ -128,7 +130,8 @@
 	withTenants(t, r)
 	var lease atomic.Int64
 	lease.Store(int64(time.Hour))
-	r.handler.Tenants(&lease, func(ctx context.Context, _ string, _ time.Duration) (func(), apierror.Kind) {
+	r.handler.LeaseKeys(&lease)
+	r.handler.DrawOn(func(ctx context.Context, _ string, _ time.Duration) (func(), apierror.Kind) {
 		<-ctx.Done()
 		return nil, apierror.ClientGone
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -154,9 +154,15 @@
 	return Seconds(retentionContacts * s.Bounds.ContactS)
 }
 
-// Global says that clients ask a registry where to go, so that tenants, keys and
-// quotas count over all regions. Nothing that serves only this runs elsewhere.
-func (s *Settings) Global() bool { return s.Ingress == "registry" }
+// HasRegistry says that clients ask a registry where to go.
+func (s *Settings) HasRegistry() bool { return s.Ingress == "registry" }
+
+// BoundsRevocation says that a key that was taken away may be used on no machine, in touch or not,
+// for longer than revokeS after that was acknowledged: gateways need leases on keys.
+func (s *Settings) BoundsRevocation() bool { return s.Bounds.RevocationGlobal && s.Bounds.RevokeS > 0 }
+
+// HasQuotas says that the rate of a tenant's requests is bounded over all machines.
+func (s *Settings) HasQuotas() bool { return s.Bounds.QuotaWindowS > 0 }
 
 // RegionOf is the region of a zone; a zone that is not listed is its own.
 func (s *Settings) RegionOf(zone string) string {
@@ -171,7 +177,7 @@
 // leases are longer than revokeS by the time that the acknowledgement is held,
 // less a margin.
 func (s *Settings) KeyLease() time.Duration {
-	if s.Bounds.RevokeS <= 0 {
+	if !s.BoundsRevocation() {
 		return 0
 	}
 	return Seconds(s.Bounds.RevokeS*0.9) + s.HoldRevocation()
@@ -179,7 +185,7 @@
 
 // HoldRevocation: see KeyLease. An order is answered within ackS all the same.
 func (s *Settings) HoldRevocation() time.Duration {
-	if !s.Bounds.RevocationGlobal || s.Bounds.RevokeS <= 0 {
+	if !s.BoundsRevocation() {
 		return 0
 	}
 	return Seconds(s.Bounds.AckS * 0.4)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -118,18 +118,33 @@
 	}
 }
 
-// The deployment as a whole decides: nothing of the registry, keys or quotas runs
-// where clients do not ask a registry.
-func TestGlobalOnlyWhereThereIsARegistry(t *testing.T) {
-	s := Settings{Ingress: "vip"}
-	s.Bounds = Bounds{AckS: 8, RevokeS: 5, RevocationGlobal: true}
-	if s.Global() {
-		t.Error("a gateway is taken for a registry's")
-	}
-	s.Ingress = "registry"
-	if !s.Global() {
-		t.Error("a registry is not seen")
+// The registry, the leases on keys and the quotas are each there where the settings ask for them, and
+// nowhere else: none of them follows from another.
+func TestWhatADeploymentHas(t *testing.T) {
+	for name, c := range map[string]struct {
+		settings                        Settings
+		registry, boundsRevoking, quota bool
+	}{
+		"nothing":             {Settings{Ingress: "vip"}, false, false, false},
+		"a registry":          {Settings{Ingress: "registry"}, true, false, false},
+		"keys, no registry":   {Settings{Ingress: "vip", Bounds: Bounds{RevokeS: 5, RevocationGlobal: true}}, false, true, false},
+		"keys in touch only":  {Settings{Ingress: "registry", Bounds: Bounds{RevokeS: 5}}, true, false, false},
+		"no time for keys":    {Settings{Ingress: "registry", Bounds: Bounds{RevocationGlobal: true}}, true, false, false},
+		"quotas, no registry": {Settings{Ingress: "vip", Bounds: Bounds{QuotaWindowS: 5}}, false, false, true},
+		"all":                 {Settings{Ingress: "registry", Bounds: Bounds{RevokeS: 5, RevocationGlobal: true, QuotaWindowS: 5}}, true, true, true},
+	} {
+		s := c.settings
+		if s.HasRegistry() != c.registry || s.BoundsRevocation() != c.boundsRevoking || s.HasQuotas() != c.quota {
+			t.Errorf("%s: registry %v, revocation %v, quotas %v", name, s.HasRegistry(), s.BoundsRevocation(), s.HasQuotas())
+		}
+		if lease, hold := s.KeyLease(), s.HoldRevocation(); (lease > 0) != c.boundsRevoking || !c.boundsRevoking && hold != 0 {
+			t.Errorf("%s: lease %v, hold %v", name, lease, hold)
+		}
 	}
+}
+
+func TestLeasesOnKeys(t *testing.T) {
+	s := Settings{Bounds: Bounds{AckS: 8, RevokeS: 5, RevocationGlobal: true}}
 	// A gateway that has not heard of a removal stops before revokeS after the answer.
 	if lease, hold := s.KeyLease(), s.HoldRevocation(); lease >= hold+Seconds(s.Bounds.RevokeS) || hold >= Seconds(s.Bounds.AckS) {
 		t.Errorf("lease %v, hold %v", lease, hold)
