A gateway asks others while no control node has given a fresh word

Change: Sources.AlsoAsk names four others a beat, in turn, once there has been no fresh word for a beat and a half; one that answers fresh has the silent ones left at once.

Ruled out: items that go back; links that outlive a cut.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -204,16 +204,18 @@
 			if only != "" && a != only {
 				continue
 			}
-			w := delivery.Watch{Listing: d.stand.Version, Second: i > 0, Packs: true}
-			d.items.Tell(&w)
-			if d.set.BoundsRevocation() || !d.ready.current.Load() {
-				w.Asked = d.epoch + max(now, 1)
-			}
+			w := d.question(now)
+			w.Second = i > 0
 			if i == 0 {
 				w.Zone, w.Load = d.set.Zone, d.load
 			}
 			d.post.Send(a, delivery.WatchKind, w)
 		}
+		for _, a := range d.sources.AlsoAsk(now) {
+			w := d.question(now)
+			w.Second = true
+			d.post.Send(a, delivery.WatchKind, w)
+		}
 		d.dispatcher.Do(func(_ time.Duration, s *upstream.Balancer) {
 			load := s.Loads()
 			select {
@@ -254,6 +256,16 @@
 	}
 }
 
+// question tells a control node what this gateway has, and asks for what it lacks.
+func (d *Gateway) question(now time.Duration) delivery.Watch {
+	w := delivery.Watch{Listing: d.stand.Version, Packs: true}
+	d.items.Tell(&w)
+	if d.set.BoundsRevocation() || !d.ready.current.Load() {
+		w.Asked = d.epoch + max(now, 1)
+	}
+	return w
+}
+
 func (d *Gateway) take(now time.Duration, from string, i delivery.Issue) {
 	d.sources.Heard(now, from, i.Fresh)
 	d.first.Store(d.sources.First())
