--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -275,3 +275,21 @@
 		}
 	}
 }
+
+// A split gives each of its services its share of the requests, and one without a share none.
+func TestSplitsKeepTheirShares(t *testing.T) {
+	r := Route{Split: []Share{{Target: "a", Share: 90}, {Target: "none", Share: 0}, {Target: "b", Share: 6}, {Target: "c", Share: 4}, {Target: "last", Share: 0}}}
+	const draws = 1000
+	got := map[string]int{}
+	for i := range draws {
+		got[r.Choose(float64(i)/draws)]++
+	}
+	for target, share := range map[string]int{"a": 900, "b": 60, "c": 40, "none": 0, "last": 0} {
+		if off := got[target] - share; off < -1 || off > 1 {
+			t.Errorf("%s gets %d of %d", target, got[target], draws)
+		}
+	}
+	if alone := (&Route{Target: "a"}).Choose(.5); alone != "a" {
+		t.Errorf("a route without a split goes to %q", alone)
+	}
+}
