A data directory has one control process at a time; reloads and limits cut no request in hand

The directory was opened, and files in it rewritten, before the node listened: a second process by mistake would have written into the first one's files. It is locked before anything is opened, and waited for; nothing is written for it, so that a full disk keeps no process from starting.

TestTheWholePath: a request in hand outlives a reload and a change of the limits (rows of docs/rules.md that had no test).

--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -85,6 +85,14 @@
 	if err := os.MkdirAll(set.DataDir, 0o700); err != nil {
 		return err
 	}
+	lock, err := lockDisk(ctx, set, logging.For(logging.Storage))
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer lock.Release()
 	store, disk, err := openStore(ctx, set, logging.For(logging.Storage))
 	if ctx.Err() != nil {
 		return nil
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -15,6 +15,25 @@
 	"madderwing/internal/storage"
 )
 
+// lockDisk takes the data directory for this process. While another has it, perhaps the one before
+// that is about to end, it is tried again, with a pause.
+func lockDisk(ctx context.Context, set *settings.Settings, logger *slog.Logger) (*storage.Lock, error) {
+	for waits := false; ; waits = true {
+		lock, err := storage.LockDir(set.DataDir)
+		if !errors.Is(err, storage.ErrInUse) {
+			return lock, err
+		}
+		if !waits {
+			logger.Warn("waiting for the data directory", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(set.Beat() / 2):
+		}
+	}
+}
+
 // openStore opens the state on disk. A disk that refuses what a start has to
 // write is tried again, with a pause; other faults need somebody's hands and are
 // returned. storage.ErrDamaged comes with a store that is empty.
--- a/internal/controlplane/store_test.go
+++ b/internal/controlplane/store_test.go
@@ -47,6 +47,26 @@
 
 // A start waits for a disk that refuses, and ends at once for faults that only
 // people can mend.
+// A control node does not touch a data directory that another process has.
+func TestADataDirectoryIsWaitedFor(t *testing.T) {
+	set := &settings.Settings{DataDir: t.TempDir(), Bounds: settings.Bounds{ContactS: 0.06}}
+	other, err := storage.LockDir(set.DataDir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := lockDisk(ctx, set, noLog); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("%v", err)
+	}
+	time.AfterFunc(20*time.Millisecond, other.Release)
+	lock, err := lockDisk(t.Context(), set, noLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lock.Release()
+}
+
 func TestOpenStore(t *testing.T) {
 	const pause = time.Millisecond
 	dir := t.TempDir()
--- a/internal/controlplane/whole_test.go
+++ b/internal/controlplane/whole_test.go
@@ -45,6 +45,8 @@
 	registry              string
 	leaveGateway          context.CancelFunc
 	gatewayDone           chan error
+	reload                chan *settings.Settings // of the gateway
+	settings              *settings.Settings
 }
 
 // newSystem runs a control node and a gateway in one zone against a stand-in for the
@@ -95,7 +97,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &system{registry: set.Bind.Directory, control: set.Bind.Control, front: set.Bind.Front, ready: set.Bind.Readiness, gatewayDone: make(chan error, 1)}
+	s := &system{registry: set.Bind.Directory, control: set.Bind.Control, front: set.Bind.Front, ready: set.Bind.Readiness, gatewayDone: make(chan error, 1),
+		reload: make(chan *settings.Settings), settings: set}
 	actx, leaveControlNode := context.WithCancel(context.Background())
 	dctx, leaveGateway := context.WithCancel(context.Background())
 	s.leaveGateway = leaveGateway
@@ -103,7 +106,7 @@
 	go func() {
 		controlNodeDone <- controlplane.Run(actx, set, controlplane.Options{Shards: 1, Relist: time.Minute}, nil)
 	}()
-	go func() { s.gatewayDone <- gateway.Run(dctx, set, gateway.Options{Shards: 1}, nil) }()
+	go func() { s.gatewayDone <- gateway.Run(dctx, set, gateway.Options{Shards: 1}, s.reload) }()
 	t.Cleanup(func() {
 		leaveGateway()
 		leaveControlNode()
@@ -236,13 +239,33 @@
 	s.until(t, 200, "DELETE", s.control+"/v1/evacuation/north", "")
 	s.until(t, 200, "POST", s.front+"/p/x", "b", "Attempt-Id", "3")
 
-	// A gateway that leaves finishes what it has in hand.
+	// A request in hand, and the connection that it came on, outlive a reload of the settings and a
+	// change of the limits.
 	done := make(chan string, 1)
-	go func() {
-		status, text := s.call(t, "POST", s.front+"/p/slow", "b", "Attempt-Id", "4")
-		done <- fmt.Sprint(status, text)
-	}()
-	<-arrived
+	inHand := func(id string) {
+		go func() {
+			status, text := s.call(t, "POST", s.front+"/p/slow", "b", "Attempt-Id", id)
+			done <- fmt.Sprint(status, text)
+		}()
+		<-arrived
+	}
+	inHand("4")
+	s.reload <- s.settings
+	s.until(t, 200, "PATCH", s.control+"/v1/config", `{"upsert":{"limits":{"generation":2,"maxHeaderBytes":9000,"maxBodyBytes":900000,"headerTimeoutS":2,"idleTimeoutS":9}}}`)
+	for i := 0; !strings.Contains(s.until(t, 200, "GET", s.control+"/v1/admin/delivery", ""), `"current": true`); i++ {
+		if i > 200 {
+			t.Fatal("the limits are never delivered")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.reload <- s.settings
+	answer <- struct{}{}
+	if got := <-done; got != "200i-1" {
+		t.Errorf("in hand during a reload: %s", got)
+	}
+
+	// A gateway that leaves finishes what it has in hand.
+	inHand("5")
 	s.leaveGateway()
 	s.until(t, 503, "GET", s.ready+"/v1/readiness", "")
 	answer <- struct{}{}
