--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -29,13 +29,16 @@
 	body     io.Reader // what the limits let through
 	hasBody  bool
 	chunked  bool
-	cut      bool        // its body was not read to the end in time
-	held     []byte      // the whole body, if it is small
-	begun    []byte      // the beginning of a body that is not
-	read     atomic.Bool // the rest of that has been read and sent on
-	poor     *result     // an error of an upstream's own that another may do better than
-	stage    stage       // how far it has come
-	sent     bool        // an upstream may have got it
+	bodyCut  bool // its body was not read to the end
+	// bufferedBody is the whole body, if it is small; bodyPrefix the beginning of one that is not,
+	// and bodySent says that the rest of that has been read and sent on.
+	bufferedBody []byte
+	bodyPrefix   []byte
+	bodySent     atomic.Bool
+	// fallback is an error of an upstream's own, passed on if no other upstream does better.
+	fallback *result
+	stage    stage // how far it has come
+	sent     bool  // an upstream may have got it
 	// reservation is the answer's place in the budget of the link.
 	reservation *Reservation
 }
--- a/internal/proxy/filters.go
+++ b/internal/proxy/filters.go
@@ -88,18 +88,18 @@
 	x.stage = stageBody
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(x.deadline)
-	held := make([]byte, 0, max(0, min(x.r.ContentLength, bodyHeld))+512)
-	buf, err := readUpTo(held, x.body, bodyHeld)
+	held := make([]byte, 0, max(0, min(x.r.ContentLength, bodyBuffered))+512)
+	buf, err := readUpTo(held, x.body, bodyBuffered)
 	_ = control.SetReadDeadline(time.Time{})
 	switch {
 	case err == io.EOF:
-		x.held = buf
+		x.bufferedBody = buf
 		return nil
 	case err == nil:
-		x.begun = buf
+		x.bodyPrefix = buf
 		return nil
 	}
-	x.cut = true
+	x.bodyCut = true
 	switch large := apierror.TooLarge(err); {
 	case large != nil:
 		return large
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -77,7 +77,7 @@
 // gateway leaves or has not read all of the request: net/http would read the rest first, and
 // hold the answer back for as long as the client waits for it.
 func (f *Handler) lastOne(x *Exchange) {
-	if f.drain.Load() || x.cut || x.begun != nil && !x.read.Load() {
+	if f.drain.Load() || x.bodyCut || x.bodyPrefix != nil && !x.bodySent.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/proxy/tries.go
+++ b/internal/proxy/tries.go
@@ -18,8 +18,8 @@
 // the answer.
 func (f *Handler) balance(x *Exchange) error {
 	err := f.try(x)
-	if err != nil && x.poor != nil {
-		f.pass(x, upstream.SlotLease{}, *x.poor)
+	if err != nil && x.fallback != nil {
+		f.pass(x, upstream.SlotLease{}, *x.fallback)
 		return nil
 	}
 	return err
@@ -40,7 +40,7 @@
 		}
 		claim := &upstream.AcquireRequest{Service: x.service, Version: arm.Version(), Priority: x.priority(), Avoid: avoid, Retry: sent > 0,
 			Regions: x.regions, Bound: x.bound, Aim: x.aim}
-		if x.route.Repeatable() && x.begun == nil && sent+1 < tries { // or else its wait is not to be cut short
+		if x.route.Repeatable() && x.bodyPrefix == nil && sent+1 < tries { // or else its wait is not to be cut short
 			claim.Hold = &upstream.WaitHandle{}
 		}
 		x.stage = stageQueue
@@ -109,7 +109,7 @@
 			return nil
 		}
 		last = keepWorse(last, err)
-		if !again || sent >= tries || x.begun != nil || time.Until(x.deadline) < x.aim/16 {
+		if !again || sent >= tries || x.bodyPrefix != nil || time.Until(x.deadline) < x.aim/16 {
 			return last
 		}
 	}
@@ -202,8 +202,8 @@
 		if r.StatusCode >= http.StatusInternalServerError {
 			how = upstream.Poor
 		}
-		if odd := f.finish(g, res, how); (odd || arm.Candidate() && how == upstream.Poor) && repeatable && x.poor == nil {
-			x.poor = &res // passed on if no other upstream does better
+		if odd := f.finish(g, res, how); (odd || arm.Candidate() && how == upstream.Poor) && repeatable && x.fallback == nil {
+			x.fallback = &res // passed on if no other upstream does better
 			return true, apierror.New(apierror.Broken, "%s answered %d", x.service, r.StatusCode)
 		}
 	}
