client: tests of calls draw no pauses at random

Its pauses were drawn at random without a seed, and 5.4 s is no middle of what they add up to (3.1 to 6.3 s, in the middle 4.695), so that some two in a hundred runs fell out of its bounds. The tests now take the middle of each pause, the bounds are 2 % and 5 ms in place of 25 % and 100 ms, and the range of a pause has a test of its own.

--- a/client/call.go
+++ b/client/call.go
@@ -266,9 +266,12 @@
 	return pause
 }
 
+// randomBelow draws a duration from 0 up to, but not including, a limit. Tests put a fixed one in its place.
+var randomBelow = func(limit time.Duration) time.Duration { return mathrand.N(limit) }
+
 // jitter takes a random part of up to a half off a pause, so that callers spread out.
 func jitter(pause time.Duration) time.Duration {
-	return pause - mathrand.N(pause/2+1)
+	return pause - randomBelow(pause/2+1)
 }
 
 // sleep waits, or returns the context's error.
--- a/client/call_test.go
+++ b/client/call_test.go
@@ -8,6 +8,28 @@
 	"time"
 )
 
+// The times that the tests of this package expect are those of pauses in the middle of their range.
+func init() {
+	randomBelow = func(limit time.Duration) time.Duration { return limit / 2 }
+}
+
+// A pause keeps at least a half of its length.
+func TestJitter(t *testing.T) {
+	usual := randomBelow
+	defer func() { randomBelow = usual }()
+	for _, c := range []struct{ pause, drawn, want time.Duration }{{100, 0, 100}, {100, 50, 50}, {1, 0, 1}} {
+		randomBelow = func(limit time.Duration) time.Duration {
+			if c.drawn >= limit {
+				t.Errorf("%d is not below %d", c.drawn, limit)
+			}
+			return c.drawn
+		}
+		if got := jitter(c.pause); got != c.want {
+			t.Errorf("%d of %d with %d drawn", got, c.pause, c.drawn)
+		}
+	}
+}
+
 // Each call goes on to another node where the answer allows it, and only there.
 func TestCallsGoOnToOtherNodes(t *testing.T) {
 	draw := func(c *Client, ctx context.Context) error { _, err := c.Counter("n").Next(ctx); return err }
@@ -43,7 +65,7 @@
 		"a put isn't repeated for long": {put, all(fault{answerStatus: 502}), "*", "unclear", 4600 * time.Millisecond},
 		"a put whose connection breaks": {put, all(fault{reset: true}), "*", "unclear", 4600 * time.Millisecond},
 		"a put that was never sent goes on": {put, append(all(fault{refuseConnection: true})[:10], fault{status: 503}), "*", "<nil>",
-			5400 * time.Millisecond},
+			4695 * time.Millisecond},
 		"no node at all":      {draw, all(fault{status: 503}), "*", "unavailable", 8 * time.Second},
 		"no clear answer":     {draw, all(fault{answerStatus: 504}), "*", "unclear", 8 * time.Second},
 		"a read is never so":  {get, all(fault{answerStatus: 504}), "*", "unavailable", 8 * time.Second},
@@ -64,7 +86,7 @@
 				if got := s.hosts(); c.hosts != "*" && got != c.hosts {
 					t.Errorf("asked %s, want %s", got, c.hosts)
 				}
-				if slack := 100*time.Millisecond + c.after/4; took < c.after-slack || took > c.after+slack {
+				if slack := 5*time.Millisecond + c.after/50; took < c.after-slack || took > c.after+slack {
 					t.Errorf("took %v, want about %v", took, c.after)
 				}
 				if isDeadline := c.after == 8*time.Second; isDeadline != errors.Is(err, context.DeadlineExceeded) {
