--- a/internal/controlplane/coordination.go
+++ b/internal/controlplane/coordination.go
@@ -152,14 +152,14 @@
 	}
 }
 
-// pauseFor waits, unless the caller leaves.
-func pauseFor(caller context.Context, pause time.Duration) (stays bool) {
+// pauseFor waits, and says whether ctx still stands then; it waits no longer than that.
+func pauseFor(ctx context.Context, pause time.Duration) bool {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return caller.Err() == nil
-	case <-caller.Done():
+		return ctx.Err() == nil
+	case <-ctx.Done():
 		return false
 	}
 }
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -26,10 +26,8 @@
 		if !waits {
 			logger.Warn("waiting for the data directory", "error", err)
 		}
-		select {
-		case <-ctx.Done():
+		if !pauseFor(ctx, set.Beat()/2) {
 			return nil, ctx.Err()
-		case <-time.After(set.Beat() / 2):
 		}
 	}
 }
@@ -52,10 +50,8 @@
 			logger.Warn("state not durable yet, trying again", "error", err)
 			last = err.Error()
 		}
-		select {
-		case <-ctx.Done():
+		if !pauseFor(ctx, set.Beat()/2) {
 			return nil, nil, ctx.Err()
-		case <-time.After(set.Beat() / 2):
 		}
 	}
 }
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -78,6 +78,9 @@
 	})
 }
 
+// submitFunc is orderController.submit, for controllers that give orders.
+type submitFunc func(caller context.Context, o order) ([]byte, error)
+
 // submit brings an order to the owner of its key, wherever that is now, and
 // waits a little where there is none. Once the caller has left, which caller says, it is not sent
 // again: an order that came into force then could undo one that its operator gave since. An
--- a/internal/controlplane/placement.go
+++ b/internal/controlplane/placement.go
@@ -16,13 +16,13 @@
 type placementController struct {
 	*environment
 	configuration *configuration
-	submit        func(caller context.Context, o order) ([]byte, error)
+	submit        submitFunc
 
 	scheduler placement.Scheduler
 	pending   bool // routes, shards or the duty have changed since the last look
 }
 
-func newPlacementController(env *environment, shown *configuration, submit func(caller context.Context, o order) ([]byte, error)) *placementController {
+func newPlacementController(env *environment, shown *configuration, submit submitFunc) *placementController {
 	c := &placementController{environment: env, configuration: shown, submit: submit}
 	c.scheduler = placement.Scheduler{Strategy: &placement.RoundRobin{}, Relist: env.opt.Relist, Pause: 2 * env.set.Beat(), Create: c.bind}
 	return c
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -21,7 +21,7 @@
 	*environment
 	configuration *configuration
 	list          *listController
-	submit        func(caller context.Context, o order) ([]byte, error)
+	submit        submitFunc
 	loads         func() upstream.Loads // of all gateways
 
 	controller *rollout.Controller        // rollouts, as this control node sees them
@@ -30,7 +30,7 @@
 	waitsAt    time.Duration              // when a rollout that waits may be logged again
 }
 
-func newRolloutController(env *environment, shown *configuration, list *listController, submit func(caller context.Context, o order) ([]byte, error)) *rolloutController {
+func newRolloutController(env *environment, shown *configuration, list *listController, submit submitFunc) *rolloutController {
 	return &rolloutController{environment: env, configuration: shown, list: list, submit: submit, controller: rollout.NewController()}
 }
 
