--- a/tools/days/days_test.go
+++ b/tools/days/days_test.go
@@ -125,3 +125,26 @@
 		t.Errorf("only %d removals were drawn", removals)
 	}
 }
+
+// Days of the profile leavers have clients that leave and slow upstreams, beside other kinds.
+func TestLeavers(t *testing.T) {
+	sp := parseKinds("give_up: share of the clients leave within x ms\nsrv_slow: share (.15) work x (4) times as long\nstop: stops\n")
+	p := profiles[slices.IndexFunc(profiles, func(p profile) bool { return p.name == "leavers" })]
+	shares := map[float64]bool{}
+	for seed := range uint64(20) {
+		d := drawDay(site{}, sp, p, seed)
+		count := map[any]int{}
+		for _, e := range slices.Concat(d.Plan, d.Faults) {
+			count[e["kind"]]++
+			if e["kind"] == "give_up" && e["share"] != nil {
+				shares[e.number("share")] = true
+			}
+		}
+		if count["give_up"] < 3 || count["srv_slow"] < 2 {
+			t.Errorf("%s: %v", d.Name, count)
+		}
+	}
+	if len(shares) < 20 {
+		t.Errorf("only %d shares of clients that leave", len(shares))
+	}
+}
--- a/tools/days/main.go
+++ b/tools/days/main.go
@@ -20,7 +20,7 @@
 	siteFile = flag.String("site", "", "site file")
 	bench    = flag.String("bench", "", "the program fleetbench")
 	out      = flag.String("out", "", "directory for the day files")
-	which    = flag.String("profile", "all", "long-cuts, storms, replacements, closing, mixed, or all in turn")
+	which    = flag.String("profile", "all", "long-cuts, storms, replacements, closing, mixed, leavers, or all in turn")
 	seed     = flag.Uint64("seed", 1, "seed of the first day; each further day adds one")
 	count    = flag.Int("count", 5, "number of days")
 	length   = flag.Float64("length", 0, "length of a day in seconds (default 45; long-cuts 60)")
