--- a/review/_stand/evacuations.go
+++ b/review/_stand/evacuations.go
@@ -25,7 +25,7 @@
 		unable("the first configuration is not taken")
 	}
 	time.Sleep(3 * time.Second)
-	before := load(ctx, f, "before", 25, 15*time.Second)
+	before := load(ctx, f.nodes, "before", 25, 15*time.Second)
 	if served(before) < len(before)*9/10 {
 		unable("the fleet does not serve")
 	}
@@ -48,7 +48,7 @@
 		}
 		time.Sleep(time.Second)
 	}
-	between := load(ctx, f, "between", 25, 4*time.Second)
+	between := load(ctx, f.nodes, "between", 25, 4*time.Second)
 	all := append(before, between...)
 	if served(all) < len(all)/4 {
 		unable("less than a quarter was served before the closing fault")
@@ -60,7 +60,7 @@
 	time.Sleep(time.Second)
 	f.startAll(false)
 	time.Sleep(15 * time.Second) // recoveryS
-	after := load(ctx, f, "after", 25, 8*time.Second)
+	after := load(ctx, f.nodes, "after", 25, 8*time.Second)
 	note("%d of %d requests were served that were sent later than recoveryS after the machines were back", served(after), len(after))
 	return served(after) < len(after)/4
 }
--- a/review/_stand/fleet.go
+++ b/review/_stand/fleet.go
@@ -96,9 +96,11 @@
 	dir, prefix string
 	nodes       []*node
 	platform    string // its address without the port
-	moreBounds  string
-	mu          sync.Mutex
-	all         []*exec.Cmd
+	// platformAt gives the address at which a machine reaches the platform, where that is another.
+	platformAt func(n *node) string
+	moreBounds string
+	mu         sync.Mutex
+	all        []*exec.Cmd
 }
 
 // newFleet lays out four machines, one a zone, on loopback addresses whose ports are free.
@@ -148,7 +150,11 @@
 	data := filepath.Join(f.dir, n.zone, "data")
 	must(os.MkdirAll(data, 0o700))
 	path := filepath.Join(f.dir, n.zone, role+".toml")
-	text := fmt.Sprintf(settingsText, n.zone, n.ip, 7660, 7675, f.seeds(), bootstrap, data, f.platform, role, serves[role], f.moreBounds)
+	platform := f.platform
+	if f.platformAt != nil {
+		platform = f.platformAt(n)
+	}
+	text := fmt.Sprintf(settingsText, n.zone, n.ip, 7660, 7675, f.seeds(), bootstrap, data, platform, role, serves[role], f.moreBounds)
 	must(os.WriteFile(path, []byte(text), 0o600))
 	cmd := exec.Command("target/madderwing", role)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MADDERWING_SETTINGS=" + path}
--- a/review/_stand/founding.go
+++ b/review/_stand/founding.go
@@ -45,7 +45,7 @@
 	taken := operate(ctx, addresses, "PATCH", "/v1/config", firstConfiguration, 40*time.Second)
 	note("the first configuration was acknowledged: %v", taken)
 	time.Sleep(4 * time.Second)
-	n := served(load(ctx, f, "after", 20, 5*time.Second))
+	n := served(load(ctx, f.nodes, "after", 20, 5*time.Second))
 	note("%d requests were served", n)
 	return !taken && n == 0
 }
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -29,7 +30,7 @@
 	mu    sync.Mutex
 	list  []map[string]any
 	ran   map[string]int    // runs by attempt
-	where map[string]string // the zone of the upstream that ran an attempt
+	where map[string]string // the upstream that ran an attempt
 	at    map[string]time.Time
 }
 
@@ -43,7 +44,7 @@
 			must(err)
 			w.list = append(w.list, map[string]any{"id": id, "target": "booking", "address": l.Addr().String(), "zone": z,
 				"generation": "v1", "capacity": 6, "state": "ready", "warmupLeftS": 0})
-			go func() { _ = http.Serve(l, w.upstream(id, z)) }()
+			go func() { _ = http.Serve(l, w.upstream(id)) }()
 		}
 	}
 	l, err := net.Listen("tcp4", f.platform+":8142")
@@ -54,14 +55,17 @@
 				rw.WriteHeader(http.StatusNotFound)
 				return
 			}
+			w.mu.Lock()
+			text, _ := json.Marshal(map[string]any{"instances": w.list, "nextToken": nil})
+			w.mu.Unlock()
 			rw.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(rw).Encode(map[string]any{"instances": w.list, "nextToken": nil})
+			_, _ = rw.Write(text)
 		}))
 	}()
 	return w
 }
 
-func (w *world) upstream(id, zone string) http.Handler {
+func (w *world) upstream(id string) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		h, attempt := rw.Header(), r.Header.Get("Attempt-Id")
 		h.Set("Instance-Id", id)
@@ -78,7 +82,7 @@
 		}
 		w.mu.Lock()
 		w.ran[attempt]++
-		w.where[attempt] = zone
+		w.where[attempt] = id
 		w.at[attempt] = time.Now()
 		w.mu.Unlock()
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -89,6 +93,19 @@
 	})
 }
 
+// drain has the platform's list show an upstream as draining.
+func (w *world) drain(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, u := range w.list {
+		if u["id"] == id {
+			u = maps.Clone(u)
+			u["state"] = "draining"
+			w.list[i] = u
+		}
+	}
+}
+
 // answered is one request and what came of it.
 type answered struct {
 	id     string
@@ -121,8 +138,8 @@
 var oneCall = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 
-// load sends requests to all machines in turn for a time, and returns what came of them.
-func load(ctx context.Context, f *fleet, name string, perS int, span time.Duration) (out []answered) {
+// load sends requests to machines in turn for a time, and returns what came of them.
+func load(ctx context.Context, nodes []*node, name string, perS int, span time.Duration) (out []answered) {
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	tick := time.NewTicker(time.Second / time.Duration(perS))
@@ -132,7 +149,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			a := ask(ctx, f.nodes[i%len(f.nodes)], fmt.Sprintf("%s-%d", name, i))
+			a := ask(ctx, nodes[i%len(nodes)], fmt.Sprintf("%s-%d", name, i))
 			mu.Lock()
 			out = append(out, a)
 			mu.Unlock()
