--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -24,11 +24,15 @@
 	cleanUp  = func() {}
 )
 
-// note writes a line into the record.
+// note writes a line into the record, with the time.
 func note(format string, args ...any) {
+	line("%8.3f  %s", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func line(format string, args ...any) {
 	recordMu.Lock()
 	defer recordMu.Unlock()
-	fmt.Fprintf(record, "%8.3f  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(record, format+"\n", args...)
 }
 
 func unable(why string) {
@@ -65,6 +69,9 @@
 	broken := cases[os.Args[1]](ctx, f, trouble)
 	late := ctx.Err() != nil
 	f.end()
+	if played != nil {
+		played.listRequests()
+	}
 	switch {
 	case late:
 		note("not done in time")
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +35,9 @@
 	at    map[string]time.Time
 }
 
+// played is the world of this run.
+var played *world
+
 // newWorld serves the platform's list and two upstreams in each zone.
 func newWorld(f *fleet) *world {
 	w := &world{ran: map[string]int{}, where: map[string]string{}, at: map[string]time.Time{}}
@@ -47,6 +51,7 @@
 			go func() { _ = http.Serve(l, w.upstream(id)) }()
 		}
 	}
+	played = w
 	l, err := net.Listen("tcp4", f.platform+":8142")
 	must(err)
 	go func() {
@@ -109,13 +114,36 @@
 // answered is one request and what came of it.
 type answered struct {
 	id     string
+	to     string // the zone of the machine
 	sent   time.Time
 	status int // 0: no answer
 }
 
+// requests are all that were sent, for the record.
+var (
+	requestsMu sync.Mutex
+	requests   []answered
+)
+
+// listRequests writes every request into the record: what was sent, answered and run.
+func (w *world) listRequests() {
+	requestsMu.Lock()
+	defer requestsMu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	slices.SortFunc(requests, func(a, b answered) int { return a.sent.Compare(b.sent) })
+	for _, a := range requests {
+		ran := "did not run"
+		if n := w.ran[a.id]; n > 0 {
+			ran = fmt.Sprintf("ran %d time(s), at %s at %.3f", n, w.where[a.id], w.at[a.id].Sub(began).Seconds())
+		}
+		line("%8.3f  request %s to %s: %d; %s", a.sent.Sub(began).Seconds(), a.id, a.to, a.status, ran)
+	}
+}
+
 // ask sends one request of a client to a machine, each on a connection of its own.
 func ask(ctx context.Context, n *node, id string) answered {
-	a := answered{id: id, sent: time.Now()}
+	a := answered{id: id, to: n.zone, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+n.front()+"/lookup/"+id, nil)
@@ -156,6 +184,9 @@
 		}()
 	}
 	all.Wait()
+	requestsMu.Lock()
+	requests = append(requests, out...)
+	requestsMu.Unlock()
 	count := map[int]int{}
 	for _, a := range out {
 		count[a.status]++
