storage: the test of a store that gives up compiles on arm64

Cause: syscall.Dup2 is not there on linux/arm64, so no test of internal/storage ran on that machine.

Change: Dup3 without flags, which both kinds of machine have. It does what Dup2 did: the two descriptors are never the same here (the pipe is opened a line above), the only case in which they differ.

Measured: go vet and the package's tests pass on arm64; go vet for amd64 (cross-compiled) passes.

--- a/internal/storage/refused_test.go
+++ b/internal/storage/refused_test.go
@@ -70,7 +70,7 @@
 	pipe := fullPipe(t)
 	for _, fd := range descriptors(t, file(t, f.dir)) {
 		if fd != int(l.file.Fd()) {
-			if err := syscall.Dup2(pipe, fd); err != nil {
+			if err := syscall.Dup3(pipe, fd, 0); err != nil {
 				t.Fatal(err)
 			}
 		}
