Logs tell who carried out which evacuation order, and when gateways act on it

Cause: the record of the incident names no order at its owner and no moment at a gateway, so the hypotheses can't be told apart.

Change: the owner logs each evacuation order that it has carried out: number, the control node that took it, age, whether it was taken for a repeat, and the generation of the zone's record before and after. A gateway logs each change of the evacuations in force with their generations, and the node that took an order logs its caller. No decision changes.

Measured: tests of controlplane and gateway pass.

--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -100,7 +100,7 @@
 		if _, err := n.orders.submit(r.Context(), order{Key: config.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
 			return nil, err
 		}
-		n.log.control.Info("evacuation changed", "zone", zone, "evacuated", on)
+		n.log.control.Info("evacuation changed", "zone", zone, "evacuated", on, "caller", r.RemoteAddr)
 		return ok, nil
 	case path == "/v1/rollouts" || strings.HasPrefix(path, "/v1/rollouts/"):
 		return n.rollouts.serve(r, strings.TrimPrefix(strings.TrimPrefix(path, "/v1/rollouts"), "/"))
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -68,13 +68,13 @@
 
 // handle takes the orders that other control nodes pass on.
 func (c *orderController) handle() {
-	c.post.HandleSlow(orderKind, func(_ string, body []byte) (any, error) {
+	c.post.HandleSlow(orderKind, func(from string, body []byte) (any, error) {
 		var o order
 		if err := cbor.Unmarshal(body, &o); err != nil {
 			c.post.Undecoded.Add(1)
 			return nil, err
 		}
-		return c.own(o), nil
+		return c.own(from, o), nil
 	})
 }
 
@@ -104,7 +104,7 @@
 		case to == "":
 			v = verdict{true, apierror.NoQuorum, "no owner for " + o.Key, nil}
 		case to == c.post.Self():
-			v = c.own(o)
+			v = c.own(to, o)
 		default:
 			ctx, cancel := context.WithDeadline(context.Background(), limit)
 			if err := c.post.Call(ctx, to, orderKind, o, &v); err != nil {
@@ -122,9 +122,9 @@
 	}
 }
 
-// own carries an order out at this control node as the owner of its key.
-func (c *orderController) own(o order) verdict {
-	t, err := c.task(o)
+// own carries out, as the owner of its key, an order that this control node or another took.
+func (c *orderController) own(via string, o order) verdict {
+	t, err := c.task(via, o)
 	if err != nil {
 		return fault(err)
 	}
--- a/internal/controlplane/orders_test.go
+++ b/internal/controlplane/orders_test.go
@@ -29,7 +29,7 @@
 		task  task
 	}{
 		"a change":          {order{Patch: []byte(items)}, "025842" + hex.EncodeToString([]byte(items)), &patchTask{}},
-		"an evacuation":     {order{Evacuate: &on, ID: 9}, "03f50809", evacuationTask{}},
+		"an evacuation":     {order{Evacuate: &on, ID: 9}, "03f50809", &evacuationTask{}},
 		"bindings":          {order{Bind: []placement.Order{{}}}, "", &bindTask{}},
 		"a read":            {order{Read: true}, "05f5", &questionTask{}},
 		"a plan":            {order{Plan: []byte(items)}, "075842" + hex.EncodeToString([]byte(items)), &planTask{}},
@@ -54,13 +54,13 @@
 			t.Fatal(err)
 		}
 		for _, at := range []order{c.order, o} {
-			task, err := (&orderController{}).task(at)
+			task, err := (&orderController{}).task("n", at)
 			if err != nil || reflect.TypeOf(task) != reflect.TypeOf(c.task) {
 				t.Errorf("%s: %T, %v", name, task, err)
 			}
 		}
 	}
-	if _, err := (&orderController{}).task(order{Patch: []byte("{")}); err == nil {
+	if _, err := (&orderController{}).task("n", order{Patch: []byte("{")}); err == nil {
 		t.Error("a change that cannot be read is taken")
 	}
 }
--- a/internal/controlplane/rollout_calls_test.go
+++ b/internal/controlplane/rollout_calls_test.go
@@ -49,7 +49,7 @@
 			if err := cbor.Unmarshal(sent, &came); err != nil {
 				t.Fatal(err)
 			}
-			work, err := orders.task(came)
+			work, err := orders.task("n", came)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/controlplane/tasks.go
+++ b/internal/controlplane/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 	"time"
 
@@ -27,8 +28,8 @@
 	finish(came, now time.Duration, answer func(verdict))
 }
 
-// task is the one that an order stands for.
-func (c *orderController) task(o order) (task, error) {
+// task is the one that an order stands for, which another control node or this one took.
+func (c *orderController) task(via string, o order) (task, error) {
 	service := strings.TrimPrefix(o.Key, rollout.Prefix)
 	switch {
 	case len(o.Plan) > 0:
@@ -38,7 +39,7 @@
 		change, err := config.Read(o.Patch)
 		return &patchTask{orders: c, asked: change}, err
 	case o.Evacuate != nil:
-		return evacuationTask{evacuations: c.evacuations, order: o}, nil
+		return &evacuationTask{orders: c, order: o, via: via}, nil
 	case o.Bind != nil:
 		return &bindTask{bindings: o.Bind, refused: make([]bool, len(o.Bind))}, nil
 	case o.Rollout != nil:
@@ -149,21 +150,38 @@
 
 // evacuationTask orders or withdraws the evacuation of a zone.
 type evacuationTask struct {
-	evacuations *evacuations
-	order       order
+	orders *orderController
+	order  order
+	via    string // the control node that took the order
+
+	before, after uint64 // generations of the zone's record
+	repeat        bool
 }
 
-func (t evacuationTask) change(came time.Duration, have records) ([]replication.Record, error) {
-	o := t.order
-	t.evacuations.begins(o)
-	return config.Evacuation(have, strings.TrimPrefix(o.Key, config.EvacuationPrefix), *o.Evacuate, o.ID, t.evacuations.repeats(came, o))
+func (t *evacuationTask) change(came time.Duration, have records) ([]replication.Record, error) {
+	o, evacuations := t.order, t.orders.evacuations
+	evacuations.begins(o)
+	t.repeat = evacuations.repeats(came, o)
+	t.before = have[o.Key].Gen
+	t.after = t.before
+	changes, err := config.Evacuation(have, strings.TrimPrefix(o.Key, config.EvacuationPrefix), *o.Evacuate, o.ID, t.repeat)
+	if len(changes) > 0 {
+		t.after = changes[0].Gen
+	}
+	return changes, err
 }
 
-func (t evacuationTask) finish(came, now time.Duration, answer func(verdict)) {
-	t.evacuations.carriedOut(came, now, t.order)
+func (t *evacuationTask) finish(came, now time.Duration, answer func(verdict)) {
+	t.orders.evacuations.carriedOut(came, now, t.order)
+	t.orders.log.control.Info("evacuation order carried out", "zone", strings.TrimPrefix(t.order.Key, config.EvacuationPrefix),
+		"evacuate", *t.order.Evacuate, "order", orderName(t.order.ID), "via", t.via, "ageMs", (t.order.Age + now - came).Milliseconds(),
+		"repeat", t.repeat, "generationBefore", t.before, "generation", t.after)
 	answer(verdict{})
 }
 
+// orderName is the number of an order as logs show it.
+func orderName(id uint64) string { return strconv.FormatUint(id, 16) }
+
 // bindTask creates bindings of routes to shards, and says of each whether it was refused.
 type bindTask struct {
 	bindings []placement.Order
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,8 @@
 	// Owned by read's goroutine.
 	rest   string // the control node that has more for this gateway
 	behind bool   // items have come that are not in force yet
+
+	evacuations map[string]uint64 // in force: zone -> generation
 }
 
 // Run serves until ctx ends, then leaves in order.
@@ -307,10 +310,7 @@
 	for name, s := range t.Services {
 		infos[name] = upstream.ServiceInfo{MaxConns: s.MaxConns, HealthPath: s.HealthPath, WarmupS: s.WarmupS, WarmupPerS: s.WarmupPerS}
 	}
-	evacuated := map[string]bool{}
-	for z := range t.Evacuated {
-		evacuated[z] = true
-	}
+	evacuated := d.evacuated(t)
 	bound := t.Placements()
 	versions := map[string]upstream.Versions{}
 	for name, v := range t.Versions {
@@ -332,6 +332,20 @@
 	d.ready.known.Store(t.Known)
 }
 
+// evacuated names the zones that nothing may be sent to, and logs a change of them with the
+// generations that it comes from.
+func (d *Gateway) evacuated(t *config.Table) map[string]bool {
+	if !maps.Equal(t.Evacuated, d.evacuations) {
+		d.log.Info("evacuations in force", "generationByZone", t.Evacuated)
+		d.evacuations = t.Evacuated
+	}
+	zones := map[string]bool{}
+	for zone := range t.Evacuated {
+		zones[zone] = true
+	}
+	return zones
+}
+
 // scoresABeat is how often in a beat a gateway tells what it has seen of rollouts.
 const scoresABeat = 4
 
