EVAC: an order that waited in a stopped control node undoes nothing any more

What callers saw: a zone was evacuated and acknowledged, and gateways sent to it again, without a withdrawal.

Cause: an order of evacuation was carried out on whatever state it met. One that had waited in a control node that stood still (in the kernel's buffers, in the process, or on its way to an owner) was carried out when that node woke, though its operator had gone on to another node, which had acknowledged it, and had given a new evacuation since. Class: a write without a condition, from a caller that may have moved on.

Change: an order rests on the generation of the zone's record that the control node which took it knew when the order came, and the owner refuses it (503, the operator may ask again) on any other. Whatever waits after that moment, at either node or between them, is dead once another order has been carried out. What waited before it is found by asking the kernel how long it has had the newest bytes of the connection (TCP_INFO), with the watch for stalls that coordination had (stalls.go) where the kernel doesn't tell: more than a fifth of the second that a caller waits, and the order is refused. An order that comes from an earlier release names no generation and is carried out as before.

Why it works: a generation that a node knew no later than a fifth of a second after the order came can't be that of a state that its operator made after waiting for a second.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -53,6 +53,7 @@
 	HistoryGone          // a watch from a revision whose history is no longer kept
 	MaybeRepeated        // an order that may be one sent again that was carried out
 	ClientLeft           // the client left while an upstream was at work on the request, which was ended
+	Outdated             // an order that is, or may be, older than one that was carried out
 )
 
 // Answer is what a kind is answered with. NotRun says that the answer promises
@@ -101,6 +102,7 @@
 	HistoryGone:     {http.StatusGone, true, "history no longer kept"},
 	MaybeRepeated:   {http.StatusServiceUnavailable, false, "perhaps an order sent again"},
 	ClientLeft:      {http.StatusBadGateway, false, "client left"},
+	Outdated:        {http.StatusServiceUnavailable, true, "outdated order"},
 }
 
 // Error is an error of a kind, with what is to be told about it.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -259,7 +259,7 @@
 		{false, false, false}, // the second is withdrawn
 		{false, false, false}, {true, true, true}, {false, false, false},
 	} {
-		changes, err := Evacuation(have, "z", c.on, uint64(i+1), c.repeat)
+		changes, err := Evacuation(have, EvacuationOrder{Zone: "z", Evacuate: c.on, ID: uint64(i + 1), Repeat: c.repeat})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -270,12 +270,44 @@
 			t.Fatalf("step %d: %+v", i, r)
 		}
 		// Another owner that is passed the same call knows it from the record.
-		if again, err := Evacuation(have, "z", c.on, uint64(i+1), false); len(changes) > 0 && len(again) > 0 || err != nil {
+		if again, err := Evacuation(have, EvacuationOrder{Zone: "z", Evacuate: c.on, ID: uint64(i + 1)}); len(changes) > 0 && len(again) > 0 || err != nil {
 			t.Fatalf("step %d was carried out twice: %+v", i, again)
 		}
 	}
 }
 
+func TestAnOrderOnAnOlderStateIsRefused(t *testing.T) {
+	have := map[string]Record{}
+	basis := func(generation uint64) *uint64 { return &generation }
+	for i, c := range []struct {
+		order     EvacuationOrder
+		refused   bool
+		evacuated bool
+	}{
+		{EvacuationOrder{Evacuate: true, ID: 1, Basis: basis(0)}, false, true},
+		{EvacuationOrder{Evacuate: true, ID: 1, Basis: basis(0)}, false, true}, // passed on again
+		{EvacuationOrder{ID: 2, Basis: basis(1)}, false, false},
+		{EvacuationOrder{Evacuate: true, ID: 3, Basis: basis(2)}, false, true},
+		{EvacuationOrder{ID: 4, Basis: basis(1)}, true, true}, // a withdrawal of the first evacuation, late
+		{EvacuationOrder{ID: 4, Basis: basis(4)}, true, true},
+		{EvacuationOrder{ID: 5, Basis: basis(3)}, false, false},
+		{EvacuationOrder{Evacuate: true, ID: 6, Basis: basis(3)}, true, false}, // an evacuation, late
+		{EvacuationOrder{Evacuate: true, ID: 7}, false, true},                  // an earlier release tells no basis
+	} {
+		c.order.Zone = "z"
+		changes, err := Evacuation(have, c.order)
+		if refused := apierror.KindOf(err) == apierror.Outdated && err != nil; refused != c.refused {
+			t.Fatalf("step %d: %v", i, err)
+		}
+		for _, r := range changes {
+			have[r.Name] = r
+		}
+		if have["evacuation/z"].Dropped == c.evacuated {
+			t.Fatalf("step %d: %+v", i, have)
+		}
+	}
+}
+
 // A split gives each of its services its share of the requests, and one without a share none.
 func TestSplitsKeepTheirShares(t *testing.T) {
 	r := Route{Split: []Share{{Target: "a", Share: 90}, {Target: "none", Share: 0}, {Target: "b", Share: 6}, {Target: "c", Share: 4}, {Target: "last", Share: 0}}}
--- a/internal/config/evacuation.go
+++ b/internal/config/evacuation.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"slices"
+
+	"madderwing/internal/apierror"
 )
 
 // This file holds the records of evacuated zones.
@@ -14,31 +16,46 @@
 // be under way at once.
 const askOrders = 8
 
+// EvacuationOrder is an order of an operator's on a zone.
+type EvacuationOrder struct {
+	Zone     string
+	Evacuate bool // else it withdraws an evacuation
+	// ID names the order, however often and by whom it is passed on.
+	ID uint64
+	// Basis is the generation of the zone's record on which the order rests; nil: not told.
+	Basis *uint64
+	// Repeat says that the order may be an earlier one that its operator sends again.
+	Repeat bool
+}
+
 // Evacuation works out the change of a zone's evacuation record. An evacuation
-// may be asked for more than once, and each withdrawal takes back one ask. id names
-// the order, however often and by whom it is passed on: one that the record names
-// has been carried out. repeat says that the order may be an earlier one that its
-// operator sends again; it then counts only if the zone is not yet as it asks.
-func Evacuation(have map[string]Record, zone string, on bool, id uint64, repeat bool) ([]Record, error) {
-	name := EvacuationPrefix + zone
+// may be asked for more than once, and each withdrawal takes back one ask. An order
+// that the record names has been carried out; one that may be a repeat counts only if the
+// zone is not yet as it asks. An order that rests on another generation than the
+// record's is older than one that was carried out, and is refused.
+func Evacuation(have map[string]Record, o EvacuationOrder) ([]Record, error) {
+	name := EvacuationPrefix + o.Zone
 	old := have[name]
 	asks, orders := readAsks(old)
-	if slices.Contains(orders, id) {
+	if slices.Contains(orders, o.ID) {
 		return nil, nil
 	}
+	if o.Basis != nil && *o.Basis != old.Gen {
+		return nil, apierror.New(apierror.Outdated, "zone %s is at generation %d, the order rests on %d", o.Zone, old.Gen, *o.Basis)
+	}
 	switch {
-	case on && (asks == 0 || !repeat):
+	case o.Evacuate && (asks == 0 || !o.Repeat):
 		asks++
-	case !on && asks > 0 && !repeat:
+	case !o.Evacuate && asks > 0 && !o.Repeat:
 		asks--
 	default:
 		return nil, nil
 	}
-	orders = append(orders, id)
+	orders = append(orders, o.ID)
 	orders = orders[max(0, len(orders)-askOrders):]
 	r := Record{Name: name, Gen: old.Gen + 1, Dropped: asks == 0, Data: binary.AppendUvarint(nil, asks)}
-	for _, o := range orders {
-		r.Data = binary.LittleEndian.AppendUint64(r.Data, o)
+	for _, id := range orders {
+		r.Data = binary.LittleEndian.AppendUint64(r.Data, id)
 	}
 	return []Record{r}, nil
 }
--- a/internal/config/numbers_test.go
+++ b/internal/config/numbers_test.go
@@ -242,7 +242,7 @@
 func TestAnEvacuationPassedOnAfterSevenOthers(t *testing.T) {
 	have := map[string]Record{}
 	ask := func(on bool, id uint64) (changed bool) {
-		changes, err := Evacuation(have, "z", on, id, false)
+		changes, err := Evacuation(have, EvacuationOrder{Zone: "z", Evacuate: on, ID: id})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/controlplane/control.go
+++ b/internal/controlplane/control.go
@@ -85,23 +85,7 @@
 		}
 		return nil, apierror.New(apierror.WrongMethod, "%s on %s", r.Method, path)
 	case strings.HasPrefix(path, "/v1/evacuation/"):
-		zone := strings.TrimPrefix(path, "/v1/evacuation/")
-		on := r.Method == http.MethodPost
-		if !on && r.Method != http.MethodDelete {
-			return nil, apierror.New(apierror.WrongMethod, "%s on %s", r.Method, path)
-		}
-		if !zones[zone] {
-			// A no rests on a majority's word as a yes does.
-			if _, err := n.orders.submit(r.Context(), order{Key: config.Key}); err != nil {
-				return nil, err
-			}
-			return nil, apierror.New(apierror.UnknownZone, "%q", zone)
-		}
-		if _, err := n.orders.submit(r.Context(), order{Key: config.EvacuationPrefix + zone, Evacuate: &on}); err != nil {
-			return nil, err
-		}
-		n.log.control.Info("evacuation changed", "zone", zone, "evacuated", on, "caller", r.RemoteAddr)
-		return ok, nil
+		return ok, n.evacuate(r, strings.TrimPrefix(path, "/v1/evacuation/"), zones)
 	case path == "/v1/rollouts" || strings.HasPrefix(path, "/v1/rollouts/"):
 		return n.rollouts.serve(r, strings.TrimPrefix(strings.TrimPrefix(path, "/v1/rollouts"), "/"))
 	case path == "/metrics" && r.Method == http.MethodGet:
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -123,6 +123,7 @@
 	env := &environment{set: set, opt: opt, post: post, start: time.Now(), life: rand.Uint64() | 1,
 		contact:  newContact(settings.Seconds(set.Bounds.ContactS*contactPart), keys),
 		commands: make(chan func(time.Duration), commandQueue), log: newLoggers()}
+	env.stalls = &stallDetector{clock: env.now}
 	n := &Node{environment: env, configuration: newConfiguration(), writes: newJobs(), zones: zones,
 		evacuations: newEvacuations(settings.Seconds(set.Bounds.AckS))}
 	if set.HasRegistry() {
@@ -217,7 +218,7 @@
 	go n.reg.Run()
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() { n.pump(stop); close(stopped) }()
-	go n.coordination.watchdog(stop)
+	go n.stalls.watch(stop)
 
 	failed := make(chan error, 2)
 	control := n.server(n.set.Bind.Control, n.control(n.zones))
@@ -247,7 +248,7 @@
 
 // server serves clients or operators at an address.
 func (n *Node) server(address string, handler http.Handler) *http.Server {
-	return &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: settings.Seconds(n.set.Bounds.ContactS),
+	return &http.Server{Addr: address, Handler: handler, ConnContext: withConnection, ReadHeaderTimeout: settings.Seconds(n.set.Bounds.ContactS),
 		IdleTimeout: settings.Seconds(4 * n.set.Bounds.ContactS), ErrorLog: slog.NewLogLogger(n.log.control.Handler(), slog.LevelWarn)}
 }
 
--- a/internal/controlplane/coordination.go
+++ b/internal/controlplane/coordination.go
@@ -26,20 +26,11 @@
 // has an answer, forwarding included. A call begins at the owner within beginLimit, and the
 // owner answers within executionLimit after that.
 const (
-	callerPatience    = time.Second
 	coordinationLimit = callerPatience * 4 / 5
 	beginLimit        = coordinationLimit * 9 / 10
 	executionLimit    = (coordinationLimit - beginLimit) / 2
 )
 
-// A process that stood still for longer than stallLimit refuses the calls that may have come
-// meanwhile: their callers may have gone on. It takes wakeTime to read those. A call that
-// waited for less begins before its caller gives up.
-const (
-	stallLimit = callerPatience / 4
-	wakeTime   = callerPatience / 20
-)
-
 // Parts of contactS: the pause before a call is tried again, and the time between two
 // sweeps of a partition.
 const (
@@ -79,8 +70,7 @@
 
 	server *coordination.Server // owned by the loop of the replica
 
-	tickedAt atomic.Int64 // time of the newest tick
-	wokeAt   atomic.Int64 // when a tick was last late by more than stallLimit; 0: never
+	stalls *stallDetector
 
 	clocksMutex sync.Mutex
 	clocks      *coordination.PeerClocks
@@ -219,36 +209,6 @@
 	return coordination.Result{Effect: execution.Abandon()}
 }
 
-// stalled says that the process stood still a moment ago, or stands still but for the caller.
-func (c *coordinator) stalled() bool {
-	now := c.clock()
-	ticked, woke := time.Duration(c.tickedAt.Load()), time.Duration(c.wokeAt.Load())
-	return now-ticked > stallLimit || woke > 0 && now-woke < wakeTime
-}
-
-// watchdog notes the times at which the process runs, until stop.
-func (c *coordinator) watchdog(stop <-chan struct{}) {
-	ticker := time.NewTicker(stallLimit / 5)
-	defer ticker.Stop()
-	c.noteRunning(c.clock())
-	for {
-		select {
-		case <-ticker.C:
-		case <-stop:
-			return
-		}
-		c.noteRunning(c.clock())
-	}
-}
-
-// noteRunning notes that the process runs now.
-func (c *coordinator) noteRunning(now time.Duration) {
-	last := time.Duration(c.tickedAt.Swap(int64(now)))
-	if last > 0 && now-last > stallLimit {
-		c.wokeAt.Store(int64(now))
-	}
-}
-
 // tick lets time pass. It runs on the loop of the replica.
 func (c *coordinator) tick(now time.Duration) {
 	c.server.Tick(now)
--- a/internal/controlplane/coordination_call_test.go
+++ b/internal/controlplane/coordination_call_test.go
@@ -105,7 +105,7 @@
 // What came while a process stood still is refused, as its caller may have gone on.
 func TestAProcessThatStoodStillKnowsIt(t *testing.T) {
 	now := time.Minute
-	c := &coordinator{clock: func() time.Duration { return now }}
+	c := &stallDetector{clock: func() time.Duration { return now }}
 	tick := func() { c.noteRunning(now) }
 	tick()
 	now += stallLimit / 2
--- a/internal/controlplane/coordination_http.go
+++ b/internal/controlplane/coordination_http.go
@@ -67,7 +67,7 @@
 	if c.calls.Add(1) > maxWaitingCalls {
 		return writeFault(w, apierror.Later(apierror.TooMany, c.retry, "%d calls wait here", maxWaitingCalls))
 	}
-	if c.stalled() {
+	if c.stalls.stalled() {
 		return writeFault(w, apierror.Later(apierror.NoQuorum, c.retry, "this process stood still"))
 	}
 	result := c.submit(r.Context(), call)
--- a/internal/controlplane/coordination_node.go
+++ b/internal/controlplane/coordination_node.go
@@ -21,7 +21,7 @@
 	config := serverConfig(env.set, env.post.Self(), env.life, env.now, logger)
 	config.Limits.HasRoom = env.room.has
 	return &coordinator{
-		owners: env.member, keys: env.member.Keys, transport: env.post, run: env.do, clock: env.now, inContact: env.contact.fresh,
+		owners: env.member, keys: env.member.Keys, transport: env.post, run: env.do, clock: env.now, inContact: env.contact.fresh, stalls: env.stalls,
 		pause: settings.Seconds(coordinationPausePart * env.set.Bounds.ContactS), retry: env.set.Beat(),
 		server: coordination.NewServer(config, env.member),
 		clocks: coordination.NewPeerClocks(), closed: make(chan struct{}),
--- a/internal/controlplane/environment.go
+++ b/internal/controlplane/environment.go
@@ -24,6 +24,7 @@
 	start    time.Time
 	life     uint64 // tells this life of the process from others
 	contact  *contact
+	stalls   *stallDetector
 	commands chan func(now time.Duration)
 	log      loggers
 	room     diskRoom
--- a/internal/controlplane/evacuations.go
+++ b/internal/controlplane/evacuations.go
@@ -1,12 +1,40 @@
 package controlplane
 
 import (
+	"net/http"
 	"strings"
 	"time"
 
+	"madderwing/internal/apierror"
 	"madderwing/internal/config"
 )
 
+// evacuate serves the operators' calls on a zone: POST evacuates it, DELETE withdraws that.
+func (n *Node) evacuate(r *http.Request, zone string, zones map[string]bool) error {
+	came := arrivalOf(r)
+	on := r.Method == http.MethodPost
+	if !on && r.Method != http.MethodDelete {
+		return apierror.New(apierror.WrongMethod, "%s on %s", r.Method, r.URL.Path)
+	}
+	if !zones[zone] {
+		// A no rests on a majority's word as a yes does.
+		if _, err := n.orders.submit(r.Context(), order{Key: config.Key}); err != nil {
+			return err
+		}
+		return apierror.New(apierror.UnknownZone, "%q", zone)
+	}
+	key := config.EvacuationPrefix + zone
+	basis, err := n.orders.basis(came, key)
+	if err != nil {
+		return err
+	}
+	if _, err := n.orders.submit(r.Context(), order{Key: key, Evacuate: &on, Basis: basis}); err != nil {
+		return err
+	}
+	n.log.control.Info("evacuation changed", "zone", zone, "evacuated", on, "caller", r.RemoteAddr)
+	return nil
+}
+
 // evacuations remembers the evacuations and withdrawals that this control node has carried out
 // as owner, to tell an order that is sent again from a new one like it. Operators
 // send an order again only if they got no clear answer to it, and within ackS.
--- a/internal/controlplane/evacuations_test.go
+++ b/internal/controlplane/evacuations_test.go
@@ -31,7 +31,7 @@
 		asked := 0
 		for i, st := range steps {
 			o := order{Key: config.EvacuationPrefix + "z", ID: st.id, Evacuate: &st.on}
-			changes, err := config.Evacuation(have, "z", st.on, st.id, a.repeats(st.at, o))
+			changes, err := config.Evacuation(have, config.EvacuationOrder{Zone: "z", Evacuate: st.on, ID: st.id, Repeat: a.repeats(st.at, o)})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -80,7 +80,7 @@
 			own, copies := both[st.owner], both[1-st.owner]
 			o := order{Key: name, ID: st.id, Evacuate: &st.on}
 			own.begins(o)
-			changes, err := config.Evacuation(have, "z", st.on, st.id, own.repeats(st.at, o))
+			changes, err := config.Evacuation(have, config.EvacuationOrder{Zone: "z", Evacuate: st.on, ID: st.id, Repeat: own.repeats(st.at, o)})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -94,7 +94,7 @@
 		// Each withdrawal, long after, takes back one ask.
 		asks := 0
 		for ; asks < 5 && !have[name].Dropped; asks++ {
-			changes, _ := config.Evacuation(have, "z", false, uint64(100+asks), false)
+			changes, _ := config.Evacuation(have, config.EvacuationOrder{Zone: "z", ID: uint64(100 + asks)})
 			have[name] = changes[0]
 		}
 		if asks != c.asks {
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -46,6 +46,10 @@
 	Stood   rollout.Standing `cbor:"16,keyasint,omitzero"`
 	// Reversal says which rollout Abort is for.
 	Reversal rollout.Reversal `cbor:"17,keyasint,omitzero"`
+	// Basis is the state on which an order of an operator's rests, as the control node that took
+	// it knew it then: the generation of a zone's record. On another state the order is not carried out. nil: it comes
+	// from an earlier release.
+	Basis *uint64 `cbor:"18,keyasint,omitempty"`
 }
 
 // verdict is the owner's answer.
@@ -122,6 +126,23 @@
 	}
 }
 
+// maxOrderWait is how long an order may have been at this machine before it is taken up.
+const maxOrderWait = callerPatience / 5
+
+// basis is the generation of a record as this control node knows it, for an order that rests on it.
+// An order that has waited here, as one does while the process stands still, is refused: its
+// operator may have gone on to another node since, and given further orders.
+func (c *orderController) basis(came arrival, name string) (*uint64, error) {
+	known := make(chan uint64, 1)
+	c.do(func(time.Duration) { known <- c.configuration.shown.Records[name].Gen })
+	generation := <-known
+	if age := came.age(); age > maxOrderWait || c.stalls.stalled() {
+		c.log.control.Warn("order refused that has waited", "record", name, "ageMs", age.Milliseconds())
+		return nil, apierror.Later(apierror.Outdated, retryAfter(apierror.Outdated, c.set), "it has waited for %v", age)
+	}
+	return &generation, nil
+}
+
 // own carries out, as the owner of its key, an order that this control node or another took.
 func (c *orderController) own(via string, o order) verdict {
 	t, err := c.task(via, o)
@@ -172,7 +193,7 @@
 
 func retryAfter(kind apierror.Kind, set *settings.Settings) time.Duration {
 	switch kind {
-	case apierror.NoQuorum, apierror.NotYet, apierror.MaybeRepeated:
+	case apierror.NoQuorum, apierror.NotYet, apierror.MaybeRepeated, apierror.Outdated:
 		return set.Beat()
 	}
 	return 0
--- /dev/null
+++ b/internal/controlplane/stalls_test.go
@@ -0,0 +1,57 @@
+package controlplane
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"madderwing/internal/apierror"
+	"madderwing/internal/config"
+	"madderwing/internal/logging"
+	"madderwing/internal/settings"
+)
+
+// A call is as old as the bytes in the kernel, however late the process reads it.
+func TestACallThatWaitedUnreadIsRefused(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	caller, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	if _, err := caller.Write([]byte("DELETE /v1/evacuation/z HTTP/1.1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+
+	env := &environment{set: &settings.Settings{Bounds: settings.Bounds{ContactS: 3, AckS: 5}}, start: time.Now(), commands: make(chan func(time.Duration)), log: loggers{control: logging.For(logging.Control)}}
+	env.stalls = &stallDetector{clock: env.now}
+	env.stalls.noteRunning(env.now())
+	go func() {
+		for fn := range env.commands {
+			fn(env.now())
+		}
+	}()
+	defer close(env.commands)
+	orders := &orderController{environment: env, configuration: newConfiguration()}
+	orders.configuration.merge([]config.Record{{Name: "evacuation/z", Gen: 7}})
+
+	if generation, err := orders.basis(arrival{conn, time.Now()}, "evacuation/z"); err != nil || *generation != 7 {
+		t.Errorf("at once: %v, %v", generation, err)
+	}
+	time.Sleep(maxOrderWait + 50*time.Millisecond)
+	env.stalls.noteRunning(env.now())
+	var refused *apierror.Error
+	if _, err := orders.basis(arrival{conn, time.Now()}, "evacuation/z"); !errors.As(err, &refused) || refused.Kind != apierror.Outdated {
+		t.Errorf("after waiting unread: %v", err)
+	}
+}
--- a/internal/controlplane/tasks.go
+++ b/internal/controlplane/tasks.go
@@ -164,7 +164,8 @@
 	t.repeat = evacuations.repeats(came, o)
 	t.before = have[o.Key].Gen
 	t.after = t.before
-	changes, err := config.Evacuation(have, strings.TrimPrefix(o.Key, config.EvacuationPrefix), *o.Evacuate, o.ID, t.repeat)
+	changes, err := config.Evacuation(have, config.EvacuationOrder{Zone: strings.TrimPrefix(o.Key, config.EvacuationPrefix),
+		Evacuate: *o.Evacuate, ID: o.ID, Basis: o.Basis, Repeat: t.repeat})
 	if len(changes) > 0 {
 		t.after = changes[0].Gen
 	}
