EVAC: evacuations that stand are counted by two bounds, not by a guess at which orders are repeats

What callers saw: gateways sent to a zone that an operator had evacuated and not taken back; or a zone stayed evacuated for good after its withdrawal had been acknowledged.

Cause: an order that comes again, since its answer was lost, was told from another operator's order by a clock: a like one within ackS counted as a repeat only if the one before had been answered late. An answer that was given in time may be lost all the same, and an owner that took the key over took every evacuation within ackS for a repeat. So one order counted twice, or two once. Class: a guess from time where there is nothing to tell two cases apart.

Change: the record counts how many evacuations certainly stand and how many possibly do. An order like a recent one moves only the bound that it certainly moves. The zone is evacuated as long as one may stand, and is taken back once none is certain and no order on it has come for 0.8 x recoveryS. Every order makes a new generation, so those that rest on older ones are dead. The number of an order says what it orders; a new owner knows recent orders from the record as the old one did.

--- a/cmd/madderwing/client.go
+++ b/cmd/madderwing/client.go
@@ -371,7 +371,7 @@
 	for _, r := range o.Routes {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\n", r.Name, r.Host, r.PathPrefix, strings.Join(r.Targets, ","), r.Generation, r.Phase, r.Shard)
 	}
-	fmt.Fprint(w, "\nSHARD\tDESKS\tZONES\tROUTES\n")
+	fmt.Fprint(w, "\nSHARD\tGATEWAYS\tZONES\tROUTES\n")
 	for _, s := range o.Shards {
 		fmt.Fprintf(w, "%d\t%d\t%d\t%d\n", s.Label, len(s.Gateways), s.Zones, s.Routes)
 	}
@@ -403,5 +403,8 @@
 	if len(o.Evacuations) > 0 {
 		fmt.Fprintf(w, "\nEvacuated: %s\n", strings.Join(o.Evacuations, ", "))
 	}
+	if len(o.InDoubt) > 0 {
+		fmt.Fprintf(w, "Perhaps withdrawn: %s\n", strings.Join(o.InDoubt, ", "))
+	}
 	_ = w.Flush()
 }
--- a/internal/config/evacuation.go
+++ b/internal/config/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"strings"
 
 	"madderwing/internal/apierror"
 )
@@ -12,9 +13,22 @@
 // EvacuationPrefix begins the keys that hold a zone's evacuation.
 const EvacuationPrefix = "evacuation/"
 
-// askOrders is how many of the newest orders an evacuation record names: as many as may
+// keptOrders is how many of the newest orders an evacuation record names: twice as many as may
 // be under way at once.
-const askOrders = 8
+const keptOrders = 16
+
+// evacuatesBit tells the numbers of evacuations from those of withdrawals. Those of earlier
+// releases all have it.
+const evacuatesBit = 1
+
+// EvacuationOrderID makes the number of an order from a random one.
+func EvacuationOrderID(random uint64, evacuate bool) uint64 {
+	id := random&^evacuatesBit | evacuatesBit<<1
+	if evacuate {
+		id |= evacuatesBit
+	}
+	return id
+}
 
 // EvacuationOrder is an order of an operator's on a zone.
 type EvacuationOrder struct {
@@ -24,62 +38,117 @@
 	ID uint64
 	// Basis is the generation of the zone's record on which the order rests; nil: not told.
 	Basis *uint64
-	// Repeat says that the order may be an earlier one that its operator sends again.
-	Repeat bool
+	// Recent says whether an order that was carried out may still be sent again by its operator, who
+	// gets another ID then.
+	Recent func(id uint64) bool
+}
+
+// repeats says whether the order may be one that an evacuation record names, sent again.
+func (o EvacuationOrder) repeats(e evacuation) bool {
+	return slices.ContainsFunc(e.orders, func(id uint64) bool {
+		return (id&evacuatesBit != 0) == o.Evacuate && o.Recent != nil && o.Recent(id)
+	})
 }
 
-// Evacuation works out the change of a zone's evacuation record. An evacuation
-// may be asked for more than once, and each withdrawal takes back one ask. An order
-// that the record names has been carried out; one that may be a repeat counts only if the
-// zone is not yet as it asks. An order that rests on another generation than the
-// record's is older than one that was carried out, and is refused.
+// evacuation is the content of a zone's record. Each evacuation that is asked for stands until it is
+// withdrawn. Since an order that comes again can't be told from another operator's, the number of those
+// that stand is known only by its bounds.
+type evacuation struct {
+	certain  uint64 // stand at least
+	possible uint64 // stand at most
+	orders   []uint64
+}
+
+// Evacuation works out the change of a zone's evacuation record. The zone is evacuated as
+// long as an evacuation may stand. An order that the record names has been carried out. An
+// order that rests on another generation than the record's is older than one that was
+// carried out, and is refused. Every other order makes a new generation.
 func Evacuation(have map[string]Record, o EvacuationOrder) ([]Record, error) {
 	name := EvacuationPrefix + o.Zone
 	old := have[name]
-	asks, orders := readAsks(old)
-	if slices.Contains(orders, o.ID) {
+	e := readEvacuation(old)
+	if slices.Contains(e.orders, o.ID) {
 		return nil, nil
 	}
 	if o.Basis != nil && *o.Basis != old.Gen {
 		return nil, apierror.New(apierror.Outdated, "zone %s is at generation %d, the order rests on %d", o.Zone, old.Gen, *o.Basis)
 	}
+	e.take(o.Evacuate, o.repeats(e))
+	e.orders = append(e.orders, o.ID)
+	e.orders = e.orders[max(0, len(e.orders)-keptOrders):]
+	return []Record{e.record(name, old.Gen+1)}, nil
+}
+
+// take counts an order, which may be one that was counted before.
+func (e *evacuation) take(evacuate, repeat bool) {
 	switch {
-	case o.Evacuate && (asks == 0 || !o.Repeat):
-		asks++
-	case !o.Evacuate && asks > 0 && !o.Repeat:
-		asks--
+	case evacuate && repeat && e.certain > 0:
+		e.possible++
+	case evacuate:
+		e.certain++
+		e.possible++
+	case repeat:
+		e.certain -= min(e.certain, 1)
 	default:
-		return nil, nil
+		e.certain -= min(e.certain, 1)
+		e.possible -= min(e.possible, 1)
 	}
-	orders = append(orders, o.ID)
-	orders = orders[max(0, len(orders)-askOrders):]
-	r := Record{Name: name, Gen: old.Gen + 1, Dropped: asks == 0, Data: binary.AppendUvarint(nil, asks)}
-	for _, id := range orders {
-		r.Data = binary.LittleEndian.AppendUint64(r.Data, id)
+}
+
+// EndDoubt works out the change that takes a zone back of which a generation leaves it open whether
+// an evacuation stands. It changes nothing on another generation.
+func EndDoubt(have map[string]Record, name string, generation uint64) []Record {
+	old := have[name]
+	if old.Gen != generation || !InDoubt(old) {
+		return nil
+	}
+	e := readEvacuation(old)
+	e.possible = 0
+	return []Record{e.record(name, old.Gen+1)}
+}
+
+// InDoubt says whether a record is that of a zone which is evacuated though all
+// evacuations may have been withdrawn.
+func InDoubt(r Record) bool {
+	if !strings.HasPrefix(r.Name, EvacuationPrefix) || r.Dropped {
+		return false
 	}
-	return []Record{r}, nil
+	e := readEvacuation(r)
+	return e.certain == 0 && e.possible > 0
 }
 
-// readAsks reads an evacuation record: how many asks stand, and the newest orders,
-// the last one last.
-func readAsks(r Record) (asks uint64, orders []uint64) {
-	asks, size := binary.Uvarint(r.Data)
+// EvacuationOrders are the numbers of the newest orders that an evacuation record names, the
+// last one last.
+func EvacuationOrders(r Record) []uint64 { return readEvacuation(r).orders }
+
+// record lays the content out: the possible evacuations, the orders, and the certain evacuations, which
+// earlier releases don't read.
+func (e evacuation) record(name string, generation uint64) Record {
+	data := binary.AppendUvarint(nil, e.possible)
+	for _, id := range e.orders {
+		data = binary.LittleEndian.AppendUint64(data, id)
+	}
+	data = binary.AppendUvarint(data, e.certain)
+	return Record{Name: name, Gen: generation, Dropped: e.possible == 0, Data: data}
+}
+
+// readEvacuation reads an evacuation record. Where earlier releases wrote it, all evacuations
+// are certain.
+func readEvacuation(r Record) (e evacuation) {
+	possible, size := binary.Uvarint(r.Data)
 	if size <= 0 {
 		if r.Gen > 0 && !r.Dropped {
-			asks = 1
+			e.certain, e.possible = 1, 1
 		}
-		return asks, nil
+		return e
 	}
-	for rest := r.Data[size:]; len(rest) >= 8; rest = rest[8:] {
-		orders = append(orders, binary.LittleEndian.Uint64(rest))
+	rest := r.Data[size:]
+	for ; len(rest) >= 8; rest = rest[8:] {
+		e.orders = append(e.orders, binary.LittleEndian.Uint64(rest))
 	}
-	return asks, orders
-}
-
-// LastOrder is the newest order that an evacuation record names; 0: none.
-func LastOrder(r Record) uint64 {
-	if _, orders := readAsks(r); len(orders) > 0 {
-		return orders[len(orders)-1]
+	e.certain, e.possible = possible, possible
+	if certain, size := binary.Uvarint(rest); size > 0 {
+		e.certain = certain
 	}
-	return 0
+	return e
 }
--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -33,7 +33,7 @@
 func (c *administration) overview(now time.Duration) *Overview {
 	o := &Overview{Node: c.set.Node, Voting: c.member.Voting(), Contact: c.contact.state(now), Roster: c.member.Standing(now),
 		Duties: c.election.States(now), Listing: c.list.stand.Version, Upstreams: c.list.stand.All(now),
-		Keys: c.keys(now), Evacuations: c.configuration.evacuated(), Rollouts: c.rollouts.states(now), Counters: c.counters(now)}
+		Keys: c.keys(now), Evacuations: c.configuration.evacuated(), InDoubt: c.configuration.inDoubt(), Rollouts: c.rollouts.states(now), Counters: c.counters(now)}
 	list := c.reg.List()
 	labels := list.Shards(c.opt.Shards)
 	o.Members = c.members(list, labels)
@@ -127,6 +127,8 @@
 		inContact = 1
 	}
 	metrics.Gauge(&b, "control", "inContact", inContact)
+	metrics.Gauge(&b, "control", "zonesEvacuated", uint64(len(o.Evacuations)))
+	metrics.Gauge(&b, "control", "zonesInDoubt", uint64(len(o.InDoubt)))
 	learnersBehind := uint64(0)
 	for _, l := range o.Roster.Learners {
 		if l.Behind > 0 {
--- a/internal/controlplane/configuration.go
+++ b/internal/controlplane/configuration.go
@@ -45,9 +45,17 @@
 
 // evacuated names the zones that are evacuated, in order.
 func (c *configuration) evacuated() []string {
+	return c.zonesOf(func(r config.Record) bool { return !r.Dropped })
+}
+
+// inDoubt names the zones that are evacuated though all evacuations may have been withdrawn.
+func (c *configuration) inDoubt() []string { return c.zonesOf(config.InDoubt) }
+
+// zonesOf names the zones whose records are so, in order.
+func (c *configuration) zonesOf(is func(config.Record) bool) []string {
 	out := []string{}
 	for name, r := range c.shown.Records {
-		if zone, ok := strings.CutPrefix(name, config.EvacuationPrefix); ok && !r.Dropped {
+		if zone, ok := strings.CutPrefix(name, config.EvacuationPrefix); ok && is(r) {
 			out = append(out, zone)
 		}
 	}
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -125,7 +125,7 @@
 		commands: make(chan func(time.Duration), commandQueue), log: newLoggers()}
 	env.stalls = &stallDetector{clock: env.now}
 	n := &Node{environment: env, configuration: newConfiguration(), writes: newJobs(), zones: zones,
-		evacuations: newEvacuations(settings.Seconds(set.Bounds.AckS))}
+		evacuations: newEvacuations(set.Bounds)}
 	if set.HasRegistry() {
 		n.registry = newRegistryController(env)
 	}
--- a/internal/controlplane/evacuations.go
+++ b/internal/controlplane/evacuations.go
@@ -1,12 +1,16 @@
 package controlplane
 
 import (
+	"cmp"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
 
 	"madderwing/internal/apierror"
 	"madderwing/internal/config"
+	"madderwing/internal/replication"
+	"madderwing/internal/settings"
 )
 
 // evacuate serves the operators' calls on a zone: POST evacuates it, DELETE withdraws that.
@@ -35,56 +39,38 @@
 	return nil
 }
 
-// evacuations remembers the evacuations and withdrawals that this control node has carried out
-// as owner, to tell an order that is sent again from a new one like it. Operators
-// send an order again only if they got no clear answer to it, and within ackS.
+// evacuations remembers when orders on zones were first seen carried out, and since when it
+// is open whether a zone's evacuation stands.
 type evacuations struct {
-	ackS time.Duration
-	last map[string]lastOrder
-	seen map[uint64]time.Duration
-	// Of the records that are copied here, by name: when the newest order came that
-	// another control node carried out, and the newest order of all.
-	heard  map[string]time.Duration
-	newest map[string]uint64
+	repeatSpan time.Duration // for which an order may come again
+	doubtSpan  time.Duration // after which a zone in doubt is taken back
+	seen       map[uint64]time.Duration
+	doubts     map[string]doubt // by record
 }
 
-// undo marks the withdrawals of a zone in evacuations.last.
-const undo = "/undo"
-
-type lastOrder struct {
-	at    time.Duration
-	clear bool // its answer cannot have come too late
+// doubt is a generation of a zone's record that leaves it open whether an evacuation stands.
+type doubt struct {
+	generation uint64
+	since      time.Duration
 }
 
-// clearly is the part of ackS within which an answer is surely waited for.
-const clearly = 0.08
+// doubtPart is the part of recoveryS for which a zone stays evacuated in doubt. An owner is to
+// be found in the rest of it.
+const doubtPart = 0.8
 
-func newEvacuations(ackS time.Duration) *evacuations {
-	return &evacuations{ackS: ackS, last: map[string]lastOrder{}, seen: map[uint64]time.Duration{},
-		heard: map[string]time.Duration{}, newest: map[string]uint64{}}
+func newEvacuations(bounds settings.Bounds) *evacuations {
+	recoveryS := cmp.Or(bounds.RecoveryS, 3*bounds.AckS)
+	return &evacuations{repeatSpan: settings.Seconds(bounds.AckS) + callerPatience, doubtSpan: settings.Seconds(doubtPart * recoveryS),
+		seen: map[uint64]time.Duration{}, doubts: map[string]doubt{}}
 }
 
-func (e *evacuations) key(o order) string {
-	if *o.Evacuate {
-		return o.Key
+// recent says of an order that a record names whether its operator may still send it again. One
+// that was not seen yet was carried out a moment ago.
+func (e *evacuations) recent(now time.Duration) func(id uint64) bool {
+	return func(id uint64) bool {
+		at, ok := e.seen[id]
+		return !ok || now-at <= e.repeatSpan
 	}
-	return o.Key + undo
-}
-
-// repeats says whether an order may be an earlier one that its operator sends again.
-// Where another control node carried out the last one, all that is known of it is when
-// word of it came here: an evacuation within ackS of that is taken for a repeat, a
-// withdrawal for a new one.
-func (e *evacuations) repeats(now time.Duration, o order) bool {
-	if _, ok := e.seen[o.ID]; ok {
-		return true
-	}
-	last, ok := e.last[e.key(o)]
-	if !ok {
-		at, known := e.heard[o.Key]
-		return *o.Evacuate && known && now-at <= e.ackS
-	}
-	return !last.clear && now-last.at <= e.ackS
 }
 
 // committed notes the records of zones among those that have come to be shown.
@@ -96,29 +82,57 @@
 	}
 }
 
-// saw notes a record of a zone as it was copied here. One whose last order is not
-// of this control node's carrying out makes what it remembers of the zone worthless.
+// saw notes a record of a zone.
 func (e *evacuations) saw(now time.Duration, r config.Record) {
-	id := config.LastOrder(r)
-	if _, own := e.seen[id]; own || e.newest[r.Name] == id && id != 0 {
-		return
+	for _, id := range config.EvacuationOrders(r) {
+		if _, ok := e.seen[id]; !ok {
+			e.seen[id] = now
+		}
+	}
+	if config.InDoubt(r) {
+		e.doubts[r.Name] = doubt{r.Gen, now}
+	} else {
+		delete(e.doubts, r.Name)
 	}
-	e.heard[r.Name], e.newest[r.Name] = now, id
-	delete(e.last, r.Name)
-	delete(e.last, r.Name+undo)
 }
 
-// begins notes an order that this control node is about to carry out.
-func (e *evacuations) begins(o order) { e.newest[o.Key] = o.ID }
+// forget drops the orders that no record in sight names.
+func (e *evacuations) forget(shown map[string]config.Record) {
+	named := map[uint64]bool{}
+	for name, r := range shown {
+		if strings.HasPrefix(name, config.EvacuationPrefix) {
+			for _, id := range config.EvacuationOrders(r) {
+				named[id] = true
+			}
+		}
+	}
+	maps.DeleteFunc(e.seen, func(id uint64, _ time.Duration) bool { return !named[id] })
+}
+
+// overdue gives the zones' records that have been in doubt for long enough, with their generations:
+// each once in a while, as long as it stays so.
+func (e *evacuations) overdue(now time.Duration) map[string]uint64 {
+	out := map[string]uint64{}
+	for name, d := range e.doubts {
+		if now-d.since >= e.doubtSpan {
+			out[name] = d.generation
+			e.doubts[name] = doubt{d.generation, now - e.doubtSpan + callerPatience}
+		}
+	}
+	return out
+}
 
-// carriedOut notes an order that came at one time and was safe at another.
-func (e *evacuations) carriedOut(came, now time.Duration, o order) {
-	clear := o.Age+now-came < time.Duration(clearly*float64(e.ackS))
-	e.last[e.key(o)] = lastOrder{now, clear}
-	for id, at := range e.seen {
-		if now-at > 2*e.ackS {
-			delete(e.seen, id)
+// endDoubts takes zones back that have been in doubt for long enough, where this control node
+// owns their keys. It runs on the pump's goroutine.
+func (c *orderController) endDoubts(now time.Duration) {
+	for name, generation := range c.evacuations.overdue(now) {
+		if c.member.Owner(now, name) != c.post.Self() {
+			continue
 		}
+		c.member.Propose(now, name, func(have map[string]replication.Record) ([]replication.Record, error) {
+			return config.EndDoubt(have, name, generation), nil
+		}, func(err error) {
+			c.log.control.Warn("evacuation ended that may have been withdrawn", "record", name, "generation", generation, "error", err)
+		})
 	}
-	e.seen[o.ID] = now
 }
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"madderwing/internal/apierror"
+	"madderwing/internal/config"
 	"madderwing/internal/placement"
 	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
@@ -85,6 +86,14 @@
 // submitFunc is orderController.submit, for controllers that give orders.
 type submitFunc func(caller context.Context, o order) ([]byte, error)
 
+// newOrderID draws the number of an order.
+func newOrderID(o order) uint64 {
+	if o.Evacuate != nil {
+		return config.EvacuationOrderID(rand.Uint64(), *o.Evacuate)
+	}
+	return rand.Uint64() | 1
+}
+
 // submit brings an order to the owner of its key, wherever that is now, and
 // waits a little where there is none. Once the caller has left, which caller says, it is not sent
 // again: an order that came into force then could undo one that its operator gave since. An
@@ -92,7 +101,7 @@
 func (c *orderController) submit(caller context.Context, o order) ([]byte, error) {
 	begin := time.Now()
 	limit := begin.Add(settings.Seconds(c.set.Bounds.AckS * 0.17))
-	o.ID = rand.Uint64() | 1
+	o.ID = newOrderID(o)
 	pause := c.set.Beat() / 10
 	var v verdict
 	for {
--- a/internal/controlplane/pump.go
+++ b/internal/controlplane/pump.go
@@ -43,6 +43,7 @@
 		n.quotas.tick(now)
 	}
 	n.rollouts.tick(now)
+	n.orders.endDoubts(now)
 	n.coordination.tick(now)
 	n.contact.tell(now, n.log.control)
 	n.placement.tick(now)
@@ -154,6 +155,9 @@
 	taken := n.configuration.merge(records)
 	n.rollouts.saw(taken)
 	n.evacuations.committed(n.now(), taken)
+	if strings.HasPrefix(key, config.EvacuationPrefix) {
+		n.evacuations.forget(n.configuration.shown.Records)
+	}
 	return len(taken) > 0
 }
 
--- a/internal/controlplane/tasks.go
+++ b/internal/controlplane/tasks.go
@@ -155,17 +155,14 @@
 	via    string // the control node that took the order
 
 	before, after uint64 // generations of the zone's record
-	repeat        bool
 }
 
 func (t *evacuationTask) change(came time.Duration, have records) ([]replication.Record, error) {
-	o, evacuations := t.order, t.orders.evacuations
-	evacuations.begins(o)
-	t.repeat = evacuations.repeats(came, o)
+	o := t.order
 	t.before = have[o.Key].Gen
 	t.after = t.before
 	changes, err := config.Evacuation(have, config.EvacuationOrder{Zone: strings.TrimPrefix(o.Key, config.EvacuationPrefix),
-		Evacuate: *o.Evacuate, ID: o.ID, Basis: o.Basis, Repeat: t.repeat})
+		Evacuate: *o.Evacuate, ID: o.ID, Basis: o.Basis, Recent: t.orders.evacuations.recent(came)})
 	if len(changes) > 0 {
 		t.after = changes[0].Gen
 	}
@@ -173,10 +170,9 @@
 }
 
 func (t *evacuationTask) finish(came, now time.Duration, answer func(verdict)) {
-	t.orders.evacuations.carriedOut(came, now, t.order)
 	t.orders.log.control.Info("evacuation order carried out", "zone", strings.TrimPrefix(t.order.Key, config.EvacuationPrefix),
 		"evacuate", *t.order.Evacuate, "order", orderName(t.order.ID), "via", t.via, "ageMs", (t.order.Age + now - came).Milliseconds(),
-		"repeat", t.repeat, "generationBefore", t.before, "generation", t.after)
+		"generationBefore", t.before, "generation", t.after)
 	answer(verdict{})
 }
 
--- a/internal/controlplane/views.go
+++ b/internal/controlplane/views.go
@@ -93,6 +93,7 @@
 	Upstreams   []upstream.Instance  `json:"upstreams"`
 	Listing     upstream.Version     `json:"listing"`
 	Evacuations []string             `json:"evacuations"`
+	InDoubt     []string             `json:"evacuationsInDoubt,omitempty"` // of these, all of whose evacuations may have been withdrawn
 	Delivery    []Delivery           `json:"delivery"`
 	Tenants     []TenantState        `json:"tenants,omitempty"`
 	Quotas      *Quotas              `json:"quotas,omitempty"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -91,6 +91,7 @@
 	RetryWindowS float64 `toml:"retryWindowS"`
 	RetrySlack   float64 `toml:"retrySlack"`
 	EvacuateS    float64 `toml:"evacuateS"`
+	RecoveryS    float64 `toml:"recoveryS"`
 	// CatchUpS is for how long a machine that is back still counts as lost; 0: not told.
 	CatchUpS float64 `toml:"catchUpS"`
 	// RetentionS is for how long watches can resume from a revision, and ReleaseS how soon
--- a/internal/soak/stale_order_test.go
+++ b/internal/soak/stale_order_test.go
@@ -45,6 +45,7 @@
 func newControlPlane(t *testing.T) (*fleet, *operators) {
 	f := newFleet(t, build(t), t.TempDir(), rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)), len(zones))
 	t.Cleanup(f.end)
+	t.Cleanup(newWorld(t, f).end)
 	for _, m := range f.machines {
 		f.start(m.control, true)
 	}
