Rollouts: an order or reversal that waited is refused, as evacuations are

Cause: as for evacuations (an order carried out on whatever state it met). A beginning of a version that waited in a stopped control node for longer than ackS would begin that version again after other rollouts; an unnamed reversal would reverse whichever rollout stood when the node woke. Found by looking for the same cause elsewhere; not seen.

Change: both rest on the number of the service's newest rollout as the node that took them knew it when they came, and on having come a moment ago (environment.basis, which evacuations use too). What the record names or what changes nothing is acknowledged as before.

Measured: TestACallOnAnOlderRolloutIsRefused; tests of rollout and controlplane pass.

--- a/internal/controlplane/evacuations.go
+++ b/internal/controlplane/evacuations.go
@@ -28,7 +28,7 @@
 		return apierror.New(apierror.UnknownZone, "%q", zone)
 	}
 	key := config.EvacuationPrefix + zone
-	basis, err := n.orders.basis(came, key)
+	basis, err := n.basis(came, func() uint64 { return n.configuration.shown.Records[key].Gen })
 	if err != nil {
 		return err
 	}
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -48,8 +48,8 @@
 	// Reversal says which rollout Abort is for.
 	Reversal rollout.Reversal `cbor:"17,keyasint,omitzero"`
 	// Basis is the state on which an order of an operator's rests, as the control node that took
-	// it knew it then: the generation of a zone's record. On another state the order is not carried out. nil: it comes
-	// from an earlier release.
+	// it knew it then: the generation of a zone's record, or the number of a service's newest rollout. On
+	// another state the order is not carried out. nil: it comes from an earlier release.
 	Basis *uint64 `cbor:"18,keyasint,omitempty"`
 }
 
@@ -138,18 +138,18 @@
 // maxOrderWait is how long an order may have been at this machine before it is taken up.
 const maxOrderWait = callerPatience / 5
 
-// basis is the generation of a record as this control node knows it, for an order that rests on it.
-// An order that has waited here, as one does while the process stands still, is refused: its
-// operator may have gone on to another node since, and given further orders.
-func (c *orderController) basis(came arrival, name string) (*uint64, error) {
+// basis is the state on which an order of an operator's rests, as read gives it here on the pump's
+// goroutine. An order that has waited at this machine, as one does while the process stands still, is
+// refused: its operator may have gone on to another node since, and given further orders.
+func (e *environment) basis(came arrival, read func() uint64) (*uint64, error) {
 	known := make(chan uint64, 1)
-	c.do(func(time.Duration) { known <- c.configuration.shown.Records[name].Gen })
-	generation := <-known
-	if age := came.age(); age > maxOrderWait || c.stalls.stalled() {
-		c.log.control.Warn("order refused that has waited", "record", name, "ageMs", age.Milliseconds())
-		return nil, apierror.Later(apierror.Outdated, retryAfter(apierror.Outdated, c.set), "it has waited for %v", age)
+	e.do(func(time.Duration) { known <- read() })
+	state := <-known
+	if age := came.age(); age > maxOrderWait || e.stalls.stalled() {
+		e.log.control.Warn("order refused that has waited", "ageMs", age.Milliseconds())
+		return nil, apierror.Later(apierror.Outdated, retryAfter(apierror.Outdated, e.set), "it has waited for %v", age)
 	}
-	return &generation, nil
+	return &state, nil
 }
 
 // own carries out, as the owner of its key, an order that this control node or another took.
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -165,9 +165,9 @@
 }
 
 // call is an operator's call for a service as the owner of the rollout's key takes it.
-func (c *rolloutController) call(service string, id uint64) rollout.Call {
+func (c *rolloutController) call(service string, o order) rollout.Call {
 	now, ackS := c.now(), settings.Seconds(c.set.Bounds.AckS)
-	return rollout.Call{ID: id, Recent: func(id uint64) bool { return c.controller.Recent(now, service, id, ackS) }}
+	return rollout.Call{ID: o.ID, Basis: o.Basis, Recent: func(id uint64) bool { return c.controller.Recent(now, service, id, ackS) }}
 }
 
 // adopt has the versions that stand without an order kept with the items: the first
--- a/internal/controlplane/rollout_http.go
+++ b/internal/controlplane/rollout_http.go
@@ -17,6 +17,7 @@
 
 // rollouts serves the calls for rollouts.
 func (c *rolloutController) serve(r *http.Request, service string) ([]byte, error) {
+	came := arrivalOf(r)
 	wrong := apierror.New(apierror.WrongMethod, "%s on %s", r.Method, r.URL.Path)
 	if service == "" {
 		if r.Method != http.MethodPost {
@@ -31,11 +32,15 @@
 			c.log.control.Warn("rollout refused", "error", err)
 			return nil, err
 		}
+		basis, err := c.newest(came, ask.Service)
+		if err != nil {
+			return nil, err
+		}
 		stood, err := c.service(r.Context(), ask.Service)
 		if err != nil {
 			return nil, err
 		}
-		if _, err := c.submit(r.Context(), order{Key: rollout.Key(ask.Service), Rollout: &ask, Stood: stood}); err != nil {
+		if _, err := c.submit(r.Context(), order{Key: rollout.Key(ask.Service), Rollout: &ask, Stood: stood, Basis: basis}); err != nil {
 			c.log.control.Warn("rollout not taken", "service", ask.Service, "version", ask.Version, "error", err)
 			return nil, err
 		}
@@ -53,15 +58,31 @@
 		}
 		return body, err
 	case http.MethodDelete:
-		return []byte("{}\n"), c.reverse(r.Context(), service, r.URL.Query().Get("targetVersion"))
+		basis, err := c.newest(came, service)
+		if err != nil {
+			return nil, err
+		}
+		return []byte("{}\n"), c.reverse(r.Context(), service, r.URL.Query().Get("targetVersion"), basis)
 	}
 	return nil, wrong
 }
 
+// newest is the number of a service's newest rollout as this control node knows it, for an order
+// that rests on it.
+func (c *rolloutController) newest(came arrival, service string) (*uint64, error) {
+	return c.basis(came, func() uint64 {
+		plan, ok := rollout.Read(c.configuration.shown.Records[rollout.Key(service)])
+		if !ok {
+			return 0
+		}
+		return plan.Order
+	})
+}
+
 // reverse has a service's rollout reversed: that to a version, or, where the operator
 // names none, the one that a majority confirms now. So an order that is passed on for a
 // while can't meet a later one.
-func (c *rolloutController) reverse(caller context.Context, service, version string) error {
+func (c *rolloutController) reverse(caller context.Context, service, version string, basis *uint64) error {
 	reversal := rollout.Reversal{Version: version, Named: version != ""}
 	if !reversal.Named {
 		text, err := c.submit(caller, order{Key: rollout.Key(service), Read: true})
@@ -74,7 +95,7 @@
 		}
 		reversal.Version = stands.TargetVersion
 	}
-	_, err := c.submit(caller, order{Key: rollout.Key(service), Abort: true, Reversal: reversal})
+	_, err := c.submit(caller, order{Key: rollout.Key(service), Abort: true, Reversal: reversal, Basis: basis})
 	return err
 }
 
--- a/internal/controlplane/stalls_test.go
+++ b/internal/controlplane/stalls_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"madderwing/internal/apierror"
-	"madderwing/internal/config"
 	"madderwing/internal/logging"
 	"madderwing/internal/settings"
 )
@@ -42,16 +41,15 @@
 		}
 	}()
 	defer close(env.commands)
-	orders := &orderController{environment: env, configuration: newConfiguration()}
-	orders.configuration.merge([]config.Record{{Name: "evacuation/z", Gen: 7}})
+	read := func() uint64 { return 7 }
 
-	if generation, err := orders.basis(arrival{conn, time.Now()}, "evacuation/z"); err != nil || *generation != 7 {
+	if generation, err := env.basis(arrival{conn, time.Now()}, read); err != nil || *generation != 7 {
 		t.Errorf("at once: %v, %v", generation, err)
 	}
 	time.Sleep(maxOrderWait + 50*time.Millisecond)
 	env.stalls.noteRunning(env.now())
 	var refused *apierror.Error
-	if _, err := orders.basis(arrival{conn, time.Now()}, "evacuation/z"); !errors.As(err, &refused) || refused.Kind != apierror.Outdated {
+	if _, err := env.basis(arrival{conn, time.Now()}, read); !errors.As(err, &refused) || refused.Kind != apierror.Outdated {
 		t.Errorf("after waiting unread: %v", err)
 	}
 }
--- a/internal/controlplane/tasks.go
+++ b/internal/controlplane/tasks.go
@@ -207,7 +207,7 @@
 }
 
 func (t beginTask) change(_ time.Duration, have records) ([]replication.Record, error) {
-	call := t.rollouts.call(t.order.Rollout.Service, t.order.ID)
+	call := t.rollouts.call(t.order.Rollout.Service, t.order)
 	return rollout.Begin(have, *t.order.Rollout, t.rollouts.serves(have[t.order.Key], t.order), call)
 }
 
@@ -221,7 +221,7 @@
 
 func (t abortTask) change(_ time.Duration, have records) ([]replication.Record, error) {
 	age := t.rollouts.controller.Age(t.rollouts.now(), t.service)
-	return rollout.Abort(have, t.service, t.order.Reversal, age, t.rollouts.call(t.service, t.order.ID))
+	return rollout.Abort(have, t.service, t.order.Reversal, age, t.rollouts.call(t.service, t.order))
 }
 
 // adoptTask keeps the versions that stand without an order.
--- a/internal/rollout/calls.go
+++ b/internal/rollout/calls.go
@@ -31,6 +31,17 @@
 	// Recent says whether a call that was taken may still be sent again by its operator,
 	// who gets another ID then.
 	Recent func(id uint64) bool
+	// Basis is the number of the service's newest rollout, 0: none, on which the call rests; nil: not told.
+	Basis *uint64
+}
+
+// outdated says whether a call rests on an older rollout than a plan's, so that it is older than one that
+// was carried out.
+func (p *Plan) outdated(call Call) *apierror.Error {
+	if call.Basis == nil || *call.Basis == p.Order {
+		return nil
+	}
+	return apierror.New(apierror.Outdated, "the newest rollout is number %d, the order rests on %d", p.Order, *call.Basis)
 }
 
 // Reversal is an order to reverse a rollout.
@@ -93,6 +104,9 @@
 		case !was.Final():
 			return nil, apierror.New(apierror.UnderWay, "%s is on its way to %s", a.Service, was.Candidate)
 		}
+		if err := was.outdated(call); err != nil {
+			return nil, err
+		}
 		p.Order = was.Order + 1
 	}
 	if call.ID != 0 {
@@ -131,6 +145,9 @@
 	case !r.Named && was.recently(call, reversed):
 		return nil, apierror.New(apierror.MaybeRepeated, "the rollout of %s before this one was reversed a moment ago; name the version that is meant", service)
 	}
+	if err := was.outdated(call); err != nil {
+		return nil, err
+	}
 	next := was.reverse("ordered by the operator", age)
 	if call.ID != 0 {
 		next.Taken = was.with(TakenCall{ID: call.ID, Version: was.Candidate, Reversal: true})
--- a/internal/rollout/calls_test.go
+++ b/internal/rollout/calls_test.go
@@ -185,3 +185,37 @@
 		t.Errorf("the controller remembers %d calls", n)
 	}
 }
+
+// An order or a reversal that waited while other rollouts were ordered is refused, however late it comes.
+func TestACallOnAnOlderRolloutIsRefused(t *testing.T) {
+	basis := func(number uint64) *uint64 { return &number }
+	plan := Plan{Service: "s", Prior: "v1", Candidate: "v3", Order: 2, Stage: Reverted, Taken: []TakenCall{{ID: 7, Version: "v3"}}}
+	underWay := plan
+	underWay.Stage = Canary
+	for name, c := range map[string]struct {
+		plan   Plan
+		abort  bool
+		call   Call
+		want   apierror.Kind
+		passes bool
+	}{
+		"an order on the newest":                  {plan, false, Call{ID: 9, Basis: basis(2)}, 0, true},
+		"of an earlier release":                   {plan, false, Call{ID: 9}, 0, true},
+		"an order on the one before":              {plan, false, Call{ID: 9, Basis: basis(1)}, apierror.Outdated, false},
+		"an order on none":                        {plan, false, Call{ID: 9, Basis: basis(0)}, apierror.Outdated, false},
+		"an order that was carried out":           {plan, false, Call{ID: 7, Basis: basis(1)}, 0, true},
+		"a reversal of the newest":                {underWay, true, Call{ID: 9, Basis: basis(2)}, 0, true},
+		"a reversal that rests on the one before": {underWay, true, Call{ID: 9, Basis: basis(1)}, apierror.Outdated, false},
+	} {
+		have := map[string]Record{Key("s"): c.plan.record(4)}
+		var err error
+		if c.abort {
+			_, err = Abort(have, "s", Reversal{}, 0, c.call)
+		} else {
+			_, err = Begin(have, Ask{"s", "v2", 12}, "v1", c.call)
+		}
+		if passes := err == nil; passes != c.passes || !passes && apierror.KindOf(err) != c.want {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
