Coordination: a call that waited unread in the kernel is refused, though the process never stood still

Cause: the watch for stalls asks whether the process's own timer was late, and gives the process 50 ms to read what came meanwhile. A call that lies unread for longer, on a machine that is busy after it has woken, began with a deadline of its own reading.

Change: the kernel is asked how long it has had the call, as for orders; beyond stallLimit it is refused.

Measured: TestACoordinationCallThatWaitedUnreadIsRefused fails without the change (the call is submitted) and passes with it.

--- a/internal/controlplane/coordination_http.go
+++ b/internal/controlplane/coordination_http.go
@@ -50,24 +50,24 @@
 		c.serveWatch(w, r, name)
 		return
 	}
-	begin := time.Now()
+	came := arrivalOf(r)
 	call, err := readCoordinationCall(r)
 	if err != nil {
 		c.stats.count("refused", apierror.AnswerFor(apierror.KindOf(err)).Status, 0)
 		apierror.Write(w, err)
 		return
 	}
-	status := c.serveCall(w, r, call)
-	c.stats.count(call.Operation.String(), status, time.Since(begin))
+	status := c.serveCall(w, r, came, call)
+	c.stats.count(call.Operation.String(), status, time.Since(came.read))
 }
 
 // serveCall carries a call out, writes its answer and gives the status of that.
-func (c *coordinator) serveCall(w http.ResponseWriter, r *http.Request, call coordination.Call) int {
+func (c *coordinator) serveCall(w http.ResponseWriter, r *http.Request, came arrival, call coordination.Call) int {
 	defer c.calls.Add(-1)
 	if c.calls.Add(1) > maxWaitingCalls {
 		return writeFault(w, apierror.Later(apierror.TooMany, c.retry, "%d calls wait here", maxWaitingCalls))
 	}
-	if c.stalls.stalled() {
+	if c.stalls.stalled() || came.age() > stallLimit {
 		return writeFault(w, apierror.Later(apierror.NoQuorum, c.retry, "this process stood still"))
 	}
 	result := c.submit(r.Context(), call)
--- a/internal/controlplane/stalls_test.go
+++ b/internal/controlplane/stalls_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"madderwing/internal/apierror"
+	"madderwing/internal/coordination"
 	"madderwing/internal/logging"
 	"madderwing/internal/settings"
 )
@@ -53,3 +57,42 @@
 		t.Errorf("after waiting unread: %v", err)
 	}
 }
+
+// A call of an application that waited unread in the kernel is refused, though the process never stood still.
+func TestACoordinationCallThatWaitedUnreadIsRefused(t *testing.T) {
+	clock := func() time.Duration { return time.Minute }
+	stalls := &stallDetector{clock: clock}
+	stalls.noteRunning(clock())
+	c := &coordinator{owners: noOwner{}, clock: clock, stalls: stalls, run: func(fn func(time.Duration)) { fn(time.Minute) },
+		stats: newCoordinationStats(), retry: time.Second, pause: coordinationLimit, server: coordination.NewServer(coordination.ServerConfig{Self: "self"}, loneReplica{})}
+	for name, test := range map[string]struct {
+		wait time.Duration
+		says string
+	}{
+		"at once":              {0, "no owner"},
+		"after a while unread": {stallLimit + 100*time.Millisecond, "stood still"},
+	} {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: c, ConnContext: withConnection}
+		answer := make(chan string, 1)
+		go func() {
+			res, err := http.Post("http://"+listener.Addr().String()+"/v1/numbers/n", "application/json", strings.NewReader(`{"add":1}`))
+			if err != nil {
+				answer <- err.Error()
+				return
+			}
+			defer res.Body.Close()
+			text, _ := io.ReadAll(res.Body)
+			answer <- string(text)
+		}()
+		time.Sleep(test.wait)
+		go func() { _ = server.Serve(listener) }()
+		if got := <-answer; !strings.Contains(got, test.says) {
+			t.Errorf("%s: %s", name, got)
+		}
+		_ = server.Close()
+	}
+}
