replication: a founding that was begun goes on after kills of any seeds at any step

Cause: whether a member takes part in the founding was asked of its settings and of an empty disk. Its first write, its identity, ended both. Class: a state of a process that its next life can't know.

Change: a member that starts with an empty disk at the first start writes the seeds of that start beside its identity, and may found until it has a roster, whatever the settings of later lives say. A seed without that note (killed before its first write, or with a lost disk) is passive: it says so, takes part, and proposes nothing; the lowest seed that is not passive proposes.

Left: if every seed is killed before its first write and bootstrap is false at the restart, nothing tells a first start from the loss of all disks, and nobody founds. Where all seeds are relays, a relay that is started again with bootstrap true may appoint a second founder; not changed.

--- a/internal/replication/message.go
+++ b/internal/replication/message.go
@@ -205,6 +205,8 @@
 	// member that founds alone if all seeds are such; empty if it isn't known here.
 	Relay     bool   `cbor:"2,keyasint,omitempty"`
 	Appointed string `cbor:"3,keyasint,omitempty"`
+	// Passive says that the sender may not propose: its disk tells of no first start.
+	Passive bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Transfer tells a member to take a key over at once.
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -128,17 +128,20 @@
 	foundIDs  map[string]string // by address: who is there at the founding
 	foundAcks map[string]bool
 	relays    map[string]string // seeds without a disk, and whom they appoint
-	leaving   bool
-	began     bool
-	beganAt   time.Duration
-	lives     map[string]uint64        // the newest life of each member
-	proven    map[string]time.Duration // when the newest beat of the roster that each identity has answered was sent
-	newest    map[string]string        // by address: the identity that spoke last
-	learners  map[string]time.Duration // identities without a seat that want one, and when they said so
-	leavers   map[string]time.Duration // identities that leave, and when they said so last
-	hailed    map[string]map[string]bool
-	survey    *survey
-	round     uint64 // of surveys
+	passive   map[string]bool   // seeds that may not propose the founding roster
+	// firstSeeds are the seeds of the system's first start, if this member was there; see founding.go.
+	firstSeeds []string
+	leaving    bool
+	began      bool
+	beganAt    time.Duration
+	lives      map[string]uint64        // the newest life of each member
+	proven     map[string]time.Duration // when the newest beat of the roster that each identity has answered was sent
+	newest     map[string]string        // by address: the identity that spoke last
+	learners   map[string]time.Duration // identities without a seat that want one, and when they said so
+	leavers    map[string]time.Duration // identities that leave, and when they said so last
+	hailed     map[string]map[string]bool
+	survey     *survey
+	round      uint64 // of surveys
 
 	beats heartbeats
 	peers map[string]*peer      // by address
@@ -149,7 +152,7 @@
 // NewReplica makes a member from what its disk held.
 func NewReplica(cfg Config, disk map[string][]byte) (*Replica, error) {
 	m := &Replica{cfg: cfg, keys: map[string]*key{}, after: map[uint64][]func(){}, firstOpen: 1,
-		foundIDs: map[string]string{}, foundAcks: map[string]bool{}, relays: map[string]string{},
+		foundIDs: map[string]string{}, foundAcks: map[string]bool{}, relays: map[string]string{}, passive: map[string]bool{},
 		lives: map[string]uint64{}, proven: map[string]time.Duration{}, newest: map[string]string{},
 		learners: map[string]time.Duration{}, leavers: map[string]time.Duration{}, hailed: map[string]map[string]bool{},
 		beats: newHeartbeats(), peers: map[string]*peer{}, marks: map[string]mark{}, lists: map[string]*ownerList{}}
@@ -165,7 +168,7 @@
 		case k == nodeEntry:
 			var n nodeValue
 			err = cbor.Unmarshal(v, &n)
-			m.founded, m.identity = n.Founded, n.Identity
+			m.founded, m.identity, m.firstSeeds = n.Founded, n.Identity, n.FirstSeeds
 		case len(k) > len(metaPrefix) && k[:len(metaPrefix)] == metaPrefix:
 			var mv metaValue
 			err = cbor.Unmarshal(v, &mv)
@@ -185,6 +188,9 @@
 		// The first use of this disk. Batches become durable in order, so no word
 		// that counts is given before the identity is.
 		m.identity = cfg.Identity
+		if cfg.Bootstrap && cfg.Empty {
+			m.firstSeeds = cfg.Seeds
+		}
 		m.write([]ledgerEntry{m.nodeEntry()}, nil)
 	}
 	m.self = idOf(cfg.Self, m.identity)
--- a/internal/replication/storage.go
+++ b/internal/replication/storage.go
@@ -29,6 +29,8 @@
 	Voting   bool   `cbor:"1,keyasint"` // read by versions before identities
 	Founded  bool   `cbor:"2,keyasint"`
 	Identity uint64 `cbor:"3,keyasint,omitempty"`
+	// FirstSeeds are the seeds of the system's first start, until the member has a roster.
+	FirstSeeds []string `cbor:"4,keyasint,omitempty"`
 }
 
 const (
@@ -107,7 +109,11 @@
 }
 
 func (m *Replica) nodeEntry() storage.Entry {
-	return storage.Entry{Key: nodeEntry, Value: marshal(nodeValue{true, m.founded, m.identity})}
+	v := nodeValue{Voting: true, Founded: m.founded, Identity: m.identity}
+	if m.mayFound() {
+		v.FirstSeeds = m.firstSeeds
+	}
+	return storage.Entry{Key: nodeEntry, Value: marshal(v)}
 }
 
 func (k *key) meta() storage.Entry {
