The duty of reading the platform's list goes on to another node when its holder can't read

Cause: a duty was kept for as long as a majority renewed the vote, whatever came of it. Class: a lease that is renewed by being alive, not by doing the work.

Change: the holder hands the duty on when a reading fails and none has succeeded for half of drainS on the steady clock. It then lets others come first for 8 x drainS, or until it has read again, so the duty goes round to one that can; if none can, it is vacant for half a lease more at most. A platform that throttles is in reach and changes nothing. Of the other duties: placement is worth nothing without a majority (its bindings are written to the owner of the configuration), and a holder without one loses it with its lease; rollouts, quotas and coordination go with the ownership of a key, which rests on a majority's answers.

--- a/internal/controlplane/list.go
+++ b/internal/controlplane/list.go
@@ -13,6 +13,13 @@
 	"madderwing/internal/upstream"
 )
 
+// Parts of drainS: for how long the holder of the duty may fail to read the list before it hands the
+// duty on, and for how long it then lets others come first. What is left of drainS is for the next holder's first reading.
+const (
+	handOnPart   = 0.5
+	standingBack = 8
+)
+
 // listController holds the platform's list of upstreams. The holder of the duty reads it
 // from the platform; the other control nodes watch the holder.
 type listController struct {
@@ -26,6 +33,7 @@
 	stand   upstream.ListSnapshot
 	pollAt  time.Duration           // when the platform is to be asked next
 	watchAt time.Duration           // when the holder is to be asked next
+	readAt  time.Duration           // when this control node won the duty or last read the list
 	changed func(now time.Duration) // another list stands
 	polled  func(now time.Duration) // the holder of the duty, which this is, has read the list
 }
@@ -98,12 +106,30 @@
 		if err != nil {
 			c.errors.Add(1)
 			c.log.upstream.Warn("list not read", "error", err)
+			c.do(func(now time.Duration) { c.failed(now, errors.Is(err, upstream.ErrThrottled)) })
 			return
 		}
 		c.do(func(now time.Duration) { c.take(now, list) })
 	}()
 }
 
+// won begins the duty of reading the list.
+func (c *listController) won(now time.Duration) {
+	c.readAt = now
+	c.poll()
+}
+
+// failed hands the duty on if this control node has it and has not read the list for too long. A platform
+// that throttles is in reach.
+func (c *listController) failed(now time.Duration, throttled bool) {
+	_, mine := c.election.Holds(now, dutyList)
+	if !mine || throttled || now-c.readAt < settings.Seconds(handOnPart*c.set.Bounds.DrainS) {
+		return
+	}
+	c.log.upstream.Warn("duty handed on, the list can't be read here", "silentS", logSeconds(now-c.readAt))
+	c.election.HandOn(now, dutyList, settings.Seconds(standingBack*c.set.Bounds.DrainS))
+}
+
 // take takes over a list that was read from the platform.
 func (c *listController) take(now time.Duration, list []upstream.Instance) {
 	term, mine := c.election.Holds(now, dutyList)
@@ -115,6 +141,8 @@
 		c.changed(now)
 	}
 	if mine {
+		c.readAt = now
+		c.election.Done(dutyList)
 		c.polled(now)
 	}
 }
--- a/internal/controlplane/pump.go
+++ b/internal/controlplane/pump.go
@@ -112,7 +112,7 @@
 			n.placement.dutyChanged()
 		case dutyList:
 			if mine {
-				n.list.poll()
+				n.list.won(now)
 			}
 		}
 	}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -55,7 +55,8 @@
 	asking  bool
 	votes   map[string]bool
 
-	notUntil time.Duration // a pause after an election that was lost
+	notUntil  time.Duration // a pause after an election that was lost
+	backUntil time.Duration // until then others come first, since this control node could not do it
 }
 
 // Elector is one control node's part in the elections of all duties.
@@ -152,7 +153,7 @@
 			}
 		case d.asking:
 			e.giveUp(now, d, roster)
-		case now >= d.notUntil && now >= d.grantUntil && now >= max(d.grantUntil, e.began)+time.Duration(e.rank(d, roster))*e.cfg.Lease/8:
+		case now >= d.notUntil && now >= max(d.grantUntil, e.began)+e.delay(now, d, roster):
 			e.campaign(now, d, max(d.floor, d.used, d.grantTerm, d.term)+1, roster)
 		}
 	}
@@ -178,6 +179,15 @@
 	}
 }
 
+// delay is for how long a duty has been vacant before this control node stands for it.
+func (e *Elector) delay(now time.Duration, d *duty, roster []string) time.Duration {
+	delay := time.Duration(e.rank(d, roster)) * e.cfg.Lease / 8
+	if now < d.backUntil {
+		delay += e.cfg.Lease / 2
+	}
+	return delay
+}
+
 func (e *Elector) rank(d *duty, roster []string) int {
 	n := 0
 	for _, id := range rendezvous.Order(d.name, roster) {
@@ -278,20 +288,42 @@
 	e.changed = append(e.changed, d.name)
 }
 
+// HandOn resigns from a duty that this control node has and can't do, and lets the others come first
+// for a while.
+func (e *Elector) HandOn(now time.Duration, name string, back time.Duration) {
+	if d := e.duty(name); d != nil && d.holding {
+		d.backUntil = now + back
+		e.resign(now, d)
+	}
+}
+
+// Done tells that this control node has just done a duty, so that it need not let others come first.
+func (e *Elector) Done(name string) {
+	if d := e.duty(name); d != nil {
+		d.backUntil = 0
+	}
+}
+
 // Leave resigns from all duties and stands for none.
 func (e *Elector) Leave(now time.Duration) {
 	e.leaving = true
 	for _, d := range e.duties {
-		if d.holding {
-			e.lose(d)
-		}
-		if d.grantTo == e.cfg.Self {
-			d.grantUntil = now
-		}
-		for _, id := range e.cfg.Roster() {
-			if id != e.cfg.Self {
-				e.out = append(e.out, Envelope{id, Message{Duty: d.name, Resign: true}})
-			}
+		e.resign(now, d)
+	}
+}
+
+// resign gives a duty up, and the votes for this control node.
+func (e *Elector) resign(now time.Duration, d *duty) {
+	if d.holding {
+		e.lose(d)
+	}
+	d.asking = false
+	if d.grantTo == e.cfg.Self {
+		d.grantUntil = now
+	}
+	for _, id := range e.cfg.Roster() {
+		if id != e.cfg.Self {
+			e.out = append(e.out, Envelope{id, Message{Duty: d.name, Resign: true}})
 		}
 	}
 }
