--- a/internal/knownfailures/main.go
+++ b/internal/knownfailures/main.go
@@ -1,4 +1,4 @@
-// Command knownred reads the events of go test -json on standard input and decides
+// Command knownfailures reads the events of go test -json on standard input and decides
 // whether tests that fail are those, and just those, that a list names as red for a
 // known fault. It is what .ci/run uses where there is such a list.
 package main
@@ -113,7 +113,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "knownred MODULE LIST, with the events of go test -json on standard input")
+		fmt.Fprintln(os.Stderr, "knownfailures MODULE LIST, with the events of go test -json on standard input")
 		os.Exit(2)
 	}
 	f, err := os.Open(os.Args[2])
@@ -127,7 +127,7 @@
 		}
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "knownred:", err)
+		fmt.Fprintln(os.Stderr, "knownfailures:", err)
 		os.Exit(1)
 	}
 }
