--- a/internal/soak/evacuation_test.go
+++ b/internal/soak/evacuation_test.go
@@ -104,6 +104,7 @@
 		acting.Go(func() { series(troubled, own, f) })
 	}
 	acting.Wait()
+	o.waking.Wait()
 	pause(t.Context(), contactS)
 	endClients()
 	sending.Wait()
@@ -135,6 +136,11 @@
 	troubleRest = 9 * time.Second
 )
 
+// troubled says whether troubles may begin now.
+func (f *fleet) troubled() bool {
+	return time.Since(f.began)%(troubleSpan+troubleRest) <= troubleSpan
+}
+
 // untilTrouble waits, and then for the next time at which troubles may begin. It says whether there is one.
 func (f *fleet) untilTrouble(ctx context.Context, span time.Duration) bool {
 	pause(ctx, span)
--- a/internal/soak/operators_test.go
+++ b/internal/soak/operators_test.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -51,6 +52,7 @@
 	mu     sync.Mutex
 	orders []*orderRecord
 	kept   []net.Conn // whose end the nodes never see
+	waking sync.WaitGroup
 }
 
 func (o *operators) end() {
@@ -134,6 +136,24 @@
 	return passes
 }
 
+// aimedStops is the part of the calls before which the node that they go to is stopped.
+const aimedStops = 0.15
+
+// stopFirst has the node at an address stand still, and wake after a while.
+func (o *operators) stopFirst(address string, span time.Duration) {
+	for _, m := range o.fleet.machines {
+		if m.control != nil && m.controlAddress() == address {
+			end := m.control.trouble()
+			m.control.signal(syscall.SIGSTOP)
+			o.waking.Go(func() {
+				time.Sleep(span)
+				m.control.signal(syscall.SIGCONT)
+				end()
+			})
+		}
+	}
+}
+
 // give sends an order to one node after the other until it is acknowledged or ackS is over.
 func (o *operators) give(ctx context.Context, random *rand.Rand, operator int, zone string, evacuate bool) *orderRecord {
 	method := http.MethodDelete
@@ -149,6 +169,9 @@
 	wait := firstPause
 	for try := 0; time.Since(r.sent) < ackS && ctx.Err() == nil; try++ {
 		to, f, begin := addresses[try%len(addresses)], drawFate(random), time.Now()
+		if random.Float64() < aimedStops && o.fleet.troubled() {
+			o.stopFirst(to, between(random, callPatience, 4*time.Second))
+		}
 		status := o.call(method, to, "/v1/evacuation/"+zone, "", f)
 		now := time.Now()
 		o.mu.Lock()
