delivery: a gateway is sent the records that have changed, not the ranges that they are in

Cause: every change brought every gateway the whole range that the record is in, folded up. The changes themselves filled the links, and what was acknowledged last waited behind ranges that brought nothing new; so did clients' requests. Class: a repair by ranges used as the ordinary path.

Nothing on the wire is new.

--- a/internal/controlplane/configuration.go
+++ b/internal/controlplane/configuration.go
@@ -7,13 +7,15 @@
 
 	"madderwing/internal/antientropy"
 	"madderwing/internal/config"
+	"madderwing/internal/delivery"
 )
 
 // configuration is the committed configuration as this control node shows it to gateways: the
 // records of all keys that hold items, evacuations or rollouts.
 type configuration struct {
-	shown  *antientropy.Set
-	reader config.Reader
+	shown   *antientropy.Set
+	changes delivery.ChangeLog // of what is shown
+	reader  config.Reader
 }
 
 func newConfiguration() *configuration { return &configuration{shown: antientropy.NewSet()} }
@@ -22,7 +24,7 @@
 func (c *configuration) merge(records []config.Record) (taken []config.Record) {
 	for _, r := range records {
 		if old, have := c.shown.Records[r.Name]; !have || r.Newer(old) {
-			c.shown.Put(r)
+			c.changes.Put(c.shown, r)
 			taken = append(taken, r)
 		}
 	}
--- a/internal/controlplane/delivery.go
+++ b/internal/controlplane/delivery.go
@@ -38,7 +38,8 @@
 }
 
 func newDeliveryController(env *environment, shown *configuration, list *listController, led func() bool) *deliveryController {
-	c := &deliveryController{environment: env, configuration: shown, list: list, led: led, told: map[string]toldAt{}}
+	c := &deliveryController{environment: env, configuration: shown, list: list, led: led, told: map[string]toldAt{},
+		sender: delivery.Sender{Log: &shown.changes}}
 	c.watchers.Forget = 4 * env.set.Beat()
 	return c
 }
--- a/internal/delivery/horizon.go
+++ b/internal/delivery/horizon.go
@@ -22,6 +22,8 @@
 // Sender brings watchers the ranges that they lack, out of the records that a control
 // node shows.
 type Sender struct {
+	// Log holds the newest changes of the records; nil: ranges are always sent whole.
+	Log   *ChangeLog
 	packs Packs
 	next  int // the range to begin with for watchers that have no horizons
 }
@@ -62,6 +64,11 @@
 			}
 			continue
 		}
+		if size, ok := s.bringChanges(set, has, i, horizon, out); ok {
+			bytes += size
+			sums[i] = set.Sums[i]
+			continue
+		}
 		bytes += s.packs.Range(set, i, has.Packs, out)
 		sums[i], horizons[i] = set.Sums[i], horizon
 		if horizon > 0 {
@@ -76,6 +83,19 @@
 	return has
 }
 
+// bringChanges puts what has changed in a range since the watcher's copy of it into an issue, if that
+// is known and the watcher holds the range up to the same horizon, and says about how many bytes that takes.
+func (s *Sender) bringChanges(set *antientropy.Set, has Watch, i int, horizon uint64, out *Issue) (size int, ok bool) {
+	if s.Log == nil || has.Horizons != nil && has.Horizons[i] != horizon {
+		return 0, false
+	}
+	records, ok := s.Log.since(set, i, has.Sums[i])
+	if ok {
+		out.Records = append(out.Records, records...)
+	}
+	return weight(records), ok
+}
+
 // lacks names the ranges that a watcher holds otherwise, or not up to a horizon.
 func (w Watch) lacks(sums antientropy.Sums, horizon uint64) (ranges []int) {
 	for i := range sums {
--- a/internal/delivery/horizon_test.go
+++ b/internal/delivery/horizon_test.go
@@ -61,19 +61,31 @@
 	h.configs = append(h.configs, now)
 }
 
-// controlNode shows some point of both histories.
+// controlNode shows some point of both histories, and knows what has changed lately.
 type controlNode struct {
 	config, evacuation int
 	sender             Sender
+	set                *antientropy.Set
 }
 
 func (c *controlNode) shown(h *history) *antientropy.Set {
-	set := antientropy.NewSet()
-	for _, r := range h.configs[c.config] {
-		set.Put(r)
+	if c.set == nil {
+		c.set, c.sender.Log = antientropy.NewSet(), &ChangeLog{}
 	}
-	set.Put(h.evacuations[c.evacuation])
-	return set
+	want := maps.Clone(h.configs[c.config])
+	evacuation := h.evacuations[c.evacuation]
+	want[evacuation.Name] = evacuation
+	for name := range c.set.Records {
+		if _, stands := want[name]; !stands {
+			c.set.Remove(name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(want)) {
+		if have, ok := c.set.Records[name]; !ok || have.Sum() != want[name].Sum() {
+			c.sender.Log.Put(c.set, want[name])
+		}
+	}
+	return c.set
 }
 
 // Gateways that are cut off over horizons, and control nodes that lag: however issues are
