--- a/internal/controlplane/stalls_test.go
+++ b/internal/controlplane/stalls_test.go
@@ -96,3 +96,21 @@
 		_ = server.Close()
 	}
 }
+
+// A process whose share of a core is spent runs no more for the rest of a tenth of a second, again and
+// again. That is no stall, and calls that wait for it are taken.
+func TestATenthOfASecondIsNoStall(t *testing.T) {
+	const quota = 100 * time.Millisecond
+	now := time.Minute
+	detector := &stallDetector{clock: func() time.Duration { return now }}
+	for range 50 {
+		detector.noteRunning(now)
+		now += quota + stallLimit/5 // the tick that was due meanwhile comes late by as much
+		if detector.stalled() {
+			t.Fatal("a spent quota counts as a stall")
+		}
+	}
+	if waited := (arrival{read: time.Now().Add(-quota)}).age(); waited < quota || waited > maxOrderWait {
+		t.Errorf("a call that waited for a spent quota is %v old, %v is the most", waited, maxOrderWait)
+	}
+}
