--- a/internal/replication/founding_test.go
+++ b/internal/replication/founding_test.go
@@ -129,3 +129,53 @@
 		}
 	}
 }
+
+// TestFoundingWithSeedsThatAreRelays has some or all seeds be processes without a disk.
+// The first of them appoints whoever asks it first, if all are such.
+func TestFoundingWithSeedsThatAreRelays(t *testing.T) {
+	for _, relays := range [][]int{{0}, {1}, {2}, {0, 1}, {0, 2}, {1, 2}, {0, 1, 2}} {
+		for seed := int64(1); seed <= 5; seed++ {
+			w := emptyWorld(seed, 1)
+			w.fatal = t.Fatalf
+			appointed := map[string]string{}
+			for i := 0; i < 6; i++ {
+				w.add(i+1, 3, true)
+			}
+			w.seeds = slices.Clone(w.ids[:3])
+			for _, i := range relays {
+				appointed[w.seeds[i]] = ""
+				delete(w.nodes, w.seeds[i])
+			}
+			w.ids = slices.DeleteFunc(w.ids, func(id string) bool { _, ok := appointed[id]; return ok })
+			w.drop = func(from string, e Envelope) bool {
+				if _, ok := appointed[e.To]; !ok {
+					return false
+				}
+				if as[*Found](e.Msg) != nil {
+					if appointed[e.To] == "" && e.To == w.seeds[0] {
+						appointed[e.To] = from
+					}
+					w.at(time.Millisecond, func() {
+						if n := w.nodes[from]; n.up {
+							w.on(from, n.life, func() {
+								n.m.Handle(w.clock(n), e.To, Message{Body: &Founded{Relay: true, Appointed: appointed[e.To]}})
+							})
+						}
+					})
+				}
+				return true
+			}
+			for _, id := range w.ids {
+				// All start within 0.3 s of each other.
+				w.at(time.Duration(w.rng.Intn(300))*time.Millisecond, func() { w.start(id) })
+			}
+			w.run(400 * time.Millisecond)
+			w.until(fmt.Sprintf("relays %v, seed %d: all have their seats", relays, seed), 8*time.Second, w.seated)
+			w.mustPut(t, "x", 1)
+			w.run(w.now + 2*time.Second)
+			if got := w.holders("x", 1); len(got) != len(w.ids) {
+				t.Fatalf("copies at %v", got)
+			}
+		}
+	}
+}
