proxy: the rig of leaving clients has the limits of its own table

Cause: traced on a core shared with seven busy processes. newRig makes the listener with the limits of its first table, headerTimeoutS 0.2; newLeaveRig then puts another table in force (5 s) but left the listener's limits as they were. On a starved machine a fresh connection's request lay unread for 0.2 s, the read timed out and net/http closed the connection, as it has to.

Change: the listener gets the limits of the table that the test names. No check changes.

--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -39,7 +39,9 @@
 func newLeaveRig(t *testing.T, ups ...*server) *leaveRig {
 	t.Helper()
 	r := &leaveRig{rig: newRig(t, ups...)}
-	r.handler.SetTable(tableOf(t, leaveTable))
+	table := tableOf(t, leaveTable)
+	r.handler.SetTable(table)
+	r.listener.SetLimits(table.Limits)
 	chain := r.handler.chain
 	r.handler.chain = func(x *Exchange) error {
 		r.newest.Store(x)
