The duty of reading the platform's list rests on results that the others have, not on a call that failed

With the list in 8 pages and each call of the reader alone 0.7 s late, requests came up to 4.8 s after the list showed the upstream as draining; drainS is 2.5 s. With a reader whose messages don't arrive, though its votes are renewed, the others never had the change.

Cause: the duty went on only after a reading that failed, and only by the holder's own judgement. A reading that is slow, trickles or never ends is no failure; one that the others don't get is a success to the holder. Class: a lease that its holder renews by being alive, and judges itself.

Change: every control node knows as of when the list that it has holds, by its own clock: the holder answers with durations since the watcher asked, so a message that waits on its way makes nothing look newer. What counts is the beginning of the last whole reading. While that is older than half of drainS, the first machines + 1 others in the order (as many as may be lost, and one) read the list too; one whose whole reading is newer by half of drainS asks whether the others would vote for it, stands, and brings its list with its first word. A voter goes over if the holder has brought it nothing as new. The holder's own resignation (HandOn, Done) is gone. Where nobody can read, the holder stays and terms don't rise; where reading takes everybody long, a deputy expects no more of the holder than of itself. The question in advance also keeps a node that hears nothing from raising terms. The log and status say from whom a duty was handed on and how old its result was.

No call more to the platform while lists come; deputies share what the holder may make.

--- a/cmd/madderwing/client.go
+++ b/cmd/madderwing/client.go
@@ -363,9 +363,13 @@
 	for _, k := range o.Keys {
 		fmt.Fprintf(w, "%s\t%s\t%.1f s ago\t%d\t%d\t%d\t%d\n", k.Key, name(k.Owner), k.HeardAgoS, k.Epoch, k.Seq, k.Commit, k.Records)
 	}
-	fmt.Fprint(w, "\nDUTY\tHOLDER\tTERM\n")
+	fmt.Fprint(w, "\nDUTY\tHOLDER\tTERM\tRESULT\tLAST HANDED ON\n")
 	for _, d := range o.Duties {
-		fmt.Fprintf(w, "%s\t%s\t%d\n", d.Duty, name(d.Holder), d.Term)
+		handedOn := "-"
+		if h := d.HandedOn; h != nil {
+			handedOn = fmt.Sprintf("%.0f s ago from %s, whose result was %.1f s old", h.AgoS, name(h.From), h.ResultAgeS)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.1f s old\t%s\n", d.Duty, name(d.Holder), d.Term, d.ResultAgeS, handedOn)
 	}
 	fmt.Fprint(w, "\nROUTE\tHOST\tPREFIX\tTARGETS\tGENERATION\tPHASE\tSHARD\n")
 	for _, r := range o.Routes {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -136,7 +136,7 @@
 		return nil, err
 	}
 	n.election = election.New(election.Config{Self: post.Self(), Life: env.life, Duties: []string{dutyList, dutyPlacement}, Lease: vacant(set),
-		Roster: func() []string { return n.member.Roster() }, Alive: func(id string) bool { return n.reg.Hopeful(id) }})
+		Roster: func() []string { return n.member.Roster() }, Alive: func(id string) bool { return n.reg.Hopeful(id) }, Progress: n.progress})
 	n.wire()
 	me := membership.Node{Address: post.Self(), Name: set.Node, Zone: set.Zone, Plane: membership.Control}
 	n.reg = membership.NewService(membership.Config{Self: me, Seeds: set.SeedControlNodes(), Beat: set.Beat(), Forget: 40 * set.Beat()},
@@ -200,10 +200,22 @@
 		placement: n.placement, rollouts: n.rollouts, quotas: n.quotas, orders: n.orders}
 	n.coordination = newCoordinator(n.environment)
 	n.administration.coordination = n.coordination
-	n.list.changed, n.list.polled = n.delivery.issue, n.rollouts.adopt
+	n.list.changed = n.delivery.issue
+	n.list.polled = func(now time.Duration) {
+		n.delivery.confirmList(now)
+		n.rollouts.adopt(now)
+	}
 	n.rollouts.loads = func() upstream.Loads { return n.delivery.loads }
 }
 
+// progress tells how far the result of a duty has come at this control node.
+func (n *Node) progress(now time.Duration, duty string) election.Progress {
+	if duty == dutyPlacement {
+		return election.Progress{Known: now, Own: now}
+	}
+	return n.list.progress()
+}
+
 // nodesChanged takes over another list of nodes. It runs on the goroutine of membership.
 func (n *Node) nodesChanged(l *membership.List) {
 	n.do(func(time.Duration) { n.placement.look() })
--- a/internal/controlplane/delivery.go
+++ b/internal/controlplane/delivery.go
@@ -59,6 +59,7 @@
 	if c.list.known(now).Foreign(w.Listing) {
 		c.election.Raise(dutyList, w.Listing.Term)
 	}
+	c.list.mark(now, from, w)
 	has, guessed := c.watchers.Believe(now, from, w, c.set.Beat())
 	c.watchers.Note(now, from, has)
 	c.watchers.Note(now, from, c.issueTo(now, from, has, true, guessed))
@@ -116,6 +117,17 @@
 	}
 }
 
+// confirmList tells the control nodes that have the list as of when it holds.
+func (c *deliveryController) confirmList(now time.Duration) {
+	for id, mark := range c.list.marks {
+		if now-mark.at > c.watchers.Forget {
+			delete(c.list.marks, id)
+		} else if has, ok := c.watchers.Has(id); ok && has.Listing == c.list.stand.Version {
+			c.post.Send(id, delivery.IssueKind, delivery.Issue{Listed: c.list.listed(id)})
+		}
+	}
+}
+
 // issueTo sends a watcher what it lacks, always or only if it lacks something, and returns what
 // it has then. guessed says that what it has is not its own word.
 func (c *deliveryController) issueTo(now time.Duration, to string, has delivery.Watch, always, guessed bool) delivery.Watch {
@@ -133,6 +145,9 @@
 		out.Listing = l
 		has.Listing = l.Version
 	}
+	if always || out.Listing != nil {
+		out.Listed = c.list.listed(to)
+	}
 	if always {
 		out.Loads = c.loads
 		if at, ok := c.member.Current(config.Key); ok && whole && !guessed && has.Asked > 0 {
--- a/internal/controlplane/list.go
+++ b/internal/controlplane/list.go
@@ -8,20 +8,27 @@
 	"time"
 
 	"madderwing/internal/delivery"
+	"madderwing/internal/election"
 	"madderwing/internal/settings"
 	"madderwing/internal/transport"
 	"madderwing/internal/upstream"
 )
 
-// Parts of drainS: for how long the holder of the duty may fail to read the list before it hands the
-// duty on, and for how long it then lets others come first. What is left of drainS is for the next holder's first reading.
 const (
-	handOnPart   = 0.5
-	standingBack = 8
+	// listLimitPart is the part of drainS for which the list of the duty's holder may be older than what
+	// another control node could bring. The rest of drainS is for the other's reading, the votes and the delivery.
+	listLimitPart = 0.5
+	// listPollPart is the part of drainS after which a short list is read again.
+	listPollPart = 0.2
+	// listCallPart is the part of drainS that one call to the platform may take.
+	listCallPart = 0.4
+	// listReadingParts bounds one reading of the list, in drainS.
+	listReadingParts = 8
 )
 
 // listController holds the platform's list of upstreams. The holder of the duty reads it
-// from the platform; the other control nodes watch the holder.
+// from the platform; the other control nodes watch the holder, and some of them, its deputies, read the
+// list too while the holder brings none: see list_deputy.go.
 type listController struct {
 	*environment
 	client  *http.Client
@@ -31,49 +38,113 @@
 
 	// Owned by the pump's goroutine.
 	stand   upstream.ListSnapshot
-	pollAt  time.Duration           // when the platform is to be asked next
-	watchAt time.Duration           // when the holder is to be asked next
-	readAt  time.Duration           // when this control node won the duty or last read the list
+	asOf    time.Duration        // as of when stand holds
+	marks   map[string]clockMark // by control node that watches this one
+	pollAt  time.Duration        // when the platform is to be asked next
+	watchAt time.Duration        // when the holder is to be asked next
+	deputy  listDeputy
 	changed func(now time.Duration) // another list stands
 	polled  func(now time.Duration) // the holder of the duty, which this is, has read the list
 }
 
+// clockMark is the clock of another control node as it told it, and when it came.
+type clockMark struct{ asked, at time.Duration }
+
+// listReading is one whole reading of the platform's list.
+type listReading struct {
+	instances  []upstream.Instance
+	began, end time.Duration
+}
+
 func newListController(env *environment) *listController {
-	return &listController{environment: env, client: &http.Client{Timeout: settings.Seconds(env.set.Bounds.DrainS * 0.4),
-		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * env.set.Beat()}}}
+	return &listController{environment: env, marks: map[string]clockMark{},
+		client: &http.Client{Timeout: settings.Seconds(env.set.Bounds.DrainS * listCallPart),
+			Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * env.set.Beat()}}}
 }
 
 // handle takes the lists that other control nodes send.
 func (c *listController) handle() {
 	transport.On(c.post, delivery.IssueKind, func(_ string, i delivery.Issue) {
-		c.offer(func(now time.Duration) {
-			if i.Listing != nil && c.stand.Take(now, *i.Listing) {
-				c.changed(now)
-			}
-		})
+		c.offer(func(now time.Duration) { c.issued(now, i) })
 	})
 }
 
+// issued takes what another control node sends of the list.
+func (c *listController) issued(now time.Duration, i delivery.Issue) {
+	took := i.Listing != nil && c.stand.Take(now, *i.Listing)
+	if i.Listed != nil && i.Listed.Version == c.stand.Version {
+		asOf := min(now, i.Listed.Asked+i.Listed.Since)
+		if took {
+			c.asOf = asOf
+		}
+		c.asOf = max(c.asOf, asOf)
+	}
+	if took {
+		c.changed(now)
+	}
+}
+
 // tick is due at every tick of the pump.
 func (c *listController) tick(now time.Duration) {
-	if _, mine := c.election.Holds(now, dutyList); mine {
-		c.pollWhenDue(now)
-	} else if !c.stand.Known() && now >= c.pollAt {
-		// There is no list and, as far as this control node can tell, nobody
-		// to read one: it reads one that any holder's replaces.
-		c.pollWhenDue(now)
-	} else if now >= c.watchAt {
-		c.watchAt = now + c.set.Beat()
-		if h, _, _ := c.election.Holder(now, dutyList); h != "" && h != c.post.Self() {
-			c.post.Send(h, delivery.WatchKind, delivery.Watch{Listing: c.stand.Version})
-		}
+	if _, mine := c.election.Holds(now, dutyList); mine || !c.stand.Known() {
+		// Without a list, and as far as this control node can tell nobody to read one, it
+		// reads one that any holder's replaces.
+		c.pollWhenDue(now, c.set.CloudAPI.RatePerS)
+		return
+	}
+	c.watch(now)
+	c.deputize(now)
+}
+
+// watch asks the holder for its list, and if that has brought nothing for long, another control node too.
+func (c *listController) watch(now time.Duration) {
+	if now < c.watchAt {
+		return
+	}
+	c.watchAt = now + c.set.Beat()
+	question := delivery.Watch{Listing: c.stand.Version, Asked: max(now, 1)}
+	holder, _, _ := c.election.Holder(now, dutyList)
+	if holder != "" && holder != c.post.Self() {
+		c.post.Send(holder, delivery.WatchKind, question)
+	}
+	if other := c.deputy.other(c.member.Everyone(), c.post.Self(), holder); other != "" && now-c.asOf > c.limit()/2 {
+		question.Second = true
+		c.post.Send(other, delivery.WatchKind, question)
+	}
+}
+
+// limit is by how much a list must be newer than that of the holder for the duty to go on.
+func (c *listController) limit() time.Duration {
+	return settings.Seconds(listLimitPart * c.set.Bounds.DrainS)
+}
+
+// progress tells how far the reading of the list has come here.
+func (c *listController) progress() election.Progress {
+	return election.Progress{Known: c.asOf, Own: c.deputy.reading.began, Limit: c.limit()}
+}
+
+// mark notes the clock of a control node that watches this one.
+func (c *listController) mark(now time.Duration, from string, w delivery.Watch) {
+	if w.Sums == nil && w.Asked > 0 {
+		c.marks[from] = clockMark{w.Asked, now}
 	}
 }
 
-func (c *listController) pollWhenDue(now time.Duration) {
+// listed tells a control node that watches this one as of when the list holds; nil: it has not told its
+// clock, or there is no list.
+func (c *listController) listed(to string) *delivery.Listed {
+	mark, ok := c.marks[to]
+	if !ok || !c.stand.Known() {
+		return nil
+	}
+	return &delivery.Listed{Version: c.stand.Version, Asked: mark.asked, Since: c.asOf - mark.at}
+}
+
+// pollWhenDue reads the list, perS calls a second at the most, if that is due.
+func (c *listController) pollWhenDue(now time.Duration, perS float64) {
 	if now >= c.pollAt {
-		c.pollAt = now + settings.Seconds(c.set.Bounds.DrainS/5)
-		c.poll()
+		c.pollAt = now + settings.Seconds(c.set.Bounds.DrainS*listPollPart)
+		c.poll(perS)
 	}
 }
 
@@ -87,62 +158,58 @@
 }
 
 // poll reads the platform's list in the background.
-func (c *listController) poll() {
+func (c *listController) poll(perS float64) {
 	if c.set.CloudAPI.Address == "" || !c.polling.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer c.polling.Store(false)
-		begin := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), settings.Seconds(8*c.set.Bounds.DrainS))
+		began := c.now()
+		ctx, cancel := context.WithTimeout(context.Background(), settings.Seconds(listReadingParts*c.set.Bounds.DrainS))
 		defer cancel()
-		list, calls, err := upstream.ReadAll(ctx, c.client, c.set.CloudAPI.Address, c.set.CloudAPI.RatePerS)
+		list, calls, err := upstream.ReadAll(ctx, c.client, c.set.CloudAPI.Address, perS)
 		c.polls.Add(uint64(calls))
 		// A list of many pages is read less often; one that is throttled, too.
 		if throttled := errors.Is(err, upstream.ErrThrottled); throttled || calls > 1 {
-			rest := max(time.Since(begin), settings.Seconds(c.set.Bounds.DrainS/5))
+			rest := max(c.now()-began, settings.Seconds(c.set.Bounds.DrainS*listPollPart))
 			defer time.Sleep(min(rest, settings.Seconds(c.set.Bounds.DrainS)))
 		}
 		if err != nil {
 			c.errors.Add(1)
 			c.log.upstream.Warn("list not read", "error", err)
-			c.do(func(now time.Duration) { c.failed(now, errors.Is(err, upstream.ErrThrottled)) })
+			c.do(func(now time.Duration) { c.failed(now) })
 			return
 		}
-		c.do(func(now time.Duration) { c.take(now, list) })
+		reading := listReading{list, began, c.now()}
+		c.do(func(now time.Duration) { c.take(now, reading) })
 	}()
 }
 
-// won begins the duty of reading the list.
+// won begins the duty of reading the list, with the list that this control node may have read as a deputy.
 func (c *listController) won(now time.Duration) {
-	c.readAt = now
-	c.poll()
-}
-
-// failed hands the duty on if this control node has it and has not read the list for too long. A platform
-// that throttles is in reach.
-func (c *listController) failed(now time.Duration, throttled bool) {
-	_, mine := c.election.Holds(now, dutyList)
-	if !mine || throttled || now-c.readAt < settings.Seconds(handOnPart*c.set.Bounds.DrainS) {
-		return
+	if c.deputy.reading.began > c.asOf {
+		c.log.upstream.Warn("the last holder's list is too old, this control node's is taken", "ageS", logSeconds(now-c.asOf))
+		c.take(now, c.deputy.reading)
 	}
-	c.log.upstream.Warn("duty handed on, the list can't be read here", "silentS", logSeconds(now-c.readAt))
-	c.election.HandOn(now, dutyList, settings.Seconds(standingBack*c.set.Bounds.DrainS))
+	c.poll(c.set.CloudAPI.RatePerS)
 }
 
 // take takes over a list that was read from the platform.
-func (c *listController) take(now time.Duration, list []upstream.Instance) {
+func (c *listController) take(now time.Duration, reading listReading) {
+	c.deputy.succeeded(reading)
 	term, mine := c.election.Holds(now, dutyList)
 	if !mine {
 		term = 0
 	}
-	if (mine || !c.stand.Known()) && c.stand.Update(now, term, c.life, list) {
-		c.log.upstream.Info("list read", "term", c.stand.Version.Term, "seq", c.stand.Version.Seq, "upstreams", len(list))
+	if !mine && c.stand.Known() {
+		return
+	}
+	c.asOf = reading.began
+	if c.stand.Update(now, term, c.life, reading.instances) {
+		c.log.upstream.Info("list read", "term", c.stand.Version.Term, "seq", c.stand.Version.Seq, "upstreams", len(reading.instances))
 		c.changed(now)
 	}
 	if mine {
-		c.readAt = now
-		c.election.Done(dutyList)
 		c.polled(now)
 	}
 }
--- a/internal/controlplane/pump.go
+++ b/internal/controlplane/pump.go
@@ -100,6 +100,10 @@
 	for _, e := range out {
 		n.post.Send(e.To, electionKind, e.Msg)
 	}
+	for _, on := range n.election.TakeHandOns() {
+		n.log.election.Warn("duty handed on, its holder's result is too old", "duty", on.Duty, "from", on.From, "to", on.To,
+			"resultAgeS", logSeconds(on.ResultAge))
+	}
 	for _, d := range duties {
 		_, mine := n.election.Holds(now, d)
 		if mine {
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -79,6 +79,16 @@
 	// nodes of a version before them send neither.
 	Horizon *uint64 `cbor:"9,keyasint,omitempty"`
 	Ranges  []int   `cbor:"10,keyasint,omitempty"`
+	// Listed says as of when the list holds. Only control nodes are told.
+	Listed *Listed `cbor:"11,keyasint,omitempty"`
+}
+
+// Listed says that the platform's list of a version was whole and the newest Since after the watcher's
+// clock showed Asked, or, if Since is negative, before. Durations only: the two need no common clock.
+type Listed struct {
+	Version upstream.Version `cbor:"1,keyasint"`
+	Asked   time.Duration    `cbor:"2,keyasint"`
+	Since   time.Duration    `cbor:"3,keyasint"`
 }
 
 // Sure says that what the gateway has from now on was the newest, at the latest, Age
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -1,7 +1,8 @@
 // Package election gives each duty to one control node. A duty that falls vacant is won
 // by an election; its holder keeps it while a majority goes on voting
-// for it. Two holders at once do no harm to what is kept, only to cost: the
-// results of a duty are guarded by what they are written to.
+// for it, and until another control node has a newer result of the duty than the holder has
+// brought to a majority: see candidacy.go. Two holders at once do no harm to what is kept, only to
+// cost: the results of a duty are guarded by what they are written to.
 package election
 
 import (
@@ -20,6 +21,9 @@
 	Resign bool   `cbor:"5,keyasint,omitempty"`
 	Used   uint64 `cbor:"6,keyasint,omitempty"` // see duty.used
 	Life   uint64 `cbor:"7,keyasint,omitempty"` // of the candidate
+
+	Ask    bool    `cbor:"8,keyasint,omitempty"` // asks only whether the vote would be given, or answers that
+	Result *Result `cbor:"9,keyasint,omitempty"` // the candidate stands against a holder
 }
 
 // Envelope is a message to one control node.
@@ -36,6 +40,8 @@
 	Lease  time.Duration
 	Roster func() []string
 	Alive  func(string) bool
+	// Progress tells how far the result of a duty has come; nil: no holder is ever stood against.
+	Progress func(now time.Duration, duty string) Progress
 }
 
 type duty struct {
@@ -47,6 +53,7 @@
 	grantTerm  uint64
 	grantLife  uint64
 	grantUntil time.Duration
+	grantSince time.Duration // when the vote went on to grantTo from another
 
 	holding bool
 	term    uint64
@@ -54,9 +61,12 @@
 	asked   time.Duration
 	asking  bool
 	votes   map[string]bool
+	opposed bool            // the election is one against a holder, whose refusal does not end it
+	refused map[string]bool // by whom, then
 
 	notUntil  time.Duration // a pause after an election that was lost
-	backUntil time.Duration // until then others come first, since this control node could not do it
+	candidacy candidacy     // this control node's
+	handedOn  *HandOn       // the last that this control node voted for
 }
 
 // Elector is one control node's part in the elections of all duties.
@@ -65,6 +75,7 @@
 	duties  []*duty
 	out     []Envelope
 	changed []string
+	handOns []HandOn
 	leaving bool
 	began   time.Duration
 	ran     bool
@@ -136,25 +147,29 @@
 			e.lose(d)
 		}
 		if d.holding && (d.term < d.floor || d.term <= d.used) {
-			e.campaign(now, d, max(d.floor, d.used)+1, roster)
+			e.stand(now, d, max(d.floor, d.used)+1, nil, roster)
 			continue
 		}
 		switch {
 		case d.holding:
 			if now-d.asked >= e.cfg.Lease/3 {
-				e.campaign(now, d, d.term, roster)
+				e.stand(now, d, d.term, nil, roster)
 			}
 		case d.asking && now-d.asked < e.cfg.Lease/2:
 			// Some may only now have come up.
+			again := Message{Duty: d.name, Term: d.term, Life: e.cfg.Life}
+			if d.opposed {
+				again.Result = e.better(now, d)
+			}
 			for _, id := range roster {
 				if !d.votes[id] {
-					e.out = append(e.out, Envelope{id, Message{Duty: d.name, Term: d.term, Life: e.cfg.Life}})
+					e.out = append(e.out, Envelope{id, again})
 				}
 			}
 		case d.asking:
 			e.giveUp(now, d, roster)
-		case now >= d.notUntil && now >= max(d.grantUntil, e.began)+e.delay(now, d, roster):
-			e.campaign(now, d, max(d.floor, d.used, d.grantTerm, d.term)+1, roster)
+		case now >= d.notUntil:
+			e.consider(now, d, roster)
 		}
 	}
 }
@@ -165,13 +180,17 @@
 	if !d.asking {
 		return
 	}
-	d.asking = false
 	d.notUntil = now + e.cfg.Lease/8*time.Duration(1+e.rank(d, roster))
+	e.freeVotes(now, d, roster)
+}
+
+// freeVotes gives back the votes for this control node. Those who have not answered yet are told
+// too: the votes of far ones may be on their way, and would bind them for a whole lease.
+func (e *Elector) freeVotes(now time.Duration, d *duty, roster []string) {
+	d.asking = false
 	if d.grantTo == e.cfg.Self {
 		d.grantUntil = now
 	}
-	// Also to those who have not answered yet: the votes of far ones may be on their
-	// way, and would bind them for a whole lease.
 	for _, id := range roster {
 		if id != e.cfg.Self {
 			e.out = append(e.out, Envelope{id, Message{Duty: d.name, Resign: true}})
@@ -179,14 +198,8 @@
 	}
 }
 
-// delay is for how long a duty has been vacant before this control node stands for it.
-func (e *Elector) delay(now time.Duration, d *duty, roster []string) time.Duration {
-	delay := time.Duration(e.rank(d, roster)) * e.cfg.Lease / 8
-	if now < d.backUntil {
-		delay += e.cfg.Lease / 2
-	}
-	return delay
-}
+// nextTerm is a term above all that this control node knows of.
+func (d *duty) nextTerm() uint64 { return max(d.floor, d.used, d.grantTerm, d.term) + 1 }
 
 func (e *Elector) rank(d *duty, roster []string) int {
 	n := 0
@@ -201,33 +214,60 @@
 	return n + 1
 }
 
-func (e *Elector) campaign(now time.Duration, d *duty, term uint64, roster []string) {
+// stand asks for votes under a term, against another holder if it has the better result.
+func (e *Elector) stand(now time.Duration, d *duty, term uint64, result *Result, roster []string) {
 	d.asked, d.asking = now, true
+	d.opposed, d.refused = result != nil, map[string]bool{}
 	if term != d.term && d.holding {
 		e.lose(d)
 	}
 	d.term = term
 	d.votes = map[string]bool{}
-	if !e.grant(now, d, e.cfg.Self, term, e.cfg.Life) {
+	request := Message{Duty: d.name, Term: term, Life: e.cfg.Life, Result: result}
+	if !e.grant(now, d, e.cfg.Self, request) {
 		d.asking = false
 		return
 	}
 	d.votes[e.cfg.Self] = true
 	for _, id := range roster {
 		if id != e.cfg.Self {
-			e.out = append(e.out, Envelope{id, Message{Duty: d.name, Term: term, Life: e.cfg.Life}})
+			e.out = append(e.out, Envelope{id, request})
 		}
 	}
 	e.count(d, roster)
 }
 
-// grant votes for a candidate if no other holds the vote.
-func (e *Elector) grant(now time.Duration, d *duty, to string, term, life uint64) bool {
-	if term < d.floor || term <= d.used || now < d.grantUntil && d.grantTo != to || now < d.grantUntil && term < d.grantTerm {
+// mayGrant says whether this control node may vote for a candidate: no other has its vote, or the
+// candidate has the better result.
+func (e *Elector) mayGrant(now time.Duration, d *duty, to string, request Message) bool {
+	if request.Term < d.floor || request.Term <= d.used {
 		return false
 	}
-	d.grantTo, d.grantTerm, d.grantLife, d.grantUntil = to, term, life, now+e.cfg.Lease
-	d.floor = max(d.floor, term)
+	if now >= d.grantUntil {
+		return true
+	}
+	if d.grantTo != to {
+		return e.yields(now, d, request)
+	}
+	return request.Term >= d.grantTerm
+}
+
+// grant votes for a candidate if it may.
+func (e *Elector) grant(now time.Duration, d *duty, to string, request Message) bool {
+	if !e.mayGrant(now, d, to, request) {
+		return false
+	}
+	if now < d.grantUntil && d.grantTo != to {
+		e.handOn(now, d, to)
+	}
+	if d.grantTo != to {
+		d.grantSince = now
+	}
+	d.grantTo, d.grantTerm, d.grantLife, d.grantUntil = to, request.Term, request.Life, now+e.cfg.Lease
+	d.floor = max(d.floor, request.Term)
+	if d.holding && to != e.cfg.Self {
+		e.lose(d)
+	}
 	return true
 }
 
@@ -242,6 +282,8 @@
 		if d.grantTo == from {
 			d.grantUntil = now
 		}
+	case m.Vote && (m.Ask || !d.asking && !d.holding):
+		e.answeredInAdvance(now, d, from, m)
 	case m.Vote:
 		if m.OK && (m.Term != d.term || !d.asking) {
 			return
@@ -252,27 +294,22 @@
 			return
 		}
 		d.floor, d.used = max(d.floor, m.Term), max(d.used, m.Used)
-		if !d.holding {
-			e.giveUp(now, d, e.cfg.Roster())
+		roster := e.cfg.Roster()
+		if !d.holding && !d.stillOpen(from, m, roster) {
+			e.giveUp(now, d, roster)
 		}
 	default:
-		ok := e.grant(now, d, from, m.Term, m.Life)
+		ok := m.Ask && e.mayGrant(now, d, from, m) || !m.Ask && e.grant(now, d, from, m)
 		term := m.Term
 		if !ok && d.floor > m.Term {
 			term = d.floor
 		}
-		e.out = append(e.out, Envelope{from, Message{Duty: m.Duty, Term: term, Vote: true, OK: ok, Used: d.used}})
+		e.out = append(e.out, Envelope{from, Message{Duty: m.Duty, Term: term, Vote: true, OK: ok, Ask: m.Ask, Used: d.used}})
 	}
 }
 
 func (e *Elector) count(d *duty, roster []string) {
-	n := 0
-	for _, id := range roster {
-		if d.votes[id] {
-			n++
-		}
-	}
-	if n < len(roster)/2+1 {
+	if !majority(d.votes, roster) {
 		return
 	}
 	// Counted from when the votes were asked for, so it ends before the votes do.
@@ -283,25 +320,20 @@
 	}
 }
 
-func (e *Elector) lose(d *duty) {
-	d.holding = false
-	e.changed = append(e.changed, d.name)
-}
-
-// HandOn resigns from a duty that this control node has and can't do, and lets the others come first
-// for a while.
-func (e *Elector) HandOn(now time.Duration, name string, back time.Duration) {
-	if d := e.duty(name); d != nil && d.holding {
-		d.backUntil = now + back
-		e.resign(now, d)
+// majority says whether more than half of a roster has voted.
+func majority(votes map[string]bool, roster []string) bool {
+	n := 0
+	for _, id := range roster {
+		if votes[id] {
+			n++
+		}
 	}
+	return n > len(roster)/2
 }
 
-// Done tells that this control node has just done a duty, so that it need not let others come first.
-func (e *Elector) Done(name string) {
-	if d := e.duty(name); d != nil {
-		d.backUntil = 0
-	}
+func (e *Elector) lose(d *duty) {
+	d.holding = false
+	e.changed = append(e.changed, d.name)
 }
 
 // Leave resigns from all duties and stands for none.
@@ -317,15 +349,7 @@
 	if d.holding {
 		e.lose(d)
 	}
-	d.asking = false
-	if d.grantTo == e.cfg.Self {
-		d.grantUntil = now
-	}
-	for _, id := range e.cfg.Roster() {
-		if id != e.cfg.Self {
-			e.out = append(e.out, Envelope{id, Message{Duty: d.name, Resign: true}})
-		}
-	}
+	e.freeVotes(now, d, e.cfg.Roster())
 }
 
 // State is one duty as status shows it.
@@ -333,13 +357,27 @@
 	Duty   string `json:"duty"`
 	Holder string `json:"holder"`
 	Term   uint64 `json:"term"`
+	// ResultAgeS is how old the holder's result is, as this control node has it.
+	ResultAgeS float64      `json:"resultAgeS"`
+	HandedOn   *HandOnState `json:"handedOn,omitempty"`
+}
+
+// HandOnState tells of the last time that a duty went on from a holder whose result was too old.
+type HandOnState struct {
+	From       string  `json:"from"`
+	ResultAgeS float64 `json:"resultAgeS"` // then
+	AgoS       float64 `json:"agoS"`
 }
 
 // States shows all duties.
 func (e *Elector) States(now time.Duration) (out []State) {
 	for _, d := range e.duties {
 		h, t, _ := e.Holder(now, d.name)
-		out = append(out, State{d.name, h, t})
+		state := State{Duty: d.name, Holder: h, Term: t, ResultAgeS: e.resultAge(now, d).Seconds()}
+		if on := d.handedOn; on != nil {
+			state.HandedOn = &HandOnState{on.From, on.ResultAge.Seconds(), (now - on.at).Round(time.Millisecond).Seconds()}
+		}
+		out = append(out, state)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Duty < out[j].Duty })
 	return out
