Placement: the scheduler's duty goes on while routes wait for it

What operators saw: where the orders of the control node with the scheduler's duty don't reach the owner of the configuration, though its votes are renewed, new routes stay unplaced for as long as that lasts.

Change: every control node looks, once a beat while there is something to see, whether routes wait for a binding that a shard with gateways could take. The result of the duty is as old as that has lasted; past ackS the duty goes on to another control node in contact, by the same election. Where no shard has a gateway, nothing waits.

--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -211,7 +211,7 @@
 // progress tells how far the result of a duty has come at this control node.
 func (n *Node) progress(now time.Duration, duty string) election.Progress {
 	if duty == dutyPlacement {
-		return election.Progress{Known: now, Own: now}
+		return n.placement.progress(now)
 	}
 	return n.list.progress()
 }
--- a/internal/controlplane/list_whole_test.go
+++ b/internal/controlplane/list_whole_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,22 +13,22 @@
 	"madderwing/internal/election"
 )
 
-// reader is the control node that has the duty of reading the list, as the first one outside of some tells.
-func (c *core) reader(t *testing.T, outside int) int {
+// dutyHolder waits until a duty has a holder, and gives that control node.
+func (c *core) dutyHolder(t *testing.T, duty string) (holder int) {
 	t.Helper()
-	at := (outside + 1) % len(c.control)
-	var duties []election.State
-	if err := json.Unmarshal([]byte(c.until(t, 200, "GET", c.control[at]+"/v1/admin/duties", "")), &duties); err != nil {
-		t.Fatal(err)
-	}
-	for _, d := range duties {
-		for i, address := range c.post {
-			if d.Duty == "list" && d.Holder == address {
-				return i
+	c.wait(t, duty+" has a holder", func() bool {
+		var duties []election.State
+		if err := json.Unmarshal([]byte(c.until(t, 200, "GET", c.control[1]+"/v1/admin/duties", "")), &duties); err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range duties {
+			if holder = slices.Index(c.post, d.Holder); d.Duty == duty && holder >= 0 {
+				return true
 			}
 		}
-	}
-	return -1
+		return false
+	})
+	return holder
 }
 
 // shows says whether a control node shows the upstream as draining.
@@ -82,8 +83,7 @@
 			}
 		},
 	} {
-		reader := -1
-		c.wait(t, "a reader", func() bool { reader = c.reader(t, 0); return reader >= 0 })
+		reader := c.dutyHolder(t, "list")
 		trouble(reader)
 		was := draining.Load()
 		draining.Store(!was)
--- a/internal/controlplane/placement.go
+++ b/internal/controlplane/placement.go
@@ -8,8 +8,10 @@
 
 	"madderwing/internal/apierror"
 	"madderwing/internal/config"
+	"madderwing/internal/election"
 	"madderwing/internal/membership"
 	"madderwing/internal/placement"
+	"madderwing/internal/settings"
 )
 
 // placementController has routes bound to shards while this control node holds the duty.
@@ -20,6 +22,11 @@
 
 	scheduler placement.Scheduler
 	pending   bool // routes, shards or the duty have changed since the last look
+
+	changed bool          // since it was last looked whether routes wait for a binding
+	waiting bool          // some did then
+	asOf    time.Duration // when none was last known to wait
+	checkAt time.Duration // when to look again
 }
 
 func newPlacementController(env *environment, shown *configuration, submit submitFunc) *placementController {
@@ -29,11 +36,33 @@
 }
 
 // look has the routes looked at once the command under way has run.
-func (c *placementController) look() { c.pending = true }
+func (c *placementController) look() { c.pending, c.changed = true, true }
 
 // tick is due at every tick of the pump.
 func (c *placementController) tick(now time.Duration) {
 	c.pending = c.pending || c.scheduler.Due(now)
+	c.lookForWaiting(now)
+}
+
+// lookForWaiting looks, once a beat at the most, whether any route waits for its binding.
+func (c *placementController) lookForWaiting(now time.Duration) {
+	if now >= c.checkAt && (c.changed || c.waiting) {
+		c.checkAt, c.changed = now+c.set.Beat(), false
+		c.waiting = placement.Waiting(c.configuration.routes(), c.shards())
+	}
+	if !c.waiting {
+		c.asOf = now
+	}
+}
+
+// progress tells how far the binding of routes has come here. Any control node in contact could bind those
+// that wait.
+func (c *placementController) progress(now time.Duration) election.Progress {
+	own := c.asOf
+	if c.waiting && c.lately(now) {
+		own = now
+	}
+	return election.Progress{Known: c.asOf, Own: own, Limit: settings.Seconds(c.set.Bounds.AckS)}
 }
 
 // dutyChanged makes the scheduler begin anew.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sort"
 	"time"
 
@@ -93,6 +94,14 @@
 	return others
 }
 
+// Waiting says whether any route needs a binding and there is a shard for it.
+func Waiting(routes []*config.Route, shards []Shard) bool {
+	if !slices.ContainsFunc(shards, func(s Shard) bool { return s.Gateways > 0 }) {
+		return false
+	}
+	return slices.ContainsFunc(routes, func(r *config.Route) bool { return Unscheduled(r, shards) })
+}
+
 // Reconcile looks at the routes after a change, or at all of them when a
 // relist is due. again is called when it should be called once more.
 func (s *Scheduler) Reconcile(now time.Duration, routes []*config.Route, shards []Shard, again func()) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -185,3 +185,24 @@
 		t.Fatalf("%d bound in %d batches", s.made, batches)
 	}
 }
+
+// Routes wait for their binding only where a shard could take them.
+func TestRoutesThatWait(t *testing.T) {
+	unbound := &config.Route{Name: "r"}
+	bound := &config.Route{Name: "s", Status: config.Status{Phase: config.PhaseScheduled, Shard: 1}}
+	served, empty := []Shard{{Label: 0}, {Label: 1, Gateways: 2}}, []Shard{{Label: 0}, {Label: 1}}
+	for name, c := range map[string]struct {
+		routes []*config.Route
+		shards []Shard
+		wait   bool
+	}{
+		"bound":                  {[]*config.Route{bound}, served, false},
+		"one is not":             {[]*config.Route{bound, unbound}, served, true},
+		"no gateway":             {[]*config.Route{bound, unbound}, empty, false},
+		"its shard has lost all": {[]*config.Route{bound}, []Shard{{Label: 0, Gateways: 1}, {Label: 1}}, true},
+	} {
+		if wait := Waiting(c.routes, c.shards); wait != c.wait {
+			t.Errorf("%s: %v", name, wait)
+		}
+	}
+}
