--- a/internal/controlplane/list.go
+++ b/internal/controlplane/list.go
@@ -39,6 +39,7 @@
 	// Owned by the pump's goroutine.
 	stand   upstream.ListSnapshot
 	asOf    time.Duration        // as of when stand holds
+	calls   int                  // that it took to read it
 	marks   map[string]clockMark // by control node that watches this one
 	pollAt  time.Duration        // when the platform is to be asked next
 	watchAt time.Duration        // when the holder is to be asked next
@@ -54,6 +55,7 @@
 type listReading struct {
 	instances  []upstream.Instance
 	began, end time.Duration
+	calls      int
 }
 
 func newListController(env *environment) *listController {
@@ -77,7 +79,7 @@
 		if took {
 			c.asOf = asOf
 		}
-		c.asOf = max(c.asOf, asOf)
+		c.asOf, c.calls = max(c.asOf, asOf), i.Listed.Calls
 	}
 	if took {
 		c.changed(now)
@@ -89,7 +91,7 @@
 	if _, mine := c.election.Holds(now, dutyList); mine || !c.stand.Known() {
 		// Without a list, and as far as this control node can tell nobody to read one, it
 		// reads one that any holder's replaces.
-		c.pollWhenDue(now, c.set.CloudAPI.RatePerS)
+		c.pollWhenDue(now)
 		return
 	}
 	c.watch(now)
@@ -137,14 +139,14 @@
 	if !ok || !c.stand.Known() {
 		return nil
 	}
-	return &delivery.Listed{Version: c.stand.Version, Asked: mark.asked, Since: c.asOf - mark.at}
+	return &delivery.Listed{Version: c.stand.Version, Asked: mark.asked, Since: c.asOf - mark.at, Calls: c.calls}
 }
 
-// pollWhenDue reads the list, perS calls a second at the most, if that is due.
-func (c *listController) pollWhenDue(now time.Duration, perS float64) {
+// pollWhenDue reads the list if that is due.
+func (c *listController) pollWhenDue(now time.Duration) {
 	if now >= c.pollAt {
 		c.pollAt = now + settings.Seconds(c.set.Bounds.DrainS*listPollPart)
-		c.poll(perS)
+		c.poll()
 	}
 }
 
@@ -158,7 +160,7 @@
 }
 
 // poll reads the platform's list in the background.
-func (c *listController) poll(perS float64) {
+func (c *listController) poll() {
 	if c.set.CloudAPI.Address == "" || !c.polling.CompareAndSwap(false, true) {
 		return
 	}
@@ -167,7 +169,7 @@
 		began := c.now()
 		ctx, cancel := context.WithTimeout(context.Background(), settings.Seconds(listReadingParts*c.set.Bounds.DrainS))
 		defer cancel()
-		list, calls, err := upstream.ReadAll(ctx, c.client, c.set.CloudAPI.Address, perS)
+		list, calls, err := upstream.ReadAll(ctx, c.client, c.set.CloudAPI.Address, c.set.CloudAPI.RatePerS)
 		c.polls.Add(uint64(calls))
 		// A list of many pages is read less often; one that is throttled, too.
 		if throttled := errors.Is(err, upstream.ErrThrottled); throttled || calls > 1 {
@@ -180,7 +182,7 @@
 			c.do(func(now time.Duration) { c.failed(now) })
 			return
 		}
-		reading := listReading{list, began, c.now()}
+		reading := listReading{list, began, c.now(), calls}
 		c.do(func(now time.Duration) { c.take(now, reading) })
 	}()
 }
@@ -191,7 +193,7 @@
 		c.log.upstream.Warn("the last holder's list is too old, this control node's is taken", "ageS", logSeconds(now-c.asOf))
 		c.take(now, c.deputy.reading)
 	}
-	c.poll(c.set.CloudAPI.RatePerS)
+	c.poll()
 }
 
 // take takes over a list that was read from the platform.
@@ -204,7 +206,7 @@
 	if !mine && c.stand.Known() {
 		return
 	}
-	c.asOf = reading.began
+	c.asOf, c.calls = reading.began, reading.calls
 	if c.stand.Update(now, term, c.life, reading.instances) {
 		c.log.upstream.Info("list read", "term", c.stand.Version.Term, "seq", c.stand.Version.Seq, "upstreams", len(reading.instances))
 		c.changed(now)
--- a/internal/controlplane/list_deputy.go
+++ b/internal/controlplane/list_deputy.go
@@ -7,11 +7,18 @@
 	"time"
 
 	"madderwing/internal/settings"
+	"madderwing/internal/upstream"
 )
 
-// ownReadings is how old a list may be when the next one is there, in readings of a long list: a reading, a
-// rest that is as long, and the next reading.
-const ownReadings = 3
+const (
+	// readingsBetween is how old a list may be when the next one is there, in readings of a long list: a reading,
+	// a rest that is as long, and the next reading.
+	readingsBetween = 3
+	// deputyPart is the part of the limit by which one deputy follows the other.
+	deputyPart = 0.5
+	// jitterPart is the part of the limit that a list may be late without anything being wrong.
+	jitterPart = 0.25
+)
 
 // listDeputy is a control node's part in reading the list while another has the duty.
 type listDeputy struct {
@@ -45,30 +52,29 @@
 	c.pollAt = now + min(poll<<min(c.deputy.failures, 8), settings.Seconds(c.set.Bounds.DrainS))
 }
 
-// deputize reads the list in place of the holder if what that has brought is too old. As many deputies do as
-// control nodes may be lost, and one more; the next ones follow while these bring nothing either. They share
-// as many calls to the platform as the holder may make.
+// deputize reads the list in place of the holder if what that has brought is too old: first the first one in the
+// order, then the next one too, and so on until one has brought a list. Each reads at the pace of the holder.
 func (c *listController) deputize(now time.Duration) {
 	place, ok := c.election.Deputy(now, dutyList)
 	if !ok || !c.lately(now) {
 		return
 	}
-	together := c.set.FaultBudget.Machines + 1
-	patience := c.patience(now) + time.Duration(place/together)*c.limit()
+	patience := c.patience(now) + time.Duration(deputyPart*float64(place)*float64(c.limit()))
 	// After a standstill of this process, the news that waited is taken first.
 	wasOverdue := c.deputy.overdue
 	c.deputy.overdue = now-c.asOf > patience
 	if wasOverdue && c.deputy.overdue {
-		c.pollWhenDue(now, c.set.CloudAPI.RatePerS/float64(together))
+		c.pollWhenDue(now)
 	}
 }
 
-// patience is how old the holder's list may be before this control node reads one too. One whose own reading
-// took long just now expects no more of the holder.
+// patience is how old the holder's list may be before the first deputy reads one too: older than the limit only
+// where the list is so long that the pauses between its pages take as much, or where this control node's own reading
+// took so long just now that it could do no better.
 func (c *listController) patience(now time.Duration) time.Duration {
-	last, longest := c.deputy.reading, settings.Seconds(listReadingParts*c.set.Bounds.DrainS)
-	if last.end == 0 || now-last.end > longest {
-		return c.limit()
+	reading, longest := upstream.Pauses(c.calls, c.set.CloudAPI.RatePerS), settings.Seconds(listReadingParts*c.set.Bounds.DrainS)
+	if last := c.deputy.reading; last.end > 0 && now-last.end < longest {
+		reading = max(reading, last.end-last.began)
 	}
-	return c.limit() + min(ownReadings*(last.end-last.began), longest)
+	return max(c.limit(), min(readingsBetween*reading, longest)+time.Duration(jitterPart*float64(c.limit())))
 }
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -89,6 +89,7 @@
 	Version upstream.Version `cbor:"1,keyasint"`
 	Asked   time.Duration    `cbor:"2,keyasint"`
 	Since   time.Duration    `cbor:"3,keyasint"`
+	Calls   int              `cbor:"4,keyasint,omitempty"` // of the reading, to the platform
 }
 
 // Sure says that what the gateway has from now on was the newest, at the latest, Age
--- a/internal/upstream/list.go
+++ b/internal/upstream/list.go
@@ -84,17 +84,33 @@
 // maxPages bounds one reading of the list.
 const maxPages = 1000
 
-// ReadAll reads the platform's whole list and says how many calls that took; a
-// list that is cut off in the middle is no list. Of a long list it reads no more
+// callPause is the pause before a call of a reading after so many others: of a long list no more is read
 // than half of what the platform bears, perS calls a second from all together.
+func callPause(callsBefore int, perS float64) time.Duration {
+	if perS <= 0 || float64(callsBefore) < perS/8 {
+		return 0
+	}
+	return time.Duration(2 * float64(time.Second) / perS)
+}
+
+// Pauses is how long the pauses of a reading of so many calls are together.
+func Pauses(calls int, perS float64) (sum time.Duration) {
+	for n := range calls {
+		sum += callPause(n, perS)
+	}
+	return sum
+}
+
+// ReadAll reads the platform's whole list and says how many calls that took; a
+// list that is cut off in the middle is no list. The platform bears perS calls a second.
 func ReadAll(ctx context.Context, client *http.Client, address string, perS float64) (list []Instance, calls int, err error) {
 	out := []Instance{}
 	token := ""
 	for n := 0; n < maxPages; n++ {
 		calls = n + 1
-		if perS > 0 && float64(n) >= perS/8 {
+		if pause := callPause(n, perS); pause > 0 {
 			select {
-			case <-time.After(time.Duration(2 * float64(time.Second) / perS)):
+			case <-time.After(pause):
 			case <-ctx.Done():
 				return nil, calls, ctx.Err()
 			}
