--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -9,46 +9,6 @@
 	"time"
 )
 
-// shown is an upstream that the platform's list shows as draining.
-type shown struct {
-	id       string
-	from, to time.Time // a zero end: it still does
-}
-
-// drain has the list show an upstream as draining, and returns what shows it as ready again.
-func (p *platform) drain(id string) (s *shown, end func()) {
-	p.setState(id, "draining")
-	s = &shown{id: id, from: time.Now()}
-	return s, func() {
-		s.to = time.Now()
-		p.setState(id, "ready")
-	}
-}
-
-// judgeDrain looks for requests that machines sent to an upstream later than drainS after the list showed it as
-// draining: "a request reaches an upstream later than drainS after ...; the time starts at the moment the
-// platform's list shows it". binds says whether the rule binds a machine at a time.
-func judgeDrain(t *testing.T, w *world, all []*shown, binds func(machine int, at time.Time) bool) (late int) {
-	t.Helper()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, s := range all {
-		count, last := 0, time.Duration(0)
-		for _, a := range w.arrivals {
-			if a.id != s.id || a.at.Before(s.from.Add(drainS)) || !s.to.IsZero() && a.at.After(s.to) || !binds(a.machine, a.at) {
-				continue
-			}
-			count++
-			last = max(last, a.at.Sub(s.from))
-		}
-		if count > 0 {
-			t.Errorf("DRAIN: %d requests reached %s later than drainS after the list showed it as draining, the last one %v after", count, s.id, last)
-		}
-		late += count
-	}
-	return late
-}
-
 // busiest is the upstream of each zone that most requests have reached since a time.
 func (w *world) busiest(since time.Time) (most map[string]string) {
 	w.mu.Lock()
@@ -130,8 +90,8 @@
 }
 
 var (
-	// inPages is a list of eight pages.
-	inPages = listShape{upstreams: len(zones) * upstreamsPerZone, pageSize: (len(zones)*upstreamsPerZone + 7) / 8}
+	// inPages is a list of seven pages.
+	inPages = listShape{pageSize: 3}
 	// long is a list whose reading is slowed by what the platform bears: 20 pages at 44 calls a second.
 	long = listShape{upstreams: 1000, pageSize: 50}
 )
@@ -162,8 +122,8 @@
 	for _, p := range f.processes() {
 		f.start(p, true)
 	}
-	o := &operators{fleet: f}
-	defer o.end()
+	o := &operators{history: w.history, fleet: f}
+	defer o.close()
 	ctx, cancel := context.WithTimeout(t.Context(), 4*recoveryS)
 	defer cancel()
 	if !o.first(ctx) {
@@ -188,7 +148,8 @@
 	pause(ctx, beforeShown)
 	var leaving []*shown
 	for _, id := range w.busiest(time.Now().Add(-time.Second)) {
-		s, _ := w.platform.drain(id)
+		s := &shown{id: id, from: time.Now()}
+		w.platform.setState(id, "draining")
 		leaving = append(leaving, s)
 	}
 	pause(ctx, readerTrouble-beforeShown)
@@ -196,13 +157,16 @@
 	pause(ctx, contactS)
 	endClients()
 	sending.Wait()
-	late := judgeDrain(t, w, leaving, func(int, time.Time) bool { return true })
+	late := findLate(w.arrivals, leaving, func(int, time.Time) bool { return true })
+	for _, text := range late {
+		t.Error("DRAIN: ", text)
+	}
 	last := time.Duration(0)
 	for _, s := range leaving {
 		last = max(last, w.lastTo(s.id).Sub(s.from))
 	}
-	t.Logf("reader %s, answers %v, %d upstreams leave, the last request to one came %.0f ms after, DRAIN %d", reader.name, w.answers, len(leaving), ms(last), late)
-	if w.answers[200] == 0 || len(leaving) == 0 {
+	t.Logf("reader %s, answers %v, %d upstreams leave, the last request to one came %.0f ms after, DRAIN %d", reader.name, w.answers(), len(leaving), ms(last), len(late))
+	if w.answers()[200] == 0 || len(leaving) == 0 {
 		t.Error("nothing was served")
 	}
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,6 +23,10 @@
 	stretchMaxS = 8 * time.Second
 	recoveryS   = 15 * time.Second
 	drainS      = 2500 * time.Millisecond
+	graceS      = 6 * time.Second
+
+	configApplyS = 2500 * time.Millisecond
+	lossSlackS   = 200 * time.Millisecond
 )
 
 const settingsText = `node = "%[1]s"
@@ -94,8 +99,19 @@
 	gateway = "gateway"
 )
 
+// cause is what a trouble comes from.
+type cause int
+
+const (
+	unplanned cause = iota
+	planned         // work of the operators'
+)
+
 // span is a time for which something lasted; a zero end: it still lasts.
-type span struct{ from, to time.Time }
+type span struct {
+	from, to time.Time
+	cause    cause
+}
 
 func (s span) meets(from, to time.Time) bool {
 	return !s.from.After(to) && (s.to.IsZero() || !s.to.Before(from))
@@ -109,9 +125,40 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	exited   chan struct{}
-	troubles []span
+	troubles troubles
+
+	// When signals of planned work came.
+	terms, reloads []time.Time
+}
+
+// troubles are those of a process or path, in the order in which they began.
+type troubles struct {
+	mu  sync.Mutex
+	all []span
 }
 
+// begin notes that a trouble begins, and returns what notes its end.
+func (t *troubles) begin(c cause) (end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := len(t.all)
+	t.all = append(t.all, span{from: time.Now(), cause: c})
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.all[at].to = time.Now()
+	}
+}
+
+// none says whether there was none in a time that counts.
+func (t *troubles) none(from, to time.Time, counts func(cause) bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !slices.ContainsFunc(t.all, func(s span) bool { return counts(s.cause) && s.meets(from, to) })
+}
+
+func anyCause(cause) bool { return true }
+
 // machine is an edge machine. Only core machines have a disk.
 type machine struct {
 	index    int
@@ -123,6 +170,21 @@
 	platform *path // its way to the platform
 }
 
+// calm says whether nothing happened to a machine's processes and path in a time.
+func (m *machine) calm(from, to time.Time) bool { return m.none(from, to, anyCause) }
+
+// calmButFor says the same, but for troubles of one cause.
+func (m *machine) calmButFor(but cause, from, to time.Time) bool {
+	return m.none(from, to, func(c cause) bool { return c != but })
+}
+
+func (m *machine) none(from, to time.Time, counts func(cause) bool) bool {
+	if m.control != nil && !m.control.troubles.none(from, to, counts) {
+		return false
+	}
+	return m.gateway.troubles.none(from, to, counts) && (m.platform == nil || m.platform.troubles.none(from, to, counts))
+}
+
 func (m *machine) controlAddress() string { return m.ip + ":8146" }
 func (m *machine) frontAddress() string   { return m.ip + ":8144" }
 
@@ -136,6 +198,7 @@
 	platform string
 	listener net.Listener // of the platform
 	began    time.Time
+	onPath   sync.Mutex // held by a trouble of a path: the site lets one machine fail at a time
 }
 
 // newFleet lays out machines over the zones: in each the first has a disk, and the first two
@@ -272,34 +335,12 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
-// trouble notes that a trouble begins, and returns what notes its end.
-func (p *process) trouble() (end func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at := len(p.troubles)
-	p.troubles = append(p.troubles, span{from: time.Now()})
-	return func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.troubles[at].to = time.Now()
-	}
-}
-
 // calm says whether nothing happened to a process in a time.
-func (p *process) calm(from, to time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range p.troubles {
-		if s.meets(from, to) {
-			return false
-		}
-	}
-	return true
-}
+func (p *process) calm(from, to time.Time) bool { return p.troubles.none(from, to, anyCause) }
 
 // stop has a process stand still for a while.
 func (p *process) stop(span time.Duration) {
-	end := p.trouble()
+	end := p.troubles.begin(unplanned)
 	p.signal(syscall.SIGSTOP)
 	time.Sleep(span)
 	p.signal(syscall.SIGCONT)
@@ -308,14 +349,21 @@
 
 // restart ends a process by a signal and starts it again.
 func (f *fleet) restart(p *process, s syscall.Signal, pause time.Duration) {
-	end := p.trouble()
+	why := unplanned
+	if s == syscall.SIGTERM {
+		why = planned
+	}
+	end := p.troubles.begin(why)
 	p.mu.Lock()
 	exited := p.exited
+	if s == syscall.SIGTERM {
+		p.terms = append(p.terms, time.Now())
+	}
 	_ = p.cmd.Process.Signal(s)
 	p.mu.Unlock()
 	select {
 	case <-exited:
-	case <-time.After(6 * time.Second): // graceS
+	case <-time.After(graceS):
 		p.signal(syscall.SIGKILL)
 		<-exited
 	}
--- a/internal/soak/operators_test.go
+++ b/internal/soak/operators_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -46,16 +47,16 @@
 	tries    []string
 }
 
-// operators holds what all operators of a run did.
+// operators are those of a run.
 type operators struct {
+	*history
 	fleet  *fleet
-	mu     sync.Mutex
-	orders []*orderRecord
 	kept   []net.Conn // whose end the nodes never see
 	waking sync.WaitGroup
 }
 
-func (o *operators) end() {
+// close ends the connections that were kept.
+func (o *operators) close() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, c := range o.kept {
@@ -143,7 +144,7 @@
 func (o *operators) stopFirst(address string, span time.Duration) {
 	for _, m := range o.fleet.machines {
 		if m.control != nil && m.controlAddress() == address {
-			end := m.control.trouble()
+			end := m.control.troubles.begin(unplanned)
 			m.control.signal(syscall.SIGSTOP)
 			o.waking.Go(func() {
 				time.Sleep(span)
@@ -210,20 +211,91 @@
 	}
 }
 
-// change has an operator change the configuration again and again.
-func (o *operators) change(ctx context.Context, random *rand.Rand, route string) {
-	for generation := 2; ctx.Err() == nil; generation++ {
-		body := fmt.Sprintf(`{"upsert":{"domains":[{"authority":"booking.example","hostRoutes":[{"name":%q,"pathPrefix":"/%s/","routeKind":"idempotent","deadlineS":1,"targetLatencyS":0.%d,"priority":2,"target":"booking","maxTries":2,"generation":%d}]}]},"remove":{"routes":[]}}`,
-			route, route, 1+generation%8, generation)
-		for try, sent := 0, time.Now(); time.Since(sent) < ackS && ctx.Err() == nil; try++ {
-			addresses := o.fleet.controlAddresses()
-			if status := o.call(http.MethodPatch, addresses[random.IntN(len(addresses))], "/v1/config", body, drawFate(random)); status == http.StatusOK {
-				break
+// changedServices are those to which the changed route goes, version by version.
+var changedServices = [...]string{"booking", "records"}
+
+// change has an operator change the configuration again and again: a route that goes to one service and the other in turn.
+func (o *operators) change(ctx context.Context, random *rand.Rand) {
+	for generation := 1; ctx.Err() == nil; generation++ {
+		o.bringIn(ctx, random, generation, drawFate)
+		pause(ctx, between(random, 0, 10*time.Second))
+	}
+}
+
+// bringIn sends a version of the changed route until it is acknowledged or ackS is over.
+func (o *operators) bringIn(ctx context.Context, random *rand.Rand, generation int, fateOf func(*rand.Rand) fate) (taken bool) {
+	v := &version{generation: generation, service: changedServices[generation%len(changedServices)], sent: time.Now()}
+	o.mu.Lock()
+	o.versions = append(o.versions, v)
+	o.mu.Unlock()
+	body := fmt.Sprintf(`{"upsert":{"domains":[{"authority":"booking.example","hostRoutes":[{"name":%q,"pathPrefix":%q,"routeKind":"idempotent","deadlineS":1,"targetLatencyS":0.4,"priority":2,"target":%q,"maxTries":2,"generation":%d}]}]},"remove":{"routes":[]}}`,
+		changedRoute, changedPrefix, v.service, generation)
+	addresses := o.fleet.controlAddresses()
+	for time.Since(v.sent) < ackS && ctx.Err() == nil {
+		if o.call(http.MethodPatch, addresses[random.IntN(len(addresses))], "/v1/config", body, fateOf(random)) == http.StatusOK {
+			o.mu.Lock()
+			v.acked = time.Now()
+			o.mu.Unlock()
+			return true
+		}
+		pause(ctx, firstPause)
+	}
+	return false
+}
+
+// readBack reads the configuration at one node after the other.
+func (o *operators) readBack(ctx context.Context, random *rand.Rand) {
+	addresses := o.fleet.controlAddresses()
+	for ctx.Err() == nil {
+		pause(ctx, between(random, 100*time.Millisecond, time.Second))
+		o.readAt(addresses[random.IntN(len(addresses))])
+	}
+}
+
+// readAt reads the configuration at one node, and says whether that answered.
+func (o *operators) readAt(address string) bool {
+	read := configRead{sent: time.Now(), node: address}
+	status, text := o.get(address, "/v1/config")
+	if status != http.StatusOK {
+		return false
+	}
+	var configuration struct {
+		Domains []struct {
+			HostRoutes []struct {
+				Name       string
+				Generation int
 			}
-			pause(ctx, firstPause)
 		}
-		pause(ctx, time.Duration(random.Float64()*float64(4*time.Second)))
 	}
+	if err := json.Unmarshal([]byte(text), &configuration); err != nil {
+		o.fleet.t.Errorf("%s: %v: %s", address, err, text)
+	}
+	for _, domain := range configuration.Domains {
+		for _, route := range domain.HostRoutes {
+			if route.Name == changedRoute {
+				read.generation = route.Generation
+			}
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reads = append(o.reads, read)
+	return true
+}
+
+// get sends one read and follows redirects. Status 0: no answer came.
+func (o *operators) get(address, path string) (status int, text string) {
+	client := http.Client{Timeout: callPatience, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Get("http://" + address + path)
+	if err != nil {
+		return 0, ""
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return res.StatusCode, string(body)
 }
 
 // first brings in the first configuration.
--- a/internal/soak/platform_test.go
+++ b/internal/soak/platform_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -52,6 +54,17 @@
 		"generation": "v1", "capacity": 6, "state": "ready", "warmupLeftS": 0})
 }
 
+// draw draws an upstream of the service that most requests go to.
+func (p *platform) draw(random *rand.Rand) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		if u := anyOf(random, p.list); u["target"] == "booking" {
+			return u["id"].(string)
+		}
+	}
+}
+
 // setState shows an upstream as ready or draining from now on.
 func (p *platform) setState(id, state string) {
 	p.mu.Lock()
@@ -99,7 +112,10 @@
 	mu    sync.Mutex
 	state condition
 	open  map[net.Conn]bool
-	calls int // that have come through to the platform since the last look
+	calls int       // that have come through to the platform since the last look
+	last  time.Time // when one did
+
+	troubles troubles
 }
 
 func newPath(t *testing.T, listen, to string) *path {
@@ -144,6 +160,22 @@
 	}
 }
 
+// trouble keeps the path in a condition for a while.
+func (p *path) trouble(ctx context.Context, c condition, span time.Duration) {
+	end := p.troubles.begin(unplanned)
+	p.set(c)
+	pause(ctx, span)
+	p.set(sound)
+	end()
+}
+
+// lastCall is when a call last came through to the platform.
+func (p *path) lastCall() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last
+}
+
 func (p *path) condition() condition {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -212,6 +244,7 @@
 	}
 	p.mu.Lock()
 	p.calls++
+	p.last = time.Now()
 	p.mu.Unlock()
 	_, err := to.Write(part)
 	return err == nil
--- a/internal/soak/stale_order_test.go
+++ b/internal/soak/stale_order_test.go
@@ -45,12 +45,13 @@
 func newControlPlane(t *testing.T) (*fleet, *operators) {
 	f := newFleet(t, build(t), t.TempDir(), rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)), len(zones))
 	t.Cleanup(f.end)
-	t.Cleanup(newWorld(t, f).end)
+	w := newWorld(t, f)
+	t.Cleanup(w.end)
 	for _, m := range f.machines {
 		f.start(m.control, true)
 	}
-	o := &operators{fleet: f}
-	t.Cleanup(o.end)
+	o := &operators{history: w.history, fleet: f}
+	t.Cleanup(o.close)
 	starting, cancel := context.WithTimeout(t.Context(), 2*recoveryS)
 	defer cancel()
 	if !o.first(starting) {
