--- a/internal/soak/judges_red_test.go
+++ b/internal/soak/judges_red_test.go
@@ -104,9 +104,39 @@
 			h.closing = closing{at(41), at(42)}
 			h.exchange(0, at(60), "/lookup/").status = 503
 		}},
-		"two holders at once":           {"ONE", func(h *history) { h.holds[1].from = at(2.9) }},
-		"a fence goes down":             {"ONE", func(h *history) { h.holds[1].fence = 6 }},
-		"a fence goes to two":           {"ONE", func(h *history) { h.holds[1].fence = 7 }},
+		"two holders at once": {"ONE", func(h *history) { h.holds[1].from = at(2.9) }},
+		"a fence goes down":   {"ONE", func(h *history) { h.holds[1].fence = 6 }},
+		"a fence goes to two": {"ONE", func(h *history) { h.holds[1].fence = 7 }},
+		"more upstreams than tries": {"BUDGET, tries", func(h *history) {
+			for i := range 4 {
+				for _, id := range []string{"i-2", "i-3"} {
+					again := h.arrivals[3*i]
+					again.id = id
+					h.arrivals = append(h.arrivals, again)
+				}
+			}
+		}},
+		"no answer at the deadline": {"CONFIG, deadline", func(h *history) {
+			for range 8 {
+				r := h.exchange(0, at(20), "/lookup/")
+				r.status, r.ended = 504, at(21.6)
+			}
+		}},
+		"a later route is not served": {"CONFIG, later routes", func(h *history) {
+			for _, r := range h.requests {
+				if r.kind() == changedRoute {
+					r.status = 404
+				}
+			}
+		}},
+		"a kind starves": {"Starved", func(h *history) {
+			for _, r := range h.requests {
+				if r.kind() == "confirm" {
+					r.status = 503
+				}
+			}
+		}},
+		"a configuration cuts":          {"LOST, configuration", func(h *history) { h.requests["r-1"].status = 0 }},
 		"a number twice":                {"ORDER", func(h *history) { h.numbers[1].value = 5 }},
 		"a number below an earlier one": {"ORDER", func(h *history) { h.numbers[1].value = 4 }},
 	} {
--- a/internal/soak/judges_test.go
+++ b/internal/soak/judges_test.go
@@ -17,7 +17,8 @@
 var judges = []judge{
 	{"EVAC", findEvac}, {"DRAIN", findDrain}, {"CONFIG", findConfig}, {"CONFIG, read", findConfigReads}, {"DENIED", findDenied},
 	{"TWICE", findTwice}, {"REFUSED", findRefused}, {"UNASKED", findUnasked}, {"MIXED", findMixed},
-	{"LOST", findLost}, {"RECOVER", findRecover}, {"ONE", findOne}, {"ORDER", findOrder},
+	{"LOST", findLost}, {"LOST, configuration", findCutByConfiguration}, {"RECOVER", findRecover}, {"ONE", findOne}, {"ORDER", findOrder},
+	{"BUDGET, tries", findTries}, {"CONFIG, deadline", findUnanswered}, {"CONFIG, later routes", findNeglected}, {"Starved", findStarved},
 }
 
 // runsOf are the requests at upstreams, by attempt.
@@ -114,8 +115,7 @@
 		if r.left || r.status != 0 || r.ended.IsZero() || r.ended.Sub(r.sent) >= routeDeadline || !h.aroundPlannedWork(r) || !h.calm(r.sent.Add(-contactS), r.ended) {
 			continue
 		}
-		brokeOff := slices.ContainsFunc(runs[attempt], func(a arrival) bool { return a.failed })
-		if !brokeOff && (len(runs[attempt]) > 0 || r.ended.Sub(r.sent) > lossSlackS) {
+		if !anyFailed(runs[attempt]) && (len(runs[attempt]) > 0 || r.ended.Sub(r.sent) > lossSlackS) {
 			found = append(found, fmt.Sprintf("%s, sent to machine %d, ended without an answer after %v, ran %d times", attempt, r.machine, r.ended.Sub(r.sent), len(runs[attempt])))
 		}
 	}
