--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -195,10 +195,12 @@
 	prefix   string
 	binary   string
 	machines []*machine
-	platform string
-	listener net.Listener // of the platform
-	began    time.Time
-	onPath   sync.Mutex // held by a trouble of a path: the site lets one machine fail at a time
+
+	seedMachines []*machine // whose control addresses all settings name
+	platform     string
+	listener     net.Listener // of the platform
+	began        time.Time
+	onPath       sync.Mutex // held by a trouble of a path: the site lets one machine fail at a time
 }
 
 // newFleet lays out machines over the zones: in each the first has a disk, and the first two
@@ -218,6 +220,7 @@
 		m.platform = newPath(t, m.ip+":8142", f.platform)
 		f.machines = append(f.machines, m)
 	}
+	f.seedMachines = f.core()[:3]
 	return f
 }
 
@@ -254,7 +257,7 @@
 
 func (f *fleet) seeds() string {
 	var quoted []string
-	for _, m := range f.core()[:3] {
+	for _, m := range f.seedMachines {
 		quoted = append(quoted, fmt.Sprintf("%q", m.controlAddress()))
 	}
 	return strings.Join(quoted, ",")
