--- a/internal/replication/joint_roster_test.go
+++ b/internal/replication/joint_roster_test.go
@@ -228,11 +228,7 @@
 // of the roster, without which nobody copies to it any more.
 func TestAMemberWithoutASeatOwnsNothing(t *testing.T) {
 	for seed := int64(1); seed <= 10; seed++ {
-		w := newWorldWithVoters(t, seed, 6, 2, 5)
-		w.calm = true
-		w.mustPut(t, "x", 1)
-		w.run(w.now + time.Second)
-		w.settle(t)
+		w, _ := newCalmWorld(t, seed, 6, 2, 5, time.Second)
 		o, keeper := w.separateOwners()
 		keeper.m.leavers[o.m.self] = w.clock(keeper) // as if it had said that it goes
 		w.drop = func(from string, e Envelope) bool { return as[*Join](e.Msg) != nil }
@@ -284,11 +280,7 @@
 // after it has gone, as a network may that holds messages back.
 func TestLateWordsProveNothingOfAMemberThatIsGone(t *testing.T) {
 	for seed := int64(1); seed <= 5; seed++ {
-		w := newWorldWithVoters(t, seed, 6, 2, 5)
-		w.calm = true
-		w.mustPut(t, "x", 1)
-		w.run(w.now + 3*time.Second)
-		w.settle(t)
+		w, _ := newCalmWorld(t, seed, 6, 2, 5, 3*time.Second)
 		keeper := w.holder(RosterKey)
 		n := w.lastOther(keeper)
 		var last []Envelope
--- a/internal/replication/scenario_test.go
+++ b/internal/replication/scenario_test.go
@@ -63,11 +63,7 @@
 // of them are lost, everything loses power, and the third comes back last.
 func TestAWipedVoterForgetsNothingThatCounts(t *testing.T) {
 	for seed := int64(1); seed <= 10; seed++ {
-		w := newWorldWithVoters(t, seed, 5, 2, 5)
-		w.calm = true
-		w.mustPut(t, "x", 1)
-		w.run(w.now + time.Second)
-		o := w.settle(t)
+		w, o := newCalmWorld(t, seed, 5, 2, 5, time.Second)
 		others := w.others(o)
 		w.drop = func(from string, e Envelope) bool {
 			return from == o.id && (e.To == others[2].id || e.To == others[3].id) && as[*Append](e.Msg) != nil && as[*Append](e.Msg).Key == testKey
@@ -172,11 +168,7 @@
 	for _, k := range []kind{mute, deaf} {
 		for who := 0; who < 4; who++ {
 			t.Run(fmt.Sprint(kindNames[k], who), func(t *testing.T) {
-				w := newWorldWithVoters(t, int64(who+1), 4, 1, 4)
-				w.calm = true
-				w.mustPut(t, "x", 1)
-				w.run(w.now + 3*time.Second)
-				w.settle(t)
+				w, _ := newCalmWorld(t, int64(who+1), 4, 1, 4, 3*time.Second)
 				keys := append([]string{RosterKey}, w.keys...)
 				before := map[string]Epoch{}
 				for _, key := range keys {
--- a/internal/replication/world_test.go
+++ b/internal/replication/world_test.go
@@ -90,7 +90,7 @@
 	return w
 }
 
-// newPlay is a world whose members have their seats, without operators.
+// newWorldWithVoters is a world whose members have their seats, without operators.
 func newWorldWithVoters(t *testing.T, seed int64, members, faults, zones int) *world {
 	t.Helper()
 	w := newWorldOf(t, seed, members, faults, zones)
@@ -99,6 +99,17 @@
 	return w
 }
 
+// newCalmWorld is such a world without troubles of its own, in which x has been put, a while after that, and the owner
+// of the key.
+func newCalmWorld(t *testing.T, seed int64, members, faults, zones int, after time.Duration) (*world, *node) {
+	t.Helper()
+	w := newWorldWithVoters(t, seed, members, faults, zones)
+	w.calm = true
+	w.mustPut(t, "x", 1)
+	w.run(w.now + after)
+	return w, w.settle(t)
+}
+
 func (w *world) found(n, zones int) {
 	for i := 0; i < n; i++ {
 		w.add(i+1, zones, true)
