--- a/internal/controlplane/list.go
+++ b/internal/controlplane/list.go
@@ -40,6 +40,7 @@
 	stand   upstream.ListSnapshot
 	asOf    time.Duration        // as of when stand holds
 	calls   int                  // that it took to read it
+	took    time.Duration        // the reading
 	marks   map[string]clockMark // by control node that watches this one
 	pollAt  time.Duration        // when the platform is to be asked next
 	watchAt time.Duration        // when the holder is to be asked next
@@ -79,7 +80,7 @@
 		if took {
 			c.asOf = asOf
 		}
-		c.asOf, c.calls = max(c.asOf, asOf), i.Listed.Calls
+		c.asOf, c.calls, c.took = max(c.asOf, asOf), i.Listed.Calls, i.Listed.Took
 	}
 	if took {
 		c.changed(now)
@@ -139,7 +140,7 @@
 	if !ok || !c.stand.Known() {
 		return nil
 	}
-	return &delivery.Listed{Version: c.stand.Version, Asked: mark.asked, Since: c.asOf - mark.at, Calls: c.calls}
+	return &delivery.Listed{Version: c.stand.Version, Asked: mark.asked, Since: c.asOf - mark.at, Calls: c.calls, Took: c.took}
 }
 
 // pollWhenDue reads the list if that is due.
@@ -207,7 +208,7 @@
 		c.election.Progressed(now, dutyList)
 		return
 	}
-	c.asOf, c.calls = reading.began, reading.calls
+	c.asOf, c.calls, c.took = reading.began, reading.calls, reading.end-reading.began
 	if c.stand.Update(now, term, c.life, reading.instances) {
 		c.log.upstream.Info("list read", "term", c.stand.Version.Term, "seq", c.stand.Version.Seq, "upstreams", len(reading.instances))
 		c.changed(now)
--- a/internal/controlplane/list_deputy.go
+++ b/internal/controlplane/list_deputy.go
@@ -16,6 +16,8 @@
 	readingsBetween = 3
 	// deputyPart is the part of the limit by which one deputy follows the other.
 	deputyPart = 0.5
+	// callPart is the part of drainS that each call of a long reading may take beside the pauses.
+	callPart = 0.02
 	// jitterPart is the part of the limit that a list may be late without anything being wrong.
 	jitterPart = 0.25
 )
@@ -69,12 +71,15 @@
 }
 
 // patience is how old the holder's list may be before the first deputy reads one too: older than the limit only
-// where the list is so long that the pauses between its pages take as much, or where this control node's own reading
-// took so long just now that it could do no better.
+// where the list is so long that reading it takes as much, or where this control node's own reading took so long
+// just now that it could do no better.
 func (c *listController) patience(now time.Duration) time.Duration {
-	reading, longest := upstream.Pauses(c.calls, c.set.CloudAPI.RatePerS), settings.Seconds(listReadingParts*c.set.Bounds.DrainS)
+	drainS := c.set.Bounds.DrainS
+	reading := min(c.took, upstream.Pauses(c.calls, c.set.CloudAPI.RatePerS)+settings.Seconds(callPart*drainS*float64(c.calls)))
+	longest := settings.Seconds(listReadingParts * drainS)
 	if last := c.deputy.reading; last.end > 0 && now-last.end < longest {
 		reading = max(reading, last.end-last.began)
 	}
-	return max(c.limit(), min(readingsBetween*reading, longest)+time.Duration(jitterPart*float64(c.limit())))
+	late := c.set.Beat()/5 + time.Duration(jitterPart*float64(c.limit())) // a tick, and what is no fault
+	return max(c.limit(), min(readingsBetween*reading, longest)+late)
 }
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -90,6 +90,7 @@
 	Asked   time.Duration    `cbor:"2,keyasint"`
 	Since   time.Duration    `cbor:"3,keyasint"`
 	Calls   int              `cbor:"4,keyasint,omitempty"` // of the reading, to the platform
+	Took    time.Duration    `cbor:"5,keyasint,omitempty"` // the reading
 }
 
 // Sure says that what the gateway has from now on was the newest, at the latest, Age
