The list's deputies make the calls of their first second at once

What was seen: with 1,000 upstreams in 20 pages at 44 calls a second, TestDrainingUpstreamsGetNothingWhateverTheirReaderSuffers failed in one of three runs at a load of 30 to 40: two requests 2.63 s after the list showed the upstream as draining, where drainS is 2.5. Traced: a list may be 2.5 s old before a deputy begins (three readings, a tick and some jitter), and its own reading took 0.66 s of pauses.

Change: who reads in place of another makes as many calls as it may make in a second at once, rests for a second, and goes on at the holder's pace; so it makes no more of them in any second (TestPacesOfReading). 20 pages need no pause then.

--- a/internal/controlplane/list.go
+++ b/internal/controlplane/list.go
@@ -92,7 +92,7 @@
 	if _, mine := c.election.Holds(now, dutyList); mine || !c.stand.Known() {
 		// Without a list, and as far as this control node can tell nobody to read one, it
 		// reads one that any holder's replaces.
-		c.pollWhenDue(now)
+		c.pollWhenDue(now, upstream.SteadyPace(c.set.CloudAPI.RatePerS))
 		return
 	}
 	c.watch(now)
@@ -144,10 +144,10 @@
 }
 
 // pollWhenDue reads the list if that is due.
-func (c *listController) pollWhenDue(now time.Duration) {
+func (c *listController) pollWhenDue(now time.Duration, pace upstream.CallPace) {
 	if now >= c.pollAt {
 		c.pollAt = now + settings.Seconds(c.set.Bounds.DrainS*listPollPart)
-		c.poll()
+		c.poll(pace)
 	}
 }
 
@@ -161,7 +161,7 @@
 }
 
 // poll reads the platform's list in the background.
-func (c *listController) poll() {
+func (c *listController) poll(pace upstream.CallPace) {
 	if c.set.CloudAPI.Address == "" || !c.polling.CompareAndSwap(false, true) {
 		return
 	}
@@ -170,7 +170,7 @@
 		began := c.now()
 		ctx, cancel := context.WithTimeout(context.Background(), settings.Seconds(listReadingParts*c.set.Bounds.DrainS))
 		defer cancel()
-		list, calls, err := upstream.ReadAll(ctx, c.client, c.set.CloudAPI.Address, c.set.CloudAPI.RatePerS)
+		list, calls, err := upstream.ReadAll(ctx, c.client, c.set.CloudAPI.Address, pace)
 		c.polls.Add(uint64(calls))
 		// A list of many pages is read less often; one that is throttled, too.
 		if throttled := errors.Is(err, upstream.ErrThrottled); throttled || calls > 1 {
@@ -194,7 +194,7 @@
 		c.log.upstream.Warn("the last holder's list is too old, this control node's is taken", "ageS", logSeconds(now-c.asOf))
 		c.take(now, c.deputy.reading)
 	}
-	c.poll()
+	c.poll(upstream.SteadyPace(c.set.CloudAPI.RatePerS))
 }
 
 // take takes over a list that was read from the platform.
--- a/internal/controlplane/list_deputy.go
+++ b/internal/controlplane/list_deputy.go
@@ -55,7 +55,7 @@
 }
 
 // deputize reads the list in place of the holder if what that has brought is too old: first the first one in the
-// order, then the next one too, and so on until one has brought a list. Each reads at the pace of the holder.
+// order, then the next one too, and so on until one has brought a list. Each makes as many calls as the holder may.
 func (c *listController) deputize(now time.Duration) {
 	place, ok := c.election.Deputy(now, dutyList)
 	if !ok || !c.lately(now) {
@@ -66,7 +66,7 @@
 	stoodStill := now-c.deputy.lookedAt > c.set.Beat()
 	c.deputy.lookedAt = now
 	if now-c.asOf > patience && !stoodStill {
-		c.pollWhenDue(now)
+		c.pollWhenDue(now, upstream.HastyPace(c.set.CloudAPI.RatePerS))
 	}
 }
 
@@ -75,7 +75,7 @@
 // just now that it could do no better.
 func (c *listController) patience(now time.Duration) time.Duration {
 	drainS := c.set.Bounds.DrainS
-	reading := min(c.took, upstream.Pauses(c.calls, c.set.CloudAPI.RatePerS)+settings.Seconds(callPart*drainS*float64(c.calls)))
+	reading := min(c.took, upstream.SteadyPace(c.set.CloudAPI.RatePerS).Pauses(c.calls)+settings.Seconds(callPart*drainS*float64(c.calls)))
 	longest := settings.Seconds(listReadingParts * drainS)
 	if last := c.deputy.reading; last.end > 0 && now-last.end < longest {
 		reading = max(reading, last.end-last.began)
--- a/internal/upstream/list.go
+++ b/internal/upstream/list.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net/http"
 	"net/url"
 	"slices"
@@ -84,31 +85,59 @@
 // maxPages bounds one reading of the list.
 const maxPages = 1000
 
-// callPause is the pause before a call of a reading after so many others: of a long list no more is read
-// than half of what the platform bears, perS calls a second from all together.
-func callPause(callsBefore int, perS float64) time.Duration {
-	if perS <= 0 || float64(callsBefore) < perS/8 {
+// CallPace is how fast a list of many pages is read.
+type CallPace struct {
+	burst float64       // calls without a pause
+	rest  time.Duration // before the call after them
+	pause time.Duration // before each further one
+}
+
+// SteadyPace is that of one who reads again and again: no more than half of what the platform bears, perS calls a
+// second from all together; 0: any number.
+func SteadyPace(perS float64) CallPace {
+	if perS <= 0 {
+		return CallPace{burst: math.Inf(1)}
+	}
+	pause := time.Duration(2 * float64(time.Second) / perS)
+	return CallPace{burst: perS / 8, rest: pause, pause: pause}
+}
+
+// HastyPace is that of one who reads in place of another: as many calls as it may make in a second come at once.
+func HastyPace(perS float64) CallPace {
+	pace := SteadyPace(perS)
+	if perS > 0 {
+		pace.burst, pace.rest = perS/2, time.Second
+	}
+	return pace
+}
+
+// before is the pause before a call, after so many others.
+func (p CallPace) before(calls int) time.Duration {
+	switch n := float64(calls); {
+	case n < p.burst:
 		return 0
+	case n < p.burst+1:
+		return p.rest
 	}
-	return time.Duration(2 * float64(time.Second) / perS)
+	return p.pause
 }
 
 // Pauses is how long the pauses of a reading of so many calls are together.
-func Pauses(calls int, perS float64) (sum time.Duration) {
+func (p CallPace) Pauses(calls int) (sum time.Duration) {
 	for n := range calls {
-		sum += callPause(n, perS)
+		sum += p.before(n)
 	}
 	return sum
 }
 
 // ReadAll reads the platform's whole list and says how many calls that took; a
-// list that is cut off in the middle is no list. The platform bears perS calls a second.
-func ReadAll(ctx context.Context, client *http.Client, address string, perS float64) (list []Instance, calls int, err error) {
+// list that is cut off in the middle is no list.
+func ReadAll(ctx context.Context, client *http.Client, address string, pace CallPace) (list []Instance, calls int, err error) {
 	out := []Instance{}
 	token := ""
 	for n := 0; n < maxPages; n++ {
 		calls = n + 1
-		if pause := callPause(n, perS); pause > 0 {
+		if pause := pace.before(n); pause > 0 {
 			select {
 			case <-time.After(pause):
 			case <-ctx.Done():
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -517,12 +517,12 @@
 	}))
 	defer srv.Close()
 	address := strings.TrimPrefix(srv.URL, "http://")
-	got, calls, err := ReadAll(context.Background(), srv.Client(), address, 40)
+	got, calls, err := ReadAll(context.Background(), srv.Client(), address, SteadyPace(40))
 	if err != nil || calls != 3 || len(got) != 3 || !got[1].Draining || got[0].Draining || got[2].WarmupMs != 500 {
 		t.Fatalf("%v %+v", err, got)
 	}
 	fail = 2
-	if got, _, err := ReadAll(context.Background(), srv.Client(), address, 40); err == nil {
+	if got, _, err := ReadAll(context.Background(), srv.Client(), address, SteadyPace(40)); err == nil {
 		t.Fatalf("a list that is cut off passed for whole: %+v", got)
 	}
 }
@@ -582,3 +582,35 @@
 		}
 	}
 }
+
+// Whoever reads a list again and again makes half of the calls that the platform bears. Who reads in place of another
+// makes no more of them in any second, but the first ones at once.
+func TestPacesOfReading(t *testing.T) {
+	const perS = 44
+	for name, c := range map[string]struct {
+		pace  CallPace
+		calls int
+		takes time.Duration
+	}{
+		"steady, a short list": {SteadyPace(perS), 6, 0},
+		"steady, 20 pages":     {SteadyPace(perS), 20, 14 * time.Second / 22},
+		"hasty, 20 pages":      {HastyPace(perS), 20, 0},
+		"hasty, 22 pages":      {HastyPace(perS), 22, 0},
+		"hasty, 44 pages":      {HastyPace(perS), 44, time.Second + 21*time.Second/22},
+		"no bound":             {HastyPace(0), 1000, 0},
+	} {
+		if takes := c.pace.Pauses(c.calls); takes < c.takes-time.Microsecond || takes > c.takes+time.Microsecond {
+			t.Errorf("%s: pauses of %v, want %v", name, takes, c.takes)
+		}
+	}
+	for from := range 100 { // calls in the second from one of them on
+		calls := 0
+		for at, n := HastyPace(perS).before(from), from; at-HastyPace(perS).before(from) < time.Second-time.Microsecond; n++ {
+			calls++
+			at += HastyPace(perS).before(n + 1)
+		}
+		if calls > perS/2 {
+			t.Errorf("%d calls in the second from the call after %d others on", calls, from)
+		}
+	}
+}
