--- a/review/_cases2/lib.go
+++ b/review/_cases2/lib.go
@@ -50,16 +50,17 @@
 
 // deployment is a small deployment: machines in zones, a platform and upstreams.
 type deployment struct {
-	rec      *record
-	dir      string
-	block    string // first three bytes of all addresses
-	machines []*machine
-	zones    []string
-	platform *platform
-	servers  map[string][]*upstream // by service
-	bounds   map[string]string      // changes to the bounds of the settings
-	parts    string                 // parts of the rules in force, beside the basic ones
-	mu       sync.Mutex
+	rec        *record
+	dir        string
+	block      string // first three bytes of all addresses
+	machines   []*machine
+	zones      []string
+	platform   *platform
+	servers    map[string][]*upstream // by service
+	bounds     map[string]string      // changes to the bounds of the settings
+	parts      string                 // parts of the rules in force, beside the basic ones
+	relaySeeds bool                   // the seeds are control nodes without a disk
+	mu         sync.Mutex
 }
 
 const (
@@ -106,7 +107,7 @@
 	var b strings.Builder
 	var seeds []string
 	for _, s := range d.machines {
-		if s.disk && len(seeds) < 3 {
+		if s.disk != d.relaySeeds && len(seeds) < 3 {
 			seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", s.ip, controlPort)))
 		}
 	}
