Orders on zones keep their age across kills of control nodes

Cause: an order may be a repeat while an equal one is younger than ackS and a second. Each control node measured that from when it first saw the order, in memory only, so after a start all orders that a record names counted as just seen. A node that was down while the order was given did the same.

Change: callage.Tracker has the ages; they are saved every half heartbeat interval while they matter and go on from there. The time that processes are down is left out, so no age is overestimated and an order whose answer was lost in the kill counts once. The owner marks orders that are too old to be sent again in the record (SettleOrders), under the same generation, for nodes that were down. The time of a doubt counts from the newest order. The system's monotonic clock was tried as a measure across processes and left: it begins anywhere after a machine's start.

TestEvacuationsHoldAcrossKills fails where a start adds 10 s to the ages.

--- a/internal/config/evacuation.go
+++ b/internal/config/evacuation.go
@@ -46,7 +46,7 @@
 
 // mayRepeat reports whether the order may be a resend of one that the evacuation record already has.
 func (order EvacuationOrder) mayRepeat(e evacuation) bool {
-	return slices.ContainsFunc(e.orders, func(id uint64) bool {
+	return slices.ContainsFunc(e.unsettledOrders(), func(id uint64) bool {
 		return (id&evacuateBit != 0) == order.Evacuate && order.Recent != nil && order.Recent(id)
 	})
 }
@@ -58,6 +58,19 @@
 	minActive uint64   // at least this many are active
 	maxActive uint64   // at most this many are active
 	orders    []uint64 // IDs of the newest executed orders, the newest last
+	unsettled int      // so many of the newest orders may still be sent again, if they are recent
+}
+
+// unsettledOrders returns the newest orders, which may still be sent again if they are recent.
+func (e evacuation) unsettledOrders() []uint64 { return e.orders[len(e.orders)-e.unsettled:] }
+
+// settle marks the oldest orders that are no longer recent, and reports whether there are any.
+func (e *evacuation) settle(recent func(id uint64) bool) (changed bool) {
+	for e.unsettled > 0 && !recent(e.unsettledOrders()[0]) {
+		e.unsettled--
+		changed = true
+	}
+	return changed
 }
 
 // ApplyEvacuationOrder returns the change that an order makes to a zone's evacuation record. The zone is
@@ -77,6 +90,7 @@
 	e.count(order.Evacuate, order.mayRepeat(e))
 	e.orders = append(e.orders, order.ID)
 	e.orders = e.orders[max(0, len(e.orders)-maxKeptOrders):]
+	e.unsettled = min(e.unsettled+1, len(e.orders))
 	return []Record{e.encodeRecord(name, old.Gen+1)}, nil
 }
 
@@ -108,6 +122,29 @@
 	return []Record{e.encodeRecord(name, old.Gen+1)}
 }
 
+// HasUnsettledOrders reports whether an evacuation record names orders that are not settled, see SettleOrders.
+func HasUnsettledOrders(r Record) bool { return decodeEvacuation(r).unsettled > 0 }
+
+// HasOrdersToSettle reports whether SettleOrders would change an evacuation record.
+func HasOrdersToSettle(r Record, recent func(id uint64) bool) bool {
+	e := decodeEvacuation(r)
+	return e.settle(recent)
+}
+
+// SettleOrders returns the change that marks the orders of an evacuation record that are too old to be
+// sent again. Control nodes that start later, which can't know how old they are, know it from the
+// record. The record keeps its generation, since the evacuations stay as they are.
+func SettleOrders(records map[string]Record, name string, recent func(id uint64) bool) []Record {
+	old := records[name]
+	e := decodeEvacuation(old)
+	if !e.settle(recent) {
+		return nil
+	}
+	settled := e.encodeRecord(name, old.Gen)
+	settled.Rev = old.Rev + 1
+	return []Record{settled}
+}
+
 // InDoubt reports whether a record is that of a zone which is evacuated although all its evacuations may
 // have been withdrawn.
 func InDoubt(r Record) bool {
@@ -121,19 +158,20 @@
 // EvacuationOrders returns the IDs of the newest orders in an evacuation record, the newest last.
 func EvacuationOrders(r Record) []uint64 { return decodeEvacuation(r).orders }
 
-// encodeRecord encodes an evacuation record: maxActive, the order IDs, and minActive, which earlier
-// releases don't read.
+// encodeRecord encodes an evacuation record: maxActive, the order IDs, minActive and unsettled, the last two
+// of which earlier releases don't read.
 func (e evacuation) encodeRecord(name string, generation uint64) Record {
 	data := binary.AppendUvarint(nil, e.maxActive)
 	for _, id := range e.orders {
 		data = binary.LittleEndian.AppendUint64(data, id)
 	}
 	data = binary.AppendUvarint(data, e.minActive)
+	data = binary.AppendUvarint(data, uint64(e.unsettled))
 	return Record{Name: name, Gen: generation, Dropped: e.maxActive == 0, Data: data}
 }
 
 // decodeEvacuation decodes an evacuation record. In records of earlier releases, which have no minActive,
-// all evacuations count as active.
+// all evacuations count as active; in those without unsettled, no order is settled.
 func decodeEvacuation(r Record) (e evacuation) {
 	maxActive, size := binary.Uvarint(r.Data)
 	if size <= 0 {
@@ -146,9 +184,14 @@
 	for ; len(rest) >= 8; rest = rest[8:] {
 		e.orders = append(e.orders, binary.LittleEndian.Uint64(rest))
 	}
-	e.minActive, e.maxActive = maxActive, maxActive
-	if minActive, size := binary.Uvarint(rest); size > 0 {
-		e.minActive = minActive
+	e.minActive, e.maxActive, e.unsettled = maxActive, maxActive, len(e.orders)
+	minActive, size := binary.Uvarint(rest)
+	if size <= 0 {
+		return e
+	}
+	e.minActive = minActive
+	if unsettled, size := binary.Uvarint(rest[size:]); size > 0 {
+		e.unsettled = min(int(unsettled), len(e.orders))
 	}
 	return e
 }
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -64,6 +64,7 @@
 	placement      *placementController
 	rollouts       *rolloutController
 	evacuations    *evacuations
+	callAges       *callAgeSaver
 	orders         *orderController
 	administration *administration
 	coordination   *coordinator
@@ -146,7 +147,9 @@
 	n.membership = membership.NewService(membership.Config{Self: me, Seeds: cfg.SeedControlAddresses(), ProbeInterval: cfg.HeartbeatInterval(), DeadRetention: 40 * cfg.HeartbeatInterval()},
 		endpoint, n.nodesChanged)
 	n.registerHandlers()
-	n.enqueue(func(time.Duration) { // before any message is handled
+	n.callAges = newCallAgeSaver(env, n.evacuations)
+	n.enqueue(func(now time.Duration) { // before any message is handled
+		n.callAges.restore(now)
 		n.publishAll()
 		n.configurationChanged()
 	})
@@ -193,7 +196,7 @@
 // wire creates the controllers and connects them.
 func (n *Node) wire() {
 	n.list = newListController(n.environment)
-	n.orders = &orderController{environment: n.environment, configuration: n.configuration, evacuations: n.evacuations}
+	n.orders = &orderController{environment: n.environment, configuration: n.configuration, evacuations: n.evacuations, settling: map[string]bool{}}
 	if n.settings.RevocationBounded() {
 		n.orders.revocations = &revocations{environment: n.environment}
 	}
@@ -236,6 +239,7 @@
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() { n.runEventLoop(stop); close(stopped) }()
 	go n.stalls.recordTicks(stop)
+	go n.callAges.run(stop)
 
 	failed := make(chan error, 2)
 	control := n.server(n.settings.Bind.Control, n.controlHandler(n.zones))
--- a/internal/controlplane/evacuations.go
+++ b/internal/controlplane/evacuations.go
@@ -2,12 +2,13 @@
 
 import (
 	"cmp"
-	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"madderwing/internal/apierror"
+	"madderwing/internal/callage"
 	"madderwing/internal/config"
 	"madderwing/internal/replication"
 	"madderwing/internal/settings"
@@ -40,13 +41,14 @@
 	return nil
 }
 
-// evacuations records when orders on zones were first seen as committed, and since when it is
-// uncertain whether the evacuation of a zone still holds.
+// evacuations tracks how old the orders on zones are, and since when it is uncertain whether the
+// evacuation of a zone still holds.
 type evacuations struct {
-	repeatWindow time.Duration // how long an operator may send an order again
-	maxDoubt     time.Duration // after which the evacuation of a zone in doubt ends
-	orderSeenAt  map[uint64]time.Duration
-	doubts       map[string]doubt // by record name
+	repeatWindow time.Duration   // how long an operator may send an order again
+	maxDoubt     time.Duration   // after which the evacuation of a zone in doubt ends
+	orders       callage.Tracker // by record name
+	doubts       map[string]doubt
+	unsettled    map[string]config.Record // published records with orders that may still be sent again, by name
 }
 
 // doubt is a generation of a zone's record from which it is uncertain whether an evacuation holds.
@@ -62,16 +64,13 @@
 func newEvacuations(bounds settings.Bounds) *evacuations {
 	recoveryS := cmp.Or(bounds.RecoveryS, 3*bounds.AckS)
 	return &evacuations{repeatWindow: settings.Seconds(bounds.AckS) + callerTimeout, maxDoubt: settings.Seconds(doubtFraction * recoveryS),
-		orderSeenAt: map[uint64]time.Duration{}, doubts: map[string]doubt{}}
+		doubts: map[string]doubt{}, unsettled: map[string]config.Record{}}
 }
 
-// recent returns a function that reports whether an order named in a record may still be sent again
+// recent returns a function that reports whether an order named in a zone's record may still be sent again
 // by its operator. An order that was not seen yet has only just been carried out.
-func (e *evacuations) recent(now time.Duration) func(id uint64) bool {
-	return func(id uint64) bool {
-		at, ok := e.orderSeenAt[id]
-		return !ok || now-at <= e.repeatWindow
-	}
+func (e *evacuations) recent(now time.Duration, name string) func(id uint64) bool {
+	return func(id uint64) bool { return e.orders.Age(now, name, id) <= e.repeatWindow }
 }
 
 // recordsPublished handles the zones' records among those that have just been published.
@@ -85,29 +84,40 @@
 
 // recordPublished handles a zone's published record.
 func (e *evacuations) recordPublished(now time.Duration, record config.Record) {
-	for _, id := range config.EvacuationOrders(record) {
-		if _, ok := e.orderSeenAt[id]; !ok {
-			e.orderSeenAt[id] = now
-		}
-	}
-	if config.InDoubt(record) {
-		e.doubts[record.Name] = doubt{record.Gen, now}
+	ids := config.EvacuationOrders(record)
+	e.orders.Observe(now, record.Name, ids)
+	if config.HasUnsettledOrders(record) {
+		e.unsettled[record.Name] = record
 	} else {
+		delete(e.unsettled, record.Name)
+	}
+	if !config.InDoubt(record) {
 		delete(e.doubts, record.Name)
+		return
+	}
+	if e.doubts[record.Name].generation != record.Gen {
+		e.doubts[record.Name] = doubt{record.Gen, now - e.newestAge(now, record.Name, ids)}
 	}
 }
 
-// forget drops the orders that no published record names.
-func (e *evacuations) forget(published map[string]config.Record) {
-	named := map[uint64]bool{}
-	for name, r := range published {
-		if strings.HasPrefix(name, config.EvacuationPrefix) {
-			for _, id := range config.EvacuationOrders(r) {
-				named[id] = true
-			}
+// newestAge returns the age of the newest order of a zone's record; 0 if the record names none.
+func (e *evacuations) newestAge(now time.Duration, name string, ids []uint64) time.Duration {
+	if len(ids) == 0 {
+		return 0
+	}
+	return e.orders.Age(now, name, ids[len(ids)-1])
+}
+
+// recordsToSettle returns the names of the zones' records that name orders which have become too old to be
+// sent again.
+func (e *evacuations) recordsToSettle(now time.Duration) (names []string) {
+	for name, record := range e.unsettled {
+		if config.HasOrdersToSettle(record, e.recent(now, name)) {
+			names = append(names, name)
 		}
 	}
-	maps.DeleteFunc(e.orderSeenAt, func(id uint64, _ time.Duration) bool { return !named[id] })
+	slices.Sort(names)
+	return names
 }
 
 // takeOverdue returns the zones' records that have been in doubt for maxDoubt or longer, by name,
@@ -137,3 +147,22 @@
 		})
 	}
 }
+
+// settleOrders marks orders on zones that have become too old to be sent again, where this control node
+// owns their partitions.
+func (c *orderController) settleOrders(now time.Duration) {
+	for _, name := range c.evacuations.recordsToSettle(now) {
+		if c.settling[name] || c.replica.Owner(now, name) != c.endpoint.Address() {
+			continue
+		}
+		c.settling[name] = true
+		c.replica.Propose(now, name, func(have map[string]replication.Record) ([]replication.Record, error) {
+			return config.SettleOrders(have, name, c.evacuations.recent(now, name)), nil
+		}, func(err error) {
+			delete(c.settling, name)
+			if err != nil {
+				c.log.control.Warn("orders on a zone not settled", "record", name, "error", err)
+			}
+		})
+	}
+}
--- a/internal/controlplane/evacuations_test.go
+++ b/internal/controlplane/evacuations_test.go
@@ -40,7 +40,7 @@
 		records := map[string]config.Record{}
 		for i, step := range steps {
 			changes, err := config.ApplyEvacuationOrder(records, config.EvacuationOrder{Zone: "z", Evacuate: step.evacuate,
-				ID: config.EvacuationOrderID(uint64(i+1)<<2, step.evacuate), Recent: owners[step.owner].recent(step.at)})
+				ID: config.EvacuationOrderID(uint64(i+1)<<2, step.evacuate), Recent: owners[step.owner].recent(step.at, config.EvacuationPrefix+"z")})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -95,12 +95,15 @@
 	inFlight  []*zoneCall
 	operators []*zoneOperator
 	log       []string
+	kills     *rand.Rand // nil: no node is killed
+	abandoned bool       // an operator gave up on an order
 }
 
 type zoneNode struct {
 	evacuations *evacuations
 	known       config.Record
 	frozenUntil time.Duration
+	saved       map[uint64]time.Duration // ages of the orders, as on its disk
 }
 
 // zoneOperator evacuates, waits, withdraws, and begins again.
@@ -159,6 +162,7 @@
 			}
 		}
 	}
+	s.saveAndKill()
 	if s.rng.Float64() < 0.002 || s.now < s.nodes[s.owner].frozenUntil-time.Second {
 		s.owner = s.rng.IntN(len(s.nodes))
 	}
@@ -169,6 +173,43 @@
 	s.endDoubt()
 }
 
+// saveAndKill has the nodes save the ages of the orders and the owner settle old ones, and kills all nodes or
+// one of them at times. They are down for a while.
+func (s *zoneSimulation) saveAndKill() {
+	if s.kills == nil {
+		return
+	}
+	for _, n := range s.nodes {
+		if s.now%(250*time.Millisecond) == 0 && s.now >= n.frozenUntil {
+			n.saved = n.evacuations.orders.Ages(s.now)
+		}
+	}
+	owner := s.nodes[s.owner]
+	for _, name := range owner.evacuations.recordsToSettle(s.now) {
+		for _, r := range config.SettleOrders(s.record, name, owner.evacuations.recent(s.now, name)) {
+			s.record[name] = r
+			owner.known = r
+			owner.evacuations.recordPublished(s.now, r)
+		}
+	}
+	killed := s.nodes
+	switch draw := s.kills.Float64(); {
+	case draw < 0.0004:
+		s.logf("all nodes are killed")
+		s.inFlight = nil
+	case draw < 0.0008:
+		one := s.kills.IntN(len(s.nodes))
+		killed = s.nodes[one : one+1]
+	default:
+		return
+	}
+	for _, n := range killed {
+		n.frozenUntil = s.now + 10*time.Millisecond + time.Duration(s.kills.Float64()*float64(time.Second))
+		n.evacuations = newEvacuations(settings.Bounds{AckS: 5, RecoveryS: 15})
+		n.evacuations.orders.Restore(n.frozenUntil, n.saved)
+	}
+}
+
 // deliverCalls has due calls accepted by the node that they were sent to, and then executed by the
 // owner.
 func (s *zoneSimulation) deliverCalls() {
@@ -201,7 +242,7 @@
 
 func (s *zoneSimulation) execute(c *zoneCall) {
 	owner := s.nodes[s.owner].evacuations
-	c.order.Recent = owner.recent(s.now)
+	c.order.Recent = owner.recent(s.now, zoneName)
 	changes, err := config.ApplyEvacuationOrder(s.record, c.order)
 	if apierror.KindOf(err) == apierror.OutdatedOrder && err != nil {
 		return
@@ -227,6 +268,7 @@
 	case s.now < operator.idleUntil || s.now < operator.nextAttempt:
 	case operator.attempts > 0 && s.now-operator.firstSent > 5*time.Second:
 		s.logf("operator %d: abandoned, evacuate %v", number, operator.evacuate)
+		s.abandoned = true
 		s.nextOrder(operator)
 	default:
 		if operator.attempts == 0 {
@@ -301,3 +343,74 @@
 		}
 	}
 }
+
+// Guards against orders that count as new after a kill: with one operator, nodes are killed alone and together.
+// An evacuation holds until it is withdrawn, and one that is sent again counts once.
+func TestEvacuationsHoldAcrossKills(t *testing.T) {
+	withdrawn := 0
+	for seed := range uint64(400) {
+		simulation := newZoneSimulation(seed, 1)
+		simulation.kills = rand.New(rand.NewPCG(seed, 4))
+		operator := simulation.operators[0]
+		for simulation.now < 90*time.Second && !t.Failed() {
+			simulation.step()
+			record := simulation.record[zoneName]
+			if operator.inForce && (!simulation.evacuated() || config.InDoubt(record)) {
+				t.Errorf("seed %d: an evacuation in force does not hold:\n%s", seed, strings.Join(simulation.log, "\n"))
+			}
+			if idle := operator.attempts == 0 && operator.evacuate && len(simulation.inFlight) == 0; idle && record.Gen > 0 && !simulation.abandoned {
+				withdrawn++
+				if simulation.evacuated() && !config.InDoubt(record) {
+					t.Errorf("seed %d: a withdrawn evacuation still counts:\n%s", seed, strings.Join(simulation.log, "\n"))
+				}
+			}
+		}
+	}
+	if withdrawn == 0 {
+		t.Error("no evacuation was withdrawn")
+	}
+}
+
+// Guards against an order that was given long ago and counts as new at a control node that first hears of it now.
+func TestSettledOrdersAreNotRecent(t *testing.T) {
+	const s = time.Second
+	owner, late := newEvacuations(settings.Bounds{AckS: 5}), newEvacuations(settings.Bounds{AckS: 5})
+	records := map[string]config.Record{}
+	give := func(by *evacuations, now time.Duration, id uint64) {
+		changes, err := config.ApplyEvacuationOrder(records, config.EvacuationOrder{Zone: "z", Evacuate: true, ID: config.EvacuationOrderID(id<<2, true), Recent: by.recent(now, zoneName)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range changes {
+			records[r.Name] = r
+			by.recordPublished(now, r)
+		}
+	}
+	give(owner, 0, 1)
+	if len(owner.recordsToSettle(6*s)) > 0 {
+		t.Error("an order is settled while its operator may send it again")
+	}
+	generation := records[zoneName].Gen
+	for _, name := range owner.recordsToSettle(7 * s) {
+		for _, r := range config.SettleOrders(records, name, owner.recent(7*s, name)) {
+			if !r.Newer(records[name]) || r.Gen != generation {
+				t.Errorf("the settled record has generation %d and revision %d", r.Gen, r.Rev)
+			}
+			records[name] = r
+			owner.recordPublished(7*s, r)
+		}
+	}
+	if len(owner.recordsToSettle(8*s)) > 0 {
+		t.Error("an order is settled again and again")
+	}
+	late.recordPublished(8*s, records[zoneName])
+	give(late, 9*s, 2)
+	changes, err := config.ApplyEvacuationOrder(records, config.EvacuationOrder{Zone: "z", ID: config.EvacuationOrderID(3<<2, false), Recent: late.recent(20*s, zoneName)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	records[zoneName] = changes[0]
+	if records[zoneName].Dropped || config.InDoubt(records[zoneName]) {
+		t.Error("one withdrawal takes back both evacuations")
+	}
+}
--- a/internal/controlplane/event_loop.go
+++ b/internal/controlplane/event_loop.go
@@ -44,6 +44,8 @@
 	}
 	n.rollouts.tick(now)
 	n.orders.endOverdueDoubts(now)
+	n.orders.settleOrders(now)
+	n.callAges.tick(now)
 	n.coordination.tick(now)
 	n.contact.logChange(now, n.log.control)
 	n.placement.tick(now)
@@ -160,9 +162,6 @@
 	newer := n.configuration.merge(records)
 	n.rollouts.recordsPublished(newer)
 	n.evacuations.recordsPublished(n.now(), newer)
-	if strings.HasPrefix(partition, config.EvacuationPrefix) {
-		n.evacuations.forget(n.configuration.published.Records)
-	}
 	return len(newer) > 0
 }
 
--- a/internal/controlplane/tasks.go
+++ b/internal/controlplane/tasks.go
@@ -162,7 +162,7 @@
 	t.generationBefore = have[o.Partition].Gen
 	t.generationAfter = t.generationBefore
 	changes, err := config.ApplyEvacuationOrder(have, config.EvacuationOrder{Zone: strings.TrimPrefix(o.Partition, config.EvacuationPrefix),
-		Evacuate: *o.Evacuate, ID: o.ID, BaseGeneration: o.Basis, Recent: t.orders.evacuations.recent(receivedAt)})
+		Evacuate: *o.Evacuate, ID: o.ID, BaseGeneration: o.Basis, Recent: t.orders.evacuations.recent(receivedAt, o.Partition)})
 	if len(changes) > 0 {
 		t.generationAfter = changes[0].Gen
 	}
