Orders of rollouts keep their age across kills of control nodes

Cause: the same as for evacuations, in other code: rollout.Controller measured the age of executed calls from when it first saw them, in memory only, so after a start old calls counted as recent and the order as the repeat of one of them.

Change: the controller uses callage.Tracker, whose ages are saved, and the owner marks calls that are too old to be sent again in the plan (SettleCalls) under the same generation; a step computed before that keeps the mark.

--- a/internal/controlplane/call_ages.go
+++ b/internal/controlplane/call_ages.go
@@ -1,9 +1,11 @@
 package controlplane
 
 import (
+	"maps"
 	"time"
 
 	"madderwing/internal/callage"
+	"madderwing/internal/rollout"
 )
 
 // callAgeSaver saves the ages of the operators' executed calls on disk while they matter, so that a control
@@ -11,6 +13,7 @@
 type callAgeSaver struct {
 	*environment
 	evacuations *evacuations
+	rollouts    *rollout.Controller
 
 	// saveUntilAge is the age after which a call needs no further save: it is too old to be sent again, and a
 	// doubt about the evacuation of a zone has ended.
@@ -24,8 +27,8 @@
 // of each call's age.
 const callAgeSaveFraction = 0.5
 
-func newCallAgeSaver(env *environment, evacuations *evacuations) *callAgeSaver {
-	return &callAgeSaver{environment: env, evacuations: evacuations,
+func newCallAgeSaver(env *environment, evacuations *evacuations, rollouts *rollout.Controller) *callAgeSaver {
+	return &callAgeSaver{environment: env, evacuations: evacuations, rollouts: rollouts,
 		saveUntilAge: max(evacuations.repeatWindow, evacuations.maxDoubt), pending: make(chan map[uint64]time.Duration, 1)}
 }
 
@@ -36,6 +39,7 @@
 		s.log.control.Warn("ages of operators' calls not read; all count as new", "error", err)
 	}
 	s.evacuations.orders.Restore(now, ages)
+	s.rollouts.RestoreCallAges(now, ages)
 	s.saved = ages
 }
 
@@ -46,6 +50,7 @@
 	}
 	s.nextSaveAt = now + time.Duration(callAgeSaveFraction*float64(s.settings.HeartbeatInterval()))
 	ages := s.evacuations.orders.Ages(now)
+	maps.Copy(ages, s.rollouts.CallAges(now))
 	if !s.matters(ages) {
 		return
 	}
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -147,7 +147,7 @@
 	n.membership = membership.NewService(membership.Config{Self: me, Seeds: cfg.SeedControlAddresses(), ProbeInterval: cfg.HeartbeatInterval(), DeadRetention: 40 * cfg.HeartbeatInterval()},
 		endpoint, n.nodesChanged)
 	n.registerHandlers()
-	n.callAges = newCallAgeSaver(env, n.evacuations)
+	n.callAges = newCallAgeSaver(env, n.evacuations, n.rollouts.controller)
 	n.enqueue(func(now time.Duration) { // before any message is handled
 		n.callAges.restore(now)
 		n.publishAll()
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -29,10 +29,11 @@
 	versions      map[string]rollout.Service // as published
 	adopting      bool                       // an order that records running versions is in progress
 	nextWaitLogAt time.Duration              // when a waiting rollout may be logged again
+	settling      map[string]bool            // by service: a change that settles its calls is in progress
 }
 
 func newRolloutController(env *environment, configuration *configuration, list *listController, submit submitFunc) *rolloutController {
-	return &rolloutController{environment: env, configuration: configuration, list: list, submit: submit, controller: rollout.NewController()}
+	return &rolloutController{environment: env, configuration: configuration, list: list, submit: submit, controller: rollout.NewController(), settling: map[string]bool{}}
 }
 
 // registerHandlers registers the handlers for reports on rollouts from gateways and other control nodes.
@@ -77,6 +78,37 @@
 	for _, transition := range transitions {
 		c.commitTransition(now, transition)
 	}
+	c.settleCalls(now)
+}
+
+// settleCalls marks operators' calls that have become too old to be sent again, where this control node owns the
+// partition of their rollout.
+func (c *rolloutController) settleCalls(now time.Duration) {
+	for service, versions := range c.versions {
+		if versions.Plan == nil || c.settling[service] || !versions.Plan.HasCallsToSettle(c.mayBeResent(now, service)) {
+			continue
+		}
+		partition := rollout.PartitionOf(service)
+		if c.replica.Owner(now, partition) != c.endpoint.Address() {
+			continue
+		}
+		c.settling[service] = true
+		c.replica.Propose(now, partition, func(have map[string]replication.Record) ([]replication.Record, error) {
+			return rollout.SettleCalls(have, service, c.mayBeResent(now, service)), nil
+		}, func(err error) {
+			delete(c.settling, service)
+			if err != nil {
+				c.log.rollout.Warn("calls for a service not settled", "service", service, "error", err)
+			}
+		})
+	}
+}
+
+// mayBeResent returns a function that reports whether the operator of an executed call may still send it again.
+func (c *rolloutController) mayBeResent(now time.Duration, service string) func(id uint64) bool {
+	return func(id uint64) bool {
+		return c.controller.Recent(now, service, id, settings.Seconds(c.settings.Bounds.AckS))
+	}
 }
 
 // logWaiting logs, at most once per two heartbeat intervals, what a rollout waits for. It does so
@@ -167,8 +199,7 @@
 
 // call is an operator's call for a service, as the owner of the rollout's partition sees it.
 func (c *rolloutController) call(service string, o order) rollout.Call {
-	now, ackS := c.now(), settings.Seconds(c.settings.Bounds.AckS)
-	return rollout.Call{ID: o.ID, BaseOrder: o.Basis, MayBeResent: func(id uint64) bool { return c.controller.Recent(now, service, id, ackS) }}
+	return rollout.Call{ID: o.ID, BaseOrder: o.Basis, MayBeResent: c.mayBeResent(c.now(), service)}
 }
 
 // adopt records, in the configuration's partition, the versions that services run without a rollout:
--- a/internal/rollout/calls.go
+++ b/internal/rollout/calls.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"madderwing/internal/apierror"
@@ -20,6 +21,9 @@
 	Version  string        `cbor:"2,keyasint"`
 	Within   time.Duration `cbor:"3,keyasint,omitempty"`
 	Reversal bool          `cbor:"4,keyasint,omitempty"`
+	// Settled says that the call is too old to be sent again. Until then it depends on the age that
+	// each control node knows.
+	Settled bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Call identifies an operator's call that is about to be executed. The zero value is for a call
@@ -69,7 +73,7 @@
 // still send again.
 func (p *Plan) hasRecentCall(call Call, matches func(ExecutedCall) bool) bool {
 	for _, t := range p.ExecutedCalls {
-		if matches(t) && call.MayBeResent != nil && call.MayBeResent(t.ID) {
+		if matches(t) && !t.Settled && call.MayBeResent != nil && call.MayBeResent(t.ID) {
 			return true
 		}
 	}
@@ -82,6 +86,50 @@
 	return all[max(0, len(all)-maxExecutedCalls):]
 }
 
+// callIDs returns the IDs of the executed calls.
+func (p *Plan) callIDs() (ids []uint64) {
+	for _, t := range p.ExecutedCalls {
+		ids = append(ids, t.ID)
+	}
+	return ids
+}
+
+// settledCalls returns the executed calls with those marked as settled that can't be sent again any
+// more; changed reports whether that adds any mark.
+func (p *Plan) settledCalls(mayBeResent func(id uint64) bool) (calls []ExecutedCall, changed bool) {
+	calls = slices.Clone(p.ExecutedCalls)
+	for i := range calls {
+		if !calls[i].Settled && !mayBeResent(calls[i].ID) {
+			calls[i].Settled, changed = true, true
+		}
+	}
+	return calls, changed
+}
+
+// HasCallsToSettle reports whether SettleCalls would change a plan.
+func (p *Plan) HasCallsToSettle(mayBeResent func(id uint64) bool) bool {
+	_, changed := p.settledCalls(mayBeResent)
+	return changed
+}
+
+// SettleCalls returns the change that marks the executed calls of a service that can't be sent again any
+// more. Control nodes that start later know it from the record. The record keeps its generation.
+func SettleCalls(records map[string]Record, service string, mayBeResent func(id uint64) bool) []Record {
+	oldRecord := records[PartitionOf(service)]
+	plan, ok := DecodePlan(oldRecord)
+	if !ok {
+		return nil
+	}
+	calls, changed := plan.settledCalls(mayBeResent)
+	if !changed {
+		return nil
+	}
+	plan.ExecutedCalls = calls
+	record := plan.encode(oldRecord.Gen)
+	record.Rev = oldRecord.Rev + 1
+	return []Record{record}
+}
+
 // Begin returns the changes of an order. Repeating the order of the newest rollout changes
 // nothing, even after that rollout was completed or reversed: a reversed version needs a new
 // name to be rolled out again. A call that was executed before changes nothing either, nor
--- a/internal/rollout/calls_test.go
+++ b/internal/rollout/calls_test.go
@@ -184,7 +184,7 @@
 	if n := len(nodes.records[PartitionOf("s")].Data); n > 512 {
 		t.Errorf("the record takes %d bytes", n)
 	}
-	if n := len(nodes.controllers[0].stateOf("s").callsSeenAt); n != maxExecutedCalls {
+	if n := nodes.controllers[0].calls.Count("s"); n != maxExecutedCalls {
 		t.Errorf("the controller remembers %d calls", n)
 	}
 }
@@ -223,3 +223,63 @@
 		}
 	}
 }
+
+// Guards against an order that is acknowledged and never carried out because an equal one of long ago counts as
+// recent at a control node that was killed since, or that first hears of it now.
+func TestOldCallsAreNotRecentAfterKills(t *testing.T) {
+	for name, c := range map[string]struct {
+		settle  bool          // the owner marks old calls
+		restore bool          // the control node that takes the last order has saved the ages
+		gap     time.Duration // between the first and the last order
+		order   uint64        // of the newest rollout at the end
+	}{
+		"settled":                      {settle: true, gap: 6 * time.Second, order: 3},
+		"killed":                       {restore: true, gap: 6 * time.Second, order: 3},
+		"killed, the order sent again": {restore: true, gap: 4 * time.Second, order: 2},
+		"settled too soon":             {settle: true, gap: 4 * time.Second, order: 2},
+	} {
+		nodes := newControlNodes(t, 2)
+		nodes.checkOutcome(nodes.begin(0, 1, "v2"), acknowledged)
+		nodes.complete()
+		nodes.checkOutcome(nodes.begin(0, 2, "v3"), acknowledged)
+		nodes.complete()
+		nodes.now += c.gap
+		if c.settle {
+			nodes.commit(SettleCalls(nodes.records, "s", nodes.call(0, 0).MayBeResent))
+		}
+		started := NewController()
+		if c.restore {
+			started.RestoreCallAges(nodes.clock(1), nodes.controllers[1].CallAges(nodes.clock(1)))
+		}
+		started.RecordCommitted(nodes.clock(1), nodes.records[PartitionOf("s")])
+		nodes.controllers[1] = started
+		nodes.checkOutcome(nodes.begin(1, 3, "v2"), acknowledged)
+		if p, _ := DecodePlan(nodes.records[PartitionOf("s")]); p.Order != c.order {
+			t.Errorf("%s: the newest rollout is number %d, want %d", name, p.Order, c.order)
+		}
+	}
+}
+
+// A step of a rollout that was computed before its calls were settled keeps them settled.
+func TestSettledCallsStaySettled(t *testing.T) {
+	nodes := newControlNodes(t, 1)
+	nodes.checkOutcome(nodes.begin(0, 1, "v2"), acknowledged)
+	before, _ := DecodePlan(nodes.records[PartitionOf("s")])
+	nodes.now += 2 * nodes.resendWindow
+	settled := SettleCalls(nodes.records, "s", nodes.call(0, 0).MayBeResent)
+	if len(settled) != 1 || settled[0].Gen != before.Generation || !settled[0].Newer(nodes.records[PartitionOf("s")]) {
+		t.Fatalf("the calls are settled by %v", settled)
+	}
+	nodes.commit(settled)
+	next := *before
+	next.Stage = Canary
+	changes, err := Advance(nodes.records, before.Generation, &next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodes.commit(changes)
+	after, _ := DecodePlan(nodes.records[PartitionOf("s")])
+	if after.Stage != Canary || !after.ExecutedCalls[0].Settled || after.HasCallsToSettle(nodes.call(0, 0).MayBeResent) {
+		t.Errorf("stage %v, calls %v", after.Stage, after.ExecutedCalls)
+	}
+}
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"madderwing/internal/callage"
 )
 
 // Controller holds a control node's state of rollouts, apart from their records. It decides
@@ -11,6 +13,7 @@
 // reports on the others for their owners.
 type Controller struct {
 	rollouts      map[string]*rolloutState
+	calls         callage.Tracker // by service
 	allControlled bool
 }
 
@@ -20,7 +23,6 @@
 	recordSeenAt time.Duration // when that record was first seen
 	ageWhenSeen  time.Duration // age of the order at that time
 	order        uint64
-	callsSeenAt  map[uint64]time.Duration // by ID of the calls in the record: when each was first seen here
 
 	gatewayReports map[string]received[Report]   // by gateway that reports to this control node
 	peerReports    map[string]received[Gathered] // by control node: what it has gathered
@@ -60,7 +62,7 @@
 	if plan.Generation <= state.generation {
 		return
 	}
-	state.recordCalls(now, plan)
+	c.calls.Observe(now, plan.Service, plan.callIDs())
 	age := plan.Age
 	switch {
 	case plan.Order != state.order:
@@ -78,25 +80,20 @@
 	state.order = plan.Order
 }
 
-// recordCalls records when each executed call of a plan was first seen here.
-func (s *rolloutState) recordCalls(now time.Duration, p *Plan) {
-	calls := map[uint64]time.Duration{}
-	for _, t := range p.ExecutedCalls {
-		calls[t.ID] = now
-		if at, ok := s.callsSeenAt[t.ID]; ok {
-			calls[t.ID] = at
-		}
-	}
-	s.callsSeenAt = calls
+// Recent reports whether a call that a service's plan records was executed within the given time, as
+// far as this node knows. A call that was not seen yet counts as recent: its record was only just written.
+func (c *Controller) Recent(now time.Duration, service string, id uint64, within time.Duration) bool {
+	return c.calls.Age(now, service, id) <= within
 }
 
-// Recent reports whether a call that a service's plan records was first seen here within the
-// given time. A call that was not seen yet counts as recent: its record was only just written.
-func (c *Controller) Recent(now time.Duration, service string, id uint64, within time.Duration) bool {
-	at, ok := c.stateOf(service).callsSeenAt[id]
-	return !ok || now-at <= within
+// RestoreCallAges sets the ages of executed calls that an earlier process saved.
+func (c *Controller) RestoreCallAges(now time.Duration, ages map[uint64]time.Duration) {
+	c.calls.Restore(now, ages)
 }
 
+// CallAges returns the ages of the executed calls that the plans record, by ID.
+func (c *Controller) CallAges(now time.Duration) map[uint64]time.Duration { return c.calls.Ages(now) }
+
 func (s *rolloutState) age(now time.Duration) time.Duration {
 	return s.ageWhenSeen + now - s.recordSeenAt
 }
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -143,7 +143,9 @@
 	if !ok || oldRecord.Gen != expectedGeneration || current.Final() || next.Stage < current.Stage || next.Order != current.Order {
 		return nil, apierror.New(apierror.Conflict, "the rollout of %s has gone on", next.Service)
 	}
-	return []Record{next.encode(oldRecord.Gen + 1)}, nil
+	advanced := *next
+	advanced.ExecutedCalls = current.ExecutedCalls // some may have been settled since next was computed
+	return []Record{advanced.encode(oldRecord.Gen + 1)}, nil
 }
 
 func (p *Plan) reverse(reason string, age time.Duration) *Plan {
--- a/internal/soak/repeated_orders_test.go
+++ b/internal/soak/repeated_orders_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"syscall"
@@ -61,8 +63,51 @@
 	return slices.Contains(evacuatedZones(h.t, h.cluster.machines[0]), orderedZone)
 }
 
+// orderRollout orders a version of booking until a control node acknowledges it.
+func (h *orderHistory) orderRollout(version string) {
+	body := fmt.Sprintf(`{"target":"booking","targetVersion":%q,"withinS":60}`, version)
+	for h.ctx.Err() == nil {
+		for _, m := range h.cluster.machines {
+			if h.ops.call(http.MethodPost, m.controlAddress(), "/v1/rollouts", body, noCallFault) == http.StatusOK {
+				return
+			}
+			sleep(h.ctx, firstRetryDelay)
+		}
+	}
+	h.t.Errorf("the order of %s was not acknowledged", version)
+}
+
+// reverseRollout reverses the rollout of booking to a version.
+func (h *orderHistory) reverseRollout(version string) {
+	for h.ctx.Err() == nil {
+		for _, m := range h.cluster.machines {
+			if h.ops.call(http.MethodDelete, m.controlAddress(), "/v1/rollouts/booking?targetVersion="+version, "", noCallFault) == http.StatusOK {
+				return
+			}
+			sleep(h.ctx, firstRetryDelay)
+		}
+	}
+	h.t.Errorf("the reversal of %s was not acknowledged", version)
+}
+
+// newestRollout returns the state and the version of the newest rollout of booking.
+func (h *orderHistory) newestRollout() (state, version string) {
+	var view struct{ State, TargetVersion string }
+	for h.ctx.Err() == nil {
+		if status, text := h.ops.get(h.cluster.machines[0].controlAddress(), "/v1/rollouts/booking"); status == http.StatusOK {
+			if err := json.Unmarshal([]byte(text), &view); err != nil {
+				h.t.Error(err)
+			}
+			break
+		}
+		sleep(h.ctx, firstRetryDelay)
+	}
+	return view.State, view.TargetVersion
+}
+
 // Guards against orders that count as new after kills of all control nodes: a later evacuation was taken for a
-// repeat, so that its withdrawal opened the zone. A repeat whose answer was lost in the kill still counts once.
+// repeat, so that its withdrawal opened the zone, and a later order of a rollout was never carried out. A
+// repeat whose answer was lost in the kill still counts once.
 func TestOrdersAreToldFromRepeatsAfterKills(t *testing.T) {
 	for name, play := range map[string]func(*orderHistory){
 		"two evacuations, a kill between": func(h *orderHistory) {
@@ -116,6 +161,32 @@
 			h.withdraw()
 			h.expectEvacuated(false)
 		},
+		"a version ordered again, two kills before": func(h *orderHistory) {
+			h.orderRollout("v2")
+			h.reverseRollout("v2")
+			h.orderRollout("v3")
+			h.reverseRollout("v3")
+			h.wait(4 * time.Second)
+			h.cluster.killControlPlane()
+			h.wait(3 * time.Second)
+			h.cluster.killControlPlane()
+			h.wait(2 * time.Second)
+			h.orderRollout("v2")
+			if state, version := h.newestRollout(); state != "serving" || version != "v2" {
+				h.t.Errorf("the newest rollout is to %s, %s", version, state)
+			}
+		},
+		"an order sent again after a kill": func(h *orderHistory) {
+			h.orderRollout("v2")
+			h.reverseRollout("v2")
+			h.orderRollout("v3")
+			h.reverseRollout("v3")
+			h.cluster.killControlPlane()
+			h.orderRollout("v2")
+			if state, version := h.newestRollout(); state != "reverted" || version != "v3" {
+				h.t.Errorf("the newest rollout is to %s, %s", version, state)
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
