--- a/internal/soak/repeated_orders_test.go
+++ b/internal/soak/repeated_orders_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -58,6 +59,36 @@
 	h.cluster.killControlPlane()
 }
 
+// zoneOwner returns the machine whose control node owns the partition of the zone, as a given one knows it.
+func (h *orderHistory) zoneOwner(asked *machine) *machine {
+	for h.ctx.Err() == nil {
+		var partitions []struct{ Key, Owner string }
+		_, text := h.ops.get(asked.controlAddress(), "/v1/admin/keys")
+		_ = json.Unmarshal([]byte(text), &partitions) // the node may not answer yet
+		for _, p := range partitions {
+			for _, m := range h.cluster.machines {
+				if p.Key == "evacuation/"+orderedZone && strings.HasPrefix(p.Owner, m.ip+":") {
+					return m
+				}
+			}
+		}
+		sleep(h.ctx, firstRetryDelay)
+	}
+	h.t.Fatal("no owner of the zone's partition is known")
+	return nil
+}
+
+// withoutOwner has orders given while the control node that owns the zone's partition is down. It returns the
+// machine of that control node, which runs again at the end.
+func (h *orderHistory) withoutOwner(orders func()) *machine {
+	owner := h.zoneOwner(h.cluster.machines[0])
+	owner.control.signal(syscall.SIGKILL)
+	<-owner.control.exited
+	orders()
+	h.cluster.start(owner.control, false)
+	return owner
+}
+
 // evacuated reports whether the control plane shows the zone as evacuated.
 func (h *orderHistory) evacuated() bool {
 	return slices.Contains(evacuatedZones(h.t, h.cluster.machines[0]), orderedZone)
@@ -105,7 +136,7 @@
 	return view.State, view.TargetVersion
 }
 
-// Guards against orders that count as new after kills of all control nodes: a later evacuation was taken for a
+// Guards against orders that count as new after kills of all control nodes or of the owner: a later evacuation was taken for a
 // repeat, so that its withdrawal opened the zone, and a later order of a rollout was never carried out. A
 // repeat whose answer was lost in the kill still counts once.
 func TestOrdersAreToldFromRepeatsAfterKills(t *testing.T) {
@@ -146,6 +177,17 @@
 			h.withdraw()
 			h.expectEvacuated(true)
 		},
+		"an evacuation before its owner started": func(h *orderHistory) {
+			first := h.withoutOwner(func() { h.evacuate(); h.wait(orderGap) })
+			h.wait(contactS)
+			if second := h.zoneOwner(first); second != first {
+				h.cluster.restart(second.control, syscall.SIGKILL, controlDownTime)
+			}
+			h.evacuate()
+			h.wait(orderGap)
+			h.withdraw()
+			h.expectEvacuated(true)
+		},
 		"an evacuation sent again, its answer lost in a kill": func(h *orderHistory) {
 			h.evacuateAndLoseAnswer()
 			h.evacuate()
