Settling and saving of operators' calls: one piece of code, less work on each tick

Behaviour stays as it is.

- The two loops that propose a mark of settled calls, for zones and for rollouts, were the same: callSettler serves both.
Its warning goes to the log of control for both.
- Every quarter of a second the saver collected the ages of all calls only to find that none matters.
It now asks for the newest one (Tracker.AnyWithin); what the last save held is no longer kept.
- HasCallsToSettle copied each plan's calls on every tick.
- InitialSync.completed is derived from source; the gateway's empty first copy was never read; Watch.Pending has the type of its set.

--- a/internal/callage/callage.go
+++ b/internal/callage/callage.go
@@ -14,6 +14,7 @@
 type Tracker struct {
 	seenAt   map[string]map[uint64]time.Duration // by record, by ID of the call; negative for calls of an earlier process
 	restored map[uint64]time.Duration            // by ID: when calls of an earlier process were seen
+	newestAt *time.Duration                      // when the newest call was seen; nil: none was
 }
 
 // Restore sets the ages that an earlier process saved. It is called before any record is observed.
@@ -32,7 +33,11 @@
 	}
 	calls := map[uint64]time.Duration{}
 	for _, id := range ids {
-		calls[id] = t.firstSeen(now, record, id)
+		at := t.firstSeen(now, record, id)
+		calls[id] = at
+		if t.newestAt == nil || at > *t.newestAt {
+			t.newestAt = &at
+		}
 	}
 	t.seenAt[record] = calls
 }
@@ -54,6 +59,11 @@
 	return now - t.firstSeen(now, record, id)
 }
 
+// AnyWithin reports whether any call that was observed was at most age old at a time.
+func (t *Tracker) AnyWithin(at, age time.Duration) bool {
+	return t.newestAt != nil && at-*t.newestAt <= age
+}
+
 // Count returns how many calls of a record are tracked.
 func (t *Tracker) Count(record string) int { return len(t.seenAt[record]) }
 
--- a/internal/callage/callage_test.go
+++ b/internal/callage/callage_test.go
@@ -23,6 +23,13 @@
 	}
 	var second Tracker
 	second.Restore(0, ages)
+	if second.AnyWithin(0, 100*s) {
+		t.Error("a call counts that no record names")
+	}
+	second.Observe(0, "zone", []uint64{1, 2})
+	if !second.AnyWithin(0, s) || second.AnyWithin(0, s-1) {
+		t.Error("the newest call is not 1 s old after the restart")
+	}
 	second.Observe(0, "zone", []uint64{1, 2, 3})
 	for id, want := range map[uint64]time.Duration{1: 10 * s, 2: 3 * s, 3: 2 * s} {
 		if age := second.Age(2*s, "zone", id); age != want {
--- a/internal/controlplane/call_ages.go
+++ b/internal/controlplane/call_ages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"madderwing/internal/callage"
+	"madderwing/internal/replication"
 	"madderwing/internal/rollout"
 )
 
@@ -19,7 +20,7 @@
 	// doubt about the evacuation of a zone has ended.
 	saveUntilAge time.Duration
 	nextSaveAt   time.Duration
-	saved        map[uint64]time.Duration // by the last save
+	savedAt      time.Duration // when the ages of the last save were taken
 	pending      chan map[uint64]time.Duration
 }
 
@@ -40,37 +41,27 @@
 	}
 	s.evacuations.orders.Restore(now, ages)
 	s.rollouts.RestoreCallAges(now, ages)
-	s.saved = ages
+	s.savedAt = now
 }
 
-// tick has the ages saved if they have changed and matter.
+// tick has the ages saved until those of the last save no longer matter.
 func (s *callAgeSaver) tick(now time.Duration) {
 	if now < s.nextSaveAt {
 		return
 	}
 	s.nextSaveAt = now + time.Duration(callAgeSaveFraction*float64(s.settings.HeartbeatInterval()))
-	ages := s.evacuations.orders.Ages(now)
-	maps.Copy(ages, s.rollouts.CallAges(now))
-	if !s.matters(ages) {
+	if !s.evacuations.orders.AnyWithin(s.savedAt, s.saveUntilAge) && !s.rollouts.AnyCallWithin(s.savedAt, s.saveUntilAge) {
 		return
 	}
+	ages := s.evacuations.orders.Ages(now)
+	maps.Copy(ages, s.rollouts.CallAges(now))
 	select {
 	case s.pending <- ages:
-		s.saved = ages
+		s.savedAt = now
 	default: // the disk is slow; the next tick tries again
 	}
 }
 
-// matters reports whether the last save lacks a call or an age that may still decide something.
-func (s *callAgeSaver) matters(ages map[uint64]time.Duration) bool {
-	for id := range ages {
-		if saved, ok := s.saved[id]; !ok || saved <= s.saveUntilAge {
-			return true
-		}
-	}
-	return false
-}
-
 // run writes to the disk until stop is closed.
 func (s *callAgeSaver) run(stop <-chan struct{}) {
 	for {
@@ -84,3 +75,29 @@
 		}
 	}
 }
+
+// callSettler proposes changes that mark operators' calls in a record as too old to be sent again.
+type callSettler struct {
+	*environment
+	inProgress map[string]bool // by partition
+}
+
+func newCallSettler(env *environment) *callSettler {
+	return &callSettler{environment: env, inProgress: map[string]bool{}}
+}
+
+// settle proposes a change of a partition if this control node owns it and no such change is in progress.
+func (s *callSettler) settle(now time.Duration, partition string, change func(have records) []replication.Record) {
+	if s.inProgress[partition] || s.replica.Owner(now, partition) != s.endpoint.Address() {
+		return
+	}
+	s.inProgress[partition] = true
+	s.replica.Propose(now, partition, func(have records) ([]replication.Record, error) {
+		return change(have), nil
+	}, func(err error) {
+		delete(s.inProgress, partition)
+		if err != nil {
+			s.log.control.Warn("operators' calls not settled", "partition", partition, "error", err)
+		}
+	})
+}
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -196,11 +196,11 @@
 // wire creates the controllers and connects them.
 func (n *Node) wire() {
 	n.list = newListController(n.environment)
-	n.orders = &orderController{environment: n.environment, configuration: n.configuration, evacuations: n.evacuations, settling: map[string]bool{}}
+	n.orders = &orderController{environment: n.environment, configuration: n.configuration, evacuations: n.evacuations, settler: newCallSettler(n.environment)}
 	if n.settings.RevocationBounded() {
 		n.orders.revocations = &revocations{environment: n.environment}
 	}
-	n.rollouts = newRolloutController(n.environment, n.configuration, n.list, n.orders.submit)
+	n.rollouts = newRolloutController(n.environment, n.configuration, n.list, n.orders.submit, n.orders.settler)
 	n.orders.rollouts = n.rollouts
 	n.delivery = newDeliveryController(n.environment, n.configuration, n.list, n.rollouts.controller.AllControlled)
 	n.placement = newPlacementController(n.environment, n.configuration, n.orders.submit)
--- a/internal/controlplane/erased_items_test.go
+++ b/internal/controlplane/erased_items_test.go
@@ -29,7 +29,7 @@
 			t.Fatal(err)
 		}
 		node := &Node{environment: &environment{replica: replica}, configuration: newConfiguration(), evacuations: newEvacuations(settings.Bounds{AckS: 1})}
-		node.rollouts = newRolloutController(node.environment, node.configuration, nil, nil)
+		node.rollouts = newRolloutController(node.environment, node.configuration, nil, nil, nil)
 		node.log.replication = slog.New(slog.NewTextHandler(t.Output(), nil))
 		published := node.configuration.published
 		published.Put(kept)
--- a/internal/controlplane/evacuations.go
+++ b/internal/controlplane/evacuations.go
@@ -148,21 +148,11 @@
 	}
 }
 
-// settleOrders marks orders on zones that have become too old to be sent again, where this control node
-// owns their partitions.
+// settleOrders marks orders on zones that have become too old to be sent again.
 func (c *orderController) settleOrders(now time.Duration) {
 	for _, name := range c.evacuations.recordsToSettle(now) {
-		if c.settling[name] || c.replica.Owner(now, name) != c.endpoint.Address() {
-			continue
-		}
-		c.settling[name] = true
-		c.replica.Propose(now, name, func(have map[string]replication.Record) ([]replication.Record, error) {
-			return config.SettleOrders(have, name, c.evacuations.recent(now, name)), nil
-		}, func(err error) {
-			delete(c.settling, name)
-			if err != nil {
-				c.log.control.Warn("orders on a zone not settled", "record", name, "error", err)
-			}
+		c.settler.settle(now, name, func(have records) []replication.Record {
+			return config.SettleOrders(have, name, c.evacuations.recent(now, name))
 		})
 	}
 }
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -72,8 +72,8 @@
 	configuration *configuration
 	evacuations   *evacuations
 	rollouts      *rolloutController
-	revocations   *revocations    // nil where the settings don't bound the use of revoked keys
-	settling      map[string]bool // by record name: a change that settles its orders is in progress
+	revocations   *revocations // nil where the settings don't bound the use of revoked keys
+	settler       *callSettler
 }
 
 // registerHandlers registers the handler for orders that other control nodes forward.
--- a/internal/controlplane/restart_test.go
+++ b/internal/controlplane/restart_test.go
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	node := &Node{environment: &environment{replica: restarted}, configuration: newConfiguration(), evacuations: newEvacuations(settings.Bounds{AckS: 1})}
-	node.rollouts = newRolloutController(node.environment, node.configuration, nil, nil)
+	node.rollouts = newRolloutController(node.environment, node.configuration, nil, nil, nil)
 	node.log.replication = slog.New(slog.NewTextHandler(t.Output(), nil))
 	node.publishAll()
 	if p := node.rollouts.versions["s"].Active(); p == nil || p.Candidate != "v2" {
--- a/internal/controlplane/rollout.go
+++ b/internal/controlplane/rollout.go
@@ -29,11 +29,11 @@
 	versions      map[string]rollout.Service // as published
 	adopting      bool                       // an order that records running versions is in progress
 	nextWaitLogAt time.Duration              // when a waiting rollout may be logged again
-	settling      map[string]bool            // by service: a change that settles its calls is in progress
+	settler       *callSettler
 }
 
-func newRolloutController(env *environment, configuration *configuration, list *listController, submit submitFunc) *rolloutController {
-	return &rolloutController{environment: env, configuration: configuration, list: list, submit: submit, controller: rollout.NewController(), settling: map[string]bool{}}
+func newRolloutController(env *environment, configuration *configuration, list *listController, submit submitFunc, settler *callSettler) *rolloutController {
+	return &rolloutController{environment: env, configuration: configuration, list: list, submit: submit, controller: rollout.NewController(), settler: settler}
 }
 
 // registerHandlers registers the handlers for reports on rollouts from gateways and other control nodes.
@@ -81,26 +81,14 @@
 	c.settleCalls(now)
 }
 
-// settleCalls marks operators' calls that have become too old to be sent again, where this control node owns the
-// partition of their rollout.
+// settleCalls marks operators' calls that have become too old to be sent again.
 func (c *rolloutController) settleCalls(now time.Duration) {
 	for service, versions := range c.versions {
-		if versions.Plan == nil || c.settling[service] || !versions.Plan.HasCallsToSettle(c.mayBeResent(now, service)) {
-			continue
-		}
-		partition := rollout.PartitionOf(service)
-		if c.replica.Owner(now, partition) != c.endpoint.Address() {
-			continue
+		if mayBeResent := c.mayBeResent(now, service); versions.Plan != nil && versions.Plan.HasCallsToSettle(mayBeResent) {
+			c.settler.settle(now, rollout.PartitionOf(service), func(have records) []replication.Record {
+				return rollout.SettleCalls(have, service, mayBeResent)
+			})
 		}
-		c.settling[service] = true
-		c.replica.Propose(now, partition, func(have map[string]replication.Record) ([]replication.Record, error) {
-			return rollout.SettleCalls(have, service, c.mayBeResent(now, service)), nil
-		}, func(err error) {
-			delete(c.settling, service)
-			if err != nil {
-				c.log.rollout.Warn("calls for a service not settled", "service", service, "error", err)
-			}
-		})
 	}
 }
 
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -50,7 +50,7 @@
 	Horizons *Horizons `cbor:"8,keyasint,omitempty"`
 	// Pending is set while the sender has no whole copy and serves nobody: the ranges, one bit each, that
 	// have never been equal to the receiver's. The receiver sends these first and adds its digests to its updates.
-	Pending uint16 `cbor:"9,keyasint,omitempty"`
+	Pending rangeSet `cbor:"9,keyasint,omitempty"`
 }
 
 // WatcherSummary is the summary of its watchers that a control node sends to the others: the loads by
--- a/internal/delivery/horizon.go
+++ b/internal/delivery/horizon.go
@@ -44,7 +44,7 @@
 		start := s.nextStart % len(missing)
 		missing = append(missing[start:len(missing):len(missing)], missing[:start]...)
 	}
-	missing = pendingFirst(missing, rangeSet(watch.Pending))
+	missing = pendingFirst(missing, watch.Pending)
 	out.Horizon = &horizon
 	sums := *watch.Sums
 	var horizons Horizons
--- a/internal/delivery/initial.go
+++ b/internal/delivery/initial.go
@@ -18,9 +18,8 @@
 	// StallTimeout is how long a control node may send nothing new before others are asked too.
 	StallTimeout time.Duration
 	copies       map[string]*initialCopy // by control node
-	completed    bool
+	source       string                  // the control node whose copy was whole first; empty: none is yet
 	completedAt  time.Duration
-	source       string // the control node whose copy was whole first
 }
 
 // initialCopy holds the records that one control node has sent so far.
@@ -46,7 +45,7 @@
 }
 
 // Completed reports whether a whole copy has been returned.
-func (s *InitialSync) Completed() bool { return s.completed }
+func (s *InitialSync) Completed() bool { return s.source != "" }
 
 // FillWatch sets in w what has been collected from a control node, and asks for the rest. While the records
 // of another one arrive, it asks for none.
@@ -59,7 +58,7 @@
 		collected = newInitialCopy(now)
 	}
 	collected.records.FillWatch(w)
-	w.Pending = uint16(collected.pending)
+	w.Pending = collected.pending
 }
 
 func newInitialCopy(now time.Duration) *initialCopy {
@@ -92,7 +91,7 @@
 	collected.compare(update)
 	if collected.pending == 0 {
 		effect.Whole = collected.records
-		s.completed, s.completedAt, s.source, s.copies = true, now, from, nil
+		s.source, s.completedAt, s.copies = from, now, nil
 	}
 	return effect, nil
 }
@@ -151,7 +150,7 @@
 // based on another copy than the one that was whole first. What it says about the records that the gateway
 // holds is wrong then. The times are on the gateway's clock.
 func (s *InitialSync) Supersedes(from string, update Update) bool {
-	if !s.completed || from == s.source {
+	if !s.Completed() || from == s.source {
 		return false
 	}
 	return update.Sums != nil || update.Freshness != nil && update.Freshness.AskedAt <= s.completedAt
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,7 @@
 	// Owned by the goroutine of syncLoop, except commands, startedAt, readiness and the atomic values.
 	commands       chan func(now time.Duration) // functions for syncLoop to run
 	startedAt      time.Time
-	configCopy     *delivery.Copy
+	configCopy     *delivery.Copy // nil until initialSync has completed
 	initialSync    *delivery.InitialSync
 	builder        config.Builder
 	list           upstream.ListSnapshot
@@ -83,7 +83,7 @@
 func Run(ctx context.Context, cfg *settings.Settings, options Options, reload <-chan *settings.Settings) error {
 	heartbeatInterval := cfg.HeartbeatInterval()
 	g := &Gateway{settings: cfg, options: options, log: logging.Logger(logging.Gateway), commands: make(chan func(time.Duration), 256), startedAt: time.Now(),
-		configCopy: delivery.NewCopy(), initialSync: delivery.NewInitialSync(heartbeatInterval), shard: -1, clockOffset: newClockOffset()}
+		initialSync: delivery.NewInitialSync(heartbeatInterval), shard: -1, clockOffset: newClockOffset()}
 	upstreamTimeout := settings.Seconds(cfg.Bounds.ContactS / 10)
 	endpoint, err := transport.New(cfg.GatewayAddress(cfg.IP), heartbeatInterval, logging.Logger(logging.Transport))
 	if err != nil {
--- a/internal/gateway/records_test.go
+++ b/internal/gateway/records_test.go
@@ -20,7 +20,7 @@
 	arms := rollout.NewSplitter("self", time.Second, func() time.Duration { return 0 })
 	g := &Gateway{settings: &settings.Settings{Bounds: settings.Bounds{ContactS: 0.6}}, log: slog.New(slog.DiscardHandler), commands: make(chan func(time.Duration), 8),
 		startedAt: time.Now(), endpoint: newEndpoint(t), dispatcher: dispatcher, arms: arms, handler: proxy.NewHandler(dispatcher, arms),
-		configCopy: delivery.NewCopy(), initialSync: delivery.NewInitialSync(time.Second)}
+		initialSync: delivery.NewInitialSync(time.Second)}
 	g.readiness = newReadiness(g.handler.KeysConfirmed)
 	listener, err := proxy.NewListener("127.0.0.1:0", 8, g.handler, g.log)
 	if err != nil {
--- a/internal/rollout/calls.go
+++ b/internal/rollout/calls.go
@@ -94,22 +94,14 @@
 	return ids
 }
 
-// settledCalls returns the executed calls with those marked as settled that can't be sent again any
-// more; changed reports whether that adds any mark.
-func (p *Plan) settledCalls(mayBeResent func(id uint64) bool) (calls []ExecutedCall, changed bool) {
-	calls = slices.Clone(p.ExecutedCalls)
-	for i := range calls {
-		if !calls[i].Settled && !mayBeResent(calls[i].ID) {
-			calls[i].Settled, changed = true, true
-		}
-	}
-	return calls, changed
+// canBeSettled reports whether a call is not settled yet and too old to be sent again.
+func (t ExecutedCall) canBeSettled(mayBeResent func(id uint64) bool) bool {
+	return !t.Settled && !mayBeResent(t.ID)
 }
 
 // HasCallsToSettle reports whether SettleCalls would change a plan.
 func (p *Plan) HasCallsToSettle(mayBeResent func(id uint64) bool) bool {
-	_, changed := p.settledCalls(mayBeResent)
-	return changed
+	return slices.ContainsFunc(p.ExecutedCalls, func(t ExecutedCall) bool { return t.canBeSettled(mayBeResent) })
 }
 
 // SettleCalls returns the change that marks the executed calls of a service that can't be sent again any
@@ -117,14 +109,13 @@
 func SettleCalls(records map[string]Record, service string, mayBeResent func(id uint64) bool) []Record {
 	oldRecord := records[PartitionOf(service)]
 	plan, ok := DecodePlan(oldRecord)
-	if !ok {
+	if !ok || !plan.HasCallsToSettle(mayBeResent) {
 		return nil
 	}
-	calls, changed := plan.settledCalls(mayBeResent)
-	if !changed {
-		return nil
+	for i := range plan.ExecutedCalls {
+		call := &plan.ExecutedCalls[i]
+		call.Settled = call.Settled || call.canBeSettled(mayBeResent)
 	}
-	plan.ExecutedCalls = calls
 	record := plan.encode(oldRecord.Gen)
 	record.Rev = oldRecord.Rev + 1
 	return []Record{record}
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -91,6 +91,9 @@
 	c.calls.Restore(now, ages)
 }
 
+// AnyCallWithin reports whether any executed call of a plan was at most age old at a time.
+func (c *Controller) AnyCallWithin(at, age time.Duration) bool { return c.calls.AnyWithin(at, age) }
+
 // CallAges returns the ages of the executed calls that the plans record, by ID.
 func (c *Controller) CallAges(now time.Duration) map[uint64]time.Duration { return c.calls.Ages(now) }
 
