Soak: one way to start a cluster, to call until acknowledged and to restart a process

- startProcesses starts a cluster and sends the first configuration, which stood in four places.
- callUntilAcked stood in sendUntilAcked and, with small variations, in three new places.
- The new tests use restart and suspend of the cluster in place of their own signals; the histories of orders share their ends; the program is built once for them and not once for each.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -266,6 +267,16 @@
 	return strings.Join(quoted, ",")
 }
 
+// controlNodes returns the control nodes of all machines.
+func (tc *testCluster) controlNodes() (out []*process) {
+	for _, m := range tc.machines {
+		if m.control != nil {
+			out = append(out, m.control)
+		}
+	}
+	return out
+}
+
 // processes returns the control nodes and gateways of all machines.
 func (tc *testCluster) processes() (out []*process) {
 	for _, m := range tc.machines {
@@ -316,6 +327,22 @@
 	p.mu.Unlock()
 }
 
+// startProcesses starts processes of a cluster for the first time, and returns the operators once the initial
+// configuration is acknowledged.
+func startProcesses(t *testing.T, cluster *testCluster, env *environment, processes []*process) *operators {
+	for _, p := range processes {
+		cluster.start(p, true)
+	}
+	ops := &operators{history: env.history, cluster: cluster}
+	t.Cleanup(ops.close)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*recoveryS)
+	defer cancel()
+	if !ops.sendInitialConfig(ctx) {
+		t.Fatal("the initial configuration was not acknowledged")
+	}
+	return ops
+}
+
 func (tc *testCluster) logPath(p *process) string {
 	return filepath.Join(tc.dir, p.machine.name+"."+p.role+".log")
 }
--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -120,16 +120,9 @@
 	env := newEnvironment(t, cluster)
 	defer env.close()
 	env.platform.setShape(scenario.list)
-	for _, p := range cluster.processes() {
-		cluster.start(p, true)
-	}
-	ops := &operators{history: env.history, cluster: cluster}
-	defer ops.close()
 	ctx, cancel := context.WithTimeout(t.Context(), 4*recoveryS)
 	defer cancel()
-	if !ops.sendInitialConfig(ctx) {
-		t.Fatal("the initial configuration was not acknowledged")
-	}
+	startProcesses(t, cluster, env, cluster.processes())
 	sleep(ctx, contactS)
 	reader := cluster.findListReader(ctx)
 	if reader == nil {
--- a/internal/soak/gateway_restart_test.go
+++ b/internal/soak/gateway_restart_test.go
@@ -23,11 +23,11 @@
 	changedHosts       = 600
 	changeHostsPerCall = 200
 
-	gatewayRestarts   = 4
-	gatewayDownTime   = 300 * time.Millisecond
-	restartInterval   = 2 * time.Second
-	controlPauseTime  = restartInterval / 2
-	nestedRequestRate = 4 * time.Millisecond // pause of a client between its requests
+	gatewayRestarts    = 4
+	gatewayDownTime    = 300 * time.Millisecond
+	restartInterval    = 2 * time.Second
+	controlPauseTime   = restartInterval / 2
+	nestedRequestPause = 4 * time.Millisecond // of a client between two requests
 )
 
 // nestedDomain is the part of a configuration that describes a host with two routes.
@@ -47,14 +47,7 @@
 		domains = append(domains, nestedDomain(fmt.Sprintf("%s-%d", name, first+n), generation))
 	}
 	body, _ := json.Marshal(map[string]any{"upsert": map[string]any{"domains": domains}, "remove": map[string]any{"routes": []any{}}})
-	addresses := ops.cluster.controlAddresses()
-	for try := 0; ctx.Err() == nil; try++ {
-		if ops.call(http.MethodPatch, addresses[try%len(addresses)], "/v1/config", string(body), noCallFault) == http.StatusOK {
-			return true
-		}
-		sleep(ctx, firstRetryDelay)
-	}
-	return false
+	return ops.callUntilAcked(ctx, http.MethodPatch, "/v1/config", string(body), ops.cluster.machines)
 }
 
 // changeOtherHosts changes hosts that no client asks for, until ctx ends. It returns the number of calls that
@@ -72,7 +65,6 @@
 // nestedClients send requests for the longer prefixes to the gateways, and count the responses that came from
 // the service of the shorter one.
 type nestedClients struct {
-	env             *environment
 	served, foreign atomic.Int64
 	mu              sync.Mutex
 	firstForeign    string
@@ -86,7 +78,7 @@
 			return (&net.Dialer{}).DialContext(ctx, network, m.frontAddress())
 		}}}
 	for n := 0; ctx.Err() == nil; n++ {
-		sleep(ctx, nestedRequestRate)
+		sleep(ctx, nestedRequestPause)
 		host := fmt.Sprintf("fixed-%d.example", rand.IntN(nestedHosts))
 		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+"/trips/records/7", nil)
 		req.Header.Set("Attempt-Id", fmt.Sprintf("m%d-n%d", m.index, n))
@@ -125,7 +117,7 @@
 		if at.After(since) {
 			return at
 		}
-		sleep(ctx, nestedRequestRate)
+		sleep(ctx, nestedRequestPause)
 	}
 	return time.Time{}
 }
@@ -165,16 +157,9 @@
 	defer cluster.kill()
 	env := newEnvironment(t, cluster)
 	defer env.close()
-	for _, p := range cluster.processes() {
-		cluster.start(p, true)
-	}
-	ops := &operators{history: env.history, cluster: cluster}
-	defer ops.close()
+	ops := startProcesses(t, cluster, env, cluster.processes())
 	startCtx, cancel := context.WithTimeout(t.Context(), 2*recoveryS)
 	defer cancel()
-	if !ops.sendInitialConfig(startCtx) {
-		t.Fatal("the initial configuration was not acknowledged")
-	}
 	for n := range nestedHostCalls {
 		if count := nestedHosts / nestedHostCalls; !ops.sendNestedHosts(startCtx, "fixed", n*count, count, 1) {
 			t.Fatal("the hosts were not acknowledged")
@@ -184,7 +169,7 @@
 
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	clients := &nestedClients{env: env, lastServed: map[*machine]time.Time{}}
+	clients := &nestedClients{lastServed: map[*machine]time.Time{}}
 	var actors sync.WaitGroup
 	for _, m := range cluster.machines {
 		actors.Go(func() { clients.run(ctx, m) })
@@ -226,22 +211,14 @@
 		}
 		return time.Now()
 	}
+	var control sync.WaitGroup
 	switch scenario.withControl {
 	case syscall.SIGSTOP:
-		m.control.signal(syscall.SIGSTOP)
-		time.AfterFunc(controlPauseTime, func() { m.control.signal(syscall.SIGCONT) })
+		go m.control.suspend(controlPauseTime)
 	case syscall.SIGKILL:
-		m.control.signal(syscall.SIGKILL)
-	}
-	m.gateway.signal(syscall.SIGKILL)
-	<-m.gateway.exited
-	if scenario.withControl == syscall.SIGKILL {
-		<-m.control.exited
-	}
-	time.Sleep(gatewayDownTime)
-	if scenario.withControl == syscall.SIGKILL {
-		cluster.start(m.control, false)
+		control.Go(func() { cluster.restart(m.control, syscall.SIGKILL, gatewayDownTime) })
 	}
-	cluster.start(m.gateway, false)
+	cluster.restart(m.gateway, syscall.SIGKILL, gatewayDownTime)
+	control.Wait()
 	return time.Now()
 }
--- a/internal/soak/operators_test.go
+++ b/internal/soak/operators_test.go
@@ -303,6 +303,17 @@
 	return res.StatusCode, string(body)
 }
 
+// callUntilAcked sends a call to nodes in turn until one acknowledges it. It returns false if the context ends before.
+func (ops *operators) callUntilAcked(ctx context.Context, method, path, body string, nodes []*machine) bool {
+	for try := 0; ctx.Err() == nil; try++ {
+		if ops.call(method, nodes[try%len(nodes)].controlAddress(), path, body, noCallFault) == http.StatusOK {
+			return true
+		}
+		sleep(ctx, firstRetryDelay)
+	}
+	return false
+}
+
 // sendInitialConfig sends the initial configuration until a node acknowledges it. It returns false if the context
 // ends before.
 func (ops *operators) sendInitialConfig(ctx context.Context) bool {
--- a/internal/soak/repeated_orders_test.go
+++ b/internal/soak/repeated_orders_test.go
@@ -22,15 +22,15 @@
 
 // killControlPlane kills all control nodes at once and starts them again.
 func (tc *testCluster) killControlPlane() {
-	for _, m := range tc.machines {
-		m.control.signal(syscall.SIGKILL)
+	for _, p := range tc.controlNodes() {
+		p.signal(syscall.SIGKILL)
 	}
-	for _, m := range tc.machines {
-		<-m.control.exited
+	for _, p := range tc.controlNodes() {
+		<-p.exited
 	}
 	time.Sleep(controlDownTime)
-	for _, m := range tc.machines {
-		tc.start(m.control, false)
+	for _, p := range tc.controlNodes() {
+		tc.start(p, false)
 	}
 }
 
@@ -99,28 +99,19 @@
 // orderRollout orders a version of booking until a control node acknowledges it.
 func (h *orderHistory) orderRollout(version string) {
 	body := fmt.Sprintf(`{"target":"booking","targetVersion":%q,"withinS":60}`, version)
-	for h.ctx.Err() == nil {
-		for _, m := range h.cluster.machines {
-			if h.ops.call(http.MethodPost, m.controlAddress(), "/v1/rollouts", body, noCallFault) == http.StatusOK {
-				return
-			}
-			sleep(h.ctx, firstRetryDelay)
-		}
+	if !h.ops.callUntilAcked(h.ctx, http.MethodPost, "/v1/rollouts", body, h.cluster.machines) {
+		h.t.Errorf("the order of %s was not acknowledged", version)
 	}
-	h.t.Errorf("the order of %s was not acknowledged", version)
 }
 
-// reverseRollout reverses the rollout of booking to a version.
-func (h *orderHistory) reverseRollout(version string) {
-	for h.ctx.Err() == nil {
-		for _, m := range h.cluster.machines {
-			if h.ops.call(http.MethodDelete, m.controlAddress(), "/v1/rollouts/booking?targetVersion="+version, "", noCallFault) == http.StatusOK {
-				return
-			}
-			sleep(h.ctx, firstRetryDelay)
+// orderAndReverse orders versions of booking one after another, and reverses each.
+func (h *orderHistory) orderAndReverse(versions ...string) {
+	for _, version := range versions {
+		h.orderRollout(version)
+		if !h.ops.callUntilAcked(h.ctx, http.MethodDelete, "/v1/rollouts/booking?targetVersion="+version, "", h.cluster.machines) {
+			h.t.Errorf("the reversal of %s was not acknowledged", version)
 		}
 	}
-	h.t.Errorf("the reversal of %s was not acknowledged", version)
 }
 
 // newestRollout returns the state and the version of the newest rollout of booking.
@@ -138,10 +129,29 @@
 	return view.State, view.TargetVersion
 }
 
+// expectNewestRollout checks the newest rollout of booking.
+func (h *orderHistory) expectNewestRollout(wantState, wantVersion string) {
+	if state, version := h.newestRollout(); state != wantState || version != wantVersion {
+		h.t.Errorf("the newest rollout is to %s, %s", version, state)
+	}
+}
+
+// withdrawLater withdraws one evacuation after orderGap, and checks whether the zone is still evacuated once no
+// doubt is left.
+func (h *orderHistory) withdrawLater(stillEvacuated bool) {
+	h.wait(orderGap)
+	h.withdraw()
+	h.wait(doubtLimit)
+	if h.evacuated() != stillEvacuated {
+		h.t.Errorf("the zone is evacuated: %v, want %v", !stillEvacuated, stillEvacuated)
+	}
+}
+
 // Guards against orders that count as new after kills of all control nodes or of the owner: a later evacuation was taken for a
 // repeat, so that its withdrawal opened the zone, and a later order of a rollout was never carried out. A
 // repeat whose answer was lost in the kill still counts once.
 func TestOrdersAreToldFromRepeatsAfterKills(t *testing.T) {
+	binary := build(t)
 	for name, play := range map[string]func(*orderHistory){
 		"two evacuations, a kill between": func(h *orderHistory) {
 			h.evacuate()
@@ -149,9 +159,7 @@
 			h.cluster.killControlPlane()
 			h.wait(2 * time.Second)
 			h.evacuate()
-			h.wait(orderGap)
-			h.withdraw()
-			h.expectEvacuated(true)
+			h.withdrawLater(true)
 		},
 		"two evacuations, two kills between": func(h *orderHistory) {
 			h.evacuate()
@@ -161,9 +169,7 @@
 			h.cluster.killControlPlane()
 			h.wait(4 * time.Second)
 			h.evacuate()
-			h.wait(orderGap)
-			h.withdraw()
-			h.expectEvacuated(true)
+			h.withdrawLater(true)
 		},
 		"three evacuations, a kill before the last": func(h *orderHistory) {
 			h.evacuate()
@@ -175,9 +181,7 @@
 			h.evacuate()
 			h.wait(orderGap)
 			h.withdraw()
-			h.wait(orderGap)
-			h.withdraw()
-			h.expectEvacuated(true)
+			h.withdrawLater(true)
 		},
 		"an evacuation before its owner started": func(h *orderHistory) {
 			first := h.withoutOwner(func() { h.evacuate(); h.wait(orderGap) })
@@ -186,18 +190,14 @@
 				h.cluster.restart(second.control, syscall.SIGKILL, controlDownTime)
 			}
 			h.evacuate()
-			h.wait(orderGap)
-			h.withdraw()
-			h.expectEvacuated(true)
+			h.withdrawLater(true)
 		},
 		"an evacuation sent again, its answer lost in a kill": func(h *orderHistory) {
 			began := time.Now()
 			h.evacuateAndLoseAnswer()
 			h.evacuate()
 			h.repeatedAfter = time.Since(began)
-			h.wait(orderGap)
-			h.withdraw()
-			h.expectEvacuated(false)
+			h.withdrawLater(false)
 		},
 		"an evacuation sent again after two kills": func(h *orderHistory) {
 			began := time.Now()
@@ -205,42 +205,30 @@
 			h.cluster.killControlPlane()
 			h.evacuate()
 			h.repeatedAfter = time.Since(began)
-			h.wait(orderGap)
-			h.withdraw()
-			h.expectEvacuated(false)
+			h.withdrawLater(false)
 		},
 		"a version ordered again, two kills before": func(h *orderHistory) {
-			h.orderRollout("v2")
-			h.reverseRollout("v2")
-			h.orderRollout("v3")
-			h.reverseRollout("v3")
+			h.orderAndReverse("v2", "v3")
 			h.wait(4 * time.Second)
 			h.cluster.killControlPlane()
 			h.wait(3 * time.Second)
 			h.cluster.killControlPlane()
 			h.wait(2 * time.Second)
 			h.orderRollout("v2")
-			if state, version := h.newestRollout(); state != "serving" || version != "v2" {
-				h.t.Errorf("the newest rollout is to %s, %s", version, state)
-			}
+			h.expectNewestRollout("serving", "v2")
 		},
 		"an order sent again after a kill": func(h *orderHistory) {
 			began := time.Now()
-			h.orderRollout("v2")
-			h.reverseRollout("v2")
-			h.orderRollout("v3")
-			h.reverseRollout("v3")
+			h.orderAndReverse("v2", "v3")
 			h.cluster.killControlPlane()
 			h.orderRollout("v2")
 			h.repeatedAfter = time.Since(began)
-			if state, version := h.newestRollout(); state != "reverted" || version != "v3" {
-				h.t.Errorf("the newest rollout is to %s, %s", version, state)
-			}
+			h.expectNewestRollout("reverted", "v3")
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			cluster, ops := startControlPlane(t)
+			cluster, ops := startControlPlane(t, binary)
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
 			defer cancel()
 			history := &orderHistory{ctx: ctx, t: t, cluster: cluster, ops: ops}
@@ -251,11 +239,3 @@
 		})
 	}
 }
-
-// expectEvacuated checks that the zone is evacuated or open once no doubt is left.
-func (h *orderHistory) expectEvacuated(evacuated bool) {
-	h.wait(doubtLimit)
-	if h.evacuated() != evacuated {
-		h.t.Errorf("the zone is evacuated: %v, want %v", !evacuated, evacuated)
-	}
-}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -72,16 +72,7 @@
 	env := newEnvironment(t, cluster)
 	defer env.close()
 	env.platform.pageSize = int(seed % 8) // 0: the whole list is one page
-	for _, p := range cluster.processes() {
-		cluster.start(p, true)
-	}
-	ops := &operators{history: env.history, cluster: cluster}
-	defer ops.close()
-	startCtx, cancel := context.WithTimeout(t.Context(), 2*recoveryS)
-	defer cancel()
-	if !ops.sendInitialConfig(startCtx) {
-		t.Fatal("the initial configuration was not acknowledged")
-	}
+	ops := startProcesses(t, cluster, env, cluster.processes())
 	sleep(t.Context(), 4*time.Second)
 
 	clientCtx, stopClients := context.WithCancel(t.Context())
--- a/internal/soak/stale_order_test.go
+++ b/internal/soak/stale_order_test.go
@@ -32,31 +32,18 @@
 
 // sendUntilAcked sends an evacuation order to nodes in turn until one acknowledges it.
 func (ops *operators) sendUntilAcked(ctx context.Context, method, zone string, nodes []*machine) {
-	for try := 0; ctx.Err() == nil; try++ {
-		if ops.call(method, nodes[try%len(nodes)].controlAddress(), "/v1/evacuation/"+zone, "", noCallFault) == http.StatusOK {
-			return
-		}
-		sleep(ctx, firstRetryDelay)
+	if !ops.callUntilAcked(ctx, method, "/v1/evacuation/"+zone, "", nodes) {
+		ops.cluster.t.Errorf("%s of the evacuation of %s was not acknowledged", method, zone)
 	}
-	ops.cluster.t.Errorf("%s of the evacuation of %s was not acknowledged", method, zone)
 }
 
 // startControlPlane starts the control nodes of a test cluster of four machines, and no gateways.
-func startControlPlane(t *testing.T) (*testCluster, *operators) {
-	cluster := newTestCluster(t, build(t), t.TempDir(), rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)), len(zones))
+func startControlPlane(t *testing.T, binary string) (*testCluster, *operators) {
+	cluster := newTestCluster(t, binary, t.TempDir(), rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)), len(zones))
 	t.Cleanup(cluster.kill)
 	env := newEnvironment(t, cluster)
 	t.Cleanup(env.close)
-	for _, m := range cluster.machines {
-		cluster.start(m.control, true)
-	}
-	ops := &operators{history: env.history, cluster: cluster}
-	t.Cleanup(ops.close)
-	startCtx, cancel := context.WithTimeout(t.Context(), 2*recoveryS)
-	defer cancel()
-	if !ops.sendInitialConfig(startCtx) {
-		t.Fatal("the initial configuration was not acknowledged")
-	}
+	ops := startProcesses(t, cluster, env, cluster.controlNodes())
 	sleep(t.Context(), contactS)
 	return cluster, ops
 }
@@ -64,7 +51,7 @@
 // Guards against a delayed withdrawal that ends a later evacuation. A suspended node has received the withdrawal
 // but not handled it; other nodes acknowledge the withdrawal and then a new evacuation before the node continues.
 func TestResumedNodeKeepsLaterEvacuation(t *testing.T) {
-	cluster, ops := startControlPlane(t)
+	cluster, ops := startControlPlane(t, build(t))
 	const zone = "winnipeg"
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
 	defer cancel()
