Gateway: one way to ask a control node for the rest of its records

The first copy asked at once, later parts by way of a field that the loop read after each command; the field existed because asking was a closure of the loop. Both now call sendWatch. The list of an update is applied before its records, since the request names the list's version; before, the request for the rest of the first copy named the old one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,9 +73,7 @@
 	tokenRequests tokenRequests
 
 	// Owned by the goroutine of syncLoop.
-	continueFrom string       // control node to ask at once: it has more records for this gateway, or must confirm them
-	partial      partialApply // records have arrived that are not applied yet
-
+	partial     partialApply      // records have arrived that are not applied yet
 	evacuations map[string]uint64 // in force: generation by zone
 }
 
@@ -228,10 +226,6 @@
 		select {
 		case fn := <-g.commands:
 			fn(time.Since(g.startedAt))
-			if from := g.continueFrom; from != "" {
-				g.continueFrom = ""
-				g.sendWatch(time.Since(g.startedAt), from)
-			}
 		case <-ticker.C:
 			sendWatches(time.Since(g.startedAt))
 			if catchingUp && g.readiness.hasData() {
@@ -284,7 +278,6 @@
 	if update.RolloutsControlled {
 		g.arms.ControllerSeen()
 	}
-	g.applyRecords(now, from, update)
 	if len(update.Loads) > 0 && g.sources.First() == from {
 		g.dispatcher.Do(func(now time.Duration, balancer *upstream.Balancer) { balancer.SetLoads(now, update.Loads) })
 	}
@@ -294,6 +287,7 @@
 		g.dispatcher.Do(func(now time.Duration, balancer *upstream.Balancer) { balancer.SetList(now, list) })
 		g.readiness.hasList.Store(true)
 	}
+	g.applyRecords(now, from, update) // last: it may ask for more, and the request names the list
 }
 
 // reportsPerHeartbeat is the number of reports on active rollouts per heartbeat interval.
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -22,7 +22,7 @@
 	case g.initialSync.Supersedes(from, local):
 		return
 	default:
-		g.mergeRecords(from, local)
+		g.mergeRecords(now, from, local)
 	}
 	if !g.initialSync.Completed() {
 		return
@@ -59,13 +59,13 @@
 
 // mergeRecords adds an update to the records. They are put into force once all of the control node's
 // records have arrived, or after a heartbeat interval.
-func (g *Gateway) mergeRecords(from string, update delivery.Update) {
+func (g *Gateway) mergeRecords(now time.Duration, from string, update delivery.Update) {
 	changed, err := g.configCopy.Apply(update)
 	if err != nil {
 		g.logDamagedPack(from, err)
 	}
 	if changed && update.More {
-		g.continueFrom = from
+		g.sendWatch(now, from)
 		g.partial.begin(from, func() { g.commands <- g.applyPartial }, g.settings.HeartbeatInterval())
 		return
 	}
